--- /dev/null
+++ b/base/src/main/java/rv/base/Code.java
@@ -0,0 +1,57 @@
+package rv.base;
+
+/** The numbered events; docs/EVENTS.md lists each and a test keeps the two alike. */
+public enum Code {
+    STARTED(1001, "process started"),
+    READY(1002, "process ready"),
+    STOPPING(1003, "orderly stop begun"),
+    STOPPED(1004, "process stopped"),
+    BAD_OPTIONS(1005, "options rejected"),
+    CIRCUIT_CLOSED(1101, "bad frame, circuit closed"),
+    RING_FULL(1102, "ring full, job shed"),
+    MEMBER_SEEN(1201, "member seen"),
+    MEMBER_LOST(1202, "member lost"),
+    DRIFT_HIGH(1203, "clock drift beyond the margin"),
+    WOKE(1204, "woke from a freeze, rights dropped"),
+    FOUNDED(1301, "elector founded a new memory"),
+    AMNESIA(1302, "elector has no memory, not voting"),
+    REBUILT(1303, "elector memory rebuilt"),
+    ACCEPTED(1304, "item write accepted"),
+    CLASHED(1305, "item write lost a race"),
+    LEARNED(1306, "item in force"),
+    DISK_SLOW(1307, "disk trouble, vote withheld"),
+    TENURE_WON(1401, "tenure taken"),
+    TENURE_LOST(1402, "tenure ended"),
+    PLAN_SET(1403, "plan written"),
+    GRANTED(1404, "lease granted"),
+    HELD(1501, "lease held"),
+    UNSURE(1502, "lease uncertain"),
+    FENCED(1503, "lease fenced"),
+    REVOKED(1504, "lease revoked"),
+    GRANT_REJECTED(1505, "grant with a low token rejected"),
+    FRAME_STALE(1601, "frame not confirmed in time"),
+    FRAME_FRESH(1602, "frame confirmed again"),
+    TOKEN_LOW(1603, "answer with a low token rejected"),
+    ORIGIN_STRANGE(1701, "origin identity mismatch, circuit dropped"),
+    ORIGIN_BAD(1702, "origin answer rejected"),
+    ORIGIN_SEND(1703, "request sent to origin"),
+    KEEP_SHORT(1704, "keepers short of a majority"),
+    ORIGIN_SEEN(1705, "origin announced"),
+    ORIGIN_LEFT(1706, "origin leaving");
+
+    private final int num;
+    private final String text;
+
+    Code(final int num, final String text) {
+        this.num = num;
+        this.text = text;
+    }
+
+    public String tag() {
+        return "RV" + num;
+    }
+
+    public String text() {
+        return text;
+    }
+}
--- /dev/null
+++ b/base/src/main/java/rv/base/Condition.java
@@ -0,0 +1,3 @@
+package rv.base;
+
+public enum Condition { READY, PARTIAL, UNREADY, LEAVING }
--- /dev/null
+++ b/base/src/main/java/rv/base/ItemId.java
@@ -0,0 +1,30 @@
+package rv.base;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+public record ItemId(Kind kind, String name) implements Comparable<ItemId> {
+    public static final ItemId PLAN = new ItemId(Kind.PLAN, "plan");
+    public static final ItemId TENURE = new ItemId(Kind.TENURE, "tenure");
+
+    @JsonCreator
+    public static ItemId parse(final String text) {
+        final int cut = text.indexOf('/');
+        return new ItemId(Kind.valueOf(text.substring(0, cut)), text.substring(cut + 1));
+    }
+
+    @JsonValue
+    public String text() {
+        return kind.name() + "/" + name;
+    }
+
+    @Override
+    public int compareTo(final ItemId o) {
+        return text().compareTo(o.text());
+    }
+
+    @Override
+    public String toString() {
+        return text();
+    }
+}
--- /dev/null
+++ b/base/src/main/java/rv/base/Kind.java
@@ -0,0 +1,25 @@
+package rv.base;
+
+import java.util.Locale;
+import java.util.Optional;
+
+public enum Kind {
+    ROUTE, SERVICE, PURGE, ORIGIN, PLAN, TENURE;
+
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    public boolean stated() {
+        return this == ROUTE || this == SERVICE || this == PURGE;
+    }
+
+    public static Optional<Kind> of(final String word) {
+        for (final Kind k : values()) {
+            if (k.word().equals(word) || (k.word() + "s").equals(word)) {
+                return Optional.of(k);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/base/src/main/java/rv/base/NodeId.java
@@ -0,0 +1,27 @@
+package rv.base;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+public record NodeId(@JsonValue String text) implements Comparable<NodeId> {
+    @JsonCreator
+    public NodeId {
+        if (text == null || !text.matches("[a-z0-9][a-z0-9-]{0,40}")) {
+            throw new IllegalArgumentException("bad node id: " + text);
+        }
+    }
+
+    public static NodeId of(final String text) {
+        return new NodeId(text);
+    }
+
+    @Override
+    public int compareTo(final NodeId o) {
+        return text.compareTo(o.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/base/src/main/java/rv/base/Reply.java
@@ -0,0 +1,19 @@
+package rv.base;
+
+import java.util.Optional;
+
+public record Reply(Msg msg, Trouble trouble) {
+    public enum Trouble { NONE, NOT_SENT, NO_ANSWER }
+
+    public static Reply of(final Msg msg) {
+        return new Reply(msg, Trouble.NONE);
+    }
+
+    public static Reply lost(final Trouble why) {
+        return new Reply(null, why);
+    }
+
+    public <T extends Msg> Optional<T> as(final Class<T> type) {
+        return type.isInstance(msg) ? Optional.of(type.cast(msg)) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/base/src/main/java/rv/base/Role.java
@@ -0,0 +1,11 @@
+package rv.base;
+
+import java.util.Locale;
+
+public enum Role {
+    STORE, SHIELD, EDGE;
+
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Authority.java
@@ -0,0 +1,305 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import rv.base.Code;
+import rv.base.Condition;
+import rv.base.Event;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Member;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.base.Timing;
+import rv.base.Ver;
+
+/** The acting store's side of plan and leases. */
+public final class Authority {
+    private static final long SETTLE = 3000;
+    private final Loop loop;
+    private final Net net;
+    private final Writer writer;
+    private final Roster roster;
+    private final Timing timing;
+    private final Journal journal;
+    private final int shards;
+    private final Predicate<NodeId> sound;
+    private final Map<Integer, Row> rows = new TreeMap<>();
+    private final Map<NodeId, Set<Integer>> acks = new HashMap<>();
+    private Tenure tenure;
+    private Plan plan;
+    private Ver ver = Ver.ZERO;
+    private long base;
+    private long began;
+    private long moved;
+    private boolean ready;
+    private boolean busy;
+
+    private static final class Row {
+        private long granted;
+        private long renewed;
+        private boolean moving;
+        private boolean asked;
+        private boolean free;
+    }
+
+    public Authority(final Loop loop, final Net net, final Writer writer, final Roster roster, final Timing timing,
+                     final Journal journal, final int shards, final Predicate<NodeId> sound) {
+        this.loop = loop;
+        this.net = net;
+        this.writer = writer;
+        this.roster = roster;
+        this.timing = timing;
+        this.journal = journal;
+        this.shards = shards;
+        this.sound = sound;
+    }
+
+    public void start(final Tenure t) {
+        tenure = t;
+        loop.every(100, this::tick);
+    }
+
+    public void won(final long term, final long last) {
+        rows.clear();
+        acks.clear();
+        base = last;
+        began = loop.now();
+        ready = false;
+        busy = false;
+    }
+
+    private void load() {
+        busy = true;
+        final long term = tenure.term();
+        writer.read(ItemId.PLAN, 1000, r -> {
+            if (term != tenure.term()) {
+                return;
+            }
+            busy = false;
+            if (r.ok()) {
+                plan = Plan.of(r.item());
+                ver = r.item().ver();
+                for (int i = 0; i < shards; i++) {
+                    rows.computeIfAbsent(i, k -> {
+                        final Row row = new Row();
+                        row.granted = base;
+                        return row;
+                    });
+                }
+                ready = true;
+            }
+        });
+    }
+
+    private void tick() {
+        if (!tenure.acting() || busy) {
+            return;
+        }
+        if (!ready) {
+            load();
+            return;
+        }
+        final List<NodeId> able = roster.live(Role.SHIELD).stream().filter(m -> m.condition() != Condition.LEAVING && m.condition() != Condition.UNREADY)
+            .map(Member::id).filter(sound).toList();
+        if (able.isEmpty() || ver.n() == 0 && loop.now() - began < 1500) {
+            return;
+        }
+        final List<NodeId> calm = able.stream().filter(n -> roster.age(n) >= SETTLE || ver.n() == 0).toList();
+        final Map<Integer, NodeId> moves = new TreeMap<>();
+        final Map<NodeId, List<Msg.Claim>> revokes = new TreeMap<>();
+        for (int s = 0; s < shards; s++) {
+            weigh(s, able, calm.isEmpty() ? able : calm, moves, revokes);
+        }
+        revokes.forEach(this::revoke);
+        if (moves.isEmpty()) {
+            remind(able);
+        } else {
+            move(moves);
+        }
+    }
+
+    private void weigh(final int s, final List<NodeId> able, final List<NodeId> calm, final Map<Integer, NodeId> moves,
+                       final Map<NodeId, List<Msg.Claim>> revokes) {
+        final Row row = rows.get(s);
+        final Plan.Part part = s < plan.parts().size() ? plan.parts().get(s) : null;
+        final NodeId want = Plan.assign(s, calm);
+        if (part == null || row.free) {
+            moves.put(s, want);
+            return;
+        }
+        final NodeId owner = part.node();
+        if (!able.contains(owner)) {
+            row.moving = true;
+            final Member m = roster.get(owner);
+            if (m != null && m.condition() == Condition.LEAVING && roster.lives(owner)) {
+                ask(s, row, part, revokes);
+            }
+            if (loop.now() >= timing.gate(row.granted)) {
+                row.free = true;
+                acks.computeIfAbsent(owner, k -> new HashSet<>()).add(s);
+                moves.put(s, want);
+            }
+        } else if (!want.equals(owner) && (row.asked || loop.now() - moved >= SETTLE)) {
+            row.moving = true;
+            ask(s, row, part, revokes);
+        } else if (row.moving && !row.asked) {
+            row.moving = false;
+        }
+    }
+
+    private void ask(final int s, final Row row, final Plan.Part part, final Map<NodeId, List<Msg.Claim>> revokes) {
+        if (!row.asked) {
+            row.asked = true;
+            revokes.computeIfAbsent(part.node(), k -> new ArrayList<>()).add(new Msg.Claim(s, part.token(), "REVOKED"));
+        }
+    }
+
+    private void revoke(final NodeId from, final List<Msg.Claim> list) {
+        final long term = tenure.term();
+        net.ask(from, new Msg.Revoke(term, list), timing.m() + 500, r -> {
+            if (tenure.term() != term || !ready) {
+                return;
+            }
+            final Set<Integer> done = new HashSet<>();
+            r.as(Msg.Revoked.class).ifPresent(v -> done.addAll(v.stopped()));
+            for (final Msg.Claim c : list) {
+                final Row row = rows.get(c.shard());
+                if (plan.parts().get(c.shard()).token().equals(c.token())) {
+                    row.free |= done.contains(c.shard());
+                    row.asked = row.free;
+                }
+            }
+        });
+    }
+
+    private void move(final Map<Integer, NodeId> moves) {
+        busy = true;
+        final long term = tenure.term();
+        final Plan next = plan.with(term, moves, shards);
+        final Ver old = ver;
+        final String tag = "plan-" + term + "-" + next.epoch() + "-" + loop.now();
+        writer.write(ItemId.PLAN, tag, 1000, now -> now.ver().equals(old)
+            ? Optional.of(now.next(Json.text(next), tag)) : Optional.empty(), r -> {
+            if (tenure.term() != term) {
+                return;
+            }
+            busy = false;
+            if (!r.ok()) {
+                ready = false;
+                return;
+            }
+            plan = next;
+            ver = r.item().ver();
+            moved = loop.now();
+            journal.add(Event.of(Code.PLAN_SET, "epoch", plan.epoch(), "term", term, "moves", moves.size()));
+            moves.forEach((s, n) -> rows.put(s, new Row()));
+            moves.values().stream().distinct().forEach(this::place);
+        });
+    }
+
+    private void remind(final List<NodeId> able) {
+        final Set<NodeId> slow = new HashSet<>();
+        for (int s = 0; s < shards; s++) {
+            final Row row = rows.get(s);
+            final NodeId owner = plan.parts().get(s).node();
+            if (!row.moving && able.contains(owner) && loop.now() - row.renewed > timing.d() / 2
+                && loop.now() - row.granted > 500) {
+                slow.add(owner);
+            }
+        }
+        slow.forEach(this::place);
+    }
+
+    private List<Msg.Claim> owned(final NodeId node) {
+        final List<Msg.Claim> list = new ArrayList<>();
+        for (int s = 0; s < plan.parts().size(); s++) {
+            final Row row = rows.get(s);
+            if (plan.parts().get(s).node().equals(node) && !row.moving && !row.free) {
+                row.granted = loop.now();
+                list.add(new Msg.Claim(s, plan.parts().get(s).token(), "GRANTED"));
+            }
+        }
+        return list;
+    }
+
+    private void place(final NodeId node) {
+        if (tenure.acting() && ready) {
+            final List<Msg.Claim> list = owned(node);
+            journal.add(Event.of(Code.GRANTED, "node", node.text(), "shards", list.size(), "epoch", plan.epoch()));
+            net.ask(node, new Msg.Place(tenure.term(), plan.epoch(), list), 450, r -> { });
+        }
+    }
+
+    /** Reconnect order: revokes, then fence acknowledgements, then the whole placement. */
+    public void hello(final NodeId from, final Msg.Hello h, final Consumer<Msg> back) {
+        final boolean mine = tenure.acting() && ready && h.term() == tenure.term();
+        back.accept(new Msg.Welcome(mine, tenure.term()));
+        if (!mine) {
+            return;
+        }
+        final long term = tenure.term();
+        final List<Msg.Claim> stale = h.claims().stream().filter(c -> !fits(from, c) && !c.state().equals("REVOKED")).toList();
+        final Runnable third = () -> {
+            if (tenure.term() == term) {
+                place(from);
+            }
+        };
+        final Runnable second = () -> {
+            final Set<Integer> due = acks.getOrDefault(from, Set.of());
+            if (due.isEmpty()) {
+                third.run();
+            } else {
+                net.ask(from, new Msg.FenceAck(term, List.copyOf(due)), 450, r -> r.as(Msg.Ok.class).ifPresent(ok -> {
+                    acks.remove(from);
+                    third.run();
+                }));
+            }
+        };
+        if (stale.isEmpty()) {
+            second.run();
+        } else {
+            net.ask(from, new Msg.Revoke(term, stale), timing.m() + 500, r -> r.as(Msg.Revoked.class)
+                .ifPresent(ok -> second.run()));
+        }
+    }
+
+    private boolean fits(final NodeId from, final Msg.Claim c) {
+        if (c.shard() >= plan.parts().size()) {
+            return false;
+        }
+        final Plan.Part part = plan.parts().get(c.shard());
+        return part.node().equals(from) && part.token().equals(c.token()) && !rows.get(c.shard()).free;
+    }
+
+    public void renew(final NodeId from, final Msg.Renew ask, final Consumer<Msg> back) {
+        if (!tenure.acting() || !ready || ask.term() != tenure.term()) {
+            back.accept(new Msg.Renewed(ask.term(), false, List.of(), List.of()));
+            return;
+        }
+        final List<Msg.Claim> good = new ArrayList<>();
+        final List<Msg.Claim> stale = new ArrayList<>();
+        for (final Msg.Claim c : ask.claims()) {
+            if (!fits(from, c)) {
+                stale.add(c);
+            } else if (!rows.get(c.shard()).moving && sound.test(from)) {
+                final Row row = rows.get(c.shard());
+                row.granted = loop.now();
+                row.renewed = loop.now();
+                good.add(c);
+            }
+        }
+        back.accept(new Msg.Renewed(tenure.term(), true, good, stale));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Elector.java
@@ -0,0 +1,273 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import rv.base.Ballot;
+import rv.base.Code;
+import rv.base.Disk;
+import rv.base.DiskTrouble;
+import rv.base.Event;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Wire;
+import rv.base.WireTrouble;
+
+/** One voter over all registers. Without its memory it answers no vote. */
+public final class Elector {
+    private static final String SEAL = "seal";
+    private static final String ROW = "e/";
+    private final NodeId self;
+    private final Quorum quorum;
+    private final Loop loop;
+    private final Net net;
+    private final Disk disk;
+    private final Journal journal;
+    private final String boot;
+    private final Map<ItemId, Msg.Slot> slots = new TreeMap<>();
+    private Map<NodeId, String> founders = Map.of();
+    private boolean full;
+    private boolean fresh;
+    private boolean failed;
+    private long floor;
+    private long hash;
+    private long turn;
+
+    record Seal(Map<NodeId, String> founders, long floor) {
+    }
+
+    public Elector(final NodeId self, final Quorum quorum, final Loop loop, final Net net, final Disk disk,
+                   final Journal journal, final String boot) {
+        this.self = self;
+        this.quorum = quorum;
+        this.loop = loop;
+        this.net = net;
+        this.disk = disk;
+        this.journal = journal;
+        this.boot = boot;
+    }
+
+    public void start() throws DiskTrouble {
+        try {
+            for (final Map.Entry<String, byte[]> e : disk.load().entrySet()) {
+                if (e.getKey().equals(SEAL)) {
+                    final Seal seal = Wire.unpack(e.getValue(), Seal.class);
+                    founders = seal.founders();
+                    floor = seal.floor();
+                    full = true;
+                } else if (e.getKey().startsWith(ROW)) {
+                    put(Wire.unpack(e.getValue(), Msg.Slot.class));
+                }
+            }
+        } catch (final WireTrouble e) {
+            throw new DiskTrouble("elector rows cannot be read", e);
+        }
+        if (!full) {
+            slots.clear();
+            hash = 0;
+            fresh = true;
+            journal.add(Event.of(Code.AMNESIA, "boot", boot));
+            recall();
+        }
+    }
+
+    public boolean full() {
+        return full;
+    }
+
+    /** True when this process began without memory and was not part of the founding. */
+    public boolean lapsed() {
+        return fresh && !boot.equals(founders.get(self));
+    }
+
+    public long hash() {
+        return hash;
+    }
+
+    public Map<ItemId, Msg.Slot> slots() {
+        return slots;
+    }
+
+    private void put(final Msg.Slot slot) {
+        final Msg.Slot old = slots.put(slot.item().id(), slot);
+        if (old != null && old.item().ver().n() > 0) {
+            hash ^= old.item().mix();
+        }
+        if (slot.item().ver().n() > 0) {
+            hash ^= slot.item().mix();
+        }
+    }
+
+    private void save(final List<Msg.Slot> list, final boolean seal, final Runnable then) {
+        final Map<String, byte[]> rows = new HashMap<>();
+        list.forEach(s -> rows.put(ROW + s.item().id().text(), Wire.pack(s)));
+        if (seal) {
+            rows.put(SEAL, Wire.pack(new Seal(founders, floor)));
+        }
+        disk.save(rows, ok -> {
+            if (ok) {
+                failed = false;
+                then.run();
+            } else if (!failed) {
+                failed = true;
+                journal.add(Event.of(Code.DISK_SLOW, "rows", rows.size()));
+            }
+        });
+    }
+
+    private Msg.Slot slot(final ItemId id) {
+        return slots.getOrDefault(id, new Msg.Slot(Ballot.ZERO, Ballot.ZERO, Item.none(id)));
+    }
+
+    public void prepare(final Msg.Prepare ask, final Consumer<Msg> back) {
+        if (!full) {
+            back.accept(new Msg.Nay("amnesia"));
+            return;
+        }
+        final Msg.Slot s = slot(ask.id());
+        if (!ask.ballot().above(s.promised()) || ask.ballot().round() <= floor) {
+            back.accept(new Msg.Promise(false, high(s), s.at(), null));
+            return;
+        }
+        final Msg.Slot n = new Msg.Slot(ask.ballot(), s.at(), s.item());
+        put(n);
+        save(List.of(n), false, () -> back.accept(new Msg.Promise(true, ask.ballot(), n.at(), n.item())));
+    }
+
+    private Ballot high(final Msg.Slot s) {
+        final Ballot low = new Ballot(floor, "~");
+        return s.promised().above(low) ? s.promised() : low;
+    }
+
+    public void accept(final Ballot ballot, final Item item, final Consumer<Msg> back) {
+        if (!full) {
+            back.accept(new Msg.Nay("amnesia"));
+            return;
+        }
+        final Msg.Slot s = slot(item.id());
+        if (s.promised().above(ballot) || ballot.round() <= floor) {
+            back.accept(new Msg.Accepted(false, high(s)));
+            return;
+        }
+        final Msg.Slot n = new Msg.Slot(ballot, ballot, item);
+        put(n);
+        save(List.of(n), false, () -> back.accept(new Msg.Accepted(true, ballot)));
+    }
+
+    /** A chosen value arrives by push: take it if no promise forbids. */
+    public void learn(final Msg.Chosen got) {
+        final Msg.Slot s = slot(got.item().id());
+        if (full && got.item().ver().above(s.item().ver()) && !s.promised().above(got.ballot())
+            && got.ballot().round() > floor) {
+            final Msg.Slot n = new Msg.Slot(got.ballot(), got.ballot(), got.item());
+            put(n);
+            save(List.of(n), false, () -> { });
+        }
+    }
+
+    public void reread(final Msg.Reread ask, final Consumer<Msg> back) {
+        if (!full || !ask.bar()) {
+            back.accept(new Msg.Memory(full, boot, founders, floor, List.of()));
+            return;
+        }
+        floor = 1 + slots.values().stream().mapToLong(s -> Math.max(s.promised().round(), s.at().round()))
+            .reduce(floor, Math::max);
+        final List<Msg.Slot> all = List.copyOf(slots.values());
+        final long bar = floor;
+        save(List.of(), true, () -> back.accept(new Msg.Memory(true, boot, founders, bar, all)));
+    }
+
+    private void recall() {
+        if (full) {
+            return;
+        }
+        final long mine = ++turn;
+        gather(false, mine);
+        loop.after(400, this::recall);
+    }
+
+    private void gather(final boolean bar, final long mine) {
+        final Map<NodeId, Msg.Memory> got = new HashMap<>();
+        for (final NodeId id : quorum.electors()) {
+            if (!id.equals(self)) {
+                net.ask(id, new Msg.Reread(boot, bar), 350, r -> r.as(Msg.Memory.class).ifPresent(m -> {
+                    if (!full && turn == mine) {
+                        got.put(id, m);
+                        weigh(got, bar, mine);
+                    }
+                }));
+            }
+        }
+    }
+
+    private void weigh(final Map<NodeId, Msg.Memory> got, final boolean bar, final long mine) {
+        final Set<NodeId> with = new HashSet<>();
+        got.forEach((id, m) -> {
+            if (m.has()) {
+                with.add(id);
+            }
+        });
+        if (got.values().stream().anyMatch(m -> m.has() && boot.equals(m.founders().get(self)))) {
+            got.values().stream().filter(Msg.Memory::has).findFirst().ifPresent(m -> found(m.founders()));
+        } else if (with.isEmpty() && got.size() == quorum.electors().size() - 1) {
+            final Map<NodeId, String> all = new HashMap<>();
+            got.forEach((id, m) -> all.put(id, m.boot()));
+            all.put(self, boot);
+            found(all);
+        } else if (quorum.read(with)) {
+            if (bar) {
+                rebuild(got);
+            } else {
+                turn = mine + 1;
+                gather(true, turn);
+            }
+        }
+    }
+
+    private void found(final Map<NodeId, String> all) {
+        founders = Map.copyOf(all);
+        save(List.of(), true, () -> {
+            full = true;
+            journal.add(Event.of(Code.FOUNDED, "electors", founders.size()));
+        });
+    }
+
+    private void rebuild(final Map<NodeId, Msg.Memory> got) {
+        turn++;
+        got.values().stream().filter(Msg.Memory::has).forEach(m -> {
+            floor = Math.max(floor, m.floor());
+            founders = m.founders();
+            for (final Msg.Slot s : m.slots()) {
+                final Msg.Slot old = slot(s.item().id());
+                final Msg.Slot best = s.at().above(old.at()) ? s : old;
+                final Ballot word = s.promised().above(old.promised()) ? s.promised() : old.promised();
+                put(new Msg.Slot(word, best.at(), best.item()));
+            }
+        });
+        save(new ArrayList<>(slots.values()), true, () -> {
+            full = true;
+            journal.add(Event.of(Code.REBUILT, "items", slots.size(), "floor", floor));
+        });
+    }
+
+    /** An operator vouches that one elector holds all: its copy is taken without a majority. */
+    public void vouch(final NodeId from, final Consumer<Boolean> then) {
+        net.ask(from, new Msg.Reread(boot, true), 2000, r -> {
+            final Msg.Memory m = r.as(Msg.Memory.class).filter(Msg.Memory::has).orElse(null);
+            if (m != null && !full) {
+                rebuild(Map.of(from, m));
+            }
+            then.accept(m != null);
+        });
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Held.java
@@ -0,0 +1,82 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.eclipse.collections.api.map.ImmutableMap;
+import org.eclipse.collections.api.map.MutableMap;
+import org.eclipse.collections.impl.factory.Maps;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Ver;
+
+/** The chosen items a node has learned. Versions never fall. */
+public final class Held {
+    private final Loop loop;
+    private final Journal journal;
+    private final MutableMap<ItemId, Msg.Chosen> map = Maps.mutable.empty();
+    private final Map<ItemId, Long> since = new HashMap<>();
+    private final List<Consumer<Item>> views = new ArrayList<>();
+    private long hash;
+
+    public Held(final Loop loop, final Journal journal) {
+        this.loop = loop;
+        this.journal = journal;
+    }
+
+    public void watch(final Consumer<Item> view) {
+        views.add(view);
+    }
+
+    public boolean merge(final Msg.Chosen got) {
+        final Item item = got.item();
+        final Item old = get(item.id());
+        if (!item.ver().above(old.ver())) {
+            return false;
+        }
+        if (old.ver().n() > 0) {
+            hash ^= old.mix();
+        }
+        hash ^= item.mix();
+        map.put(item.id(), got);
+        since.put(item.id(), loop.now());
+        journal.add(Event.of(Code.LEARNED, "item", item.id().text(), "ver", item.ver().n(), "gone", item.gone()));
+        views.forEach(v -> v.accept(item));
+        return true;
+    }
+
+    public Item get(final ItemId id) {
+        final Msg.Chosen c = map.get(id);
+        return c == null ? Item.none(id) : c.item();
+    }
+
+    public long since(final ItemId id) {
+        return since.getOrDefault(id, 0L);
+    }
+
+    public Collection<Msg.Chosen> all() {
+        return map.values();
+    }
+
+    public ImmutableMap<ItemId, Msg.Chosen> frame() {
+        return map.toImmutable();
+    }
+
+    public Map<ItemId, Ver> vers() {
+        final Map<ItemId, Ver> vers = new HashMap<>();
+        map.forEachKeyValue((k, c) -> vers.put(k, c.item().ver()));
+        return vers;
+    }
+
+    public long hash() {
+        return hash;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Holder.java
@@ -0,0 +1,283 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Timing;
+import rv.base.Token;
+
+/** A shield's leases: held, uncertain, expired or revoked; only a held one starts fills. */
+public final class Holder {
+    private final Loop loop;
+    private final Net net;
+    private final Held held;
+    private final Timing timing;
+    private final Journal journal;
+    private final BooleanSupplier sound;
+    private final Stopper stopper;
+    private final Map<Integer, Lease> leases = new TreeMap<>();
+    private final Map<Integer, Token> high = new HashMap<>();
+    private NodeId boss;
+    private long term;
+    private boolean placed;
+    private long asked;
+    private long missed;
+
+    public enum State { HELD, UNCERTAIN, EXPIRED, REVOKED }
+
+    public static final class Lease {
+        private Token token;
+        private State state;
+        private long until;
+        private boolean fencing;
+
+        public Token token() {
+            return token;
+        }
+
+        public State state() {
+            return state;
+        }
+    }
+
+    /** Stops all fills of a shard, gracefully and then forcibly; {@code done} hears whether all stopped. */
+    @FunctionalInterface
+    public interface Stopper {
+        void stop(int shard, long grace, Consumer<Boolean> done);
+    }
+
+    public Holder(final Loop loop, final Net net, final Held held, final Timing timing, final Journal journal,
+                  final BooleanSupplier sound, final Stopper stopper) {
+        this.loop = loop;
+        this.net = net;
+        this.held = held;
+        this.timing = timing;
+        this.journal = journal;
+        this.sound = sound;
+        this.stopper = stopper;
+    }
+
+    public void start() {
+        loop.every(timing.renew(), this::renew);
+        loop.every(50, this::tick);
+    }
+
+    public boolean may(final int shard) {
+        final Lease l = leases.get(shard);
+        return l != null && l.state == State.HELD && !l.fencing && loop.now() < l.until && sound.getAsBoolean();
+    }
+
+    public Token token(final int shard) {
+        final Lease l = leases.get(shard);
+        return l == null ? Token.ZERO : l.token;
+    }
+
+    public boolean serves(final int shard) {
+        final Lease l = leases.get(shard);
+        return l != null && (l.state == State.HELD || l.state == State.UNCERTAIN);
+    }
+
+    public long count() {
+        return leases.keySet().stream().filter(this::may).count();
+    }
+
+    public Map<Integer, Lease> leases() {
+        return leases;
+    }
+
+    private void tick() {
+        final Tenure.Body b = Tenure.Body.of(held.get(ItemId.TENURE));
+        if (b.term() > term) {
+            term = b.term();
+            boss = NodeId.of(b.holder());
+            placed = false;
+            asked = Long.MIN_VALUE / 2;
+        }
+        leases.forEach((s, l) -> {
+            if ((l.state == State.HELD || l.state == State.UNCERTAIN) && l.until > 0 && loop.now() >= l.until) {
+                l.state = State.EXPIRED;
+                fence(s, l, "expired", ok -> { });
+            }
+        });
+        if (boss != null && !placed && loop.now() - asked >= 500) {
+            asked = loop.now();
+            net.ask(boss, new Msg.Hello(term, claims(true)), 450, r -> { });
+        }
+    }
+
+    private List<Msg.Claim> claims(final boolean all) {
+        final List<Msg.Claim> list = new ArrayList<>();
+        leases.forEach((s, l) -> {
+            if (all || l.state == State.HELD || l.state == State.UNCERTAIN) {
+                list.add(new Msg.Claim(s, l.token, l.state.name()));
+            }
+        });
+        return list;
+    }
+
+    private void renew() {
+        if (placed) {
+            final List<Msg.Claim> list = claims(false);
+            final long sent = loop.now();
+            final long then = term;
+            net.ask(boss, new Msg.Renew(term, list), timing.renew() / 2, r -> r.as(Msg.Renewed.class)
+                .filter(g -> g.term() == then && then == term)
+                .ifPresentOrElse(g -> renewed(sent, g), () -> unanswered(list, sent)));
+        }
+    }
+
+    private void unanswered(final List<Msg.Claim> list, final long sent) {
+        for (final Msg.Claim c : list) {
+            final Lease l = leases.get(c.shard());
+            if (l.state == State.HELD && l.token.equals(c.token()) && l.until <= timing.valid(sent)) {
+                l.state = State.UNCERTAIN;
+                journal.add(Event.of(Code.UNSURE, "shard", c.shard(), "token", l.token.toString()));
+            }
+        }
+        if (++missed >= 2) {
+            placed = false;
+        } else {
+            renew();
+        }
+    }
+
+    private void renewed(final long sent, final Msg.Renewed g) {
+        missed = 0;
+        if (!g.mine()) {
+            placed = false;
+            return;
+        }
+        for (final Msg.Claim c : g.granted()) {
+            final Lease l = leases.get(c.shard());
+            if (l == null || !l.token.equals(c.token()) || l.fencing
+                || l.state != State.HELD && l.state != State.UNCERTAIN || timing.valid(sent) <= loop.now()) {
+                continue;
+            }
+            l.until = Math.max(l.until, timing.valid(sent));
+            if (l.state == State.UNCERTAIN) {
+                l.state = State.HELD;
+                journal.add(Event.of(Code.HELD, "shard", c.shard(), "token", l.token.toString()));
+            }
+        }
+        g.stale().forEach(c -> revoke(c, ok -> { }));
+    }
+
+    public void place(final NodeId from, final Msg.Place p, final Consumer<Msg> back) {
+        if (p.term() != term || !from.equals(boss)) {
+            back.accept(new Msg.Nay("not the authority known here"));
+            return;
+        }
+        boolean rush = !placed;
+        placed = true;
+        missed = 0;
+        for (final Msg.Claim c : p.grants()) {
+            rush |= grant(c);
+        }
+        back.accept(new Msg.Ok());
+        if (rush) {
+            renew();
+        }
+    }
+
+    private boolean grant(final Msg.Claim c) {
+        final Token top = high.getOrDefault(c.shard(), Token.ZERO);
+        final Lease old = leases.get(c.shard());
+        if (c.token().below(top) || old != null && old.state == State.REVOKED && !top.below(c.token())) {
+            journal.add(Event.of(Code.GRANT_REJECTED, "shard", c.shard(), "token", c.token().toString(), "known", top.toString()));
+            return false;
+        }
+        if (old != null && old.token.equals(c.token()) && (old.state != State.EXPIRED || old.fencing)) {
+            return false;
+        }
+        final Lease l = old == null ? new Lease() : old;
+        final boolean live = old != null && old.state == State.HELD && loop.now() < old.until;
+        l.until = live ? l.until : 0;
+        l.token = c.token();
+        l.state = State.UNCERTAIN;
+        high.put(c.shard(), c.token());
+        leases.put(c.shard(), l);
+        return true;
+    }
+
+    public void revoke(final NodeId from, final Msg.Revoke r, final Consumer<Msg> back) {
+        if (r.term() < term) {
+            back.accept(new Msg.Nay("old term"));
+            return;
+        }
+        final List<Integer> stopped = new ArrayList<>();
+        final int[] left = {r.list().size()};
+        final boolean[] all = {true};
+        for (final Msg.Claim c : r.list()) {
+            revoke(c, ok -> {
+                all[0] &= ok;
+                if (ok) {
+                    stopped.add(c.shard());
+                }
+                if (--left[0] == 0) {
+                    back.accept(new Msg.Revoked(all[0], stopped));
+                }
+            });
+        }
+        if (r.list().isEmpty()) {
+            back.accept(new Msg.Revoked(true, stopped));
+        }
+    }
+
+    private void revoke(final Msg.Claim c, final Consumer<Boolean> done) {
+        final Lease l = leases.get(c.shard());
+        if (l == null || l.state == State.REVOKED && !l.fencing) {
+            done.accept(true);
+        } else if (c.token().below(l.token)) {
+            done.accept(false);
+        } else {
+            l.state = State.REVOKED;
+            fence(c.shard(), l, "revoked", done);
+        }
+    }
+
+    private void fence(final int shard, final Lease l, final String why, final Consumer<Boolean> done) {
+        l.fencing = true;
+        final Token token = l.token;
+        stopper.stop(shard, timing.m() / 2, ok -> {
+            if (ok) {
+                l.fencing = false;
+                journal.add(Event.of(Code.FENCED, "shard", shard, "token", token.toString(), "why", why));
+            }
+            done.accept(ok);
+        });
+    }
+
+    /** After a fence that could not be confirmed: the authority says the wait is over. */
+    public void ack(final Msg.FenceAck a, final Consumer<Msg> back) {
+        a.shards().forEach(s -> {
+            final Lease l = leases.get(s);
+            if (l != null && l.state != State.HELD) {
+                l.fencing = false;
+            }
+        });
+        back.accept(new Msg.Ok());
+    }
+
+    /** A freeze or a bad clock: nothing believed before counts any more. */
+    public void drop() {
+        placed = false;
+        leases.forEach((s, l) -> {
+            if (l.state == State.HELD || l.state == State.UNCERTAIN) {
+                l.state = State.EXPIRED;
+                fence(s, l, "dropped", ok -> { });
+            }
+        });
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Json.java
@@ -0,0 +1,32 @@
+package rv.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+public final class Json {
+    private static final JsonMapper MAP = JsonMapper.builder()
+        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+        .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build();
+
+    private Json() {
+    }
+
+    public static String text(final Object o) {
+        try {
+            return MAP.writeValueAsString(o);
+        } catch (final JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** For bodies that this project wrote and checked itself. */
+    public static <T> T read(final String text, final Class<T> type) {
+        try {
+            return MAP.readValue(text, type);
+        } catch (final JsonProcessingException e) {
+            throw new IllegalStateException("own JSON cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Plan.java
@@ -0,0 +1,55 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import rv.base.Hash;
+import rv.base.Item;
+import rv.base.NodeId;
+import rv.base.Token;
+
+/** One epoch: which shield fills each shard, under which token. */
+public record Plan(long epoch, long term, List<Part> parts) {
+    public record Part(String owner, long term, long count) {
+        public Token token() {
+            return new Token(term, count);
+        }
+
+        public NodeId node() {
+            return NodeId.of(owner);
+        }
+    }
+
+    public Plan {
+        parts = List.copyOf(parts);
+    }
+
+    public static Plan of(final Item item) {
+        return item.live() ? Json.read(item.body(), Plan.class) : new Plan(0, 0, List.of());
+    }
+
+    public Plan with(final long now, final Map<Integer, NodeId> moves, final int shards) {
+        final List<Part> next = new ArrayList<>();
+        for (int i = 0; i < shards; i++) {
+            final Part old = i < parts.size() ? parts.get(i) : new Part("", 0, 0);
+            if (moves.containsKey(i)) {
+                final Token t = old.token().rise(now);
+                next.add(new Part(moves.get(i).text(), t.term(), t.count()));
+            } else {
+                next.add(old);
+            }
+        }
+        return new Plan(epoch + 1, now, next);
+    }
+
+    public static NodeId assign(final int shard, final Collection<NodeId> members) {
+        return members.stream().max(Comparator.comparingLong((NodeId n) -> Hash.mix("shard-" + shard + "/" + n.text()))
+            .thenComparing(Comparator.naturalOrder())).orElseThrow();
+    }
+
+    public static int shard(final String route, final String service, final String key, final int shards) {
+        return (int) Long.remainderUnsigned(Hash.mix(route + "|" + service + "|" + key), shards);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Roster.java
@@ -0,0 +1,136 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Member;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.base.Timing;
+
+/** Who is there: every node beats to the seeds, the seeds tell all they have heard. */
+public final class Roster {
+    private static final long BLUR = 100;
+    private final Supplier<Member> self;
+    private final List<NodeId> seeds;
+    private final Loop loop;
+    private final Net net;
+    private final Timing timing;
+    private final Journal journal;
+    private final Consumer<Member> book;
+    private final Drift drift;
+    private final Drift pace;
+    private final Map<NodeId, Member> all = new TreeMap<>();
+    private final Map<NodeId, Long> heard = new HashMap<>();
+    private final Map<NodeId, Long> first = new HashMap<>();
+
+    public Roster(final Supplier<Member> self, final List<NodeId> seeds, final Loop loop, final Net net, final Timing timing,
+                  final Journal journal, final Consumer<Member> book, final Drift drift) {
+        this.self = self;
+        this.seeds = List.copyOf(seeds);
+        this.loop = loop;
+        this.net = net;
+        this.timing = timing;
+        this.journal = journal;
+        this.book = book;
+        this.drift = drift;
+        this.pace = new Drift(timing);
+    }
+
+    public void start() {
+        loop.every(timing.beat(), this::round);
+    }
+
+    private void round() {
+        final Member me = self.get();
+        note(me, loop.now());
+        for (final NodeId s : seeds) {
+            if (!s.equals(me.id())) {
+                final long sent = loop.now();
+                net.ask(s, new Msg.Beat(me, sent, all.size()), 450, r -> r.as(Msg.Beaten.class).ifPresent(b -> {
+                    drift.sample(s, sent, loop.now(), b.tick());
+                    b.members().forEach(this::hear);
+                }));
+            }
+        }
+        heard.forEach((id, at) -> {
+            if (loop.now() - at > timing.lost() && first.remove(id) != null) {
+                journal.add(Event.of(Code.MEMBER_LOST, "node", id.text()));
+            }
+        });
+    }
+
+    private void hear(final Msg.Heard h) {
+        if (!h.member().id().equals(self.get().id()) && h.silence() <= timing.lost()) {
+            note(h.member(), loop.now() - h.silence());
+        }
+    }
+
+    public boolean sound(final NodeId id) {
+        return pace.proved(id) < timing.m() / 2;
+    }
+
+    public void beat(final Msg.Beat b, final Consumer<Msg> back) {
+        pace.sample(b.self().id(), loop.now() - BLUR, loop.now() + BLUR, b.tick());
+        note(b.self(), loop.now());
+        back.accept(new Msg.Beaten(live().stream().map(m -> new Msg.Heard(m, silence(m.id()))).toList(), loop.now()));
+    }
+
+    private void note(final Member m, final long at) {
+        if (at < heard.getOrDefault(m.id(), Long.MIN_VALUE)) {
+            return;
+        }
+        final Member old = all.put(m.id(), m);
+        heard.put(m.id(), at);
+        if (first.putIfAbsent(m.id(), loop.now()) == null) {
+            journal.add(Event.of(Code.MEMBER_SEEN, "node", m.id().text(), "role", m.role().word(), "cell", m.cell()));
+        }
+        if (old == null || !old.host().equals(m.host()) || old.port() != m.port()) {
+            book.accept(m);
+        }
+    }
+
+    public List<Member> live() {
+        final List<Member> list = new ArrayList<>();
+        all.forEach((id, m) -> {
+            if (loop.now() - heard.get(id) <= timing.lost()) {
+                list.add(m);
+            }
+        });
+        return list;
+    }
+
+    public boolean lives(final NodeId id) {
+        return heard.containsKey(id) && loop.now() - heard.get(id) <= timing.lost();
+    }
+
+    public long age(final NodeId id) {
+        return loop.now() - first.getOrDefault(id, loop.now());
+    }
+
+    public long silence(final NodeId id) {
+        return heard.containsKey(id) ? loop.now() - heard.get(id) : Long.MAX_VALUE;
+    }
+
+    public List<NodeId> ids() {
+        return List.copyOf(all.keySet());
+    }
+
+    public Member get(final NodeId id) {
+        return all.get(id);
+    }
+
+    public List<Member> live(final Role role) {
+        return live().stream().filter(m -> m.role() == role).toList();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Sync.java
@@ -0,0 +1,135 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Timing;
+import rv.base.Ver;
+
+/** Asks the electors whether this node holds all they have accepted, and takes what it lacks. */
+public final class Sync {
+    private static final long NEVER = Long.MIN_VALUE / 2;
+    private final Quorum quorum;
+    private final Loop loop;
+    private final Net net;
+    private final Held held;
+    private final Timing timing;
+    private final Journal journal;
+    private final Map<NodeId, Long> good = new HashMap<>();
+    private boolean was;
+
+    public Sync(final Quorum quorum, final Loop loop, final Net net, final Held held, final Timing timing, final Journal journal) {
+        this.quorum = quorum;
+        this.loop = loop;
+        this.net = net;
+        this.held = held;
+        this.timing = timing;
+        this.journal = journal;
+    }
+
+    public void start() {
+        loop.every(300, this::round);
+    }
+
+    public void round() {
+        final boolean now = fresh();
+        if (now != was) {
+            was = now;
+            journal.add(Event.of(now ? Code.FRAME_FRESH : Code.FRAME_STALE, "age", now ? age() : -1));
+        }
+        for (final NodeId e : quorum.electors()) {
+            final long sent = loop.now();
+            net.ask(e, new Msg.Query(held.hash()), 700, r -> r.as(Msg.Same.class).ifPresent(s -> {
+                if (s.same()) {
+                    confirm(e, sent);
+                } else {
+                    fetch(e);
+                }
+            }));
+        }
+    }
+
+    private void fetch(final NodeId e) {
+        final long sent = loop.now();
+        net.ask(e, new Msg.Vers(held.vers()), 1000, r -> r.as(Msg.Give.class).ifPresent(g -> {
+            g.list().forEach(held::merge);
+            if (g.all()) {
+                confirm(e, sent);
+            }
+        }));
+    }
+
+    private void confirm(final NodeId e, final long sent) {
+        good.merge(e, sent, Math::max);
+    }
+
+    /** The newest instant for which a majority has confirmed this node's frame. */
+    public long sure() {
+        if (good.size() < quorum.need()) {
+            return NEVER;
+        }
+        final List<Long> times = new ArrayList<>(good.values());
+        times.sort(Comparator.reverseOrder());
+        return times.get(quorum.need() - 1);
+    }
+
+    public long age() {
+        return loop.now() - sure();
+    }
+
+    public boolean fresh() {
+        return age() < timing.fresh();
+    }
+
+    public void drop() {
+        good.clear();
+    }
+
+    /** The electors' side of the questions. */
+    public record Desk(Elector elector, Held held) {
+        public void query(final Msg.Query ask, final Consumer<Msg> back) {
+            back.accept(elector.full() ? new Msg.Same(ask.hash() == elector.hash()) : new Msg.Nay("amnesia"));
+        }
+
+        public void vers(final Msg.Vers ask, final Consumer<Msg> back) {
+            if (!elector.full()) {
+                back.accept(new Msg.Nay("amnesia"));
+                return;
+            }
+            final List<Msg.Chosen> list = new ArrayList<>();
+            int size = 0;
+            boolean all = true;
+            for (final Msg.Chosen c : held.all()) {
+                if (c.item().ver().above(ask.vers().getOrDefault(c.item().id(), Ver.ZERO))) {
+                    size += c.item().size();
+                    if (size > 1 << 20) {
+                        all = false;
+                        break;
+                    }
+                    list.add(c);
+                }
+            }
+            for (final Map.Entry<ItemId, Msg.Slot> e : elector.slots().entrySet()) {
+                final Item item = e.getValue().item();
+                if (item.ver().above(held.get(e.getKey()).ver())
+                    && item.ver().above(ask.vers().getOrDefault(e.getKey(), Ver.ZERO))) {
+                    all = false;
+                    break;
+                }
+            }
+            back.accept(new Msg.Give(list, all));
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/Writer.java
@@ -0,0 +1,218 @@
+package rv.control;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import rv.base.Ballot;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+
+/** Proposes changes to registers: prepare at a majority, apply, accept at a majority with a store, tell all. */
+public final class Writer {
+    private final Quorum quorum;
+    private final Loop loop;
+    private final Net net;
+    private final Random dice;
+    private final Journal journal;
+    private final String name;
+    private final Held held;
+    private final Supplier<List<NodeId>> all;
+    private long top;
+
+    public enum Fate { ACCEPTED, CLASH, REJECTED, UNKNOWN }
+
+    public record Result(Fate fate, Item item) {
+        public boolean ok() {
+            return fate == Fate.ACCEPTED;
+        }
+    }
+
+    /** Empty means: the register does not stand where the writer thought. */
+    @FunctionalInterface
+    public interface Change {
+        Optional<Item> apply(Item now);
+    }
+
+    public Writer(final NodeId self, final String boot, final Quorum quorum, final Loop loop, final Net net,
+                  final Random dice, final Journal journal, final Held held, final Supplier<List<NodeId>> all) {
+        this.quorum = quorum;
+        this.loop = loop;
+        this.net = net;
+        this.dice = dice;
+        this.journal = journal;
+        this.name = self.text() + "#" + boot;
+        this.held = held;
+        this.all = all;
+    }
+
+    public void write(final ItemId id, final String tag, final long span, final Change change, final Consumer<Result> then) {
+        new Try(id, tag, loop.now() + span, change, then).prepare();
+    }
+
+    public void read(final ItemId id, final long span, final Consumer<Result> then) {
+        write(id, "", span, Optional::of, then);
+    }
+
+    private final class Try {
+        private final ItemId id;
+        private final String tag;
+        private final long cutoff;
+        private final Change change;
+        private final Consumer<Result> then;
+        private Ballot ballot;
+        private boolean sent;
+        private boolean done;
+        private int tries;
+        private Ballot best = Ballot.ZERO;
+        private Item now;
+        private final Set<NodeId> yes = new HashSet<>();
+        private int bad;
+        private int stage;
+
+        Try(final ItemId id, final String tag, final long cutoff, final Change change, final Consumer<Result> then) {
+            this.id = id;
+            this.tag = tag;
+            this.cutoff = cutoff;
+            this.change = change;
+            this.then = then;
+        }
+
+        private void end(final Fate fate, final Item item) {
+            if (!done) {
+                done = true;
+                then.accept(new Result(fate, item));
+            }
+        }
+
+        private void again() {
+            stage++;
+            if (done) {
+                return;
+            }
+            final long rest = 5 + dice.nextInt(15 + 20 * Math.min(8, ++tries));
+            if (loop.now() + rest >= cutoff) {
+                loop.after(Math.max(0, cutoff - loop.now()), () -> end(sent ? Fate.UNKNOWN : Fate.REJECTED, held.get(id)));
+            } else {
+                loop.after(rest, this::prepare);
+            }
+        }
+
+        private void prepare() {
+            if (done) {
+                return;
+            }
+            top++;
+            ballot = new Ballot(top, name);
+            best = Ballot.ZERO;
+            now = Item.none(id);
+            yes.clear();
+            bad = 0;
+            final int mine = ++stage;
+            for (final NodeId e : quorum.electors()) {
+                net.ask(e, new Msg.Prepare(id, ballot), 600, r -> promised(e, mine, r.as(Msg.Promise.class)));
+            }
+        }
+
+        private void promised(final NodeId e, final int mine, final Optional<Msg.Promise> got) {
+            got.ifPresent(p -> top = Math.max(top, p.high().round()));
+            if (stage != mine || done) {
+                return;
+            }
+            if (got.isEmpty() || !got.get().ok()) {
+                if (++bad > quorum.electors().size() - quorum.need()) {
+                    again();
+                }
+                return;
+            }
+            yes.add(e);
+            if (got.get().at().above(best)) {
+                best = got.get().at();
+                now = got.get().item();
+            }
+            if (quorum.read(yes)) {
+                decide();
+            }
+        }
+
+        private void decide() {
+            if (!tag.isEmpty() && tag.equals(now.tag()) && now.ver().n() > 0) {
+                offer(now);
+                return;
+            }
+            final Optional<Item> next = change.apply(now);
+            if (next.isEmpty()) {
+                stage++;
+                journal.add(Event.of(Code.CLASHED, "item", id.text(), "ver", now.ver().n()));
+                settle(now);
+            } else {
+                offer(next.get());
+            }
+        }
+
+        /** The standing value may be held by a minority only: it is made sure before the loser hears of it. */
+        private void settle(final Item standing) {
+            if (standing.ver().n() == 0) {
+                end(sent ? Fate.UNKNOWN : Fate.CLASH, standing);
+                return;
+            }
+            read(id, Math.max(200, cutoff - loop.now()), r -> end(
+                sent && r.item().ver().n() > standing.ver().n() ? Fate.UNKNOWN : Fate.CLASH, r.ok() ? r.item() : standing));
+        }
+
+        private void offer(final Item item) {
+            yes.clear();
+            bad = 0;
+            final int mine = ++stage;
+            if (item != now) {
+                sent = true;
+            }
+            for (final NodeId e : quorum.electors()) {
+                net.ask(e, new Msg.Accept(ballot, item), 600, r -> accepted(e, mine, item, r.as(Msg.Accepted.class)));
+            }
+        }
+
+        private void accepted(final NodeId e, final int mine, final Item item, final Optional<Msg.Accepted> got) {
+            got.ifPresent(a -> top = Math.max(top, a.high().round()));
+            if (stage != mine || done) {
+                return;
+            }
+            if (got.isEmpty() || !got.get().ok()) {
+                if (++bad > quorum.electors().size() - quorum.need()) {
+                    again();
+                }
+                return;
+            }
+            yes.add(e);
+            if (quorum.write(yes)) {
+                stage++;
+                final Msg.Chosen won = new Msg.Chosen(ballot, item);
+                if (item.ver().n() > 0) {
+                    if (sent) {
+                        journal.add(Event.of(Code.ACCEPTED, "item", id.text(), "ver", item.ver().n(), "tag", item.tag()));
+                    }
+                    held.merge(won);
+                    tell(won);
+                }
+                end(Fate.ACCEPTED, item);
+            }
+        }
+    }
+
+    private void tell(final Msg.Chosen won) {
+        final List<NodeId> to = new ArrayList<>(all.get());
+        quorum.electors().stream().filter(e -> !to.contains(e)).forEach(to::add);
+        to.forEach(n -> net.ask(n, new Msg.Learn(List.of(won)), 500, r -> { }));
+    }
+}
--- /dev/null
+++ b/data/src/main/java/rv/data/Cache.java
@@ -0,0 +1,44 @@
+package rv.data;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import rv.base.Mark;
+
+final class Cache {
+    private final long room;
+    private long size;
+    private final LinkedHashMap<String, Copy> map = new LinkedHashMap<>(64, 0.75f, true);
+
+    Cache(final long room) {
+        this.room = room;
+    }
+
+    Optional<Copy> get(final String key, final long now, final Mark want) {
+        final Copy c = map.get(key);
+        if (c != null && !c.good(now, want)) {
+            drop(key);
+            return Optional.empty();
+        }
+        return Optional.ofNullable(c);
+    }
+
+    void put(final String key, final Copy c) {
+        drop(key);
+        map.put(key, c);
+        size += c.body().length + 256;
+        final Iterator<Map.Entry<String, Copy>> it = map.entrySet().iterator();
+        while (size > room && it.hasNext()) {
+            size -= it.next().getValue().body().length + 256;
+            it.remove();
+        }
+    }
+
+    private void drop(final String key) {
+        final Copy old = map.remove(key);
+        if (old != null) {
+            size -= old.body().length + 256;
+        }
+    }
+}
--- /dev/null
+++ b/data/src/main/java/rv/data/Node.java
@@ -0,0 +1,315 @@
+package rv.data;
+
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import rv.base.Code;
+import rv.base.Condition;
+import rv.base.Disk;
+import rv.base.DiskTrouble;
+import rv.base.Event;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Member;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.control.Authority;
+import rv.control.Clerk;
+import rv.control.Drift;
+import rv.control.Elector;
+import rv.control.Held;
+import rv.control.Holder;
+import rv.control.Keeper;
+import rv.control.Roster;
+import rv.control.Settler;
+import rv.control.Sync;
+import rv.control.Tenure;
+import rv.control.View;
+import rv.control.Writer;
+
+/** One process's planes put together over its seams; the programs and the simulator build the same. */
+public final class Node {
+    private final Setup setup;
+    private final Loop loop;
+    private final LongSupplier wall;
+    private final Journal journal;
+    private final Held held;
+    private final View view;
+    private final Sync sync;
+    private final Drift drift;
+    private final Roster roster;
+    private final Writer writer;
+    private final Clerk clerk;
+    private final Elector elector;
+    private final Keeper keeper;
+    private final Settler settler;
+    private final Sync.Desk desk;
+    private final Tenure tenure;
+    private final Authority authority;
+    private final Holder holder;
+    private final Sender sender;
+    private final Shield shield;
+    private final Edge edge;
+    private boolean leaving;
+    private long last;
+    private long lag;
+
+    /** The outside of a node. {@code book} learns where members can be reached. */
+    public record Seams(Loop loop, Net net, Disk disk, Port port, Random dice, LongSupplier wall, Consumer<Member> book) {
+    }
+
+    public Node(final Setup setup, final Seams s, final Journal journal) {
+        this.setup = setup;
+        this.loop = s.loop();
+        this.wall = s.wall();
+        this.journal = journal;
+        final NodeId self = setup.self().id();
+        final String boot = setup.self().boot();
+        held = new Held(loop, journal);
+        view = new View(held);
+        drift = new Drift(setup.timing());
+        roster = new Roster(this::self, setup.seeds(), loop, s.net(), setup.timing(), journal, s.book(), drift);
+        sync = new Sync(setup.quorum(), loop, s.net(), held, setup.timing(), journal);
+        writer = new Writer(self, boot, setup.quorum(), loop, s.net(), s.dice(), journal, held, roster::ids);
+        clerk = new Clerk(loop, held, sync, writer, journal, () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong()));
+        elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), s.disk(), journal, boot) : null;
+        keeper = elector == null ? null : new Keeper(loop, wall, s.disk(), elector::lapsed);
+        settler = elector == null ? null : new Settler(elector, held, writer, loop, s.dice());
+        desk = elector == null ? null : new Sync.Desk(elector, held);
+        final boolean store = setup.is(Role.STORE);
+        authority = store ? new Authority(loop, s.net(), writer, roster, setup.timing(), journal, setup.shards(), roster::sound) : null;
+        tenure = store ? new Tenure(self, boot, loop, writer, held, setup.timing(), journal,
+            () -> sync.fresh() && !drift.beyond(), authority::won) : null;
+        final boolean fills = setup.is(Role.SHIELD);
+        holder = fills ? new Holder(loop, s.net(), held, setup.timing(), journal, () -> !drift.beyond(), this::stop) : null;
+        sender = fills ? new Sender(self, boot, loop, s.port(), view, holder, sync::fresh, setup.shards(), journal) : null;
+        shield = fills ? new Shield(loop, view, holder, sender, new Once(setup.quorum(), loop, s.net(), holder, journal),
+            sync::fresh, sync::round, setup.shards(), setup.cacheBytes()) : null;
+        edge = setup.is(Role.EDGE) ? new Edge(loop, s.net(), view, sync::fresh, setup.shards(), journal, setup.cacheBytes()) : null;
+    }
+
+    private void stop(final int shard, final long grace, final Consumer<Boolean> done) {
+        sender.stop(shard, grace, done);
+    }
+
+    public void start() throws DiskTrouble {
+        journal.add(Event.of(Code.STARTED, "node", setup.self().id().text(), "role", setup.self().role().word(), "boot", setup.self().boot()));
+        if (elector != null) {
+            elector.start();
+            keeper.start();
+            settler.start();
+        }
+        roster.start();
+        sync.start();
+        if (tenure != null) {
+            tenure.start();
+            authority.start(tenure);
+        }
+        if (holder != null) {
+            holder.start();
+        }
+        last = loop.now();
+        lag = wall.getAsLong() - last;
+        loop.every(100, this::watch);
+    }
+
+    /** A gap in this loop's own time, or a wall clock that ran on without it, is a freeze. */
+    private void watch() {
+        final long now = loop.now();
+        final long gone = now - last - 100;
+        final long shift = Math.abs(wall.getAsLong() - now - lag);
+        if (gone >= setup.timing().m() || shift >= setup.timing().m()) {
+            journal.add(Event.of(Code.WOKE, "gap", gone, "shift", shift));
+            sync.drop();
+            drift.clear();
+            if (holder != null) {
+                holder.drop();
+            }
+            if (tenure != null) {
+                tenure.drop();
+            }
+        }
+        if (drift.beyond()) {
+            journal.add(Event.of(Code.DRIFT_HIGH, "bound", drift.worst()));
+            if (holder != null) {
+                holder.drop();
+            }
+            if (tenure != null) {
+                tenure.drop();
+            }
+        }
+        last = now;
+        lag = wall.getAsLong() - now;
+    }
+
+    private Member self() {
+        return setup.self().with(condition());
+    }
+
+    public Condition condition() {
+        if (leaving) {
+            return Condition.LEAVING;
+        }
+        if (drift.beyond()) {
+            return Condition.UNREADY;
+        }
+        if (!sync.fresh()) {
+            return Condition.PARTIAL;
+        }
+        final boolean whole = elector == null || elector.full();
+        final boolean rights = holder == null || holder.count() > 0;
+        return whole && rights ? Condition.READY : Condition.PARTIAL;
+    }
+
+    /** How ready, from 0 to 100, so that a platform can pick by it. */
+    public int grade() {
+        return switch (condition()) {
+            case READY -> 100 - Math.min(50, (edge == null ? 0 : edge.busy() / 40) + (sender == null ? 0 : sender.busy() / 10));
+            case PARTIAL -> view.rows().isEmpty() ? 0 : 20;
+            default -> 0;
+        };
+    }
+
+    public void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
+        if (elector != null && votes(msg, back)) {
+            return;
+        }
+        other(from, msg, back);
+    }
+
+    private boolean votes(final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.Prepare m) {
+            elector.prepare(m, back);
+        } else if (msg instanceof Msg.Accept m) {
+            elector.accept(m.ballot(), m.item(), back);
+        } else if (msg instanceof Msg.Reread m) {
+            elector.reread(m, back);
+        } else if (msg instanceof Msg.Query m) {
+            desk.query(m, back);
+        } else if (msg instanceof Msg.Vers m) {
+            desk.vers(m, back);
+        } else if (msg instanceof Msg.KeepRead m && elector.full()) {
+            keeper.read(m, back);
+        } else if (msg instanceof Msg.KeepWrite m && elector.full()) {
+            keeper.write(m, back);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void other(final NodeId from, final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.Learn m) {
+            m.list().forEach(c -> {
+                if (elector != null) {
+                    elector.learn(c);
+                }
+                held.merge(c);
+            });
+            back.accept(new Msg.Ok());
+        } else if (msg instanceof Msg.Beat m) {
+            roster.beat(m, back);
+        } else if (msg instanceof Msg.Hello m && authority != null) {
+            authority.hello(from, m, back);
+        } else if (msg instanceof Msg.Renew m && authority != null) {
+            authority.renew(from, m, back);
+        } else if (msg instanceof Msg.Place m && holder != null) {
+            holder.place(from, m, back);
+        } else if (msg instanceof Msg.Revoke m && holder != null) {
+            holder.revoke(from, m, back);
+        } else if (msg instanceof Msg.FenceAck m && holder != null) {
+            holder.ack(m, back);
+        } else if (msg instanceof Msg.Fill m && shield != null) {
+            shield.take(m, back);
+        } else if (msg instanceof Msg.Report m) {
+            back.accept(new Msg.Reported(new Tell(this).say(m.what())));
+        } else {
+            back.accept(new Msg.Nay("not done here: " + msg.getClass().getSimpleName()));
+        }
+    }
+
+    /** Orderly: no new callers, shards handed over while the fence is confirmed, tenure given back. */
+    public void leave(final long most, final Runnable then) {
+        leaving = true;
+        journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
+        if (edge != null) {
+            edge.shut();
+        }
+        final long cutoff = loop.now() + most;
+        final Runnable rest = () -> drain(cutoff, then);
+        if (tenure != null) {
+            tenure.step(rest);
+        } else {
+            rest.run();
+        }
+    }
+
+    private void drain(final long cutoff, final Runnable then) {
+        final boolean idle = (edge == null || edge.busy() == 0) && (sender == null || sender.busy() == 0)
+            && (holder == null || holder.count() == 0);
+        if (idle || loop.now() >= cutoff) {
+            journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
+            then.run();
+        } else {
+            loop.after(50, () -> drain(cutoff, then));
+        }
+    }
+
+    public Setup setup() {
+        return setup;
+    }
+
+    public Clerk clerk() {
+        return clerk;
+    }
+
+    public Edge edge() {
+        return edge;
+    }
+
+    public Held held() {
+        return held;
+    }
+
+    public View view() {
+        return view;
+    }
+
+    public Sync sync() {
+        return sync;
+    }
+
+    public Roster roster() {
+        return roster;
+    }
+
+    public Holder holder() {
+        return holder;
+    }
+
+    public Tenure tenure() {
+        return tenure;
+    }
+
+    public Elector elector() {
+        return elector;
+    }
+
+    public Keeper keeper() {
+        return keeper;
+    }
+
+    public Drift drift() {
+        return drift;
+    }
+
+    public Journal journal() {
+        return journal;
+    }
+
+    public Loop loop() {
+        return loop;
+    }
+}
--- /dev/null
+++ b/data/src/main/java/rv/data/Shield.java
@@ -0,0 +1,182 @@
+package rv.data;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import rv.base.Hash;
+import rv.base.Loop;
+import rv.base.Mark;
+import rv.base.Msg;
+import rv.base.Token;
+import rv.control.Holder;
+import rv.control.Match;
+import rv.control.Plan;
+import rv.control.View;
+
+/** Answers edges: from its cache, by one fill for many, straight through, or once only. */
+public final class Shield {
+    private static final int ROOM = 512;
+    private final Loop loop;
+    private final View view;
+    private final Holder holder;
+    private final Sender sender;
+    private final Once once;
+    private final BooleanSupplier fresh;
+    private final Runnable sync;
+    private final int shards;
+    private final Cache cache;
+    private final Map<String, Flight> flights = new HashMap<>();
+
+    private record Flight(Mark mark, List<Waiter> queue) {
+    }
+
+    private record Waiter(Msg.Fill fill, Consumer<Msg.Filled> back) {
+    }
+
+    public Shield(final Loop loop, final View view, final Holder holder, final Sender sender, final Once once,
+                  final BooleanSupplier fresh, final Runnable sync, final int shards, final long room) {
+        this.loop = loop;
+        this.view = view;
+        this.holder = holder;
+        this.sender = sender;
+        this.once = once;
+        this.fresh = fresh;
+        this.sync = sync;
+        this.shards = shards;
+        this.cache = new Cache(room);
+    }
+
+    static Map<String, String> pass(final Map<String, String> heads) {
+        final Map<String, String> map = new TreeMap<>();
+        heads.forEach((k, v) -> {
+            if (k.equals("content-type") || k.startsWith("rv-") && !k.equals(Proof.SERVICE)) {
+                map.put(k, v);
+            }
+        });
+        return map;
+    }
+
+    private Msg.Filled reject(final Msg.Fill f, final int status, final String why, final long retry) {
+        return Once.say(Answer.REFUSED, status, why, holder.token(f.shard()), retry);
+    }
+
+    public void take(final Msg.Fill f, final Consumer<Msg> back) {
+        take(f, loop.now() + f.span(), loop.now() + Math.min(400, f.span()), back::accept);
+    }
+
+    private void take(final Msg.Fill f, final long cutoff, final long patience, final Consumer<Msg.Filled> back) {
+        final View.Row row = view.named(f.route()).orElse(null);
+        final Mark mark = row == null ? null : view.mark(row, f.path());
+        if (row == null || f.mark() != null && !mark.covers(f.mark())) {
+            if (loop.now() >= patience) {
+                back.accept(reject(f, 503, "the holder's frame is behind", 1000));
+            } else {
+                sync.run();
+                loop.after(50, () -> take(f, cutoff, patience, back));
+            }
+            return;
+        }
+        final String name = Match.ONCE.equals(row.match().mode()) && f.key() != null ? f.key() : f.path();
+        if (f.shard() != Plan.shard(f.route(), row.match().service(), name, shards)) {
+            back.accept(reject(f, 400, "the shard does not fit the request", 0));
+        } else if (holder.token(f.shard()).below(f.known()) || holder.token(f.shard()).equals(Token.ZERO)) {
+            back.accept(reject(f, 503, "not the holder", 500));
+        } else if (row.match().purgeable() && !fresh.getAsBoolean()) {
+            back.accept(reject(f, 503, "the holder's frame is not confirmed", 1000));
+        } else {
+            switch (row.match().mode()) {
+                case Match.CACHED -> cached(f, row, mark, cutoff, back);
+                case Match.ONCE -> keyed(f, row, cutoff, back);
+                default -> through(f, row, cutoff, back);
+            }
+        }
+    }
+
+    private Port.Send out(final Msg.Fill f, final View.Row row) {
+        return new Port.Send(row.match().service(), f.method(), f.path(), "", f.key(), f.body(), f.type(), 0);
+    }
+
+    private boolean may(final Msg.Fill f, final Consumer<Msg.Filled> back) {
+        if (!holder.may(f.shard())) {
+            back.accept(reject(f, 503, "the right to fill is not sure", 1000));
+            return false;
+        }
+        return true;
+    }
+
+    private void cached(final Msg.Fill f, final View.Row row, final Mark mark, final long cutoff, final Consumer<Msg.Filled> back) {
+        final String key = row.name() + "|" + f.path();
+        final Copy c = holder.serves(f.shard()) ? cache.get(key, loop.now(), mark).orElse(null) : null;
+        if (c != null) {
+            back.accept(give(f, c));
+            return;
+        }
+        final Flight now = flights.get(key);
+        if (now != null && now.mark().equals(mark)) {
+            if (now.queue().size() >= ROOM) {
+                back.accept(reject(f, 503, "too many wait for this object", 1000));
+            } else {
+                now.queue().add(new Waiter(f, back));
+            }
+            return;
+        }
+        if (!may(f, back)) {
+            return;
+        }
+        final Flight mine = new Flight(mark, new ArrayList<>(List.of(new Waiter(f, back))));
+        flights.put(key, mine);
+        sender.send(f.shard(), out(f, row), false, cutoff, sent -> {
+            flights.remove(key, mine);
+            filled(key, row, mine, sent);
+        });
+    }
+
+    private void filled(final String key, final View.Row row, final Flight flight, final Sender.Sent sent) {
+        final Port.Got got = sent.got();
+        if (got.end() != Port.End.WHOLE) {
+            flight.queue().forEach(w -> w.back().accept(fail(w.fill(), sent)));
+            return;
+        }
+        final Copy copy = new Copy(got.status(), pass(got.heads()), got.body(), sent.at(), row.match().lifetimeMs(), flight.mark());
+        final View.Row now = view.named(row.name()).orElse(null);
+        final boolean same = now != null && view.mark(now, flight.queue().get(0).fill().path()).equals(flight.mark());
+        if (same && got.status() == 200) {
+            cache.put(key, copy);
+        }
+        for (final Waiter w : flight.queue()) {
+            w.back().accept(same ? give(w.fill(), copy) : reject(w.fill(), 503, "purged while it was filled", 500));
+        }
+    }
+
+    private Msg.Filled give(final Msg.Fill f, final Copy c) {
+        return new Msg.Filled(Answer.DONE, "", c.status(), holder.token(f.shard()), c.heads(), c.body(), loop.now() - c.born(), c.mark(), 0);
+    }
+
+    private Msg.Filled fail(final Msg.Fill f, final Sender.Sent sent) {
+        final String fate = sent.ran() ? Answer.UNKNOWN : Answer.REFUSED;
+        return Once.say(fate, sent.ran() ? 502 : 503, sent.got().why(), holder.token(f.shard()), sent.retryMs());
+    }
+
+    private void through(final Msg.Fill f, final View.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+        if (may(f, back)) {
+            sender.send(f.shard(), out(f, row), false, cutoff, sent -> back.accept(sent.got().end() == Port.End.WHOLE
+                ? new Msg.Filled(Answer.DONE, "", sent.got().status(), holder.token(f.shard()), pass(sent.got().heads()),
+                    sent.got().body(), 0, null, 0) : fail(f, sent)));
+        }
+    }
+
+    private void keyed(final Msg.Fill f, final View.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+        if (f.key() == null) {
+            back.accept(reject(f, 400, "a keyed request lacks its key", 0));
+        } else if (may(f, back)) {
+            final byte[] body = f.body() == null ? new byte[0] : f.body();
+            once.take(f.shard(), row.name() + "|" + row.match().service() + "|" + f.key(),
+                Hash.digest((f.path() + "\n" + Hash.digest(body)).getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                then -> sender.send(f.shard(), out(f, row), true, cutoff, then), back);
+        }
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -0,0 +1,101 @@
+package rv.prog;
+
+import java.util.PriorityQueue;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import rv.base.Loop;
+
+/** The core duty: one thread, timers of its own, and one bounded ring through which all else comes in. */
+public final class CoreLoop implements Loop {
+    private static final Logger LOG = Logger.getLogger(CoreLoop.class);
+    private final ArrayBlockingQueue<Runnable> ring = new ArrayBlockingQueue<>(8192);
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final long zero = System.nanoTime();
+    private final Thread thread = new Thread(this::run, "core");
+    private volatile boolean on = true;
+    private long seq;
+
+    private record Timer(long due, long seq, Runnable job) implements Comparable<Timer> {
+        @Override
+        public int compareTo(final Timer o) {
+            final int c = Long.compare(due, o.due);
+            return c != 0 ? c : Long.compare(seq, o.seq);
+        }
+    }
+
+    public void start() {
+        thread.start();
+    }
+
+    public void stop() {
+        on = false;
+        ring.offer(() -> { });
+    }
+
+    @Override
+    public long now() {
+        return (System.nanoTime() - zero) / 1_000_000;
+    }
+
+    @Override
+    public void after(final long ms, final Runnable job) {
+        if (Thread.currentThread() == thread || !thread.isAlive()) {
+            timers.add(new Timer(now() + ms, seq++, job));
+        } else {
+            put(() -> timers.add(new Timer(now() + ms, seq++, job)));
+        }
+    }
+
+    @Override
+    public void post(final Runnable job) {
+        if (Thread.currentThread() == thread) {
+            after(0, job);
+        } else {
+            put(job);
+        }
+    }
+
+    private void put(final Runnable job) {
+        try {
+            ring.put(job);
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** For jobs that may be shed: false when the ring is full. */
+    public boolean offer(final Runnable job) {
+        return ring.remainingCapacity() > 1024 && ring.offer(job);
+    }
+
+    private void run() {
+        while (on) {
+            try {
+                final Timer top = timers.peek();
+                final long rest = top == null ? 1000 : top.due() - now();
+                final Runnable job = rest > 0 ? ring.poll(rest, TimeUnit.MILLISECONDS) : ring.poll();
+                if (job != null) {
+                    safe(job);
+                }
+                for (Timer t = timers.peek(); t != null && t.due() <= now(); t = timers.peek()) {
+                    timers.poll();
+                    safe(t.job());
+                    if (!ring.isEmpty()) {
+                        break;
+                    }
+                }
+            } catch (final InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static void safe(final Runnable job) {
+        try {
+            job.run();
+        } catch (final RuntimeException e) {
+            LOG.error("RV1199 job failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -0,0 +1,208 @@
+package rv.prog;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import rv.base.Finding;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.base.Timing;
+import rv.control.Quorum;
+import rv.control.Shape;
+import rv.control.Tree;
+
+/** A process's place: from a JSON file, from flags, flags first; all faults are found before any is told. */
+public record Options(NodeId id, Role role, String cell, InetSocketAddress wire, InetSocketAddress http, InetSocketAddress door,
+                      Path data, Map<NodeId, InetSocketAddress> seeds, Quorum quorum, Map<NodeId, InetSocketAddress> electors,
+                      Map<NodeId, InetSocketAddress> reach, Timing timing, int shards, long cacheBytes, long stopMs, boolean json) {
+
+    static final List<String> FLAGS = List.of("id", "cell", "wire", "http", "door", "data", "seeds", "electors", "stores", "reach",
+        "d", "m", "shards", "cache-bytes", "stop-ms", "log");
+
+    public static OptionParser parser() {
+        final OptionParser p = new OptionParser();
+        p.accepts("help", "print this and end");
+        p.accepts("version", "print the version and end");
+        p.accepts("options", "JSON file with the options below as members").withRequiredArg().describedAs("FILE");
+        p.accepts("id", "this node's name").withRequiredArg();
+        p.accepts("cell", "the zone this node is in").withRequiredArg();
+        p.accepts("wire", "address for other processes").withRequiredArg().describedAs("IP:PORT");
+        p.accepts("http", "address for operators, origins and the platform").withRequiredArg().describedAs("IP:PORT");
+        p.accepts("door", "address for callers (edges only)").withRequiredArg().describedAs("IP:PORT");
+        p.accepts("data", "data folder (stores only)").withRequiredArg().describedAs("DIR");
+        p.accepts("seeds", "three processes to begin with: ID@IP:PORT,...").withRequiredArg();
+        p.accepts("electors", "an odd number of voters, default the seeds: ID@IP:PORT,...").withRequiredArg();
+        p.accepts("stores", "which electors are stores, default the first two: ID,ID").withRequiredArg();
+        p.accepts("reach", "other ways to peers: ID@IP:PORT,...").withRequiredArg();
+        p.accepts("d", "lease duration in ms, at least 3000").withRequiredArg();
+        p.accepts("m", "margin in ms, at least max(1000, D/10)").withRequiredArg();
+        p.accepts("shards", "shards of the key space, the same on every node").withRequiredArg();
+        p.accepts("cache-bytes", "room for cached copies").withRequiredArg();
+        p.accepts("stop-ms", "how long an orderly stop may take").withRequiredArg();
+        p.accepts("log", "text or json").withRequiredArg();
+        return p;
+    }
+
+    public static Options read(final Role role, final String[] args, final List<Finding> faults) {
+        final OptionSet set;
+        try {
+            set = parser().parse(args);
+        } catch (final OptionException e) {
+            faults.add(new Finding("command line", e.getMessage()));
+            return null;
+        }
+        set.nonOptionArguments().forEach(a -> faults.add(new Finding("command line", "unexpected word " + a)));
+        final Map<String, Object> all = new LinkedHashMap<>();
+        if (set.has("options")) {
+            file(Path.of((String) set.valueOf("options")), all, faults);
+        }
+        for (final String f : FLAGS) {
+            if (set.has(f)) {
+                all.put(f, flag(f, (String) set.valueOf(f)));
+            }
+        }
+        return check(role, all, faults);
+    }
+
+    private static void file(final Path at, final Map<String, Object> all, final List<Finding> faults) {
+        try {
+            final List<Finding> own = new ArrayList<>();
+            final Object o = Tree.read(Files.readAllBytes(at), own);
+            own.forEach(f -> faults.add(new Finding(at + f.place(), f.text())));
+            if (o instanceof Map<?, ?> m) {
+                m.forEach((k, v) -> all.put(String.valueOf(k), v));
+            } else if (own.isEmpty()) {
+                faults.add(new Finding(at.toString(), "an object is wanted here"));
+            }
+        } catch (final IOException e) {
+            faults.add(new Finding(at.toString(), "cannot be read"));
+        }
+    }
+
+    private static Object flag(final String name, final String text) {
+        if (Set.of("seeds", "electors", "stores", "reach").contains(name)) {
+            return text.isEmpty() ? List.of() : List.of((Object[]) text.split(","));
+        }
+        if (Set.of("d", "m", "shards", "cache-bytes", "stop-ms").contains(name) && text.matches("-?[0-9]{1,15}")) {
+            return new java.math.BigDecimal(text);
+        }
+        return text;
+    }
+
+    private static Options check(final Role role, final Map<String, Object> all, final List<Finding> faults) {
+        final Shape s = new Shape(all, "", faults);
+        final String id = s.text("id", true, "");
+        if (!id.isEmpty() && !id.matches("[a-z0-9][a-z0-9-]{0,40}")) {
+            s.fault("id", "small letters, digits and dashes, at most 41");
+        }
+        final String cell = s.text("cell", false, "cell");
+        final InetSocketAddress wire = site(s, "wire", s.text("wire", true, ""), false);
+        final InetSocketAddress http = site(s, "http", s.text("http", true, ""), false);
+        final String doorText = s.text("door", role == Role.EDGE, "");
+        final InetSocketAddress door = role == Role.EDGE ? site(s, "door", doorText, false) : null;
+        final String data = s.text("data", role == Role.STORE, "");
+        final Map<NodeId, InetSocketAddress> seeds = sites(s, "seeds", list(all, "seeds", s), faults);
+        if (seeds.size() != 3) {
+            s.fault("seeds", "three are wanted, " + seeds.size() + " given");
+        }
+        final Map<NodeId, InetSocketAddress> named = sites(s, "electors", list(all, "electors", s), faults);
+        final Map<NodeId, InetSocketAddress> electors = named.isEmpty() ? seeds : named;
+        if (!electors.isEmpty() && (electors.size() % 2 == 0 || electors.size() > 5 || electors.size() < 3)) {
+            s.fault("electors", "three or five are wanted, " + electors.size() + " given");
+        }
+        final List<String> names = list(all, "stores", s);
+        final List<NodeId> stores = names.isEmpty() ? electors.keySet().stream().limit(2).toList()
+            : names.stream().filter(n -> n.matches("[a-z0-9][a-z0-9-]{0,40}")).map(NodeId::of).toList();
+        if (!electors.isEmpty() && (stores.size() != 2 || !electors.keySet().containsAll(stores))) {
+            s.fault("stores", "two of the electors must be stores");
+        }
+        if (role == Role.STORE && !id.isEmpty() && stores.stream().noneMatch(n -> n.text().equals(id))) {
+            s.fault("stores", "this store " + id + " is not among them");
+        }
+        final Map<NodeId, InetSocketAddress> reach = sites(s, "reach", list(all, "reach", s), faults);
+        final long d = s.whole("d", false, 3000, 3000, 600_000);
+        final long m = s.whole("m", false, Math.max(1000, d / 10), 1000, 200_000);
+        Timing timing = Timing.DEFAULT;
+        try {
+            timing = new Timing(d, m);
+        } catch (final IllegalArgumentException e) {
+            s.fault("m", e.getMessage());
+        }
+        final int shards = (int) s.whole("shards", false, 32, 1, 4096);
+        final long cache = s.whole("cache-bytes", false, 16L << 20, 1 << 16, 1L << 36);
+        final long stop = s.whole("stop-ms", false, 8000, 0, 600_000);
+        final String log = s.text("log", false, "text");
+        if (!Set.of("text", "json").contains(log)) {
+            s.fault("log", "text or json");
+        }
+        s.end();
+        return faults.isEmpty() ? new Options(NodeId.of(id), role, cell, wire, http, door, data.isEmpty() ? null : Path.of(data),
+            seeds, new Quorum(List.copyOf(electors.keySet()), Set.copyOf(stores)), electors, reach, timing, shards, cache, stop,
+            log.equals("json")) : null;
+    }
+
+    private static List<String> list(final Map<String, Object> all, final String name, final Shape s) {
+        s.known(name);
+        final Object o = all.get(name);
+        if (o == null) {
+            return List.of();
+        }
+        if (o instanceof List<?> l && l.stream().allMatch(e -> e instanceof String)) {
+            return l.stream().map(String::valueOf).collect(Collectors.toList());
+        }
+        s.fault(name, "a list of texts is wanted here");
+        return List.of();
+    }
+
+    private static Map<NodeId, InetSocketAddress> sites(final Shape s, final String name, final List<String> list, final List<Finding> faults) {
+        final Map<NodeId, InetSocketAddress> map = new LinkedHashMap<>();
+        for (int i = 0; i < list.size(); i++) {
+            final String at = name + "/" + i;
+            final int cut = list.get(i).indexOf('@');
+            final String id = cut < 0 ? "" : list.get(i).substring(0, cut);
+            if (!id.matches("[a-z0-9][a-z0-9-]{0,40}")) {
+                s.fault(at, "ID@IP:PORT is wanted, not " + list.get(i));
+            } else {
+                final InetSocketAddress a = site(s, at, list.get(i).substring(cut + 1), true);
+                if (a != null && map.put(NodeId.of(id), a) != null) {
+                    s.fault(at, id + " stands twice");
+                }
+            }
+        }
+        return map;
+    }
+
+    private static InetSocketAddress site(final Shape s, final String name, final String text, final boolean fixed) {
+        if (text.isEmpty()) {
+            return null;
+        }
+        if (!text.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}")) {
+            s.fault(name, "IP:PORT is wanted, not " + text);
+            return null;
+        }
+        final int cut = text.indexOf(':');
+        final int port = Integer.parseInt(text.substring(cut + 1));
+        if (port > 65_535 || fixed && port == 0) {
+            s.fault(name, "port out of range");
+            return null;
+        }
+        return new InetSocketAddress(text.substring(0, cut), port);
+    }
+
+    public Map<NodeId, InetSocketAddress> known() {
+        final Map<NodeId, InetSocketAddress> map = new TreeMap<>(seeds);
+        map.putAll(electors);
+        return map;
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/OriginPort.java
@@ -0,0 +1,183 @@
+package rv.prog;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.util.Promise;
+import rv.base.Loop;
+import rv.control.Json;
+import rv.control.Origin;
+import rv.data.Port;
+
+/** Circuits to origins over Jetty's client. Core thread only, but for Jetty's call-backs, which post. */
+public final class OriginPort implements Port {
+    private static final int BODY = 4 << 20;
+    private static final long IDLE = 8000;
+    private final Loop loop;
+    private final HttpClient http;
+    private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
+
+    private record Idle(Connection circuit, long at) {
+    }
+
+    public record Who(String service, String stamp) {
+    }
+
+    public OriginPort(final Loop loop, final HttpClient http) {
+        this.loop = loop;
+        this.http = http;
+    }
+
+    @Override
+    public Rope send(final Origin to, final Send what, final Consumer<Got> then) {
+        final Trip trip = new Trip(to, what, then);
+        trip.begin();
+        return trip;
+    }
+
+    private final class Trip implements Rope {
+        private final Origin to;
+        private final Send what;
+        private final Consumer<Got> then;
+        private final String site;
+        private final long cutoff;
+        private Connection circuit;
+        private boolean over;
+        private boolean sent;
+
+        Trip(final Origin to, final Send what, final Consumer<Got> then) {
+            this.to = to;
+            this.what = what;
+            this.then = then;
+            this.site = to.host() + ":" + to.port() + "|" + to.service() + "|" + to.stamp();
+            this.cutoff = loop.now() + Math.max(50, what.span());
+        }
+
+        void begin() {
+            loop.after(Math.max(50, what.span()), () -> end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"), false));
+            final ArrayDeque<Idle> q = idle.computeIfAbsent(site, k -> new ArrayDeque<>());
+            for (Idle i = q.pollLast(); i != null; i = q.pollLast()) {
+                if (!i.circuit().isClosed() && loop.now() - i.at() < IDLE) {
+                    circuit = i.circuit();
+                    go();
+                    return;
+                }
+                i.circuit().close();
+            }
+            final Destination d = http.resolveDestination(ask("GET", "/rv/identity"));
+            d.newConnection(Promise.from(c -> loop.post(() -> opened(c)),
+                e -> loop.post(() -> end(Got.none(End.NOT_SENT, "no circuit: " + e.getMessage()), false))));
+        }
+
+        private Request ask(final String method, final String path) {
+            return http.newRequest("http://" + to.host() + ":" + to.port() + path).method(method)
+                .timeout(Math.max(50, cutoff - loop.now()), TimeUnit.MILLISECONDS);
+        }
+
+        private void opened(final Connection c) {
+            circuit = c;
+            if (over) {
+                c.close();
+                return;
+            }
+            c.send(ask("GET", "/rv/identity"), new BufferingResponseListener(8192) {
+                @Override
+                public void onComplete(final Result r) {
+                    final int status = r.isSucceeded() ? r.getResponse().getStatus() : 0;
+                    final String text = getContentAsString(StandardCharsets.UTF_8);
+                    loop.post(() -> known(status, text));
+                }
+            });
+        }
+
+        private void known(final int status, final String text) {
+            if (over) {
+                circuit.close();
+                return;
+            }
+            Who who = null;
+            try {
+                who = status == 200 && text != null ? Json.read(text, Who.class) : null;
+            } catch (final IllegalStateException e) {
+                who = null;
+            }
+            if (who == null || !to.service().equals(who.service()) || !to.stamp().equals(who.stamp())) {
+                end(Got.none(status == 0 ? End.NOT_SENT : End.STRANGE, "identity " + (who == null ? "status " + status : who)), false);
+            } else if (loop.now() >= cutoff) {
+                end(Got.none(End.NOT_SENT, "too late to send"), true);
+            } else {
+                go();
+            }
+        }
+
+        private void go() {
+            final Request r = ask(what.method(), what.path());
+            r.headers(h -> {
+                h.put("Rv-Request", what.id());
+                h.put("Rv-Service", to.service());
+                h.put("Rv-Stamp", to.stamp());
+                if (what.key() != null) {
+                    h.put("Rv-Key", what.key());
+                }
+            });
+            if (what.body() != null && what.body().length > 0) {
+                r.body(new BytesRequestContent(what.type() == null ? "application/json" : what.type(), what.body()));
+            }
+            sent = true;
+            circuit.send(r, new BufferingResponseListener(BODY) {
+                @Override
+                public void onComplete(final Result res) {
+                    final byte[] body = getContent() == null ? new byte[0] : getContent();
+                    final Got got = res.isSucceeded() ? whole(res, body)
+                        : Got.none(End.LOST, String.valueOf(res.getFailure().getMessage()));
+                    loop.post(() -> end(got, res.isSucceeded()));
+                }
+            });
+        }
+
+        private Got whole(final Result res, final byte[] body) {
+            final Map<String, String> heads = new TreeMap<>();
+            for (final HttpField f : res.getResponse().getHeaders()) {
+                heads.put(f.getLowerCaseName(), f.getValue());
+            }
+            return new Got(End.WHOLE, res.getResponse().getStatus(), heads, body, "");
+        }
+
+        private void end(final Got got, final boolean reuse) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (circuit != null) {
+                if (reuse && !circuit.isClosed() && !"close".equalsIgnoreCase(got.heads().get("connection"))) {
+                    idle.computeIfAbsent(site, k -> new ArrayDeque<>()).addLast(new Idle(circuit, loop.now()));
+                } else {
+                    circuit.close();
+                }
+            }
+            then.accept(got);
+        }
+
+        @Override
+        public void cut() {
+            if (!over) {
+                over = true;
+                if (circuit != null) {
+                    circuit.close();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/Parts.java
@@ -0,0 +1,93 @@
+package rv.prog;
+
+import dagger.Module;
+import dagger.Provides;
+import java.util.Random;
+import javax.inject.Singleton;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import rv.base.Disk;
+import rv.base.Journal;
+import rv.base.Member;
+import rv.base.Condition;
+import rv.base.Role;
+import rv.data.Node;
+import rv.data.Setup;
+
+/** How one process is put together. */
+@Module
+public final class Parts {
+    private final Options options;
+    private final String boot;
+
+    public Parts(final Options options, final String boot) {
+        this.options = options;
+        this.boot = boot;
+    }
+
+    @Provides
+    @Singleton
+    Options options() {
+        return options;
+    }
+
+    @Provides
+    @Singleton
+    CoreLoop loop() {
+        return new CoreLoop();
+    }
+
+    @Provides
+    @Singleton
+    Journal journal(final CoreLoop loop) {
+        return new Journal(loop, 2000);
+    }
+
+    @Provides
+    @Singleton
+    TcpNet net(final CoreLoop loop, final Journal journal) {
+        return new TcpNet(options.id(), loop, journal, options.known(), options.reach());
+    }
+
+    @Provides
+    @Singleton
+    Disk disk(final CoreLoop loop) {
+        return options.role() == Role.STORE ? new SqlDisk(loop, options.data()) : new NoDisk(loop);
+    }
+
+    @Provides
+    @Singleton
+    HttpClient client() {
+        final QueuedThreadPool pool = new QueuedThreadPool(16, 2);
+        pool.setName("origins");
+        final ClientConnector link = new ClientConnector();
+        link.setSelectors(1);
+        link.setExecutor(pool);
+        link.setConnectTimeout(java.time.Duration.ofMillis(1000));
+        final HttpClient http = new HttpClient(new HttpClientTransportOverHTTP(link));
+        http.setExecutor(pool);
+        http.setFollowRedirects(false);
+        http.setHttpCookieStore(new HttpCookieStore.Empty());
+        http.setMaxConnectionsPerDestination(512);
+        return http;
+    }
+
+    @Provides
+    @Singleton
+    OriginPort port(final CoreLoop loop, final HttpClient http) {
+        return new OriginPort(loop, http);
+    }
+
+    @Provides
+    @Singleton
+    Node node(final CoreLoop loop, final TcpNet net, final Disk disk, final OriginPort port, final Journal journal) {
+        final Member self = new Member(options.id(), options.role(), options.cell(), options.wire().getHostString(),
+            options.wire().getPort(), boot, Condition.PARTIAL, Main.VERSION);
+        final Setup setup = Setup.of(self).seeds(java.util.List.copyOf(options.seeds().keySet())).quorum(options.quorum())
+            .timing(options.timing()).shards(options.shards()).cacheBytes(options.cacheBytes()).build();
+        return new Node(setup, new Node.Seams(loop, net, disk, port, new Random(), System::currentTimeMillis, net::learn), journal);
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -0,0 +1,246 @@
+package rv.prog;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Journal;
+import rv.base.Member;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Wire;
+import rv.base.WireTrouble;
+
+/** The wire duty: one selector thread for all circuits. */
+public final class TcpNet implements Net {
+    private final NodeId self;
+    private final CoreLoop loop;
+    private final Journal journal;
+    private final Map<NodeId, InetSocketAddress> book = new ConcurrentHashMap<>();
+    private final Map<NodeId, InetSocketAddress> fixed;
+    private final ArrayBlockingQueue<Runnable> ring = new ArrayBlockingQueue<>(8192);
+    private final Map<NodeId, Circuit> out = new HashMap<>();
+    private final Map<Long, Wait> waits = new HashMap<>();
+    private final Thread thread = new Thread(this::run, "wire");
+    private Selector selector;
+    private ServerSocketChannel door;
+    private Net.Port port;
+    private long serial;
+    private volatile boolean on = true;
+
+    private static final class Wait {
+        private final Consumer<Reply> then;
+        private Circuit circuit;
+        private Circuit.Out frame;
+        private boolean begun;
+
+        Wait(final Consumer<Reply> then) {
+            this.then = then;
+        }
+    }
+
+    public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
+                  final Map<NodeId, InetSocketAddress> fixed) {
+        this.self = self;
+        this.loop = loop;
+        this.journal = journal;
+        this.fixed = Map.copyOf(fixed);
+        book.putAll(seeds);
+    }
+
+    public void bind(final InetSocketAddress at, final Net.Port to) throws IOException {
+        port = to;
+        selector = Selector.open();
+        door = ServerSocketChannel.open();
+        door.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        door.bind(at, 256);
+        door.configureBlocking(false);
+        door.register(selector, SelectionKey.OP_ACCEPT);
+        thread.start();
+    }
+
+    public int bound() throws IOException {
+        return ((InetSocketAddress) door.getLocalAddress()).getPort();
+    }
+
+    public void learn(final Member m) {
+        if (!m.id().equals(self)) {
+            book.put(m.id(), new InetSocketAddress(m.host(), m.port()));
+        }
+    }
+
+    public void stop() {
+        on = false;
+        selector.wakeup();
+    }
+
+    @Override
+    public void ask(final NodeId to, final Msg msg, final long wait, final Consumer<Reply> then) {
+        if (to.equals(self)) {
+            loop.post(() -> port.take(self, msg, m -> loop.post(() -> then.accept(Reply.of(m)))));
+            return;
+        }
+        final long id = ++serial;
+        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, id, 0, self, msg));
+        if (data.length > Wire.LIMIT || !ring.offer(() -> push(to, id, data, wait, then))) {
+            loop.post(() -> then.accept(Reply.lost(Reply.Trouble.NOT_SENT)));
+            return;
+        }
+        selector.wakeup();
+        loop.after(wait, () -> {
+            ring.offer(() -> late(id));
+            selector.wakeup();
+        });
+    }
+
+    private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
+        final Wait w = new Wait(then);
+        waits.put(id, w);
+        w.circuit = out.get(to);
+        if (w.circuit == null) {
+            w.circuit = dial(to);
+        }
+        w.frame = new Circuit.Out(data, () -> w.begun = true, () -> end(id, Reply.lost(Reply.Trouble.NOT_SENT)));
+        if (w.circuit == null || !w.circuit.send(w.frame)) {
+            end(id, Reply.lost(Reply.Trouble.NOT_SENT));
+        }
+    }
+
+    private void late(final long id) {
+        final Wait w = waits.get(id);
+        if (w != null) {
+            final boolean unsent = w.circuit != null && !w.begun && w.circuit.drop(w.frame);
+            end(id, Reply.lost(unsent ? Reply.Trouble.NOT_SENT : Reply.Trouble.NO_ANSWER));
+        }
+    }
+
+    private void end(final long id, final Reply r) {
+        final Wait w = waits.remove(id);
+        if (w != null) {
+            loop.post(() -> w.then.accept(r));
+        }
+    }
+
+    private Circuit dial(final NodeId to) {
+        final InetSocketAddress at = fixed.getOrDefault(to, book.get(to));
+        if (at == null) {
+            return null;
+        }
+        try {
+            final SocketChannel ch = SocketChannel.open();
+            ch.configureBlocking(false);
+            ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            final boolean open = ch.connect(at);
+            final SelectionKey key = ch.register(selector, open ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
+            final Circuit c = new Circuit(ch, key);
+            key.attach(c);
+            out.put(to, c);
+            return c;
+        } catch (final IOException e) {
+            return null;
+        }
+    }
+
+    private void run() {
+        try {
+            while (on) {
+                selector.select(1000);
+                for (Runnable r = ring.poll(); r != null; r = ring.poll()) {
+                    r.run();
+                }
+                final var keys = selector.selectedKeys().iterator();
+                while (keys.hasNext()) {
+                    final SelectionKey k = keys.next();
+                    keys.remove();
+                    if (k.isValid()) {
+                        serve(k);
+                    }
+                }
+            }
+            for (final SelectionKey k : selector.keys()) {
+                k.channel().close();
+            }
+            selector.close();
+        } catch (final IOException e) {
+            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "wire ended: " + e.getMessage()));
+        }
+    }
+
+    private void serve(final SelectionKey k) throws IOException {
+        if (k.isAcceptable()) {
+            final SocketChannel ch = door.accept();
+            if (ch != null) {
+                ch.configureBlocking(false);
+                ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
+                key.attach(new Circuit(ch, key));
+            }
+            return;
+        }
+        final Circuit c = (Circuit) k.attachment();
+        try {
+            if (k.isConnectable() && ((SocketChannel) k.channel()).finishConnect()) {
+                c.want();
+            }
+            if (k.isValid() && k.isReadable()) {
+                c.read(data -> take(c, data));
+            }
+            if (k.isValid() && k.isWritable()) {
+                c.write();
+            }
+        } catch (final Circuit.BadFrame e) {
+            bad(c, e.getMessage());
+        } catch (final IOException e) {
+            if (c.cut()) {
+                journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "frame cut short"));
+            }
+            close(c);
+        }
+    }
+
+    private void bad(final Circuit c, final String why) {
+        journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", why));
+        close(c);
+    }
+
+    private void close(final Circuit c) {
+        out.values().remove(c);
+        c.close();
+        waits.entrySet().stream().filter(e -> e.getValue().circuit == c).map(Map.Entry::getKey).toList()
+            .forEach(id -> end(id, Reply.lost(Reply.Trouble.NO_ANSWER)));
+    }
+
+    private void take(final Circuit c, final byte[] data) {
+        final Wire.Envelope e;
+        try {
+            e = Wire.open(data);
+        } catch (final WireTrouble t) {
+            bad(c, t.getMessage());
+            return;
+        }
+        if (e.re() != 0) {
+            end(e.re(), Reply.of(e.msg()));
+        } else {
+            loop.post(() -> port.take(e.from(), e.msg(), m -> back(c, e.id(), m)));
+        }
+    }
+
+    private void back(final Circuit c, final long re, final Msg m) {
+        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> { }, () -> { })))) {
+            selector.wakeup();
+        }
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/Whole.java
@@ -0,0 +1,24 @@
+package rv.prog;
+
+import dagger.Component;
+import javax.inject.Singleton;
+import org.eclipse.jetty.client.HttpClient;
+import rv.base.Disk;
+import rv.base.Journal;
+import rv.data.Node;
+
+@Singleton
+@Component(modules = Parts.class)
+public interface Whole {
+    CoreLoop loop();
+
+    Journal journal();
+
+    TcpNet net();
+
+    Disk disk();
+
+    HttpClient client();
+
+    Node node();
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/StandIn.java
@@ -0,0 +1,89 @@
+package rv.rig;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import rv.base.Hash;
+import rv.control.Json;
+
+/** A stand-in origin's HTTP side, keeping the origin contract unless told to break it. */
+public final class StandIn extends Handler.Abstract {
+    private final String name;
+    private final String stamp;
+    private final Stock stock;
+    private final Log log;
+    private final ScheduledExecutorService clock;
+    private volatile String fault = "none";
+    private volatile long slow = 3;
+
+    public StandIn(final String name, final String stamp, final Stock stock, final Log log, final ScheduledExecutorService clock) {
+        this.name = name;
+        this.stamp = stamp;
+        this.stock = stock;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    /** none, lose (run but never answer), wrong (bytes differ from the digest), foreign (another service answers). */
+    public void fault(final String kind, final long slowMs) {
+        fault = kind;
+        slow = slowMs;
+    }
+
+    public String stamp() {
+        return stamp;
+    }
+
+    @Override
+    public boolean handle(final Request req, final Response res, final Callback done) {
+        Content.Source.asByteArrayAsync(req, 1 << 21).whenComplete((body, trouble) -> {
+            if (trouble != null) {
+                done.failed(trouble);
+                return;
+            }
+            final String path = req.getHttpURI().getPathQuery();
+            if (path.equals("/rv/identity")) {
+                final boolean other = fault.equals("foreign");
+                send(res, done, 200, Json.text(Map.of("service", other ? "someone-else" : stock.service(), "stamp", stamp)), "");
+                return;
+            }
+            serve(req.getMethod(), path, req.getHeaders(), body, res, done);
+        });
+        return true;
+    }
+
+    private void serve(final String method, final String path, final HttpFields heads, final byte[] body, final Response res, final Callback done) {
+        final String id = heads.get("Rv-Request");
+        final String key = heads.get("Rv-Key");
+        final boolean run = method.equals("POST");
+        log.add(Log.row("log", "org", "t", System.currentTimeMillis(), "origin", name, "service",
+            fault.equals("foreign") ? "someone-else" : stock.service(), "want", heads.get("Rv-Service"), "stamp", stamp, "what",
+            run ? "run" : "get", "request", id, "path", path, "key", key, "body", Hash.digest(body)));
+        final String text = run ? stock.run(path, String.valueOf(key)) : stock.view(path);
+        if (!fault.equals("lose")) {
+            clock.schedule(() -> send(res, done, run ? 201 : 200, text, String.valueOf(id)), slow, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void send(final Response res, final Callback done, final int status, final String text, final String id) {
+        final byte[] data = text.getBytes(StandardCharsets.UTF_8);
+        res.setStatus(status);
+        res.getHeaders().put("Content-Type", "application/json");
+        res.getHeaders().put("Content-Length", data.length);
+        res.getHeaders().put("Rv-Stamp", stamp);
+        res.getHeaders().put("Rv-Request", id);
+        res.getHeaders().put("Rv-Digest", Hash.digest(data));
+        if (fault.equals("wrong")) {
+            data[data.length - 2] ^= 1;
+        }
+        res.write(true, ByteBuffer.wrap(data), done);
+    }
+}
