--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Elector.java
@@ -39,6 +39,7 @@
     private boolean full;
     private boolean fresh;
     private boolean failed;
+    private boolean settling;
     private long floor;
     private long hash;
     private long turn;
@@ -235,6 +236,10 @@
     }
 
     private void found(final Map<NodeId, String> all) {
+        if (settling) {
+            return;
+        }
+        settling = true;
         founders = Map.copyOf(all);
         save(List.of(), true, () -> {
             full = true;
--- /dev/null
+++ b/rig/src/main/java/rv/rig/Place.java
@@ -0,0 +1,118 @@
+package rv.rig;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import rv.control.Json;
+
+/** One deployment: its machines, its origins, its configuration and its mix of requests. */
+public record Place(String name, int edges, int shields, List<String> cells, long regionMs, long syncMs, int perSecond, List<Kin> kin,
+                    boolean hasty) {
+
+    /** A service, its origins, and the routes to it; {@code share} of requests each route gets. */
+    public record Kin(String service, String kind, double rate, int origins, List<Way> ways) {
+    }
+
+    public record Way(String route, String prefix, String mode, long lifetimeMs, boolean purgeable, double share, int objects) {
+    }
+
+    public static Place kilimanjaro() {
+        return new Place("kilimanjaro", 11, 4, List.of("north", "east", "south", "west"), 0, 1, 370, List.of(
+            new Kin("stock", "content", 60, 4, List.of(
+                new Way("stock", "/stock/", "cached", 2000, true, 0.667, 120))),
+            new Kin("catalog", "content", 30, 3, List.of(
+                new Way("catalog", "/catalog/", "cached", 15_000, true, 0.15, 80),
+                new Way("terms", "/terms/", "cached", 60_000, false, 0.02, 5))),
+            new Kin("reserve", "booking", 0, 3, List.of(
+                new Way("reserve", "/reserve/", "once", 0, true, 0.06, 50))),
+            new Kin("collect", "booking", 0, 2, List.of(
+                new Way("collect", "/collect/", "status", 0, true, 0.103, 200)))), false);
+    }
+
+    public static Place coastline() {
+        return new Place("coastline", 9, 4, List.of("coast-a", "coast-b", "interior-a", "interior-b"), 17, 5, 225, List.of(
+            new Kin("listing", "content", 40, 4, List.of(
+                new Way("listing", "/courses/", "cached", 5000, true, 0.45, 150),
+                new Way("campus", "/campus/", "cached", 60_000, false, 0.05, 8))),
+            new Kin("seats", "content", 50, 3, List.of(
+                new Way("seats", "/seats/", "cached", 1500, true, 0.25, 60))),
+            new Kin("claim", "booking", 0, 3, List.of(
+                new Way("claim", "/claim/", "once", 0, true, 0.1, 60))),
+            new Kin("apply", "booking", 0, 2, List.of(
+                new Way("status", "/status/", "status", 0, true, 0.15, 300)))), true);
+    }
+
+    public static Place of(final String name) {
+        return switch (name) {
+            case "kilimanjaro" -> kilimanjaro();
+            case "coastline" -> coastline();
+            default -> throw new IllegalArgumentException("no deployment is named " + name);
+        };
+    }
+
+    public List<String> machines() {
+        final List<String> list = new ArrayList<>(List.of("st1", "st2"));
+        for (int i = 1; i <= shields; i++) {
+            list.add("sh" + i);
+        }
+        for (int i = 1; i <= edges; i++) {
+            list.add("ed" + i);
+        }
+        return list;
+    }
+
+    public List<String> origins() {
+        final List<String> list = new ArrayList<>();
+        kin.forEach(k -> {
+            for (int i = 1; i <= k.origins(); i++) {
+                list.add(k.service() + i);
+            }
+        });
+        return list;
+    }
+
+    public String cell(final String node) {
+        final int n = Integer.parseInt(node.substring(2));
+        return cells.get((n - 1) % cells.size());
+    }
+
+    /** Regions are the first and the second half of the cells. */
+    public boolean apart(final String a, final String b) {
+        return regionMs > 0 && half(a) != half(b);
+    }
+
+    private int half(final String node) {
+        return (Integer.parseInt(node.replaceAll("[^0-9]", "")) - 1) % cells.size() < cells.size() / 2 ? 0 : 1;
+    }
+
+    public String config() {
+        final Map<String, Object> services = Log.row();
+        final Map<String, Object> routes = Log.row();
+        for (final Kin k : kin) {
+            services.put(k.service(), k.rate() > 0 ? Log.row("kind", k.kind(), "rate", k.rate()) : Log.row("kind", k.kind()));
+            for (final Way w : k.ways()) {
+                final Map<String, Object> r = Log.row("prefix", w.prefix(), "service", k.service(), "mode", w.mode(), "purgeable", w.purgeable());
+                if (w.mode().equals("cached")) {
+                    r.put("lifetimeMs", w.lifetimeMs());
+                }
+                routes.put(w.route(), r);
+            }
+        }
+        return Json.text(Log.row("services", services, "routes", routes));
+    }
+
+    public List<Way> ways() {
+        return kin.stream().flatMap(k -> k.ways().stream()).toList();
+    }
+
+    public Way pick(final double roll) {
+        double sum = 0;
+        for (final Way w : ways()) {
+            sum += w.share();
+            if (roll < sum) {
+                return w;
+            }
+        }
+        return ways().get(0);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/Script.java
@@ -0,0 +1,98 @@
+package rv.rig;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import rv.base.Finding;
+import rv.control.Shape;
+import rv.control.Tree;
+
+/** A day's troubles: what, whom, when, for how long. */
+public record Script(String name, Place place, long seconds, List<Step> steps) {
+    public static final Set<String> TROUBLES = Set.of("kill", "power", "lose-disk", "freeze", "stall", "full", "cut", "slow", "loss", "drift",
+        "origin-crash", "origin-slow", "origin-lose", "origin-wrong", "origin-swap", "origin-leave", "purges", "storm", "invalid", "surge",
+        "restart");
+    private static final Set<String> ORIGINS = Set.of("origin-crash", "origin-slow", "origin-lose", "origin-wrong", "origin-swap", "origin-leave");
+    private static final Set<String> NOBODY = Set.of("slow", "loss", "purges", "storm", "invalid", "surge");
+
+    /** {@code at} and {@code ms} in milliseconds from the beginning of traffic; {@code size} is the trouble's own figure. */
+    public record Step(long at, String trouble, List<String> who, long ms, double size) {
+    }
+
+    public static Script read(final byte[] data, final List<Finding> faults) {
+        final Object o = Tree.read(data, faults);
+        final Shape s = new Shape(o, "", faults);
+        final String name = s.text("name", true, "");
+        final String place = s.word("place", Set.of("kilimanjaro", "coastline"));
+        final long seconds = s.whole("seconds", true, 60, 1, 3600);
+        s.known("steps");
+        final Place at = Set.of("kilimanjaro", "coastline").contains(place) ? Place.of(place) : Place.kilimanjaro();
+        final List<Step> steps = new ArrayList<>();
+        if (o instanceof java.util.Map<?, ?> m && m.get("steps") instanceof List<?> list) {
+            for (int i = 0; i < list.size(); i++) {
+                steps.add(step(new Shape(list.get(i), "/steps/" + i, faults), at, seconds));
+            }
+        } else {
+            s.fault("steps", "a list is wanted here");
+        }
+        s.end();
+        return new Script(name, at, seconds, steps);
+    }
+
+    private static Step step(final Shape s, final Place place, final long seconds) {
+        final String what = s.word("trouble", TROUBLES);
+        final long at = s.whole("at", true, 0, 0, seconds * 1000);
+        final long ms = s.whole("ms", true, 0, 0, 3_600_000);
+        final double size = s.number("size", false, 0, 0, 1_000_000).doubleValue();
+        final List<String> who = List.of(s.text("who", !NOBODY.contains(what), "").split(","));
+        final List<String> names = ORIGINS.contains(what) ? place.origins() : place.machines();
+        if (!NOBODY.contains(what)) {
+            who.stream().filter(w -> !w.isEmpty() && !names.contains(w) && !w.equals("authority") && !w.equals("all"))
+                .forEach(w -> s.fault("who", "no target is named " + w));
+            if (Set.of("lose-disk", "stall", "full").contains(what)) {
+                who.stream().filter(w -> names.contains(w) && !w.startsWith("st")).forEach(w -> s.fault("who", w + " has no disk"));
+            }
+        }
+        s.end();
+        return new Step(at, what, who, ms, size);
+    }
+
+    /** A day from a seed: one trouble after another, some on top of each other, a closing fault. */
+    public static Script day(final Place place, final long seed, final int count, final long gap) {
+        final Random dice = new Random(seed * 31 + 7);
+        final List<Step> steps = new ArrayList<>();
+        final List<String> kinds = new ArrayList<>(TROUBLES.stream().sorted().toList());
+        kinds.remove("drift");
+        kinds.remove(place.hasty() ? "freeze" : "full");
+        long at = 2000;
+        for (int i = 0; i < count; i++) {
+            final String what = kinds.get(dice.nextInt(kinds.size()));
+            steps.add(roll(place, dice, what, at));
+            at += dice.nextInt(4) == 0 ? 500 : gap + dice.nextInt((int) gap);
+        }
+        steps.add(new Step(at, "power", List.of("all"), 3000, 0));
+        steps.sort(Comparator.comparingLong(Step::at));
+        return new Script("day-" + seed, place, (at + 26_000) / 1000, steps);
+    }
+
+    private static Step roll(final Place place, final Random dice, final String what, final long at) {
+        final List<String> from = ORIGINS.contains(what) ? place.origins() : place.machines();
+        final String one = Set.of("lose-disk", "stall", "full").contains(what) ? dice.nextBoolean() ? "st1" : "st2"
+            : from.get(dice.nextInt(from.size()));
+        return switch (what) {
+            case "kill", "restart", "power" -> new Step(at, what, List.of(dice.nextInt(3) == 0 ? "authority" : one), 1000 + dice.nextInt(9000), 0);
+            case "lose-disk" -> new Step(at, what, List.of(one), 500 + dice.nextInt(3000), 0);
+            case "freeze" -> new Step(at, what, List.of(one), 300 + dice.nextInt(9000), 0);
+            case "cut" -> new Step(at, what, dice.nextBoolean() ? List.of(one) : place.machines().stream().filter(m -> dice.nextInt(3) == 0).toList(),
+                1000 + dice.nextInt(9000), 0);
+            case "slow" -> new Step(at, what, List.of(), 4000, 30 + dice.nextInt(150));
+            case "loss" -> new Step(at, what, List.of(), 4000, 0.02 + dice.nextInt(8) / 100.0);
+            case "surge" -> new Step(at, what, List.of(), 5000, 2 + dice.nextInt(2));
+            case "purges", "storm" -> new Step(at, what, List.of(), 3000, 30);
+            case "origin-slow" -> new Step(at, what, List.of(one), 4000, 200 + dice.nextInt(3000));
+            default -> new Step(at, what, List.of(one), 3000 + dice.nextInt(4000), 0);
+        };
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -0,0 +1,84 @@
+package rv.rig.judge;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The logs of one run, sorted by time and by kind. */
+public final class Facts {
+    private final Map<String, List<Row>> kinds = new HashMap<>();
+    private final Map<String, List<long[]>> bad = new TreeMap<>();
+
+    /** One log line. */
+    public record Row(Map<String, Object> map) {
+        public String text(final String name) {
+            return map.get(name) == null ? "" : String.valueOf(map.get(name));
+        }
+
+        public long num(final String name) {
+            return map.get(name) instanceof Number n ? n.longValue() : 0;
+        }
+
+        public double real(final String name) {
+            return map.get(name) instanceof Number n ? n.doubleValue() : 0;
+        }
+
+        public boolean has(final String name) {
+            return map.get(name) != null;
+        }
+
+        public boolean yes(final String name) {
+            return Boolean.TRUE.equals(map.get(name));
+        }
+
+        public long t() {
+            return num("t");
+        }
+    }
+
+    public Facts(final List<Map<String, Object>> rows) {
+        rows.stream().map(Row::new).sorted(Comparator.comparingLong(Row::t))
+            .forEach(r -> kinds.computeIfAbsent(r.text("log"), k -> new ArrayList<>()).add(r));
+        for (final Row r : of("rig")) {
+            final long until = r.text("what").equals("kill") || r.text("what").equals("lose-disk")
+                ? back(r) : r.t() + r.num("ms");
+            bad.computeIfAbsent(r.text("node"), k -> new ArrayList<>()).add(new long[] {r.t(), Math.max(until, until + 4000)});
+        }
+    }
+
+    private long back(final Row gone) {
+        return of("rig").stream().filter(r -> r.text("what").equals("start") && r.text("node").equals(gone.text("node")) && r.t() > gone.t())
+            .mapToLong(Row::t).min().orElse(Long.MAX_VALUE / 4);
+    }
+
+    public List<Row> of(final String kind) {
+        return kinds.getOrDefault(kind, List.of());
+    }
+
+    public List<Row> nodes(final String name) {
+        return of("node").stream().filter(r -> r.text("name").equals(name)).toList();
+    }
+
+    public List<Row> accepted(final String what) {
+        return of("op").stream().filter(r -> r.text("what").equals(what) && r.num("status") == 200).toList();
+    }
+
+    public boolean healthy(final String node, final long from, final long to) {
+        return bad.getOrDefault(node, List.of()).stream().noneMatch(b -> b[0] <= to && b[1] >= from);
+    }
+
+    public static Map<String, List<Row>> group(final List<Row> rows, final String... names) {
+        final Map<String, List<Row>> map = new TreeMap<>();
+        for (final Row r : rows) {
+            final StringBuilder key = new StringBuilder();
+            for (final String n : names) {
+                key.append(r.text(n)).append('|');
+            }
+            map.computeIfAbsent(key.toString(), k -> new ArrayList<>()).add(r);
+        }
+        return map;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/judge/Judge.java
@@ -0,0 +1,47 @@
+package rv.rig.judge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Rules on a run from its logs alone, by the brief's twelve rules and their figures. */
+public final class Judge {
+    private final List<Verdict> verdicts = new ArrayList<>();
+
+    public Judge(final List<Map<String, Object>> rows) {
+        final Facts f = new Facts(rows);
+        verdicts.add(Runs.twice(f, new Verdict(1, "same key runs once within a minute")));
+        verdicts.add(Runs.refused(f, new Verdict(2, "once-only, and never after a refusal")));
+        verdicts.add(Served.whole(f, new Verdict(3, "success has stamp, whole body, its own request")));
+        verdicts.add(Rights.one(f, new Verdict(4, "one shield fills a shard at a time")));
+        verdicts.add(Spread.force(f, new Verdict(5, "configuration in force in 2.5 s, never back")));
+        verdicts.add(Served.purged(f, new Verdict(6, "purged objects gone after 2 s")));
+        verdicts.add(Served.aged(f, new Verdict(7, "copies end at lifetime plus 2 s")));
+        verdicts.add(Rights.left(f, new Verdict(8, "a leaving origin rests after 2.5 s")));
+        verdicts.add(Rights.rate(f, new Verdict(9, "a content store's rate in any 5 s")));
+        verdicts.add(Rights.extra(f, new Verdict(10, "extra tries in any 10 s")));
+        verdicts.add(Spread.lost(f, new Verdict(11, "accepted kept; a quarter served after 15 s")));
+        verdicts.add(Rights.strange(f, new Verdict(12, "only services that were allowed")));
+    }
+
+    public List<Verdict> verdicts() {
+        return verdicts;
+    }
+
+    public Verdict rule(final int n) {
+        return verdicts.get(n - 1);
+    }
+
+    public boolean clean() {
+        return verdicts.stream().allMatch(v -> v.breaches().isEmpty());
+    }
+
+    public String text(final int most) {
+        final StringBuilder s = new StringBuilder();
+        for (final Verdict v : verdicts) {
+            s.append(v.line()).append('\n');
+            v.breaches().stream().limit(most).forEach(b -> s.append("    ").append(b).append('\n'));
+        }
+        return s.toString();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/judge/Rights.java
@@ -0,0 +1,118 @@
+package rv.rig.judge;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import rv.base.Token;
+
+/** Rules on what went to origins. */
+final class Rights {
+    private Rights() {
+    }
+
+    static Verdict one(final Facts f, final Verdict v) {
+        final Map<String, Facts.Row> sends = new HashMap<>();
+        f.nodes("ORIGIN_SEND").forEach(r -> sends.put(r.text("request"), r));
+        final Map<Long, Token> high = new HashMap<>();
+        final Map<Long, Long> since = new HashMap<>();
+        for (final Facts.Row r : f.of("org")) {
+            final Facts.Row s = sends.get(r.text("request"));
+            if (s == null) {
+                v.breach(r.text("request") + " reached " + r.text("origin") + " at " + r.t() + " though no shield says it sent it");
+                continue;
+            }
+            v.check();
+            final long shard = s.num("shard");
+            final Token t = Token.parse(s.text("token"));
+            final Token top = high.getOrDefault(shard, Token.ZERO);
+            if (t.below(top)) {
+                v.breach("shard " + shard + ": " + s.text("node") + " with token " + t + " reached " + r.text("origin") + " at " + r.t()
+                    + ", token " + top + " did since " + since.get(shard));
+            } else if (top.below(t)) {
+                high.put(shard, t);
+                since.put(shard, r.t());
+            }
+        }
+        for (final Facts.Row r : f.nodes("FENCED")) {
+            final Token top = high.getOrDefault(r.num("shard"), Token.ZERO);
+            v.check();
+            if (Token.parse(r.text("token")).below(top) && r.t() > since.get(r.num("shard")) && f.healthy(r.text("node"), r.t() - 1, r.t())) {
+                v.breach("shard " + r.num("shard") + ": " + r.text("node") + " fenced token " + r.text("token") + " only at " + r.t()
+                    + ", the next holder filled since " + since.get(r.num("shard")));
+            }
+        }
+        return v;
+    }
+
+    static Verdict left(final Facts f, final Verdict v) {
+        final Map<String, Long> gone = new HashMap<>();
+        f.accepted("leave").forEach(r -> {
+            v.check();
+            gone.put(r.text("origin") + "|" + r.text("stamp"), r.num("end"));
+        });
+        for (final Facts.Row r : f.of("org")) {
+            final Long at = gone.get(r.text("origin") + "|" + r.text("stamp"));
+            if (at != null && r.t() > at + 2500) {
+                v.breach(r.text("origin") + " left at " + at + " and got " + r.text("request") + " at " + r.t());
+            }
+        }
+        return v;
+    }
+
+    static Verdict rate(final Facts f, final Verdict v) {
+        final Map<String, Double> rates = new HashMap<>();
+        f.of("op").stream().filter(r -> r.real("rate") > 0).forEach(r -> rates.put(r.text("service"), r.real("rate")));
+        for (final Map.Entry<String, List<Facts.Row>> e : Facts.group(f.of("org"), "service", "origin").entrySet()) {
+            final Double rate = rates.get(e.getKey().split("\\|")[0]);
+            if (rate == null) {
+                continue;
+            }
+            final ArrayDeque<Long> window = new ArrayDeque<>();
+            for (final Facts.Row r : e.getValue()) {
+                v.check();
+                window.addLast(r.t());
+                while (r.t() - window.peekFirst() >= 5000) {
+                    window.removeFirst();
+                }
+                if (window.size() > rate * 5 * 1.1 + 1) {
+                    v.breach(e.getKey() + " got " + window.size() + " in 5 s up to " + r.t() + ", its rate allows " + rate * 5);
+                }
+            }
+        }
+        return v;
+    }
+
+    static Verdict extra(final Facts f, final Verdict v) {
+        for (final Map.Entry<String, List<Facts.Row>> e : Facts.group(f.nodes("ORIGIN_SEND"), "service").entrySet()) {
+            final ArrayDeque<Facts.Row> window = new ArrayDeque<>();
+            int extra = 0;
+            for (final Facts.Row r : e.getValue()) {
+                window.addLast(r);
+                extra += r.yes("extra") ? 1 : 0;
+                while (r.t() - window.peekFirst().t() >= 10_000) {
+                    extra -= window.removeFirst().yes("extra") ? 1 : 0;
+                }
+                v.check();
+                if (r.yes("extra") && extra > 0.2 * (window.size() - extra) + 60) {
+                    v.breach(e.getKey() + " got " + extra + " extra tries beside " + (window.size() - extra) + " in 10 s up to " + r.t());
+                }
+            }
+        }
+        return v;
+    }
+
+    static Verdict strange(final Facts f, final Verdict v) {
+        final Set<String> allowed = new HashSet<>();
+        f.of("op").stream().filter(r -> r.text("item").startsWith("SERVICE/")).forEach(r -> allowed.add(r.text("service")));
+        for (final Facts.Row r : f.of("org")) {
+            v.check();
+            if (!allowed.contains(r.text("service")) || !r.text("want").equals(r.text("service"))) {
+                v.breach(r.text("request") + " for " + r.text("want") + " reached service " + r.text("service") + " at " + r.t());
+            }
+        }
+        return v;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/judge/Spread.java
@@ -0,0 +1,100 @@
+package rv.rig.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Rules on configuration: in force in time, never back, never lost. */
+final class Spread {
+    private Spread() {
+    }
+
+    private static List<Facts.Row> writes(final Facts f) {
+        final List<Facts.Row> list = new ArrayList<>(f.accepted("put"));
+        list.addAll(f.accepted("purge"));
+        return list;
+    }
+
+    static Verdict force(final Facts f, final Verdict v) {
+        final List<Facts.Row> learned = f.nodes("LEARNED");
+        final Set<String> nodes = new TreeSet<>();
+        f.nodes("STARTED").forEach(r -> nodes.add(r.text("node")));
+        final Map<String, List<Facts.Row>> by = Facts.group(learned, "node", "item");
+        final long last = f.of("end").isEmpty() ? Long.MAX_VALUE : f.of("end").get(0).t();
+        for (final Facts.Row w : writes(f)) {
+            final long due = w.num("end") + 2500;
+            for (final String n : nodes) {
+                if (due > last || !f.healthy(n, w.t(), due)) {
+                    continue;
+                }
+                v.check();
+                final long at = by.getOrDefault(n + "|" + w.text("item") + "|", List.of()).stream()
+                    .filter(r -> r.num("ver") >= w.num("version")).mapToLong(Facts.Row::t).min().orElse(Long.MAX_VALUE);
+                if (at > due) {
+                    v.breach(w.text("item") + " version " + w.num("version") + " accepted at " + w.num("end") + ", in force on " + n + " "
+                        + (at == Long.MAX_VALUE ? "never" : "at " + at));
+                }
+            }
+        }
+        back(f, v);
+        return v;
+    }
+
+    /** Within a process versions rise; a restarted one is not confirmed before it holds what it showed before. */
+    private static void back(final Facts f, final Verdict v) {
+        final Map<String, TreeMap<String, Long>> shown = new HashMap<>();
+        final Map<String, TreeMap<String, Long>> now = new HashMap<>();
+        final Map<String, String> boots = new HashMap<>();
+        for (final Facts.Row r : f.of("node")) {
+            final String n = r.text("node");
+            final String name = r.text("name");
+            if (name.equals("STARTED")) {
+                boots.put(n, r.text("boot"));
+                shown.computeIfAbsent(n, k -> new TreeMap<>()).putAll(now.getOrDefault(n, new TreeMap<>()));
+                now.put(n, new TreeMap<>());
+            } else if (name.equals("LEARNED")) {
+                final Long old = now.computeIfAbsent(n, k -> new TreeMap<>()).put(r.text("item"), r.num("ver"));
+                if (old != null && old >= r.num("ver")) {
+                    v.breach(n + " went from version " + old + " of " + r.text("item") + " to " + r.num("ver") + " at " + r.t());
+                }
+            } else if (name.equals("FRAME_FRESH")) {
+                shown.getOrDefault(n, new TreeMap<>()).forEach((item, ver) -> {
+                    v.check();
+                    if (now.get(n).getOrDefault(item, 0L) < ver) {
+                        v.breach(n + " was confirmed at " + r.t() + " with version " + now.get(n).getOrDefault(item, 0L) + " of " + item
+                            + " after it had shown " + ver);
+                    }
+                });
+            }
+        }
+    }
+
+    static Verdict lost(final Facts f, final Verdict v) {
+        for (final Facts.Row e : f.of("end")) {
+            if (!e.yes("fresh") || !(e.map().get("items") instanceof Map<?, ?> items)) {
+                continue;
+            }
+            for (final Facts.Row w : writes(f)) {
+                v.check();
+                final long held = items.get(w.text("item")) instanceof Number n ? n.longValue() : 0;
+                if (held < w.num("version")) {
+                    v.breach(e.text("node") + " ends with version " + held + " of " + w.text("item") + ", version " + w.num("version")
+                        + " was accepted at " + w.num("end"));
+                }
+            }
+        }
+        for (final Facts.Row r : f.of("rig").stream().filter(x -> x.text("what").equals("returned")).toList()) {
+            final List<Facts.Row> asked = f.of("req").stream().filter(q -> q.t() >= r.t() + 15_000 && q.t() < r.t() + 20_000).toList();
+            final long done = asked.stream().filter(q -> q.text("fate").equals("done")).count();
+            v.check(asked.size());
+            if (!asked.isEmpty() && done * 4 < asked.size()) {
+                v.breach("machines returned at " + r.t() + ", 15 s later " + done + " of " + asked.size() + " were served");
+            }
+        }
+        return v;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/judge/Verdict.java
@@ -0,0 +1,47 @@
+package rv.rig.judge;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What one rule came to: on how many events, and each breach with its evidence. */
+public final class Verdict {
+    private final int rule;
+    private final String name;
+    private final List<String> breaches = new ArrayList<>();
+    private long checked;
+
+    Verdict(final int rule, final String name) {
+        this.rule = rule;
+        this.name = name;
+    }
+
+    void check() {
+        checked++;
+    }
+
+    void check(final long n) {
+        checked += n;
+    }
+
+    void breach(final String text) {
+        breaches.add(text);
+    }
+
+    public int rule() {
+        return rule;
+    }
+
+    public long checked() {
+        return checked;
+    }
+
+    public List<String> breaches() {
+        return breaches;
+    }
+
+    public String line() {
+        final String end = checked == 0 ? "not checked" : breaches.isEmpty() ? "kept, checked on " + checked
+            : "BROKEN " + breaches.size() + " times, checked on " + checked;
+        return String.format("rule %2d %-48s %s", rule, name, end);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/Crowd.java
@@ -0,0 +1,121 @@
+package rv.rig.sim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import rv.base.Hash;
+import rv.base.Role;
+import rv.control.Json;
+import rv.data.Answer;
+import rv.data.Ask;
+import rv.rig.Log;
+import rv.rig.Place;
+
+/** Requesters: a steady mix, some of whom ask again. */
+public final class Crowd {
+    private final Town town;
+    private boolean on;
+    private long serial;
+    private long keys;
+    private double factor = 1;
+
+    Crowd(final Town town) {
+        this.town = town;
+    }
+
+    public void factor(final double f) {
+        factor = f;
+    }
+
+    void start() {
+        on = true;
+        next();
+    }
+
+    void stop() {
+        on = false;
+    }
+
+    private void next() {
+        if (on) {
+            final double mean = 1000.0 / (town.place().perSecond() * factor);
+            final long rest = Math.max(0, Math.round(-Math.log(1 - town.world().dice().nextDouble()) * mean));
+            town.world().in(rest, () -> {
+                one();
+                next();
+            });
+        }
+    }
+
+    private void one() {
+        final Place.Way w = town.place().pick(town.world().dice().nextDouble());
+        final double roll = town.world().dice().nextDouble();
+        final String path = w.prefix() + (int) (w.objects() * roll * roll);
+        final boolean post = w.mode().equals("once");
+        final String key = post ? "key-" + ++keys : null;
+        send(w, path, key, 1);
+    }
+
+    /** The platform picks by readiness among the nodes it can see. */
+    private SimNode pick() {
+        final List<SimNode> up = town.nodes().values().stream().filter(n -> n.role() == Role.EDGE && n.alive()).toList();
+        if (up.isEmpty()) {
+            return null;
+        }
+        final List<SimNode> good = up.stream().filter(n -> !n.frozen() && n.node().grade() >= 50).toList();
+        final List<SimNode> from = good.isEmpty() ? up : good;
+        return from.get(town.world().dice().nextInt(from.size()));
+    }
+
+    private void send(final Place.Way w, final String path, final String key, final int turn) {
+        final SimNode at = pick();
+        final long t = town.world().now();
+        final long id = ++serial;
+        final byte[] body = key == null ? new byte[0] : ("{\"for\":\"" + key + "\"}").getBytes(StandardCharsets.UTF_8);
+        final boolean[] over = {false};
+        final Consumer<Answer> then = a -> {
+            if (!over[0]) {
+                over[0] = true;
+                note(w, path, key, turn, at, t, id, a);
+            }
+        };
+        if (at == null) {
+            then.accept(null);
+            return;
+        }
+        final long life = at.life();
+        town.world().in(5000, () -> then.accept(null));
+        town.world().in(1, () -> {
+            if (at.alive() && at.life() == life) {
+                at.post(() -> at.node().edge().take(new Ask(key == null ? "GET" : "POST", path, key, body, "application/json"), a -> {
+                    if (at.alive() && at.life() == life) {
+                        town.world().in(1, () -> then.accept(a));
+                    }
+                }));
+            } else {
+                then.accept(null);
+            }
+        });
+    }
+
+    private void note(final Place.Way w, final String path, final String key, final int turn, final SimNode at, final long t,
+                      final long id, final Answer a) {
+        final String text = a == null ? "" : new String(a.body(), StandardCharsets.UTF_8);
+        final Map<?, ?> map = a != null && a.fate().equals(Answer.DONE) ? Json.read(text, Map.class) : Map.of();
+        town.log().add(Log.row("log", "req", "t", t, "end", town.world().now(), "id", id, "node", at == null ? null : at.id().text(),
+            "route", w.route(), "mode", w.mode(), "life", w.lifetimeMs(), "path", path, "key", key, "turn", turn,
+            "status", a == null ? 0 : a.status(), "fate", a == null ? "none" : a.fate(),
+            "stamp", a == null ? null : a.heads().get("rv-stamp"), "request", a == null ? null : a.heads().get("rv-request"),
+            "whole", a == null ? null : Hash.digest(a.body()).equals(a.heads().get("rv-digest")),
+            "said", map.get("path"), "saidKey", map.get("key"), "rev", map.get("rev")));
+        final boolean again = a == null || !a.fate().equals(Answer.DONE);
+        final double eager = town.place().hasty() ? 0.9 : 0.4;
+        if (on && again && turn < 4 && town.world().dice().nextDouble() < eager) {
+            final long rest = town.place().hasty() ? 20 : 500 + town.world().dice().nextInt(1000);
+            town.world().in(rest, () -> send(w, path, key, turn + 1));
+        } else if (on && key != null && !again && turn == 1 && town.world().dice().nextDouble() < 0.05) {
+            town.world().in(200 + town.world().dice().nextInt(3000), () -> send(w, path, key, 9));
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -0,0 +1,158 @@
+package rv.rig.sim;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import rv.base.Condition;
+import rv.base.DiskTrouble;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Member;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.control.Quorum;
+import rv.data.Node;
+import rv.data.Setup;
+import rv.rig.Log;
+
+/** One machine: the real node classes on virtual time, with a clock of its own. */
+public final class SimNode implements Loop {
+    private final World world;
+    private final SimNet net;
+    private final SimDisk disk;
+    private final SimPort.Yard yard;
+    private final Log log;
+    private final NodeId id;
+    private final Role role;
+    private final String cell;
+    private final java.util.List<NodeId> seeds;
+    private final Quorum quorum;
+    private final int shards;
+    private Node node;
+    private long life;
+    private boolean alive;
+    private long frozen;
+    private double rate = 1;
+    private long shift;
+    private long hop;
+
+    public SimNode(final World world, final SimNet net, final SimDisk disk, final SimPort.Yard yard, final Log log, final NodeId id,
+                   final Role role, final String cell, final java.util.List<NodeId> seeds, final Quorum quorum, final int shards) {
+        this.world = world;
+        this.net = net;
+        this.disk = disk;
+        this.yard = yard;
+        this.log = log;
+        this.id = id;
+        this.role = role;
+        this.cell = cell;
+        this.seeds = seeds;
+        this.quorum = quorum;
+        this.shards = shards;
+        this.shift = world.dice().nextInt(100_000);
+        net.join(this);
+    }
+
+    public NodeId id() {
+        return id;
+    }
+
+    public Role role() {
+        return role;
+    }
+
+    public String cell() {
+        return cell;
+    }
+
+    public Node node() {
+        return node;
+    }
+
+    public SimDisk disk() {
+        return disk;
+    }
+
+    public long life() {
+        return life;
+    }
+
+    public boolean alive() {
+        return alive;
+    }
+
+    public boolean frozen() {
+        return world.now() < frozen;
+    }
+
+    public void start() {
+        life++;
+        alive = true;
+        frozen = 0;
+        final String boot = "b" + life;
+        final Journal journal = new Journal(this, 200);
+        journal.fold(e -> {
+            final Map<String, Object> row = new LinkedHashMap<>();
+            row.put("log", "node");
+            row.put("t", world.now());
+            row.put("node", id.text());
+            row.put("boot", boot);
+            row.put("code", e.event().code().tag());
+            row.put("name", e.event().code().name());
+            e.event().facts().forEach((k, v) -> row.putIfAbsent(k.equals("node") ? "peer" : k, v));
+            log.add(row);
+        });
+        final Member self = new Member(id, role, cell, "127.0.0.1", 1, boot, Condition.PARTIAL, "sim");
+        final Setup setup = Setup.of(self).seeds(seeds).quorum(quorum).shards(shards).build();
+        node = new Node(setup, new Node.Seams(this, net.of(this), disk.open(this), yard.port(this), new Random(world.dice().nextLong()),
+            () -> 1_700_000_000_000L + world.now(), m -> { }), journal);
+        post(() -> {
+            try {
+                node.start();
+            } catch (final DiskTrouble e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    public void kill() {
+        alive = false;
+        life++;
+        if (role != Role.STORE) {
+            disk.lose();
+        }
+    }
+
+    public void freeze(final long ms) {
+        frozen = Math.max(frozen, world.now() + ms);
+    }
+
+    /** From now on this clock runs at {@code pace} of true time. */
+    public void drift(final double pace) {
+        shift = now();
+        hop = world.now();
+        rate = pace;
+    }
+
+    @Override
+    public long now() {
+        return shift + (long) ((world.now() - hop) * rate);
+    }
+
+    @Override
+    public void after(final long ms, final Runnable job) {
+        final long mine = life;
+        world.in((long) Math.ceil(ms / rate), () -> fire(mine, job));
+    }
+
+    private void fire(final long mine, final Runnable job) {
+        if (!alive || life != mine) {
+            return;
+        }
+        if (world.now() < frozen) {
+            world.at(frozen, () -> fire(mine, job));
+        } else {
+            job.run();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/SimPort.java
@@ -0,0 +1,161 @@
+package rv.rig.sim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import rv.base.Hash;
+import rv.control.Origin;
+import rv.data.Port;
+import rv.data.Proof;
+import rv.rig.Log;
+
+/** A shield's circuits to origins on virtual time. */
+public final class SimPort implements Port {
+    private final Yard yard;
+    private final SimNode self;
+    private final Map<String, Long> open = new HashMap<>();
+
+    /** Who answers at which address. */
+    public static final class Yard {
+        private final World world;
+        private final SimNet net;
+        private final Log log;
+        private final Map<String, SimOrigin> sites = new TreeMap<>();
+
+        public Yard(final World world, final SimNet net, final Log log) {
+            this.world = world;
+            this.net = net;
+            this.log = log;
+        }
+
+        public void move(final String host, final SimOrigin who) {
+            sites.put(host, who);
+        }
+
+        Port port(final SimNode self) {
+            return new SimPort(this, self);
+        }
+    }
+
+    private SimPort(final Yard yard, final SimNode self) {
+        this.yard = yard;
+        this.self = self;
+    }
+
+    @Override
+    public Rope send(final Origin to, final Send what, final Consumer<Got> then) {
+        final Trip trip = new Trip(to, what, then);
+        self.after(Math.max(20, what.span()), trip::late);
+        trip.begin();
+        return trip;
+    }
+
+    private final class Trip implements Rope {
+        private final Origin to;
+        private final Send what;
+        private final Consumer<Got> then;
+        private boolean over;
+        private boolean sent;
+
+        Trip(final Origin to, final Send what, final Consumer<Got> then) {
+            this.to = to;
+            this.what = what;
+            this.then = then;
+        }
+
+        void late() {
+            end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"));
+        }
+
+        private void hop(final Runnable job) {
+            final long mine = self.life();
+            final String me = self.id().text();
+            yard.world.in(yard.net.delay(me, to.host()), () -> {
+                if (yard.net.open(me, to.host()) && yard.net.open(to.host(), me) && self.life() == mine) {
+                    job.run();
+                }
+            });
+        }
+
+        void begin() {
+            final SimOrigin at = yard.sites.get(to.host());
+            final String site = to.host() + "|" + to.service() + "|" + to.stamp();
+            if (at != null && at.alive() && open.getOrDefault(site, -1L) == at.life()) {
+                go(at, at.life());
+                return;
+            }
+            hop(() -> {
+                final SimOrigin who = yard.sites.get(to.host());
+                if (who == null || !who.alive()) {
+                    self.post(() -> end(Got.none(End.NOT_SENT, "connection refused")));
+                    return;
+                }
+                hop(() -> self.post(() -> {
+                    if (over) {
+                        return;
+                    }
+                    if (!who.stock().service().equals(to.service()) || !who.stamp().equals(to.stamp())) {
+                        end(Got.none(End.STRANGE, "identity " + who.stock().service() + " " + who.stamp()));
+                        return;
+                    }
+                    open.put(site, who.life());
+                    go(who, who.life());
+                }));
+            });
+        }
+
+        private void go(final SimOrigin who, final long life) {
+            sent = true;
+            hop(() -> {
+                if (!who.alive() || who.life() != life) {
+                    self.post(() -> end(Got.none(End.LOST, "circuit reset")));
+                    return;
+                }
+                arrive(who, life);
+            });
+        }
+
+        private void arrive(final SimOrigin who, final long life) {
+            final boolean run = "POST".equals(what.method());
+            yard.log.add(Log.row("log", "org", "t", yard.world.now(), "origin", who.name(), "service", who.stock().service(), "want",
+                what.service(), "stamp", who.stamp(), "what", run ? "run" : "get", "request", what.id(), "path", what.path(), "key", what.key()));
+            final String text = run ? who.stock().run(what.path(), what.key()) : who.stock().view(what.path());
+            if (who.fault().equals("lose")) {
+                return;
+            }
+            yard.world.in(who.slow(), () -> {
+                if (who.alive() && who.life() == life) {
+                    hop(() -> self.post(() -> end(whole(who, run, text))));
+                }
+            });
+        }
+
+        private Got whole(final SimOrigin who, final boolean run, final String text) {
+            final byte[] body = text.getBytes(StandardCharsets.UTF_8);
+            final Map<String, String> heads = new TreeMap<>();
+            heads.put("content-type", "application/json");
+            heads.put("content-length", String.valueOf(body.length));
+            heads.put(Proof.STAMP, who.stamp());
+            heads.put(Proof.REQUEST, what.id());
+            heads.put(Proof.DIGEST, Hash.digest(body));
+            if (who.fault().equals("wrong")) {
+                body[body.length - 2] ^= 1;
+            }
+            return new Got(End.WHOLE, run ? 201 : 200, heads, body, "");
+        }
+
+        private void end(final Got got) {
+            if (!over) {
+                over = true;
+                then.accept(got);
+            }
+        }
+
+        @Override
+        public void cut() {
+            over = true;
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/Staff.java
@@ -0,0 +1,112 @@
+package rv.rig.sim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import rv.base.ItemId;
+import rv.base.Kind;
+import rv.control.Clerk;
+import rv.control.Json;
+import rv.rig.Log;
+import rv.rig.Place;
+
+/** Operators, and the back ends' own changes: objects change, some are purged, routes are restated, two race. */
+public final class Staff {
+    private final Town town;
+    private final Map<String, Long> known = new TreeMap<>();
+    private boolean on;
+    private long serial;
+
+    Staff(final Town town) {
+        this.town = town;
+    }
+
+    void start() {
+        on = true;
+        change();
+        restate();
+    }
+
+    void stop() {
+        on = false;
+    }
+
+    void apply(final String text) {
+        final long t = town.world().now();
+        final SimNode at = town.any();
+        at.post(() -> at.node().clerk().apply(text.getBytes(StandardCharsets.UTF_8), s -> {
+            for (final Place.Kin k : town.place().kin()) {
+                town.log().add(Log.row("log", "op", "t", t, "end", town.world().now(), "what", "put", "item", "SERVICE/" + k.service(),
+                    "service", k.service(), "kind", k.kind(), "rate", k.rate(), "status", s.status(), "version", 1));
+                k.ways().forEach(w -> town.log().add(Log.row("log", "op", "t", t, "end", town.world().now(), "what", "put", "item",
+                    "ROUTE/" + w.route(), "status", s.status(), "version", 1)));
+            }
+        }));
+    }
+
+    /** An object changes at its back end; in a third of the cases an operator purges it a little later. */
+    private void change() {
+        if (!on) {
+            return;
+        }
+        final List<Place.Way> ways = town.place().ways().stream().filter(w -> w.mode().equals("cached") && w.purgeable()).toList();
+        final Place.Way w = ways.get(town.world().dice().nextInt(ways.size()));
+        final double roll = town.world().dice().nextDouble();
+        final String path = w.prefix() + (int) (w.objects() * roll * roll * roll);
+        final String service = town.place().kin().stream().filter(k -> k.ways().contains(w)).findFirst().orElseThrow().service();
+        final long rev = town.stock(service).change(path);
+        town.log().add(Log.row("log", "change", "t", town.world().now(), "path", path, "rev", rev));
+        if (town.world().dice().nextInt(3) == 0) {
+            town.world().in(50, () -> purge(w.route(), path));
+        }
+        town.world().in(100 + town.world().dice().nextInt(200), this::change);
+    }
+
+    public void purge(final String route, final String path) {
+        final String name = route + "-" + Long.toHexString(rv.base.Hash.mix(path));
+        put("purge", new ItemId(Kind.PURGE, name), Json.text(Map.of("route", route, "path", path)), Map.of("path", path), s -> { });
+    }
+
+    public void put(final String what, final ItemId id, final String body, final Map<String, Object> more, final Consumer<Clerk.Said> then) {
+        final SimNode at = town.any();
+        if (at == null) {
+            return;
+        }
+        final long t = town.world().now();
+        final long expect = known.getOrDefault(id.text(), id.kind() == Kind.PURGE ? 0L : 1L);
+        final String tag = "op-" + ++serial;
+        final long life = at.life();
+        town.world().in(1, () -> {
+            if (at.alive() && at.life() == life) {
+                at.post(() -> at.node().clerk().put(id, body.getBytes(StandardCharsets.UTF_8), expect, tag, s -> {
+                    if (s.body().get("version") instanceof Number n) {
+                        known.merge(id.text(), n.longValue(), Math::max);
+                    }
+                    final Map<String, Object> row = Log.row("log", "op", "t", t, "end", town.world().now(), "what", what, "item", id.text(),
+                        "expect", expect, "tag", tag, "at", at.id().text(), "status", s.status(), "version", s.body().get("version"));
+                    row.putAll(more);
+                    town.log().add(row);
+                    then.accept(s);
+                }));
+            }
+        });
+    }
+
+    /** Every few seconds two operators restate one route at once, through different nodes. */
+    private void restate() {
+        if (!on) {
+            return;
+        }
+        final List<Place.Way> ways = town.place().ways().stream().filter(w -> w.mode().equals("cached")).toList();
+        final Place.Way w = ways.get(town.world().dice().nextInt(ways.size()));
+        final String service = town.place().kin().stream().filter(k -> k.ways().contains(w)).findFirst().orElseThrow().service();
+        final String body = Json.text(Log.row("prefix", w.prefix(), "service", service, "mode", w.mode(), "lifetimeMs", w.lifetimeMs(),
+            "purgeable", w.purgeable()));
+        for (int i = 0; i < 2; i++) {
+            put("put", new ItemId(Kind.ROUTE, w.route()), body, Map.of("race", serial / 2), s -> { });
+        }
+        town.world().in(2500 + town.world().dice().nextInt(2000), this::restate);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/Town.java
@@ -0,0 +1,203 @@
+package rv.rig.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.control.Quorum;
+import rv.rig.Log;
+import rv.rig.Place;
+import rv.rig.Stock;
+
+/** A whole deployment in the simulator. */
+public final class Town {
+    private static final int SHARDS = 32;
+    private final World world;
+    private final Place place;
+    private final Log log = new Log();
+    private final SimNet net;
+    private final Map<String, SimNode> nodes = new TreeMap<>();
+    private final Map<String, SimOrigin> origins = new TreeMap<>();
+    private final Map<String, Stock> stocks = new TreeMap<>();
+    private final SimPort.Yard yard;
+    private final Crowd crowd;
+    private final Staff staff;
+
+    public Town(final Place place, final long seed) {
+        this.place = place;
+        world = new World(seed);
+        net = new SimNet(world, this::delay);
+        yard = new SimPort.Yard(world, net, log);
+        final List<NodeId> seeds = List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1"));
+        final Quorum quorum = new Quorum(seeds, Set.of(NodeId.of("st1"), NodeId.of("st2")));
+        for (final String m : place.machines()) {
+            final Role role = m.startsWith("st") ? Role.STORE : m.startsWith("sh") ? Role.SHIELD : Role.EDGE;
+            final SimDisk disk = new SimDisk(world, role == Role.STORE ? place.syncMs() : 0);
+            nodes.put(m, new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS));
+        }
+        int at = 0;
+        for (final Place.Kin k : place.kin()) {
+            final Stock stock = new Stock(k.service());
+            stocks.put(k.service(), stock);
+            for (int i = 1; i <= k.origins(); i++) {
+                final String host = "127.1.0." + ++at;
+                final SimOrigin o = new SimOrigin(world, log, k.service() + i, k.kind(), stock, host, this::any);
+                origins.put(o.name(), o);
+                yard.move(host, o);
+            }
+        }
+        staff = new Staff(this);
+        crowd = new Crowd(this);
+    }
+
+    private long delay(final String a, final String b) {
+        return a.startsWith("127.") || b.startsWith("127.") || !place.apart(a, b) ? 0 : place.regionMs();
+    }
+
+    /** Everything on, the configuration stated, traffic begun. */
+    public Town open() {
+        nodes.values().forEach(n -> world.in(world.dice().nextInt(300), n::start));
+        world.in(3000, () -> staff.apply(place.config()));
+        origins.values().forEach(o -> world.in(4500 + world.dice().nextInt(500), o::start));
+        world.run(7000);
+        crowd.start();
+        staff.start();
+        return this;
+    }
+
+    SimNode any() {
+        final List<SimNode> list = new ArrayList<>(nodes.values().stream().filter(n -> n.alive() && !n.frozen()).toList());
+        return list.isEmpty() ? null : list.get(world.dice().nextInt(list.size()));
+    }
+
+    public void run(final long ms) {
+        world.run(world.now() + ms);
+    }
+
+    /** The last figures: what each living node holds. */
+    public List<Map<String, Object>> close() {
+        crowd.stop();
+        staff.stop();
+        run(6000);
+        nodes.values().stream().filter(SimNode::alive).forEach(n -> {
+            final Map<String, Object> items = new TreeMap<>();
+            n.node().held().all().forEach(c -> items.put(c.item().id().text(), c.item().ver().n()));
+            log.add(Log.row("log", "end", "t", world.now(), "node", n.id().text(), "items", items, "fresh", n.node().sync().fresh()));
+        });
+        return log.rows();
+    }
+
+    public void trouble(final String what, final String node, final long ms) {
+        log.add(Log.row("log", "rig", "t", world.now(), "what", what, "node", node, "ms", ms));
+    }
+
+    public void kill(final String name, final long back) {
+        trouble("kill", name, back);
+        node(name).kill();
+        if (back > 0) {
+            world.in(back, () -> start(name));
+        }
+    }
+
+    public void start(final String name) {
+        if (!node(name).alive()) {
+            trouble("start", name, 0);
+            node(name).start();
+        }
+    }
+
+    public void loseDisk(final String name, final long back) {
+        trouble("lose-disk", name, back);
+        node(name).kill();
+        node(name).disk().lose();
+        world.in(back, () -> start(name));
+    }
+
+    public void freeze(final String name, final long ms) {
+        trouble("freeze", name, ms);
+        node(name).freeze(ms);
+    }
+
+    public void stall(final String name, final long ms) {
+        trouble("stall", name, ms);
+        node(name).disk().stall(world.now() + ms);
+    }
+
+    public void full(final String name, final long ms) {
+        trouble("full", name, ms);
+        node(name).disk().full(true);
+        world.in(ms, () -> node(name).disk().full(false));
+    }
+
+    /** The named machines are cut from all others, both ways. */
+    public void cut(final List<String> side, final long ms) {
+        side.forEach(n -> trouble("cut", n, ms));
+        for (final String a : side) {
+            for (final String b : nodes.keySet()) {
+                if (!side.contains(b)) {
+                    net.cut(a, b);
+                    net.cut(b, a);
+                }
+            }
+        }
+        world.in(ms, net::heal);
+    }
+
+    public void drift(final String name, final double pace) {
+        trouble("drift", name, Long.MAX_VALUE / 4);
+        node(name).drift(pace);
+    }
+
+    public SimNode node(final String name) {
+        return nodes.get(name);
+    }
+
+    public Map<String, SimNode> nodes() {
+        return nodes;
+    }
+
+    public Map<String, SimOrigin> origins() {
+        return origins;
+    }
+
+    public Stock stock(final String service) {
+        return stocks.get(service);
+    }
+
+    public SimPort.Yard yard() {
+        return yard;
+    }
+
+    public World world() {
+        return world;
+    }
+
+    public SimNet net() {
+        return net;
+    }
+
+    public Log log() {
+        return log;
+    }
+
+    public Place place() {
+        return place;
+    }
+
+    public Staff staff() {
+        return staff;
+    }
+
+    public Crowd crowd() {
+        return crowd;
+    }
+
+    /** The acting lease authority, by the nodes' own word; empty while there is none. */
+    public String boss() {
+        return nodes.values().stream().filter(n -> n.alive() && n.role() == Role.STORE && n.node().tenure().acting())
+            .map(n -> n.id().text()).findFirst().orElse("");
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/World.java
@@ -0,0 +1,55 @@
+package rv.rig.sim;
+
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/** Virtual time: one queue of events, one seed. */
+public final class World {
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private final Random dice;
+    private long now;
+    private long seq;
+    private long count;
+
+    private record Due(long at, long seq, Runnable job) implements Comparable<Due> {
+        @Override
+        public int compareTo(final Due o) {
+            final int c = Long.compare(at, o.at);
+            return c != 0 ? c : Long.compare(seq, o.seq);
+        }
+    }
+
+    public World(final long seed) {
+        dice = new Random(seed);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public Random dice() {
+        return dice;
+    }
+
+    public long count() {
+        return count;
+    }
+
+    public void at(final long when, final Runnable job) {
+        queue.add(new Due(Math.max(when, now), seq++, job));
+    }
+
+    public void in(final long ms, final Runnable job) {
+        at(now + ms, job);
+    }
+
+    public void run(final long until) {
+        while (!queue.isEmpty() && queue.peek().at() <= until) {
+            final Due d = queue.poll();
+            now = d.at();
+            count++;
+            d.job().run();
+        }
+        now = until;
+    }
+}
