--- /dev/null
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -0,0 +1,155 @@
+package rv.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rv.base.Ballot;
+import rv.base.Code;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Timing;
+import rv.base.Token;
+import rv.control.Held;
+import rv.control.Holder;
+import rv.control.Json;
+import rv.control.Tenure;
+import rv.rig.sim.World;
+
+/** The holder's side of the lease rules, on virtual time with an authority played by hand. */
+class LeaseTest {
+    private static final NodeId BOSS = NodeId.of("st1");
+    private final World world = new World(1);
+    private final Loop loop = new Loop() {
+        @Override
+        public long now() {
+            return world.now();
+        }
+
+        @Override
+        public void after(final long ms, final Runnable job) {
+            world.in(ms, job);
+        }
+    };
+    private final List<Consumer<Reply>> renewals = new ArrayList<>();
+    private final List<Long> sent = new ArrayList<>();
+    private final List<String> stops = new ArrayList<>();
+    private final Journal journal = new Journal(loop, 500);
+    private Holder holder;
+    private long stopTakes;
+
+    @BeforeEach
+    void begin() {
+        final Held held = new Held(loop, journal);
+        final Net net = (to, msg, wait, then) -> {
+            if (msg instanceof Msg.Renew) {
+                final boolean[] over = {false};
+                final Consumer<Reply> once = r -> {
+                    if (!over[0]) {
+                        over[0] = true;
+                        then.accept(r);
+                    }
+                };
+                renewals.add(once);
+                sent.add(world.now());
+                world.in(wait, () -> once.accept(Reply.lost(Reply.Trouble.NO_ANSWER)));
+            }
+        };
+        holder = new Holder(loop, net, held, Timing.DEFAULT, journal, () -> true, (shard, grace, done) -> {
+            stops.add(shard + "@" + world.now());
+            world.in(stopTakes, () -> done.accept(true));
+        });
+        holder.start();
+        held.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(ItemId.TENURE).next(Json.text(new Tenure.Body("st1", "b", 1, 1, false)), "t")));
+        world.run(100);
+        holder.place(BOSS, new Msg.Place(1, 1, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> { });
+    }
+
+    private void answer(final int n) {
+        renewals.get(n).accept(Reply.of(new Msg.Renewed(1, true, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED")), List.of())));
+    }
+
+    @Test
+    void aNewGrantIsUncertainUntilItsRenewIsAnswered() {
+        assertEquals(1, renewals.size(), "the grant makes the holder renew at once");
+        assertFalse(holder.may(3));
+        assertEquals(Holder.State.UNCERTAIN, holder.leases().get(3).state());
+        answer(0);
+        assertTrue(holder.may(3));
+    }
+
+    @Test
+    void validityCountsFromTheSendTimeOfTheAnsweredRenewalMinusM() {
+        world.run(100 + 400);
+        answer(0);
+        final long from = sent.get(0);
+        world.run(from + 1999);
+        assertTrue(holder.leases().get(3).state() != Holder.State.EXPIRED);
+        world.run(from + 2050);
+        assertEquals(Holder.State.EXPIRED, holder.leases().get(3).state());
+        assertEquals(1, stops.size());
+    }
+
+    @Test
+    void anUnansweredRenewalMakesItUncertainAndNoFillStarts() {
+        answer(0);
+        world.run(1100);
+        assertEquals(2, renewals.size());
+        assertTrue(holder.may(3));
+        world.run(1700);
+        assertEquals(Holder.State.UNCERTAIN, holder.leases().get(3).state());
+        assertFalse(holder.may(3));
+        assertTrue(holder.serves(3), "what is cached is still served");
+        answer(renewals.size() - 1);
+        assertTrue(holder.may(3));
+    }
+
+    @Test
+    void anAnswerThatComesAfterItsOwnValidityGivesNothing() {
+        world.run(100 + 450);
+        final int first = renewals.size();
+        world.run(2300);
+        assertTrue(first >= 1);
+        answer(0);
+        assertFalse(holder.may(3));
+    }
+
+    @Test
+    void aLowerTokenIsRejectedAndARevokedOneIsNotTakenUpAgain() {
+        answer(0);
+        holder.place(BOSS, new Msg.Place(1, 2, List.of(new Msg.Claim(3, new Token(1, 2), "GRANTED"))), m -> { });
+        assertFalse(holder.may(3), "a higher token is a new grant");
+        holder.place(BOSS, new Msg.Place(1, 2, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> { });
+        assertEquals(new Token(1, 2), holder.token(3));
+        assertTrue(journal.tail().stream().anyMatch(e -> e.event().code() == Code.GRANT_REJECTED));
+        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 2), "REVOKED"))), m -> { });
+        world.run(world.now() + 10);
+        holder.place(BOSS, new Msg.Place(1, 3, List.of(new Msg.Claim(3, new Token(1, 2), "GRANTED"))), m -> { });
+        assertEquals(Holder.State.REVOKED, holder.leases().get(3).state());
+    }
+
+    @Test
+    void aRevokeIsAnsweredOnlyOnceTheStopIsDone() {
+        answer(0);
+        stopTakes = 300;
+        final List<Msg> back = new ArrayList<>();
+        final long from = world.now();
+        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 1), "REVOKED"))), back::add);
+        assertFalse(holder.may(3));
+        world.run(from + 299);
+        assertEquals(List.of(), back);
+        world.run(from + 300);
+        assertEquals(List.of(new Msg.Revoked(true, List.of(3))), back);
+    }
+}
