--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -214,7 +214,7 @@
         for (int s = 0; s < shards; s++) {
             final Row row = rows.get(s);
             final NodeId owner = plan.parts().get(s).node();
-            if (!row.moving && able.contains(owner) && loop.now() - row.renewed > timing.d() / 2
+            if (!row.moving && able.contains(owner) && roster.silence(owner) < 600 && loop.now() - row.renewed > timing.d() / 2
                 && loop.now() - row.granted > 500) {
                 slow.add(owner);
             }
