--- a/prog/src/main/java/rv/prog/Ctl.java
+++ b/prog/src/main/java/rv/prog/Ctl.java
@@ -55,6 +55,7 @@
     }
 
     public static void main(final String[] args) throws Exception {
+        Main.quiet();
         System.exit(run(args, System.out, System.err));
     }
 
--- a/prog/src/main/java/rv/prog/EventLog.java
+++ b/prog/src/main/java/rv/prog/EventLog.java
@@ -65,7 +65,7 @@
             map.put("node", node);
             map.put("code", code.tag());
             map.put("name", code.name());
-            map.putAll(l.entry().event().facts());
+            l.entry().event().facts().forEach((k, v) -> map.put(map.containsKey(k) ? "peer" : k, v));
             final byte[] data = (Json.text(map) + "\n").getBytes(StandardCharsets.UTF_8);
             out.write(data, 0, data.length);
             if (ring.isEmpty()) {
--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -24,6 +24,8 @@
 public final class Main {
     public static final String VERSION = "0.1.0";
 
+    private static final java.util.logging.Logger JETTY = java.util.logging.Logger.getLogger("org.eclipse.jetty");
+
     private Main() {
     }
 
@@ -32,6 +34,7 @@
             System.err.println("usage: rwstore | rwshield | rwedge [options], see --help");
             System.exit(2);
         }
+        quiet();
         final Role role = Arrays.stream(Role.values()).filter(r -> r.word().equals(args[0])).findFirst().orElseThrow();
         final String[] rest = Arrays.copyOfRange(args, 1, args.length);
         if (List.of(rest).contains("--version")) {
@@ -57,6 +60,11 @@
         }
     }
 
+    /** The HTTP library's own chatter is not the product's log. */
+    public static void quiet() {
+        JETTY.setLevel(java.util.logging.Level.WARNING);
+    }
+
     private static void run(final Options o) throws Exception {
         final String boot = UUID.randomUUID().toString().substring(0, 8);
         final Whole all = DaggerWhole.builder().parts(new Parts(o, boot)).build();
--- a/rig/src/main/java/rv/rig/Originator.java
+++ b/rig/src/main/java/rv/rig/Originator.java
@@ -49,6 +49,11 @@
     }
 
     public void start(final int at) throws Exception {
+        start(at, "none");
+    }
+
+    /** With fault {@code foreign} it is another service at the old address, and announces nothing. */
+    public void start(final int at, final String fault) throws Exception {
         face = new StandIn(name, UUID.randomUUID().toString().substring(0, 12), stock, log, clock);
         final QueuedThreadPool pool = new QueuedThreadPool(12, 2);
         pool.setDaemon(true);
@@ -61,9 +66,11 @@
         server.setStopTimeout(0);
         server.start();
         port = link.getLocalPort();
-        on = true;
+        face.fault(fault, 3);
+        on = !fault.equals("foreign");
         beat.set(0);
-        clock.execute(this::round);
+        final StandIn mine = face;
+        clock.execute(() -> round(mine));
     }
 
     public int port() {
@@ -78,10 +85,10 @@
         return face;
     }
 
-    private void round() {
-        if (on) {
+    private void round(final StandIn mine) {
+        if (on && face == mine) {
             final boolean ok = announce(false) == 200;
-            clock.schedule(this::round, ok ? 3000 : 300, TimeUnit.MILLISECONDS);
+            clock.schedule(() -> round(mine), ok ? 3000 : 300, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -1,29 +1,165 @@
 package rv.rig;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.LongStream;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import rv.base.Finding;
+import rv.rig.fleet.Drill;
+import rv.rig.fleet.Fleet;
+import rv.rig.judge.Judge;
+import rv.rig.sim.Play;
 
-/** The rig's command line. */
+/** The rig's command line: 0 all rules kept, 1 a rule broken or a trouble missed, 2 usage. */
 public final class Rig {
+    private static final String USAGE = """
+        rwrig COMMAND
+          sim WHAT         WHAT: kilimanjaro, coastline (a day from the seed) or a scenario file
+          fleet WHAT       the same on processes; without --troubles a quiet day
+          judge FILE...    rules on logs
+          origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
+        """;
+
     private Rig() {
     }
 
     public static void main(final String[] args) throws Exception {
-        if (args.length == 0) {
-            System.err.println("usage: rwrig origin NAME SERVICE KIND IP PORT LOG NODE,NODE,...");
+        rv.prog.Main.quiet();
+        final OptionParser p = new OptionParser();
+        p.accepts("seeds", "one seed or a range: 1..20").withRequiredArg().defaultsTo("1");
+        p.accepts("troubles", "how many troubles a day from a seed has").withRequiredArg().ofType(Integer.class).defaultsTo(0);
+        p.accepts("seconds", "length of a quiet day").withRequiredArg().ofType(Long.class).defaultsTo(20L);
+        p.accepts("dir", "folder for a fleet's logs and data").withRequiredArg();
+        p.accepts("figures", "print availability and spread");
+        p.accepts("help", "print this and end");
+        final OptionSet set;
+        try {
+            set = p.parse(args);
+        } catch (final OptionException e) {
+            System.err.println("rwrig: " + e.getMessage());
             System.exit(2);
+            return;
+        }
+        final List<String> w = set.nonOptionArguments().stream().map(String::valueOf).toList();
+        if (set.has("help") || w.size() < 2) {
+            System.out.println(USAGE);
+            p.printHelpOn(System.out);
+            System.exit(set.has("help") ? 0 : 2);
+        }
+        switch (w.get(0)) {
+            case "sim" -> System.exit(sim(w.get(1), set));
+            case "fleet" -> System.exit(fleet(w.get(1), set));
+            case "judge" -> System.exit(judge(w.subList(1, w.size())));
+            case "origin" -> origin(w.subList(1, w.size()));
+            default -> {
+                System.err.println(USAGE);
+                System.exit(2);
+            }
+        }
+    }
+
+    private static Script script(final String what, final long seed, final OptionSet set, final List<Finding> faults) throws IOException {
+        if (Set.of("kilimanjaro", "coastline").contains(what)) {
+            final int n = (Integer) set.valueOf("troubles");
+            return n == 0 ? new Script("quiet", Place.of(what), (Long) set.valueOf("seconds"), List.of()) : Script.day(Place.of(what), seed, n, 4000);
+        }
+        if (!Files.isReadable(Path.of(what))) {
+            faults.add(new Finding(what, "cannot be read"));
+            return null;
+        }
+        return Script.read(Files.readAllBytes(Path.of(what)), faults);
+    }
+
+    private static boolean bad(final List<Finding> faults) {
+        faults.forEach(f -> System.err.println("rwrig: " + f));
+        return !faults.isEmpty();
+    }
+
+    private static int sim(final String what, final OptionSet set) throws Exception {
+        final String[] ends = ((String) set.valueOf("seeds")).split("\\.\\.");
+        final long from = Long.parseLong(ends[0]);
+        final long to = Long.parseLong(ends[ends.length - 1]);
+        final List<Finding> faults = new ArrayList<>();
+        script(what, from, set, faults);
+        if (bad(faults)) {
+            return 2;
         }
-        if (args[0].equals("origin")) {
-            origin(Arrays.copyOfRange(args, 1, args.length));
+        return LongStream.rangeClosed(from, to).parallel().mapToInt(seed -> {
+            try {
+                final Play play = new Play(script(what, seed, set, new ArrayList<>()), seed);
+                return show("seed " + seed, play.run(), play.missed(), set);
+            } catch (final IOException e) {
+                return 1;
+            }
+        }).max().orElse(0);
+    }
+
+    private static int show(final String title, final List<Map<String, Object>> rows, final List<String> missed, final OptionSet set) {
+        final Judge j = new Judge(rows);
+        final boolean ok = j.clean() && missed.isEmpty();
+        final StringBuilder s = new StringBuilder(title + (ok ? " clean" : " BROKEN") + (missed.isEmpty() ? "" : ", not brought about: " + missed) + "\n");
+        s.append(j.text(5));
+        if (set.has("figures")) {
+            s.append(new Figures(rows).text());
+        }
+        System.out.print(s);
+        return ok ? 0 : 1;
+    }
+
+    private static int fleet(final String what, final OptionSet set) throws Exception {
+        final List<Finding> faults = new ArrayList<>();
+        final long seed = Long.parseLong(((String) set.valueOf("seeds")).split("\\.\\.")[0]);
+        final Script s = script(what, seed, set, faults);
+        if (s != null) {
+            faults.addAll(Drill.check(s));
+        }
+        if (bad(faults)) {
+            return 2;
         }
+        final Path dir = set.has("dir") ? Path.of((String) set.valueOf("dir")) : Files.createTempDirectory("rwrig");
+        final Path bin = Path.of(System.getProperty("rv.bin", "bin")).toAbsolutePath();
+        System.out.println("logs in " + dir);
+        try (Fleet fleet = new Fleet(s.place(), dir, bin, seed).open()) {
+            final Drill drill = new Drill(fleet, s);
+            return show(s.name(), drill.run(), drill.missed(), set);
+        }
+    }
+
+    private static int judge(final List<String> files) throws IOException {
+        final List<Map<String, Object>> rows = new ArrayList<>();
+        for (final String f : files) {
+            rows.addAll(Log.read(Path.of(f)));
+        }
+        final Judge j = new Judge(rows);
+        System.out.print(j.text(20));
+        return j.clean() ? 0 : 1;
     }
 
-    private static void origin(final String[] a) throws Exception {
-        final Originator o = new Originator(a[0], new Stock(a[1]), a[2], a[3], List.of(a[6].split(",")), new Log(Path.of(a[5])));
-        o.start(Integer.parseInt(a[4]));
+    private static void origin(final List<String> a) throws Exception {
+        final Originator o = new Originator(a.get(0), new Stock(a.get(1)), a.get(2), a.get(3), List.of(a.get(6).split(",")), new Log(Path.of(a.get(5))));
+        o.start(Integer.parseInt(a.get(4)));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> o.leave(5)));
         System.out.println("origin " + o.name() + " on port " + o.port());
         Thread.currentThread().join();
     }
+
+    static Map<String, Long> count(final List<Map<String, Object>> rows, final String... names) {
+        final Map<String, Long> map = new TreeMap<>();
+        rows.forEach(r -> {
+            final StringBuilder key = new StringBuilder();
+            for (final String n : names) {
+                key.append(key.isEmpty() ? "" : " ").append(r.get(n));
+            }
+            map.merge(key.toString(), 1L, Long::sum);
+        });
+        return map;
+    }
 }
--- /dev/null
+++ b/rig/src/main/java/rv/rig/fleet/Machine.java
@@ -0,0 +1,134 @@
+package rv.rig.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** One machine of the fleet: a process, its address, its disk. */
+final class Machine {
+    private final String name;
+    private final String host;
+    private final int wire;
+    private final int http;
+    private final int door;
+    private final Path dir;
+    private final Path bin;
+    private final List<String> flags = new ArrayList<>();
+    private Process process;
+
+    Machine(final String name, final String host, final int[] ports, final Path dir, final Path bin) {
+        this.name = name;
+        this.host = host;
+        this.wire = ports[0];
+        this.http = ports[1];
+        this.door = ports[2];
+        this.dir = dir;
+        this.bin = bin;
+    }
+
+    String name() {
+        return name;
+    }
+
+    String host() {
+        return host;
+    }
+
+    int wire() {
+        return wire;
+    }
+
+    String http() {
+        return host + ":" + http;
+    }
+
+    String door() {
+        return host + ":" + door;
+    }
+
+    boolean store() {
+        return name.startsWith("st");
+    }
+
+    boolean edge() {
+        return name.startsWith("ed");
+    }
+
+    Path data() {
+        return dir.resolve(name + ".data");
+    }
+
+    Path log() {
+        return dir.resolve("node-" + name + ".log");
+    }
+
+    void flags(final List<String> list) {
+        flags.clear();
+        flags.addAll(list);
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    void start() throws IOException {
+        final List<String> line = new ArrayList<>();
+        line.add(bin.resolve(store() ? "rwstore" : edge() ? "rwedge" : "rwshield").toString());
+        line.addAll(List.of("--id", name, "--wire", host + ":" + wire, "--http", http(), "--log", "json"));
+        if (edge()) {
+            line.addAll(List.of("--door", door()));
+        }
+        if (store()) {
+            line.addAll(List.of("--data", data().toString()));
+        }
+        line.addAll(flags);
+        final ProcessBuilder b = new ProcessBuilder(line);
+        b.environment().put("RW_JAVA", "-Xms16m -Xmx64m -Xss256k -XX:+UseSerialGC -XX:CICompilerCount=1");
+        b.environment().put("RW_TIER", "1");
+        b.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        b.redirectError(ProcessBuilder.Redirect.appendTo(dir.resolve("err-" + name + ".log").toFile()));
+        process = b.start();
+    }
+
+    void kill() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly();
+            process.waitFor(5, TimeUnit.SECONDS);
+        }
+    }
+
+    boolean stop(final long ms) throws InterruptedException {
+        process.destroy();
+        return process.waitFor(ms, TimeUnit.MILLISECONDS);
+    }
+
+    void signal(final String sig) throws IOException, InterruptedException {
+        final int rc = new ProcessBuilder("kill", "-" + sig, String.valueOf(process.pid())).start().waitFor();
+        if (rc != 0) {
+            throw new IOException("signal " + sig + " to " + name + " failed");
+        }
+    }
+
+    void loseDisk() throws IOException {
+        wipe(data());
+    }
+
+    static void wipe(final Path at) throws IOException {
+        if (Files.exists(at)) {
+            try (Stream<Path> all = Files.walk(at)) {
+                for (final Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/fleet/Relay.java
@@ -0,0 +1,222 @@
+package rv.rig.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.ToLongFunction;
+
+/** All links between machines: one listener for each direction of each pair. A cut link swallows, it does not refuse. */
+public final class Relay implements AutoCloseable {
+    private static final int ROOM = 1 << 20;
+    private final Selector selector;
+    private final Map<String, Integer> ports = new HashMap<>();
+    private final Set<String> cuts = ConcurrentHashMap.newKeySet();
+    private final ConcurrentLinkedQueue<Runnable> jobs = new ConcurrentLinkedQueue<>();
+    private final ToLongFunction<String> delay;
+    private final Thread thread = new Thread(this::run, "relay");
+    private volatile boolean on = true;
+
+    private static final class Pipe {
+        private final String link;
+        private final SocketChannel from;
+        private final SocketChannel to;
+        private final ArrayDeque<Part> queue = new ArrayDeque<>();
+        private Pipe other;
+        private long size;
+
+        Pipe(final String link, final SocketChannel from, final SocketChannel to) {
+            this.link = link;
+            this.from = from;
+            this.to = to;
+        }
+    }
+
+    private record Part(long due, ByteBuffer data) {
+    }
+
+    private record Way(String link, InetSocketAddress target) {
+    }
+
+    /** {@code delay} gives the one-way milliseconds of a link named "a>b". */
+    public Relay(final ToLongFunction<String> delay) throws IOException {
+        this.delay = delay;
+        selector = Selector.open();
+        thread.setDaemon(true);
+    }
+
+    public int open(final String a, final String b, final String host, final InetSocketAddress target) throws IOException {
+        final ServerSocketChannel s = ServerSocketChannel.open();
+        s.bind(new InetSocketAddress(host, 0), 64);
+        s.configureBlocking(false);
+        s.register(selector, SelectionKey.OP_ACCEPT, new Way(a + ">" + b, target));
+        final int port = ((InetSocketAddress) s.getLocalAddress()).getPort();
+        ports.put(a + ">" + b, port);
+        return port;
+    }
+
+    public void start() {
+        thread.start();
+    }
+
+    public void cut(final String a, final String b) {
+        cuts.add(a + ">" + b);
+    }
+
+    public void heal() {
+        cuts.clear();
+        jobs.add(() -> { });
+        selector.wakeup();
+    }
+
+    /** A link is named for who dialled; what comes back is swallowed when either direction is cut. */
+    private boolean shut(final String link) {
+        final String[] ends = link.split(">");
+        return cuts.contains(link) || cuts.contains(ends[1] + ">" + ends[0]);
+    }
+
+    private void run() {
+        while (on) {
+            try {
+                selector.select(2);
+                for (Runnable r = jobs.poll(); r != null; r = jobs.poll()) {
+                    r.run();
+                }
+                final var it = selector.selectedKeys().iterator();
+                while (it.hasNext()) {
+                    final SelectionKey k = it.next();
+                    it.remove();
+                    if (k.isValid()) {
+                        serve(k);
+                    }
+                }
+                final long now = System.currentTimeMillis();
+                for (final SelectionKey k : selector.keys()) {
+                    if (k.isValid() && k.attachment() instanceof Pipe p) {
+                        flush(p, now);
+                    }
+                }
+            } catch (final IOException e) {
+                on = false;
+            }
+        }
+    }
+
+    private void serve(final SelectionKey k) {
+        if (k.attachment() instanceof Way w) {
+            accept((ServerSocketChannel) k.channel(), w);
+            return;
+        }
+        final Pipe p = (Pipe) k.attachment();
+        try {
+            if (k.isConnectable()) {
+                ((SocketChannel) k.channel()).finishConnect();
+                k.interestOps(SelectionKey.OP_READ);
+            }
+            if (k.isReadable()) {
+                read(p);
+            }
+        } catch (final IOException e) {
+            close(p);
+        }
+    }
+
+    private void accept(final ServerSocketChannel s, final Way w) {
+        try {
+            final SocketChannel a = s.accept();
+            if (a == null) {
+                return;
+            }
+            a.configureBlocking(false);
+            final SocketChannel b = SocketChannel.open();
+            b.configureBlocking(false);
+            final Pipe there = new Pipe(w.link(), a, b);
+            final Pipe back = new Pipe(w.link(), b, a);
+            there.other = back;
+            back.other = there;
+            a.register(selector, SelectionKey.OP_READ, there);
+            b.connect(w.target());
+            b.register(selector, SelectionKey.OP_CONNECT, back);
+        } catch (final IOException e) {
+            jobs.add(() -> { });
+        }
+    }
+
+    private void read(final Pipe p) throws IOException {
+        if (p.size > ROOM) {
+            return;
+        }
+        final ByteBuffer b = ByteBuffer.allocate(32 << 10);
+        final int n = p.from.read(b);
+        if (n < 0) {
+            if (p.queue.isEmpty()) {
+                close(p);
+            } else {
+                p.from.keyFor(selector).interestOps(0);
+                p.queue.addLast(new Part(System.currentTimeMillis(), null));
+            }
+            return;
+        }
+        b.flip();
+        p.size += n;
+        p.queue.addLast(new Part(System.currentTimeMillis() + delay.applyAsLong(p.link), b));
+    }
+
+    private void flush(final Pipe p, final long now) {
+        if (p.queue.isEmpty() || !p.to.isConnected() || shut(p.link)) {
+            return;
+        }
+        try {
+            while (!p.queue.isEmpty() && p.queue.peek().due() <= now) {
+                final Part part = p.queue.peek();
+                if (part.data() == null) {
+                    close(p);
+                    return;
+                }
+                p.size -= p.to.write(part.data());
+                if (part.data().hasRemaining()) {
+                    return;
+                }
+                p.queue.poll();
+            }
+        } catch (final IOException e) {
+            close(p);
+        }
+    }
+
+    private static void close(final Pipe p) {
+        for (final SocketChannel c : new SocketChannel[] {p.from, p.to}) {
+            try {
+                c.close();
+            } catch (final IOException e) {
+                p.queue.clear();
+            }
+        }
+        p.queue.clear();
+        p.other.queue.clear();
+    }
+
+    @Override
+    public void close() throws IOException {
+        on = false;
+        selector.wakeup();
+        try {
+            thread.join(2000);
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (final SelectionKey k : selector.keys()) {
+            k.channel().close();
+        }
+        selector.close();
+    }
+}
--- a/rig/src/main/java/rv/rig/sim/Crowd.java
+++ b/rig/src/main/java/rv/rig/sim/Crowd.java
@@ -108,7 +108,7 @@
             "status", a == null ? 0 : a.status(), "fate", a == null ? "none" : a.fate(),
             "stamp", a == null ? null : a.heads().get("rv-stamp"), "request", a == null ? null : a.heads().get("rv-request"),
             "whole", a == null ? null : Hash.digest(a.body()).equals(a.heads().get("rv-digest")),
-            "said", map.get("path"), "saidKey", map.get("key"), "rev", map.get("rev")));
+            "why", a == null || a.fate().equals(Answer.DONE) ? null : text, "said", map.get("path"), "saidKey", map.get("key"), "rev", map.get("rev")));
         final boolean again = a == null || !a.fate().equals(Answer.DONE);
         final double eager = town.place().hasty() ? 0.9 : 0.4;
         if (on && again && turn < 4 && town.world().dice().nextDouble() < eager) {
