--- a/base/src/main/java/rv/base/Code.java
+++ b/base/src/main/java/rv/base/Code.java
@@ -27,7 +27,6 @@
     HELD(1501, "lease held"),
     UNSURE(1502, "lease uncertain"),
     FENCED(1503, "lease fenced"),
-    REVOKED(1504, "lease revoked"),
     GRANT_REJECTED(1505, "grant with a low token rejected"),
     FRAME_STALE(1601, "frame not confirmed in time"),
     FRAME_FRESH(1602, "frame confirmed again"),
--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/View.java
@@ -11,30 +11,74 @@
 import rv.base.ItemId;
 import rv.base.Kind;
 import rv.base.Mark;
-import rv.base.Msg;
+import rv.base.Ver;
 
 /** What the held items mean to traffic, folded anew after each change. */
 public final class View {
     private final Held held;
     private final List<Row> rows = new ArrayList<>();
     private final Map<String, Service> services = new TreeMap<>();
-    private final Map<String, Map<String, Purge>> purges = new HashMap<>();
-    private final Map<String, Map<ItemId, Origin>> origins = new HashMap<>();
+    private final Map<String, Match> routes = new TreeMap<>();
+    private final Map<String, Map<String, Map<ItemId, Ver>>> exact = new HashMap<>();
+    private final Map<String, Map<ItemId, Wide>> wide = new HashMap<>();
+    private final Map<ItemId, Purge> purges = new HashMap<>();
+    private final Map<ItemId, Origin> origins = new TreeMap<>();
     private Plan plan = new Plan(0, 0, List.of());
-    private boolean old = true;
+    private boolean old;
 
     public record Row(String name, Match match, Service service) {
     }
 
+    private record Wide(Purge purge, Ver ver) {
+    }
+
     public View(final Held held) {
         this.held = held;
-        held.watch(item -> {
-            if (item.id().kind() == Kind.PLAN) {
-                plan = Plan.of(item);
-            } else if (item.id().kind() != Kind.TENURE) {
+        held.watch(this::take);
+    }
+
+    private void take(final Item item) {
+        final String name = item.id().name();
+        switch (item.id().kind()) {
+            case PLAN -> plan = Plan.of(item);
+            case SERVICE -> {
+                put(services, name, item, Service.class);
                 old = true;
             }
-        });
+            case ROUTE -> {
+                put(routes, name, item, Match.class);
+                old = true;
+            }
+            case ORIGIN -> put(origins, item.id(), item, Origin.class);
+            case PURGE -> purge(item);
+            default -> { }
+        }
+    }
+
+    private static <K, T> void put(final Map<K, T> map, final K key, final Item item, final Class<T> type) {
+        if (item.live()) {
+            map.put(key, Json.read(item.body(), type));
+        } else {
+            map.remove(key);
+        }
+    }
+
+    /** A deleted purge keeps its body: a copy older than it must not come back to life. */
+    private void purge(final Item item) {
+        final Purge was = purges.remove(item.id());
+        if (was != null) {
+            exact.getOrDefault(was.route(), Map.of()).getOrDefault(String.valueOf(was.path()), new HashMap<>()).remove(item.id());
+            wide.getOrDefault(was.route(), new HashMap<>()).remove(item.id());
+        }
+        if (!item.body().isEmpty()) {
+            final Purge p = Json.read(item.body(), Purge.class);
+            purges.put(item.id(), p);
+            if (p.path() != null) {
+                exact.computeIfAbsent(p.route(), k -> new HashMap<>()).computeIfAbsent(p.path(), k -> new TreeMap<>()).put(item.id(), item.ver());
+            } else {
+                wide.computeIfAbsent(p.route(), k -> new TreeMap<>()).put(item.id(), new Wide(p, item.ver()));
+            }
+        }
     }
 
     private void fold() {
@@ -43,25 +87,12 @@
         }
         old = false;
         rows.clear();
-        services.clear();
-        purges.clear();
-        origins.clear();
-        final Config c = Config.of(held);
-        services.putAll(c.services());
-        c.routes().forEach((n, m) -> {
+        routes.forEach((n, m) -> {
             if (services.containsKey(m.service())) {
                 rows.add(new Row(n, m, services.get(m.service())));
             }
         });
         rows.sort(Comparator.comparingInt((Row r) -> -r.match().prefix().length()).thenComparing(Row::name));
-        held.all().stream().map(Msg.Chosen::item).filter(i -> i.id().kind() == Kind.PURGE && !i.body().isEmpty()).forEach(i -> {
-            final Purge p = Json.read(i.body(), Purge.class);
-            purges.computeIfAbsent(p.route(), k -> new TreeMap<>()).put(i.id().name(), p);
-        });
-        held.all().stream().map(Msg.Chosen::item).filter(i -> i.live() && i.id().kind() == Kind.ORIGIN).forEach(i -> {
-            final Origin o = Json.read(i.body(), Origin.class);
-            origins.computeIfAbsent(o.service(), k -> new TreeMap<>()).put(i.id(), o);
-        });
     }
 
     public Optional<Row> route(final String path) {
@@ -84,22 +115,19 @@
     }
 
     public boolean allows(final String service) {
-        fold();
         return services.containsKey(service);
     }
 
     public Service service(final String name) {
-        fold();
         return services.get(name);
     }
 
     public Mark mark(final Row row, final String path) {
-        fold();
         final Map<String, Long> vers = new TreeMap<>();
-        final Map<String, Purge> list = purges.getOrDefault(row.name(), Map.of());
-        list.forEach((n, p) -> {
-            if (p.touches(row.name(), path)) {
-                vers.put("p/" + n, held.get(new ItemId(Kind.PURGE, n)).ver().n());
+        exact.getOrDefault(row.name(), Map.of()).getOrDefault(path, Map.of()).forEach((id, v) -> vers.put("p/" + id.name(), v.n()));
+        wide.getOrDefault(row.name(), Map.of()).forEach((id, w) -> {
+            if (w.purge().touches(row.name(), path)) {
+                vers.put("p/" + id.name(), w.ver().n());
             }
         });
         vers.put("r/" + row.name(), held.get(new ItemId(Kind.ROUTE, row.name())).ver().n());
@@ -109,10 +137,9 @@
 
     /** Announced, not leaving, and heard of within its time to live. */
     public Map<ItemId, Origin> live(final String service, final long now) {
-        fold();
         final Map<ItemId, Origin> map = new TreeMap<>();
-        origins.getOrDefault(service, Map.of()).forEach((id, o) -> {
-            if (!o.leaving() && now - held.since(id) < o.ttlMs()) {
+        origins.forEach((id, o) -> {
+            if (o.service().equals(service) && !o.leaving() && now - held.since(id) < o.ttlMs()) {
                 map.put(id, o);
             }
         });
--- a/prog/src/main/java/rv/prog/Api.java
+++ b/prog/src/main/java/rv/prog/Api.java
@@ -160,7 +160,11 @@
 
     private void origins(final Call c, final Consumer<Clerk.Said> back) {
         if (c.method().equals("GET")) {
-            back.accept(c.at(2).isEmpty() ? node.clerk().list(Kind.ORIGIN) : node.clerk().get(new ItemId(Kind.ORIGIN, c.at(2))));
+            if (c.at(2).isEmpty()) {
+                back.accept(node.clerk().list(Kind.ORIGIN));
+            } else {
+                force(new ItemId(Kind.ORIGIN, c.at(2)), back);
+            }
         } else if (c.method().equals("PUT") && c.path().size() == 3) {
             node.clerk().announce(c.at(2), c.body(), back);
         } else {
--- a/prog/src/main/java/rv/prog/CoreLoop.java
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -14,6 +14,8 @@
     private final long zero = System.nanoTime();
     private final Thread thread = new Thread(this::run, "core");
     private volatile boolean on = true;
+    private volatile long told = Long.MIN_VALUE / 2;
+    private volatile Runnable shed = () -> { };
     private long seq;
 
     private record Timer(long due, long seq, Runnable job) implements Comparable<Timer> {
@@ -66,7 +68,20 @@
 
     /** For jobs that may be shed: false when the ring is full. */
     public boolean offer(final Runnable job) {
-        return ring.remainingCapacity() > 1024 && ring.offer(job);
+        if (ring.remainingCapacity() > 1024 && ring.offer(job)) {
+            return true;
+        }
+        final long t = now();
+        if (t - told > 1000) {
+            told = t;
+            shed.run();
+        }
+        return false;
+    }
+
+    /** Hears, at most once a second, that jobs are being shed. */
+    public void onShed(final Runnable job) {
+        shed = job;
     }
 
     private void run() {
--- a/prog/src/main/java/rv/prog/Ctl.java
+++ b/prog/src/main/java/rv/prog/Ctl.java
@@ -30,6 +30,7 @@
           delete KIND NAME        (--version N)
           purge ROUTE PATH        purge one object; a PATH ending in * purges by prefix
           status [NODE]           what the node believes
+          ready                   wait until the node at --at is ready
           watch KIND NAME         follow an item until it is in force everywhere
           diff NODE NODE          what two nodes believe, where it differs (IP:PORT or node name)
           vouch NODE              the elector at --at takes its memory from NODE
@@ -109,6 +110,7 @@
             case "purge" -> n == 3 ? purge(w.get(1), w.get(2), id) : usage();
             case "status" -> n <= 2 ? show(ask("GET", "state" + (n == 2 ? "/" + w.get(1) : ""), null, -1, null)) : usage();
             case "watch" -> n == 3 ? watch(w.get(1) + "/" + w.get(2), (Long) set.valueOf("seconds")) : usage();
+            case "ready" -> n == 1 ? ready((Long) set.valueOf("seconds")) : usage();
             case "diff" -> n == 3 ? diff(w.get(1), w.get(2)) : usage();
             case "vouch" -> n == 2 ? show(ask("POST", "elector/vouch?from=" + w.get(1), null, -1, null)) : usage();
             default -> usage();
@@ -176,6 +178,26 @@
         return show(g);
     }
 
+    private int ready(final long seconds) throws InterruptedException {
+        final long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        String last = "no answer";
+        while (System.nanoTime() < end) {
+            try {
+                final Got g = ask("GET", "ready", null, -1, null);
+                last = g.text().trim();
+                if (g.status() == 200 && ((Number) g.map().get("grade")).intValue() >= 50) {
+                    out.println(last);
+                    return 0;
+                }
+            } catch (final ExecutionException | TimeoutException e) {
+                last = String.valueOf(e.getMessage());
+            }
+            TimeUnit.MILLISECONDS.sleep(200);
+        }
+        err.println("rwctl: not ready: " + last);
+        return 1;
+    }
+
     private int watch(final String path, final long seconds) throws Exception {
         final long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         String last = "";
--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -73,6 +73,7 @@
         }
         final EventLog log = new EventLog(o.id().text(), o.json(), System.out);
         log.start(all.journal());
+        all.loop().onShed(() -> all.journal().add(Event.of(Code.RING_FULL, "ring", "core")));
         final Node node = all.node();
         try {
             all.net().bind(o.wire(), node::take);
--- /dev/null
+++ b/prog/src/test/java/rv/prog/SqlDiskTest.java
@@ -0,0 +1,60 @@
+package rv.prog;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rv.base.DiskTrouble;
+
+class SqlDiskTest {
+    @TempDir
+    private Path dir;
+    private final CoreLoop loop = new CoreLoop();
+
+    @AfterEach
+    void end() {
+        loop.stop();
+    }
+
+    private static boolean save(final SqlDisk d, final Map<String, byte[]> rows) throws Exception {
+        final CompletableFuture<Boolean> f = new CompletableFuture<>();
+        d.save(rows, f::complete);
+        return f.get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void whatWasSaidToBeSyncedIsReadBackAndNoSharedMemoryFileIsMade() throws Exception {
+        loop.start();
+        final SqlDisk d = new SqlDisk(loop, dir.resolve("data"));
+        d.open();
+        assertEquals(Map.of(), d.load());
+        assertTrue(save(d, Map.of("a", new byte[] {1}, "b", new byte[] {2})));
+        final Map<String, byte[]> next = new HashMap<>();
+        next.put("a", new byte[] {9});
+        next.put("b", null);
+        assertTrue(save(d, next));
+        assertEquals(1, d.load().size());
+        assertArrayEquals(new byte[] {9}, d.load().get("a"));
+        try (var all = Files.list(dir.resolve("data"))) {
+            assertTrue(all.noneMatch(p -> p.toString().endsWith("-shm") || p.toString().endsWith("-wal")));
+        }
+        d.stop();
+    }
+
+    @Test
+    void anUnusableFolderIsToldInOneLine() throws Exception {
+        final Path file = Files.createFile(dir.resolve("file"));
+        final DiskTrouble t = assertThrows(DiskTrouble.class, () -> new SqlDisk(loop, file).open());
+        assertTrue(t.getMessage().startsWith("data folder " + file + " is not usable"));
+    }
+}
--- a/rig/src/main/java/rv/rig/StandIn.java
+++ b/rig/src/main/java/rv/rig/StandIn.java
@@ -81,7 +81,7 @@
         res.getHeaders().put("Rv-Stamp", stamp);
         res.getHeaders().put("Rv-Request", id);
         res.getHeaders().put("Rv-Digest", Hash.digest(data));
-        if (fault.equals("wrong")) {
+        if (fault.equals("wrong") && !id.isEmpty()) {
             data[data.length - 2] ^= 1;
         }
         res.write(true, ByteBuffer.wrap(data), done);
--- a/rig/src/main/java/rv/rig/sim/SimNet.java
+++ b/rig/src/main/java/rv/rig/sim/SimNet.java
@@ -25,6 +25,7 @@
     private long slow;
     private long sent;
     private long bytes;
+    private java.util.function.BiConsumer<NodeId, Msg> tap = (to, msg) -> { };
 
     public SimNet(final World world, final BiFunction<String, String, Long> base) {
         this.world = world;
@@ -55,6 +56,11 @@
         return !cuts.contains(from + ">" + to);
     }
 
+    /** Sees every question that arrives. */
+    public void tap(final java.util.function.BiConsumer<NodeId, Msg> see) {
+        tap = see;
+    }
+
     public long sent() {
         return sent;
     }
@@ -114,6 +120,7 @@
                 return;
             }
             final long life = peer.life();
+            tap.accept(to, msg);
             peer.post(() -> peer.node().take(self.id(), open(data).msg(), m -> {
                 final byte[] back = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, to, m));
                 bytes += back.length;
--- /dev/null
+++ b/rig/src/test/java/rv/rig/OriginPortTest.java
@@ -0,0 +1,106 @@
+package rv.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rv.control.Origin;
+import rv.data.Port;
+import rv.data.Proof;
+import rv.prog.CoreLoop;
+import rv.prog.OriginPort;
+
+/** The real way to origins against the stand-in over HTTP. */
+class OriginPortTest {
+    private final CoreLoop loop = new CoreLoop();
+    private final HttpClient http = new HttpClient();
+    private final Log log = new Log();
+    private Originator origin;
+    private OriginPort port;
+
+    @BeforeEach
+    void begin() throws Exception {
+        loop.start();
+        http.start();
+        port = new OriginPort(loop, http);
+        origin = new Originator("s1", new Stock("s"), "content", "127.0.0.1", List.of("127.0.0.1:1"), log);
+        origin.start(0, "none");
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        http.stop();
+        origin.close();
+        loop.stop();
+    }
+
+    private Port.Got send(final Origin to, final String id, final long span) throws Exception {
+        final CompletableFuture<Port.Got> f = new CompletableFuture<>();
+        loop.post(() -> port.send(to, new Port.Send("s", "GET", "/s/1", id, null, null, null, span), f::complete));
+        return f.get(30, TimeUnit.SECONDS);
+    }
+
+    private Origin at(final String service, final String stamp, final int to) {
+        return new Origin(service, "127.0.0.1", to, stamp, "content", 0, 10_000, false, 1);
+    }
+
+    private Origin here() {
+        return at("s", origin.face().stamp(), origin.port());
+    }
+
+    private long asked() {
+        return log.rows().stream().filter(r -> "org".equals(r.get("log"))).count();
+    }
+
+    @Test
+    void aWholeAnswerProvesItself() throws Exception {
+        final Port.Got got = send(here(), "r1", 20_000);
+        assertEquals(Port.End.WHOLE, got.end());
+        assertEquals("", Proof.fault(here(), new Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1), got.heads(), got.body()));
+        assertEquals(Port.End.WHOLE, send(here(), "r2", 20_000).end());
+        assertEquals(2, asked());
+    }
+
+    @Test
+    void someoneElseAtTheAddressGetsNoRequest() throws Exception {
+        assertEquals(Port.End.STRANGE, send(at("t", origin.face().stamp(), origin.port()), "r1", 20_000).end());
+        assertEquals(Port.End.STRANGE, send(at("s", "older", origin.port()), "r2", 20_000).end());
+        assertEquals(0, asked());
+    }
+
+    @Test
+    void theAddressHandedToAnotherServiceBetweenTwoRequests() throws Exception {
+        final Origin to = here();
+        assertEquals(Port.End.WHOLE, send(to, "r1", 20_000).end());
+        final int old = origin.port();
+        origin.stop();
+        origin.start(old, "foreign");
+        final Port.Got got = send(to, "r2", 20_000);
+        assertTrue(got.end() != Port.End.WHOLE, got.toString());
+        assertEquals(Port.End.STRANGE, send(to, "r3", 20_000).end());
+        assertEquals(1, asked());
+    }
+
+    @Test
+    void wrongBytesDoNotProveThemselves() throws Exception {
+        origin.face().fault("wrong", 1);
+        final Port.Got got = send(here(), "r1", 20_000);
+        assertEquals("digest differs", Proof.fault(here(), new Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1), got.heads(), got.body()));
+    }
+
+    @Test
+    void aLostAnswerMayHaveRunAndADeadAddressHasNot() throws Exception {
+        origin.face().fault("lose", 1);
+        assertEquals(Port.End.LOST, send(here(), "r1", 600).end());
+        assertEquals(1, asked());
+        final Origin dead = here();
+        origin.stop();
+        assertEquals(Port.End.NOT_SENT, send(at("s", dead.stamp() + "x", dead.port()), "r2", 20_000).end());
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/rv/rig/PartsTest.java
@@ -0,0 +1,233 @@
+package rv.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import rv.base.Ballot;
+import rv.base.Disk;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Kind;
+import rv.base.Loop;
+import rv.base.Mark;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Token;
+import rv.control.Held;
+import rv.control.Json;
+import rv.control.Keeper;
+import rv.control.Plan;
+import rv.control.View;
+import rv.data.Answer;
+import rv.data.Ask;
+import rv.data.Edge;
+import rv.rig.sim.Town;
+import rv.rig.sim.World;
+
+/** Single parts whose rules no whole run shows by itself. */
+class PartsTest {
+    private final World world = new World(1);
+    private final Loop loop = new Loop() {
+        @Override
+        public long now() {
+            return world.now();
+        }
+
+        @Override
+        public void after(final long ms, final Runnable job) {
+            world.in(ms, job);
+        }
+    };
+    private final Journal journal = new Journal(loop, 100);
+    private final Held held = new Held(loop, journal);
+    private final View view = new View(held);
+    private long ver;
+
+    private void hold(final Kind kind, final String name, final String body) {
+        final ItemId id = new ItemId(kind, name);
+        held.merge(new Msg.Chosen(new Ballot(++ver, "x"), held.get(id).next(body, "t" + ver)));
+    }
+
+    private void stock(final long life) {
+        hold(Kind.SERVICE, "s", "{\"kind\":\"content\",\"rate\":10,\"bodyLimit\":10,\"cutoffMs\":1000}");
+        hold(Kind.ROUTE, "r", Json.text(Log.row("prefix", "/s/", "service", "s", "mode", "cached", "lifetimeMs", life, "purgeable", true)));
+        hold(Kind.PLAN, "plan", Json.text(new Plan(1, 1, List.of(new Plan.Part("sh1", 2, 5)))));
+    }
+
+    private Msg.Filled filled(final String token, final Mark mark, final long age) {
+        return new Msg.Filled("done", "", 200, Token.parse(token), Map.of(), "x".getBytes(), age, mark, 0);
+    }
+
+    @Test
+    void anEdgeRejectsAnAnswerWithALowerToken() {
+        stock(1000);
+        final List<Consumer<Reply>> asks = new ArrayList<>();
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20);
+        final List<Answer> got = new ArrayList<>();
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        final Mark mark = view.mark(view.named("r").orElseThrow(), "/s/1");
+        asks.get(0).accept(Reply.of(filled("2.4", mark, 0)));
+        assertEquals(List.of(), got);
+        world.run(500);
+        asks.get(1).accept(Reply.of(filled("2.5", mark, 0)));
+        assertEquals(200, got.get(0).status());
+    }
+
+    @Test
+    void anAgedCopyIsNotKeptLongerAtTheEdge() {
+        stock(1000);
+        final List<Consumer<Reply>> asks = new ArrayList<>();
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20);
+        final List<Answer> got = new ArrayList<>();
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        asks.get(0).accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 900)));
+        world.run(99);
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        assertEquals(2, got.size());
+        world.run(101);
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        assertEquals(2, got.size());
+        assertEquals(2, asks.size());
+    }
+
+    @Test
+    void aPurgeHeardOfDuringAPassKeepsItsAnswerOut() {
+        stock(1000);
+        final List<Consumer<Reply>> asks = new ArrayList<>();
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20);
+        final List<Answer> got = new ArrayList<>();
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        final Mark before = view.mark(view.named("r").orElseThrow(), "/s/1");
+        hold(Kind.PURGE, "p", "{\"route\":\"r\",\"path\":\"/s/1\"}");
+        asks.get(0).accept(Reply.of(filled("2.5", before, 0)));
+        assertEquals(503, got.get(0).status());
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        assertEquals(2, asks.size(), "nothing was kept");
+    }
+
+    @Test
+    void aDeletedPurgeStillHoldsForOlderCopies() {
+        stock(1000);
+        final View.Row row = view.named("r").orElseThrow();
+        final Mark before = view.mark(row, "/s/1");
+        hold(Kind.PURGE, "p", "{\"route\":\"r\",\"path\":\"/s/1\"}");
+        final Item p = held.get(new ItemId(Kind.PURGE, "p"));
+        held.merge(new Msg.Chosen(new Ballot(99, "x"), p.grave("d")));
+        assertFalse(before.covers(view.mark(row, "/s/1")));
+        assertTrue(before.covers(view.mark(row, "/s/2")));
+    }
+
+    @Test
+    void usualStatusesAtAnEdge() {
+        stock(1000);
+        hold(Kind.SERVICE, "b", "{\"kind\":\"booking\",\"rate\":0,\"bodyLimit\":10,\"cutoffMs\":1000}");
+        hold(Kind.ROUTE, "o", "{\"prefix\":\"/o/\",\"service\":\"b\",\"mode\":\"once\",\"lifetimeMs\":0,\"purgeable\":true}");
+        final boolean[] fresh = {true};
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> then.accept(Reply.lost(Reply.Trouble.NO_ANSWER)), view, () -> fresh[0], 1,
+            journal, 1 << 20);
+        final List<String> got = new ArrayList<>();
+        final Consumer<Answer> note = a -> got.add(a.status() + " " + a.fate());
+        edge.take(new Ask("GET", "/none", null, null, ""), note);
+        edge.take(new Ask("POST", "/s/1", null, null, ""), note);
+        edge.take(new Ask("POST", "/o/1", "k", new byte[11], ""), note);
+        edge.take(new Ask("POST", "/o/1", "", new byte[1], ""), note);
+        edge.take(new Ask("POST", "/o/1", "k", new byte[1], ""), note);
+        fresh[0] = false;
+        edge.take(new Ask("GET", "/s/1", null, null, ""), note);
+        edge.shut();
+        edge.take(new Ask("GET", "/s/1", null, null, ""), note);
+        assertEquals(List.of("404 refused", "405 refused", "413 refused", "400 refused", "504 unknown", "503 refused", "503 refused"), got);
+        assertEquals(0, edge.busy());
+    }
+
+    private static final class Rows implements Disk {
+        private final Map<String, byte[]> rows = new TreeMap<>();
+
+        @Override
+        public Map<String, byte[]> load() {
+            return new HashMap<>(rows);
+        }
+
+        @Override
+        public void save(final Map<String, byte[]> some, final Consumer<Boolean> done) {
+            rows.putAll(some);
+            done.accept(true);
+        }
+    }
+
+    @Test
+    void aKeeperBarsTokensBelowTheHighestItWasReadWith() throws Exception {
+        final Rows disk = new Rows();
+        final Keeper k = new Keeper(loop, world::now, disk, () -> false);
+        k.start();
+        final List<Msg> got = new ArrayList<>();
+        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null)), got::add);
+        k.read(new Msg.KeepRead(3, new Token(1, 2)), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", null)), got::add);
+        k.read(new Msg.KeepRead(3, new Token(1, 1)), got::add);
+        assertEquals(new Msg.KeepSeen(true, false), got.get(0));
+        assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
+        assertEquals(new Msg.KeepSeen(false, false), got.get(2));
+        assertFalse(((Msg.Kept) got.get(3)).ok());
+        final Keeper again = new Keeper(loop, world::now, disk, () -> false);
+        again.start();
+        again.write(new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", null)), got::add);
+        assertEquals(new Msg.KeepSeen(false, false), got.get(4), "the bar outlives a restart");
+    }
+
+    @Test
+    void aKeeperThatLostItsMemorySaysSoForAMinuteEvenAcrossARestart() throws Exception {
+        final Rows disk = new Rows();
+        final Keeper k = new Keeper(loop, world::now, disk, () -> true);
+        k.start();
+        final List<Msg> got = new ArrayList<>();
+        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null)), got::add);
+        world.run(30_000);
+        final Keeper again = new Keeper(loop, world::now, disk, () -> false);
+        again.start();
+        assertTrue(again.lapse());
+        world.run(60_001);
+        assertFalse(again.lapse());
+        assertEquals(new Msg.KeepSeen(true, true), got.get(0));
+    }
+
+    /** On reconnect: revokes, then fence acknowledgements, then the whole placement. */
+    @Test
+    void aReturningHolderHearsRevokesThenAcksThenItsPlacement() {
+        final Town town = new Town(Place.kilimanjaro(), 8).open();
+        final List<String> heard = new ArrayList<>();
+        town.net().tap((to, msg) -> {
+            if (to.text().equals("sh3") && (msg instanceof Msg.Revoke || msg instanceof Msg.FenceAck || msg instanceof Msg.Place)) {
+                heard.add(msg.getClass().getSimpleName());
+            }
+        });
+        town.cut(List.of("sh3"), 9000);
+        town.run(9000);
+        heard.clear();
+        town.run(4000);
+        assertEquals(List.of("Revoke", "FenceAck", "Place"), heard.subList(0, 3), heard.toString());
+        assertTrue(town.node("sh3").node().holder().count() > 0, "and it holds shards again");
+        assertEquals(NodeId.of("sh3"), town.node("sh3").id());
+    }
+
+    @Test
+    void aScriptsFaultsAreToldWithTheirPlace() {
+        final List<rv.base.Finding> faults = new ArrayList<>();
+        Script.read("""
+            {"name":"x","place":"coastline","seconds":10,"steps":[{"at":1,"trouble":"rain","ms":1,"who":"st1"},
+             {"at":99999,"trouble":"kill","ms":1,"who":"st9"},{"at":1,"trouble":"lose-disk","ms":5,"who":"ed1"},
+             {"at":1,"trouble":"origin-crash","ms":5,"who":"st1"},{"at":-1,"trouble":"kill","ms":5}]}""".getBytes(), faults);
+        assertEquals(List.of("/steps/0/trouble", "/steps/1/at", "/steps/1/who", "/steps/2/who", "/steps/3/who", "/steps/4/at", "/steps/4/who"),
+            faults.stream().map(rv.base.Finding::place).toList());
+    }
+}
