--- a/rig/src/main/java/rv/rig/Figures.java
+++ b/rig/src/main/java/rv/rig/Figures.java
@@ -28,9 +28,21 @@
                 s.append("after return: ").append(back(asks, r.t())).append('\n');
             }
         }
+        for (final Facts.Row r : facts.of("cost")) {
+            s.append("between processes: ").append(r.num("messages") / Math.max(1, r.num("seconds"))).append(" questions and ")
+                .append(r.num("bytes") / Math.max(1, r.num("seconds"))).append(" bytes a second, ").append(r.num("items"))
+                .append(" items, ").append(r.num("syncs")).append(" syncs on st1; share by kind: ").append(shares(r)).append('\n');
+        }
         return s.toString();
     }
 
+    private static String shares(final Facts.Row r) {
+        final Map<?, ?> kinds = (Map<?, ?>) r.map().get("kinds");
+        final long all = kinds.values().stream().mapToLong(v -> ((Number) v).longValue()).sum();
+        return kinds.entrySet().stream().filter(e -> ((Number) e.getValue()).longValue() * 50 >= all)
+            .map(e -> e.getKey() + " " + ((Number) e.getValue()).longValue() * 100 / all + "%").toList().toString();
+    }
+
     private static boolean done(final Facts.Row r) {
         return r.text("fate").equals("done");
     }
--- a/rig/src/main/java/rv/rig/sim/SimNet.java
+++ b/rig/src/main/java/rv/rig/sim/SimNet.java
@@ -21,6 +21,7 @@
     private final Map<NodeId, SimNode> nodes = new TreeMap<>();
     private final Set<String> cuts = new HashSet<>();
     private final Map<String, Long> last = new HashMap<>();
+    private final Map<String, Long> kinds = new TreeMap<>();
     private double loss;
     private long slow;
     private long sent;
@@ -61,6 +62,16 @@
         tap = see;
     }
 
+    private void weigh(final Msg msg, final int size) {
+        bytes += size;
+        kinds.merge(msg.getClass().getSimpleName(), (long) size, Long::sum);
+    }
+
+    /** Bytes by kind of message. */
+    public Map<String, Long> kinds() {
+        return kinds;
+    }
+
     public long sent() {
         return sent;
     }
@@ -110,7 +121,7 @@
             return;
         }
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, ++sent, 0, self.id(), msg));
-        bytes += data.length;
+        weigh(msg, data.length);
         final String a = self.id().text();
         final String b = to.text();
         carry(a, b, () -> {
@@ -123,7 +134,7 @@
             tap.accept(to, msg);
             peer.post(() -> peer.node().take(self.id(), open(data).msg(), m -> {
                 final byte[] back = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, to, m));
-                bytes += back.length;
+                weigh(m, back.length);
                 if (peer.life() == life && peer.alive()) {
                     carry(b, a, () -> self.post(() -> once.accept(Reply.of(open(back).msg()))));
                 }
--- a/rig/src/main/java/rv/rig/sim/Town.java
+++ b/rig/src/main/java/rv/rig/sim/Town.java
@@ -25,6 +25,9 @@
     private final SimPort.Yard yard;
     private final Crowd crowd;
     private final Staff staff;
+    private long opened;
+    private long sent;
+    private long bytes;
 
     public Town(final Place place, final long seed) {
         this.place = place;
@@ -65,6 +68,9 @@
         world.run(7000);
         crowd.start();
         staff.start();
+        opened = world.now();
+        sent = net.sent();
+        bytes = net.bytes();
         return this;
     }
 
@@ -81,6 +87,9 @@
     public List<Map<String, Object>> close() {
         crowd.stop();
         staff.stop();
+        log.add(Log.row("log", "cost", "t", world.now(), "seconds", (world.now() - opened) / 1000, "messages", net.sent() - sent, "bytes",
+            net.bytes() - bytes, "items", nodes.get("ed1").alive() ? nodes.get("ed1").node().held().all().size() : 0,
+            "syncs", nodes.get("st1").disk().syncs(), "kinds", new TreeMap<>(net.kinds())));
         run(6000);
         nodes.values().stream().filter(SimNode::alive).forEach(n -> {
             final Map<String, Object> items = new TreeMap<>();
