Restating a service no longer voids copies; overtaken passes are asked again

Cause: a copy's mark held the service's version, though nothing of a service changes what was copied, and an edge refused an answer that a purge had overtaken. Ruled out: the store's rate (spent only because of the voided copies).

--- a/base/src/main/java/rv/base/Mark.java
+++ b/base/src/main/java/rv/base/Mark.java
@@ -6,7 +6,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
-/** The versions a copy was filled under: its route, service and every purge that touches it. */
+/** The versions a copy was filled under: its route and every purge that touches it. */
 public record Mark(@JsonValue SortedMap<String, Long> vers) {
     @JsonCreator
     public Mark(final Map<String, Long> vers) {
--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/View.java
@@ -131,7 +131,6 @@
             }
         });
         vers.put("r/" + row.name(), held.get(new ItemId(Kind.ROUTE, row.name())).ver().n());
-        vers.put("s/" + row.match().service(), held.get(new ItemId(Kind.SERVICE, row.match().service())).ver().n());
         return new Mark(vers);
     }
 
--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -96,7 +96,7 @@
         private final View.Row row;
         private final Consumer<Answer> then;
         private final String key;
-        private final Mark mark;
+        private Mark mark;
         private final long cutoff;
         private boolean lead;
         private int tries;
@@ -187,6 +187,7 @@
             final Plan.Part part = view.plan().parts().get(shard);
             raise(shard, part.token());
             tries++;
+            mark = view.mark(row, ask.path());
             final long sent = loop.now();
             final long span = Math.max(100, cutoff - sent - 300);
             net.ask(part.node(), new Msg.Fill(++serial, row.name(), ask.method(), ask.path(), shard, high.get(shard), mark,
@@ -201,7 +202,7 @@
             final Msg.Filled f = r.as(Msg.Filled.class).orElse(null);
             if (f == null) {
                 if (r.trouble() == Reply.Trouble.NOT_SENT) {
-                    again(shard, Answer.reject(503, "the holder cannot be reached", 1000));
+                    again(Answer.reject(503, "the holder cannot be reached", 1000));
                 } else {
                     finish(Answer.unsure("the holder did not answer"));
                 }
@@ -210,7 +211,7 @@
             if (f.fate().equals(Answer.REFUSED)) {
                 final Answer a = Answer.reject(f.status(), f.why(), f.retryMs());
                 if (f.status() == 503 && f.retryMs() <= 500) {
-                    again(shard, a);
+                    again(a);
                 } else {
                     finish(a);
                 }
@@ -221,7 +222,7 @@
                 if (Match.ONCE.equals(row.match().mode())) {
                     finish(Answer.unsure("the answer came from an earlier holder"));
                 } else {
-                    again(shard, Answer.reject(503, "the answer came from an earlier holder", 500));
+                    again(Answer.reject(503, "the answer came from an earlier holder", 500));
                 }
                 return;
             }
@@ -242,7 +243,7 @@
             final View.Row now = view.named(row.name()).orElse(null);
             final Mark want = now == null ? null : view.mark(now, ask.path());
             if (want == null || !f.mark().covers(want)) {
-                finish(Answer.reject(503, "purged while it was filled", 500));
+                again(Answer.reject(503, "purged while it was filled", 500));
                 return;
             }
             if (f.status() == 200 && c.good(loop.now(), want)) {
@@ -253,7 +254,7 @@
         }
 
         /** A refusal that a fresher plan may cure is tried again soon, at most twice. */
-        private void again(final int shard, final Answer last) {
+        private void again(final Answer last) {
             final long rest = 60L * tries;
             if (tries >= 3 || loop.now() + rest + 200 >= cutoff) {
                 finish(last);
