--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -9,9 +9,9 @@
 
     record Nay(String why) implements Msg { }
 
-    record Beat(Member self, long tick, int seen) implements Msg { }
+    record Beat(Member self, long tick, int seen, long roll) implements Msg { }
 
-    record Heard(Member member, long silence) { }
+    record Heard(NodeId id, long silence, Condition condition, Member member) { }
 
     record Beaten(List<Heard> members, long tick) implements Msg { }
 
@@ -37,9 +37,9 @@
 
     record Query(long hash) implements Msg { }
 
-    record Same(boolean same) implements Msg { }
+    record Same(boolean same, List<Long> sums) implements Msg { }
 
-    record Vers(Map<ItemId, Ver> vers) implements Msg { }
+    record Vers(List<Integer> cells, Map<ItemId, Ver> vers) implements Msg { }
 
     record Give(List<Chosen> list, boolean all) implements Msg { }
 
--- a/base/src/main/java/rv/base/Wire.java
+++ b/base/src/main/java/rv/base/Wire.java
@@ -1,5 +1,6 @@
 package rv.base;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -20,7 +21,8 @@
 
     private static ObjectMapper make() {
         final CBORMapper map = CBORMapper.builder()
-            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .serializationInclusion(JsonInclude.Include.NON_NULL).build();
         map.addMixIn(Msg.class, Typed.class);
         for (final Class<?> c : Msg.class.getPermittedSubclasses()) {
             map.registerSubtypes(new NamedType(c, c.getSimpleName()));
--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Elector.java
@@ -44,7 +44,7 @@
     private boolean failed;
     private boolean settling;
     private long floor;
-    private long hash;
+    private Digest digest = new Digest();
     private long turn;
     private long born;
 
@@ -81,7 +81,7 @@
         }
         if (!full) {
             slots.clear();
-            hash = 0;
+            digest = new Digest();
             fresh = true;
             journal.add(Event.of(Code.AMNESIA, "boot", boot));
             recall();
@@ -97,8 +97,8 @@
         return fresh && !boot.equals(founders.get(self));
     }
 
-    public long hash() {
-        return hash;
+    public Digest digest() {
+        return digest;
     }
 
     public Map<ItemId, Msg.Slot> slots() {
@@ -107,12 +107,7 @@
 
     private void put(final Msg.Slot slot) {
         final Msg.Slot old = slots.put(slot.item().id(), slot);
-        if (old != null && old.item().ver().n() > 0) {
-            hash ^= old.item().mix();
-        }
-        if (slot.item().ver().n() > 0) {
-            hash ^= slot.item().mix();
-        }
+        digest.swap(old == null ? null : old.item(), slot.item());
     }
 
     private void save(final List<Msg.Slot> list, final boolean seal, final Runnable then) {
--- a/control/src/main/java/rv/control/Held.java
+++ b/control/src/main/java/rv/control/Held.java
@@ -25,7 +25,7 @@
     private final MutableMap<ItemId, Msg.Chosen> map = Maps.mutable.empty();
     private final Map<ItemId, Long> since = new HashMap<>();
     private final List<Consumer<Item>> views = new ArrayList<>();
-    private long hash;
+    private final Digest digest = new Digest();
 
     public Held(final Loop loop, final Journal journal) {
         this.loop = loop;
@@ -42,10 +42,7 @@
         if (!item.ver().above(old.ver())) {
             return false;
         }
-        if (old.ver().n() > 0) {
-            hash ^= old.mix();
-        }
-        hash ^= item.mix();
+        digest.swap(old, item);
         map.put(item.id(), got);
         since.put(item.id(), loop.now());
         journal.add(Event.of(Code.LEARNED, "item", item.id().text(), "ver", item.ver().n(), "gone", item.gone()));
@@ -70,13 +67,17 @@
         return map.toImmutable();
     }
 
-    public Map<ItemId, Ver> vers() {
+    public Map<ItemId, Ver> vers(final Collection<Integer> cells) {
         final Map<ItemId, Ver> vers = new HashMap<>();
-        map.forEachKeyValue((k, c) -> vers.put(k, c.item().ver()));
+        map.forEachKeyValue((k, c) -> {
+            if (cells.contains(Digest.cell(k))) {
+                vers.put(k, c.item().ver());
+            }
+        });
         return vers;
     }
 
-    public long hash() {
-        return hash;
+    public Digest digest() {
+        return digest;
     }
 }
--- a/control/src/main/java/rv/control/Roster.java
+++ b/control/src/main/java/rv/control/Roster.java
@@ -9,7 +9,9 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import rv.base.Code;
+import rv.base.Condition;
 import rv.base.Event;
+import rv.base.Hash;
 import rv.base.Journal;
 import rv.base.Loop;
 import rv.base.Member;
@@ -61,7 +63,7 @@
         for (final NodeId s : seeds) {
             if (!s.equals(me.id())) {
                 final long sent = loop.now();
-                net.ask(s, new Msg.Beat(me, sent, items.getAsInt()), 450, r -> r.as(Msg.Beaten.class).ifPresent(b -> {
+                net.ask(s, new Msg.Beat(me, sent, items.getAsInt(), roll()), 450, r -> r.as(Msg.Beaten.class).ifPresent(b -> {
                     drift.sample(s, sent, loop.now(), b.tick());
                     b.members().forEach(this::hear);
                 }));
@@ -75,11 +77,17 @@
     }
 
     private void hear(final Msg.Heard h) {
-        if (!h.member().id().equals(self.get().id()) && h.silence() <= timing.lost()) {
-            note(h.member(), loop.now() - h.silence());
+        final Member m = h.member() != null ? h.member() : all.get(h.id());
+        if (m != null && !m.id().equals(self.get().id()) && h.silence() <= timing.lost()) {
+            note(m.with(h.condition()), loop.now() - h.silence());
         }
     }
 
+    /** Two nodes with the same roll know the same members at the same addresses. */
+    private long roll() {
+        return live().stream().mapToLong(m -> Hash.mix(m.with(Condition.READY).toString())).reduce(0, (a, b) -> a ^ b);
+    }
+
     /** Whether any node has said that it holds items. */
     public boolean told() {
         return told || items.getAsInt() > 0;
@@ -93,7 +101,9 @@
         pace.sample(b.self().id(), loop.now() - BLUR, loop.now() + BLUR, b.tick());
         note(b.self(), loop.now());
         told |= b.seen() > 0;
-        back.accept(new Msg.Beaten(live().stream().map(m -> new Msg.Heard(m, silence(m.id()))).toList(), loop.now()));
+        final boolean same = b.roll() == roll();
+        back.accept(new Msg.Beaten(live().stream().map(m -> new Msg.Heard(m.id(), silence(m.id()), m.condition(), same ? null : m)).toList(),
+            loop.now()));
     }
 
     private void note(final Member m, final long at) {
--- a/control/src/main/java/rv/control/Sync.java
+++ b/control/src/main/java/rv/control/Sync.java
@@ -51,19 +51,23 @@
         }
         for (final NodeId e : quorum.electors()) {
             final long sent = loop.now();
-            net.ask(e, new Msg.Query(held.hash()), 700, r -> r.as(Msg.Same.class).ifPresent(s -> {
+            net.ask(e, new Msg.Query(held.digest().all()), 700, r -> r.as(Msg.Same.class).ifPresent(s -> {
                 if (s.same()) {
                     confirm(e, sent);
                 } else {
-                    fetch(e);
+                    fetch(e, sent, held.digest().apart(s.sums()));
                 }
             }));
         }
     }
 
-    private void fetch(final NodeId e) {
-        final long sent = loop.now();
-        net.ask(e, new Msg.Vers(held.vers()), 1000, r -> r.as(Msg.Give.class).ifPresent(g -> {
+    /** Cells that did not differ were equal after the question was sent, so its send time stands for all. */
+    private void fetch(final NodeId e, final long sent, final List<Integer> cells) {
+        if (cells.isEmpty()) {
+            confirm(e, sent);
+            return;
+        }
+        net.ask(e, new Msg.Vers(cells, held.vers(cells)), 1000, r -> r.as(Msg.Give.class).ifPresent(g -> {
             g.list().forEach(held::merge);
             if (g.all()) {
                 confirm(e, sent);
@@ -100,7 +104,8 @@
     /** The electors' side of the questions. */
     public record Desk(Elector elector, Held held) {
         public void query(final Msg.Query ask, final Consumer<Msg> back) {
-            back.accept(elector.full() ? new Msg.Same(ask.hash() == elector.hash()) : new Msg.Nay("amnesia"));
+            final boolean same = ask.hash() == elector.digest().all();
+            back.accept(elector.full() ? new Msg.Same(same, same ? List.of() : elector.digest().sums()) : new Msg.Nay("amnesia"));
         }
 
         public void vers(final Msg.Vers ask, final Consumer<Msg> back) {
@@ -112,7 +117,7 @@
             int size = 0;
             boolean all = true;
             for (final Msg.Chosen c : held.all()) {
-                if (c.item().ver().above(ask.vers().getOrDefault(c.item().id(), Ver.ZERO))) {
+                if (ask.cells().contains(Digest.cell(c.item().id())) && c.item().ver().above(ask.vers().getOrDefault(c.item().id(), Ver.ZERO))) {
                     size += c.item().size();
                     if (size > 1 << 20) {
                         all = false;
@@ -123,7 +128,7 @@
             }
             for (final Map.Entry<ItemId, Msg.Slot> e : elector.slots().entrySet()) {
                 final Item item = e.getValue().item();
-                if (item.ver().above(held.get(e.getKey()).ver())
+                if (ask.cells().contains(Digest.cell(e.getKey())) && item.ver().above(held.get(e.getKey()).ver())
                     && item.ver().above(ask.vers().getOrDefault(e.getKey(), Ver.ZERO))) {
                     all = false;
                     break;
