--- a/rig/src/main/java/rv/rig/Figures.java
+++ b/rig/src/main/java/rv/rig/Figures.java
@@ -28,6 +28,7 @@
                 s.append("after return: ").append(back(asks, r.t())).append('\n');
             }
         }
+        s.append("by trouble (share served, by kind, worst second, longest time a shard had no filler):\n").append(new Troubles(facts).text());
         for (final Facts.Row r : facts.of("cost")) {
             s.append("between processes: ").append(r.num("messages") / Math.max(1, r.num("seconds"))).append(" questions and ")
                 .append(r.num("bytes") / Math.max(1, r.num("seconds"))).append(" bytes a second, ").append(r.num("items"))
@@ -62,9 +63,12 @@
 
     private String spread(final String what) {
         final Map<String, List<Facts.Row>> by = Facts.group(facts.nodes("LEARNED"), "item");
-        final long[] worst = facts.accepted(what).stream().mapToLong(w -> by.getOrDefault(w.text("item") + "|", List.of()).stream()
-            .filter(r -> r.num("ver") == w.num("version") && facts.healthy(r.text("node"), w.t(), w.num("end") + 2500))
-            .mapToLong(r -> r.t() - w.num("end")).max().orElse(0)).sorted().toArray();
+        final long[] worst = facts.accepted(what).stream().mapToLong(w -> {
+            final Map<String, Long> first = new TreeMap<>();
+            by.getOrDefault(w.text("item") + "|", List.of()).stream().filter(r -> r.num("ver") >= w.num("version")
+                && facts.healthy(r.text("node"), w.t(), w.num("end") + 2500)).forEach(r -> first.merge(r.text("node"), r.t(), Math::min));
+            return first.values().stream().mapToLong(t -> t - w.num("end")).max().orElse(0);
+        }).sorted().toArray();
         return worst.length == 0 ? "none" : "n " + worst.length + ", median " + worst[worst.length / 2] + ", 99th "
             + worst[Math.min(worst.length - 1, worst.length * 99 / 100)] + ", worst " + Arrays.stream(worst).max().orElse(0) + " ms";
     }
