--- a/rig/src/main/java/rv/rig/fleet/Drill.java
+++ b/rig/src/main/java/rv/rig/fleet/Drill.java
@@ -152,7 +152,7 @@
 
     private void restart(final List<Machine> list, final long ms) throws Exception {
         for (final Machine m : list) {
-            fleet.trouble("kill", m.name(), ms);
+            fleet.trouble("restart", m.name(), ms);
             if (!m.stop(12_000)) {
                 m.kill();
                 throw new IOException(m.name() + " did not stop in time");
--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -43,7 +43,7 @@
         rows.stream().map(Row::new).sorted(Comparator.comparingLong(Row::t))
             .forEach(r -> kinds.computeIfAbsent(r.text("log"), k -> new ArrayList<>()).add(r));
         for (final Row r : of("rig")) {
-            final long until = r.text("what").equals("kill") || r.text("what").equals("lose-disk")
+            final long until = java.util.List.of("kill", "lose-disk", "restart").contains(r.text("what"))
                 ? back(r) : r.t() + r.num("ms");
             bad.computeIfAbsent(r.text("node"), k -> new ArrayList<>()).add(new long[] {r.t(), Math.max(until, until + 4000)});
         }
--- a/rig/src/main/java/rv/rig/sim/Play.java
+++ b/rig/src/main/java/rv/rig/sim/Play.java
@@ -54,7 +54,8 @@
 
     private void bring(final Script.Step s) {
         switch (s.trouble()) {
-            case "kill", "restart", "power" -> power(who(s), s.ms());
+            case "kill", "power" -> power(who(s), s.ms());
+            case "restart" -> who(s).stream().filter(w -> town.node(w).alive()).forEach(w -> town.restart(w, s.ms()));
             case "lose-disk" -> who(s).forEach(w -> town.loseDisk(w, s.ms()));
             case "freeze" -> who(s).forEach(w -> town.freeze(w, s.ms()));
             case "stall" -> who(s).forEach(w -> town.stall(w, s.ms()));
--- a/rig/src/main/java/rv/rig/sim/Town.java
+++ b/rig/src/main/java/rv/rig/sim/Town.java
@@ -111,6 +111,19 @@
         }
     }
 
+    /** An orderly stop, then a start after {@code back}. */
+    public void restart(final String name, final long back) {
+        trouble("restart", name, back);
+        final SimNode n = node(name);
+        final long life = n.life();
+        n.post(() -> n.node().leave(8000, () -> {
+            if (n.life() == life) {
+                n.kill();
+                world.in(back, () -> start(name));
+            }
+        }));
+    }
+
     public void start(final String name) {
         if (!node(name).alive()) {
             trouble("start", name, 0);
