--- a/control/src/main/java/rv/control/Holder.java
+++ b/control/src/main/java/rv/control/Holder.java
@@ -84,9 +84,10 @@
         return l == null ? Token.ZERO : l.token;
     }
 
+    /** Copies are served on until the shard is known to be another's; only filling needs the right. */
     public boolean serves(final int shard) {
         final Lease l = leases.get(shard);
-        return l != null && (l.state == State.HELD || l.state == State.UNCERTAIN);
+        return l != null && l.state != State.REVOKED;
     }
 
     public long count() {
--- a/data/src/main/java/rv/data/Cache.java
+++ b/data/src/main/java/rv/data/Cache.java
@@ -16,8 +16,12 @@
     }
 
     Optional<Copy> get(final String key, final long now, final Mark want) {
+        return late(key, now, want).filter(c -> c.good(now, want));
+    }
+
+    Optional<Copy> late(final String key, final long now, final Mark want) {
         final Copy c = map.get(key);
-        if (c != null && !c.good(now, want)) {
+        if (c != null && !c.late(now, want)) {
             drop(key);
             return Optional.empty();
         }
--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -263,9 +263,22 @@
             }
         }
 
+        /** When no fill can be had, a copy just past its lifetime is better than none, as long as the frame is sure. */
+        private Copy spare() {
+            return Match.CACHED.equals(row.match().mode()) && (fresh.getAsBoolean() || !row.match().purgeable())
+                ? cache.late(key, loop.now(), view.mark(row, ask.path())).orElse(null) : null;
+        }
+
         private void finish(final Answer a) {
             final List<Walk> all = lead ? flights.remove(key) : List.of(this);
-            all.forEach(w -> w.end(a));
+            final Copy old = spare();
+            all.forEach(w -> {
+                if (old == null) {
+                    w.end(a);
+                } else {
+                    w.give(old, "late");
+                }
+            });
         }
     }
 }
--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -110,7 +110,7 @@
 
     private void cached(final Msg.Fill f, final View.Row row, final Mark mark, final long cutoff, final Consumer<Msg.Filled> back) {
         final String key = row.name() + "|" + f.path();
-        final Copy c = holder.serves(f.shard()) ? cache.get(key, loop.now(), mark).orElse(null) : null;
+        final Copy c = holder.serves(f.shard()) ? copy(f, key, mark) : null;
         if (c != null) {
             back.accept(give(f, c));
             return;
@@ -135,6 +135,11 @@
         });
     }
 
+    /** Without the right to fill, what is cached is served on, for as long as an object's change allows. */
+    private Copy copy(final Msg.Fill f, final String key, final Mark mark) {
+        return (holder.may(f.shard()) ? cache.get(key, loop.now(), mark) : cache.late(key, loop.now(), mark)).orElse(null);
+    }
+
     private void filled(final String key, final View.Row row, final Flight flight, final Sender.Sent sent) {
         final Port.Got got = sent.got();
         if (got.end() != Port.End.WHOLE) {
