--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -37,6 +37,7 @@
     private final Predicate<NodeId> sound;
     private final Map<Integer, Row> rows = new TreeMap<>();
     private final Map<NodeId, Set<Integer>> acks = new HashMap<>();
+    private final Set<NodeId> met = new HashSet<>();
     private Tenure tenure;
     private Plan plan;
     private Ver ver = Ver.ZERO;
@@ -74,10 +75,12 @@
     public void won(final long term, final long last) {
         rows.clear();
         acks.clear();
+        met.clear();
         base = last;
         began = loop.now();
         ready = false;
         busy = false;
+        load();
     }
 
     /** The first act of a term restates the plan, so that a late write of an earlier term finds another version. */
@@ -241,7 +244,7 @@
     }
 
     private void place(final NodeId node) {
-        if (tenure.acting() && ready) {
+        if (tenure.acting() && ready && met.contains(node)) {
             final List<Msg.Claim> list = owned(node);
             journal.add(Event.of(Code.GRANTED, "node", node.text(), "shards", list.size(), "epoch", plan.epoch()));
             net.ask(node, new Msg.Place(tenure.term(), plan.epoch(), list), 450, r -> { });
@@ -259,6 +262,7 @@
         final List<Msg.Claim> stale = h.claims().stream().filter(c -> !fits(from, c) && !c.state().equals("REVOKED")).toList();
         final Runnable third = () -> {
             if (tenure.term() == term) {
+                met.add(from);
                 place(from);
             }
         };
--- a/control/src/main/java/rv/control/Holder.java
+++ b/control/src/main/java/rv/control/Holder.java
@@ -20,6 +20,7 @@
 
 /** A shield's leases: held, uncertain, expired or revoked; only a held one starts fills. */
 public final class Holder {
+    private static final long AGAIN = 200;
     private final Loop loop;
     private final Net net;
     private final Held held;
@@ -114,7 +115,8 @@
         });
         if (boss != null && !placed && loop.now() - asked >= 500) {
             asked = loop.now();
-            net.ask(boss, new Msg.Hello(term, claims(true)), 450, r -> { });
+            net.ask(boss, new Msg.Hello(term, claims(true)), 450, r -> r.as(Msg.Welcome.class).filter(w -> !w.mine() && w.term() == term)
+                .ifPresent(w -> asked = Math.min(asked, loop.now() - 450)));
         }
     }
 
@@ -130,15 +132,29 @@
 
     private void renew() {
         if (placed) {
-            final List<Msg.Claim> list = claims(false);
-            final long sent = loop.now();
-            final long then = term;
-            net.ask(boss, new Msg.Renew(term, list), timing.renew() / 2, r -> r.as(Msg.Renewed.class)
-                .filter(g -> g.term() == then && then == term)
-                .ifPresentOrElse(g -> renewed(sent, g), () -> unanswered(list, sent)));
+            ask(claims(false), loop.now());
         }
     }
 
+    /** One renewal, asked again while it fails fast; it has gone unanswered once a quarter of D is over. */
+    private void ask(final List<Msg.Claim> list, final long first) {
+        final long sent = loop.now();
+        final long then = term;
+        final long rest = first + timing.d() / 4 - sent;
+        net.ask(boss, new Msg.Renew(term, list), rest, r -> {
+            final Msg.Renewed g = r.as(Msg.Renewed.class).orElse(null);
+            if (g != null && g.term() == then && then == term) {
+                renewed(sent, g);
+            } else if (then != term || !placed) {
+                missed = 0;
+            } else if (first + timing.d() / 4 - loop.now() > AGAIN) {
+                loop.after(AGAIN, () -> ask(list, first));
+            } else {
+                loop.after(Math.max(0, first + timing.d() / 4 - loop.now()), () -> unanswered(list, first));
+            }
+        });
+    }
+
     private void unanswered(final List<Msg.Claim> list, final long sent) {
         for (final Msg.Claim c : list) {
             final Lease l = leases.get(c.shard());
--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -55,7 +55,7 @@
 
     public void start() {
         loop.every(timing.renew(), this::renew);
-        loop.every(100, this::look);
+        loop.every(25, this::look);
     }
 
     public boolean acting() {
--- a/rig/src/test/java/rv/rig/FaultTest.java
+++ b/rig/src/test/java/rv/rig/FaultTest.java
@@ -237,11 +237,12 @@
     @Test
     void aNodeCutOffStopsServingWhatCanBePurgedButNotTheRest() {
         final Town town = new Town(Place.kilimanjaro(), 6).open();
+        final SimNode ed = town.node("ed3");
+        ed.post(() -> ed.node().edge().take(new rv.data.Ask("GET", "/terms/0", null, new byte[0], ""), a -> { }));
         town.run(4000);
         town.cut(List.of("ed3"), 8000);
         town.run(2500);
         final List<Integer> seen = new ArrayList<>();
-        final SimNode ed = town.node("ed3");
         for (final String path : List.of("/stock/0", "/terms/0")) {
             ed.post(() -> ed.node().edge().take(new rv.data.Ask("GET", path, null, new byte[0], ""), a -> seen.add(a.status())));
         }
