--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import rv.base.Code;
 import rv.base.Event;
 import rv.base.Journal;
@@ -14,6 +15,7 @@
 import rv.base.Mark;
 import rv.base.Msg;
 import rv.base.Net;
+import rv.base.NodeId;
 import rv.base.Reply;
 import rv.base.Token;
 import rv.control.Match;
@@ -31,6 +33,7 @@
     private final int shards;
     private final Journal journal;
     private final Cache cache;
+    private final Predicate<NodeId> heard;
     private final Map<Integer, Token> high = new HashMap<>();
     private final Map<String, List<Walk>> flights = new HashMap<>();
     private long serial;
@@ -38,7 +41,8 @@
     private boolean shut;
 
     public Edge(final Loop loop, final Net net, final View view, final BooleanSupplier fresh, final int shards,
-                final Journal journal, final long room) {
+                final Journal journal, final long room, final Predicate<NodeId> heard) {
+        this.heard = heard;
         this.loop = loop;
         this.net = net;
         this.view = view;
@@ -186,6 +190,10 @@
             }
             final Plan.Part part = view.plan().parts().get(shard);
             raise(shard, part.token());
+            if (!heard.test(part.node())) {
+                finish(Answer.reject(503, "the holder is not heard of", 1000));
+                return;
+            }
             tries++;
             mark = view.mark(row, ask.path());
             final long sent = loop.now();
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -31,6 +31,7 @@
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
+    private static final long QUIET = 1500;
     private final Setup setup;
     private final Loop loop;
     private final LongSupplier wall;
@@ -87,7 +88,8 @@
         sender = fills ? new Sender(self, boot, loop, s.port(), view, holder, sync::fresh, setup.shards(), journal) : null;
         shield = fills ? new Shield(loop, view, holder, sender, new Once(setup.quorum(), loop, s.net(), holder, journal),
             sync::fresh, sync::round, setup.shards(), setup.cacheBytes()) : null;
-        edge = setup.is(Role.EDGE) ? new Edge(loop, s.net(), view, sync::fresh, setup.shards(), journal, setup.cacheBytes()) : null;
+        edge = setup.is(Role.EDGE) ? new Edge(loop, s.net(), view, sync::fresh, setup.shards(), journal, setup.cacheBytes(),
+            n -> roster.silence(n) <= QUIET) : null;
     }
 
     private void stop(final int shard, final long grace, final Consumer<Boolean> done) {
--- a/rig/src/test/java/rv/rig/PartsTest.java
+++ b/rig/src/test/java/rv/rig/PartsTest.java
@@ -72,7 +72,7 @@
     void anEdgeRejectsAnAnswerWithALowerToken() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20);
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
         edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
         final Mark mark = view.mark(view.named("r").orElseThrow(), "/s/1");
@@ -87,7 +87,7 @@
     void anAgedCopyIsNotKeptLongerAtTheEdge() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20);
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
         edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
         asks.get(0).accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 900)));
@@ -104,7 +104,7 @@
     void aPurgeHeardOfDuringAPassKeepsItsAnswerOut() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20);
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
         edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
         final Mark before = view.mark(view.named("r").orElseThrow(), "/s/1");
@@ -142,7 +142,7 @@
         hold(Kind.ROUTE, "o", "{\"prefix\":\"/o/\",\"service\":\"b\",\"mode\":\"once\",\"lifetimeMs\":0,\"purgeable\":true}");
         final boolean[] fresh = {true};
         final Edge edge = new Edge(loop, (to, msg, wait, then) -> then.accept(Reply.lost(Reply.Trouble.NO_ANSWER)), view, () -> fresh[0], 1,
-            journal, 1 << 20);
+            journal, 1 << 20, n -> true);
         final List<String> got = new ArrayList<>();
         final Consumer<Answer> note = a -> got.add(a.status() + " " + a.fate());
         edge.take(new Ask("GET", "/none", null, null, ""), note);
