An origin that has just failed is asked last for two seconds

Cause: senders take the least loaded origin, and one that fails at once is never loaded; tries beyond the allowance were refused. Ruled out: the allowance itself (it held as it should).

--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -1,6 +1,7 @@
 package rv.data;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +24,7 @@
 /** Every request to an origin leaves a shield through here; the right to send is checked at the last moment. */
 public final class Sender {
     private static final int ROOM = 256;
+    private static final long SOUR = 2000;
     private final NodeId self;
     private final String boot;
     private final Loop loop;
@@ -36,6 +38,7 @@
     private final Allow allow = new Allow();
     private final Map<Integer, Set<Job>> live = new HashMap<>();
     private final Map<String, Integer> load = new HashMap<>();
+    private final Map<ItemId, Long> sours = new HashMap<>();
     private long serial;
     private int waiting;
 
@@ -80,6 +83,11 @@
         });
     }
 
+    /** An origin that has just failed is asked last for a while; it is tried again by itself. */
+    private boolean sour(final ItemId id) {
+        return sours.getOrDefault(id, Long.MIN_VALUE) > loop.now();
+    }
+
     private final class Job {
         private final int shard;
         private final Port.Send what;
@@ -119,10 +127,8 @@
                 return;
             }
             final List<ItemId> ids = new ArrayList<>(all.keySet());
-            ids.sort((a, b) -> {
-                final int c = Double.compare(weight(a, all.get(a)), weight(b, all.get(b)));
-                return c != 0 ? c : a.compareTo(b);
-            });
+            ids.sort(Comparator.comparing((ItemId i) -> sour(i)).thenComparingDouble(i -> weight(i, all.get(i)))
+                .thenComparing(Comparator.naturalOrder()));
             final Service s = view.service(what.service());
             if (s == null) {
                 none("the service is no longer configured", 0);
@@ -203,6 +209,11 @@
                     "request", out.id(), "why", got.why()));
             }
             final boolean ran = got.end() == Port.End.LOST || got.end() == Port.End.BAD;
+            if (got.end() == Port.End.WHOLE) {
+                sours.remove(at);
+            } else {
+                sours.put(at, loop.now() + SOUR);
+            }
             if (got.end() == Port.End.WHOLE || ran && once) {
                 end(got, true, sent, 0);
             } else if (tries < 3 && loop.now() < cutoff && allow.extra(what.service(), loop.now(), senders())) {
