A leaving shield ends only once its stop was heard

Ruled out: the plan write and the grants (20 ms). After: tested on virtual time that the plan has moved on before STOPPED.

--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -32,6 +32,8 @@
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
     private static final long QUIET = 1500;
+    private static final long LINGER = 100;
+    private static final long HANDOVER = 2500;
     private final Setup setup;
     private final Loop loop;
     private final LongSupplier wall;
@@ -54,6 +56,7 @@
     private final Shield shield;
     private final Edge edge;
     private boolean leaving;
+    private long bare;
     private long last;
     private long lag;
 
@@ -68,6 +71,7 @@
         this.journal = journal;
         final NodeId self = setup.self().id();
         final String boot = setup.self().boot();
+        journal.add(Event.of(Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
         held = new Held(loop, journal);
         view = new View(held);
         drift = new Drift(setup.timing());
@@ -97,7 +101,6 @@
     }
 
     public void start() throws DiskTrouble {
-        journal.add(Event.of(Code.STARTED, "node", setup.self().id().text(), "role", setup.self().role().word(), "boot", setup.self().boot()));
         if (elector != null) {
             elector.start();
             keeper.start();
@@ -235,6 +238,7 @@
     /** Orderly: no new callers, shards handed over while the fence is confirmed, tenure given back. */
     public void leave(final long most, final Runnable then) {
         leaving = true;
+        bare = loop.now();
         journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
         if (edge != null) {
             edge.shut();
@@ -249,16 +253,30 @@
     }
 
     private void drain(final long cutoff, final Runnable then) {
-        final boolean idle = (edge == null || edge.busy() == 0) && (sender == null || sender.busy() == 0)
-            && (holder == null || holder.count() == 0);
+        final boolean idle = (edge == null || edge.busy() == 0) && (sender == null || sender.busy() == 0) && handed();
         if (idle || loop.now() >= cutoff) {
-            journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
-            then.run();
+            loop.after(LINGER, () -> {
+                journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
+                then.run();
+            });
         } else {
             loop.after(50, () -> drain(cutoff, then));
         }
     }
 
+    /** A shield's stop is heard once the plan no longer names it; with nobody to hear, it does not wait for long. */
+    private boolean handed() {
+        if (holder == null) {
+            return true;
+        }
+        if (holder.count() > 0) {
+            bare = loop.now();
+            return false;
+        }
+        final String me = setup.self().id().text();
+        return view.plan().parts().stream().noneMatch(p -> p.owner().equals(me)) || loop.now() - bare > HANDOVER;
+    }
+
     public Setup setup() {
         return setup;
     }
--- a/rig/src/test/java/rv/rig/FaultTest.java
+++ b/rig/src/test/java/rv/rig/FaultTest.java
@@ -179,6 +179,20 @@
         assertTrue(set <= died + 5300, "regranted only " + (set - died) + " ms after the death");
     }
 
+    /** A shield that leaves stays until its stop was heard: its shards have the next owner, without the gate. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aLeavingShieldEndsOnlyOnceThePlanNoLongerNamesIt(final long seed) {
+        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final long from = town.world().now();
+        town.restart("sh4", 4000);
+        town.run(2500);
+        final long stopped = named(town, "STOPPED").stream().mapToLong(r -> num(r, "t")).findFirst().orElseThrow();
+        final long set = named(town, "PLAN_SET").stream().mapToLong(r -> num(r, "t")).filter(t -> t > from).findFirst().orElseThrow();
+        assertTrue(set <= stopped, "plan at " + set + ", stopped at " + stopped);
+        assertTrue(town.node("ed1").node().view().plan().parts().stream().noneMatch(p -> p.owner().equals("sh4")));
+    }
+
     /** A holder that is cut off with the origins in reach stops by itself before the next one starts. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
