A keeper that lost its memory reads the others instead of waiting a minute

Cause: a keeper without memory did not count for 60 s, so that two losses within a minute left no majority of keepers. Ruled out: the electors (rebuilt in under a second). Whoever is read ends its era first; an intent of an ended era is rejected and its holder reads anew. Notes too large for one frame go without their outcome.

--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -69,11 +69,15 @@
 
     record KeepRead(int shard, Token token) implements Msg { }
 
-    record Kept(boolean ok, boolean lapse, Token high, List<Note> notes) implements Msg { }
+    record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era) implements Msg { }
 
-    record KeepWrite(Note note) implements Msg { }
+    record KeepWrite(Note note, long era) implements Msg { }
 
-    record KeepSeen(boolean ok, boolean lapse) implements Msg { }
+    record KeepSeen(boolean ok, boolean lapse, boolean stale) implements Msg { }
+
+    record KeepAll(boolean bar) implements Msg { }
+
+    record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars) implements Msg { }
 
     // traffic
     record Fill(long serial, String route, String method, String path, int shard, Token known, Mark mark, String key,
--- a/control/src/main/java/rv/control/Keeper.java
+++ b/control/src/main/java/rv/control/Keeper.java
@@ -8,21 +8,34 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import rv.base.Disk;
 import rv.base.DiskTrouble;
+import rv.base.Hash;
 import rv.base.Loop;
 import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
 import rv.base.Token;
 import rv.base.Wire;
 import rv.base.WireTrouble;
 
-/** Remembers intents and outcomes of keyed requests; bars tokens below the highest it was read with. */
+/**
+ * Remembers intents and outcomes of keyed requests; bars tokens below the highest it was read with. Each write names
+ * the era in which its writer read this keeper: whoever rebuilds a lost memory from here ends the era, so that no
+ * intent can stand on an answer given before the loss and one given after the rebuilding.
+ */
 public final class Keeper {
     public static final long LAPSE = 60_000;
     private static final long STAY = 150_000;
     private static final String NOTE = "k/";
     private static final String BAR = "b/";
     private static final String SHORT = "lapse";
+    private static final String ERA = "era";
+    private static final int FIT = 2 << 20;
+    private final Quorum quorum;
+    private final NodeId self;
+    private final Net net;
     private final Loop loop;
     private final LongSupplier wall;
     private final Disk disk;
@@ -31,6 +44,7 @@
     private final Map<Integer, Token> bars = new HashMap<>();
     private long until = Long.MIN_VALUE;
     private boolean kept;
+    private long era;
 
     record Row(Msg.Note note, long at) {
     }
@@ -38,7 +52,14 @@
     record Lapse(long until) {
     }
 
-    public Keeper(final Loop loop, final LongSupplier wall, final Disk disk, final BooleanSupplier lost) {
+    record Era(long n) {
+    }
+
+    public Keeper(final NodeId self, final String boot, final Quorum quorum, final Net net, final Loop loop, final LongSupplier wall, final Disk disk, final BooleanSupplier lost) {
+        this.self = self;
+        this.quorum = quorum;
+        this.net = net;
+        this.era = Hash.mix(self + "/" + boot) >>> 1;
         this.loop = loop;
         this.wall = wall;
         this.disk = disk;
@@ -57,6 +78,8 @@
                 } else if (e.getKey().equals(SHORT)) {
                     until = Math.min(now + LAPSE, Wire.unpack(e.getValue(), Lapse.class).until());
                     kept = true;
+                } else if (e.getKey().equals(ERA)) {
+                    era = Wire.unpack(e.getValue(), Era.class).n();
                 }
             }
         } catch (final WireTrouble e) {
@@ -65,6 +88,7 @@
         if (lost.getAsBoolean()) {
             until = now + LAPSE;
         }
+        recall();
         loop.every(5000, this::sweep);
     }
 
@@ -75,23 +99,98 @@
     public void read(final Msg.KeepRead ask, final Consumer<Msg> back) {
         final Token bar = bars.getOrDefault(ask.shard(), Token.ZERO);
         if (ask.token().below(bar)) {
-            back.accept(new Msg.Kept(false, lapse(), bar, List.of()));
+            back.accept(new Msg.Kept(false, lapse(), bar, List.of(), era));
             return;
         }
         bars.put(ask.shard(), ask.token());
         save(BAR + ask.shard(), ask.token(), ok -> {
             if (ok) {
-                final List<Msg.Note> list = new ArrayList<>();
-                notes.values().stream().map(Row::note).filter(n -> n.shard() == ask.shard()).forEach(list::add);
-                back.accept(new Msg.Kept(true, lapse(), ask.token(), list));
+                back.accept(new Msg.Kept(true, lapse(), ask.token(), fit(n -> n.shard() == ask.shard()), era));
+            }
+        });
+    }
+
+    /** What would not go into one frame goes without its outcome: it is then answered "unknown". */
+    private List<Msg.Note> fit(final Predicate<Msg.Note> wanted) {
+        final List<Msg.Note> list = new ArrayList<>();
+        int size = 0;
+        for (final Row r : notes.values()) {
+            final Msg.Note n = r.note();
+            if (wanted.test(n)) {
+                size += n.outcome() == null ? 0 : n.outcome().body().length + 300;
+                list.add(size <= FIT ? n : new Msg.Note(n.key(), n.shard(), n.token(), n.digest(), null));
+            }
+        }
+        return list;
+    }
+
+    /** One that lost its memory asks for all; with {@code bar} this era ends first. */
+    public void all(final Msg.KeepAll ask, final Consumer<Msg> back) {
+        if (lapse() || !ask.bar()) {
+            back.accept(new Msg.KeptAll(!lapse(), List.of(), Map.of()));
+            return;
+        }
+        era++;
+        save(ERA, new Era(era), ok -> {
+            if (ok) {
+                back.accept(new Msg.KeptAll(true, fit(n -> true), Map.copyOf(bars)));
+            }
+        });
+    }
+
+    private void recall() {
+        if (lapse()) {
+            gather(false);
+            loop.after(500, this::recall);
+        }
+    }
+
+    private void gather(final boolean bar) {
+        final Map<NodeId, Msg.KeptAll> got = new HashMap<>();
+        final boolean[] over = {false};
+        quorum.electors().stream().filter(e -> !e.equals(self)).forEach(e -> net.ask(e, new Msg.KeepAll(bar), 450,
+            r -> r.as(Msg.KeptAll.class).filter(Msg.KeptAll::ok).ifPresent(k -> {
+                got.put(e, k);
+                if (!over[0] && lapse() && quorum.read(got.keySet())) {
+                    over[0] = true;
+                    if (bar) {
+                        rebuild(got);
+                    } else {
+                        gather(true);
+                    }
+                }
+            })));
+    }
+
+    private void rebuild(final Map<NodeId, Msg.KeptAll> got) {
+        final Map<String, byte[]> rows = new HashMap<>();
+        got.values().forEach(k -> {
+            k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
+            k.notes().forEach(n -> {
+                final Row old = notes.get(n.key());
+                if (old == null || old.note().outcome() == null) {
+                    notes.put(n.key(), new Row(n, wall.getAsLong()));
+                }
+            });
+        });
+        bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(t)));
+        notes.forEach((k, r) -> rows.put(NOTE + k, Wire.pack(r)));
+        rows.put(SHORT, null);
+        disk.save(rows, ok -> {
+            if (ok) {
+                until = Long.MIN_VALUE;
             }
         });
     }
 
     public void write(final Msg.KeepWrite ask, final Consumer<Msg> back) {
         final Msg.Note n = ask.note();
+        if (ask.era() != era) {
+            back.accept(new Msg.KeepSeen(false, lapse(), true));
+            return;
+        }
         if (n.token().below(bars.getOrDefault(n.shard(), Token.ZERO))) {
-            back.accept(new Msg.KeepSeen(false, lapse()));
+            back.accept(new Msg.KeepSeen(false, lapse(), false));
             return;
         }
         final Row old = notes.get(n.key());
@@ -100,7 +199,7 @@
         notes.put(n.key(), row);
         save(NOTE + n.key(), row, ok -> {
             if (ok) {
-                back.accept(new Msg.KeepSeen(true, lapse()));
+                back.accept(new Msg.KeepSeen(true, lapse(), false));
             }
         });
     }
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -80,7 +80,7 @@
         writer = new Writer(self, boot, setup.quorum(), loop, s.net(), s.dice(), journal, held, roster::ids);
         clerk = new Clerk(loop, held, sync, writer, journal, () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong()));
         elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), s.disk(), journal, boot, () -> !roster.told()) : null;
-        keeper = elector == null ? null : new Keeper(loop, wall, s.disk(), elector::lapsed);
+        keeper = elector == null ? null : new Keeper(self, boot, setup.quorum(), s.net(), loop, wall, s.disk(), elector::lapsed);
         settler = elector == null ? null : new Settler(elector, held, writer, loop, s.dice());
         desk = elector == null ? null : new Sync.Desk(elector, held);
         final boolean store = setup.is(Role.STORE);
@@ -199,6 +199,8 @@
             keeper.read(m, back);
         } else if (msg instanceof Msg.KeepWrite m && elector.full()) {
             keeper.write(m, back);
+        } else if (msg instanceof Msg.KeepAll m && elector.full()) {
+            keeper.all(m, back);
         } else {
             return false;
         }
--- a/data/src/main/java/rv/data/Once.java
+++ b/data/src/main/java/rv/data/Once.java
@@ -55,6 +55,7 @@
         private boolean asking;
         private final Map<String, Entry> keys = new HashMap<>();
         private final List<Runnable> waitlist = new ArrayList<>();
+        private final Map<NodeId, Long> eras = new HashMap<>();
 
         Desk(final Token token) {
             this.token = token;
@@ -114,6 +115,7 @@
             net.ask(k, new Msg.KeepRead(shard, desk.token), 700, r -> {
                 left[0]--;
                 r.as(Msg.Kept.class).filter(g -> g.ok()).ifPresent(g -> {
+                    desk.eras.put(k, g.era());
                     g.notes().forEach(n -> notes.merge(n.key(), n, (a, b) -> a.outcome() != null ? a : b));
                     if (!g.lapse()) {
                         good.add(k);
@@ -126,7 +128,7 @@
                         notes.values().forEach(n -> {
                             final Entry e = new Entry(n.digest(), loop.now());
                             e.outcome = n.outcome();
-                            desk.keys.put(n.key(), e);
+                            desk.keys.putIfAbsent(n.key(), e);
                         });
                     } else {
                         journal.add(Event.of(Code.KEEP_SHORT, "shard", shard, "read", good.size()));
@@ -171,7 +173,7 @@
     }
 
     private void intend(final Desk desk, final int shard, final String key, final Entry e, final Send send) {
-        keep(new Msg.Note(key, shard, desk.token, e.digest, null), 1000, ok -> {
+        keep(desk, new Msg.Note(key, shard, desk.token, e.digest, null), 1000, true, ok -> {
             if (!ok) {
                 journal.add(Event.of(Code.KEEP_SHORT, "shard", shard, "key", key));
                 free(desk, key, e, say(Answer.REFUSED, 503, "the intent could not be recorded", desk.token, 1000));
@@ -197,7 +199,7 @@
         if (got.end() == Port.End.WHOLE) {
             e.clear = false;
             e.outcome = new Msg.Outcome(got.status(), Shield.pass(got.heads()), got.body(), true);
-            keep(new Msg.Note(key, shard, desk.token, e.digest, e.outcome), 700, ok -> {
+            keep(desk, new Msg.Note(key, shard, desk.token, e.digest, e.outcome), 700, true, ok -> {
                 e.busy = false;
                 answer(e, done(desk, e.outcome));
             });
@@ -210,17 +212,31 @@
         }
     }
 
-    private void keep(final Msg.Note note, final long span, final Consumer<Boolean> then) {
+    /** Counts only keepers that are still in the era in which this desk read them; if one is not, all are read anew. */
+    private void keep(final Desk desk, final Msg.Note note, final long span, final boolean again, final Consumer<Boolean> then) {
         final Set<NodeId> good = new HashSet<>();
         final int[] left = {quorum.electors().size()};
         final boolean[] over = {false};
+        final boolean[] stale = {false};
         for (final NodeId k : quorum.electors()) {
-            net.ask(k, new Msg.KeepWrite(note), span, r -> {
+            net.ask(k, new Msg.KeepWrite(note, desk.eras.getOrDefault(k, 0L)), span, r -> {
                 left[0]--;
-                r.as(Msg.KeepSeen.class).filter(s -> s.ok() && !s.lapse()).ifPresent(s -> good.add(k));
-                if (!over[0] && (quorum.write(good) || left[0] == 0)) {
-                    over[0] = true;
+                final Msg.KeepSeen seen = r.as(Msg.KeepSeen.class).orElse(new Msg.KeepSeen(false, false, false));
+                stale[0] |= seen.stale();
+                if (seen.ok() && !seen.lapse()) {
+                    good.add(k);
+                }
+                if (over[0] || !quorum.write(good) && left[0] > 0) {
+                    return;
+                }
+                over[0] = true;
+                if (quorum.write(good) || !stale[0] || !again) {
+                    desk.ready &= !stale[0];
                     then.accept(quorum.write(good));
+                } else {
+                    desk.ready = false;
+                    desk.waitlist.add(() -> keep(desk, note, span, false, then));
+                    read(desk, note.shard());
                 }
             });
         }
--- a/rig/src/main/java/rv/rig/sim/World.java
+++ b/rig/src/main/java/rv/rig/sim/World.java
@@ -2,6 +2,7 @@
 
 import java.util.PriorityQueue;
 import java.util.Random;
+import rv.base.Loop;
 
 /** Virtual time: one queue of events, one seed. */
 public final class World {
@@ -28,6 +29,21 @@
         return now;
     }
 
+    /** A loop of this time without a machine around it. */
+    public Loop loop() {
+        return new Loop() {
+            @Override
+            public long now() {
+                return now;
+            }
+
+            @Override
+            public void after(final long ms, final Runnable job) {
+                in(ms, job);
+            }
+        };
+    }
+
     public Random dice() {
         return dice;
     }
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -31,17 +31,7 @@
 class LeaseTest {
     private static final NodeId BOSS = NodeId.of("st1");
     private final World world = new World(1);
-    private final Loop loop = new Loop() {
-        @Override
-        public long now() {
-            return world.now();
-        }
-
-        @Override
-        public void after(final long ms, final Runnable job) {
-            world.in(ms, job);
-        }
-    };
+    private final Loop loop = world.loop();
     private final List<Consumer<Reply>> renewals = new ArrayList<>();
     private final List<Long> sent = new ArrayList<>();
     private final List<String> stops = new ArrayList<>();
--- a/rig/src/test/java/rv/rig/PartsTest.java
+++ b/rig/src/test/java/rv/rig/PartsTest.java
@@ -37,17 +37,7 @@
 /** Single parts whose rules no whole run shows by itself. */
 class PartsTest {
     private final World world = new World(1);
-    private final Loop loop = new Loop() {
-        @Override
-        public long now() {
-            return world.now();
-        }
-
-        @Override
-        public void after(final long ms, final Runnable job) {
-            world.in(ms, job);
-        }
-    };
+    private final Loop loop = world.loop();
     private final Journal journal = new Journal(loop, 100);
     private final Held held = new Held(loop, journal);
     private final View view = new View(held);
@@ -173,40 +163,69 @@
         }
     }
 
+    private Keeper keeper(final Disk disk, final boolean lost) {
+        final rv.control.Quorum quorum = new rv.control.Quorum(List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
+            java.util.Set.of(NodeId.of("st1"), NodeId.of("st2")));
+        return new Keeper(NodeId.of("st1"), "b" + ++ver, quorum, (to, msg, wait, then) -> { }, loop, world::now, disk, () -> lost);
+    }
+
+    private long era(final Keeper k) {
+        final List<Msg> got = new ArrayList<>();
+        k.read(new Msg.KeepRead(9, new Token(9, 9)), got::add);
+        return ((Msg.Kept) got.get(0)).era();
+    }
+
+    @Test
+    void anIntentOfAnEndedEraIsRejected() throws Exception {
+        final Keeper k = keeper(new Rows(), false);
+        k.start();
+        final long before = era(k);
+        final List<Msg> got = new ArrayList<>();
+        final Msg.Note note = new Msg.Note("k1", 3, new Token(1, 1), "d", null);
+        k.all(new Msg.KeepAll(false), got::add);
+        k.write(new Msg.KeepWrite(note, before), got::add);
+        k.all(new Msg.KeepAll(true), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", null), before), got::add);
+        assertEquals(new Msg.KeepSeen(true, false, false), got.get(1));
+        assertEquals(List.of(note), ((Msg.KeptAll) got.get(2)).notes());
+        assertEquals(new Msg.KeepSeen(false, false, true), got.get(3));
+    }
+
     @Test
     void aKeeperBarsTokensBelowTheHighestItWasReadWith() throws Exception {
         final Rows disk = new Rows();
-        final Keeper k = new Keeper(loop, world::now, disk, () -> false);
+        final Keeper k = keeper(disk, false);
         k.start();
         final List<Msg> got = new ArrayList<>();
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null)), got::add);
+        final long era = era(k);
+        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null), era), got::add);
         k.read(new Msg.KeepRead(3, new Token(1, 2)), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", null)), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", null), era), got::add);
         k.read(new Msg.KeepRead(3, new Token(1, 1)), got::add);
-        assertEquals(new Msg.KeepSeen(true, false), got.get(0));
+        assertEquals(new Msg.KeepSeen(true, false, false), got.get(0));
         assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
-        assertEquals(new Msg.KeepSeen(false, false), got.get(2));
+        assertEquals(new Msg.KeepSeen(false, false, false), got.get(2));
         assertFalse(((Msg.Kept) got.get(3)).ok());
-        final Keeper again = new Keeper(loop, world::now, disk, () -> false);
+        final Keeper again = keeper(disk, false);
         again.start();
-        again.write(new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", null)), got::add);
-        assertEquals(new Msg.KeepSeen(false, false), got.get(4), "the bar outlives a restart");
+        again.write(new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", null), era(again)), got::add);
+        assertEquals(new Msg.KeepSeen(false, false, false), got.get(4), "the bar outlives a restart");
     }
 
     @Test
     void aKeeperThatLostItsMemorySaysSoForAMinuteEvenAcrossARestart() throws Exception {
         final Rows disk = new Rows();
-        final Keeper k = new Keeper(loop, world::now, disk, () -> true);
+        final Keeper k = keeper(disk, true);
         k.start();
         final List<Msg> got = new ArrayList<>();
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null)), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null), era(k)), got::add);
         world.run(30_000);
-        final Keeper again = new Keeper(loop, world::now, disk, () -> false);
+        final Keeper again = keeper(disk, false);
         again.start();
         assertTrue(again.lapse());
         world.run(60_001);
         assertFalse(again.lapse());
-        assertEquals(new Msg.KeepSeen(true, true), got.get(0));
+        assertEquals(new Msg.KeepSeen(true, true, false), got.get(0));
     }
 
     private static long worst(final double pace, final long heldFrom, final long heldTo) {
