Rolling restarts: edges are ready once they hear of a shield and leave with notice

Cause: a restarted edge had a confirmed frame before its first beat was answered and refused all misses; a leaving one refused at once, before readiness could be seen. Ruled out: hand-overs of shards (105 ms each, the rest of the refusals). Also a test that a send which waited for its pace does not leave without the right: taking that check out had gone unnoticed by the others.

--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -33,6 +33,7 @@
 public final class Node {
     private static final long QUIET = 1500;
     private static final long LINGER = 100;
+    private static final long NOTICE = 1000;
     private static final long HANDOVER = 2500;
     private final Setup setup;
     private final Loop loop;
@@ -165,7 +166,8 @@
         }
         final boolean whole = elector == null || elector.full();
         final boolean rights = holder == null || holder.count() > 0;
-        return whole && rights ? Condition.READY : Condition.PARTIAL;
+        final boolean ways = edge == null || !roster.live(Role.SHIELD).isEmpty();
+        return whole && rights && ways ? Condition.READY : Condition.PARTIAL;
     }
 
     /** How ready, from 0 to 100, so that a platform can pick by it. */
@@ -242,11 +244,11 @@
         leaving = true;
         bare = loop.now();
         journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
-        if (edge != null) {
-            edge.shut();
-        }
         final long cutoff = loop.now() + most;
-        final Runnable rest = () -> drain(cutoff, then);
+        final Runnable rest = edge == null ? () -> drain(cutoff, then) : () -> loop.after(Math.min(NOTICE, most), () -> {
+            edge.shut();
+            drain(cutoff, then);
+        });
         if (tenure != null) {
             tenure.step(rest);
         } else {
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -129,6 +129,34 @@
         assertEquals(Holder.State.REVOKED, holder.leases().get(3).state());
     }
 
+    /** The right is looked at when the request leaves, not when it came. */
+    @Test
+    void aSendThatWaitedForItsPaceDoesNotLeaveWithoutTheRight() {
+        answer(0);
+        final Held own = new Held(loop, journal);
+        final rv.control.View view = new rv.control.View(own);
+        own.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(new ItemId(rv.base.Kind.SERVICE, "s"))
+            .next("{\"kind\":\"content\",\"rate\":4,\"bodyLimit\":9,\"cutoffMs\":2000}", "t")));
+        own.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(new ItemId(rv.base.Kind.ORIGIN, "s1"))
+            .next(Json.text(new rv.control.Origin("s", "h", 1, "b", "content", 0, 60_000, false, 1)), "t")));
+        final List<String> sent = new ArrayList<>();
+        final rv.data.Sender sender = new rv.data.Sender(NodeId.of("sh1"), "b", loop, (to, what, then) -> {
+            sent.add(what.path());
+            return () -> { };
+        }, view, holder, () -> true, 1, journal);
+        final List<rv.data.Sender.Sent> ends = new ArrayList<>();
+        for (final String path : List.of("/1", "/2")) {
+            sender.send(3, new rv.data.Port.Send("s", "GET", path, "", null, null, "", 0), false, world.now() + 2000, ends::add);
+        }
+        world.run(world.now() + 260);
+        assertEquals(List.of("/1"), sent);
+        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 1), "REVOKED"))), m -> { });
+        world.run(world.now() + 1000);
+        assertEquals(List.of("/1"), sent);
+        assertEquals("no held right to send", ends.get(0).got().why());
+        assertFalse(ends.get(0).ran());
+    }
+
     @Test
     void aRevokeIsAnsweredOnlyOnceTheStopIsDone() {
         answer(0);
