--- /dev/null
+++ b/rig/src/test/java/rv/rig/ProofTest.java
@@ -0,0 +1,62 @@
+package rv.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The ledger names only tests, classes and scenarios that exist. */
+class ProofTest {
+    private static final Path TOP = Path.of("..");
+
+    private static Map<String, String> sources() throws IOException {
+        final Map<String, String> map = new TreeMap<>();
+        try (Stream<Path> all = Files.walk(TOP)) {
+            for (final Path p : all.filter(f -> f.toString().endsWith(".java") && !f.toString().contains("target")).toList()) {
+                map.put(p.getFileName().toString().replace(".java", ""), Files.readString(p));
+            }
+        }
+        return map;
+    }
+
+    @Test
+    void everyNameInTheLedgerExists() throws IOException {
+        final Map<String, String> code = sources();
+        final List<String> missing = new ArrayList<>();
+        int seen = 0;
+        final Matcher m = Pattern.compile("`([^`]+)`").matcher(Files.readString(TOP.resolve("docs/PROOF.md")));
+        while (m.find()) {
+            final String name = m.group(1);
+            final boolean there = name.contains("/") ? Files.exists(TOP.resolve(name))
+                : name.contains("#") ? code.getOrDefault(name.substring(0, name.indexOf('#')), "").contains("void " + name.substring(name.indexOf('#') + 1) + "(")
+                : !name.matches("[A-Z]\\w+") || code.containsKey(name);
+            seen++;
+            if (!there) {
+                missing.add(name);
+            }
+        }
+        assertEquals(List.of(), missing);
+        assertTrue(seen > 60);
+    }
+
+    @Test
+    void everyRuleOfTheBriefHasItsRow() throws IOException {
+        final String text = Files.readString(TOP.resolve("docs/PROOF.md"));
+        for (int i = 1; i <= 12; i++) {
+            assertTrue(text.contains("\n| " + i + " | "), "rule " + i);
+        }
+        for (int i = 1; i <= 4; i++) {
+            assertTrue(text.contains("\n| D" + i + " | "), "rule D" + i);
+        }
+    }
+}
