--- a/base/src/main/java/rv/base/Timing.java
+++ b/base/src/main/java/rv/base/Timing.java
@@ -28,6 +28,15 @@
         return granted + d + 2 * m;
     }
 
+    /** Tenure is a lease of its own: how long one renewal lasts, and the margin within it. */
+    public long reign() {
+        return 1200;
+    }
+
+    public long slack() {
+        return 400;
+    }
+
     public long beat() {
         return 500;
     }
--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -60,7 +60,7 @@
     }
 
     public void start() {
-        loop.every(timing.renew(), this::renew);
+        loop.every(timing.reign() / 4, this::renew);
         loop.every(25, this::look);
     }
 
@@ -73,7 +73,7 @@
     }
 
     private long valid(final long sent) {
-        return timing.valid(sent);
+        return sent + timing.reign() - timing.slack();
     }
 
     private void lose() {
@@ -89,7 +89,7 @@
             final long sent = loop.now();
             final long then = term;
             asking = true;
-            put(false, term, timing.renew(), r -> {
+            put(false, term, timing.reign() - timing.slack(), r -> {
                 asking = false;
                 if (then != term) {
                     return;
@@ -133,9 +133,9 @@
         final Body b = Body.of(seen);
         final long at = held.since(ItemId.TENURE);
         final long now = loop.now();
-        final boolean own = b.holder().equals(self.text()) && !b.boot().equals(boot);
+        final boolean own = b.holder().equals(self.text());
         final boolean open = seen.ver().n() == 0 || b.free();
-        if (!open && !own && now - at < timing.d() + 2 * timing.m()) {
+        if (!open && !own && now - at < timing.reign() + 2 * timing.slack()) {
             return;
         }
         final long last = open ? Math.min(at, now) : own ? now : valid(at);
@@ -147,7 +147,7 @@
         final long sent = loop.now();
         final boolean wary = lives.getAsLong() > b.lives();
         final long next = b.term() + (wary ? LEAP : 1);
-        put(false, next, timing.renew(), r -> {
+        put(false, next, timing.reign() - timing.slack(), r -> {
             busy = false;
             if (r.ok()) {
                 mine = true;
