One pass for each mark of a hot object; routes that do not fit serve nothing

Cause 1: an edge let each request under another mark than the flight's ask for itself, so that a purge of a hot object let all that came during one flight through. Cause 2: a route accepted while its service was deleted vanished, and a wider route took its paths. It now stands as unfit: it takes its paths, answers 503, and state, GET and rwctl show the findings. Ruled out: undoing one of two accepted statements, which would break the word given to one operator.

--- a/control/src/main/java/rv/control/Clerk.java
+++ b/control/src/main/java/rv/control/Clerk.java
@@ -244,8 +244,21 @@
         if (i.ver().equals(Ver.ZERO) || i.gone()) {
             return new Said(404, map("item", id.kind().word() + "/" + id.name(), "version", i.ver().n(), "state", "absent"));
         }
-        return new Said(200, map("item", id.kind().word() + "/" + id.name(), "version", i.ver().n(), "state", "stated",
-            "body", Json.read(i.body(), Map.class)));
+        final Map<String, Object> all = map("item", id.kind().word() + "/" + id.name(), "version", i.ver().n(), "state", "stated",
+            "body", Json.read(i.body(), Map.class));
+        final List<Object> unfit = unfit().stream().filter(f -> f.place().startsWith(path(id) + "/"))
+            .<Object>map(f -> map("path", f.place(), "text", f.text())).toList();
+        if (!unfit.isEmpty()) {
+            all.put("findings", unfit);
+        }
+        return new Said(200, all);
+    }
+
+    /** What was accepted piece by piece and does not fit together now. */
+    public List<Finding> unfit() {
+        final List<Finding> list = new ArrayList<>();
+        Config.of(held).check(list);
+        return list;
     }
 
     public Said list(final Kind kind) {
--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/View.java
@@ -26,7 +26,11 @@
     private Plan plan = new Plan(0, 0, List.of());
     private boolean old;
 
+    /** {@code service} is empty where none stands; such a route takes its paths and serves none of them. */
     public record Row(String name, Match match, Service service) {
+        public boolean fit() {
+            return service != null && !(Match.ONCE.equals(match.mode()) && service.content());
+        }
     }
 
     private record Wide(Purge purge, Ver ver) {
@@ -87,11 +91,7 @@
         }
         old = false;
         rows.clear();
-        routes.forEach((n, m) -> {
-            if (services.containsKey(m.service())) {
-                rows.add(new Row(n, m, services.get(m.service())));
-            }
-        });
+        routes.forEach((n, m) -> rows.add(new Row(n, m, services.get(m.service()))));
         rows.sort(Comparator.comparingInt((Row r) -> -r.match().prefix().length()).thenComparing(Row::name));
     }
 
@@ -102,7 +102,7 @@
 
     public Optional<Row> named(final String name) {
         fold();
-        return rows.stream().filter(r -> r.name().equals(name)).findFirst();
+        return rows.stream().filter(r -> r.name().equals(name) && r.fit()).findFirst();
     }
 
     public Plan plan() {
--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -35,11 +35,15 @@
     private final Cache cache;
     private final Predicate<NodeId> heard;
     private final Map<Integer, Token> high = new HashMap<>();
-    private final Map<String, List<Walk>> flights = new HashMap<>();
+    private final Map<String, Flight> flights = new HashMap<>();
     private long serial;
     private int busy;
     private boolean shut;
 
+    /** One pass to the holder for all who ask for an object under one mark. */
+    private record Flight(Mark mark, List<Walk> queue) {
+    }
+
     public Edge(final Loop loop, final Net net, final View view, final BooleanSupplier fresh, final int shards,
                 final Journal journal, final long room, final Predicate<NodeId> heard) {
         this.heard = heard;
@@ -91,6 +95,10 @@
                 : Answer.reject(503, "the frame is not confirmed", 1000));
             return;
         }
+        if (!row.fit()) {
+            then.accept(Answer.reject(503, "the route does not fit its service", 1000));
+            return;
+        }
         busy++;
         new Walk(ask, row, then).run();
     }
@@ -102,7 +110,7 @@
         private final String key;
         private Mark mark;
         private final long cutoff;
-        private boolean lead;
+        private Flight lead;
         private int tries;
 
         Walk(final Ask ask, final View.Row row, final Consumer<Answer> then) {
@@ -165,22 +173,40 @@
             end(new Answer(c.status(), Answer.DONE, heads, c.body()));
         }
 
+        /** A flight serves whoever asks under its mark or an older one; a newer mark starts the next flight. */
         private boolean join() {
-            final List<Walk> queue = flights.get(key);
-            if (queue != null && queue.get(0).mark.equals(mark)) {
-                if (queue.size() >= QUEUE) {
+            final Flight now = flights.get(key);
+            if (now != null && now.mark().covers(mark)) {
+                if (now.queue().size() >= QUEUE) {
                     return reject(503, "too many wait for this object", 1000);
                 }
-                queue.add(this);
+                now.queue().add(this);
                 return true;
             }
-            if (queue == null) {
-                lead = true;
-                flights.put(key, new ArrayList<>(List.of(this)));
-            }
+            lead = new Flight(mark, new ArrayList<>(List.of(this)));
+            flights.put(key, lead);
             return false;
         }
 
+        private List<Walk> land() {
+            if (lead == null) {
+                return List.of(this);
+            }
+            flights.remove(key, lead);
+            return lead.queue();
+        }
+
+        /** Overtaken by a newer flight: all who waited for this one wait for that. */
+        private boolean handed() {
+            final Flight now = flights.get(key);
+            if (lead == null || now == null || now == lead || !now.mark().covers(view.mark(row, ask.path()))
+                || now.queue().size() + lead.queue().size() > QUEUE) {
+                return false;
+            }
+            now.queue().addAll(lead.queue());
+            return true;
+        }
+
         private void send() {
             final String name = Match.ONCE.equals(row.match().mode()) ? ask.key() : ask.path();
             final int shard = Plan.shard(row.name(), row.match().service(), name, shards);
@@ -195,13 +221,22 @@
                 return;
             }
             tries++;
-            mark = view.mark(row, ask.path());
+            renew();
             final long sent = loop.now();
             final long span = Math.max(100, cutoff - sent - 300);
             net.ask(part.node(), new Msg.Fill(++serial, row.name(), ask.method(), ask.path(), shard, high.get(shard), mark,
                 ask.key(), ask.body(), ask.type(), span), Math.max(100, cutoff - sent), r -> back(shard, sent, r));
         }
 
+        /** Asked again under the mark of now; the flight's mark goes with it. */
+        private void renew() {
+            mark = view.mark(row, ask.path());
+            if (lead != null && !lead.mark().equals(mark) && flights.get(key) == lead) {
+                lead = new Flight(mark, lead.queue());
+                flights.put(key, lead);
+            }
+        }
+
         private void raise(final int shard, final Token t) {
             high.merge(shard, t, (a, b) -> a.below(b) ? b : a);
         }
@@ -257,12 +292,14 @@
             if (f.status() == 200 && c.good(loop.now(), want)) {
                 cache.put(key, c);
             }
-            final List<Walk> all = lead ? flights.remove(key) : List.of(this);
-            all.forEach(w -> w.give(c, "miss"));
+            land().forEach(w -> w.give(c, "miss"));
         }
 
         /** A refusal that a fresher plan may cure is tried again soon, at most twice. */
         private void again(final Answer last) {
+            if (handed()) {
+                return;
+            }
             final long rest = 60L * tries;
             if (tries >= 3 || loop.now() + rest + 200 >= cutoff) {
                 finish(last);
@@ -278,7 +315,7 @@
         }
 
         private void finish(final Answer a) {
-            final List<Walk> all = lead ? flights.remove(key) : List.of(this);
+            final List<Walk> all = land();
             final Copy old = spare();
             all.forEach(w -> {
                 if (old == null) {
--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -34,7 +34,7 @@
     private record Flight(Mark mark, List<Waiter> queue) {
     }
 
-    private record Waiter(Msg.Fill fill, Consumer<Msg.Filled> back) {
+    private record Waiter(Msg.Fill fill, long cutoff, Consumer<Msg.Filled> back) {
     }
 
     public Shield(final Loop loop, final View view, final Holder holder, final Sender sender, final Once once,
@@ -116,18 +116,18 @@
             return;
         }
         final Flight now = flights.get(key);
-        if (now != null && now.mark().equals(mark)) {
+        if (now != null && now.mark().covers(mark)) {
             if (now.queue().size() >= ROOM) {
                 back.accept(reject(f, 503, "too many wait for this object", 1000));
             } else {
-                now.queue().add(new Waiter(f, back));
+                now.queue().add(new Waiter(f, cutoff, back));
             }
             return;
         }
         if (!may(f, back)) {
             return;
         }
-        final Flight mine = new Flight(mark, new ArrayList<>(List.of(new Waiter(f, back))));
+        final Flight mine = new Flight(mark, new ArrayList<>(List.of(new Waiter(f, cutoff, back))));
         flights.put(key, mine);
         sender.send(f.shard(), out(f, row), false, cutoff, sent -> {
             flights.remove(key, mine);
@@ -153,7 +153,13 @@
             cache.put(key, copy);
         }
         for (final Waiter w : flight.queue()) {
-            w.back().accept(same ? give(w.fill(), copy) : reject(w.fill(), 503, "purged while it was filled", 500));
+            if (same) {
+                w.back().accept(give(w.fill(), copy));
+            } else if (now != null && loop.now() + 200 < w.cutoff()) {
+                take(w.fill(), w.cutoff(), loop.now(), w.back());
+            } else {
+                w.back().accept(reject(w.fill(), 503, "purged while it was filled", 500));
+            }
         }
     }
 
--- a/data/src/main/java/rv/data/Tell.java
+++ b/data/src/main/java/rv/data/Tell.java
@@ -44,6 +44,7 @@
         final Map<String, Object> members = new TreeMap<>();
         node.roster().live().forEach(m -> members.put(m.id().text(), m.condition().name()));
         map.put("members", members);
+        map.put("findings", node.clerk().unfit().stream().map(Object::toString).toList());
         final Map<String, Object> items = new TreeMap<>();
         node.held().all().stream().map(Msg.Chosen::item).forEach(i -> items.put(i.id().kind().word() + "/" + i.id().name(), i.ver().n()));
         map.put("items", items);
--- a/prog/src/main/java/rv/prog/Api.java
+++ b/prog/src/main/java/rv/prog/Api.java
@@ -204,7 +204,7 @@
                     final boolean whole = seen.values().stream().allMatch(o -> ((Map<?, ?>) o).get("version") instanceof Number v && v.longValue() >= ver);
                     body.put("inForce", seen);
                     if (base.status() == 200) {
-                        body.put("state", whole ? "in force" : "spreading");
+                        body.put("state", body.containsKey("findings") ? "unfit" : whole ? "in force" : "spreading");
                     }
                     back.accept(new Clerk.Said(base.status(), body));
                 }
--- a/rig/src/test/java/rv/rig/PartsTest.java
+++ b/rig/src/test/java/rv/rig/PartsTest.java
@@ -113,6 +113,113 @@
         assertEquals(200, got.get(1).status());
     }
 
+    /** Many ask for one object while purge after purge comes: one pass under way for each mark, whoever waits. */
+    @Test
+    void manyMarksOfAHotObjectMakeOnePassEach() {
+        stock(1000);
+        final List<Consumer<Reply>> asks = new ArrayList<>();
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final List<Answer> got = new ArrayList<>();
+        final List<Mark> marks = new ArrayList<>();
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 40; i++) {
+                edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+            }
+            marks.add(view.mark(view.named("r").orElseThrow(), "/s/1"));
+            hold(Kind.PURGE, "p" + round, "{\"route\":\"r\",\"path\":\"/s/1\"}");
+        }
+        assertEquals(3, asks.size());
+        for (int i = 0; i < 40; i++) {
+            edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        }
+        marks.add(view.mark(view.named("r").orElseThrow(), "/s/1"));
+        for (int i = 0; i < 4; i++) {
+            asks.get(i).accept(Reply.of(filled("2.5", marks.get(i), 0)));
+        }
+        world.run(2000);
+        assertEquals(4, asks.size(), "nobody asked anew");
+        assertEquals(160, got.stream().filter(a -> a.status() == 200).count());
+        assertEquals(0, edge.busy());
+    }
+
+    /** A route whose service is gone takes its paths and serves none of them, and its state says so. */
+    @Test
+    void aRouteWithoutItsServiceIsUnfitAndServesNothing() {
+        stock(1000);
+        hold(Kind.ROUTE, "wide", "{\"prefix\":\"/\",\"service\":\"s\",\"mode\":\"status\",\"lifetimeMs\":0,\"purgeable\":true}");
+        held.merge(new Msg.Chosen(new Ballot(98, "x"), Item.none(new ItemId(Kind.ROUTE, "late"))
+            .next("{\"prefix\":\"/s/late/\",\"service\":\"gone\",\"mode\":\"cached\",\"lifetimeMs\":9,\"purgeable\":true}", "t")));
+        final int[] asks = {0};
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks[0]++, view, () -> true, 1, journal, 1 << 20, n -> true);
+        final List<Answer> got = new ArrayList<>();
+        edge.take(new Ask("GET", "/s/late/1", null, null, ""), got::add);
+        assertEquals("503 refused", got.get(0).status() + " " + got.get(0).fate());
+        assertEquals(0, asks[0], "not even the wider route gets it");
+        final rv.control.Clerk clerk = new rv.control.Clerk(loop, held, null, null, journal, () -> "t");
+        assertTrue(clerk.unfit().stream().anyMatch(f -> f.place().equals("/routes/late/service")), clerk.unfit().toString());
+        assertTrue(clerk.get(new ItemId(Kind.ROUTE, "late")).body().containsKey("findings"));
+        assertTrue(view.named("late").isEmpty(), "no shield fills for it");
+    }
+
+    /** A clear of one try says nothing of another that stands beside it. */
+    @Test
+    void aTryIsClearOnlyByItsOwnWord() {
+        final Token t = new Token(1, 1);
+        final Msg.Note first = new Msg.Note("k", 3, t, "d", 50, false, null);
+        final Msg.Note word = new Msg.Note("k", 3, t, "d", 50, true, null);
+        final Msg.Note other = new Msg.Note("k", 3, t, "d", 7, false, null);
+        assertTrue(Msg.Note.settle(List.of(first, word)).clear());
+        assertFalse(Msg.Note.settle(List.of(word, other)).clear());
+        assertFalse(Msg.Note.settle(List.of(first, other, word)).clear());
+        assertEquals(other, word.over(other), "a clear does not cover another try");
+        assertEquals(word, word.over(first));
+        assertEquals(word, first.over(word), "nor does its own intent, when late, undo it");
+    }
+
+    @Test
+    void anAnswerMustProveStampRequestAndLength() {
+        final rv.control.Origin to = new rv.control.Origin("s", "h", 1, "b", "content", 0, 1, false, 1);
+        final rv.data.Port.Send sent = new rv.data.Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1);
+        final byte[] body = "abc".getBytes();
+        final Map<String, String> good = new TreeMap<>(Map.of(rv.data.Proof.STAMP, "b", rv.data.Proof.REQUEST, "r1", "content-length", "3",
+            rv.data.Proof.DIGEST, rv.base.Hash.digest(body)));
+        assertEquals("", rv.data.Proof.fault(to, sent, good, body));
+        good.forEach((k, v) -> {
+            final Map<String, String> bad = new TreeMap<>(good);
+            bad.put(k, v + "0");
+            assertFalse(rv.data.Proof.fault(to, sent, bad, body).isEmpty(), k);
+            bad.remove(k);
+            assertFalse(rv.data.Proof.fault(to, sent, bad, body).isEmpty(), k);
+        });
+    }
+
+    @Test
+    void versionsNeverFall() {
+        final ItemId id = new ItemId(Kind.SERVICE, "s");
+        final Item one = Item.none(id).next("{\"kind\":\"booking\"}", "a");
+        final Item two = one.next("{\"kind\":\"booking\"}", "b");
+        assertTrue(held.merge(new Msg.Chosen(new Ballot(2, "x"), two)));
+        assertFalse(held.merge(new Msg.Chosen(new Ballot(9, "x"), one)));
+        assertEquals(2, held.get(id).ver().n());
+    }
+
+    @Test
+    void aCopyEndsWithAPurge() {
+        stock(60_000);
+        final List<Consumer<Reply>> asks = new ArrayList<>();
+        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final List<Answer> got = new ArrayList<>();
+        for (final String purge : List.of("{\"route\":\"r\",\"path\":\"/s/1\"}", "{\"route\":\"r\",\"prefix\":\"/s/\"}")) {
+            edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+            asks.get(asks.size() - 1).accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 0)));
+            edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+            hold(Kind.PURGE, "p" + purge.length(), purge);
+        }
+        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        assertEquals(List.of("miss", "hit", "miss", "hit"), got.stream().map(a -> a.heads().get("Rv-Cache")).toList());
+        assertEquals(3, asks.size(), "the last one is on its way");
+    }
+
     @Test
     void aDeletedPurgeStillHoldsForOlderCopies() {
         stock(1000);
@@ -166,12 +273,13 @@
     private Keeper keeper(final Disk disk, final boolean lost) {
         final rv.control.Quorum quorum = new rv.control.Quorum(List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
             java.util.Set.of(NodeId.of("st1"), NodeId.of("st2")));
-        return new Keeper(NodeId.of("st1"), "b" + ++ver, quorum, (to, msg, wait, then) -> { }, loop, world::now, disk, () -> lost);
+        return new Keeper(NodeId.of("st1"), "b" + ++ver, quorum, (to, msg, wait, then) -> { }, loop, world::now, new rv.control.Gauge(disk, loop), () -> lost);
     }
 
     private long era(final Keeper k) {
         final List<Msg> got = new ArrayList<>();
-        k.read(new Msg.KeepRead(9, new Token(9, 9)), got::add);
+        k.read(new Msg.KeepRead(3, Token.ZERO, "b"), x -> { });
+        k.read(new Msg.KeepRead(9, new Token(9, 9), "b"), got::add);
         return ((Msg.Kept) got.get(0)).era();
     }
 
@@ -181,11 +289,11 @@
         k.start();
         final long before = era(k);
         final List<Msg> got = new ArrayList<>();
-        final Msg.Note note = new Msg.Note("k1", 3, new Token(1, 1), "d", null);
+        final Msg.Note note = new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null);
         k.all(new Msg.KeepAll(false), got::add);
         k.write(new Msg.KeepWrite(note, before), got::add);
         k.all(new Msg.KeepAll(true), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", null), before), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), before), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(1));
         assertEquals(List.of(note), ((Msg.KeptAll) got.get(2)).notes());
         assertEquals(new Msg.KeepSeen(false, false, true), got.get(3));
@@ -198,17 +306,17 @@
         k.start();
         final List<Msg> got = new ArrayList<>();
         final long era = era(k);
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null), era), got::add);
-        k.read(new Msg.KeepRead(3, new Token(1, 2)), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", null), era), got::add);
-        k.read(new Msg.KeepRead(3, new Token(1, 1)), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
+        k.read(new Msg.KeepRead(3, new Token(1, 2), "b"), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
+        k.read(new Msg.KeepRead(3, new Token(1, 1), "b"), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(0));
         assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(2));
         assertFalse(((Msg.Kept) got.get(3)).ok());
         final Keeper again = keeper(disk, false);
         again.start();
-        again.write(new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", null), era(again)), got::add);
+        again.write(new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)), got::add);
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(4), "the bar outlives a restart");
     }
 
@@ -218,7 +326,7 @@
         final Keeper k = keeper(disk, true);
         k.start();
         final List<Msg> got = new ArrayList<>();
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", null), era(k)), got::add);
+        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
         world.run(30_000);
         final Keeper again = keeper(disk, false);
         again.start();
