--- a/rig/src/main/java/rv/rig/sim/SimPort.java
+++ b/rig/src/main/java/rv/rig/sim/SimPort.java
@@ -134,6 +134,8 @@
             yard.world.in(who.slow(), () -> {
                 if (who.alive() && who.life() == life) {
                     hop(() -> self.post(() -> end(whole(who, run, text))));
+                } else {
+                    hop(() -> self.post(() -> end(Got.none(End.LOST, "circuit reset"))));
                 }
             });
         }
