Two versions together: tenure states its duration, keepers take readers without a name

Cause: a store of the last version that acts goes by the shards' lease, 2 s after a renewal; the new one would have taken over after 2 s without a renewal and counted the gate from too early. The tenure item now carries its duration, and one that does not is given the old one. A reader that does not name its process had stopped a keeper with a null.

--- a/control/src/main/java/rv/control/Keeper.java
+++ b/control/src/main/java/rv/control/Keeper.java
@@ -81,7 +81,7 @@
                 } else if (e.getKey().startsWith(BAR)) {
                     final Bar bar = Wire.unpack(e.getValue(), Bar.class);
                     bars.put(Integer.parseInt(e.getKey().substring(BAR.length())), new Token(bar.term(), bar.count()));
-                    readers.put(Integer.parseInt(e.getKey().substring(BAR.length())), String.valueOf(bar.boot()));
+                    readers.put(Integer.parseInt(e.getKey().substring(BAR.length())), bar.boot() == null ? "" : bar.boot());
                 } else if (e.getKey().equals(SHORT)) {
                     until = Math.min(now + LAPSE, Wire.unpack(e.getValue(), Lapse.class).until());
                     kept = true;
@@ -114,8 +114,9 @@
             return;
         }
         bars.put(ask.shard(), ask.token());
-        readers.put(ask.shard(), ask.boot());
-        save(BAR + ask.shard(), new Bar(ask.token().term(), ask.token().count(), ask.boot()), ok -> {
+        final String reader = ask.boot() == null ? "" : ask.boot();
+        readers.put(ask.shard(), reader);
+        save(BAR + ask.shard(), new Bar(ask.token().term(), ask.token().count(), reader), ok -> {
             if (ok) {
                 back.accept(new Msg.Kept(true, lapse(), ask.token(), fit(n -> n.shard() == ask.shard()), era(ask.shard())));
             }
--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -33,9 +33,18 @@
     private boolean mine;
     private boolean quit;
 
-    public record Body(String holder, String boot, long term, long beat, boolean free, long lives) {
+    public record Body(String holder, String boot, long term, long beat, boolean free, long lives, long reign, long slack) {
+        /** A body of a version that did not state its duration had the shards' lease. */
+        long reign(final Timing t) {
+            return reign > 0 ? reign : t.d();
+        }
+
+        long slack(final Timing t) {
+            return reign > 0 ? slack : t.m();
+        }
+
         public static Body of(final Item item) {
-            return item.live() ? Json.read(item.body(), Body.class) : new Body("", "", 0, 0, true, 0);
+            return item.live() ? Json.read(item.body(), Body.class) : new Body("", "", 0, 0, true, 0, 0, 0);
         }
     }
 
@@ -112,7 +121,7 @@
             final Body b = Body.of(now);
             final boolean same = renewal ? b.term() == next && b.boot().equals(boot) : now.ver().equals(seen.ver());
             return same ? Optional.of(now.next(Json.text(new Body(self.text(), boot, next, b.beat() + 1, free,
-                Math.max(b.lives(), lives.getAsLong()))), tag))
+                Math.max(b.lives(), lives.getAsLong()), timing.reign(), timing.slack())), tag))
                 : Optional.empty();
         }, r -> {
             then.accept(r);
@@ -135,10 +144,10 @@
         final long now = loop.now();
         final boolean own = b.holder().equals(self.text());
         final boolean open = seen.ver().n() == 0 || b.free();
-        if (!open && !own && now - at < timing.reign() + 2 * timing.slack()) {
+        if (!open && !own && now - at < b.reign(timing) + 2 * b.slack(timing)) {
             return;
         }
-        final long last = open ? Math.min(at, now) : own ? now : valid(at);
+        final long last = open ? Math.min(at, now) : own ? now : at + b.reign(timing) - b.slack(timing);
         take(seen, b, last);
     }
 
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -38,6 +38,7 @@
         p.accepts("troubles", "how many troubles a day from a seed has").withRequiredArg().ofType(Integer.class).defaultsTo(0);
         p.accepts("seconds", "length of a quiet day").withRequiredArg().ofType(Long.class).defaultsTo(20L);
         p.accepts("dir", "folder for a fleet's logs and data").withRequiredArg();
+        p.accepts("from", "bin folder of another build: a fleet begins on it, each restart brings a machine to this one").withRequiredArg();
         p.accepts("figures", "print availability and spread");
         p.accepts("help", "print this and end");
         final OptionSet set;
@@ -126,8 +127,13 @@
         }
         final Path dir = set.has("dir") ? Path.of((String) set.valueOf("dir")) : Files.createTempDirectory("rwrig");
         final Path bin = Path.of(System.getProperty("rv.bin", "bin")).toAbsolutePath();
+        final Path from = set.has("from") ? Path.of((String) set.valueOf("from")).toAbsolutePath() : bin;
+        if (!Files.isExecutable(from.resolve("rwstore"))) {
+            System.err.println("rwrig: --from: no programs in " + from);
+            return 2;
+        }
         System.out.println("logs in " + dir);
-        try (Fleet fleet = new Fleet(s.place(), dir, bin, seed).open()) {
+        try (Fleet fleet = new Fleet(s.place(), dir, bin, from, seed).open()) {
             final Drill drill = new Drill(fleet, s);
             return show(s.name(), drill.run(), drill.missed(), set);
         }
--- a/rig/src/main/java/rv/rig/fleet/Drill.java
+++ b/rig/src/main/java/rv/rig/fleet/Drill.java
@@ -195,6 +195,7 @@
                 m.kill();
                 throw new IOException(m.name() + " did not stop in time");
             }
+            m.build(fleet.bin());
             in(ms, "start", () -> start(m));
         }
     }
--- a/rig/src/main/java/rv/rig/fleet/Fleet.java
+++ b/rig/src/main/java/rv/rig/fleet/Fleet.java
@@ -22,6 +22,7 @@
 public final class Fleet implements AutoCloseable {
     private final Place place;
     private final Path dir;
+    private final Path bin;
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Originator> origins = new TreeMap<>();
     private final Map<String, Stock> stocks = new TreeMap<>();
@@ -31,7 +32,8 @@
     private final Desk desk;
     private final Thread hook = new Thread(this::reap, "reap");
 
-    public Fleet(final Place place, final Path dir, final Path bin, final long seed) throws IOException {
+    public Fleet(final Place place, final Path dir, final Path bin, final Path from, final long seed) throws IOException {
+        this.bin = bin;
         this.place = place;
         this.dir = dir;
         Files.createDirectories(dir);
@@ -41,7 +43,7 @@
         int at = 0;
         for (final String name : place.machines()) {
             final String host = "127." + net + ".0." + ++at;
-            machines.put(name, new Machine(name, host, free(host), dir, bin));
+            machines.put(name, new Machine(name, host, free(host), dir, from));
         }
         for (final Machine m : machines.values()) {
             m.flags(flags(m));
@@ -132,6 +134,11 @@
         return next;
     }
 
+    /** The build that a restart brings a machine to. */
+    Path bin() {
+        return bin;
+    }
+
     Relay relay() {
         return relay;
     }
--- a/rig/src/main/java/rv/rig/fleet/Machine.java
+++ b/rig/src/main/java/rv/rig/fleet/Machine.java
@@ -20,7 +20,7 @@
     private final int http;
     private final int door;
     private final Path dir;
-    private final Path bin;
+    private Path bin;
     private final List<String> flags = new ArrayList<>();
     private Process process;
 
@@ -70,6 +70,11 @@
         return dir.resolve("node-" + name + ".log");
     }
 
+    /** From its next start on it runs that build's programs. */
+    void build(final Path at) {
+        bin = at;
+    }
+
     void flags(final List<String> list) {
         flags.clear();
         flags.addAll(list);
--- a/rig/src/main/java/rv/rig/sim/SimNet.java
+++ b/rig/src/main/java/rv/rig/sim/SimNet.java
@@ -26,6 +26,7 @@
     private long slow;
     private long sent;
     private long bytes;
+    private BiFunction<NodeId, byte[], byte[]> word = (from, data) -> data;
     private java.util.function.BiConsumer<NodeId, Msg> tap = (to, msg) -> { };
 
     public SimNet(final World world, final BiFunction<String, String, Long> base) {
@@ -57,6 +58,11 @@
         return !cuts.contains(from + ">" + to);
     }
 
+    /** What a node says, as another version of it would. */
+    public void word(final BiFunction<NodeId, byte[], byte[]> say) {
+        word = say;
+    }
+
     /** Sees every question that arrives. */
     public void tap(final java.util.function.BiConsumer<NodeId, Msg> see) {
         tap = see;
@@ -120,7 +126,7 @@
             self.post(() -> self.node().take(self.id(), msg, m -> self.post(() -> once.accept(Reply.of(m)))));
             return;
         }
-        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, ++sent, 0, self.id(), msg));
+        final byte[] data = word.apply(self.id(), Wire.pack(new Wire.Envelope(Wire.VERSION, ++sent, 0, self.id(), msg)));
         weigh(msg, data.length);
         final String a = self.id().text();
         final String b = to.text();
@@ -133,7 +139,7 @@
             final long life = peer.life();
             tap.accept(to, msg);
             peer.post(() -> peer.node().take(self.id(), open(data).msg(), m -> {
-                final byte[] back = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, to, m));
+                final byte[] back = word.apply(to, Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, to, m)));
                 weigh(m, back.length);
                 if (peer.life() == life && peer.alive()) {
                     carry(b, a, () -> self.post(() -> once.accept(Reply.of(open(back).msg()))));
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -61,7 +61,7 @@
             world.in(stopTakes, () -> done.accept(true));
         });
         holder.start();
-        held.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(ItemId.TENURE).next(Json.text(new Tenure.Body("st1", "b", 1, 1, false, 0)), "t")));
+        held.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(ItemId.TENURE).next(Json.text(new Tenure.Body("st1", "b", 1, 1, false, 0, 0, 0)), "t")));
         world.run(100);
         holder.place(BOSS, new Msg.Place(1, 1, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> { });
     }
--- /dev/null
+++ b/rig/src/test/java/rv/rig/VersionsTest.java
@@ -0,0 +1,64 @@
+package rv.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import rv.base.NodeId;
+import rv.rig.judge.Judge;
+import rv.rig.sim.Town;
+
+/** Nodes of two versions in one network: one lacks the members that came last, the other says members unknown here. */
+class VersionsTest {
+    private static final ObjectMapper CBOR = new CBORMapper();
+    private static final Map<String, List<String>> YOUNG = Map.of("Renew", List.of("serial", "wishes"), "Give", List.of("want"), "Memory",
+        List.of("lives", "age"), "Reread", List.of("sole"), "KeepRead", List.of("boot"));
+    private static final Set<String> OLD = Set.of("st2", "sh3", "sh4", "ed1", "ed2", "ed3", "ed4");
+
+    private static byte[] older(final NodeId from, final byte[] data) {
+        try {
+            final JsonNode all = CBOR.readTree(data);
+            final ObjectNode msg = (ObjectNode) all.get("msg");
+            if (OLD.contains(from.text())) {
+                msg.remove(YOUNG.getOrDefault(msg.get("t").asText(), List.of()));
+            } else {
+                msg.putObject("later").put("member", 7);
+                ((ObjectNode) all).put("unheard", "of");
+            }
+            return CBOR.writeValueAsBytes(all);
+        } catch (final IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void twoVersionsKeepEveryRuleTogether(final long seed) {
+        final Town town = new Town(Place.kilimanjaro(), seed);
+        town.net().word(VersionsTest::older);
+        town.open();
+        town.run(5000);
+        town.kill("sh3", 2000);
+        town.run(9000);
+        town.kill(town.boss(), 3000);
+        town.run(9000);
+        town.kill("sh1", 1000);
+        town.run(6000);
+        final long asked = town.log().rows().stream().filter(r -> "req".equals(r.get("log"))).count();
+        final long done = town.log().rows().stream().filter(r -> "req".equals(r.get("log")) && "done".equals(r.get("fate"))).count();
+        assertTrue(done > asked * 0.9, done + " of " + asked);
+        final Judge judge = new Judge(town.close());
+        assertTrue(judge.clean(), judge.text(3));
+        assertEquals(12, judge.verdicts().size());
+    }
+}
