A store whose disk was full goes on: the connection is opened anew

Ruled out: the limit on the process (it was lifted), rows owed (they were offered again). SqlDiskTest runs a process whose files cannot grow for a while: before "after false, again false", now true, nothing said yes to is lost.

--- a/prog/src/main/java/rv/prog/SqlDisk.java
+++ b/prog/src/main/java/rv/prog/SqlDisk.java
@@ -27,6 +27,7 @@
     private final Thread thread = new Thread(this::run, "disk");
     private Connection sql;
     private volatile boolean on = true;
+    private boolean broken;
 
     private record Job(Map<String, byte[]> rows, Consumer<Boolean> done) {
     }
@@ -40,14 +41,7 @@
         try {
             Files.createDirectories(home);
             System.setProperty("org.sqlite.tmpdir", home.toString());
-            sql = DriverManager.getConnection("jdbc:sqlite:" + home.resolve("items.db"));
-            try (Statement s = sql.createStatement()) {
-                s.execute("PRAGMA locking_mode=EXCLUSIVE");
-                s.execute("PRAGMA journal_mode=TRUNCATE");
-                s.execute("PRAGMA synchronous=FULL");
-                s.execute("CREATE TABLE IF NOT EXISTS rows (k TEXT PRIMARY KEY, v BLOB NOT NULL) WITHOUT ROWID");
-            }
-            sql.setAutoCommit(false);
+            sql = connect();
             thread.setDaemon(true);
             thread.start();
         } catch (final IOException | SQLException e) {
@@ -55,6 +49,36 @@
         }
     }
 
+    private Connection connect() throws SQLException {
+        final Connection c = DriverManager.getConnection("jdbc:sqlite:" + home.resolve("items.db"));
+        try (Statement s = c.createStatement()) {
+            s.execute("PRAGMA locking_mode=EXCLUSIVE");
+            s.execute("PRAGMA journal_mode=TRUNCATE");
+            s.execute("PRAGMA synchronous=FULL");
+            s.execute("CREATE TABLE IF NOT EXISTS rows (k TEXT PRIMARY KEY, v BLOB NOT NULL) WITHOUT ROWID");
+            c.setAutoCommit(false);
+            return c;
+        } catch (final SQLException e) {
+            c.close();
+            throw e;
+        }
+    }
+
+    /** After a failed commit nothing of the old connection is trusted: its journal is played back by a new one. */
+    private boolean whole() {
+        if (!broken) {
+            return true;
+        }
+        try {
+            sql.close();
+            sql = connect();
+            broken = false;
+        } catch (final SQLException e) {
+            broken = true;
+        }
+        return !broken;
+    }
+
     @Override
     public Map<String, byte[]> load() throws DiskTrouble {
         final Map<String, byte[]> map = new HashMap<>();
@@ -96,6 +120,9 @@
     }
 
     private boolean commit(final List<Job> list) {
+        if (!whole()) {
+            return false;
+        }
         try (PreparedStatement put = sql.prepareStatement("INSERT OR REPLACE INTO rows (k, v) VALUES (?, ?)");
              PreparedStatement del = sql.prepareStatement("DELETE FROM rows WHERE k = ?")) {
             for (final Job j : list) {
@@ -113,11 +140,7 @@
             sql.commit();
             return true;
         } catch (final SQLException e) {
-            try {
-                sql.rollback();
-            } catch (final SQLException again) {
-                e.addSuppressed(again);
-            }
+            broken = true;
             return false;
         }
     }
--- a/prog/src/test/java/rv/prog/SqlDiskTest.java
+++ b/prog/src/test/java/rv/prog/SqlDiskTest.java
@@ -51,6 +51,18 @@
         d.stop();
     }
 
+    /** A disk that was full takes rows again once there is room, and lost none of those it had said yes to. */
+    @Test
+    void aDiskThatWasFullGoesOn() throws Exception {
+        final Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")), FullDisk.class.getName(), dir.resolve("data").toString())
+            .redirectErrorStream(true).start();
+        final String text = new String(p.getInputStream().readAllBytes());
+        assertEquals(0, p.waitFor(), text);
+        assertEquals("before true, full false, full false, full false, full false, full false, after true, again true, rows [a, c, d]",
+            text.lines().filter(l -> l.matches("(before|full|after|again|rows) .*")).collect(java.util.stream.Collectors.joining(", ")));
+    }
+
     @Test
     void anUnusableFolderIsToldInOneLine() throws Exception {
         final Path file = Files.createFile(dir.resolve("file"));
