Troubles in pairs: rwrig pairs plays every two on top of each other

Cause: pairs were met by chance only. All 300 pairs of the 24 troubles, the second within 1.5 s of the first; two that touch a store touch the same one, since one machine with a disk is lost at a time. Figures also count useful answers by second, for runs with and without a surge.

--- a/rig/src/main/java/rv/rig/Figures.java
+++ b/rig/src/main/java/rv/rig/Figures.java
@@ -19,7 +19,8 @@
         final List<Facts.Row> asks = facts.of("req");
         s.append("fates ").append(Rig.count(asks.stream().map(Facts.Row::map).toList(), "mode", "fate", "status")).append('\n');
         s.append("reasons ").append(Rig.count(asks.stream().filter(r -> r.has("why")).map(Facts.Row::map).toList(), "why")).append('\n');
-        s.append("served by second ").append(seconds(asks)).append('\n');
+        s.append("served by second ").append(seconds(asks, true)).append('\n');
+        s.append("useful answers by second ").append(seconds(asks, false)).append('\n');
         for (final String what : List.of("put", "purge")) {
             s.append(what).append(" to in force: ").append(spread(what)).append('\n');
         }
@@ -48,7 +49,7 @@
         return r.text("fate").equals("done");
     }
 
-    private static String seconds(final List<Facts.Row> asks) {
+    private static String seconds(final List<Facts.Row> asks, final boolean share) {
         final Map<Long, int[]> map = new TreeMap<>();
         final long zero = asks.isEmpty() ? 0 : asks.get(0).t();
         asks.forEach(r -> {
@@ -57,7 +58,7 @@
             c[1] += done(r) ? 1 : 0;
         });
         final StringBuilder s = new StringBuilder();
-        map.forEach((k, c) -> s.append(c[1] * 100 / c[0]).append(' '));
+        map.forEach((k, c) -> s.append(share ? c[1] * 100 / c[0] : c[1]).append(' '));
         return s.toString().trim();
     }
 
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -23,6 +23,7 @@
     private static final String USAGE = """
         rwrig COMMAND
           sim WHAT         WHAT: kilimanjaro, coastline (a day from the seed) or a scenario file
+          pairs PLACE      every two troubles on top of each other, for each seed
           fleet WHAT       the same on processes; without --troubles a quiet day
           judge FILE...    rules on logs
           origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
@@ -57,6 +58,7 @@
         }
         switch (w.get(0)) {
             case "sim" -> System.exit(sim(w.get(1), set));
+            case "pairs" -> System.exit(pairs(w.get(1), set));
             case "fleet" -> System.exit(fleet(w.get(1), set));
             case "judge" -> System.exit(judge(w.subList(1, w.size())));
             case "origin" -> origin(w.subList(1, w.size()));
@@ -103,6 +105,28 @@
         }).max().orElse(0);
     }
 
+    private static int pairs(final String place, final OptionSet set) {
+        if (!Set.of("kilimanjaro", "coastline").contains(place)) {
+            System.err.println("rwrig: argument 2: no deployment is named " + place);
+            return 2;
+        }
+        final String[] ends = ((String) set.valueOf("seeds")).split("\\.\\.");
+        final Map<Integer, java.util.concurrent.atomic.AtomicLong> checked = new java.util.concurrent.ConcurrentSkipListMap<>();
+        final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1])).boxed()
+            .flatMap(seed -> Script.pairs().stream().map(two -> Map.entry(seed, two))).toList().parallelStream().filter(e -> {
+                final Play play = new Play(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
+                final Judge j = new Judge(play.run());
+                j.verdicts().forEach(v -> checked.computeIfAbsent(v.rule(), k -> new java.util.concurrent.atomic.AtomicLong()).addAndGet(v.checked()));
+                final boolean ok = j.clean() && play.missed().isEmpty();
+                if (!ok) {
+                    System.out.print(e.getValue() + " seed " + e.getKey() + " BROKEN " + play.missed() + "\n" + j.text(2));
+                }
+                return !ok;
+            }).count();
+        System.out.println(place + ": " + bad + " not clean of " + Script.pairs().size() + " pairs a seed; checked by rule " + checked);
+        return bad == 0 ? 0 : 1;
+    }
+
     private static int show(final String title, final List<Map<String, Object>> rows, final List<String> missed, final OptionSet set) {
         final Judge j = new Judge(rows);
         final boolean ok = j.clean() && missed.isEmpty();
--- a/rig/src/main/java/rv/rig/Script.java
+++ b/rig/src/main/java/rv/rig/Script.java
@@ -82,6 +82,32 @@
         return new Script("day-" + seed, place, (close + 26_000) / 1000, steps);
     }
 
+    /** Every two troubles, also one twice. */
+    public static List<List<String>> pairs() {
+        final List<String> all = TROUBLES.stream().sorted().toList();
+        final List<List<String>> list = new ArrayList<>();
+        all.forEach(a -> all.stream().filter(b -> a.compareTo(b) <= 0).forEach(b -> list.add(List.of(a, b))));
+        return list;
+    }
+
+    /** The second trouble comes within a second and a half of the first. Two that touch stores touch the same one: a lost disk at a time. */
+    public static Script pair(final Place place, final List<String> two, final long seed) {
+        final Random dice = new Random(seed * 131 + two.hashCode());
+        final Step a = roll(place, dice, two.get(0), 2000);
+        final Step b = roll(place, dice, two.get(1), 2000 + dice.nextInt(1500));
+        final boolean flip = dice.nextBoolean();
+        final String store = dice.nextBoolean() ? "st1" : "st2";
+        final List<Step> steps = java.util.stream.Stream.of(flip ? at(b, 2000) : a, flip ? at(a, b.at()) : b).map(s -> ORIGINS.contains(s.trouble())
+            || s.who().isEmpty() ? s : new Step(s.at(), s.trouble(), s.who().stream().map(w -> w.startsWith("st") || w.equals("authority") ? store : w)
+                .distinct().toList(), s.ms(), s.size())).toList();
+        final long end = steps.stream().mapToLong(s -> s.at() + s.ms()).max().orElse(0);
+        return new Script(two.get(0) + "+" + two.get(1), place, (end + 17_000) / 1000, steps);
+    }
+
+    private static Step at(final Step s, final long when) {
+        return new Step(when, s.trouble(), s.who(), s.ms(), s.size());
+    }
+
     /** Troubles come off a shuffled pack, so that few days in a row hold every one of them. */
     private static String drawn(final long n) {
         final List<String> pack = new ArrayList<>(TROUBLES.stream().sorted().toList());
--- /dev/null
+++ b/rig/src/test/java/rv/rig/PairsTest.java
@@ -0,0 +1,26 @@
+package rv.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rv.rig.judge.Judge;
+import rv.rig.sim.Play;
+
+/** Troubles on top of each other; {@code rwrig pairs} plays all of them. */
+class PairsTest {
+    @ParameterizedTest
+    @CsvSource({"blackout,full", "ack-lose,stall", "freeze,lose-disk", "kill,origin-lose", "cut,origin-leave", "drift,restart", "power,surge", "purges,slow"})
+    void everyRuleIsKeptThroughBoth(final String first, final String second) {
+        for (final Place place : List.of(Place.kilimanjaro(), Place.coastline())) {
+            final List<String> two = List.of(first, second);
+            assertTrue(Script.pairs().contains(two));
+            final Play play = new Play(Script.pair(place, two, 1), 1);
+            final Judge judge = new Judge(play.run());
+            assertTrue(judge.clean(), place.name() + " " + judge.text(3));
+            assertEquals(List.of(), play.missed());
+        }
+    }
+}
