A renewal of tenure is one round trip; a term is gone on with if nobody took it

A tenure of 1.2 s has to be renewed within 0.8 s, and a write was two round trips and both stores; each loss began a new term with the plan restated and every holder asked anew. Who accepts a tenure or a plan now promises the writer's next ballot too; a majority of such promises stands for the next prepare. A store whose renewal ran out does nothing, and goes on when one is answered. Ruled out: overlapping renewals (they reject each other).

--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -29,7 +29,8 @@
 
     record Promise(boolean ok, Ballot high, Ballot at, Item item) implements Msg { }
 
-    record Accept(Ballot ballot, Item item) implements Msg { }
+    /** {@code next}: the ballot that whoever accepts promises at the same time, or none. */
+    record Accept(Ballot ballot, Item item, Ballot next) implements Msg { }
 
     record Accepted(boolean ok, Ballot high) implements Msg { }
 
--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -315,6 +315,10 @@
     }
 
     public void renew(final NodeId from, final Msg.Renew ask, final Consumer<Msg> back) {
+        if (tenure.unsure() && ask.term() == tenure.term()) {
+            back.accept(new Msg.Nay("tenure unsure"));
+            return;
+        }
         if (!tenure.acting() || !ready || ask.term() != tenure.term()) {
             back.accept(new Msg.Renewed(ask.term(), false, List.of(), List.of()));
             return;
--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Elector.java
@@ -167,7 +167,9 @@
         return s.promised().above(low) ? s.promised() : low;
     }
 
-    public void accept(final Ballot ballot, final Item item, final Consumer<Msg> back) {
+    public void accept(final Msg.Accept ask, final Consumer<Msg> back) {
+        final Ballot ballot = ask.ballot();
+        final Item item = ask.item();
         if (!full) {
             back.accept(new Msg.Nay("amnesia"));
             return;
@@ -181,9 +183,9 @@
             back.accept(new Msg.Accepted(false, high(s)));
             return;
         }
-        final Msg.Slot n = new Msg.Slot(ballot, ballot, item);
+        final Msg.Slot n = new Msg.Slot(ask.next() != null && ask.next().above(ballot) ? ask.next() : ballot, ballot, item);
         put(n);
-        save(List.of(n), false, () -> back.accept(new Msg.Accepted(true, ballot)));
+        save(List.of(n), false, () -> back.accept(new Msg.Accepted(true, n.promised())));
     }
 
     /** Slots of dropped items go; the floor keeps all that was promised or accepted for them from coming back. */
--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -77,6 +77,11 @@
         return mine && loop.now() < until;
     }
 
+    /** Still named, though its last renewal has run out: it does nothing, and goes on with its term if nobody took it. */
+    public boolean unsure() {
+        return mine && loop.now() >= until;
+    }
+
     public long term() {
         return term;
     }
@@ -132,9 +137,6 @@
     }
 
     private void look() {
-        if (mine && loop.now() >= until) {
-            lose();
-        }
         if (mine || busy || quit || !able.getAsBoolean()) {
             return;
         }
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Map;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -22,6 +24,7 @@
 
 /** Proposes changes to registers: prepare at a majority, apply, accept at a majority with a store, tell all. */
 public final class Writer {
+    private static final Set<ItemId> KEPT = Set.of(ItemId.TENURE, ItemId.PLAN);
     private final Quorum quorum;
     private final Loop loop;
     private final Net net;
@@ -31,8 +34,13 @@
     private final Held held;
     private final Supplier<List<NodeId>> all;
     private final Stores stores;
+    private final Map<ItemId, Warm> warm = new HashMap<>();
     private long top;
 
+    /** A ballot that a majority promised when it accepted this value: the next write need not prepare. */
+    private record Warm(Ballot ballot, Item item) {
+    }
+
     public enum Fate { ACCEPTED, CLASH, REJECTED, UNKNOWN }
 
     public record Result(Fate fate, Item item) {
@@ -82,6 +90,8 @@
         private Item now;
         private final Set<NodeId> yes = new HashSet<>();
         private int bad;
+        private final Set<NodeId> eager = new HashSet<>();
+        private Ballot after;
         private int stage;
 
         Try(final ItemId id, final String tag, final long cutoff, final Change change, final Consumer<Result> then) {
@@ -116,6 +126,14 @@
             if (done) {
                 return;
             }
+            final Warm ready = warm.remove(id);
+            if (ready != null && tries == 0) {
+                ballot = ready.ballot();
+                now = ready.item();
+                stage++;
+                decide();
+                return;
+            }
             top++;
             ballot = new Ballot(top, name);
             best = Ballot.ZERO;
@@ -182,8 +200,10 @@
                 sent = true;
             }
             final long from = loop.now();
+            eager.clear();
+            after = KEPT.contains(id) ? new Ballot(++top, name) : null;
             for (final NodeId e : quorum.electors()) {
-                net.ask(e, new Msg.Accept(ballot, item), 600, r -> accepted(e, mine, from, item, r));
+                net.ask(e, new Msg.Accept(ballot, item, after), 600, r -> accepted(e, mine, from, item, r));
             }
             loop.after(Stores.HUSH, () -> settled(mine, from, item));
         }
@@ -209,12 +229,18 @@
                 return;
             }
             yes.add(e);
+            if (got.get().high().equals(after)) {
+                eager.add(e);
+            }
             settled(mine, from, item);
         }
 
         private void settled(final int mine, final long from, final Item item) {
             if (stage == mine && !done && quorum.write(yes) && stores.enough(yes, loop.now() - from)) {
                 stage++;
+                if (quorum.read(eager)) {
+                    warm.put(id, new Warm(after, item));
+                }
                 final Msg.Chosen won = new Msg.Chosen(ballot, item);
                 if (item.ver().n() > 0) {
                     if (sent) {
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -210,7 +210,7 @@
         if (msg instanceof Msg.Prepare m) {
             elector.prepare(m, back);
         } else if (msg instanceof Msg.Accept m) {
-            elector.accept(m.ballot(), m.item(), back);
+            elector.accept(m, back);
         } else if (msg instanceof Msg.Reread m) {
             elector.reread(m, back);
         } else if (msg instanceof Msg.Query m) {
--- a/rig/src/test/java/rv/rig/VersionsTest.java
+++ b/rig/src/test/java/rv/rig/VersionsTest.java
@@ -22,7 +22,7 @@
 class VersionsTest {
     private static final ObjectMapper CBOR = new CBORMapper();
     private static final Map<String, List<String>> YOUNG = Map.of("Renew", List.of("serial", "wishes"), "Give", List.of("want"), "Memory",
-        List.of("lives", "age"), "Reread", List.of("sole"), "KeepRead", List.of("boot"));
+        List.of("lives", "age"), "Reread", List.of("sole"), "KeepRead", List.of("boot"), "Accept", List.of("next"));
     private static final Set<String> OLD = Set.of("st2", "sh3", "sh4", "ed1", "ed2", "ed3", "ed4");
 
     private static byte[] older(final NodeId from, final byte[] data) {
