Pending tenure writes do not hold frames back; tenure 1.6 s with a margin of 0.45 s

Cause: no frame is confirmed while a write is pending at two electors, writes wait for both stores now, and tenure alone writes all the time; nothing that a frame is asked for rests on tenure. And 0.8 s of validity do not outlast two late messages.

--- a/base/src/main/java/rv/base/Timing.java
+++ b/base/src/main/java/rv/base/Timing.java
@@ -30,11 +30,11 @@
 
     /** Tenure is a lease of its own: how long one renewal lasts, and the margin within it. */
     public long reign() {
-        return 1200;
+        return 1600;
     }
 
     public long slack() {
-        return 400;
+        return 450;
     }
 
     public long beat() {
--- a/control/src/main/java/rv/control/Sync.java
+++ b/control/src/main/java/rv/control/Sync.java
@@ -136,7 +136,7 @@
             }
             for (final Map.Entry<ItemId, Msg.Slot> e : elector.slots().entrySet()) {
                 final Item item = e.getValue().item();
-                if (ask.cells().contains(Digest.cell(e.getKey())) && item.ver().above(held.get(e.getKey()).ver())
+                if (!e.getKey().equals(ItemId.TENURE) && ask.cells().contains(Digest.cell(e.getKey())) && item.ver().above(held.get(e.getKey()).ver())
                     && item.ver().above(ask.vers().getOrDefault(e.getKey(), Ver.ZERO))) {
                     all = false;
                     break;
