--- a/data/src/main/java/rv/data/Tell.java
+++ b/data/src/main/java/rv/data/Tell.java
@@ -56,6 +56,7 @@
             plan.put(String.valueOf(i), node.view().plan().parts().get(i).owner() + " " + node.view().plan().parts().get(i).token());
         }
         map.put("plan", plan);
+        map.put("weights", node.view().plan().weights());
         final Map<String, Object> leases = new TreeMap<>();
         if (node.holder() != null) {
             node.holder().leases().forEach((s, l) -> leases.put(String.valueOf(s), l.state().name() + " " + l.token()));
--- a/rig/src/main/java/rv/rig/fleet/Machine.java
+++ b/rig/src/main/java/rv/rig/fleet/Machine.java
@@ -134,16 +134,27 @@
 
     void kill() throws InterruptedException {
         if (process != null) {
-            process.destroyForcibly();
+            if (process.isAlive()) {
+                send("KILL");
+            }
             process.waitFor(5, TimeUnit.SECONDS);
         }
     }
 
     boolean stop(final long ms) throws InterruptedException {
-        process.destroy();
+        send("TERM");
         return process.waitFor(ms, TimeUnit.MILLISECONDS);
     }
 
+    /** By signal, since ending a process through its handle closes its log as well. */
+    private void send(final String sig) throws InterruptedException {
+        try {
+            signal(sig);
+        } catch (final IOException e) {
+            process.destroyForcibly();
+        }
+    }
+
     void signal(final String sig) throws IOException, InterruptedException {
         final int rc = new ProcessBuilder("kill", "-" + sig, String.valueOf(process.pid())).start().waitFor();
         if (rc != 0) {
