A missed beat makes no store silent that was heard from since

Cause: a beat that came late by a lossy link let the next write go on with one store though the other had just synced something. What was heard after the beat was sent counts. StoresTest failed on that case before.

--- a/control/src/main/java/rv/control/Stores.java
+++ b/control/src/main/java/rv/control/Stores.java
@@ -18,6 +18,7 @@
     private final Loop loop;
     private final Set<NodeId> silent = new TreeSet<>();
     private final Map<NodeId, Long> missed = new HashMap<>();
+    private final Map<NodeId, Long> last = new HashMap<>();
 
     public Stores(final Quorum quorum, final Loop loop, final Journal journal) {
         this.loop = loop;
@@ -41,11 +42,14 @@
 
     /** Something sent at {@code at} was not answered; what beats tell counts too. */
     public void missed(final NodeId from, final long at) {
-        missed.putIfAbsent(from, at);
+        if (last.getOrDefault(from, Long.MIN_VALUE) < at) {
+            missed.putIfAbsent(from, at);
+        }
     }
 
     public void alive(final NodeId from) {
         missed.remove(from);
+        last.put(from, loop.now());
     }
 
     /** It synced something for us. */
