A store that kept its tenure through a resuming begins a term that leaps

Cause: a term that is gone on with was renewed by the very store whose memory was the only one left, so terms did not leap though the lost side might have begun some. A renewal now fails where the electors resumed since. Found by ResumeTest#termsLeapWhenOnlyOneMemoryIsLeft, which fails without this, and now takes either store as the lost one.

--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -124,7 +124,7 @@
         final String tag = boot + "-" + next + "-" + loop.now();
         writer.write(ItemId.TENURE, tag, span, now -> {
             final Body b = Body.of(now);
-            final boolean same = renewal ? b.term() == next && b.boot().equals(boot) : now.ver().equals(seen.ver());
+            final boolean same = renewal ? b.term() == next && b.boot().equals(boot) && lives.getAsLong() <= b.lives() : now.ver().equals(seen.ver());
             return same ? Optional.of(now.next(Json.text(new Body(self.text(), boot, next, b.beat() + 1, free,
                 Math.max(b.lives(), lives.getAsLong()), timing.reign(), timing.slack())), tag))
                 : Optional.empty();
--- a/rig/src/test/java/rv/rig/ResumeTest.java
+++ b/rig/src/test/java/rv/rig/ResumeTest.java
@@ -112,12 +112,13 @@
     }
 
     /** The survivor's terms leap, so that none that the lost side may have begun is used again. */
-    @Test
-    void termsLeapWhenOnlyOneMemoryIsLeft() {
+    @ParameterizedTest
+    @ValueSource(strings = {"st1", "st2"})
+    void termsLeapWhenOnlyOneMemoryIsLeft(final String victim) {
         final Town town = new Town(Place.coastline(), 5).open();
-        final long before = Tenure.Body.of(town.node("st2").node().held().get(ItemId.TENURE)).term();
+        final long before = Tenure.Body.of(town.node("ed2").node().held().get(ItemId.TENURE)).term();
         town.node("sh1").kill();
-        town.loseDisk("st1", 500);
+        town.loseDisk(victim, 500);
         town.start("sh1");
         town.run(15_000);
         assertTrue(count(town, "RESUMED") > 0);
