Replacing a store and vouching, as a page whose steps a test runs on processes

Cause: both had been described and never tried on processes. A store is stopped and started under its id at another address, is rebuilt and votes; then both stores' disks are lost and the electing shield is vouched for. Found: nothing to mend in the programs; the walk ends its processes when a step fails.

--- a/rig/src/test/java/rv/rig/WalkTest.java
+++ b/rig/src/test/java/rv/rig/WalkTest.java
@@ -21,27 +21,38 @@
     @TempDir
     private Path dir;
 
-    @Test
-    void theReadmesCommandsDoWhatItSays() throws Exception {
-        final StringBuilder script = new StringBuilder();
-        final Matcher m = Pattern.compile("```sh\n(.*?)```", Pattern.DOTALL).matcher(Files.readString(Path.of("..", "README.md")));
+    private String walk(final String page, final int net) throws Exception {
+        final StringBuilder script = new StringBuilder("trap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n");
+        final Matcher m = Pattern.compile("```sh\n(.*?)```", Pattern.DOTALL).matcher(Files.readString(Path.of("..", page)));
         while (m.find()) {
             script.append(m.group(1));
         }
         final Path file = Files.writeString(dir.resolve("walk.sh"), script);
         final File out = dir.resolve("out").toFile();
         final ProcessBuilder b = new ProcessBuilder("bash", file.toString()).directory(new File("..")).redirectErrorStream(true).redirectOutput(out);
-        b.environment().put("NET", "127." + (80 + ProcessHandle.current().pid() % 100) + "." + ProcessHandle.current().pid() / 100 % 250);
+        b.environment().put("NET", "127." + (net + ProcessHandle.current().pid() % 50) + "." + ProcessHandle.current().pid() / 50 % 250);
         b.environment().put("RUN", dir.resolve("run").toString());
         final Process p = b.start();
         final boolean ended = p.waitFor(300, TimeUnit.SECONDS);
-        if (!ended) {
-            p.descendants().forEach(ProcessHandle::destroyForcibly);
-            p.destroyForcibly();
-        }
+        p.descendants().forEach(ProcessHandle::destroyForcibly);
+        p.destroyForcibly();
         final String text = Files.readString(out.toPath());
         assertTrue(ended, text);
         assertEquals(0, p.exitValue(), text);
+        return text;
+    }
+
+    /** A store moved to another address, then both stores' disks lost and the electing shield vouched for. */
+    @Test
+    void theStepsForReplacingAStoreWork() throws Exception {
+        final String text = walk("docs/REPLACE.md", 80);
+        assertEquals(2, text.lines().filter(l -> l.equals("1")).count(), text);
+        assertEquals(2, text.lines().filter(l -> l.contains("in force")).count(), text);
+    }
+
+    @Test
+    void theReadmesCommandsDoWhatItSays() throws Exception {
+        final String text = walk("README.md", 140);
         final Map<String, Integer> seen = new TreeMap<>();
         final Matcher s = Pattern.compile("HTTP/1.1 (\\d+)|Rv-Cache: (\\w+)|(version 1 in force)").matcher(text);
         while (s.find()) {
