--- a/rig/src/test/java/rv/rig/ResumeTest.java
+++ b/rig/src/test/java/rv/rig/ResumeTest.java
@@ -128,6 +128,24 @@
         assertTrue(town.node("sh3").node().holder().count() > 0);
     }
 
+    /** An acting store that stops in order gives its tenure back, whatever renewal is on its way just then. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aStoppingAuthorityIsFollowedAtOnce(final long seed) {
+        final Town town = new Town(Place.coastline(), seed).open();
+        town.staff().stop();
+        town.run(1000 + 90 * seed);
+        final String boss = town.boss();
+        final long from = town.world().now();
+        town.restart(boss, 6000);
+        town.run(1000);
+        assertFalse(town.boss().isEmpty());
+        assertFalse(town.boss().equals(boss));
+        final long won = town.log().rows().stream().filter(r -> "TENURE_WON".equals(r.get("name"))).mapToLong(r -> ((Number) r.get("t")).longValue())
+            .filter(t -> t >= from).min().orElse(Long.MAX_VALUE);
+        assertTrue(won <= from + 600, "taken after " + (won - from) + " ms");
+    }
+
     /** A store that comes back empty beside electors with memory is rebuilt from a majority, and nothing leaps. */
     @Test
     void anEmptyStoreAmongElectorsWithMemoryIsNoResuming() {
