A release of tenure is not taken for a renewal of the same millisecond

Cause: a write is known again by its tag, and tenure made its tag of the millisecond; a release in the very millisecond of a renewal found that tag and offered the renewal again as its own. ResumeTest#aStoppingAuthorityIsFollowedAtOnce, five offsets around a renewal: one failed before, none after.

--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -30,6 +30,7 @@
     private long term;
     private boolean busy;
     private boolean asking;
+    private long serial;
     private boolean mine;
     private boolean quit;
 
@@ -121,7 +122,7 @@
         final Item seen = held.get(ItemId.TENURE);
         final Body old = Body.of(seen);
         final boolean renewal = next == term;
-        final String tag = boot + "-" + next + "-" + loop.now();
+        final String tag = self + "-" + boot + "-" + next + "-" + ++serial;
         writer.write(ItemId.TENURE, tag, span, now -> {
             final Body b = Body.of(now);
             final boolean same = renewal ? b.term() == next && b.boot().equals(boot) && lives.getAsLong() <= b.lives() : now.ver().equals(seen.ver());
