A return of all machines is judged until no machine is up again

Cause: rule 11 asks for a quarter served from 15 to 20 s after all machines returned. Callers ask again faster when nobody answers, so the dark seconds weigh most.

Ruled out: a slow recovery.

Mend: the window ends at the moment at which every machine has been killed and none has started since; the rest is counted as excused. One machine up, or only frozen, ends nothing. The next return has a window of its own. No program changes.

Tried and reverted: closings that wait until 20 s after a return.

Test: JudgeTest#rule11AllPowerGoneAgainEndsAReturn failed before ("machines returned at 1000, 15 s later 1 of 5 were served").

Conclusion: a fault of the judge; recovery keeps the rule.

--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -5,14 +5,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** The logs of one run, sorted by time and by kind. */
 public final class Facts {
     /** After which a node counts as healthy again: two rounds of beats and of frames. */
     private static final long REST = 2500;
-    private static final java.util.Set<String> DOWN = java.util.Set.of("kill", "lose-disk", "restart");
-    private static final java.util.Set<String> APART = java.util.Set.of("cut", "freeze", "drift");
+    private static final Set<String> DOWN = Set.of("kill", "lose-disk", "restart");
+    private static final Set<String> APART = Set.of("cut", "freeze", "drift");
     private final Map<String, List<Row>> kinds = new HashMap<>();
     private final Map<String, List<long[]>> bad = new TreeMap<>();
 
@@ -77,6 +79,23 @@
         return bad.getOrDefault(node, List.of()).stream().noneMatch(b -> b[0] <= to && b[1] >= from);
     }
 
+    /** The next moment at which no machine is up. */
+    long dark(final long from) {
+        final List<Row> turns = new ArrayList<>(nodes("STARTED"));
+        final Set<String> up = turns.stream().map(r -> r.text("node")).collect(Collectors.toSet());
+        of("rig").stream().filter(r -> r.text("what").equals("kill")).forEach(turns::add);
+        turns.removeIf(r -> r.t() <= from);
+        turns.sort(Comparator.comparingLong(Row::t));
+        for (final Row r : turns) {
+            if (r.text("name").equals("STARTED")) {
+                up.add(r.text("node"));
+            } else if (up.remove(r.text("node")) && up.isEmpty()) {
+                return r.t();
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
     /** Whether some node had dropped that version by then: what is dropped is not lost. */
     public boolean swept(final String item, final long ver, final long by) {
         final String kind = item.startsWith("PURGE/") ? "purges" : item.startsWith("ORIGIN/") ? "origins" : "none";
--- a/rig/src/main/java/rv/rig/judge/Verdict.java
+++ b/rig/src/main/java/rv/rig/judge/Verdict.java
@@ -25,6 +25,10 @@
         excused++;
     }
 
+    void excuse(final long n) {
+        excused += n;
+    }
+
     void check(final long n) {
         checked += n;
     }
--- a/rig/src/test/java/rv/rig/JudgeTest.java
+++ b/rig/src/test/java/rv/rig/JudgeTest.java
@@ -139,6 +139,30 @@
         rule(11, back, req(16_500, "refused"));
     }
 
+    private static Map<String, Object> rig(final long t, final String what, final String node) {
+        return Log.row("log", "rig", "t", t, "what", what, "node", node, "ms", 3000);
+    }
+
+    /** What a return has to bring ends when no machine is up any more, and not before; the next return has to bring it anew. */
+    @Test
+    void rule11AllPowerGoneAgainEndsAReturn() {
+        final List<Map<String, Object>> clean = List.of(node(10, "ed1", "STARTED"), node(10, "ed2", "STARTED"), rig(1000, "returned", ""),
+            req(16_100, "done"), rig(16_150, "kill", "ed1"), rig(16_150, "kill", "ed2"), req(16_200, "none"), req(16_300, "none"),
+            req(16_400, "none"), req(16_500, "none"), node(19_150, "ed1", "STARTED"), node(19_150, "ed2", "STARTED"), rig(19_150, "returned", ""),
+            req(34_200, "done"));
+        rule(11, clean, req(16_140, "none"), req(16_141, "none"), req(16_142, "none"), req(16_143, "none"));
+        rule(11, clean, req(34_300, "none"), req(34_301, "none"), req(34_302, "none"), req(34_303, "none"));
+        assertEquals(2, new Judge(clean).rule(11).checked());
+        final List<List<Map<String, Object>>> ups = List.of(List.of(rig(16_150, "freeze", "ed2")),
+            List.of(node(16_160, "ed1", "STARTED"), rig(16_170, "kill", "ed2")));
+        for (final List<Map<String, Object>> up : ups) {
+            final List<Map<String, Object>> some = new ArrayList<>(clean);
+            some.remove(5);
+            some.addAll(up);
+            assertEquals(1, new Judge(some).rule(11).breaches().size(), "one machine was up");
+        }
+    }
+
     @Test
     void rule12AStrangeService() {
         final Map<String, Object> other = org(200, "get", "r2", null);
