--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 public enum Kind {
-    ROUTE, SERVICE, PURGE, ORIGIN, PLAN, TENURE, SWEEP;
+    ROUTE, SERVICE, PURGE, ORIGIN, PLAN, TENURE, SWEEP, LIMIT;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
@@ -16,7 +16,7 @@
     }
 
     public boolean stated() {
-        return this == ROUTE || this == SERVICE || this == PURGE;
+        return this == ROUTE || this == SERVICE || this == PURGE || this == LIMIT;
     }
 
     public static Optional<Kind> of(final String word) {
--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -118,11 +118,29 @@
     record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars) implements Msg { }
 
     // traffic
-    record Fill(long serial, String route, String method, String path, int shard, Token known, Mark mark, String key,
-                byte[] body, String type, long span) implements Msg { }
-
+    /**
+     * {@code id}: the caller's own name for this try; {@code pass}: to be passed through without the right to fill;
+     * {@code extra}: another way was asked before; {@code heads}: the caller's other headers.
+     */
+    record Fill(long serial, String route, String method, String host, String path, int shard, Token known, Mark mark, String key,
+                byte[] body, String type, long span, String id, boolean pass, boolean extra, Map<String, String> heads) implements Msg { }
+
+    /** {@code service}: which one answered, where a route is split over several. */
     record Filled(String fate, String why, int status, Token token, Map<String, String> heads, byte[] body, long age,
-                  Mark mark, long retryMs) implements Msg { }
+                  Mark mark, long retryMs, String service) implements Msg {
+        public Filled(final String fate, final String why, final int status, final Token token, final Map<String, String> heads,
+                      final byte[] body, final long age, final Mark mark, final long retryMs) {
+            this(fate, why, status, token, heads, body, age, mark, retryMs, null);
+        }
+    }
+
+    /** One-way: how many requests of the sender each of these origins has now. */
+    record Busy(Map<String, Integer> counts) implements Msg { }
+
+    /** Who votes, asked of any node that may know; an empty answer means that it does not know either. */
+    record Seats() implements Msg { }
+
+    record Seated(List<String> electors) implements Msg { }
 
     record Report(String what) implements Msg { }
 
--- a/base/src/main/java/rv/base/Timing.java
+++ b/base/src/main/java/rv/base/Timing.java
@@ -1,10 +1,13 @@
 package rv.base;
 
-/** D, M and the beats derived from them, in milliseconds. */
-public record Timing(long d, long m) {
+/** D, M, the greatest age of a frame, and the beats derived from them, in milliseconds. */
+public record Timing(long d, long m, long fresh) {
     public static final Timing DEFAULT = new Timing(3000, 1000);
 
     public Timing {
+        if (fresh < 200) {
+            throw new IllegalArgumentException("a frame's age below 200");
+        }
         if (d < 3000) {
             throw new IllegalArgumentException("D below 3000");
         }
@@ -16,6 +19,10 @@
         }
     }
 
+    public Timing(final long d, final long m) {
+        this(d, m, 1500);
+    }
+
     public long renew() {
         return d / 3;
     }
@@ -44,8 +51,4 @@
     public long lost() {
         return 2000;
     }
-
-    public long fresh() {
-        return 1500;
-    }
 }
--- a/control/src/main/java/rv/control/Held.java
+++ b/control/src/main/java/rv/control/Held.java
@@ -85,6 +85,10 @@
         return c == null ? Item.none(id) : c.item();
     }
 
+    public long now() {
+        return loop.now();
+    }
+
     public long since(final ItemId id) {
         return since.getOrDefault(id, 0L);
     }
--- /dev/null
+++ b/control/src/main/java/rv/control/Limits.java
@@ -0,0 +1,20 @@
+package rv.control;
+
+import java.util.Optional;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Kind;
+
+/** What a caller may send and how long it may take, in bytes and milliseconds; {@code note}: the operator's own words. */
+public record Limits(int headBytes, int bodyBytes, long headMs, long idleMs, String note) {
+    public static final ItemId ID = new ItemId(Kind.LIMIT, "limits");
+    public static final Limits PLAIN = new Limits(8192, 1 << 20, 30_000, 30_000, "");
+
+    public Limits {
+        note = note == null ? "" : note;
+    }
+
+    public static Limits of(final Item item) {
+        return Optional.of(item).filter(Item::live).map(i -> Json.read(i.body(), Limits.class)).orElse(PLAIN);
+    }
+}
--- a/control/src/main/java/rv/control/Purge.java
+++ b/control/src/main/java/rv/control/Purge.java
@@ -1,7 +1,13 @@
 package rv.control;
 
-public record Purge(String route, String path, String prefix) {
+/** Names a route's path or prefix, or a host's path, or a tag that origins gave their answers. */
+public record Purge(String route, String path, String prefix, String host, String tag) {
     public boolean touches(final String name, final String to) {
-        return route.equals(name) && (path != null ? to.equals(path) : to.startsWith(prefix));
+        return route != null && route.equals(name) && (path != null ? to.equals(path) : to.startsWith(prefix));
+    }
+
+    /** Of a host's path or of a tag, so of no route. */
+    public boolean wide() {
+        return route == null;
     }
 }
--- a/control/src/main/java/rv/control/Quorum.java
+++ b/control/src/main/java/rv/control/Quorum.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import rv.base.NodeId;
 
+/** Who votes, and which of them are stores; where none is named, every elector has a disk. */
 public record Quorum(List<NodeId> electors, Set<NodeId> stores) {
     public Quorum {
         electors = List.copyOf(electors);
@@ -19,7 +20,7 @@
     }
 
     public boolean write(final Set<NodeId> got) {
-        return got.size() >= need() && got.stream().anyMatch(stores::contains);
+        return got.size() >= need() && (stores.isEmpty() || got.stream().anyMatch(stores::contains));
     }
 
     public boolean has(final NodeId id) {
--- a/control/src/main/java/rv/control/Shape.java
+++ b/control/src/main/java/rv/control/Shape.java
@@ -105,6 +105,23 @@
         return Map.of();
     }
 
+    public List<?> list(final String name) {
+        final Object o = get(name, false);
+        if (o == null || o instanceof List<?>) {
+            return o == null ? List.of() : (List<?>) o;
+        }
+        fault(name, "a list is wanted here");
+        return List.of();
+    }
+
+    public String place(final String name) {
+        return path + "/" + name;
+    }
+
+    public List<Finding> faults() {
+        return faults;
+    }
+
     public void known(final String name) {
         known.add(name);
     }
--- a/control/src/main/java/rv/control/Sweeper.java
+++ b/control/src/main/java/rv/control/Sweeper.java
@@ -56,8 +56,9 @@
     }
 
     private boolean gone(final Item i) {
-        final long ttl = i.live() ? Json.read(i.body(), Origin.class).ttlMs() : 0;
-        return age(i) > ttl + ttl / 4 + REST;
+        final Origin o = i.live() ? Json.read(i.body(), Origin.class) : null;
+        final long ttl = o == null ? 0 : o.ttlMs();
+        return (o == null || ttl > 0 || o.leaving()) && age(i) > ttl + ttl / 4 + REST;
     }
 
     /** The highest version under all that must stay; unchanged while too few would go. */
--- a/control/src/main/java/rv/control/Sync.java
+++ b/control/src/main/java/rv/control/Sync.java
@@ -107,6 +107,20 @@
         good.clear();
     }
 
+    /** Hears true once a majority has confirmed the frame for an instant not before {@code at}. */
+    public void after(final long at, final long span, final Consumer<Boolean> then) {
+        round();
+        await(at, loop.now() + span, then);
+    }
+
+    private void await(final long at, final long cutoff, final Consumer<Boolean> then) {
+        if (sure() >= at || loop.now() >= cutoff) {
+            then.accept(sure() >= at);
+        } else {
+            loop.after(10, () -> await(at, cutoff, then));
+        }
+    }
+
     /** The electors' side of the questions. */
     public record Desk(Elector elector, Held held) {
         private static final int WANT = 200;
--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/View.java
@@ -23,6 +23,10 @@
     private final Map<String, Map<ItemId, Wide>> wide = new HashMap<>();
     private final Map<ItemId, Purge> purges = new HashMap<>();
     private final Map<ItemId, Origin> origins = new TreeMap<>();
+    private final Map<String, List<Row>> hosts = new HashMap<>();
+    private final Map<String, Map<String, Long>> spots = new HashMap<>();
+    private final Map<String, Tagged> tags = new HashMap<>();
+    private Limits limits = Limits.PLAIN;
     private Plan plan = new Plan(0, 0, List.of());
     private boolean old;
 
@@ -31,6 +35,14 @@
         public boolean fit() {
             return service != null && !(Match.ONCE.equals(match.mode()) && service.content());
         }
+
+        public long timeoutMs() {
+            return match.timeoutMs() > 0 ? match.timeoutMs() : service.cutoffMs();
+        }
+    }
+
+    /** The version of a tag's newest purge, and when this node learned of it. */
+    public record Tagged(long ver, long at) {
     }
 
     private record Wide(Purge purge, Ver ver) {
@@ -55,6 +67,7 @@
             }
             case ORIGIN -> put(origins, item.id(), item, Origin.class);
             case PURGE -> purge(item);
+            case LIMIT -> limits = Limits.of(item);
             default -> { }
         }
     }
@@ -67,9 +80,34 @@
         }
     }
 
+    private boolean spot(final Item item) {
+        if (item.body().isEmpty()) {
+            return false;
+        }
+        final Purge p = Json.read(item.body(), Purge.class);
+        if (p.tag() != null) {
+            tags.merge(p.tag(), new Tagged(item.ver().n(), held.now()), (a, b) -> a.ver() >= b.ver() ? a : b);
+        } else if (p.host() != null) {
+            spots.computeIfAbsent(p.host() + "|" + p.path(), k -> new TreeMap<>()).merge("p/" + item.id().name(), item.ver().n(), Math::max);
+        }
+        return p.wide();
+    }
+
+    /** A dropped purge of a host's path or of a tag goes by its name, since its body is gone too. */
+    private void drop(final Item item) {
+        final String key = "p/" + item.id().name();
+        spots.values().removeIf(m -> m.remove(key) != null && m.isEmpty());
+    }
+
     /** A deleted purge keeps its body: a copy older than it must not come back to life. */
     private void purge(final Item item) {
+        if (spot(item)) {
+            return;
+        }
         final Purge was = purges.remove(item.id());
+        if (was == null && item.ver().n() == 0) {
+            drop(item);
+        }
         if (was != null) {
             exact.getOrDefault(was.route(), Map.of()).getOrDefault(String.valueOf(was.path()), new HashMap<>()).remove(item.id());
             wide.getOrDefault(was.route(), new HashMap<>()).remove(item.id());
@@ -91,13 +129,34 @@
         }
         old = false;
         rows.clear();
-        routes.forEach((n, m) -> rows.add(new Row(n, m, services.get(m.service()), m.when().isEmpty() ? Optional.empty() : Optional.of(Rule.of(m.when())))));
+        hosts.clear();
+        routes.forEach((n, m) -> rows.add(new Row(n, m, m.services().stream().allMatch(services::containsKey) ? services.get(m.services().get(0)) : null, m.when().isEmpty() ? Optional.empty() : Optional.of(Rule.of(m.when())))));
         rows.sort(Comparator.comparingInt((Row r) -> -r.match().prefix().length()).thenComparing(Row::name));
+        rows.forEach(r -> hosts.computeIfAbsent(r.match().host(), k -> new ArrayList<>()).add(r));
     }
 
-    public Optional<Row> route(final String path) {
+    /** The longest prefix among the host's own routes; routes that name no host take what those leave. */
+    public Optional<Row> route(final String host, final String path) {
         fold();
-        return rows.stream().filter(r -> r.match().takes(path)).findFirst();
+        return hosts.getOrDefault(host, List.of()).stream().filter(r -> r.match().takes(path)).findFirst()
+            .or(() -> hosts.getOrDefault("", List.of()).stream().filter(r -> r.match().takes(path)).findFirst());
+    }
+
+    public Optional<Row> route(final String path) {
+        return route("", path);
+    }
+
+    public Limits limits() {
+        return limits;
+    }
+
+    public Tagged tagged(final String tag) {
+        return tags.getOrDefault(tag, new Tagged(0, Long.MIN_VALUE / 2));
+    }
+
+    /** Whether no tag in a mark has been purged since. */
+    public boolean clean(final Map<String, Long> marked) {
+        return marked.entrySet().stream().allMatch(e -> tagged(e.getKey()).ver() <= e.getValue());
     }
 
     public Optional<Row> named(final String name) {
@@ -118,6 +177,14 @@
         return services.containsKey(service);
     }
 
+    public java.util.Set<String> serviceNames() {
+        return services.keySet();
+    }
+
+    public long since(final ItemId id) {
+        return held.since(id);
+    }
+
     public Service service(final String name) {
         return services.get(name);
     }
@@ -130,7 +197,11 @@
                 vers.put("p/" + id.name(), w.ver().n());
             }
         });
-        vers.put("r/" + row.name(), held.get(new ItemId(Kind.ROUTE, row.name())).ver().n());
+        if (row.match().host().isEmpty()) {
+            vers.put("r/" + row.name(), held.get(new ItemId(Kind.ROUTE, row.name())).ver().n());
+        } else {
+            vers.putAll(spots.getOrDefault(row.match().host() + "|" + path, Map.of()));
+        }
         return new Mark(vers);
     }
 
@@ -138,7 +209,7 @@
     public Map<ItemId, Origin> live(final String service, final long now) {
         final Map<ItemId, Origin> map = new TreeMap<>();
         origins.forEach((id, o) -> {
-            if (o.service().equals(service) && !o.leaving() && now - held.since(id) < o.ttlMs()) {
+            if (o.service().equals(service) && o.live(now - held.since(id))) {
                 map.put(id, o);
             }
         });
--- a/data/src/main/java/rv/data/Allow.java
+++ b/data/src/main/java/rv/data/Allow.java
@@ -8,11 +8,21 @@
  * so in any 10 s whatever, even when requests have just stopped, a fifth plus the small allowance is not passed.
  */
 public final class Allow {
-    static final double SHARE = 0.18;
-    static final double SAVED = 24;
+    private final double share;
+    private final double saved;
     private static final double WINDOW = 10_000;
     private final Map<String, Pot> pots = new HashMap<>();
 
+    /** {@code ratio}: extra tries for each request; {@code slack}: beyond those, in any 10 s, over all senders. */
+    public Allow(final double ratio, final double slack) {
+        this.share = ratio * 0.9;
+        this.saved = slack * 0.4;
+    }
+
+    public Allow() {
+        this(0.2, 60);
+    }
+
     private static final class Pot {
         private double level;
         private long at;
@@ -27,11 +37,11 @@
     }
 
     public void first(final String service, final long now) {
-        pot(service, now).level += SHARE;
+        pot(service, now).level += share;
     }
 
     public boolean extra(final String service, final long now, final int senders) {
-        final double most = SAVED / Math.max(4, senders);
+        final double most = saved / Math.max(4, senders);
         final Pot p = pot(service, now);
         p.level = Math.min(most, p.level + most * (now - p.at) / WINDOW);
         p.at = now;
--- a/data/src/main/java/rv/data/Answer.java
+++ b/data/src/main/java/rv/data/Answer.java
@@ -4,8 +4,12 @@
 import java.util.Map;
 import rv.control.Json;
 
-/** {@code fate}: done, refused (cannot run any more) or unknown. */
-public record Answer(int status, String fate, Map<String, String> heads, byte[] body) {
+/** {@code fate}: done, refused (cannot run any more) or unknown; {@code retryMs}: when to come back, 0 where nothing is said. */
+public record Answer(int status, String fate, Map<String, String> heads, byte[] body, long retryMs) {
+    public Answer(final int status, final String fate, final Map<String, String> heads, final byte[] body) {
+        this(status, fate, heads, body, 0);
+    }
+
     public static final String DONE = "done";
     public static final String REFUSED = "refused";
     public static final String UNKNOWN = "unknown";
@@ -24,6 +28,6 @@
             : Map.of("Content-Type", "application/json");
         final String text = Json.text(retryMs > 0 ? Map.of("fate", fate, "reason", why, "retryAfterMs", retryMs)
             : Map.of("fate", fate, "reason", why));
-        return new Answer(status, fate, heads, text.getBytes(StandardCharsets.UTF_8));
+        return new Answer(status, fate, heads, text.getBytes(StandardCharsets.UTF_8), retryMs);
     }
 }
--- a/data/src/main/java/rv/data/Ask.java
+++ b/data/src/main/java/rv/data/Ask.java
@@ -1,4 +1,14 @@
 package rv.data;
 
-public record Ask(String method, String path, String key, byte[] body, String type) {
+import java.util.Map;
+
+/**
+ * A caller's request. {@code id}: the caller's own name for this try, empty where it gave none; {@code spanMs}: how much
+ * longer the caller waits, 0 where it did not say; {@code range}: its wish for a part, or null.
+ */
+public record Ask(String method, String host, String path, String key, byte[] body, String type, String id, long spanMs, String range,
+                  Map<String, String> heads) {
+    public Ask(final String method, final String path, final String key, final byte[] body, final String type) {
+        this(method, "", path, key, body, type, "", 0, null, Map.of());
+    }
 }
--- a/data/src/main/java/rv/data/Cache.java
+++ b/data/src/main/java/rv/data/Cache.java
@@ -4,15 +4,19 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import rv.base.Mark;
 
 final class Cache {
     private final long room;
+    private final Predicate<Copy> fit;
     private long size;
     private final LinkedHashMap<String, Copy> map = new LinkedHashMap<>(64, 0.75f, true);
 
-    Cache(final long room) {
+    /** {@code fit}: what a copy must be beside young enough and under the mark that is wanted. */
+    Cache(final long room, final Predicate<Copy> fit) {
         this.room = room;
+        this.fit = fit;
     }
 
     Optional<Copy> get(final String key, final long now, final Mark want) {
@@ -21,7 +25,7 @@
 
     Optional<Copy> late(final String key, final long now, final Mark want) {
         final Copy c = map.get(key);
-        if (c != null && !c.late(now, want)) {
+        if (c != null && !(c.late(now, want) && fit.test(c))) {
             drop(key);
             return Optional.empty();
         }
@@ -39,6 +43,10 @@
         }
     }
 
+    long size() {
+        return size;
+    }
+
     private void drop(final String key) {
         final Copy old = map.remove(key);
         if (old != null) {
--- a/data/src/main/java/rv/data/Copy.java
+++ b/data/src/main/java/rv/data/Copy.java
@@ -3,9 +3,13 @@
 import java.util.Map;
 import rv.base.Mark;
 
-/** {@code born}: when, on this clock, the fill that brought it was sent. */
-record Copy(int status, Map<String, String> heads, byte[] body, long born, long life, Mark mark) {
+/**
+ * {@code born}: when, on this clock, the fill that brought it was sent; {@code tags}: the versions of its tags' purges at
+ * that moment; {@code service}: which one it came from.
+ */
+record Copy(int status, Map<String, String> heads, byte[] body, long born, long life, Mark mark, Map<String, Long> tags, String service) {
     static final long GRACE = 1500;
+    private static final String TAG = "t/";
 
     boolean good(final long now, final Mark want) {
         return now - born < life && mark.equals(want);
@@ -15,4 +19,30 @@
     boolean late(final long now, final Mark want) {
         return now - born < life + GRACE && mark.equals(want);
     }
+
+    /** The mark that goes with this copy to other nodes: its own and its tags'. */
+    Mark whole() {
+        if (tags.isEmpty()) {
+            return mark;
+        }
+        final Map<String, Long> all = new java.util.TreeMap<>(mark.vers());
+        tags.forEach((t, v) -> all.put(TAG + t, v));
+        return new Mark(all);
+    }
+
+    static Mark bare(final Mark m) {
+        final Map<String, Long> own = new java.util.TreeMap<>(m.vers());
+        own.keySet().removeIf(k -> k.startsWith(TAG));
+        return own.size() == m.vers().size() ? m : new Mark(own);
+    }
+
+    static Map<String, Long> tags(final Mark m) {
+        final Map<String, Long> own = new java.util.TreeMap<>();
+        m.vers().tailMap(TAG).forEach((k, v) -> {
+            if (k.startsWith(TAG)) {
+                own.put(k.substring(TAG.length()), v);
+            }
+        });
+        return own;
+    }
 }
--- /dev/null
+++ b/data/src/main/java/rv/data/Gossip.java
@@ -0,0 +1,44 @@
+package rv.data;
+
+import java.util.List;
+import java.util.function.Supplier;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.control.Origin;
+
+/** Tells the other shields how many requests this one has at each origin: soon where slots are few, else now and then. */
+final class Gossip {
+    static final long EACH = 500;
+    private static final long SOON = 4;
+    private static final int FEW = 16;
+    private final Loop loop;
+    private final Net net;
+    private final Pool pool;
+    private final Supplier<List<NodeId>> peers;
+    private boolean due;
+
+    Gossip(final Loop loop, final Net net, final Pool pool, final Supplier<List<NodeId>> peers) {
+        this.loop = loop;
+        this.net = net;
+        this.pool = pool;
+        this.peers = peers;
+        loop.every(EACH, this::tell);
+    }
+
+    private void tell() {
+        final Msg.Busy mine = new Msg.Busy(pool.mine());
+        peers.get().forEach(n -> net.tell(n, mine));
+    }
+
+    void changed(final Origin at) {
+        if (at.slots() > 0 && at.slots() <= FEW && !due) {
+            due = true;
+            loop.after(SOON, () -> {
+                due = false;
+                tell();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/data/src/main/java/rv/data/Inbox.java
@@ -0,0 +1,87 @@
+package rv.data;
+
+import java.util.function.Consumer;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.control.Authority;
+import rv.control.Sync;
+
+/** Brings each message to the part of the node that it is for. */
+final class Inbox {
+    private final Node node;
+    private final Sync.Desk desk;
+    private final Authority authority;
+    private final Sender sender;
+    private final Shield shield;
+    private final Consumer<Msg.Chosen> learn;
+
+    Inbox(final Node node, final Sync.Desk desk, final Authority authority, final Sender sender, final Shield shield,
+          final Consumer<Msg.Chosen> learn) {
+        this.node = node;
+        this.desk = desk;
+        this.authority = authority;
+        this.sender = sender;
+        this.shield = shield;
+        this.learn = learn;
+    }
+
+    void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
+        if (node.elector() != null && votes(msg, back)) {
+            return;
+        }
+        other(from, msg, back);
+    }
+
+    private boolean votes(final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.Prepare m) {
+            node.elector().prepare(m, back);
+        } else if (msg instanceof Msg.Accept m) {
+            node.elector().accept(m, back);
+        } else if (msg instanceof Msg.Reread m) {
+            node.elector().reread(m, back);
+        } else if (msg instanceof Msg.Query m) {
+            desk.query(m, back);
+        } else if (msg instanceof Msg.Vers m) {
+            desk.vers(m, back);
+        } else if (msg instanceof Msg.KeepRead m && node.elector().full()) {
+            node.keeper().read(m, back);
+        } else if (msg instanceof Msg.KeepWrite m && node.elector().full()) {
+            node.keeper().write(m, back);
+        } else if (msg instanceof Msg.KeepAll m && node.elector().full()) {
+            node.keeper().all(m, back);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void other(final NodeId from, final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.Learn m) {
+            m.list().forEach(learn);
+            back.accept(new Msg.Ok());
+        } else if (msg instanceof Msg.Beat m) {
+            node.roster().beat(m, back);
+        } else if (msg instanceof Msg.Hello m && authority != null) {
+            authority.hello(from, m, back);
+        } else if (msg instanceof Msg.Renew m && authority != null) {
+            authority.renew(from, m, back);
+        } else if (msg instanceof Msg.Place m && node.holder() != null) {
+            node.holder().place(from, m, back);
+        } else if (msg instanceof Msg.Revoke m && node.holder() != null) {
+            node.holder().revoke(from, m, back);
+        } else if (msg instanceof Msg.FenceAck m && node.holder() != null) {
+            node.holder().ack(m, back);
+        } else if (msg instanceof Msg.Fill m && shield != null) {
+            shield.take(m, back);
+        } else if (msg instanceof Msg.Busy m && sender != null) {
+            sender.told(from, m);
+            back.accept(new Msg.Ok());
+        } else if (msg instanceof Msg.Seats) {
+            back.accept(new Msg.Seated(node.setup().seats()));
+        } else if (msg instanceof Msg.Report m) {
+            back.accept(new Msg.Reported(new Tell(node).say(m.what())));
+        } else {
+            back.accept(new Msg.Nay("not done here: " + msg.getClass().getSimpleName()));
+        }
+    }
+}
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -1,8 +1,10 @@
 package rv.data;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.function.LongSupplier;
 import rv.base.Code;
 import rv.base.Condition;
@@ -24,6 +26,8 @@
 import rv.control.Held;
 import rv.control.Holder;
 import rv.control.Keeper;
+import rv.control.Orders;
+import rv.control.Registry;
 import rv.control.Roster;
 import rv.control.Settler;
 import rv.control.Stores;
@@ -37,7 +41,6 @@
 public final class Node {
     private static final long QUIET = 1500;
     private static final long LINGER = 100;
-    private static final long NOTICE = 1000;
     private static final long HANDOVER = 2500;
     private final Setup setup;
     private final Loop loop;
@@ -55,6 +58,9 @@
     private final Keeper keeper;
     private final Settler settler;
     private final Sync.Desk desk;
+    private final Inbox inbox;
+    private final Orders orders;
+    private final Registry registry;
     private final Tenure tenure;
     private final Authority authority;
     private final Holder holder;
@@ -86,22 +92,65 @@
         roster = new Roster(this::self, setup.seeds(), loop, s.net(), setup.timing(), journal, s.book(), drift, () -> held.all().size(), stores);
         sync = new Sync(setup.quorum(), loop, s.net(), held, setup.timing(), journal, this::learn);
         writer = new Writer(self, boot, setup.quorum(), loop, s.net(), s.dice(), journal, held, roster::ids, stores);
-        clerk = new Clerk(loop, held, sync, writer, journal, () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong()));
-        elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), disk, journal, boot, () -> !roster.told()) : null;
+        final Supplier<String> tags = () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
+        clerk = new Clerk(loop, held, sync, writer, journal, tags);
+        orders = new Orders(held, sync, writer, tags);
+        registry = new Registry(held, sync, writer, journal, tags);
+        elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), disk, journal, boot, () -> setup.first() && !roster.told()) : null;
         keeper = elector == null ? null : new Keeper(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
         settler = elector == null ? null : new Settler(elector, held, writer, loop, s.dice());
         desk = elector == null ? null : new Sync.Desk(elector, held);
-        final boolean store = setup.is(Role.STORE);
+        final boolean store = setup.arbitrates();
         authority = store ? new Authority(loop, s.net(), writer, roster, setup.timing(), journal, setup.shards(), roster::sound) : null;
         tenure = store ? new Tenure(self, boot, loop, writer, held, setup.timing(), journal,
             () -> sync.fresh() && !drift.beyond(), authority::won, () -> elector == null ? 0 : elector.lives()) : null;
         final boolean fills = setup.is(Role.SHIELD);
         holder = fills ? new Holder(loop, s.net(), held, setup.timing(), journal, () -> !drift.beyond(), this::wishes, this::stop) : null;
-        sender = fills ? new Sender(self, boot, loop, s.port(), view, holder, sync::fresh, journal) : null;
+        sender = fills ? new Sender(setup, loop, s.net(), s.port(), view, holder, new Sender.Ties(sync::fresh, this::alone, this::peers), journal) : null;
         shield = fills ? new Shield(loop, view, holder, sender, new Once(setup.quorum(), loop, s.net(), holder, journal, stores, self + "#" + boot),
             sync::fresh, sync::round, setup.shards(), setup.cacheBytes()) : null;
         edge = setup.is(Role.EDGE) ? new Edge(loop, s.net(), view, sync::fresh, setup.shards(), journal, setup.cacheBytes(),
-            n -> roster.silence(n) <= QUIET) : null;
+            new Way() {
+                @Override
+                public List<NodeId> near() {
+                    return Node.this.near();
+                }
+
+                @Override
+                public boolean heard(final NodeId id) {
+                    return roster.silence(id) <= QUIET;
+                }
+
+                @Override
+                public long silent(final NodeId id) {
+                    return roster.silence(id);
+                }
+
+                @Override
+                public boolean alone() {
+                    return Node.this.alone();
+                }
+            }) : null;
+        inbox = new Inbox(this, desk, authority, sender, shield, this::learn);
+    }
+
+    /** Too few electors are heard from to learn anything new. */
+    private boolean alone() {
+        return setup.quorum().electors().stream().filter(e -> e.equals(setup.self().id()) || roster.silence(e) <= QUIET).count() < setup.quorum().need();
+    }
+
+    private List<NodeId> peers() {
+        return roster.live(Role.SHIELD).stream().map(Member::id).filter(n -> !n.equals(setup.self().id())).toList();
+    }
+
+    /** Shields that are heard of: of the same zone first, then of the same region. */
+    private List<NodeId> near() {
+        final String cell = setup.self().cell();
+        final String region = cell.substring(0, cell.lastIndexOf('/') + 1);
+        final int turn = setup.self().id().hashCode();
+        return roster.live(Role.SHIELD).stream().filter(m -> m.condition() != Condition.LEAVING && roster.silence(m.id()) <= QUIET)
+            .sorted(Comparator.comparingInt((Member m) -> m.cell().equals(cell) ? 0 : m.cell().startsWith(region) ? 1 : 2)
+                .thenComparingInt(m -> (m.id().hashCode() ^ turn) & 0xffff)).map(Member::id).toList();
     }
 
     private List<Msg.Wish> wishes() {
@@ -200,58 +249,7 @@
     }
 
     public void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
-        if (elector != null && votes(msg, back)) {
-            return;
-        }
-        other(from, msg, back);
-    }
-
-    private boolean votes(final Msg msg, final Consumer<Msg> back) {
-        if (msg instanceof Msg.Prepare m) {
-            elector.prepare(m, back);
-        } else if (msg instanceof Msg.Accept m) {
-            elector.accept(m, back);
-        } else if (msg instanceof Msg.Reread m) {
-            elector.reread(m, back);
-        } else if (msg instanceof Msg.Query m) {
-            desk.query(m, back);
-        } else if (msg instanceof Msg.Vers m) {
-            desk.vers(m, back);
-        } else if (msg instanceof Msg.KeepRead m && elector.full()) {
-            keeper.read(m, back);
-        } else if (msg instanceof Msg.KeepWrite m && elector.full()) {
-            keeper.write(m, back);
-        } else if (msg instanceof Msg.KeepAll m && elector.full()) {
-            keeper.all(m, back);
-        } else {
-            return false;
-        }
-        return true;
-    }
-
-    private void other(final NodeId from, final Msg msg, final Consumer<Msg> back) {
-        if (msg instanceof Msg.Learn m) {
-            m.list().forEach(this::learn);
-            back.accept(new Msg.Ok());
-        } else if (msg instanceof Msg.Beat m) {
-            roster.beat(m, back);
-        } else if (msg instanceof Msg.Hello m && authority != null) {
-            authority.hello(from, m, back);
-        } else if (msg instanceof Msg.Renew m && authority != null) {
-            authority.renew(from, m, back);
-        } else if (msg instanceof Msg.Place m && holder != null) {
-            holder.place(from, m, back);
-        } else if (msg instanceof Msg.Revoke m && holder != null) {
-            holder.revoke(from, m, back);
-        } else if (msg instanceof Msg.FenceAck m && holder != null) {
-            holder.ack(m, back);
-        } else if (msg instanceof Msg.Fill m && shield != null) {
-            shield.take(m, back);
-        } else if (msg instanceof Msg.Report m) {
-            back.accept(new Msg.Reported(new Tell(this).say(m.what())));
-        } else {
-            back.accept(new Msg.Nay("not done here: " + msg.getClass().getSimpleName()));
-        }
+        inbox.take(from, msg, back);
     }
 
     /** Orderly: no new callers, shards handed over while the fence is confirmed, tenure given back. */
@@ -260,7 +258,7 @@
         bare = loop.now();
         journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
         final long cutoff = loop.now() + most;
-        final Runnable rest = edge == null ? () -> drain(cutoff, then) : () -> loop.after(Math.min(NOTICE, most), () -> {
+        final Runnable rest = edge == null ? () -> drain(cutoff, then) : () -> loop.after(Math.min(setup.noticeMs(), most), () -> {
             edge.shut();
             drain(cutoff, then);
         });
@@ -300,6 +298,14 @@
         return setup;
     }
 
+    public Orders orders() {
+        return orders;
+    }
+
+    public Registry registry() {
+        return registry;
+    }
+
     public Clerk clerk() {
         return clerk;
     }
--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -1,7 +1,6 @@
 package rv.data;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,12 +9,14 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import rv.base.Code;
 import rv.base.Event;
 import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Loop;
 import rv.base.Msg;
+import rv.base.Net;
 import rv.base.NodeId;
 import rv.control.Holder;
 import rv.control.Origin;
@@ -25,20 +26,24 @@
 /** Every request to an origin leaves a shield through here; the right to send is checked at the last moment. */
 public final class Sender {
     private static final int ROOM = 256;
-    private static final long SOUR = 2000;
-    private final NodeId self;
-    private final String boot;
+    private static final int REACH = 6;
+    /** The part of a ceiling that is for what passes no holder. */
+    private static final double LOOSE = 0.1;
+    private final Setup setup;
     private final Loop loop;
     private final Port port;
     private final View view;
     private final Holder holder;
     private final BooleanSupplier fresh;
+    private final BooleanSupplier alone;
+    private final Supplier<List<NodeId>> peers;
     private final Journal journal;
     private final Pacer pacer = new Pacer();
-    private final Allow allow = new Allow();
-    private final Map<Integer, Set<Job>> live = new HashMap<>();
-    private final Map<String, Integer> load = new HashMap<>();
-    private final Map<ItemId, Long> sours = new HashMap<>();
+    private final Allow allow;
+    private final Pool pool;
+    private final Gossip gossip;
+    private final Line line = new Line();
+    private final Map<Integer, Set<Job.Leg>> live = new HashMap<>();
     private final Map<String, Map<Integer, Integer>> wishes = new HashMap<>();
     private long serial;
     private int waiting;
@@ -47,28 +52,40 @@
     public record Sent(Port.Got got, boolean ran, long at, long retryMs) {
     }
 
-    public Sender(final NodeId self, final String boot, final Loop loop, final Port port, final View view, final Holder holder,
-                  final BooleanSupplier fresh, final Journal journal) {
-        this.self = self;
-        this.boot = boot;
+    /** {@code alone}: no majority can be heard from; {@code peers}: the other shields. */
+    public record Ties(BooleanSupplier fresh, BooleanSupplier alone, Supplier<List<NodeId>> peers) {
+    }
+
+    public Sender(final Setup setup, final Loop loop, final Net net, final Port port, final View view, final Holder holder,
+                  final Ties ties, final Journal journal) {
+        this.setup = setup;
         this.loop = loop;
         this.port = port;
         this.view = view;
         this.holder = holder;
-        this.fresh = fresh;
+        this.fresh = ties.fresh();
+        this.alone = ties.alone();
+        this.peers = ties.peers();
         this.journal = journal;
+        this.allow = new Allow(setup.share(), setup.slack());
+        this.pool = new Pool(setup.self().cell());
+        this.gossip = new Gossip(loop, net, pool, ties.peers());
+        loop.every(Gossip.EACH, () -> view.serviceNames().forEach(this::drain));
     }
 
-    public void send(final int shard, final Port.Send what, final boolean once, final long cutoff, final Consumer<Sent> then) {
-        new Job(shard, what, once, cutoff, then).step();
+    public void send(final Order order, final Consumer<Sent> then) {
+        new Job(order, then).step();
     }
 
     private boolean right(final int shard, final String service) {
+        if (shard == Order.NONE) {
+            return (fresh.getAsBoolean() || alone.getAsBoolean()) && view.allows(service);
+        }
         return holder.may(shard) && fresh.getAsBoolean() && view.allows(service);
     }
 
     public int busy() {
-        return waiting + live.values().stream().mapToInt(Set::size).sum();
+        return waiting + line.size() + live.values().stream().mapToInt(Set::size).sum();
     }
 
     /** For the holder's fence: in-flight sends get the grace, then their circuits are closed. */
@@ -78,33 +95,41 @@
             return;
         }
         loop.after(grace, () -> {
-            new ArrayList<>(live.getOrDefault(shard, Set.of())).forEach(Job::cut);
+            new ArrayList<>(live.getOrDefault(shard, Set.of())).forEach(Job.Leg::cut);
             done.accept(live.getOrDefault(shard, Set.of()).isEmpty());
         });
     }
 
-    /** An origin that has just failed is asked last for a while; it is tried again by itself. */
-    private boolean sour(final ItemId id) {
-        return sours.getOrDefault(id, Long.MIN_VALUE) > loop.now();
+    /** Another shield's requests at origins. */
+    public void told(final NodeId from, final Msg.Busy b) {
+        pool.told(from, b.counts(), loop.now());
+        view.serviceNames().forEach(this::drain);
+    }
+
+    private void drain(final String service) {
+        while (line.any(service) && roomy(service)) {
+            line.next(service).go().run();
+        }
+    }
+
+    private boolean roomy(final String service) {
+        return view.live(service, loop.now()).entrySet().stream().anyMatch(e -> pool.room(e.getKey(), e.getValue(), loop.now())
+            && !pool.sour(e.getKey(), loop.now()));
     }
 
     private final class Job {
-        private final int shard;
-        private final Port.Send what;
-        private final boolean once;
-        private final long cutoff;
+        private final Order order;
         private final Consumer<Sent> then;
         private final Set<ItemId> tried = new HashSet<>();
-        private Port.Rope rope;
-        private ItemId at;
+        private Line.Place place;
         private boolean done;
+        private boolean ranAny;
         private int tries;
+        private int reached;
+        private int legs;
 
-        Job(final int shard, final Port.Send what, final boolean once, final long cutoff, final Consumer<Sent> then) {
-            this.shard = shard;
-            this.what = what;
-            this.once = once;
-            this.cutoff = cutoff;
+        Job(final Order order, final Consumer<Sent> then) {
+            this.order = order;
             this.then = then;
         }
 
@@ -116,43 +141,80 @@
         }
 
         private void none(final String why, final long retry) {
-            end(Port.Got.none(Port.End.NOT_SENT, why), false, loop.now(), retry);
+            if (legs == 0) {
+                end(Port.Got.none(ranAny ? Port.End.LOST : Port.End.NOT_SENT, why), ranAny, loop.now(), retry);
+            }
         }
 
         void step() {
-            final Map<ItemId, Origin> all = new HashMap<>(view.live(what.service(), loop.now()));
-            all.keySet().removeAll(tried);
-            if (all.isEmpty()) {
-                none("no origin of the service is known or left to try", 1000);
+            if (done) {
                 return;
             }
-            final List<ItemId> ids = new ArrayList<>(all.keySet());
-            sours.values().removeIf(t -> t <= loop.now());
-            ids.sort(Comparator.comparing((ItemId i) -> sour(i)).thenComparingDouble(i -> weight(i, all.get(i)))
-                .thenComparing(Comparator.naturalOrder()));
-            final Service s = view.service(what.service());
+            final long now = loop.now();
+            final Map<ItemId, Origin> all = new HashMap<>(view.live(order.service(), now));
+            all.keySet().removeAll(tried);
+            final Service s = view.service(order.service());
             if (s == null) {
                 none("the service is no longer configured", 0);
+            } else if (all.isEmpty()) {
+                none("no origin of the service is known or left to try", 1000);
+            } else if (order.extra() && tries == 0 && place == null && !allow.extra(order.service(), now, senders())) {
+                none("no extra try is left", 1000);
+            } else {
+                offer(s, all, now);
+            }
+        }
+
+        private void offer(final Service s, final Map<ItemId, Origin> all, final long now) {
+            final Map<ItemId, Long> ages = new HashMap<>();
+            all.keySet().forEach(id -> ages.put(id, now - view.since(id)));
+            final List<ItemId> ids = pool.order(all, ages, now).stream().filter(id -> pool.room(id, all.get(id), now)).toList();
+            if (ids.isEmpty()) {
+                queue(all, now);
                 return;
             }
-            if (s.rate() > 0) {
-                wishes.computeIfAbsent(what.service(), k -> new HashMap<>()).merge(shard, 1, Integer::sum);
+            if (s.rate() > 0 || s.ceiling() > 0) {
+                wishes.computeIfAbsent(order.service(), k -> new HashMap<>()).merge(order.shard(), 1, Integer::sum);
             }
             long best = Long.MAX_VALUE;
             for (final ItemId id : ids) {
-                final OptionalLong rest = s.rate() <= 0 ? OptionalLong.of(0)
-                    : pacer.take(id.name(), s.rate(), share(what.service()), 1, loop.now(), Math.min(800, cutoff - loop.now()));
+                final OptionalLong rest = pace(s, id, now);
                 if (rest.isPresent() && waiting < ROOM) {
                     hold(id, rest.getAsLong());
                     return;
                 }
-                best = Math.min(best, pacer.wait(id.name(), loop.now()));
+                best = Math.min(best, pacer.wait(id.name(), now));
             }
             none("the rate of the service is spent", Math.max(1000, best));
         }
 
-        private double weight(final ItemId id, final Origin o) {
-            return load.getOrDefault(id.name(), 0) + o.load();
+        private OptionalLong pace(final Service s, final ItemId id, final long now) {
+            final long most = Math.min(800, order.cutoff() - now);
+            if (s.ceiling() > 0) {
+                final boolean loose = order.shard() == Order.NONE;
+                return pacer.take(order.service() + (loose ? "/pass" : "/fill"), s.ceiling(),
+                    loose ? LOOSE / senders() : (1 - LOOSE) * share(order.service()), 1, now, most);
+            }
+            return s.rate() <= 0 ? OptionalLong.of(0) : pacer.take(id.name(), s.rate(), share(order.service()), 1, now, most);
+        }
+
+        /** No origin has a free slot: waits its turn, or is refused at once where the turn would come too late. */
+        private void queue(final Map<ItemId, Origin> all, final long now) {
+            final double mean = pool.mean(all, now);
+            final int slots = all.values().stream().mapToInt(Origin::slots).sum();
+            final double est = (line.ahead(order.service(), order.rank()) + 1) * mean * senders() / Math.max(1, slots);
+            final long most = order.cutoff() - now - (long) mean;
+            if (est > most || line.full(order.service())) {
+                none("every origin is busy", (long) Math.max(250, Math.min(1000, est)));
+                return;
+            }
+            place = line.add(order.service(), order.rank(), this::step);
+            final Line.Place mine = place;
+            loop.after(most, () -> {
+                if (line.drop(order.service(), mine)) {
+                    none("every origin is busy", 250);
+                }
+            });
         }
 
         private void hold(final ItemId id, final long rest) {
@@ -168,96 +230,146 @@
         }
 
         private void go(final ItemId id) {
-            final Origin to = view.live(what.service(), loop.now()).get(id);
-            if (loop.now() >= cutoff) {
+            final Origin to = view.live(order.service(), loop.now()).get(id);
+            if (loop.now() >= order.cutoff()) {
                 none("too late to send", 1000);
-                return;
-            }
-            if (!right(shard, what.service())) {
+            } else if (!right(order.shard(), order.service())) {
                 none("no held right to send", 1000);
-                return;
-            }
-            if (to == null) {
+            } else if (to == null) {
                 tried.add(id);
                 step();
-                return;
-            }
-            at = id;
-            tried.add(id);
-            load.merge(id.name(), 1, Integer::sum);
-            live.computeIfAbsent(shard, k -> new HashSet<>()).add(this);
-            final long sent = loop.now();
-            final Port.Send out = new Port.Send(what.service(), what.method(), what.path(), self.text() + "-" + boot + "-" + ++serial,
-                what.key(), what.body(), what.type(), cutoff - sent);
-            journal.add(Event.of(Code.ORIGIN_SEND, "shard", shard, "token", holder.token(shard).toString(), "service",
-                what.service(), "origin", id.name(), "request", out.id(), "extra", tries > 0, "key", what.key() == null ? "" : what.key()));
-            if (tries++ == 0) {
-                allow.first(what.service(), sent);
+            } else {
+                tried.add(id);
+                new Leg(id, to).send();
             }
-            rope = port.send(to, out, () -> right(shard, what.service()) && to.site(view.live(what.service(), loop.now()).get(id))
-                && loop.now() < cutoff, got -> back(to, out, sent, got));
         }
 
-        private void back(final Origin to, final Port.Send out, final long sent, final Port.Got raw) {
-            if (!leave()) {
-                return;
+        /** One origin that this request is sent to. */
+        private final class Leg {
+            private final ItemId id;
+            private final Origin to;
+            private final long at = loop.now();
+            private Port.Rope rope;
+            private Port.Send out;
+
+            Leg(final ItemId id, final Origin to) {
+                this.id = id;
+                this.to = to;
             }
-            Port.Got got = raw;
-            if (got.end() == Port.End.WHOLE) {
-                final String fault = Proof.fault(to, out, got.heads(), got.body());
-                if (!fault.isEmpty()) {
-                    got = Port.Got.none(Port.End.BAD, fault);
+
+            void send() {
+                final Port.Send what = order.what();
+                final int shard = order.shard();
+                final long cutoff = order.cutoff();
+                legs++;
+                pool.begin(id, at);
+                gossip.changed(to);
+                live.computeIfAbsent(shard, k -> new HashSet<>()).add(this);
+                out = new Port.Send(what.service(), what.method(), what.path(), what.id().isEmpty()
+                    ? setup.self().id().text() + "-" + setup.self().boot() + "-" + ++serial : what.id(),
+                    what.key(), what.body(), what.type(), cutoff - at, what.heads());
+                journal.add(Event.of(Code.ORIGIN_SEND, "shard", shard, "token", shard == Order.NONE ? "none" : holder.token(shard).toString(), "service",
+                    what.service(), "origin", id.name(), "request", out.id(), "extra", tries > 0, "key", what.key() == null ? "" : what.key()));
+                if (tries++ == 0 && !order.extra()) {
+                    allow.first(what.service(), at);
                 }
+                rope = port.send(to, out, () -> right(shard, what.service()) && to.site(view.live(what.service(), loop.now()).get(id))
+                    && loop.now() < cutoff, this::back);
+                loop.after((long) Math.max(order.once() ? 1000 : 200, (order.once() ? 6 : 4) * pool.mean(Map.of(id, to), at)), this::slow);
             }
-            if (got.end() == Port.End.BAD || got.end() == Port.End.STRANGE) {
-                journal.add(Event.of(got.end() == Port.End.BAD ? Code.ORIGIN_BAD : Code.ORIGIN_STRANGE, "origin", at.name(),
-                    "request", out.id(), "why", got.why()));
+
+            /** Not answered for long: what may run more than once is tried elsewhere too, and the first answer counts. */
+            private void slow() {
+                if (!done && live.getOrDefault(order.shard(), Set.of()).contains(this)) {
+                    pool.fail(id, loop.now());
+                    if (!order.once() && tries < order.tries() && loop.now() < order.cutoff() && allow.extra(order.service(), loop.now(), senders())) {
+                        step();
+                    }
+                }
             }
-            if (got.end() == Port.End.BARRED) {
-                again(got);
-                return;
+
+            private void back(final Port.Got raw) {
+                if (!leave(raw.end() == Port.End.WHOLE || raw.end() == Port.End.TURNED, raw.load())) {
+                    return;
+                }
+                Port.Got got = raw;
+                if (got.end() == Port.End.WHOLE) {
+                    final String fault = port.fault(to, out, got);
+                    if (!fault.isEmpty()) {
+                        got = Port.Got.none(Port.End.BAD, fault);
+                    }
+                }
+                if (got.end() == Port.End.BAD || got.end() == Port.End.STRANGE) {
+                    journal.add(Event.of(got.end() == Port.End.BAD ? Code.ORIGIN_BAD : Code.ORIGIN_STRANGE, "origin", id.name(),
+                        "request", out.id(), "why", got.why()));
+                }
+                if (!done) {
+                    weigh(got);
+                }
+                drain(order.service());
             }
-            final boolean ran = got.end() == Port.End.LOST || got.end() == Port.End.BAD;
-            if (got.end() == Port.End.WHOLE) {
-                sours.remove(at);
-            } else {
-                sours.put(at, loop.now() + SOUR);
+
+            private void weigh(final Port.Got got) {
+                if (got.end() == Port.End.BARRED) {
+                    again(got);
+                    return;
+                }
+                final boolean once = order.once();
+                final boolean ran = got.end() == Port.End.LOST || got.end() == Port.End.BAD;
+                ranAny |= ran;
+                if (got.end() != Port.End.WHOLE && got.end() != Port.End.TURNED) {
+                    pool.fail(id, loop.now());
+                }
+                if (got.end() == Port.End.WHOLE || ran && once) {
+                    end(got, true, at, 0);
+                } else if (more(got.end() == Port.End.NOT_SENT)) {
+                    step();
+                } else if (legs == 0) {
+                    end(got, ranAny, at, got.end() == Port.End.TURNED ? 250 : 1000);
+                }
             }
-            if (got.end() == Port.End.WHOLE || ran && once) {
-                end(got, true, sent, 0);
-            } else if (tries < 3 && loop.now() < cutoff && allow.extra(what.service(), loop.now(), senders())) {
-                step();
-            } else {
-                end(got, ran, sent, 1000);
+
+            /** An origin that could not be reached got no request: the next one is no extra try. */
+            private boolean more(final boolean unreached) {
+                if (loop.now() >= order.cutoff()) {
+                    return false;
+                }
+                if (unreached) {
+                    tries--;
+                    return ++reached < REACH;
+                }
+                return tries < order.tries() && allow.extra(order.service(), loop.now(), senders());
             }
-        }
 
-        /** Nothing left: another origin may be asked at once if only this one may not. */
-        private void again(final Port.Got got) {
-            if (right(shard, what.service()) && loop.now() < cutoff) {
-                step();
-            } else {
-                none(got.why(), 1000);
+            /** Nothing left: another origin may be asked at once if only this one may not. */
+            private void again(final Port.Got got) {
+                if (right(order.shard(), order.service()) && loop.now() < order.cutoff()) {
+                    step();
+                } else {
+                    none(got.why(), 1000);
+                }
             }
-        }
 
-        private boolean leave() {
-            final boolean was = live.getOrDefault(shard, Set.of()).remove(this);
-            if (was) {
-                load.merge(at.name(), -1, Integer::sum);
+            private boolean leave(final boolean good, final Port.Load load) {
+                final boolean was = live.getOrDefault(order.shard(), Set.of()).remove(this);
+                if (was) {
+                    legs--;
+                    pool.end(id, at, loop.now(), good, load);
+                    gossip.changed(to);
+                }
+                return was;
             }
-            return was;
-        }
 
-        void cut() {
-            if (leave()) {
-                rope.cut();
-                end(Port.Got.none(Port.End.LOST, "right to send ended"), true, loop.now(), 1000);
+            void cut() {
+                if (leave(false, Port.Load.NONE)) {
+                    rope.cut();
+                    end(Port.Got.none(Port.End.LOST, "right to send ended"), true, loop.now(), 1000);
+                }
             }
         }
     }
 
-    /** This holder's part of a store's rate: the weights of the shards it may fill. */
+    /** This holder's part of a service's rate: the weights of the shards it may fill. */
     private double share(final String service) {
         int sum = 0;
         for (final int s : holder.leases().keySet()) {
@@ -271,12 +383,16 @@
     /** What was wanted since this was last asked. */
     public List<Msg.Wish> wishes() {
         final List<Msg.Wish> list = new ArrayList<>();
-        wishes.forEach((service, by) -> by.forEach((shard, n) -> list.add(new Msg.Wish(service, shard, n))));
+        wishes.forEach((service, by) -> by.forEach((shard, n) -> {
+            if (shard != Order.NONE) {
+                list.add(new Msg.Wish(service, shard, n));
+            }
+        }));
         wishes.clear();
         return list;
     }
 
     private int senders() {
-        return (int) view.plan().parts().stream().map(rv.control.Plan.Part::owner).distinct().count();
+        return Math.max(1, Math.max(peers.get().size() + 1, (int) view.plan().parts().stream().map(rv.control.Plan.Part::owner).distinct().count()));
     }
 }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -9,12 +9,18 @@
 import rv.control.Quorum;
 
 /** What a process is told about its place. */
-public record Setup(Member self, List<NodeId> seeds, Quorum quorum, Timing timing, int shards, long cacheBytes) {
+public record Setup(Member self, List<NodeId> seeds, Quorum quorum, Timing timing, int shards, long cacheBytes, boolean first,
+                    double share, double slack, List<String> seats, long noticeMs) {
 
     public boolean elector() {
         return quorum.has(self.id());
     }
 
+    /** Stores arbitrate; where no elector is named a store, every elector has a disk and does. */
+    public boolean arbitrates() {
+        return is(Role.STORE) || quorum.stores().isEmpty() && elector();
+    }
+
     public boolean is(final Role role) {
         return self.role() == role;
     }
@@ -30,6 +36,11 @@
         private Timing timing = Timing.DEFAULT;
         private int shards = 32;
         private long cacheBytes = 16L << 20;
+        private boolean first = true;
+        private double share = 0.2;
+        private double slack = 60;
+        private List<String> seats = List.of();
+        private long notice = 1000;
 
         private Builder(final Member self) {
             this.self = self;
@@ -60,8 +71,33 @@
             return this;
         }
 
+        /** False where the network is known to have been founded before: an elector without memory then founds nothing. */
+        public Builder first(final boolean f) {
+            first = f;
+            return this;
+        }
+
+        /** The electors with their addresses, {@code ID@IP:PORT}, for nodes that do not know them yet. */
+        public Builder seats(final List<String> list) {
+            seats = List.copyOf(list);
+            return this;
+        }
+
+        /** How long a leaving edge still takes requests, so that those who send them can turn elsewhere. */
+        public Builder notice(final long ms) {
+            notice = ms;
+            return this;
+        }
+
+        /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
+        public Builder extra(final double part, final double beside) {
+            share = part;
+            slack = beside;
+            return this;
+        }
+
         public Setup build() {
-            return new Setup(self, seeds, quorum, timing, shards, cacheBytes);
+            return new Setup(self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice);
         }
     }
 }
--- a/data/src/main/java/rv/data/Tell.java
+++ b/data/src/main/java/rv/data/Tell.java
@@ -70,7 +70,7 @@
                 o.leaving() ? "leaving" : age < o.ttlMs() ? "live" : "stale"));
         });
         map.put("origins", origins);
-        if (node.setup().is(Role.STORE)) {
+        if (node.tenure() != null) {
             map.put("acting", node.tenure().acting());
         }
         if (node.elector() != null) {
--- /dev/null
+++ b/data/src/main/java/rv/data/Way.java
@@ -0,0 +1,57 @@
+package rv.data;
+
+import java.util.List;
+import java.util.function.Predicate;
+import rv.base.NodeId;
+import rv.control.Match;
+import rv.control.Plan;
+import rv.control.View;
+
+/** Where an edge can send what it does not answer itself. */
+public interface Way {
+    /** Shields that are heard of, the nearest first. */
+    List<NodeId> near();
+
+    boolean heard(NodeId id);
+
+    /** For how long nothing has been heard of it, in ms. */
+    long silent(NodeId id);
+
+    /** No majority of electors can be heard from here: nothing newer can be known, so what needs no right goes on. */
+    boolean alone();
+
+    static Way of(final Predicate<NodeId> heard) {
+        return new Way() {
+            @Override
+            public List<NodeId> near() {
+                return List.of();
+            }
+
+            @Override
+            public boolean heard(final NodeId id) {
+                return heard.test(id);
+            }
+
+            @Override
+            public long silent(final NodeId id) {
+                return 0;
+            }
+
+            @Override
+            public boolean alone() {
+                return false;
+            }
+        };
+    }
+
+    /** An object's or operation's name; the same on every node. */
+    static String slot(final View.Row row, final String path, final String key) {
+        return row.match().slot(row.name(), row.match().is(Match.ONCE) && key != null ? "#" + key : path);
+    }
+
+    static int shard(final View.Row row, final String path, final String key, final int shards) {
+        final Match m = row.match();
+        return m.host().isEmpty() ? Plan.shard(row.name(), m.service(), m.is(Match.ONCE) && key != null ? key : path, shards)
+            : Plan.shard("", "", slot(row, path, key), shards);
+    }
+}
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -25,10 +25,12 @@
 /** A process's place: from a JSON file, from flags, flags first; all faults are found before any is told. */
 public record Options(NodeId id, Role role, String cell, InetSocketAddress wire, InetSocketAddress http, InetSocketAddress door,
                       Path data, Map<NodeId, InetSocketAddress> seeds, Quorum quorum, Map<NodeId, InetSocketAddress> electors,
-                      Map<NodeId, InetSocketAddress> reach, Timing timing, int shards, long cacheBytes, long stopMs, boolean json) {
+                      Map<NodeId, InetSocketAddress> reach, Timing timing, int shards, long cacheBytes, long stopMs, boolean json,
+                      boolean first, double extraRatio, double extraSlack, Map<String, InetSocketAddress> faces, List<String> cells, long noticeMs) {
 
     static final List<String> FLAGS = List.of("id", "cell", "wire", "http", "door", "data", "seeds", "electors", "stores", "reach",
-        "d", "m", "shards", "cache-bytes", "stop-ms", "log");
+        "d", "m", "shards", "cache-bytes", "stop-ms", "log", "seed-port", "first", "losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms", "drain-ms",
+        "grace-s", "faces", "cells", "notice-ms");
 
     public static OptionParser parser() {
         final OptionParser p = new OptionParser();
@@ -51,6 +53,18 @@
         p.accepts("cache-bytes", "room for cached copies").withRequiredArg();
         p.accepts("stop-ms", "how long an orderly stop may take").withRequiredArg();
         p.accepts("log", "text or json").withRequiredArg();
+        p.accepts("seed-port", "wire port of seeds that are given without a name").withRequiredArg();
+        p.accepts("first", "true where the network is started for the first time").withRequiredArg();
+        p.accepts("losses", "electors that may be lost at once").withRequiredArg();
+        p.accepts("extra-ratio", "extra tries for each request to a service").withRequiredArg();
+        p.accepts("extra-slack", "extra tries beside those, in 10 s, over all nodes").withRequiredArg();
+        p.accepts("purge-ms", "when a purge must be in force everywhere").withRequiredArg();
+        p.accepts("apply-ms", "when a configuration must be in force everywhere").withRequiredArg();
+        p.accepts("drain-ms", "when a leaving origin must get nothing more").withRequiredArg();
+        p.accepts("grace-s", "when a stopping process is killed; its stop is over a second and a half earlier").withRequiredArg();
+        p.accepts("cells", "all zones, as REGION/ZONE,...").withRequiredArg();
+        p.accepts("notice-ms", "how long a leaving edge still takes requests").withRequiredArg();
+        p.accepts("faces", "further addresses for an adapter: NAME@IP:PORT,...").withRequiredArg();
         return p;
     }
 
@@ -91,40 +105,51 @@
     }
 
     private static Object flag(final String name, final String text) {
-        if (Set.of("seeds", "electors", "stores", "reach").contains(name)) {
+        if (Set.of("seeds", "electors", "stores", "reach", "faces", "cells").contains(name)) {
             return text.isEmpty() ? List.of() : List.of((Object[]) text.split(","));
         }
-        if (Set.of("d", "m", "shards", "cache-bytes", "stop-ms").contains(name) && text.matches("-?[0-9]{1,15}")) {
+        if (Set.of("d", "m", "shards", "cache-bytes", "stop-ms", "seed-port", "losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms",
+            "drain-ms", "grace-s", "notice-ms").contains(name) && text.matches("-?[0-9]{1,15}([.][0-9]{1,6})?")) {
             return new java.math.BigDecimal(text);
         }
+        if (name.equals("first") && Set.of("true", "false").contains(text)) {
+            return Boolean.valueOf(text);
+        }
         return text;
     }
 
     private static Options check(final Role role, final Map<String, Object> all, final List<Finding> faults) {
         final Shape s = new Shape(all, "", faults);
-        final String id = s.text("id", true, "");
+        final InetSocketAddress wire = site(s, "wire", s.text("wire", true, ""), false);
+        final String id = s.text("id", wire == null, wire == null ? "" : named(wire));
         if (!id.isEmpty() && !id.matches("[a-z0-9][a-z0-9-]{0,40}")) {
             s.fault("id", "small letters, digits and dashes, at most 41");
         }
         final String cell = s.text("cell", false, "cell");
-        final InetSocketAddress wire = site(s, "wire", s.text("wire", true, ""), false);
         final InetSocketAddress http = site(s, "http", s.text("http", true, ""), false);
         final String doorText = s.text("door", role == Role.EDGE, "");
         final InetSocketAddress door = role == Role.EDGE ? site(s, "door", doorText, false) : null;
-        final String data = s.text("data", role == Role.STORE, "");
-        final Map<NodeId, InetSocketAddress> seeds = sites(s, "seeds", list(all, "seeds", s), faults);
-        if (seeds.size() != 3) {
+        final List<String> names = list(all, "stores", s);
+        final boolean disks = names.equals(List.of("none"));
+        final String data = s.text("data", role == Role.STORE || disks && role == Role.SHIELD, "");
+        final int seedPort = (int) s.whole("seed-port", false, 0, 0, 65_535);
+        final Map<NodeId, InetSocketAddress> seeds = sites(s, "seeds", list(all, "seeds", s).stream().map(t -> seed(t, seedPort)).toList(), faults);
+        if (seeds.size() != 3 && !(disks && seeds.size() > 0 && seeds.size() < 3)) {
             s.fault("seeds", "three are wanted, " + seeds.size() + " given");
         }
         final Map<NodeId, InetSocketAddress> named = sites(s, "electors", list(all, "electors", s), faults);
         final Map<NodeId, InetSocketAddress> electors = named.isEmpty() ? seeds : named;
-        if (!electors.isEmpty() && (electors.size() % 2 == 0 || electors.size() > 5 || electors.size() < 3)) {
+        final int losses = (int) s.whole("losses", false, 0, 0, 100);
+        final int most = electors.size() - electors.size() / 2 - 1;
+        if (disks && losses > most) {
+            s.fault("losses", electors.size() + " electors bear the loss of " + most + ", not of " + losses);
+        }
+        if (!disks && !electors.isEmpty() && (electors.size() % 2 == 0 || electors.size() > 5 || electors.size() < 3)) {
             s.fault("electors", "three or five are wanted, " + electors.size() + " given");
         }
-        final List<String> names = list(all, "stores", s);
-        final List<NodeId> stores = names.isEmpty() ? electors.keySet().stream().limit(2).toList()
+        final List<NodeId> stores = disks ? List.of() : names.isEmpty() ? electors.keySet().stream().limit(2).toList()
             : names.stream().filter(n -> n.matches("[a-z0-9][a-z0-9-]{0,40}")).map(NodeId::of).toList();
-        if (!electors.isEmpty() && (stores.size() != 2 || !electors.keySet().containsAll(stores))) {
+        if (!disks && !electors.isEmpty() && (stores.size() != 2 || !electors.keySet().containsAll(stores))) {
             s.fault("stores", "two of the electors must be stores");
         }
         if (role == Role.STORE && !id.isEmpty() && stores.stream().noneMatch(n -> n.text().equals(id))) {
@@ -135,13 +160,24 @@
         final long m = s.whole("m", false, Math.max(1000, d / 10), 1000, 200_000);
         Timing timing = Timing.DEFAULT;
         try {
-            timing = new Timing(d, m);
+            timing = new Timing(d, m, fresh(s));
         } catch (final IllegalArgumentException e) {
             s.fault("m", e.getMessage());
         }
         final int shards = (int) s.whole("shards", false, 32, 1, 4096);
         final long cache = s.whole("cache-bytes", false, 16L << 20, 1 << 16, 1L << 36);
-        final long stop = s.whole("stop-ms", false, 8000, 0, 600_000);
+        final long grace = s.whole("grace-s", false, 0, 0, 600);
+        final long stop = s.whole("stop-ms", false, grace > 0 ? Math.max(500, grace * 1000 - 1500) : 8000, 0, 600_000);
+        final boolean first = s.flag("first", true);
+        final double ratio = s.number("extra-ratio", false, -1, 0, 10).doubleValue();
+        final double slack = s.number("extra-slack", false, -1, 0, 100_000).doubleValue();
+        final List<String> cells = list(all, "cells", s);
+        final long notice = s.whole("notice-ms", false, Math.min(1000, stop), 0, 600_000);
+        if (!cells.isEmpty() && !cells.contains(cell)) {
+            s.fault("cell", cell + " is not among the cells");
+        }
+        final Map<String, InetSocketAddress> faces = new LinkedHashMap<>();
+        list(all, "faces", s).forEach(t -> faces.put(t.substring(0, Math.max(0, t.indexOf('@'))), site(s, "faces", t.substring(t.indexOf('@') + 1), false)));
         final String log = s.text("log", false, "text");
         if (!Set.of("text", "json").contains(log)) {
             s.fault("log", "text or json");
@@ -149,7 +185,38 @@
         s.end();
         return faults.isEmpty() ? new Options(NodeId.of(id), role, cell, wire, http, door, data.isEmpty() ? null : Path.of(data),
             seeds, new Quorum(List.copyOf(electors.keySet()), Set.copyOf(stores)), electors, reach, timing, shards, cache, stop,
-            log.equals("json")) : null;
+            log.equals("json"), first, ratio < 0 ? 0.2 : ratio, slack < 0 ? 60 : slack, faces, cells, notice) : null;
+    }
+
+    /** Three quarters of the shortest of the times within which all healthy nodes must go by something new. */
+    private static long fresh(final Shape s) {
+        final long least = List.of("purge-ms", "apply-ms", "drain-ms").stream().mapToLong(n -> s.whole(n, false, 2000, 400, 600_000)).min().orElse(2000);
+        return Math.min(1500, least * 3 / 4);
+    }
+
+    /** A node without a name of its own is called by its address. */
+    static String named(final InetSocketAddress at) {
+        return "n" + at.getHostString().replace('.', '-');
+    }
+
+    /** A seed without a name, as {@code IP:PORT}. */
+    private static String seed(final String text, final int port) {
+        if (!text.matches("[0-9.]+:[0-9]+")) {
+            return text;
+        }
+        final String host = text.substring(0, text.indexOf(':'));
+        return named(new InetSocketAddress(host, 0)) + "@" + host + ":" + (port > 0 ? port : text.substring(text.indexOf(':') + 1));
+    }
+
+    /** The same place once it is known who votes. */
+    public Options seated(final Map<NodeId, InetSocketAddress> who) {
+        return new Options(id, role, cell, wire, http, door, data, seeds, new Quorum(List.copyOf(who.keySet()), quorum.stores()), who, reach, timing,
+            shards, cacheBytes, stopMs, json, first, extraRatio, extraSlack, faces, cells, noticeMs);
+    }
+
+    /** Whether every elector has a disk, so that the set of them is kept and learned, not stated. */
+    public boolean learns() {
+        return quorum.stores().isEmpty();
     }
 
     private static List<String> list(final Map<String, Object> all, final String name, final Shape s) {
@@ -200,6 +267,11 @@
         return new InetSocketAddress(text.substring(0, cut), port);
     }
 
+    /** The electors as {@code ID@IP:PORT}. */
+    public List<String> seats() {
+        return electors.entrySet().stream().map(e -> e.getKey() + "@" + e.getValue().getHostString() + ":" + e.getValue().getPort()).toList();
+    }
+
     public Map<NodeId, InetSocketAddress> known() {
         final Map<NodeId, InetSocketAddress> map = new TreeMap<>(seeds);
         map.putAll(electors);
--- a/prog/src/main/java/rv/prog/OriginPort.java
+++ b/prog/src/main/java/rv/prog/OriginPort.java
@@ -5,8 +5,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
@@ -25,17 +26,25 @@
 public final class OriginPort implements Port {
     private static final int BODY = 4 << 20;
     private static final long IDLE = 8000;
+    private static final Pattern STAY = Pattern.compile("timeout=([0-9]{1,6})");
     private final Loop loop;
     private final HttpClient http;
+    private final Dialect dialect;
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
 
-    private record Idle(Connection circuit, long at) {
+    /** {@code most}: for how long the origin keeps it, in ms. */
+    private record Idle(Connection circuit, long at, long most) {
     }
 
     public record Who(String service, String stamp) {
     }
 
     public OriginPort(final Loop loop, final HttpClient http) {
+        this(loop, http, new OwnDialect());
+    }
+
+    public OriginPort(final Loop loop, final HttpClient http, final Dialect dialect) {
+        this.dialect = dialect;
         this.loop = loop;
         this.http = http;
     }
@@ -47,6 +56,11 @@
         return trip;
     }
 
+    @Override
+    public String fault(final Origin to, final Send sent, final Got got) {
+        return dialect.fault(to, sent, got);
+    }
+
     private final class Trip implements Rope {
         private final Origin to;
         private final Send what;
@@ -71,21 +85,20 @@
             loop.after(Math.max(50, what.span()), () -> end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"), false));
             final ArrayDeque<Idle> q = idle.computeIfAbsent(site, k -> new ArrayDeque<>());
             for (Idle i = q.pollLast(); i != null; i = q.pollLast()) {
-                if (!i.circuit().isClosed() && loop.now() - i.at() < IDLE) {
+                if (!i.circuit().isClosed() && loop.now() - i.at() < i.most()) {
                     circuit = i.circuit();
                     go();
                     return;
                 }
                 i.circuit().close();
             }
-            final Destination d = http.resolveDestination(ask("GET", "/rv/identity"));
+            final Destination d = http.resolveDestination(ask("GET", "/"));
             d.newConnection(Promise.from(c -> loop.post(() -> opened(c)),
                 e -> loop.post(() -> end(Got.none(End.NOT_SENT, "no circuit: " + e.getMessage()), false))));
         }
 
         private Request ask(final String method, final String path) {
-            return http.newRequest("http://" + to.host() + ":" + to.port() + path).method(method)
-                .timeout(Math.max(50, cutoff - loop.now()), TimeUnit.MILLISECONDS);
+            return http.newRequest("http://" + to.host() + ":" + to.port() + path).method(method);
         }
 
         private void opened(final Connection c) {
@@ -94,6 +107,10 @@
                 c.close();
                 return;
             }
+            if (!dialect.introduces()) {
+                go();
+                return;
+            }
             c.send(ask("GET", "/rv/identity"), new BufferingResponseListener(8192) {
                 @Override
                 public void onComplete(final Result r) {
@@ -126,14 +143,7 @@
 
         private void go() {
             final Request r = ask(what.method(), what.path());
-            r.headers(h -> {
-                h.put("Rv-Request", what.id());
-                h.put("Rv-Service", to.service());
-                h.put("Rv-Stamp", to.stamp());
-                if (what.key() != null) {
-                    h.put("Rv-Key", what.key());
-                }
-            });
+            r.headers(h -> dialect.heads(to, what, h::put));
             if (what.body() != null && what.body().length > 0) {
                 r.body(new BytesRequestContent(what.type() == null ? "application/json" : what.type(), what.body()));
             }
@@ -158,7 +168,7 @@
             for (final HttpField f : res.getResponse().getHeaders()) {
                 heads.put(f.getLowerCaseName(), f.getValue());
             }
-            return new Got(End.WHOLE, res.getResponse().getStatus(), heads, body, "");
+            return dialect.read(to, what, res.getResponse().getStatus(), heads, body);
         }
 
         private void end(final Got got, final boolean reuse) {
@@ -168,7 +178,7 @@
             over = true;
             if (circuit != null) {
                 if (reuse && !circuit.isClosed() && !"close".equalsIgnoreCase(got.heads().get("connection"))) {
-                    idle.computeIfAbsent(site, k -> new ArrayDeque<>()).addLast(new Idle(circuit, loop.now()));
+                    idle.computeIfAbsent(site, k -> new ArrayDeque<>()).addLast(new Idle(circuit, loop.now(), stay(got.heads().get("keep-alive"))));
                 } else {
                     circuit.close();
                 }
@@ -176,6 +186,12 @@
             then.accept(got);
         }
 
+        /** A second less than the origin says, so that no request meets its end. */
+        private long stay(final String told) {
+            final Matcher m = told == null ? null : STAY.matcher(told);
+            return m != null && m.find() ? Math.min(IDLE, Long.parseLong(m.group(1)) * 1000 - 1000) : IDLE;
+        }
+
         @Override
         public void cut() {
             if (!over) {
--- /dev/null
+++ b/prog/src/main/java/rv/prog/OwnDialect.java
@@ -0,0 +1,40 @@
+package rv.prog;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import rv.control.Origin;
+import rv.data.Port;
+import rv.data.Proof;
+
+/** The origin contract of docs/ORIGINS.md. */
+public final class OwnDialect implements Dialect {
+    private static final String TAGS = "rv-tags";
+
+    @Override
+    public boolean introduces() {
+        return true;
+    }
+
+    @Override
+    public void heads(final Origin to, final Port.Send what, final BiConsumer<String, String> put) {
+        put.accept("Rv-Request", what.id());
+        put.accept("Rv-Service", to.service());
+        put.accept("Rv-Stamp", to.stamp());
+        if (what.key() != null) {
+            put.accept("Rv-Key", what.key());
+        }
+    }
+
+    @Override
+    public Port.Got read(final Origin to, final Port.Send what, final int status, final Map<String, String> heads, final byte[] body) {
+        final List<String> tags = heads.containsKey(TAGS) ? Arrays.asList(heads.get(TAGS).trim().split(" +")) : List.of();
+        return new Port.Got(Port.End.WHOLE, status, heads, body, "", tags, Port.Load.NONE);
+    }
+
+    @Override
+    public String fault(final Origin to, final Port.Send what, final Port.Got got) {
+        return Proof.fault(to, what, got.heads(), got.body());
+    }
+}
--- a/prog/src/main/java/rv/prog/Parts.java
+++ b/prog/src/main/java/rv/prog/Parts.java
@@ -20,12 +20,19 @@
 /** How one process is put together. */
 @Module
 public final class Parts {
-    private final Options options;
     private final String boot;
+    private final Dialect dialect;
+    private Options options;
 
-    public Parts(final Options options, final String boot) {
+    public Parts(final Options options, final String boot, final Dialect dialect) {
         this.options = options;
         this.boot = boot;
+        this.dialect = dialect;
+    }
+
+    /** Before the node is put together. */
+    public void seated(final Options o) {
+        options = o;
     }
 
     @Provides
@@ -55,7 +62,7 @@
     @Provides
     @Singleton
     Disk disk(final CoreLoop loop) {
-        return options.role() == Role.STORE ? new SqlDisk(loop, options.data()) : new NoDisk(loop);
+        return options.data() != null ? new SqlDisk(loop, options.data()) : new NoDisk(loop);
     }
 
     @Provides
@@ -66,10 +73,11 @@
         final ClientConnector link = new ClientConnector();
         link.setSelectors(1);
         link.setExecutor(pool);
-        link.setConnectTimeout(java.time.Duration.ofMillis(1000));
+        link.setConnectTimeout(java.time.Duration.ofMillis(500));
         final HttpClient http = new HttpClient(new HttpClientTransportOverHTTP(link));
         http.setExecutor(pool);
         http.setFollowRedirects(false);
+        http.setUserAgentField(null);
         http.setHttpCookieStore(new HttpCookieStore.Empty());
         http.setMaxConnectionsPerDestination(512);
         return http;
@@ -78,7 +86,7 @@
     @Provides
     @Singleton
     OriginPort port(final CoreLoop loop, final HttpClient http) {
-        return new OriginPort(loop, http);
+        return new OriginPort(loop, http, dialect);
     }
 
     @Provides
@@ -86,8 +94,9 @@
     Node node(final CoreLoop loop, final TcpNet net, final Disk disk, final OriginPort port, final Journal journal) {
         final Member self = new Member(options.id(), options.role(), options.cell(), options.wire().getHostString(),
             options.wire().getPort(), boot, Condition.PARTIAL, Main.VERSION);
-        final Setup setup = Setup.of(self).seeds(java.util.List.copyOf(options.seeds().keySet())).quorum(options.quorum())
-            .timing(options.timing()).shards(options.shards()).cacheBytes(options.cacheBytes()).build();
+        final Setup setup = Setup.of(self).seeds(options.learns() ? options.quorum().electors() : java.util.List.copyOf(options.seeds().keySet())).quorum(options.quorum())
+            .timing(options.timing()).shards(options.shards()).cacheBytes(options.cacheBytes())
+            .first(options.first()).extra(options.extraRatio(), options.extraSlack()).seats(options.seats()).notice(options.noticeMs()).build();
         return new Node(setup, new Node.Seams(loop, net, disk, port, new Random(), System::currentTimeMillis, net::learn), journal);
     }
 }
--- /dev/null
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -0,0 +1,175 @@
+package rv.prog;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import rv.base.Code;
+import rv.base.DiskTrouble;
+import rv.base.Event;
+import rv.base.Net;
+import rv.data.Node;
+
+/** One process: the planes over their real seams, with what it shows to the outside. */
+public final class Program {
+    private final Options options;
+    private final Faces faces;
+
+    /** What a handler may use of the process. */
+    public record Ends(CoreLoop loop, Node node, Net net, Options options) {
+    }
+
+    /** How the outside is spoken to; the product's own way, or an adapter's. */
+    public interface Faces {
+        Dialect dialect();
+
+        /** For callers, at the option {@code door}. */
+        Handler door(Ends ends);
+
+        /** For the further addresses of the option {@code faces}, by name. */
+        Map<String, Handler> more(Ends ends);
+    }
+
+    private record Own() implements Faces {
+        @Override
+        public Dialect dialect() {
+            return new OwnDialect();
+        }
+
+        @Override
+        public Handler door(final Ends e) {
+            return new Door(e.loop(), e.node().edge());
+        }
+
+        @Override
+        public Map<String, Handler> more(final Ends e) {
+            return Map.of();
+        }
+    }
+
+    public Program(final Options options) {
+        this(options, new Own());
+    }
+
+    public Program(final Options options, final Faces faces) {
+        this.options = options;
+        this.faces = faces;
+    }
+
+    public void run() throws DiskTrouble, IOException, InterruptedException {
+        final String boot = UUID.randomUUID().toString().substring(0, 8);
+        final Parts parts = new Parts(options, boot, faces.dialect());
+        final Whole all = DaggerWhole.builder().parts(parts).build();
+        if (all.disk() instanceof SqlDisk d) {
+            d.open();
+        }
+        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
+        log.start(all.journal());
+        all.loop().onShed(() -> all.journal().add(Event.of(Code.RING_FULL, "ring", "core")));
+        try {
+            all.net().bind(options.wire(), Seating::blank);
+        } catch (final IOException e) {
+            throw new IOException("wire address " + options.wire() + " cannot be used: " + e.getMessage(), e);
+        }
+        all.loop().start();
+        final Options seated = new Seating(options, all.loop(), all.net(), all.disk()).seat();
+        parts.seated(seated);
+        seated.known().forEach(all.net()::learn);
+        final Node node = all.node();
+        all.net().serve(node::take);
+        final Ends ends = new Ends(all.loop(), node, all.net(), seated);
+        start(all.client());
+        begin(all, node);
+        show(ends);
+        all.journal().add(Event.of(Code.READY, "http", options.http().toString()));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(all, log), "stop"));
+    }
+
+    private static void start(final org.eclipse.jetty.client.HttpClient http) throws IOException {
+        try {
+            http.start();
+        } catch (final Exception e) {
+            throw new IOException("the HTTP client cannot be started: " + e.getMessage(), e);
+        }
+        http.getProtocolHandlers().clear();
+        http.getContentDecoderFactories().clear();
+    }
+
+    private static void begin(final Whole all, final Node node) throws DiskTrouble, InterruptedException {
+        final CountDownLatch begun = new CountDownLatch(1);
+        final List<DiskTrouble> bad = new ArrayList<>();
+        all.loop().post(() -> {
+            try {
+                node.start();
+            } catch (final DiskTrouble e) {
+                bad.add(e);
+            }
+            begun.countDown();
+        });
+        begun.await();
+        if (!bad.isEmpty()) {
+            throw bad.get(0);
+        }
+    }
+
+    private void show(final Ends ends) throws IOException {
+        open(server(options.http(), "http", new Api(ends.loop(), ends.node(), ends.net())), "http address " + options.http());
+        if (options.door() != null) {
+            open(server(options.door(), "door", faces.door(ends)), "door address " + options.door());
+        }
+        final Map<String, Handler> more = faces.more(ends);
+        for (final Map.Entry<String, InetSocketAddress> e : options.faces().entrySet()) {
+            if (more.containsKey(e.getKey())) {
+                open(server(e.getValue(), e.getKey(), more.get(e.getKey())), "address " + e.getKey() + " " + e.getValue());
+            }
+        }
+    }
+
+    private static void open(final Server s, final String what) throws IOException {
+        try {
+            s.start();
+        } catch (final Exception e) {
+            throw new IOException(what + " cannot be used: " + e.getMessage(), e);
+        }
+    }
+
+    private void leave(final Whole all, final EventLog log) {
+        final CountDownLatch gone = new CountDownLatch(1);
+        all.loop().post(() -> all.node().leave(options.stopMs(), gone::countDown));
+        try {
+            gone.await(options.stopMs() + 2000, TimeUnit.MILLISECONDS);
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log.flush();
+        LogHold.release();
+    }
+
+    static Server server(final InetSocketAddress at, final String name, final Handler handler) {
+        final QueuedThreadPool pool = new QueuedThreadPool(24, 3);
+        pool.setName(name);
+        final Server server = new Server(pool);
+        final HttpConfiguration conf = new HttpConfiguration();
+        conf.setSendServerVersion(false);
+        conf.setSendDateHeader(false);
+        final ServerConnector link = new ServerConnector(server, 1, 1, new HttpConnectionFactory(conf));
+        link.setHost(at.getHostString());
+        link.setPort(at.getPort());
+        link.setAcceptQueueSize(512);
+        server.addConnector(link);
+        server.setHandler(handler);
+        server.setErrorHandler(new Faults());
+        server.setStopTimeout(0);
+        return server;
+    }
+}
--- /dev/null
+++ b/prog/src/main/java/rv/prog/Seating.java
@@ -0,0 +1,87 @@
+package rv.prog;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import rv.base.Disk;
+import rv.base.DiskTrouble;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.base.Wire;
+import rv.base.WireTrouble;
+
+/**
+ * Who votes: the seeds, when the network is started for the first time; later what this node's disk says, or what any
+ * node that can be reached says. The seeds of a later start may be others, so they are asked and not believed.
+ */
+final class Seating {
+    private static final String ROW = "seats";
+    private static final long AGAIN = 200;
+    private final Options options;
+    private final CoreLoop loop;
+    private final TcpNet net;
+    private final Disk disk;
+
+    record Row(List<String> electors) {
+    }
+
+    Seating(final Options options, final CoreLoop loop, final TcpNet net, final Disk disk) {
+        this.options = options;
+        this.loop = loop;
+        this.net = net;
+        this.disk = disk;
+    }
+
+    Options seat() throws DiskTrouble, InterruptedException {
+        if (!options.learns()) {
+            return options;
+        }
+        final byte[] row = disk.load().get(ROW);
+        final List<String> kept;
+        try {
+            kept = row == null ? List.of() : Wire.unpack(row, Row.class).electors();
+        } catch (final WireTrouble e) {
+            throw new DiskTrouble("the row of electors cannot be read", e);
+        }
+        if (!kept.isEmpty()) {
+            return options.seated(sites(kept));
+        }
+        final Options o = options.first() ? options : options.seated(sites(ask()));
+        disk.save(Map.of(ROW, Wire.pack(new Row(o.seats()))), ok -> { });
+        return o;
+    }
+
+    /** Answers for a node that does not know yet. */
+    static void blank(final NodeId from, final Msg msg, final Consumer<Msg> back) {
+        back.accept(msg instanceof Msg.Seats ? new Msg.Seated(List.of()) : new Msg.Nay("not seated yet"));
+    }
+
+    private List<String> ask() throws InterruptedException {
+        final CompletableFuture<List<String>> got = new CompletableFuture<>();
+        while (true) {
+            options.seeds().keySet().stream().filter(s -> !s.equals(options.id())).forEach(s -> loop.post(() -> net.ask(s, new Msg.Seats(), 1000,
+                r -> r.as(Msg.Seated.class).filter(m -> !m.electors().isEmpty()).ifPresent(m -> got.complete(m.electors())))));
+            try {
+                return got.get(AGAIN, TimeUnit.MILLISECONDS);
+            } catch (final TimeoutException | ExecutionException e) {
+                continue;
+            }
+        }
+    }
+
+    private static Map<NodeId, InetSocketAddress> sites(final List<String> list) {
+        final Map<NodeId, InetSocketAddress> map = new LinkedHashMap<>();
+        list.forEach(t -> {
+            final int at = t.indexOf('@');
+            final int cut = t.lastIndexOf(':');
+            map.put(NodeId.of(t.substring(0, at)), new InetSocketAddress(t.substring(at + 1, cut), Integer.parseInt(t.substring(cut + 1))));
+        });
+        return map;
+    }
+}
--- a/prog/src/main/java/rv/prog/SqlDisk.java
+++ b/prog/src/main/java/rv/prog/SqlDisk.java
@@ -40,7 +40,9 @@
     public void open() throws DiskTrouble {
         try {
             Files.createDirectories(home);
-            System.setProperty("org.sqlite.tmpdir", home.toString());
+            if (!Files.isWritable(Path.of(System.getProperty("java.io.tmpdir")))) {
+                System.setProperty("org.sqlite.tmpdir", home.toString());
+            }
             sql = connect();
             thread.setDaemon(true);
             thread.start();
@@ -53,7 +55,7 @@
         final Connection c = DriverManager.getConnection("jdbc:sqlite:" + home.resolve("items.db"));
         try (Statement s = c.createStatement()) {
             s.execute("PRAGMA locking_mode=EXCLUSIVE");
-            s.execute("PRAGMA journal_mode=TRUNCATE");
+            s.execute("PRAGMA journal_mode=WAL");
             s.execute("PRAGMA synchronous=FULL");
             s.execute("CREATE TABLE IF NOT EXISTS rows (k TEXT PRIMARY KEY, v BLOB NOT NULL) WITHOUT ROWID");
             c.setAutoCommit(false);
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -36,7 +36,7 @@
     private final Thread thread = new Thread(this::run, "wire");
     private Selector selector;
     private ServerSocketChannel door;
-    private Net.Port port;
+    private volatile Net.Port port;
     private long serial;
     private volatile boolean on = true;
 
@@ -71,6 +71,11 @@
         thread.start();
     }
 
+    /** From now on another part answers. */
+    public void serve(final Net.Port to) {
+        port = to;
+    }
+
     public int bound() throws IOException {
         return ((InetSocketAddress) door.getLocalAddress()).getPort();
     }
@@ -81,6 +86,12 @@
         }
     }
 
+    public void learn(final NodeId id, final InetSocketAddress at) {
+        if (!id.equals(self)) {
+            book.put(id, at);
+        }
+    }
+
     public void stop() {
         on = false;
         selector.wakeup();
@@ -105,6 +116,23 @@
         });
     }
 
+    @Override
+    public void tell(final NodeId to, final Msg msg) {
+        if (to.equals(self)) {
+            loop.post(() -> port.take(self, msg, m -> { }));
+            return;
+        }
+        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 0, self, msg));
+        if (data.length <= Wire.LIMIT && ring.offer(() -> {
+            final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
+            if (c != null) {
+                c.send(new Circuit.Out(data, () -> { }, () -> { }));
+            }
+        })) {
+            selector.wakeup();
+        }
+    }
+
     private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
         final Wait w = new Wait(then);
         waits.put(id, w);
@@ -233,7 +261,7 @@
         if (e.re() != 0) {
             end(e.re(), Reply.of(e.msg()));
         } else {
-            loop.post(() -> port.take(e.from(), e.msg(), m -> back(c, e.id(), m)));
+            loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> { } : m -> back(c, e.id(), m)));
         }
     }
 
