Silent holders are passed by at once; edges alone read earlier and more; keyed ones give up at 0.4

Changed: a holder silent for 650 ms is not asked where a read may be passed; an edge whose shields are all silent sends reads at once; its part of a ceiling is 0.35 (fills 0.55, passed 0.1); a keyed request is given up after 0.4 of its time.

--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -29,9 +29,9 @@
     private static final int ROOM = 256;
     private static final int REACH = 6;
     /** The parts of a ceiling for holders' fills, for what shields pass through, and for edges that hear no shield. */
-    private static final double FILLS = 0.7;
+    private static final double FILLS = 0.55;
     private static final double PASSED = 0.1;
-    private static final double ALONE = 0.2;
+    private static final double ALONE = 0.35;
     private final Setup setup;
     private final Loop loop;
     private final Port port;
@@ -174,7 +174,7 @@
                 queue(all, now);
                 return;
             }
-            if (s.rate() > 0 || s.ceiling() > 0) {
+            if (order.shard() != Order.NONE && (s.rate() > 0 || s.ceiling() > 0)) {
                 wishes.computeIfAbsent(order.service(), k -> new HashMap<>()).merge(order.shard(), 1, Integer::sum);
             }
             long best = Long.MAX_VALUE;
@@ -387,11 +387,7 @@
     /** What was wanted since this was last asked. */
     public List<Msg.Wish> wishes() {
         final List<Msg.Wish> list = new ArrayList<>();
-        wishes.forEach((service, by) -> by.forEach((shard, n) -> {
-            if (shard != Order.NONE) {
-                list.add(new Msg.Wish(service, shard, n));
-            }
-        }));
+        wishes.forEach((service, by) -> by.forEach((shard, n) -> list.add(new Msg.Wish(service, shard, n))));
         wishes.clear();
         return list;
     }
--- a/data/src/main/java/rv/data/Walk.java
+++ b/data/src/main/java/rv/data/Walk.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -22,6 +23,8 @@
 final class Walk {
     private static final long SILENT = 650;
     private static final long LOOK = 100;
+    /** The part of its time for which a keyed request is kept while nobody may send it. */
+    private static final double PATIENCE = 0.4;
     private final Edge edge;
     private final Ask ask;
     private final View.Row row;
@@ -29,6 +32,7 @@
     private final String key;
     private final long cutoff;
     private final long margin;
+    private final long began;
     private final Set<NodeId> asked = new HashSet<>();
     private Mark mark;
     private Edge.Flight lead;
@@ -47,6 +51,7 @@
         this.mark = edge.view().mark(row, ask.path());
         final boolean told = ask.spanMs() > 0;
         this.margin = told ? 20 : 300;
+        this.began = now();
         this.cutoff = now() + (told ? Math.max(1, Math.min(ask.spanMs(), row.timeoutMs())) : row.timeoutMs() + 500);
     }
 
@@ -54,8 +59,8 @@
         return edge.loop().now();
     }
 
-    private Match match() {
-        return row.match();
+    private boolean is(final String mode) {
+        return row.match().mode().equals(mode);
     }
 
     void run() {
@@ -66,6 +71,11 @@
         }
     }
 
+    private boolean refuse(final int status, final String why, final long retry) {
+        end(Answer.reject(status, why, retry));
+        return true;
+    }
+
     private void end(final Answer a) {
         if (!over) {
             over = true;
@@ -73,19 +83,14 @@
         }
     }
 
-    private boolean reject(final int status, final String why, final long retry) {
-        end(Answer.reject(status, why, retry));
-        return true;
-    }
-
     private boolean step(final Edge.Step s) {
-        final boolean post = match().is(Match.ONCE);
+        final boolean post = is(Match.ONCE);
         return switch (s) {
-            case METHOD -> !match().any() && !ask.method().equals(post ? "POST" : "GET") && reject(405, "this route takes " + (post ? "POST" : "GET"), 0);
-            case SIZE -> ask.body() != null && ask.body().length > row.service().bodyLimit() && reject(413, "body over the limit", 0);
+            case METHOD -> !row.match().any() && !ask.method().equals(post ? "POST" : "GET") && refuse(405, "this route takes " + (post ? "POST" : "GET"), 0);
+            case SIZE -> ask.body() != null && ask.body().length > row.service().bodyLimit() && refuse(413, "body over the limit", 0);
             case RULE -> rule();
             case KEY -> (ask.key() == null || ask.key().isEmpty() || ask.key().length() > 128)
-                && reject(400, "header Rv-Key must be 1 to 128 characters", 0);
+                && refuse(400, "header Rv-Key must be 1 to 128 characters", 0);
             case FRAME -> !edge.fresh() && stale();
             case COPY -> ask.method().equals("GET") && copy();
             case JOIN -> ask.method().equals("GET") && join();
@@ -98,28 +103,25 @@
 
     /** What needs no right to fill goes on where nothing newer can be known; copies that may have been purged do not. */
     private boolean stale() {
-        if (match().any() && !match().is(Match.ONCE) && edge.way().alone()) {
+        if (row.match().any() && !is(Match.ONCE) && edge.way().alone()) {
             pass(Answer.reject(503, "the frame is not confirmed", 500));
             return true;
         }
-        return match().any() && match().is(Match.ONCE) ? false : reject(503, "the frame is not confirmed", 1000);
+        return row.match().any() && is(Match.ONCE) ? false : refuse(503, "the frame is not confirmed", 1000);
     }
 
     private boolean rule() {
         return switch (row.rule().orElseThrow().judge(ask.method(), ask.path(), ask.key(), ask.body() == null ? 0 : ask.body().length)) {
             case HOLDS -> false;
-            case FAILS -> reject(403, "the route's condition does not hold", 0);
-            case UNSURE -> reject(400, "the route's condition cannot judge this request", 0);
+            case FAILS -> refuse(403, "the route's condition does not hold", 0);
+            case UNSURE -> refuse(400, "the route's condition cannot judge this request", 0);
         };
     }
 
     private boolean copy() {
-        final Copy c = edge.cache().get(key, now(), mark).filter(x -> x.of(match())).orElse(null);
-        if (c == null) {
-            return false;
-        }
-        give(c, "hit");
-        return true;
+        final Optional<Copy> c = edge.cache().get(key, now(), mark).filter(x -> x.of(row.match()));
+        c.ifPresent(x -> give(x, "hit"));
+        return c.isPresent();
     }
 
     void give(final Copy c, final String how) {
@@ -134,7 +136,7 @@
         final Edge.Flight now = edge.flights().get(key);
         if (now != null && now.mark().covers(mark)) {
             if (now.queue().size() >= Edge.QUEUE) {
-                return reject(503, "too many wait for this object", 1000);
+                return refuse(503, "too many wait for this object", 1000);
             }
             now.queue().add(this);
             return true;
@@ -145,11 +147,8 @@
     }
 
     private List<Walk> land() {
-        if (lead == null) {
-            return List.of(this);
-        }
         edge.flights().remove(key, lead);
-        return lead.queue();
+        return lead == null ? List.of(this) : lead.queue();
     }
 
     /** Overtaken by a newer flight: all who waited for this one wait for that. */
@@ -164,7 +163,7 @@
     }
 
     private void send() {
-        if (match().any() && !match().is(Match.ONCE) && !(match().is(Match.CACHED) && ask.method().equals("GET"))) {
+        if (row.match().any() && !is(Match.ONCE) && !(is(Match.CACHED) && ask.method().equals("GET"))) {
             pass(Answer.reject(503, "no shield is heard of", 300));
             return;
         }
@@ -175,7 +174,7 @@
         }
         final Plan.Part part = edge.view().plan().parts().get(shard);
         edge.raise(shard, part.token());
-        if (!edge.way().heard(part.node())) {
+        if (!edge.way().heard(part.node()) || row.match().any() && edge.way().silent(part.node()) > SILENT) {
             lost(Answer.reject(503, "the holder is not heard of", 1000));
             return;
         }
@@ -183,7 +182,7 @@
         renew();
         final long sent = now();
         edge.net().ask(part.node(), fill(shard, false, sent), Math.max(100, cutoff - sent), r -> back(shard, sent, r));
-        if (match().any() && match().is(Match.CACHED)) {
+        if (row.match().any() && is(Match.CACHED)) {
             final int mine = tries;
             watch(part.node(), sent, () -> bare || tries != mine);
         }
@@ -197,7 +196,7 @@
     /** Where a shield falls silent, another passes a read through while there is time; the first answer counts. */
     private void watch(final NodeId at, final long sent, final BooleanSupplier over) {
         edge.loop().after(LOOK, () -> {
-            if (this.over || over.getAsBoolean() || match().is(Match.SINGLE) || now() + LOOK >= cutoff) {
+            if (this.over || over.getAsBoolean() || is(Match.SINGLE) || now() + LOOK >= cutoff) {
                 return;
             }
             if (edge.way().silent(at) > SILENT && now() - sent > 2 * LOOK) {
@@ -213,9 +212,9 @@
         bare = true;
         final NodeId to = edge.way().near().stream().filter(n -> !asked.contains(n) && edge.way().silent(n) <= SILENT).findFirst().orElse(null);
         if (to == null || now() + margin >= cutoff) {
-            if (to == null && !maybe && open == 0 && edge.way().near().isEmpty() && edge.way().direct() != null && now() + margin < cutoff) {
+            if (to == null && !maybe && open == 0 && edge.way().direct() != null && now() + margin < cutoff) {
                 direct(none);
-            } else if (open == 0 || to == null && !match().is(Match.SINGLE)) {
+            } else if (open == 0 || to == null && !is(Match.SINGLE)) {
                 finish(none);
             }
             return;
@@ -235,9 +234,9 @@
 
     /** No shield is heard of at all: a read goes to an origin from here, within the small part of the ceiling that is for this. */
     private void direct(final Answer none) {
-        final String to = match().pick(rv.base.Hash.mix(ask.id().isEmpty() ? ask.path() + edge.next() : ask.id()));
+        final String to = row.match().pick(rv.base.Hash.mix(ask.id().isEmpty() ? ask.path() + edge.next() : ask.id()));
         final Order order = new Order(Order.NONE, new Port.Send(to, ask.method(), ask.path(), ask.id(), ask.key(), ask.body(), ask.type(), 0, ask.heads()),
-            match().is(Match.SINGLE), cutoff - margin, match().rank(), match().tries(), false);
+            is(Match.SINGLE), cutoff - margin, row.match().rank(), row.match().tries(), false);
         edge.way().direct().send(order, sent -> {
             if (sent.got().end() == Port.End.WHOLE) {
                 done(now(), new Msg.Filled(Answer.DONE, "", sent.got().status(), null, Shield.pass(sent.got().heads()), sent.got().body(), 0, null, 0));
@@ -255,7 +254,7 @@
         final Msg.Filled f = r.as(Msg.Filled.class).orElse(null);
         maybe |= f == null && r.trouble() != Reply.Trouble.NOT_SENT || f != null && f.fate().equals(Answer.UNKNOWN);
         if (f == null) {
-            if (r.trouble() == Reply.Trouble.NOT_SENT || !match().is(Match.SINGLE)) {
+            if (r.trouble() == Reply.Trouble.NOT_SENT || !is(Match.SINGLE)) {
                 tries -= r.trouble() == Reply.Trouble.NOT_SENT ? 1 : 0;
                 pass(r.trouble() == Reply.Trouble.NOT_SENT ? Answer.reject(503, "no shield can be reached", 300) : Answer.unsure("no shield answered"));
             } else {
@@ -273,9 +272,9 @@
 
     /** No holder to ask: a read is passed through where its route allows it. */
     private void lost(final Answer none) {
-        if (!bare && match().any() && match().is(Match.CACHED)) {
+        if (!bare && row.match().any() && is(Match.CACHED)) {
             pass(none);
-        } else if (match().any() && match().is(Match.ONCE)) {
+        } else if (row.match().any() && is(Match.ONCE)) {
             again(none);
         } else {
             finish(none);
@@ -300,9 +299,9 @@
         if (f == null) {
             if (r.trouble() == Reply.Trouble.NOT_SENT) {
                 again(Answer.reject(503, "the holder cannot be reached", 1000));
-            } else if (match().any() && match().is(Match.CACHED)) {
+            } else if (row.match().any() && is(Match.CACHED)) {
                 lost(Answer.unsure("the holder did not answer"));
-            } else if (match().any()) {
+            } else if (row.match().any()) {
                 again(Answer.unsure("the holder did not answer"));
             } else {
                 finish(Answer.unsure("the holder did not answer"));
@@ -322,7 +321,7 @@
         }
         if (f.token().below(edge.high(shard))) {
             edge.journal().add(Event.of(Code.TOKEN_LOW, "shard", shard, "token", f.token().toString(), "known", edge.high(shard).toString()));
-            if (match().is(Match.ONCE)) {
+            if (is(Match.ONCE)) {
                 finish(Answer.unsure("the answer came from an earlier holder"));
             } else {
                 again(Answer.reject(503, "the answer came from an earlier holder", 500));
@@ -338,16 +337,16 @@
     }
 
     private void done(final long sent, final Msg.Filled f) {
-        if (!match().is(Match.CACHED) || f.mark() == null) {
+        if (!is(Match.CACHED) || f.mark() == null) {
             final Answer a = new Answer(f.status(), Answer.DONE, f.heads(), f.body());
-            if (match().is(Match.CACHED)) {
+            if (is(Match.CACHED)) {
                 land().forEach(w -> w.end(Range.cut(a, w.ask.range())));
             } else {
                 finish(a);
             }
             return;
         }
-        final Copy c = new Copy(f.status(), f.heads(), f.body(), sent - f.age(), match().lifetimeMs(), Copy.bare(f.mark()), Copy.tags(f.mark()), f.service());
+        final Copy c = new Copy(f.status(), f.heads(), f.body(), sent - f.age(), row.match().lifetimeMs(), Copy.bare(f.mark()), Copy.tags(f.mark()), f.service());
         final View.Row now = edge.view().named(row.name()).orElse(null);
         final Mark want = now == null ? null : edge.view().mark(now, ask.path());
         if (want == null || !f.mark().covers(want) || !edge.view().clean(c.tags())) {
@@ -365,10 +364,10 @@
         if (over || handed()) {
             return;
         }
-        final boolean keyed = match().any() && match().is(Match.ONCE);
+        final boolean keyed = row.match().any() && is(Match.ONCE) && now() - began < (cutoff - began) * PATIENCE;
         final long rest = 60L * Math.max(1, Math.min(4, tries));
         if (tries >= 3 && !keyed || now() + rest + 200 >= cutoff) {
-            if (match().any() && match().is(Match.CACHED) && !bare) {
+            if (row.match().any() && is(Match.CACHED) && !bare) {
                 pass(last);
             } else {
                 finish(last);
@@ -380,13 +379,13 @@
 
     /** When no fill can be had, a copy just past its lifetime is better than none, as long as the frame is sure. */
     private Copy spare() {
-        return match().is(Match.CACHED) && (edge.fresh() || !match().purgeable())
+        return is(Match.CACHED) && (edge.fresh() || !row.match().purgeable())
             ? edge.cache().late(key, now(), edge.view().mark(row, ask.path())).orElse(null) : null;
     }
 
     /** Where an earlier way may have sent it, no refusal can promise that it has not run. */
     private void finish(final Answer said) {
-        final boolean once = match().is(Match.ONCE) || match().is(Match.SINGLE);
+        final boolean once = is(Match.ONCE) || is(Match.SINGLE);
         final Answer a = maybe && once && said.fate().equals(Answer.REFUSED) ? Answer.unsure("an earlier way may have sent it") : said;
         final List<Walk> all = land();
         final Copy old = a.fate().equals(Answer.DONE) ? null : spare();
