--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/View.java
@@ -97,6 +97,7 @@
     private void drop(final Item item) {
         final String key = "p/" + item.id().name();
         spots.values().removeIf(m -> m.remove(key) != null && m.isEmpty());
+        tags.values().removeIf(t -> held.sweep().drops(item.id(), t.ver()));
     }
 
     /** A deleted purge keeps its body: a copy older than it must not come back to life. */
--- /dev/null
+++ b/control/src/test/java/rv/control/OrdersTest.java
@@ -0,0 +1,111 @@
+package rv.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Kind;
+import rv.base.NodeId;
+
+/** Orders under versions of the operator's own, before three electors. */
+class OrdersTest {
+    private static final String SET = "{\"set\":{\"services\":{\"s\":{\"kind\":\"open\",\"note\":\"%s\",\"version\":%d}}}}";
+    private final Voters net = new Voters();
+    private final Orders orders = new Orders(net.held, net.sync, net.writer, net::tag);
+    private final List<Clerk.Said> said = new ArrayList<>();
+
+    private int patch(final String text, final long ms) {
+        said.clear();
+        orders.patch(text.getBytes(StandardCharsets.UTF_8), said::add);
+        net.loop.run(ms);
+        return said.isEmpty() ? 0 : said.get(0).status();
+    }
+
+    private int purge(final Purge p) {
+        said.clear();
+        orders.purge(p, said::add);
+        net.loop.run(100);
+        return said.isEmpty() ? 0 : said.get(0).status();
+    }
+
+    private Item service() {
+        return net.held.get(new ItemId(Kind.SERVICE, "s"));
+    }
+
+    @Test
+    void anUnconfirmedFrameTakesNoOrder() {
+        assertEquals(503, patch(SET.formatted("one", 3), 100));
+        assertEquals(503, purge(new Purge(null, "/x", null, "h", null)));
+        assertEquals(List.of(), net.written);
+    }
+
+    @Test
+    void aFaultyCallWritesNothing() {
+        net.confirm();
+        assertEquals(422, patch("{\"set\":{\"services\":{\"s\":{\"kind\":\"open\",\"version\":3},\"t\":{\"kind\":\"?\",\"version\":3}}}}", 100));
+        assertEquals(List.of(), net.written);
+    }
+
+    @Test
+    void theHighestVersionHoldsWhateverComesLater() {
+        net.confirm();
+        assertEquals(200, patch(SET.formatted("one", 12), 100));
+        assertEquals(200, patch(SET.formatted("other", 12), 100), "an equal one alters nothing and is no fault");
+        assertEquals(200, patch(SET.formatted("old", 5), 100));
+        assertEquals(12, service().ver().n());
+        assertTrue(service().body().contains("\"one\""));
+        assertEquals(200, patch("{\"drop\":{\"services\":{\"s\":13}}}", 100));
+        assertTrue(service().gone());
+        assertEquals(200, patch(SET.formatted("back", 13), 100));
+        assertTrue(service().gone(), "a dropped one comes back under a higher version only");
+    }
+
+    @Test
+    void withoutAMajorityThereIsNoYes() {
+        net.confirm();
+        net.deaf.add(NodeId.of("a"));
+        assertEquals(200, patch(SET.formatted("two of three", 2), 1000));
+        net.deaf.add(NodeId.of("b"));
+        assertEquals(0, patch(SET.formatted("one of three", 3), 500));
+        net.loop.run(2500);
+        assertEquals(503, said.get(0).status());
+        assertEquals(1, said.size());
+        assertEquals(2, service().ver().n());
+    }
+
+    @Test
+    void eachPurgeIsAVersionOfItsOwn() {
+        net.confirm();
+        assertEquals(200, purge(new Purge(null, "/x", null, "h", null)));
+        final long first = (Long) said.get(0).body().get("version");
+        assertEquals(200, purge(new Purge(null, "/x", null, "h", null)));
+        assertTrue((Long) said.get(0).body().get("version") > first);
+        assertEquals(200, purge(new Purge(null, null, null, null, "t1")));
+        final long tag = net.view.tagged("t1").ver();
+        assertTrue(tag > first);
+        assertEquals(200, purge(new Purge(null, null, null, null, "t1")));
+        assertTrue(net.view.tagged("t1").ver() > tag);
+    }
+
+    @Test
+    void theWholeIsReadAsOfAfterTheQuestion() {
+        net.confirm();
+        patch(SET.formatted("one", 1), 100);
+        final List<Optional<Map<Kind, Map<String, Item>>>> got = new ArrayList<>();
+        orders.whole(900, got::add);
+        assertEquals(List.of(), got, "what was confirmed before the question does not count");
+        net.loop.run(50);
+        assertEquals(List.of("s"), List.copyOf(got.get(0).orElseThrow().get(Kind.SERVICE).keySet()));
+        net.deaf.addAll(List.of(NodeId.of("a"), NodeId.of("b")));
+        orders.whole(900, got::add);
+        net.loop.run(950);
+        assertEquals(Optional.empty(), got.get(1));
+    }
+}
