A fill for many goes without one caller's conditions; tests of a request's way through an edge

Cause: the headers of the caller that began a fill went along to the origin, If-None-Match with them. Where the object had not changed, the origin's 304 without a body went to all who waited for that fill.

Ruled out: dropping conditions at the platform's door, since they belong to requests that no one else shares. Only shared reads go without them.

Before: WalkTest.oneCallersConditionsDoNotGoWithAFillForMany saw the condition in the fill. After: 16 tests of passing through, asking again, silence, unknown ends, copies, purges during a fill and stale frames pass.

--- a/data/src/main/java/rv/data/Ask.java
+++ b/data/src/main/java/rv/data/Ask.java
@@ -1,6 +1,7 @@
 package rv.data;
 
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * A caller's request. {@code id}: the caller's own name for this try, empty where it gave none; {@code spanMs}: how much
@@ -11,4 +12,11 @@
     public Ask(final String method, final String path, final String key, final byte[] body, final String type) {
         this(method, "", path, key, body, type, "", 0, null, Map.of());
     }
+
+    /** The other headers without the conditions of this one caller, for an answer that many get. */
+    Map<String, String> shared() {
+        final Map<String, String> map = new TreeMap<>(heads);
+        map.keySet().removeIf(k -> k.regionMatches(true, 0, "if-", 0, 3));
+        return map;
+    }
 }
--- a/data/src/main/java/rv/data/Walk.java
+++ b/data/src/main/java/rv/data/Walk.java
@@ -189,7 +189,8 @@
 
     private Msg.Fill fill(final int shard, final boolean loose, final long sent) {
         return new Msg.Fill(edge.next(), row.name(), ask.method(), ask.host(), ask.path(), shard, shard < 0 ? null : edge.high(shard), loose ? null : mark,
-            ask.key(), ask.body(), ask.type(), Math.max(margin > 100 ? 100 : 1, cutoff - sent - margin), ask.id(), loose, loose && tries > 1, ask.heads());
+            ask.key(), ask.body(), ask.type(), Math.max(margin > 100 ? 100 : 1, cutoff - sent - margin), ask.id(), loose, loose && tries > 1,
+            match().is(Match.CACHED) && ask.method().equals("GET") ? ask.shared() : ask.heads());
     }
 
     /** Where the holder falls silent, others pass the request through while there is time; its answer may still come first. */
