--- /dev/null
+++ b/prog/src/test/java/rv/prog/StayTest.java
@@ -0,0 +1,117 @@
+package rv.prog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rv.control.Origin;
+import rv.data.Port;
+
+/** For how long a connection to an origin is used again. */
+class StayTest {
+    private static final Dialect PLAIN = new Dialect() {
+        @Override
+        public boolean introduces() {
+            return false;
+        }
+
+        @Override
+        public void heads(final Origin to, final Port.Send what, final BiConsumer<String, String> put) {
+            put.accept("Id", what.id());
+        }
+
+        @Override
+        public Port.Got read(final Origin to, final Port.Send what, final int status, final Map<String, String> heads, final byte[] body) {
+            return new Port.Got(Port.End.WHOLE, status, heads, body, "");
+        }
+
+        @Override
+        public String fault(final Origin to, final Port.Send what, final Port.Got got) {
+            return "";
+        }
+    };
+    private final Set<String> circuits = ConcurrentHashMap.newKeySet();
+    private final CoreLoop loop = new CoreLoop();
+    private final HttpClient http = new HttpClient();
+    private final Server server = new Server();
+    private final ServerConnector link = new ServerConnector(server, 1, 1);
+    private volatile Map<String, String> says = Map.of();
+    private OriginPort port;
+
+    @BeforeEach
+    void begin() throws Exception {
+        Main.quiet();
+        link.setHost("127.0.0.1");
+        server.addConnector(link);
+        server.setHandler(new Handler.Abstract() {
+            @Override
+            public boolean handle(final Request req, final Response res, final Callback done) {
+                circuits.add(req.getConnectionMetaData().getRemoteSocketAddress().toString());
+                says.forEach((k, v) -> res.getHeaders().put(k, v));
+                res.write(true, ByteBuffer.allocate(0), done);
+                return true;
+            }
+        });
+        server.start();
+        http.start();
+        loop.start();
+        port = new OriginPort(loop, http, PLAIN);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        http.stop();
+        server.stop();
+        loop.stop();
+    }
+
+    private int circuits(final String stay, final String stamp) throws Exception {
+        final Set<String> before = new HashSet<>(circuits);
+        says = stay.equals("close") ? Map.of("Connection", "close") : stay.isEmpty() ? Map.of() : Map.of("Keep-Alive", stay);
+        final Origin to = new Origin("s", "127.0.0.1", link.getLocalPort(), stamp, "open", 0, 0, false, 1);
+        for (int i = 0; i < 3; i++) {
+            final CompletableFuture<Port.Got> f = new CompletableFuture<>();
+            final String id = "r" + i;
+            loop.post(() -> port.send(to, new Port.Send("s", "GET", "/", id, null, null, null, 20_000), () -> true, f::complete));
+            assertEquals(Port.End.WHOLE, f.get(30, TimeUnit.SECONDS).end());
+        }
+        circuits.removeAll(before);
+        final int n = circuits.size();
+        circuits.addAll(before);
+        return n;
+    }
+
+    @Test
+    void noRequestMeetsTheEndThatTheOriginStates() throws Exception {
+        assertEquals(1, circuits("", "a"));
+        assertEquals(1, circuits("timeout=60", "b"));
+        assertEquals(1, circuits("max=5, timeout=60", "c"));
+        assertEquals(3, circuits("timeout=1", "d"), "a second less than it says");
+        assertEquals(3, circuits("timeout=0", "e"));
+        assertEquals(3, circuits("close", "f"));
+    }
+
+    /** A new life at the same address is another origin. */
+    @Test
+    void connectionsOfAnEarlierLifeAreNotUsedForTheNext() throws Exception {
+        assertEquals(1, circuits("", "a"));
+        assertEquals(1, circuits("", "b"));
+        assertEquals(2, circuits.size());
+    }
+}
