--- a/control/src/main/java/rv/control/Match.java
+++ b/control/src/main/java/rv/control/Match.java
@@ -1,6 +1,7 @@
 package rv.control;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * A route: which paths of a host go to which service, and how. {@code service} takes all where {@code split} is empty;
@@ -40,7 +41,7 @@
 
     /** All services that it names, also those that get nothing now. */
     public List<String> named() {
-        return split.isEmpty() ? List.of(service) : split.stream().map(Part::service).toList();
+        return Stream.concat(Stream.of(service), split.stream().map(Part::service)).distinct().toList();
     }
 
     /** One of them by weight; {@code roll} is any number. */
--- a/control/src/main/java/rv/control/Orders.java
+++ b/control/src/main/java/rv/control/Orders.java
@@ -18,6 +18,7 @@
 /** Operators' orders under versions of their own: items set and dropped, objects purged, the whole read back. */
 public final class Orders {
     private static final long SPAN = 2500;
+    private static final long AGAIN = 700;
     private final Held held;
     private final Sync sync;
     private final Writer writer;
@@ -42,10 +43,25 @@
         }
         final List<Finding> faults = new ArrayList<>();
         final Patch patch = Patch.read(data, held, faults);
-        if (!faults.isEmpty()) {
-            back.accept(Clerk.faults(faults));
-            return;
+        if (faults.isEmpty()) {
+            put(patch, back);
+        } else {
+            sync.after(held.now(), AGAIN, ok -> again(data, ok, back));
+        }
+    }
+
+    /** What it names may have been stated at another node a moment ago: only a frame confirmed since may refuse it. */
+    private void again(final byte[] data, final boolean sure, final Consumer<Clerk.Said> back) {
+        final List<Finding> faults = new ArrayList<>();
+        final Patch patch = Patch.read(data, held, faults);
+        if (faults.isEmpty()) {
+            put(patch, back);
+        } else {
+            back.accept(sure ? Clerk.faults(faults) : late("no majority confirmed the frame"));
         }
+    }
+
+    private void put(final Patch patch, final Consumer<Clerk.Said> back) {
         final Map<String, Object> done = new TreeMap<>();
         final int[] left = {patch.parts().size()};
         final boolean[] whole = {true};
--- a/control/src/test/java/rv/control/OrdersTest.java
+++ b/control/src/test/java/rv/control/OrdersTest.java
@@ -9,10 +9,13 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import rv.base.Ballot;
 import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Kind;
+import rv.base.Msg;
 import rv.base.NodeId;
+import rv.base.Ver;
 
 /** Orders under versions of the operator's own, before three electors. */
 class OrdersTest {
@@ -53,6 +56,18 @@
         assertEquals(List.of(), net.written);
     }
 
+    @Test
+    void aCallIsRefusedOnlyByAFrameConfirmedSince() {
+        net.confirm();
+        final String route = "{\"set\":{\"routes\":{\"r\":{\"prefix\":\"/x/\",\"service\":\"s\",\"mode\":\"status\",\"version\":7}}}}";
+        assertEquals(422, patch(route, 100));
+        net.news.add(new Msg.Chosen(Ballot.ZERO, new Item(new ItemId(Kind.SERVICE, "s"), new Ver(1),
+            Json.text(new Service("open", 0, 1, 1000, 0, 0, "")), false, "")));
+        assertEquals(200, patch(route, 100), "the service was stated at another node a moment ago");
+        net.deaf.addAll(List.of(NodeId.of("a"), NodeId.of("b")));
+        assertEquals(503, patch(route.replace("\"s\"", "\"t\""), 800), "nobody can say that there is none");
+    }
+
     @Test
     void theHighestVersionHoldsWhateverComesLater() {
         net.confirm();
--- a/control/src/test/java/rv/control/Voters.java
+++ b/control/src/test/java/rv/control/Voters.java
@@ -26,6 +26,8 @@
     final View view = new View(held);
     final Set<NodeId> deaf = new HashSet<>();
     final List<Item> written = new ArrayList<>();
+    /** What the electors hold and this node does not. */
+    final List<Msg.Chosen> news = new ArrayList<>();
     final Quorum quorum = new Quorum(ALL, Set.of());
     final Sync sync = new Sync(quorum, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge);
     final Writer writer = new Writer(NodeId.of("z"), "1", quorum, loop, this, new Random(1), journal, held, () -> List.of(),
@@ -71,6 +73,9 @@
             written.add(a.item());
             return new Msg.Accepted(true, a.ballot());
         }
-        return msg instanceof Msg.Query ? new Msg.Same(true, List.of()) : new Msg.Ok();
+        if (msg instanceof Msg.Vers) {
+            return new Msg.Give(news, true, List.of());
+        }
+        return msg instanceof Msg.Query ? new Msg.Same(news.isEmpty(), java.util.Collections.nCopies(Digest.CELLS, 1L)) : new Msg.Ok();
     }
 }
