--- a/control/src/test/java/rv/control/Voters.java
+++ b/control/src/test/java/rv/control/Voters.java
@@ -29,7 +29,7 @@
     /** What the electors hold and this node does not. */
     final List<Msg.Chosen> news = new ArrayList<>();
     final Quorum quorum = new Quorum(ALL, Set.of());
-    final Sync sync = new Sync(quorum, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge);
+    final Sync sync = new Sync(quorum, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge, e -> { });
     final Writer writer = new Writer(NodeId.of("z"), "1", quorum, loop, this, new Random(1), journal, held, () -> List.of(),
         new Stores(quorum, loop, journal));
     private final Map<NodeId, Map<ItemId, Msg.Slot>> memory = new HashMap<>();
--- a/data/src/main/java/rv/data/Ask.java
+++ b/data/src/main/java/rv/data/Ask.java
@@ -13,10 +13,10 @@
         this(method, "", path, key, body, type, "", 0, null, Map.of());
     }
 
-    /** The other headers without the conditions of this one caller, for an answer that many get. */
-    Map<String, String> shared() {
-        final Map<String, String> map = new TreeMap<>(heads);
-        map.keySet().removeIf(k -> k.regionMatches(true, 0, "if-", 0, 3));
-        return map;
+    /** Without the conditions of this one caller, for an answer that many get. */
+    Ask shared() {
+        final Map<String, String> rest = new TreeMap<>(heads);
+        rest.keySet().removeIf(k -> k.regionMatches(true, 0, "if-", 0, 3));
+        return new Ask(method, host, path, key, body, type, id, spanMs, range, rest);
     }
 }
--- a/data/src/test/java/rv/data/SenderTest.java
+++ b/data/src/test/java/rv/data/SenderTest.java
@@ -77,7 +77,7 @@
         };
         final Holder holder = new Holder(loop, net, held, Timing.DEFAULT, journal, () -> true, List::of, (s, g, d) -> d.accept(true));
         return new Sender(Setup.of(self).extra(ratio, slack).build(), loop, net, plain, view, holder,
-            new Sender.Ties(() -> fresh, () -> alone, () -> peers), journal);
+            new Sender.Ties(() -> fresh, () -> alone, () -> peers, () -> 1), journal);
     }
 
     private void put(final Kind kind, final String name, final long ver, final Object body) {
@@ -266,6 +266,22 @@
         assertEquals(1, sent.size(), "no budget, no second origin");
     }
 
+    @Test
+    void anAddressThatAnotherHasTakenIsAskedOnce() {
+        service(0);
+        origin("a", 4);
+        origin("b", 4);
+        says.put("a", Port.Got.none(Port.End.STRANGE, "status 421"));
+        says.put("b", whole());
+        final Sender by = sender(100, 100_000);
+        for (int i = 0; i < 10; i++) {
+            send(by, order("/" + i, true, 0, 3, 2000));
+            loop.run(3000);
+        }
+        assertEquals(1, sent.stream().filter(t -> t.startsWith("a ")).count(), sent.toString());
+        assertEquals(10, ends.stream().filter(e -> e.got().end() == Port.End.WHOLE).count());
+    }
+
     @Test
     void withoutAFrameNothingLeavesUnlessNobodyCanBeHeard() {
         service(0);
--- a/data/src/test/java/rv/data/WalkTest.java
+++ b/data/src/test/java/rv/data/WalkTest.java
@@ -13,20 +13,24 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import rv.base.Ballot;
+import rv.base.Condition;
 import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Kind;
 import rv.base.Mark;
+import rv.base.Member;
 import rv.base.Msg;
 import rv.base.Net;
 import rv.base.NodeId;
 import rv.base.Reply;
+import rv.base.Role;
 import rv.base.Token;
 import rv.base.Ver;
 import rv.control.Held;
 import rv.control.Json;
 import rv.control.Match;
+import rv.control.Origin;
 import rv.control.Plan;
 import rv.control.Purge;
 import rv.control.Service;
@@ -47,6 +51,7 @@
     private boolean fresh = true;
     private boolean alone;
     private long heard;
+    private Sender direct;
     private final Net net = (to, msg, wait, then) -> asked.add(new Asked(to, (Msg.Fill) msg, then));
     private final Edge edge = new Edge(loop, net, view, () -> fresh, 1, journal, 1 << 20, new Way() {
         @Override
@@ -68,6 +73,21 @@
         public boolean alone() {
             return alone;
         }
+
+        @Override
+        public int places() {
+            return 1;
+        }
+
+        @Override
+        public int place() {
+            return 0;
+        }
+
+        @Override
+        public Sender direct() {
+            return direct;
+        }
     });
 
     private record Asked(NodeId to, Msg.Fill fill, Consumer<Reply> then) {
@@ -337,6 +357,32 @@
         assertEquals(503, said.get(2).status(), "no 404 without a confirmed frame");
     }
 
+    /** Once only needs a holder; everything else an origin takes from the edge itself, as long as no shield is heard of. */
+    @Test
+    void anEdgeThatHearsNoShieldSendsReadsItself() {
+        final Yes port = new Yes(loop, new ArrayList<>());
+        final List<Port.Send> sent = port.sent();
+        final Member self = new Member(NodeId.of("e"), Role.EDGE, "z", "127.0.0.1", 1, "b", Condition.READY, "1");
+        direct = new Sender(Setup.of(self).build(), loop, net, port, view, null, new Sender.Ties(() -> fresh, () -> alone, List::of, () -> 2), journal);
+        put(new ItemId(Kind.ORIGIN, "o"), 1, new Origin("s", "10.0.0.1", 80, "o", "open", 0, 0, false, 1, "z", 4, 0));
+        ask(Match.STATUS);
+        loop.run(5);
+        assertEquals(1, asked.size(), "a shield is there");
+        asked.clear();
+        near.clear();
+        ask(Match.STATUS);
+        ask(Match.CACHED, "bytes=1-2", Map.of("If-None-Match", "\"v1\""));
+        loop.run(5);
+        assertEquals(List.of(200, 206), said.stream().map(Answer::status).toList());
+        assertEquals(Map.of("x", "y"), said.get(0).heads());
+        assertEquals(List.of("/status/1", "/cached/1"), sent.stream().map(Port.Send::path).toList());
+        assertEquals(Map.of(), sent.get(1).heads());
+        assertEquals("id", sent.get(0).id());
+        ask(Match.ONCE);
+        loop.run(1200);
+        assertEquals(2, sent.size());
+    }
+
     @Test
     void whereNoShieldIsHeardOfTheRefusalComesAtOnce() {
         near.clear();
--- a/prog/src/test/java/rv/prog/NamelessTest.java
+++ b/prog/src/test/java/rv/prog/NamelessTest.java
@@ -88,6 +88,21 @@
         assertEquals(500, read(Role.SHIELD, "--data", "d", "--grace-s", "1").stopMs());
     }
 
+    @Test
+    void objectsAreFilledByRegionUnlessToldOtherwise() {
+        final String[] cells = {"--data", "d", "--cell", "r/b", "--cells", "r/a,r/b,q/c"};
+        assertEquals(List.of("q/", "r/"), read(Role.SHIELD, cells).places());
+        final String[] more = Arrays.copyOf(cells, 8);
+        more[6] = "--spread";
+        more[7] = "zone";
+        assertEquals(List.of("q/c", "r/a", "r/b"), read(Role.SHIELD, more).places());
+        more[7] = "none";
+        assertEquals(List.of(), read(Role.SHIELD, more).places());
+        more[7] = "town";
+        read(Role.SHIELD, more);
+        assertEquals(List.of("/spread: region, zone or none"), told());
+    }
+
     @Test
     void aCellMustBeAmongTheCellsAndFacesAreAddresses() {
         read(Role.SHIELD, "--data", "d", "--cell", "r/z", "--cells", "r/a,r/b");
