The event of a ready process tells how long each part of its start took

Cause: how long a start takes was known only as a whole, so nothing could be shortened with a figure.

--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -24,6 +24,7 @@
 public final class Program {
     private final Options options;
     private final Faces faces;
+    private final Stages stages;
 
     /** What a handler may use of the process. */
     public record Ends(CoreLoop loop, Node node, Net net, Options options) {
@@ -58,12 +59,13 @@
     }
 
     public Program(final Options options) {
-        this(options, new Own());
+        this(options, new Own(), new Stages());
     }
 
-    public Program(final Options options, final Faces faces) {
+    public Program(final Options options, final Faces faces, final Stages stages) {
         this.options = options;
         this.faces = faces;
+        this.stages = stages;
     }
 
     public void run() throws DiskTrouble, IOException, InterruptedException {
@@ -73,6 +75,7 @@
         if (all.disk() instanceof SqlDisk d) {
             d.open();
         }
+        stages.end("disk");
         final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
         log.start(all.journal());
         all.loop().onShed(() -> all.journal().add(Event.of(Code.RING_FULL, "ring", "core")));
@@ -82,16 +85,22 @@
             throw new IOException("wire address " + options.wire() + " cannot be used: " + e.getMessage(), e);
         }
         all.loop().start();
+        stages.end("wire");
         final Options seated = new Seating(options, all.loop(), all.net(), all.disk()).seat();
         parts.seated(seated);
         seated.known().forEach(all.net()::learn);
+        stages.end("seats");
         final Node node = all.node();
+        stages.end("node");
         all.net().serve(node::take);
         final Ends ends = new Ends(all.loop(), node, all.net(), seated);
         start(all.client());
+        stages.end("client");
         begin(all, node);
+        stages.end("begin");
         show(ends);
-        all.journal().add(Event.of(Code.READY, "http", options.http().toString()));
+        stages.end("http");
+        all.journal().add(Event.of(Code.READY, "http", options.http().toString(), "ms", stages.whole(), "parts", stages.toString()));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(all, log), "stop"));
     }
 
