The client for origins loads nothing of TLS

Cause: Jetty's client connector made and started a TLS context at each start though origins speak plain HTTP: 180 classes of TLS and certificates.

--- a/prog/src/main/java/rv/prog/Parts.java
+++ b/prog/src/main/java/rv/prog/Parts.java
@@ -7,7 +7,6 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import rv.base.Disk;
 import rv.base.Journal;
@@ -70,7 +69,7 @@
     HttpClient client() {
         final QueuedThreadPool pool = new QueuedThreadPool(16, 2);
         pool.setName("origins");
-        final ClientConnector link = new ClientConnector();
+        final PlainConnector link = new PlainConnector();
         link.setSelectors(1);
         link.setExecutor(pool);
         link.setConnectTimeout(java.time.Duration.ofMillis(500));
