A log line is put together without asking the stack who wrote it

Cause: the library's formatter walks the stack of each entry, formats a date by locale tables, and writes two lines an event. Ruled out: JSON lines; they need the mapper for text earlier.

--- /dev/null
+++ b/prog/src/main/java/rv/prog/LogLine.java
@@ -0,0 +1,31 @@
+package rv.prog;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** One line an entry: moment, level, text. The library's own asks each caller's stack for its name. */
+final class LogLine extends Formatter {
+    static void use() {
+        final LogLine line = new LogLine();
+        for (final Handler h : Logger.getLogger("").getHandlers()) {
+            h.setFormatter(line);
+        }
+    }
+
+    @Override
+    public String format(final LogRecord r) {
+        final StringBuilder b = new StringBuilder(120).append(Instant.ofEpochMilli(r.getMillis())).append(' ').append(r.getLevel().getName())
+            .append(' ').append(formatMessage(r)).append('\n');
+        if (r.getThrown() != null) {
+            final StringWriter w = new StringWriter();
+            r.getThrown().printStackTrace(new PrintWriter(w));
+            b.append(w);
+        }
+        return b.toString();
+    }
+}
--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -51,6 +51,7 @@
 
     /** The HTTP library's own chatter is not the product's log. */
     public static void quiet() {
+        LogLine.use();
         JETTY.setLevel(java.util.logging.Level.WARNING);
     }
 }
