--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -22,6 +22,7 @@
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
 public final class Program {
+    private static final int HEADS = 64 << 10;
     private final Options options;
     private final Faces faces;
     private final Stages stages;
@@ -171,6 +172,8 @@
         final HttpConfiguration conf = new HttpConfiguration();
         conf.setSendServerVersion(false);
         conf.setSendDateHeader(false);
+        conf.setRequestHeaderSize(HEADS);
+        conf.setResponseHeaderSize(HEADS);
         final ServerConnector link = new ServerConnector(server, 1, 1, new HttpConnectionFactory(conf));
         link.setHost(at.getHostString());
         link.setPort(at.getPort());
