The simulator plays places whose shields vote, with the operators' own versions

Cause: networks of shields with disks, items under operators' versions, beats, splits and purges by tag ran on processes only; no test without processes played them.

--- a/rig/src/main/java/rv/rig/Stock.java
+++ b/rig/src/main/java/rv/rig/Stock.java
@@ -10,12 +10,27 @@
 /** A stand-in's back end: objects with revisions, and bookings that must run once. Shared by its service's origins. */
 public final class Stock {
     private final String service;
-    private final Map<String, Long> revs = new TreeMap<>();
+    private final Map<String, Long> revs;
     private final Map<String, Long> runs = new HashMap<>();
     private long count;
 
     public Stock(final String service) {
+        this(service, new TreeMap<>());
+    }
+
+    private Stock(final String service, final Map<String, Long> revs) {
         this.service = service;
+        this.revs = revs;
+    }
+
+    /** The same objects behind another service. */
+    public Stock twin(final String other) {
+        return new Stock(other, revs);
+    }
+
+    /** The name under which an object may be purged together with others. */
+    public static String tag(final String path) {
+        return "t" + Long.remainderUnsigned(Hash.mix("tag of " + path), 12) + path.substring(1, 3);
     }
 
     public String service() {
@@ -38,7 +53,8 @@
     public synchronized String run(final String path, final String key) {
         count++;
         runs.merge(key, 1L, Long::sum);
-        return Json.text(Map.of("service", service, "path", path, "key", key, "number", count));
+        return Json.text(key == null ? Map.of("service", service, "path", path, "number", count)
+            : Map.of("service", service, "path", path, "key", key, "number", count));
     }
 
     public synchronized long rev(final String path) {
--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -79,6 +79,22 @@
         return bad.getOrDefault(node, List.of()).stream().noneMatch(b -> b[0] <= to && b[1] >= from);
     }
 
+    /** Whether the log is of a place whose shields vote, and whose operators state versions of their own. */
+    public boolean shieldRun() {
+        return !of("place").isEmpty();
+    }
+
+    /** Whether a node was cut off, frozen or off its clock. */
+    public boolean apart(final String node, final long t) {
+        return of("rig").stream().anyMatch(r -> APART.contains(r.text("what")) && r.text("node").equals(node) && t >= r.t() && t <= r.t() + r.num("ms") + REST);
+    }
+
+    /** More than half of the electors had no trouble; always so where the log does not name them. */
+    public boolean settled(final long from, final long to) {
+        final List<?> electors = shieldRun() && of("place").get(0).map().get("electors") instanceof List<?> l ? l : List.of();
+        return electors.stream().filter(e -> healthy(String.valueOf(e), from, to)).count() * 2 > electors.size() || electors.isEmpty();
+    }
+
     /** The next moment at which no machine is up. */
     long dark(final long from) {
         final List<Row> turns = new ArrayList<>(nodes("STARTED"));
--- a/rig/src/main/java/rv/rig/judge/Judge.java
+++ b/rig/src/main/java/rv/rig/judge/Judge.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Rules on a run from its logs alone, by the brief's twelve rules and their figures. */
+/** Rules on a run from its logs alone: the brief's twelve, and five more where shields vote and operators state versions. */
 public final class Judge {
     private final List<Verdict> verdicts = new ArrayList<>();
 
@@ -22,6 +22,13 @@
         verdicts.add(Rights.extra(f, new Verdict(10, "extra tries in any 10 s")));
         verdicts.add(Spread.lost(f, new Verdict(11, "accepted kept; a quarter served after 15 s")));
         verdicts.add(Rights.strange(f, new Verdict(12, "only services that were allowed")));
+        if (f.shieldRun()) {
+            verdicts.add(Stated.whole(f, new Verdict(13, "highest version stands, read back whole")));
+            verdicts.add(Stated.winner(f, new Verdict(14, "of one version one winner everywhere")));
+            verdicts.add(Stated.refused(f, new Verdict(15, "a refused try never runs, none runs twice")));
+            verdicts.add(Totals.ceiling(f, new Verdict(16, "a service's ceiling over all origins, 5 s")));
+            verdicts.add(Totals.budget(f, new Verdict(17, "arrivals beyond the first of each try, 10 s")));
+        }
     }
 
     public List<Verdict> verdicts() {
--- a/rig/src/main/java/rv/rig/sim/Staff.java
+++ b/rig/src/main/java/rv/rig/sim/Staff.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import rv.base.ItemId;
 import rv.base.Kind;
 import rv.control.Clerk;
@@ -13,7 +14,7 @@
 import rv.rig.Place;
 
 /** Operators, and the back ends' own changes: objects change, some are purged, routes are restated, two race. */
-public final class Staff {
+public final class Staff implements Operators {
     private final Town town;
     private final Map<String, Long> known = new TreeMap<>();
     private boolean on;
@@ -24,7 +25,13 @@
         this.town = town;
     }
 
-    void start() {
+    @Override
+    public void open() {
+        apply(town.place().config());
+    }
+
+    @Override
+    public void start() {
         on = true;
         change();
         restate();
@@ -33,6 +40,7 @@
     }
 
     /** No more changes from here on. */
+    @Override
     public void stop() {
         on = false;
     }
@@ -75,6 +83,36 @@
         town.world().in(100 + town.world().dice().nextInt(200), this::change);
     }
 
+    @Override
+    public void purge() {
+        final List<Place.Way> ways = town.place().ways().stream().filter(w -> w.mode().equals("cached") && w.purgeable()).toList();
+        final Place.Way w = ways.get(town.world().dice().nextInt(ways.size()));
+        purge(w.route(), w.prefix() + town.world().dice().nextInt(w.objects()));
+    }
+
+    @Override
+    public void state(final IntConsumer then) {
+        final Place.Kin k = town.place().kin().get(town.world().dice().nextInt(town.place().kin().size()));
+        final Map<String, Object> body = k.rate() > 0 ? Log.row("kind", k.kind(), "rate", k.rate()) : Log.row("kind", k.kind());
+        body.put("cutoffMs", 1500 + town.world().dice().nextInt(1000));
+        put("put", new ItemId(Kind.SERVICE, k.service()), Json.text(body), Map.of("service", k.service(), "rate", k.rate()), r -> then.accept(r.status()));
+    }
+
+    @Override
+    public void invalid(final IntConsumer then) {
+        final SimNode at = town.any();
+        if (at == null) {
+            then.accept(0);
+            return;
+        }
+        final byte[] bad = "{\"routes\":{\"x\":{\"prefix\":\"/x/\",\"service\":\"nobody\",\"mode\":\"cached\",\"lifetimeMs\":-1}}}".getBytes(StandardCharsets.UTF_8);
+        final long t = town.world().now();
+        at.post(() -> at.node().clerk().apply(bad, s -> {
+            town.log().add(Log.row("log", "op", "t", t, "end", town.world().now(), "what", "invalid", "status", s.status()));
+            then.accept(s.status());
+        }));
+    }
+
     public void purge(final String route, final String path) {
         final String name = route + "-" + Long.toHexString(rv.base.Hash.mix(path));
         put("purge", new ItemId(Kind.PURGE, name), Json.text(Map.of("route", route, "path", path)), Map.of("path", path), s -> { });
