--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -86,7 +86,16 @@
 
     /** Whether a node was cut off, frozen or off its clock. */
     public boolean apart(final String node, final long t) {
-        return of("rig").stream().anyMatch(r -> APART.contains(r.text("what")) && r.text("node").equals(node) && t >= r.t() && t <= r.t() + r.num("ms") + REST);
+        return in(APART, node, t);
+    }
+
+    /** Whether a node's own clock did not keep true time. */
+    public boolean drifts(final String node, final long t) {
+        return in(Set.of("drift"), node, t);
+    }
+
+    private boolean in(final Set<String> troubles, final String node, final long t) {
+        return of("rig").stream().anyMatch(r -> troubles.contains(r.text("what")) && r.text("node").equals(node) && t >= r.t() && t <= r.t() + r.num("ms") + REST);
     }
 
     /** More than half of the electors had no trouble; always so where the log does not name them. */
--- a/rig/src/main/java/rv/rig/judge/Served.java
+++ b/rig/src/main/java/rv/rig/judge/Served.java
@@ -59,8 +59,13 @@
     static Verdict aged(final Facts f, final Verdict v) {
         final Map<String, Long> when = new HashMap<>();
         f.of("change").forEach(c -> when.put(c.text("path") + "#" + c.num("rev"), c.t()));
+        final Map<String, Facts.Row> sent = new HashMap<>();
+        f.of("org").stream().filter(o -> f.shieldRun()).forEach(o -> sent.put(o.text("request"), o));
         for (final Facts.Row r : done(f)) {
-            if (r.text("mode").equals("cached")) {
+            final Facts.Row fill = sent.get(r.text("request"));
+            if (fill != null && f.drifts(fill.text("from"), r.t())) {
+                v.excuse();
+            } else if (r.text("mode").equals("cached")) {
                 final Long next = when.get(r.text("path") + "#" + (r.num("rev") + 1));
                 if (next != null) {
                     v.check();
