--- a/data/src/main/java/rv/data/Pool.java
+++ b/data/src/main/java/rv/data/Pool.java
@@ -152,6 +152,11 @@
         return o.slots() <= 0 || busy(id, now) < o.slots() + Math.max(1, o.slots() / 8);
     }
 
+    /** Whether any of them has a free slot and has not failed of late. */
+    boolean open(final Map<ItemId, Origin> all, final long now) {
+        return all.entrySet().stream().anyMatch(e -> room(e.getKey(), e.getValue(), now) && !sour(e.getKey(), now));
+    }
+
     double far(final Origin o) {
         if (o.cell().isEmpty() || cell.equals(o.cell())) {
             return 0;
