Two writers of one item over slow links no longer overtake each other until both give up

Cause: a writer that lost its ballot drew its rest from at most 180 ms, however long a round of votes takes; over links of 80 ms and more each kept prepared above the other until 2.5 s were over.

Ruled out: a lost answer or the elector that is down alone, since the median without rivals is two rounds.

Now: the rest is drawn from up to twice the time that the lost round took, 800 ms at most.

Conclusion: rests grow with the round.

--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -24,6 +24,8 @@
 
 /** Proposes changes to registers: prepare at a majority, apply, accept at a majority with a store, tell all. */
 public final class Writer {
+    /** Two that keep overtaking each other must draw from more than a round takes, at most so long. */
+    private static final long WAIT = 400;
     private static final Set<ItemId> KEPT = Set.of(ItemId.TENURE, ItemId.PLAN);
     private final Quorum quorum;
     private final Loop loop;
@@ -86,6 +88,7 @@
         private boolean sent;
         private boolean done;
         private int tries;
+        private long begun = loop.now();
         private Ballot best = Ballot.ZERO;
         private Item now;
         private final Set<NodeId> yes = new HashSet<>();
@@ -114,7 +117,8 @@
             if (done) {
                 return;
             }
-            final long rest = 5 + dice.nextInt(15 + 20 * Math.min(8, ++tries));
+            final long took = Math.min(WAIT, loop.now() - begun);
+            final long rest = 5 + dice.nextInt(15 + 20 * Math.min(8, ++tries) + (int) (Math.min(2, tries) * took));
             if (loop.now() + rest >= cutoff) {
                 end(sent ? Fate.UNKNOWN : Fate.REJECTED, held.get(id));
             } else {
@@ -135,6 +139,7 @@
                 return;
             }
             top++;
+            begun = loop.now();
             ballot = new Ballot(top, name);
             best = Ballot.ZERO;
             now = Item.none(id);
--- a/rig/src/test/java/rv/rig/ShieldRunTest.java
+++ b/rig/src/test/java/rv/rig/ShieldRunTest.java
@@ -201,6 +201,26 @@
         assertTrue(before.iterator().next().matches("12 (left|right)5"));
     }
 
+    /** Over links as slow as a round of votes is long, with one elector down, neither keeps the other from its answer. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void twoOperatorsAtOnceAreBothAnsweredOverSlowLinks(final long seed) {
+        final Town town = quiet(place(seed), seed);
+        town.crowd().factor(0.05);
+        town.net().slow(120);
+        town.node(ELECTORS.get((int) seed % 3)).kill();
+        town.run(3000);
+        final List<String> up = town.nodes().keySet().stream().filter(n -> n.startsWith("sh") && town.node(n).alive()).toList();
+        final List<Integer> said = new ArrayList<>();
+        for (int i = 1; i <= 6; i++) {
+            state(town, up.get(0), patch(town.place(), 7 + i, "left" + i), said);
+            state(town, up.get(1), patch(town.place(), 7 + i, "right" + i), said);
+            town.run(3500);
+        }
+        assertEquals(Set.of(200), Set.copyOf(said));
+        assertEquals(12, said.size());
+    }
+
     /** An older call that comes late, also after the item was dropped or all shields were killed, alters nothing. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
