rwrig scale: hollow nodes in steps of size beside real electors

The capacity asked for (430 nodes) had no measurement. Hollow nodes are the real Node over TcpNet, many in one process; electors and one edge are processes. Ruled out: the simulator, which has no sockets, no encoding and no processor time; a process for each node, whose memory would not fit.

--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -34,6 +34,7 @@
     private final Map<NodeId, Circuit> out = new HashMap<>();
     private final Map<Long, Wait> waits = new HashMap<>();
     private final Thread thread = new Thread(this::run, "wire");
+    private final Meter meter;
     private Selector selector;
     private ServerSocketChannel door;
     private volatile Net.Port port;
@@ -53,6 +54,12 @@
 
     public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
                   final Map<NodeId, InetSocketAddress> fixed) {
+        this(self, loop, journal, seeds, fixed, Meter.NONE);
+    }
+
+    public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
+                  final Map<NodeId, InetSocketAddress> fixed, final Meter meter) {
+        this.meter = meter;
         this.self = self;
         this.loop = loop;
         this.journal = journal;
@@ -105,6 +112,7 @@
         }
         final long id = ++serial;
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, id, 0, self, msg));
+        meter.out(msg, 4 + data.length);
         if (data.length > Wire.LIMIT || !ring.offer(() -> push(to, id, data, wait, then))) {
             loop.post(() -> then.accept(Reply.lost(Reply.Trouble.NOT_SENT)));
             return;
@@ -123,6 +131,7 @@
             return;
         }
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 0, self, msg));
+        meter.out(msg, 4 + data.length);
         if (data.length <= Wire.LIMIT && ring.offer(() -> {
             final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
             if (c != null) {
@@ -258,6 +267,7 @@
             bad(c, t.getMessage());
             return;
         }
+        meter.in(e.msg(), 4 + data.length);
         if (e.re() != 0) {
             end(e.re(), Reply.of(e.msg()));
         } else {
@@ -267,6 +277,7 @@
 
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        meter.out(m, 4 + data.length);
         if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> { }, () -> { })))) {
             selector.wakeup();
         }
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -16,6 +16,7 @@
 import rv.rig.fleet.Drill;
 import rv.rig.fleet.Fleet;
 import rv.rig.judge.Judge;
+import rv.rig.scale.Scale;
 import rv.rig.sim.Play;
 
 /** The rig's command line: 0 all rules kept, 1 a rule broken or a trouble missed, 2 usage. */
@@ -26,6 +27,7 @@
           pairs PLACE      every two troubles on top of each other, for each seed
           fleet WHAT       the same on processes; without --troubles a quiet day
           judge FILE...    rules on logs
+          scale N,N,...    hollow nodes beside real electors, in steps of size: what each costs
           origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
         """;
 
@@ -40,6 +42,7 @@
         p.accepts("seconds", "length of a quiet day").withRequiredArg().ofType(Long.class).defaultsTo(20L);
         p.accepts("dir", "folder for a fleet's logs and data").withRequiredArg();
         p.accepts("from", "bin folder of another build: a fleet begins on it, each restart brings a machine to this one").withRequiredArg();
+        p.accepts("shards", "shards of the key space, in a scale run").withRequiredArg().ofType(Integer.class).defaultsTo(512);
         p.accepts("figures", "print availability and spread");
         p.accepts("help", "print this and end");
         final OptionSet set;
@@ -61,6 +64,7 @@
             case "pairs" -> System.exit(pairs(w.get(1), set));
             case "fleet" -> System.exit(fleet(w.get(1), set));
             case "judge" -> System.exit(judge(w.subList(1, w.size())));
+            case "scale" -> System.exit(scale(w.get(1), set));
             case "origin" -> origin(w.subList(1, w.size()));
             default -> {
                 System.err.println(USAGE);
@@ -163,6 +167,20 @@
         }
     }
 
+    private static int scale(final String what, final OptionSet set) throws Exception {
+        final List<Integer> sizes = Scale.sizes(what);
+        if (sizes.isEmpty()) {
+            System.err.println("rwrig: argument 2: sizes of 12 nodes and more are wanted, as 50,150: " + what);
+            return 2;
+        }
+        final Path dir = set.has("dir") ? Path.of((String) set.valueOf("dir")) : Path.of("scale");
+        final Path bin = Path.of(System.getProperty("rv.bin", "bin")).toAbsolutePath();
+        final Scale scale = new Scale(sizes, (Integer) set.valueOf("shards"), (Long) set.valueOf("seconds"), dir, bin);
+        final List<String> lacks = scale.lacks();
+        lacks.forEach(l -> System.err.println("rwrig: " + l));
+        return lacks.isEmpty() ? scale.run() : 2;
+    }
+
     private static int judge(final List<String> files) throws IOException {
         final List<Map<String, Object>> rows = new ArrayList<>();
         for (final String f : files) {
--- a/rig/src/main/java/rv/rig/fleet/Fleet.java
+++ b/rig/src/main/java/rv/rig/fleet/Fleet.java
@@ -63,7 +63,7 @@
     }
 
     /** Three free ports at once, so that they differ. */
-    static int[] free(final String host) throws IOException {
+    public static int[] free(final String host) throws IOException {
         final InetAddress at = InetAddress.getByName(host);
         try (ServerSocket a = new ServerSocket(0, 1, at); ServerSocket b = new ServerSocket(0, 1, at); ServerSocket c = new ServerSocket(0, 1, at)) {
             return new int[] {a.getLocalPort(), b.getLocalPort(), c.getLocalPort()};
--- a/rig/src/main/java/rv/rig/fleet/Machine.java
+++ b/rig/src/main/java/rv/rig/fleet/Machine.java
@@ -13,7 +13,7 @@
 import java.util.stream.Stream;
 
 /** One machine of the fleet: a process, its address, its disk. */
-final class Machine {
+public final class Machine {
     private final String name;
     private final String host;
     private final int wire;
@@ -24,7 +24,7 @@
     private final List<String> flags = new ArrayList<>();
     private Process process;
 
-    Machine(final String name, final String host, final int[] ports, final Path dir, final Path bin) {
+    public Machine(final String name, final String host, final int[] ports, final Path dir, final Path bin) {
         this.name = name;
         this.host = host;
         this.wire = ports[0];
@@ -34,19 +34,19 @@
         this.bin = bin;
     }
 
-    String name() {
+    public String name() {
         return name;
     }
 
-    String host() {
+    public String host() {
         return host;
     }
 
-    int wire() {
+    public int wire() {
         return wire;
     }
 
-    String http() {
+    public String http() {
         return host + ":" + http;
     }
 
@@ -75,20 +75,20 @@
         bin = at;
     }
 
-    void flags(final List<String> list) {
+    public void flags(final List<String> list) {
         flags.clear();
         flags.addAll(list);
     }
 
-    boolean alive() {
+    public boolean alive() {
         return process != null && process.isAlive();
     }
 
-    long pid() {
+    public long pid() {
         return process.pid();
     }
 
-    void start() throws IOException {
+    public void start() throws IOException {
         final List<String> line = new ArrayList<>();
         line.add(bin.resolve(store() ? "rwstore" : edge() ? "rwedge" : "rwshield").toString());
         line.addAll(List.of("--id", name, "--wire", host + ":" + wire, "--http", http(), "--log", "json"));
@@ -132,7 +132,7 @@
         }
     }
 
-    void kill() throws InterruptedException {
+    public void kill() throws InterruptedException {
         if (process != null) {
             if (process.isAlive()) {
                 send("KILL");
@@ -166,7 +166,7 @@
         wipe(data());
     }
 
-    static void wipe(final Path at) throws IOException {
+    public static void wipe(final Path at) throws IOException {
         if (Files.exists(at)) {
             try (Stream<Path> all = Files.walk(at)) {
                 for (final Path p : all.sorted(Comparator.reverseOrder()).toList()) {
--- /dev/null
+++ b/rig/src/main/java/rv/rig/scale/Herd.java
@@ -0,0 +1,156 @@
+package rv.rig.scale;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.control.Quorum;
+import rv.rig.fleet.Fleet;
+import rv.rig.fleet.Machine;
+
+/** Hollow nodes in this process; the electors and one edge are processes of their own, or hollow too. */
+final class Herd implements AutoCloseable {
+    static final int REGIONS = 10;
+    static final int ZONES = 29;
+    private static final List<String> ELECTORS = List.of("st1", "st2", "sh1");
+    private final Path dir;
+    private final Waves waves = new Waves();
+    private final Map<String, Machine> real = new LinkedHashMap<>();
+    private final Map<NodeId, Hollow> hollow = new TreeMap<>();
+    private final Hollow.Seat seat;
+    private final int size;
+    private final Thread hook = new Thread(this::reap, "reap");
+
+    Herd(final int size, final int shards, final boolean processes, final Path dir, final Path bin) throws IOException {
+        this.size = size;
+        this.dir = dir;
+        Files.createDirectories(dir);
+        final String net = "127." + (10 + ProcessHandle.current().pid() % 200) + ".8.";
+        final Map<NodeId, InetSocketAddress> seeds = new LinkedHashMap<>();
+        for (final String e : ELECTORS) {
+            final String host = net + (1 + ELECTORS.indexOf(e));
+            real.put(e, new Machine(e, host, Fleet.free(host), dir, bin));
+            seeds.put(NodeId.of(e), new InetSocketAddress(host, real.get(e).wire()));
+        }
+        real.put("ed1", new Machine("ed1", net + "4", Fleet.free(net + "4"), dir, bin));
+        seat = new Hollow.Seat(seeds, new Quorum(List.copyOf(seeds.keySet()), Set.of(NodeId.of("st1"), NodeId.of("st2"))), shards, net + "9");
+        final String line = String.join(",", seeds.entrySet().stream()
+            .map(e -> e.getKey() + "@" + e.getValue().getHostString() + ":" + e.getValue().getPort()).toList());
+        Runtime.getRuntime().addShutdownHook(hook);
+        for (final Machine m : real.values()) {
+            if (processes) {
+                m.flags(List.of("--cell", "r0/z0", "--seeds", line, "--shards", String.valueOf(shards)));
+                m.start();
+            }
+        }
+        if (!processes) {
+            for (final String e : ELECTORS) {
+                final Hollow.Seat at = new Hollow.Seat(seat.seeds(), seat.quorum(), shards, real.get(e).host());
+                add(NodeId.of(e), e.startsWith("st") ? Role.STORE : Role.SHIELD, "r0/z0", at, real.get(e).wire());
+            }
+            real.clear();
+        }
+        final int shields = Math.max(4, size / 6);
+        for (int i = 2; hollow.size() + real.size() < size; i++) {
+            final boolean shield = i <= shields;
+            add(NodeId.of((shield ? "sh" : "ed") + i), shield ? Role.SHIELD : Role.EDGE, cell(i), seat, 0);
+        }
+    }
+
+    /** Zones are spread over the regions, and each region gets edges and shields. */
+    static String cell(final int i) {
+        final int zone = i % ZONES;
+        return "r" + zone % REGIONS + "/z" + zone;
+    }
+
+    private void add(final NodeId id, final Role role, final String cell, final Hollow.Seat at, final int port) throws IOException {
+        hollow.put(id, new Hollow(id, role, cell, Long.toHexString(System.nanoTime()), at, port, i -> waves.hit(i, id)));
+    }
+
+    Waves waves() {
+        return waves;
+    }
+
+    int size() {
+        return size;
+    }
+
+    List<NodeId> electors() {
+        return seat.quorum().electors();
+    }
+
+    Map<String, Machine> real() {
+        return real;
+    }
+
+    List<Hollow> up() {
+        return hollow.values().stream().filter(Hollow::up).toList();
+    }
+
+    List<Hollow> up(final Predicate<Hollow> which) {
+        return up().stream().filter(which).toList();
+    }
+
+    /** Ends these at once and begins each anew, with the same name at another address. */
+    void roll(final List<Hollow> which, final long downMs) throws IOException, InterruptedException {
+        which.forEach(h -> {
+            h.stop();
+            waves.gone(h.id());
+        });
+        TimeUnit.MILLISECONDS.sleep(downMs);
+        for (final Hollow h : which) {
+            add(h.id(), h.role(), h.node().setup().self().cell(), seat, 0);
+        }
+    }
+
+    /** Milliseconds until every one of them says yes, or -1 where one does not within {@code most}. */
+    static long until(final List<Hollow> which, final long most, final Predicate<Hollow> yes) throws InterruptedException {
+        final long from = System.nanoTime();
+        List<Hollow> left = new ArrayList<>(which);
+        while (!left.isEmpty()) {
+            left = new ArrayList<>(left.stream().filter(yes.negate()).toList());
+            final long ms = (System.nanoTime() - from) / 1_000_000;
+            if (left.isEmpty()) {
+                return ms;
+            }
+            if (ms > most) {
+                return -1;
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        return 0;
+    }
+
+    /** It has a confirmed frame and hears of all. */
+    boolean settled(final Hollow h) {
+        return h.see(n -> n.sync().fresh() && n.roster().live().size() >= size, false);
+    }
+
+    private void reap() {
+        hollow.values().forEach(Hollow::stop);
+        for (final Machine m : real.values()) {
+            try {
+                m.kill();
+            } catch (final InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        reap();
+        Machine.wipe(dir);
+        Runtime.getRuntime().removeShutdownHook(hook);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/scale/Load.java
@@ -0,0 +1,51 @@
+package rv.rig.scale;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import rv.rig.fleet.Machine;
+
+/** Processor time and memory of threads, processes and the whole machine. */
+final class Load {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+    private Load() {
+    }
+
+    /** Milliseconds of processor time that a hollow node's two threads have had. */
+    static double node(final Hollow h) {
+        return (thread(h.core()) + thread(h.tally().wire())) / 1e6;
+    }
+
+    private static long thread(final long id) {
+        return id == 0 ? 0 : Math.max(0, THREADS.getThreadCpuTime(id));
+    }
+
+    private static String[] stat(final long pid) throws IOException {
+        final String line = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        return line.substring(line.lastIndexOf(')') + 2).split(" ");
+    }
+
+    static double process(final Machine m) throws IOException {
+        final String[] f = m.alive() ? stat(m.pid()) : new String[0];
+        return f.length < 13 ? 0 : 10.0 * (Long.parseLong(f[11]) + Long.parseLong(f[12]));
+    }
+
+    static double residentMb(final Machine m) throws IOException {
+        return m.alive() ? Long.parseLong(stat(m.pid())[21]) * 4096 / 1048576.0 : 0;
+    }
+
+    static double heapMb() {
+        System.gc();
+        return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1048576.0;
+    }
+
+    /** Milliseconds for which the machine's processors were busy, all work together. */
+    static double machine() throws IOException {
+        final long[] f = Arrays.stream(Files.readAllLines(Path.of("/proc/stat")).get(0).split("\\s+")).skip(1).mapToLong(Long::parseLong).toArray();
+        return 10.0 * (f[0] + f[1] + f[2] + f[5] + f[6] + f[7]);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/scale/Step.java
@@ -0,0 +1,211 @@
+package rv.rig.scale;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import rv.base.ItemId;
+import rv.base.Kind;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.control.Json;
+import rv.control.Purge;
+import rv.rig.fleet.Machine;
+
+/** One size: at rest, under purges and configurations, through a rolled zone, and after a cut. */
+final class Step {
+    private static final long PAUSE = 140;
+    private static final int MISSED = 200;
+    private final Herd herd;
+    private final long seconds;
+    private final Map<String, Double> row = new LinkedHashMap<>();
+    private final Map<String, Double> kinds = new TreeMap<>();
+    private int serial;
+    private volatile int refused;
+
+    Step(final Herd herd, final long seconds) {
+        this.herd = herd;
+        this.seconds = seconds;
+    }
+
+    private record Shot(long at, Map<NodeId, Map<String, Tally.Count>> counts, Map<NodeId, Double> cpu, Map<String, Double> process, double machine) {
+    }
+
+    /** The columns of one line, in order. */
+    Map<String, Double> run() throws IOException, InterruptedException {
+        row.put("nodes", (double) herd.size());
+        row.put("settled_ms", (double) Herd.until(herd.up(), 60_000, herd::settled));
+        rest();
+        row.put("heap_mb_node", Load.heapMb() / herd.up().size());
+        final Shot one = shot();
+        purges(Math.max(1, (int) (seconds * 1000 / PAUSE)), true);
+        window("purged_", one, shot());
+        times("purge_");
+        configs();
+        zone();
+        cut();
+        row.put("refused", (double) refused);
+        return row;
+    }
+
+    /** Bytes a second of one node, by way and kind of message, at rest. */
+    Map<String, Double> kinds() {
+        return kinds;
+    }
+
+    private void rest() throws IOException, InterruptedException {
+        final Shot one = shot();
+        TimeUnit.SECONDS.sleep(seconds);
+        final Shot two = shot();
+        window("", one, two);
+        final double s = (two.at() - one.at()) / 1e9;
+        final List<NodeId> edges = ids(Role.EDGE, two);
+        edges.forEach(n -> Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))
+            .forEach((k, c) -> kinds.merge(k, c.bytes() / s / edges.size(), Double::sum)));
+    }
+
+    private List<NodeId> ids(final Role role, final Shot shot) {
+        return herd.up(h -> h.role() == role && shot.counts().containsKey(h.id())).stream().map(Hollow::id).toList();
+    }
+
+    private Shot shot() throws IOException {
+        final Map<NodeId, Map<String, Tally.Count>> counts = new HashMap<>();
+        final Map<NodeId, Double> cpu = new HashMap<>();
+        final Map<String, Double> process = new LinkedHashMap<>();
+        herd.up().forEach(h -> {
+            counts.put(h.id(), h.tally().counts());
+            cpu.put(h.id(), Load.node(h));
+        });
+        for (final Machine m : herd.real().values()) {
+            process.put(m.name(), Load.process(m));
+        }
+        return new Shot(System.nanoTime(), counts, cpu, process, Load.machine());
+    }
+
+    private void window(final String name, final Shot one, final Shot two) throws IOException {
+        final double s = (two.at() - one.at()) / 1e9;
+        for (final Role role : List.of(Role.EDGE, Role.SHIELD)) {
+            final List<NodeId> ids = ids(role, two);
+            final Tally.Count sum = ids.stream().map(n -> Tally.sum(Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))))
+                .reduce(new Tally.Count(0, 0), Tally.Count::plus);
+            final double cpu = ids.stream().mapToDouble(n -> two.cpu().get(n) - one.cpu().getOrDefault(n, 0.0)).sum();
+            row.put(name + role.word() + "_messages_s", sum.frames() / s / ids.size());
+            row.put(name + role.word() + "_bytes_s", sum.bytes() / s / ids.size());
+            row.put(name + role.word() + "_cpu_percent", cpu / s / 10 / ids.size());
+        }
+        for (final Machine m : herd.real().values()) {
+            row.put(name + m.name() + "_cpu_percent", (two.process().get(m.name()) - one.process().get(m.name())) / s / 10);
+            row.put(name + m.name() + "_resident_mb", Load.residentMb(m));
+        }
+        row.put(name + "machine_busy_cores", (two.machine() - one.machine()) / s / 1000);
+    }
+
+    private Hollow door() {
+        final List<Hollow> edges = herd.up(h -> h.role() == Role.EDGE && !h.cut());
+        return edges.get(serial % Math.min(3, edges.size()));
+    }
+
+    private List<NodeId> reach() {
+        return herd.up(h -> !h.cut()).stream().map(Hollow::id).toList();
+    }
+
+    private void purge(final boolean timed) {
+        final Purge p = new Purge(null, "/page/" + serial++, null, "shop.example", null);
+        final String key = Json.text(p);
+        final Hollow at = door();
+        if (timed) {
+            herd.waves().begin(key, reach());
+        }
+        at.loop().post(() -> at.node().orders().purge(p, said -> said(key, said.status())));
+    }
+
+    private void said(final String key, final int status) {
+        if (status != 200) {
+            refused++;
+            herd.waves().refused(key);
+        }
+    }
+
+    private void purges(final int n, final boolean timed) throws InterruptedException {
+        for (int i = 0; i < n; i++) {
+            purge(timed);
+            TimeUnit.MILLISECONDS.sleep(PAUSE);
+        }
+    }
+
+    private void calm(final long most) throws InterruptedException {
+        final long end = System.nanoTime() + most * 1_000_000;
+        while (herd.waves().open() > 0 && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private void times(final String name) throws InterruptedException {
+        calm(10_000);
+        row.merge("unfinished", (double) herd.waves().open(), Double::sum);
+        row.put(name + "waves", (double) herd.waves().done());
+        row.put(name + "each_p50_ms", herd.waves().each(50));
+        row.put(name + "everywhere_p50_ms", herd.waves().all(50));
+        row.put(name + "everywhere_max_ms", herd.waves().all(100));
+        herd.waves().clear();
+    }
+
+    private void configs() throws InterruptedException {
+        for (int i = 0; i < 5; i++) {
+            final ItemId id = new ItemId(Kind.SERVICE, "store-" + serial++);
+            final Hollow at = door();
+            herd.waves().begin(id.text(), reach());
+            at.loop().post(() -> at.node().clerk().put(id, "{\"kind\":\"content\",\"rate\":50}".getBytes(StandardCharsets.UTF_8), 0, null,
+                said -> said(id.text(), said.status())));
+            TimeUnit.MILLISECONDS.sleep(2 * PAUSE);
+        }
+        times("config_");
+    }
+
+    /** All of one zone that are not doors or electors end at once and come back, while purges go on. */
+    private void zone() throws IOException, InterruptedException {
+        final String cell = Herd.cell(5);
+        final List<Hollow> zone = herd.up(h -> h.node().setup().self().cell().equals(cell) && !herd.electors().contains(h.id()));
+        final Shot one = shot();
+        purges(3, true);
+        herd.roll(zone, 1000);
+        purges(10, true);
+        row.put("zone_nodes", (double) zone.size());
+        final List<NodeId> ids = zone.stream().map(Hollow::id).toList();
+        row.put("zone_back_ms", (double) Herd.until(herd.up(h -> ids.contains(h.id())), 20_000, herd::settled));
+        window("zone_", one, shot());
+        times("zone_purge_");
+    }
+
+    /** A region hears nothing while purges are stated as fast as they are taken; then it has to learn them all. */
+    private void cut() throws IOException, InterruptedException {
+        final List<Hollow> region = herd.up(h -> h.node().setup().self().cell().startsWith("r3/") && !herd.electors().contains(h.id()));
+        region.forEach(h -> h.cut(true));
+        final int from = serial;
+        for (int i = 0; i < MISSED; i++) {
+            purge(false);
+            TimeUnit.MILLISECONDS.sleep(15);
+        }
+        final Hollow near = door();
+        Herd.until(List.of(near), 5000, h -> h.see(n -> n.held().all().size(), 0) >= serial);
+        final int want = near.see(n -> n.held().all().size(), 0);
+        final Shot one = shot();
+        region.forEach(h -> h.cut(false));
+        row.put("cut_nodes", (double) region.size());
+        row.put("cut_missed", (double) serial - from);
+        row.put("cut_healed_ms", (double) Herd.until(region, 20_000, h -> h.see(n -> n.sync().fresh() && n.held().all().size() >= want, false)));
+        final Shot two = shot();
+        final double bytes = region.stream().mapToDouble(h -> Tally.less(two.counts().get(h.id()), one.counts().get(h.id())).entrySet().stream()
+            .filter(e -> e.getKey().equals("in Give")).mapToDouble(e -> e.getValue().bytes()).sum()).sum();
+        row.put("cut_give_bytes_item", bytes / Math.max(1, region.size()) / (serial - from));
+    }
+
+    static String line(final Map<String, Double> row) {
+        return String.join(",", row.values().stream().map(v -> String.format(Locale.ROOT, "%.2f", v)).toList());
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/scale/Waves.java
@@ -0,0 +1,83 @@
+package rv.rig.scale;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import rv.base.Item;
+import rv.base.Kind;
+import rv.base.NodeId;
+
+/** How long purges and configurations take from their statement until each node, and all nodes, hold them. */
+final class Waves {
+    private final Map<String, Wave> open = new ConcurrentHashMap<>();
+    private final Histogram each = new ConcurrentHistogram(60_000_000, 3);
+    private final Histogram all = new ConcurrentHistogram(60_000_000, 3);
+
+    private record Wave(long from, Set<NodeId> left) {
+    }
+
+    /** Of purges the body, since one name may be purged again; else the name. */
+    static String key(final Item item) {
+        return item.id().kind() == Kind.PURGE ? item.body() : item.id().text();
+    }
+
+    void begin(final String key, final Collection<NodeId> nodes) {
+        final Set<NodeId> left = ConcurrentHashMap.newKeySet();
+        left.addAll(nodes);
+        open.put(key, new Wave(System.nanoTime(), left));
+    }
+
+    void hit(final Item item, final NodeId at) {
+        final Wave w = open.get(key(item));
+        if (w != null && w.left().remove(at)) {
+            final long us = (System.nanoTime() - w.from()) / 1000;
+            each.recordValue(Math.min(us, 60_000_000));
+            end(key(item), w, us);
+        }
+    }
+
+    private void end(final String key, final Wave w, final long us) {
+        if (w.left().isEmpty() && open.remove(key, w)) {
+            all.recordValue(Math.min(us, 60_000_000));
+        }
+    }
+
+    /** A node that ends is not waited for. */
+    void gone(final NodeId node) {
+        open.forEach((k, w) -> {
+            if (w.left().remove(node)) {
+                end(k, w, (System.nanoTime() - w.from()) / 1000);
+            }
+        });
+    }
+
+    /** The statement was refused, so nothing is to arrive. */
+    void refused(final String key) {
+        open.remove(key);
+    }
+
+    int open() {
+        return open.size();
+    }
+
+    void clear() {
+        open.clear();
+        each.reset();
+        all.reset();
+    }
+
+    long done() {
+        return all.getTotalCount();
+    }
+
+    double each(final double percent) {
+        return each.getValueAtPercentile(percent) / 1000.0;
+    }
+
+    double all(final double percent) {
+        return all.getValueAtPercentile(percent) / 1000.0;
+    }
+}
