Members are told by numbered change, silences by a byte each

Cause: each answer to a beat told every member (45 B each) and, where any two lists differed in one member, all of them whole (200 B each), to each node from three seeds twice a second. At 300 hollow nodes (512 shards, 5 s windows, machine 15.7 of 16 cores busy) an edge had 88.7 kB/s, electors 49-53% of a core, and no purge was accepted. Ruled out: fewer beats (slower to notice a loss), telling exceptions only (coarser silence).

--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -18,11 +18,25 @@
         }
     }
 
-    record Beat(Member self, long tick, int seen, long roll) implements Msg { }
+    /**
+     * {@code list}, {@code since}: the seed's member list that this node has, and the last change in it; a node that states
+     * none is told by {@code roll}.
+     */
+    record Beat(Member self, long tick, int seen, long roll, String list, long since) implements Msg { }
 
     record Heard(NodeId id, long silence, Condition condition, Member member) { }
 
-    record Beaten(List<Heard> members, long tick) implements Msg { }
+    /** {@code at}: its place in the seed's list, for good. */
+    record Listed(int at, Member member) { }
+
+    /**
+     * {@code members}: to a node that stated no list; else what changed in {@code list} up to {@code last}, and by place the
+     * silence of each member in {@link #UNIT} ms, rounded up, {@link #LOST} where it is lost.
+     */
+    record Beaten(List<Heard> members, long tick, String list, long last, List<Listed> changed, byte[] silences) implements Msg {
+        public static final int UNIT = 10;
+        public static final int LOST = 255;
+    }
 
     // electors
     record Prepare(ItemId id, Ballot ballot) implements Msg { }
--- a/control/src/main/java/rv/control/Roster.java
+++ b/control/src/main/java/rv/control/Roster.java
@@ -1,10 +1,8 @@
 package rv.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -35,9 +33,9 @@
     private final IntSupplier items;
     private final Stores stores;
     private boolean told;
-    private final Map<NodeId, Member> all = new TreeMap<>();
-    private final Map<NodeId, Long> heard = new HashMap<>();
-    private final Map<NodeId, Long> first = new HashMap<>();
+    private Member own;
+    private final MemberList members;
+    private final Map<NodeId, SeedView> views = new HashMap<>();
 
     public Roster(final Supplier<Member> self, final List<NodeId> seeds, final Loop loop, final Net net, final Timing timing,
                   final Journal journal, final Consumer<Member> book, final Drift drift, final IntSupplier items, final Stores stores) {
@@ -52,6 +50,8 @@
         this.book = book;
         this.drift = drift;
         this.pace = new Pace(timing);
+        this.members = new MemberList(timing.lost());
+        seeds.forEach(s -> views.put(s, new SeedView()));
     }
 
     public void start() {
@@ -61,27 +61,42 @@
     private void round() {
         final Member me = self.get();
         note(me, loop.now());
-        for (final NodeId s : seeds) {
-            if (!s.equals(me.id())) {
-                final long sent = loop.now();
-                net.ask(s, new Msg.Beat(me, sent, items.getAsInt(), roll()), 450, r -> r.as(Msg.Beaten.class).ifPresentOrElse(b -> {
-                    stores.alive(s);
-                    drift.sample(s, sent, loop.now(), b.tick());
-                    b.members().forEach(this::hear);
-                }, () -> stores.missed(s, sent)));
+        seeds.stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
+        members.gone(loop.now()).forEach(id -> journal.add(Event.of(Code.MEMBER_LOST, "node", id.text())));
+    }
+
+    /** The roll is for a seed that has not answered with its list yet. */
+    private void ask(final NodeId s, final Member me) {
+        final long sent = loop.now();
+        final SeedView view = views.get(s);
+        final long roll = view.list().isEmpty() ? roll() : 0;
+        net.ask(s, new Msg.Beat(me, sent, items.getAsInt(), roll, view.list(), view.last()), 450, r -> r.as(Msg.Beaten.class).ifPresentOrElse(b -> {
+            stores.alive(s);
+            drift.sample(s, sent, loop.now(), b.tick());
+            if (b.list() != null) {
+                view.take(b, this::hear);
+            } else {
+                b.members().forEach(this::hear);
             }
+        }, () -> stores.missed(s, sent)));
+    }
+
+    /** What of this node never changes in its life. */
+    private Member own() {
+        own = own == null ? self.get() : own;
+        return own;
+    }
+
+    private void hear(final Member m, final long silence) {
+        if (silence <= timing.lost() && !m.id().equals(own().id())) {
+            note(m, loop.now() - silence);
         }
-        heard.forEach((id, at) -> {
-            if (loop.now() - at > timing.lost() && first.remove(id) != null) {
-                journal.add(Event.of(Code.MEMBER_LOST, "node", id.text()));
-            }
-        });
     }
 
     private void hear(final Msg.Heard h) {
-        final Member m = h.member() != null ? h.member() : all.get(h.id());
-        if (m != null && !m.id().equals(self.get().id()) && h.silence() <= timing.lost()) {
-            note(m.with(h.condition()), loop.now() - h.silence());
+        final Member m = h.member() != null ? h.member() : get(h.id());
+        if (m != null) {
+            hear(m.with(h.condition()), h.silence());
         }
     }
 
@@ -103,53 +118,52 @@
         pace.hear(b.self().id(), loop.now(), b.tick());
         note(b.self(), loop.now());
         told |= b.seen() > 0;
+        final long now = loop.now();
+        if (b.list() != null) {
+            final String list = own().boot();
+            back.accept(new Msg.Beaten(null, now, list, members.last(), members.since(b.list().equals(list) ? b.since() : 0, now), members.silences(now)));
+            return;
+        }
         final boolean same = b.roll() == roll();
         back.accept(new Msg.Beaten(live().stream().map(m -> new Msg.Heard(m.id(), silence(m.id()), m.condition(), same ? null : m)).toList(),
-            loop.now()));
+            now, null, 0, null, null));
     }
 
     private void note(final Member m, final long at) {
-        if (at < heard.getOrDefault(m.id(), Long.MIN_VALUE)) {
-            return;
-        }
-        final Member old = all.put(m.id(), m);
-        heard.put(m.id(), at);
-        if (first.putIfAbsent(m.id(), loop.now()) == null) {
+        final MemberList.Noted n = members.note(m, at, loop.now());
+        if (n.seen()) {
             journal.add(Event.of(Code.MEMBER_SEEN, "node", m.id().text(), "role", m.role().word(), "cell", m.cell()));
         }
-        if (old == null || !old.host().equals(m.host()) || old.port() != m.port()) {
+        if (n.moved()) {
             book.accept(m);
         }
     }
 
     public List<Member> live() {
-        final List<Member> list = new ArrayList<>();
-        all.forEach((id, m) -> {
-            if (loop.now() - heard.get(id) <= timing.lost()) {
-                list.add(m);
-            }
-        });
-        return list;
+        final long now = loop.now();
+        return members.all().stream().filter(r -> members.live(r, now)).map(MemberList.Row::member).toList();
     }
 
     public boolean lives(final NodeId id) {
-        return heard.containsKey(id) && loop.now() - heard.get(id) <= timing.lost();
+        return members.live(members.get(id), loop.now());
     }
 
     public long age(final NodeId id) {
-        return loop.now() - first.getOrDefault(id, loop.now());
+        return members.age(id, loop.now());
     }
 
     public long silence(final NodeId id) {
-        return heard.containsKey(id) ? loop.now() - heard.get(id) : Long.MAX_VALUE;
+        final MemberList.Row r = members.get(id);
+        return r == null ? Long.MAX_VALUE : loop.now() - r.heard();
     }
 
     public List<NodeId> ids() {
-        return List.copyOf(all.keySet());
+        return members.all().stream().map(r -> r.member().id()).toList();
     }
 
     public Member get(final NodeId id) {
-        return all.get(id);
+        final MemberList.Row r = members.get(id);
+        return r == null ? null : r.member();
     }
 
     public List<Member> live(final Role role) {
--- a/rig/src/main/java/rv/rig/scale/Step.java
+++ b/rig/src/main/java/rv/rig/scale/Step.java
@@ -40,11 +40,14 @@
     Map<String, Double> run() throws IOException, InterruptedException {
         row.put("nodes", (double) herd.size());
         row.put("settled_ms", (double) Herd.until(herd.up(), 60_000, herd::settled));
+        settle();
         rest();
         row.put("heap_mb_node", Load.heapMb() / herd.up().size());
         final Shot one = shot();
         purges(Math.max(1, (int) (seconds * 1000 / PAUSE)), true);
-        window("purged_", one, shot());
+        final Shot two = shot();
+        window("purged_", one, two);
+        kinds("purged ", one, two);
         times("purge_");
         configs();
         zone();
@@ -53,20 +56,37 @@
         return row;
     }
 
-    /** Bytes a second of one node, by way and kind of message, at rest. */
+    /** Bytes a second of one node, by way and kind of message. */
     Map<String, Double> kinds() {
         return kinds;
     }
 
+    /** Until the plan stands still and every list has been told. */
+    private void settle() throws InterruptedException {
+        long epoch = -1;
+        for (int i = 0; i < 6; i++) {
+            TimeUnit.SECONDS.sleep(3);
+            final long now = door().see(n -> n.view().plan().epoch(), -1L);
+            if (now > 0 && now == epoch) {
+                return;
+            }
+            epoch = now;
+        }
+    }
+
     private void rest() throws IOException, InterruptedException {
         final Shot one = shot();
         TimeUnit.SECONDS.sleep(seconds);
         final Shot two = shot();
         window("", one, two);
+        kinds("rest ", one, two);
+    }
+
+    private void kinds(final String name, final Shot one, final Shot two) {
         final double s = (two.at() - one.at()) / 1e9;
         final List<NodeId> edges = ids(Role.EDGE, two);
         edges.forEach(n -> Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))
-            .forEach((k, c) -> kinds.merge(k, c.bytes() / s / edges.size(), Double::sum)));
+            .forEach((k, c) -> kinds.merge(name + k, c.bytes() / s / edges.size(), Double::sum)));
     }
 
     private List<NodeId> ids(final Role role, final Shot shot) {
