Edges' silence is told only where it is long; pushes are one-way and packed once

Ruled out: asking one seed in turn (apparent silence up to 1.5 s with one seed dead), coarser bytes for shields. An edge that is not late is taken as 750 ms silent, so never as newer than it is. Tests: MemberListTest.

--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -26,16 +26,20 @@
 
     record Heard(NodeId id, long silence, Condition condition, Member member) { }
 
-    /** {@code at}: its place in the seed's list, for good. */
+    /** {@code at}: its place in the seed's list, for good, below zero for edges; without a member it is gone. */
     record Listed(int at, Member member) { }
 
+    record Late(int at, int units) { }
+
     /**
-     * {@code members}: to a node that stated no list; else what changed in {@code list} up to {@code last}, and by place the
-     * silence of each member in {@link #UNIT} ms, rounded up, {@link #LOST} where it is lost.
+     * {@code members}: to a node that stated no list. Else what changed in {@code list} up to {@code last}; by place the silence
+     * of each member but edges in {@link #UNIT} ms, rounded up, {@link #LOST} where it is lost; and of edges only those that
+     * are {@code late}: the others have been silent for {@link #CALM} at most, and are taken as that.
      */
-    record Beaten(List<Heard> members, long tick, String list, long last, List<Listed> changed, byte[] silences) implements Msg {
+    record Beaten(List<Heard> members, long tick, String list, long last, List<Listed> changed, byte[] silences, List<Late> late) implements Msg {
         public static final int UNIT = 10;
         public static final int LOST = 255;
+        public static final int CALM = 750;
     }
 
     // electors
--- a/base/src/main/java/rv/base/Net.java
+++ b/base/src/main/java/rv/base/Net.java
@@ -1,5 +1,6 @@
 package rv.base;
 
+import java.util.Collection;
 import java.util.function.Consumer;
 
 public interface Net {
@@ -10,6 +11,10 @@
         ask(to, msg, 300, r -> { });
     }
 
+    default void tell(final Collection<NodeId> to, final Msg msg) {
+        to.forEach(n -> tell(n, msg));
+    }
+
     @FunctionalInterface
     interface Port {
         void take(NodeId from, Msg msg, Consumer<Msg> back);
--- a/control/src/main/java/rv/control/MemberList.java
+++ b/control/src/main/java/rv/control/MemberList.java
@@ -8,13 +8,18 @@
 import rv.base.Member;
 import rv.base.Msg;
 import rv.base.NodeId;
+import rv.base.Role;
 
-/** All members ever heard of, each at a place that it keeps; changes are numbered, so that others can be told the rest. */
+/**
+ * All members ever heard of, each at a place that it keeps; changes are numbered, so that others can be told the rest.
+ * Edges have places below zero: nobody relies on their silence, so it is told only where it is long.
+ */
 final class MemberList {
     private static final long NEVER = Long.MIN_VALUE / 2;
     private final long lost;
     private final Map<NodeId, Row> rows = new TreeMap<>();
-    private final List<Row> order = new ArrayList<>();
+    private final List<Row> near = new ArrayList<>();
+    private final List<Row> edges = new ArrayList<>();
     private long last;
 
     static final class Row {
@@ -35,6 +40,10 @@
         long heard() {
             return heard;
         }
+
+        private boolean gone() {
+            return first == NEVER;
+        }
     }
 
     MemberList(final long lost) {
@@ -45,23 +54,26 @@
     record Noted(boolean seen, boolean moved) {
     }
 
+    private Row place(final Role role) {
+        final List<Row> list = role == Role.EDGE ? edges : near;
+        final Row row = new Row(role == Role.EDGE ? -1 - list.size() : list.size());
+        list.add(row);
+        return row;
+    }
+
     /** A word older than the last one changes nothing. */
     Noted note(final Member m, final long heard, final long now) {
-        final Row r = rows.computeIfAbsent(m.id(), k -> {
-            final Row row = new Row(order.size());
-            order.add(row);
-            return row;
-        });
+        final Row r = rows.computeIfAbsent(m.id(), k -> place(m.role()));
         if (heard < r.heard) {
             return new Noted(false, false);
         }
         final Member old = r.member;
-        if (!m.equals(old) || r.first == NEVER || now - r.heard > lost) {
+        if (!m.equals(old) || r.gone() || now - r.heard > lost) {
             r.change = ++last;
         }
         r.member = m;
         r.heard = heard;
-        final boolean seen = r.first == NEVER;
+        final boolean seen = r.gone();
         if (seen) {
             r.first = now;
         }
@@ -71,9 +83,10 @@
     /** Those that have become silent since the last call. */
     List<NodeId> gone(final long now) {
         final List<NodeId> list = new ArrayList<>();
-        for (final Row r : order) {
-            if (r.first != NEVER && now - r.heard > lost) {
+        for (final Row r : rows.values()) {
+            if (!r.gone() && now - r.heard > lost) {
                 r.first = NEVER;
+                r.change = ++last;
                 list.add(r.member.id());
             }
         }
@@ -90,7 +103,7 @@
 
     long age(final NodeId id, final long now) {
         final Row r = rows.get(id);
-        return r == null || r.first == NEVER ? 0 : now - r.first;
+        return r == null || r.gone() ? 0 : now - r.first;
     }
 
     /** By id. */
@@ -102,25 +115,35 @@
         return last;
     }
 
-    /** Live members that changed after {@code since}; one that is lost now counts as changed when it is back. */
+    /** What changed after {@code since}; one that is lost but not gone yet counts as changed once it is back or gone. */
     List<Msg.Listed> since(final long since, final long now) {
         final List<Msg.Listed> list = new ArrayList<>();
         if (since < last) {
-            for (final Row r : order) {
-                if (r.change > since && live(r, now)) {
-                    list.add(new Msg.Listed(r.at, r.member));
+            for (final Row r : rows.values()) {
+                if (r.change > since && (live(r, now) || r.gone() && since > 0)) {
+                    list.add(new Msg.Listed(r.at, r.gone() ? null : r.member));
                 }
             }
         }
         return list;
     }
 
+    private int units(final Row r, final long now) {
+        final long ms = Math.max(0, now - r.heard);
+        return ms > lost ? Msg.Beaten.LOST : (int) Math.min(Msg.Beaten.LOST, (ms + Msg.Beaten.UNIT - 1) / Msg.Beaten.UNIT);
+    }
+
+    /** Of all but edges, by place. */
     byte[] silences(final long now) {
-        final byte[] all = new byte[order.size()];
+        final byte[] all = new byte[near.size()];
         for (int i = 0; i < all.length; i++) {
-            final long ms = Math.max(0, now - order.get(i).heard);
-            all[i] = (byte) (ms > lost ? Msg.Beaten.LOST : Math.min(Msg.Beaten.LOST, (ms + Msg.Beaten.UNIT - 1) / Msg.Beaten.UNIT));
+            all[i] = (byte) units(near.get(i), now);
         }
         return all;
     }
+
+    /** Edges that are not gone and have been silent for longer than {@link Msg.Beaten#CALM}. */
+    List<Msg.Late> late(final long now) {
+        return edges.stream().filter(r -> !r.gone() && now - r.heard > Msg.Beaten.CALM).map(r -> new Msg.Late(r.at, units(r, now))).toList();
+    }
 }
--- a/control/src/main/java/rv/control/Roster.java
+++ b/control/src/main/java/rv/control/Roster.java
@@ -121,12 +121,13 @@
         final long now = loop.now();
         if (b.list() != null) {
             final String list = own().boot();
-            back.accept(new Msg.Beaten(null, now, list, members.last(), members.since(b.list().equals(list) ? b.since() : 0, now), members.silences(now)));
+            final List<Msg.Listed> changed = members.since(b.list().equals(list) ? b.since() : 0, now);
+            back.accept(new Msg.Beaten(null, now, list, members.last(), changed, members.silences(now), members.late(now)));
             return;
         }
         final boolean same = b.roll() == roll();
         back.accept(new Msg.Beaten(live().stream().map(m -> new Msg.Heard(m.id(), silence(m.id()), m.condition(), same ? null : m)).toList(),
-            now, null, 0, null, null));
+            now, null, 0, null, null, null));
     }
 
     private void note(final Member m, final long at) {
--- a/control/src/main/java/rv/control/SeedView.java
+++ b/control/src/main/java/rv/control/SeedView.java
@@ -1,14 +1,17 @@
 package rv.control;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.ObjLongConsumer;
 import rv.base.Member;
 import rv.base.Msg;
 
 /** A seed's member list as far as it has been told here; an answer brings what changed, and how long each is silent. */
 final class SeedView {
-    private final List<Member> members = new ArrayList<>();
+    private final List<Member> near = new ArrayList<>();
+    private final List<Member> edges = new ArrayList<>();
     private String list = "";
     private long last;
 
@@ -21,25 +24,36 @@
         return last;
     }
 
-    /** {@code each} hears every member that is not lost, with its silence. */
+    /** {@code each} hears every member that is not lost, with the longest that it may have been silent. */
     void take(final Msg.Beaten b, final ObjLongConsumer<Member> each) {
         if (!b.list().equals(list)) {
-            members.clear();
+            near.clear();
+            edges.clear();
             list = b.list();
             last = 0;
         }
         last = Math.max(last, b.last());
-        for (final Msg.Listed l : b.changed()) {
-            while (members.size() <= l.at()) {
-                members.add(null);
-            }
-            members.set(l.at(), l.member());
+        b.changed().forEach(l -> put(l.at() < 0 ? edges : near, l.at() < 0 ? -1 - l.at() : l.at(), l.member()));
+        for (int i = 0; i < Math.min(near.size(), b.silences().length); i++) {
+            tell(near.get(i), b.silences()[i] & 0xff, each);
         }
-        for (int i = 0; i < Math.min(members.size(), b.silences().length); i++) {
-            final int units = b.silences()[i] & 0xff;
-            if (members.get(i) != null && units != Msg.Beaten.LOST) {
-                each.accept(members.get(i), (long) units * Msg.Beaten.UNIT);
-            }
+        final Map<Integer, Integer> late = new HashMap<>();
+        b.late().forEach(l -> late.put(-1 - l.at(), l.units()));
+        for (int i = 0; i < edges.size(); i++) {
+            tell(edges.get(i), late.getOrDefault(i, Msg.Beaten.CALM / Msg.Beaten.UNIT), each);
+        }
+    }
+
+    private static void put(final List<Member> all, final int at, final Member m) {
+        while (all.size() <= at) {
+            all.add(null);
+        }
+        all.set(at, m);
+    }
+
+    private static void tell(final Member m, final int units, final ObjLongConsumer<Member> each) {
+        if (m != null && units != Msg.Beaten.LOST) {
+            each.accept(m, (long) units * Msg.Beaten.UNIT);
         }
     }
 }
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -257,6 +257,6 @@
     private void tell(final Msg.Chosen won) {
         final List<NodeId> to = new ArrayList<>(all.get());
         quorum.electors().stream().filter(e -> !to.contains(e)).forEach(to::add);
-        to.forEach(n -> net.ask(n, new Msg.Learn(List.of(won)), 500, r -> { }));
+        net.tell(to, new Msg.Learn(List.of(won)));
     }
 }
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -7,7 +7,9 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
@@ -126,22 +128,33 @@
 
     @Override
     public void tell(final NodeId to, final Msg msg) {
-        if (to.equals(self)) {
+        tell(List.of(to), msg);
+    }
+
+    /** Packed once for all. */
+    @Override
+    public void tell(final Collection<NodeId> to, final Msg msg) {
+        if (to.contains(self)) {
             loop.post(() -> port.take(self, msg, m -> { }));
-            return;
         }
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 0, self, msg));
-        meter.out(msg, 4 + data.length);
-        if (data.length <= Wire.LIMIT && ring.offer(() -> {
-            final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
-            if (c != null) {
-                c.send(new Circuit.Out(data, () -> { }, () -> { }));
-            }
-        })) {
+        if (data.length > Wire.LIMIT) {
+            return;
+        }
+        final List<NodeId> others = to.stream().filter(n -> !n.equals(self)).toList();
+        others.forEach(n -> meter.out(msg, 4 + data.length));
+        if (ring.offer(() -> others.forEach(n -> send(n, data)))) {
             selector.wakeup();
         }
     }
 
+    private void send(final NodeId to, final byte[] data) {
+        final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
+        if (c != null) {
+            c.send(new Circuit.Out(data, () -> { }, () -> { }));
+        }
+    }
+
     private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
         final Wait w = new Wait(then);
         waits.put(id, w);
--- a/rig/src/main/java/rv/rig/scale/Hollow.java
+++ b/rig/src/main/java/rv/rig/scale/Hollow.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -91,6 +92,13 @@
         }
     }
 
+    @Override
+    public void tell(final Collection<NodeId> to, final Msg msg) {
+        if (!cut) {
+            wire.tell(to, msg);
+        }
+    }
+
     NodeId id() {
         return id;
     }
