--- a/control/src/main/java/rv/control/MemberList.java
+++ b/control/src/main/java/rv/control/MemberList.java
@@ -80,6 +80,14 @@
         return new Noted(seen, old == null || !old.host().equals(m.host()) || old.port() != m.port());
     }
 
+    void alive(final NodeId id, final long now) {
+        final Row r = rows.get(id);
+        if (r != null && r.heard < now) {
+            r.change = now - r.heard > lost ? ++last : r.change;
+            r.heard = now;
+        }
+    }
+
     /** Those that have become silent since the last call. */
     List<NodeId> gone(final long now) {
         final List<NodeId> list = new ArrayList<>();
@@ -121,7 +129,7 @@
         if (since < last) {
             for (final Row r : rows.values()) {
                 if (r.change > since && (live(r, now) || r.gone() && since > 0)) {
-                    list.add(new Msg.Listed(r.at, r.gone() ? null : r.member));
+                    list.add(new Msg.Listed(r.at, live(r, now) ? r.member : null));
                 }
             }
         }
@@ -144,6 +152,6 @@
 
     /** Edges that are not gone and have been silent for longer than {@link Msg.Beaten#CALM}. */
     List<Msg.Late> late(final long now) {
-        return edges.stream().filter(r -> !r.gone() && now - r.heard > Msg.Beaten.CALM).map(r -> new Msg.Late(r.at, units(r, now))).toList();
+        return edges.stream().filter(r -> (live(r, now) || !r.gone()) && now - r.heard > Msg.Beaten.CALM).map(r -> new Msg.Late(r.at, units(r, now))).toList();
     }
 }
--- a/control/src/main/java/rv/control/Roster.java
+++ b/control/src/main/java/rv/control/Roster.java
@@ -1,5 +1,6 @@
 package rv.control;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,10 @@
 
 /** Who is there: every node beats to the seeds, the seeds tell all they have heard. */
 public final class Roster {
+    /** Shields beside the seeds that are beaten to as well, so that their silence is seen at first hand. */
+    private static final int OTHERS = 3;
+    private static final int FEW = 8;
+    private static final long UNHEARD = 1000;
     private final Supplier<Member> self;
     private final List<NodeId> seeds;
     private final Loop loop;
@@ -34,6 +39,7 @@
     private final Stores stores;
     private boolean told;
     private Member own;
+    private long answered = Long.MIN_VALUE / 2;
     private final MemberList members;
     private final Map<NodeId, SeedView> views = new HashMap<>();
 
@@ -51,7 +57,6 @@
         this.drift = drift;
         this.pace = new Pace(timing);
         this.members = new MemberList(timing.lost());
-        seeds.forEach(s -> views.put(s, new SeedView()));
     }
 
     public void start() {
@@ -62,16 +67,28 @@
         final Member me = self.get();
         note(me, loop.now());
         seeds.stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
+        others().stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
         members.gone(loop.now()).forEach(id -> journal.add(Event.of(Code.MEMBER_LOST, "node", id.text())));
     }
 
+    /** Where shields are many, they are beaten to only while no seed answers, and not all nodes choose the same. */
+    private List<NodeId> others() {
+        final List<NodeId> list = live(Role.SHIELD).stream().map(Member::id).filter(n -> !seeds.contains(n)).toList();
+        if (list.size() <= FEW) {
+            return list.stream().limit(OTHERS).toList();
+        }
+        return loop.now() - answered <= UNHEARD ? List.of()
+            : list.stream().sorted(Comparator.comparingLong(n -> Hash.mix(own().id() + "/" + n))).limit(OTHERS).toList();
+    }
+
     /** The roll is for a seed that has not answered with its list yet. */
     private void ask(final NodeId s, final Member me) {
         final long sent = loop.now();
-        final SeedView view = views.get(s);
+        final SeedView view = views.computeIfAbsent(s, k -> new SeedView());
         final long roll = view.list().isEmpty() ? roll() : 0;
         net.ask(s, new Msg.Beat(me, sent, items.getAsInt(), roll, view.list(), view.last()), 450, r -> r.as(Msg.Beaten.class).ifPresentOrElse(b -> {
             stores.alive(s);
+            answered = seeds.contains(s) ? loop.now() : answered;
             drift.sample(s, sent, loop.now(), b.tick());
             if (b.list() != null) {
                 view.take(b, this::hear);
@@ -145,6 +162,16 @@
         return members.all().stream().filter(r -> members.live(r, now)).map(MemberList.Row::member).toList();
     }
 
+    /** Something was just heard from it. */
+    public void alive(final NodeId id) {
+        members.alive(id, loop.now());
+    }
+
+    /** How many of a role were ever heard of. */
+    public int known(final Role role) {
+        return (int) members.all().stream().filter(r -> r.member().role() == role).count();
+    }
+
     public boolean lives(final NodeId id) {
         return members.live(members.get(id), loop.now());
     }
--- a/rig/src/main/java/rv/rig/scale/Herd.java
+++ b/rig/src/main/java/rv/rig/scale/Herd.java
@@ -101,13 +101,16 @@
         return up().stream().filter(which).toList();
     }
 
-    /** Ends these at once and begins each anew, with the same name at another address. */
-    void roll(final List<Hollow> which, final long downMs) throws IOException, InterruptedException {
+    /** At once, as by loss of power. */
+    void end(final List<Hollow> which) {
         which.forEach(h -> {
             h.stop();
             waves.gone(h.id());
         });
-        TimeUnit.MILLISECONDS.sleep(downMs);
+    }
+
+    /** Anew, with the same names at other addresses. */
+    void begin(final List<Hollow> which) throws IOException {
         for (final Hollow h : which) {
             add(h.id(), h.role(), h.node().setup().self().cell(), seat, 0);
         }
--- a/rig/src/main/java/rv/rig/scale/Step.java
+++ b/rig/src/main/java/rv/rig/scale/Step.java
@@ -33,7 +33,8 @@
         this.seconds = seconds;
     }
 
-    private record Shot(long at, Map<NodeId, Map<String, Tally.Count>> counts, Map<NodeId, Double> cpu, Map<String, Double> process, double machine) {
+    private record Shot(long at, Map<NodeId, Map<String, Tally.Count>> counts, Map<NodeId, Double> cpu, Map<NodeId, String> lives,
+                        Map<String, Double> process, double machine) {
     }
 
     /** The columns of one line, in order. */
@@ -84,7 +85,8 @@
 
     private void kinds(final String name, final Shot one, final Shot two) {
         final double s = (two.at() - one.at()) / 1e9;
-        final List<NodeId> edges = ids(Role.EDGE, two);
+        final List<NodeId> doors = doors().stream().map(Hollow::id).toList();
+        final List<NodeId> edges = ids(Role.EDGE, two).stream().filter(n -> !doors.contains(n)).toList();
         edges.forEach(n -> Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))
             .forEach((k, c) -> kinds.merge(name + k, c.bytes() / s / edges.size(), Double::sum)));
     }
@@ -96,27 +98,31 @@
     private Shot shot() throws IOException {
         final Map<NodeId, Map<String, Tally.Count>> counts = new HashMap<>();
         final Map<NodeId, Double> cpu = new HashMap<>();
+        final Map<NodeId, String> lives = new HashMap<>();
         final Map<String, Double> process = new LinkedHashMap<>();
         herd.up().forEach(h -> {
             counts.put(h.id(), h.tally().counts());
             cpu.put(h.id(), Load.node(h));
+            lives.put(h.id(), h.node().setup().self().boot());
         });
         for (final Machine m : herd.real().values()) {
             process.put(m.name(), Load.process(m));
         }
-        return new Shot(System.nanoTime(), counts, cpu, process, Load.machine());
+        return new Shot(System.nanoTime(), counts, cpu, lives, process, Load.machine());
     }
 
     private void window(final String name, final Shot one, final Shot two) throws IOException {
         final double s = (two.at() - one.at()) / 1e9;
-        for (final Role role : List.of(Role.EDGE, Role.SHIELD)) {
-            final List<NodeId> ids = ids(role, two);
+        final List<NodeId> doors = doors().stream().map(Hollow::id).toList();
+        for (final String role : List.of("edge", "shield", "door")) {
+            final List<NodeId> ids = ids(role.equals("shield") ? Role.SHIELD : Role.EDGE, two).stream()
+                .filter(n -> doors.contains(n) == role.equals("door") && one.lives().get(n).equals(two.lives().get(n))).toList();
             final Tally.Count sum = ids.stream().map(n -> Tally.sum(Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))))
                 .reduce(new Tally.Count(0, 0), Tally.Count::plus);
             final double cpu = ids.stream().mapToDouble(n -> two.cpu().get(n) - one.cpu().getOrDefault(n, 0.0)).sum();
-            row.put(name + role.word() + "_messages_s", sum.frames() / s / ids.size());
-            row.put(name + role.word() + "_bytes_s", sum.bytes() / s / ids.size());
-            row.put(name + role.word() + "_cpu_percent", cpu / s / 10 / ids.size());
+            row.put(name + role + "_messages_s", sum.frames() / s / ids.size());
+            row.put(name + role + "_bytes_s", sum.bytes() / s / ids.size());
+            row.put(name + role + "_cpu_percent", cpu / s / 10 / ids.size());
         }
         for (final Machine m : herd.real().values()) {
             row.put(name + m.name() + "_cpu_percent", (two.process().get(m.name()) - one.process().get(m.name())) / s / 10);
@@ -125,9 +131,13 @@
         row.put(name + "machine_busy_cores", (two.machine() - one.machine()) / s / 1000);
     }
 
+    /** Operators come to three edges. */
+    private List<Hollow> doors() {
+        return herd.up(h -> h.role() == Role.EDGE && !h.cut()).stream().limit(3).toList();
+    }
+
     private Hollow door() {
-        final List<Hollow> edges = herd.up(h -> h.role() == Role.EDGE && !h.cut());
-        return edges.get(serial % Math.min(3, edges.size()));
+        return doors().get(serial % doors().size());
     }
 
     private List<NodeId> reach() {
@@ -193,11 +203,14 @@
         final List<Hollow> zone = herd.up(h -> h.node().setup().self().cell().equals(cell) && !herd.electors().contains(h.id()));
         final Shot one = shot();
         purges(3, true);
-        herd.roll(zone, 1000);
-        purges(10, true);
+        herd.end(zone);
+        purges(7, true);
+        herd.begin(zone);
+        purges(1, true);
         row.put("zone_nodes", (double) zone.size());
         final List<NodeId> ids = zone.stream().map(Hollow::id).toList();
-        row.put("zone_back_ms", (double) Herd.until(herd.up(h -> ids.contains(h.id())), 20_000, herd::settled));
+        row.put("zone_back_ms", PAUSE + (double) Herd.until(herd.up(h -> ids.contains(h.id())), 20_000, herd::settled));
+        purges(3, true);
         window("zone_", one, shot());
         times("zone_purge_");
     }
