--- a/rig/src/main/java/rv/rig/scale/Room.java
+++ b/rig/src/main/java/rv/rig/scale/Room.java
@@ -9,9 +9,10 @@
 
 /** What a machine has, and whether a number of hollow nodes fits into half of it. */
 record Room(long memoryMb, long heapMb, long files, long threads, double cores) {
-    private static final double NODE_MB = 1.6;
+    private static final double NODE_MB = 0.6;
+    private static final double PEER_MB = 0.0025;
     private static final double REST_MB = 900;
-    private static final double NODE_CORE = 0.011;
+    private static final double NODE_CORE = 0.01;
     private static final int NODE_FILES = 24;
 
     static Room here() throws IOException {
@@ -32,8 +33,9 @@
     /** Why {@code nodes} do not fit; empty where they do. */
     List<String> lacks(final int nodes) {
         final List<String> list = new ArrayList<>();
-        less(list, nodes, "MB of memory", nodes * NODE_MB + REST_MB, memoryMb / 2.0, "half of this machine's " + memoryMb);
-        less(list, nodes, "MB of heap", nodes * NODE_MB, heapMb, "of this process");
+        final double heap = nodes * (NODE_MB + PEER_MB * nodes);
+        less(list, nodes, "MB of memory", heap + REST_MB, memoryMb / 2.0, "half of this machine's " + memoryMb);
+        less(list, nodes, "MB of heap", heap, heapMb, "of this process");
         less(list, nodes, "open files", (double) nodes * NODE_FILES, files, "allowed to this process");
         less(list, nodes, "threads", 2.0 * nodes, threads / 2.0, "half of this machine's " + threads);
         less(list, nodes, "cores", nodes * NODE_CORE, cores / 2, "half of this machine's " + (int) cores);
