--- a/data/src/main/java/rv/data/Walk.java
+++ b/data/src/main/java/rv/data/Walk.java
@@ -44,7 +44,7 @@
 
     Walk(final Edge edge, final Ask ask, final View.Row row, final Consumer<Answer> then) {
         this.edge = edge;
-        this.ask = ask;
+        this.ask = row.match().is(Match.CACHED) && ask.method().equals("GET") ? ask.shared() : ask;
         this.row = row;
         this.then = then;
         this.key = Way.slot(row, ask.path(), null);
