--- a/rig/src/main/java/rv/rig/scale/Herd.java
+++ b/rig/src/main/java/rv/rig/scale/Herd.java
@@ -60,13 +60,17 @@
             }
             real.clear();
         }
-        final int shields = Math.max(4, size / 6);
         for (int i = 2; hollow.size() + real.size() < size; i++) {
-            final boolean shield = i <= shields;
+            final boolean shield = i <= shields(size);
             add(NodeId.of((shield ? "sh" : "ed") + i), shield ? Role.SHIELD : Role.EDGE, cell(i), seat, 0);
         }
     }
 
+    /** About two a site at 430 nodes in 24 sites; each of them has a circuit to each other. */
+    static int shields(final int nodes) {
+        return Math.max(4, nodes / 9);
+    }
+
     /** Zones are spread over the regions, and each region gets edges and shields. */
     static String cell(final int i) {
         final int zone = i % ZONES;
