--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -29,9 +29,9 @@
     private static final int ROOM = 256;
     private static final int REACH = 6;
     /** The parts of a ceiling for holders' fills, for what shields pass through, and for edges that hear no shield. */
-    private static final double FILLS = 0.7;
+    private static final double FILLS = 0.55;
     private static final double PASSED = 0.1;
-    private static final double ALONE = 0.2;
+    private static final double ALONE = 0.35;
     private final Setup setup;
     private final Loop loop;
     private final Port port;
