EdgeTest in place of a second WalkTest

Cause: ProofTest knows tests by their simple names, and a new test of data had the name of the walk-through: ProofTest.everyNameInTheLedgerExists failed with the ledger's four names of WalkTest.

Ruled out: names with their packages in the ledger, since readers look for a class. Before: that one failure in the whole build.

--- a/data/src/test/java/rv/data/WalkTest.java
+++ b/data/src/test/java/rv/data/EdgeTest.java
@@ -37,7 +37,7 @@
 import rv.control.View;
 
 /** A request's way through an edge, on routes whose uncached requests may go through any shield. */
-class WalkTest {
+class EdgeTest {
     private static final NodeId N1 = NodeId.of("n1");
     private static final NodeId N2 = NodeId.of("n2");
     private final Ticks loop = new Ticks();
