Origins of open services can be announced; the limits are read by several threads

Cause: an announcement's kind could only be content or booking, so a service of the open kind had no origins but those that beat. Door threads read the limits that the core writes.

Ruled out: leaving the kind out of announcements, since it is checked against the service.

Before: ClerkTest.originsOfEveryKindOfServiceAreAnnounced heard 422. After: it passes, with purges of a tag and of a host's path through the product's own interface.

--- a/control/src/main/java/rv/control/Clerk.java
+++ b/control/src/main/java/rv/control/Clerk.java
@@ -209,7 +209,7 @@
         final Object o = Tree.read(data, faults);
         final Shape s = new Shape(o, "", faults);
         final String service = s.text("service", true, "");
-        final String kind = s.word("kind", Set.of(Service.CONTENT, Service.BOOKING));
+        final String kind = s.word("kind", Set.of(Service.CONTENT, Service.BOOKING, Service.OPEN));
         final Origin said = new Origin(service, s.text("host", true, ""), (int) s.whole("port", true, 1, 1, 65_535),
             s.text("stamp", true, ""), kind, s.number("load", false, 0, 0, 1_000_000).doubleValue(),
             s.whole("ttlMs", false, 10_000, 1000, 600_000), s.flag("leaving", false), s.whole("beat", false, 0, 0, Long.MAX_VALUE));
--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/View.java
@@ -26,7 +26,7 @@
     private final Map<String, List<Row>> hosts = new HashMap<>();
     private final Map<String, Map<String, Long>> spots = new HashMap<>();
     private final Map<String, Tagged> tags = new HashMap<>();
-    private Limits limits = Limits.PLAIN;
+    private volatile Limits limits = Limits.PLAIN;
     private Plan plan = new Plan(0, 0, List.of());
     private boolean old;
 
