Targets, long heads and silence about identity no longer fail in the core

Cause: four things, found by sending odd but proper requests through the whole path. A target that is no URI by the letter (a query with |) threw in the core thread of the shield once a connection was open: the slot stayed taken and the request unanswered until its time was over, and ended as 503. Paths with %2F, %25, // or %2e%2e were refused with 400 at the door, though nothing here decodes a path. An origin that answered the identity question with an error was taken for someone else, and its start got nothing any more.

Changed: a target goes out as it came; the door takes such paths; both ways read up to the most that can be stated, and the stated limit is kept with 431; an origin that does not say who it is got no request and is tried later.

Ruled out: refusing such targets at the door, since origins' own paths and queries are not ours to judge; UriCompliance.UNSAFE, since a fragment would be lost on the way.

Before: StayTest.whoeverDoesNotSayWhoItIsIsNotTakenForAnother, everyTargetGoesOutAsItCame and PathTest failed. After: they pass. Open: a query with a lone % ends as lost, without a trace in the core.

--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -13,6 +13,7 @@
 import rv.base.Net;
 import rv.base.NodeId;
 import rv.base.Token;
+import rv.control.Limits;
 import rv.control.Match;
 import rv.control.View;
 
@@ -74,6 +75,11 @@
         return list;
     }
 
+    /** What callers may send now. */
+    public Limits limits() {
+        return view.limits();
+    }
+
     public void shut() {
         shut = true;
     }
--- a/prog/src/main/java/rv/prog/Door.java
+++ b/prog/src/main/java/rv/prog/Door.java
@@ -25,6 +25,10 @@
 
     @Override
     public boolean handle(final Request req, final Response res, final Callback done) {
+        if (Heads.over(req, edge.limits())) {
+            send(res, done, Answer.reject(431, "head over the limit", 0));
+            return true;
+        }
         if (req.getLength() > LIMIT) {
             send(res, done, Answer.reject(413, "body over the limit", 0));
             return true;
--- a/prog/src/main/java/rv/prog/OriginPort.java
+++ b/prog/src/main/java/rv/prog/OriginPort.java
@@ -1,5 +1,6 @@
 package rv.prog;
 
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -97,8 +98,13 @@
                 e -> loop.post(() -> end(Got.none(End.NOT_SENT, "no circuit: " + e.getMessage()), false))));
         }
 
+        /** A target that is no URI by the letter goes out as it came. */
         private Request ask(final String method, final String path) {
-            return http.newRequest("http://" + to.host() + ":" + to.port() + path).method(method);
+            try {
+                return http.newRequest(URI.create("http://" + to.host() + ":" + to.port() + path)).method(method);
+            } catch (final IllegalArgumentException e) {
+                return http.newRequest(to.host(), to.port()).path(path).method(method);
+            }
         }
 
         private void opened(final Connection c) {
@@ -132,8 +138,10 @@
             } catch (final IllegalStateException e) {
                 who = null;
             }
-            if (who == null || !to.service().equals(who.service()) || !to.stamp().equals(who.stamp())) {
-                end(Got.none(status == 0 ? End.NOT_SENT : End.STRANGE, "identity " + (who == null ? "status " + status : who)), false);
+            if (who == null) {
+                end(Got.none(End.NOT_SENT, "identity status " + status), false);
+            } else if (!to.service().equals(who.service()) || !to.stamp().equals(who.stamp())) {
+                end(Got.none(End.STRANGE, "identity " + who), false);
             } else if (loop.now() >= cutoff) {
                 end(Got.none(End.NOT_SENT, "too late to send"), true);
             } else {
--- a/prog/src/main/java/rv/prog/Parts.java
+++ b/prog/src/main/java/rv/prog/Parts.java
@@ -79,6 +79,8 @@
         http.setUserAgentField(null);
         http.setHttpCookieStore(new HttpCookieStore.Empty());
         http.setMaxConnectionsPerDestination(512);
+        http.setMaxRequestHeadersSize(Heads.MOST);
+        http.setMaxResponseHeadersSize(Heads.MOST);
         return http;
     }
 
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -8,6 +8,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -22,7 +23,11 @@
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
 public final class Program {
-    private static final int HEADS = 64 << 10;
+    /** Paths are never decoded here, so what another reader could take in two ways is passed on as it came. */
+    private static final UriCompliance PATHS = UriCompliance.DEFAULT.with("paths", UriCompliance.Violation.AMBIGUOUS_PATH_SEPARATOR,
+        UriCompliance.Violation.AMBIGUOUS_PATH_SEGMENT, UriCompliance.Violation.AMBIGUOUS_EMPTY_SEGMENT,
+        UriCompliance.Violation.AMBIGUOUS_PATH_ENCODING, UriCompliance.Violation.AMBIGUOUS_PATH_PARAMETER);
+    private static final int ANSWERS = 64 << 10;
     private final Options options;
     private final Faces faces;
     private final Stages stages;
@@ -172,8 +177,9 @@
         final HttpConfiguration conf = new HttpConfiguration();
         conf.setSendServerVersion(false);
         conf.setSendDateHeader(false);
-        conf.setRequestHeaderSize(HEADS);
-        conf.setResponseHeaderSize(HEADS);
+        conf.setRequestHeaderSize(Heads.MOST);
+        conf.setUriCompliance(PATHS);
+        conf.setResponseHeaderSize(ANSWERS);
         final ServerConnector link = new ServerConnector(server, 1, 1, new HttpConnectionFactory(conf));
         link.setHost(at.getHostString());
         link.setPort(at.getPort());
--- a/prog/src/test/java/rv/prog/StayTest.java
+++ b/prog/src/test/java/rv/prog/StayTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -11,7 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -52,18 +55,22 @@
     private final Server server = new Server();
     private final ServerConnector link = new ServerConnector(server, 1, 1);
     private volatile Map<String, String> says = Map.of();
+    private volatile String target = "";
     private OriginPort port;
 
     @BeforeEach
     void begin() throws Exception {
         Main.quiet();
         link.setHost("127.0.0.1");
+        link.getConnectionFactory(HttpConnectionFactory.class).getHttpConfiguration().setUriCompliance(UriCompliance.UNSAFE);
         server.addConnector(link);
         server.setHandler(new Handler.Abstract() {
             @Override
             public boolean handle(final Request req, final Response res, final Callback done) {
+                target = req.getHttpURI().getPathQuery();
                 circuits.add(req.getConnectionMetaData().getRemoteSocketAddress().toString());
                 says.forEach((k, v) -> res.getHeaders().put(k, v));
+                res.setStatus(Integer.parseInt(says.getOrDefault("Status", "200")));
                 res.write(true, ByteBuffer.allocate(0), done);
                 return true;
             }
@@ -107,6 +114,29 @@
         assertEquals(3, circuits("close", "f"));
     }
 
+    /** What is no URI by the letter is no reason to fail in the core: it reaches the origin as it came. */
+    @Test
+    void everyTargetGoesOutAsItCame() throws Exception {
+        final Origin to = new Origin("s", "127.0.0.1", link.getLocalPort(), "a", "open", 0, 0, false, 1);
+        for (final String target : List.of("/x?a=b|c", "//h/x?a={b}", "/x//y", "/a%2Fb?%25", "/x?u=//h/%2F&&=")) {
+            final CompletableFuture<Port.Got> f = new CompletableFuture<>();
+            loop.post(() -> port.send(to, new Port.Send("s", "GET", target, "r", null, null, null, 20_000), () -> true, f::complete));
+            final Port.Got got = f.get(30, TimeUnit.SECONDS);
+            assertEquals("200 " + target, got.status() + " " + this.target, got.why());
+        }
+    }
+
+    /** An origin that is too busy to say who it is is not someone else: it got no request and is asked again. */
+    @Test
+    void whoeverDoesNotSayWhoItIsIsNotTakenForAnother() throws Exception {
+        port = new OriginPort(loop, http);
+        says = Map.of("Status", "503");
+        final Origin to = new Origin("s", "127.0.0.1", link.getLocalPort(), "a", "open", 0, 0, false, 1);
+        final CompletableFuture<Port.Got> f = new CompletableFuture<>();
+        loop.post(() -> port.send(to, new Port.Send("s", "GET", "/", "r", null, null, null, 20_000), () -> true, f::complete));
+        assertEquals(Port.End.NOT_SENT, f.get(30, TimeUnit.SECONDS).end());
+    }
+
     /** A new life at the same address is another origin. */
     @Test
     void connectionsOfAnEarlierLifeAreNotUsedForTheNext() throws Exception {
