--- a/data/src/test/java/rv/data/SenderTest.java
+++ b/data/src/test/java/rv/data/SenderTest.java
@@ -49,7 +49,11 @@
     private final Sender sender = sender(0.2, 60);
 
     private Sender sender(final double ratio, final double slack) {
-        final Member self = new Member(NodeId.of("me"), Role.SHIELD, "z", "127.0.0.1", 1, "b", Condition.READY, "1");
+        return sender(ratio, slack, Role.SHIELD);
+    }
+
+    private Sender sender(final double ratio, final double slack, final Role role) {
+        final Member self = new Member(NodeId.of("me"), role, "z", "127.0.0.1", 1, "b", Condition.READY, "1");
         final Port port = (to, what, gate, then) -> {
             if (!gate.open()) {
                 then.accept(Port.Got.none(Port.End.BARRED, "barred"));
@@ -77,7 +81,7 @@
         };
         final Holder holder = new Holder(loop, net, held, Timing.DEFAULT, journal, () -> true, List::of, (s, g, d) -> d.accept(true));
         return new Sender(Setup.of(self).extra(ratio, slack).build(), loop, net, plain, view, holder,
-            new Sender.Ties(() -> fresh, () -> alone, () -> peers, () -> 1), journal);
+            new Sender.Ties(() -> fresh, () -> alone, () -> peers, () -> 11), journal);
     }
 
     private void put(final Kind kind, final String name, final long ver, final Object body) {
@@ -282,6 +286,23 @@
         assertEquals(10, ends.stream().filter(e -> e.got().end() == Port.End.WHOLE).count());
     }
 
+    /** The budget is the shields' to spend: edges are many, and none knows what the others do. */
+    @Test
+    void anEdgeThatSendsItselfMakesNoExtraTry() {
+        service(0);
+        for (int i = 0; i < 40; i++) {
+            origin("o" + i, 4);
+            says.put("o" + i, Port.Got.none(Port.End.TURNED, "full"));
+        }
+        send(sender(100, 60, Role.EDGE), order("/1", false, 0, 40, 9000));
+        loop.run(100);
+        assertEquals(1, sent.size());
+        sent.clear();
+        send(sender(100, 60), order("/2", false, 0, 40, 9000));
+        loop.run(100);
+        assertEquals(1 + 6, sent.size(), "a shield: 0.4 of 60 over four at least");
+    }
+
     @Test
     void withoutAFrameNothingLeavesUnlessNobodyCanBeHeard() {
         service(0);
