--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -18,11 +18,29 @@
         }
     }
 
-    record Beat(Member self, long tick, int seen, long roll) implements Msg { }
+    /**
+     * {@code list}, {@code since}: the seed's member list that this node has, and the last change in it; a node that states
+     * none is told by {@code roll}.
+     */
+    record Beat(Member self, long tick, int seen, long roll, String list, long since) implements Msg { }
 
     record Heard(NodeId id, long silence, Condition condition, Member member) { }
 
-    record Beaten(List<Heard> members, long tick) implements Msg { }
+    /** {@code at}: its place in the seed's list, for good, below zero for edges; without a member it is gone. */
+    record Listed(int at, Member member) { }
+
+    record Late(int at, int units) { }
+
+    /**
+     * {@code members}: to a node that stated no list. Else what changed in {@code list} up to {@code last}; by place the silence
+     * of each member but edges in {@link #UNIT} ms, rounded up, {@link #LOST} where it is lost; and of edges only those that
+     * are {@code late}: the others have been silent for {@link #CALM} at most, and are taken as that.
+     */
+    record Beaten(List<Heard> members, long tick, String list, long last, List<Listed> changed, byte[] silences, List<Late> late) implements Msg {
+        public static final int UNIT = 10;
+        public static final int LOST = 255;
+        public static final int CALM = 750;
+    }
 
     // electors
     record Prepare(ItemId id, Ballot ballot) implements Msg { }
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -7,7 +7,9 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
@@ -34,6 +36,7 @@
     private final Map<NodeId, Circuit> out = new HashMap<>();
     private final Map<Long, Wait> waits = new HashMap<>();
     private final Thread thread = new Thread(this::run, "wire");
+    private final Meter meter;
     private Selector selector;
     private ServerSocketChannel door;
     private volatile Net.Port port;
@@ -53,6 +56,12 @@
 
     public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
                   final Map<NodeId, InetSocketAddress> fixed) {
+        this(self, loop, journal, seeds, fixed, Meter.NONE);
+    }
+
+    public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
+                  final Map<NodeId, InetSocketAddress> fixed, final Meter meter) {
+        this.meter = meter;
         this.self = self;
         this.loop = loop;
         this.journal = journal;
@@ -105,6 +114,7 @@
         }
         final long id = ++serial;
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, id, 0, self, msg));
+        meter.out(msg, 4 + data.length);
         if (data.length > Wire.LIMIT || !ring.offer(() -> push(to, id, data, wait, then))) {
             loop.post(() -> then.accept(Reply.lost(Reply.Trouble.NOT_SENT)));
             return;
@@ -118,21 +128,33 @@
 
     @Override
     public void tell(final NodeId to, final Msg msg) {
-        if (to.equals(self)) {
+        tell(List.of(to), msg);
+    }
+
+    /** Packed once for all. */
+    @Override
+    public void tell(final Collection<NodeId> to, final Msg msg) {
+        if (to.contains(self)) {
             loop.post(() -> port.take(self, msg, m -> { }));
-            return;
         }
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 0, self, msg));
-        if (data.length <= Wire.LIMIT && ring.offer(() -> {
-            final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
-            if (c != null) {
-                c.send(new Circuit.Out(data, () -> { }, () -> { }));
-            }
-        })) {
+        if (data.length > Wire.LIMIT) {
+            return;
+        }
+        final List<NodeId> others = to.stream().filter(n -> !n.equals(self)).toList();
+        others.forEach(n -> meter.out(msg, 4 + data.length));
+        if (ring.offer(() -> others.forEach(n -> send(n, data)))) {
             selector.wakeup();
         }
     }
 
+    private void send(final NodeId to, final byte[] data) {
+        final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
+        if (c != null) {
+            c.send(new Circuit.Out(data, () -> { }, () -> { }));
+        }
+    }
+
     private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
         final Wait w = new Wait(then);
         waits.put(id, w);
@@ -258,6 +280,7 @@
             bad(c, t.getMessage());
             return;
         }
+        meter.in(e.msg(), 4 + data.length);
         if (e.re() != 0) {
             end(e.re(), Reply.of(e.msg()));
         } else {
@@ -267,6 +290,7 @@
 
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        meter.out(m, 4 + data.length);
         if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> { }, () -> { })))) {
             selector.wakeup();
         }
