--- a/data/src/test/java/rv/data/EdgeTest.java
+++ b/data/src/test/java/rv/data/EdgeTest.java
@@ -37,11 +37,7 @@
 import rv.control.View;
 
 /** A request's way through an edge, on routes whose uncached requests may go through any shield. */
-<<<<<<<< HEAD:data/src/test/java/rv/data/EdgeWalkTest.java
-class EdgeWalkTest {
-========
 class EdgeTest {
->>>>>>>> h-tests:data/src/test/java/rv/data/EdgeTest.java
     private static final NodeId N1 = NodeId.of("n1");
     private static final NodeId N2 = NodeId.of("n2");
     private final Ticks loop = new Ticks();
