A first start rehearses requests on a private network before the node calls itself ready

Now two shields and one edge are set up inside the process on a clock that leaps and a wire of its own; 320 requests of three kinds run through the edge's real door, or the shield's real client, to an origin in memory or on a loopback port of its own. No byte leaves the process. It ends after 2.5 s at most, and what fails there has no consequence. Ruled out: rehearsing at returns; 400 ms there were over before the first request (0 rehearsed), and shields gate all.

--- a/prog/src/main/java/rv/prog/CoreLoop.java
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -17,6 +17,8 @@
     private volatile long told = Long.MIN_VALUE / 2;
     private volatile Runnable shed = () -> { };
     private long seq;
+    private volatile boolean leaps;
+    private volatile long leapt;
 
     private record Timer(long due, long seq, Runnable job) implements Comparable<Timer> {
         @Override
@@ -26,6 +28,18 @@
         }
     }
 
+    /** One whose clock jumps to the next timer whenever nothing else is to be done. */
+    static CoreLoop leaping() {
+        final CoreLoop loop = new CoreLoop();
+        loop.leaps = true;
+        return loop;
+    }
+
+    /** From now on its clock runs as all do. */
+    void still() {
+        leaps = false;
+    }
+
     public void start() {
         thread.start();
     }
@@ -37,7 +51,7 @@
 
     @Override
     public long now() {
-        return (System.nanoTime() - zero) / 1_000_000;
+        return (System.nanoTime() - zero) / 1_000_000 + leapt;
     }
 
     @Override
@@ -88,7 +102,10 @@
         while (on) {
             try {
                 final Timer top = timers.peek();
-                final long rest = top == null ? 1000 : top.due() - now();
+                final long due = top == null ? 1000 : top.due() - now();
+                final boolean leap = leaps && top != null && due > 0 && ring.isEmpty();
+                leapt += leap ? due : 0;
+                final long rest = leap ? 0 : due;
                 final Runnable job = rest > 0 ? ring.poll(rest, TimeUnit.MILLISECONDS) : ring.poll();
                 if (job != null) {
                     safe(job);
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -98,9 +98,11 @@
         stages.end("client");
         begin(all, node);
         stages.end("begin");
+        final int warm = new Warmup(options, faces).run(all.net(), all.client());
+        stages.end("warmup");
         show(ends);
         stages.end("http");
-        all.journal().add(Event.of(Code.READY, "http", options.http().toString(), "ms", stages.whole(), "parts", stages.toString()));
+        all.journal().add(Event.of(Code.READY, "http", options.http().toString(), "ms", stages.whole(), "parts", stages.toString(), "rehearsed", warm));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(all, log), "stop"));
     }
 
@@ -144,7 +146,7 @@
         }
     }
 
-    private static void open(final Server s, final String what) throws IOException {
+    static void open(final Server s, final String what) throws IOException {
         try {
             s.start();
         } catch (final Exception e) {
--- /dev/null
+++ b/prog/src/main/java/rv/prog/Rehearsal.java
@@ -0,0 +1,196 @@
+package rv.prog;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import rv.base.Condition;
+import rv.base.DiskTrouble;
+import rv.base.Journal;
+import rv.base.Member;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Role;
+import rv.base.Timing;
+import rv.base.Wire;
+import rv.base.WireTrouble;
+import rv.control.Origin;
+import rv.control.Quorum;
+import rv.control.Service;
+import rv.data.Ask;
+import rv.data.Node;
+import rv.data.Port;
+import rv.data.Setup;
+
+/**
+ * Two shields and one edge inside this process, with a clock, a wire and an origin of their own: what a request runs
+ * through has run before the first caller comes. Nothing of it leaves the process, and it ends in time.
+ */
+final class Rehearsal {
+    private static final NodeId SHIELD = NodeId.of("rehearsal-shield");
+    private static final NodeId SECOND = NodeId.of("rehearsal-second");
+    private static final NodeId EDGE = NodeId.of("rehearsal-edge");
+    private static final String HOST = "rehearsal.invalid";
+    private static final String CONFIG = """
+        {"set":{"services":{"s":{"kind":"open","version":1}},"routes":{
+        "c":{"host":"rehearsal.invalid","prefix":"/c/","service":"s","mode":"cached","lifetimeMs":30000,"timeoutMs":1000,"aimMs":100,"tries":2,"any":true,"version":1},
+        "i":{"host":"rehearsal.invalid","prefix":"/i/","service":"s","mode":"status","timeoutMs":1000,"aimMs":100,"tries":2,"any":true,"version":1},
+        "k":{"host":"rehearsal.invalid","prefix":"/k/","service":"s","mode":"once","timeoutMs":1000,"aimMs":100,"tries":2,"any":true,"version":1}}},"drop":{}}
+        """;
+    private final CoreLoop loop = CoreLoop.leaping();
+    private final Options options;
+    private final Dialect dialect;
+    private final Port port;
+    private final long until;
+    private final Node shield;
+    private final Node second;
+    private final Node edge;
+    private int done;
+
+    /** {@code sent}: how a request is put to the rehearsed edge. */
+    @FunctionalInterface
+    interface Caller {
+        void call(Ask ask, Runnable then) throws IOException;
+    }
+
+    /** {@code ports} gives the way to the origin, or null where that stands in this process's memory only. */
+    Rehearsal(final Options options, final Dialect dialect, final Function<CoreLoop, Port> ports, final long span) {
+        this.options = options;
+        this.dialect = dialect;
+        final Port way = ports.apply(loop);
+        this.port = way == null ? this::answer : way;
+        this.until = System.nanoTime() + span * 1_000_000;
+        shield = node(SHIELD, Role.SHIELD);
+        second = node(SECOND, Role.SHIELD);
+        edge = node(EDGE, Role.EDGE);
+    }
+
+    private Node node(final NodeId id, final Role role) {
+        final Setup setup = Setup.of(new Member(id, role, options.cell(), "127.0.0.1", 1, id.text(), Condition.PARTIAL, Main.VERSION)).seeds(List.of(SHIELD, SECOND))
+            .quorum(new Quorum(List.of(SHIELD, SECOND), Set.of())).timing(Timing.DEFAULT).shards(options.shards()).cacheBytes(1 << 20).build();
+        final Net net = new Within(id);
+        return new Node(setup, new Node.Seams(loop, net, new NoDisk(loop), port, new Random(7), loop::now, m -> { }), new Journal(loop, 64));
+    }
+
+    /** Between the two, each message is packed and read as on the wire. */
+    private final class Within implements Net {
+        private final NodeId self;
+
+        Within(final NodeId self) {
+            this.self = self;
+        }
+
+        @Override
+        public void ask(final NodeId to, final Msg msg, final long wait, final Consumer<Reply> then) {
+            final Msg sent = copy(msg);
+            loop.post(() -> (to.equals(SHIELD) ? shield : to.equals(SECOND) ? second : edge).take(self, sent, m -> loop.post(() -> then.accept(Reply.of(copy(m))))));
+        }
+
+        private Msg copy(final Msg msg) {
+            try {
+                return Wire.open(Wire.pack(new Wire.Envelope(Wire.VERSION, 1, 0, self, msg))).msg();
+            } catch (final WireTrouble e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+
+    private Port.Rope answer(final Origin to, final Port.Send what, final Port.Gate gate, final Consumer<Port.Got> then) {
+        dialect.heads(to, what, (k, v) -> { });
+        final Map<String, String> heads = heads(what.id());
+        loop.post(() -> then.accept(gate.open() ? dialect.read(to, what, 200, heads, new byte[6000]) : Port.Got.none(Port.End.BARRED, "")));
+        return () -> { };
+    }
+
+    static Map<String, String> heads(final String id) {
+        return Map.of("x-attempt-id", id, "x-edge-seal", "rehearsal", "content-type", "text/plain", "etag", "\"1\"", "x-server-load", "1,0,8", "x-object-tags", "a b");
+    }
+
+    Node edge() {
+        return edge;
+    }
+
+    CoreLoop loop() {
+        return loop;
+    }
+
+    /** False where it was given up; then nothing but time is lost. */
+    boolean prepare(final int originPort) throws InterruptedException {
+        final CountDownLatch set = new CountDownLatch(1);
+        loop.start();
+        loop.post(() -> {
+            try {
+                shield.start();
+                second.start();
+                edge.start();
+            } catch (final DiskTrouble e) {
+                return;
+            }
+            loop.after(1500, () -> configure(originPort, set));
+        });
+        final boolean ok = set.await(Math.max(1, left()), TimeUnit.NANOSECONDS);
+        loop.still();
+        return ok;
+    }
+
+    private void configure(final int originPort, final CountDownLatch set) {
+        if (!shield.sync().fresh() || shield.holder().count() == 0 || second.holder().count() == 0) {
+            loop.after(50, () -> configure(originPort, set));
+            return;
+        }
+        shield.orders().patch(CONFIG.getBytes(StandardCharsets.UTF_8), r -> shield.registry().beat("o", new Origin("s", "127.0.0.1", originPort, "o",
+            Service.OPEN, 0, 0, false, 1, options.cell(), 8, 0), q -> settle(set)));
+    }
+
+    private void settle(final CountDownLatch set) {
+        if (edge.view().rows().size() == 3 && edge.edge().able() && edge.sync().fresh()) {
+            set.countDown();
+        } else {
+            loop.after(50, () -> settle(set));
+        }
+    }
+
+    /** Requests of each kind, one after the other, until the rounds or the time are over. */
+    int play(final int rounds, final Caller caller) throws InterruptedException, IOException {
+        for (int i = 0; i < rounds && left() > 0; i++) {
+            final CountDownLatch one = new CountDownLatch(1);
+            caller.call(ask(i), one::countDown);
+            if (!one.await(200, TimeUnit.MILLISECONDS)) {
+                return done;
+            }
+            done++;
+        }
+        return done;
+    }
+
+    private static Ask ask(final int i) {
+        final String id = "rehearsal-" + i;
+        final Map<String, String> heads = Map.of("Accept", "*/*", "User-Agent", "rehearsal");
+        return switch (i % 4) {
+            case 0, 1 -> new Ask("GET", HOST, "/c/" + i / 8, null, new byte[0], null, id, 1000, null, heads);
+            case 2 -> new Ask("GET", HOST, "/i/" + i, null, new byte[0], null, id, 1000, null, heads);
+            default -> new Ask("POST", HOST, "/k/" + i, "k" + i, new byte[300], "application/json", id, 1000, null, heads);
+        };
+    }
+
+    private long left() {
+        return until - System.nanoTime();
+    }
+
+    void end() {
+        loop.stop();
+    }
+
+    static InetSocketAddress inside() {
+        return new InetSocketAddress("127.0.0.1", 0);
+    }
+}
