A node that has just begun beats, asks for its frame and for the electors at once and again soon

Cause: the first frame question went 300 ms after the start, the first beat a whole period after it, and who votes was asked each 200 ms; after a kill of all these waits stood one behind the other. Ruled out: asking faster than each 40 ms; questions double their distance up to 300 ms.

--- a/control/src/main/java/rv/control/Roster.java
+++ b/control/src/main/java/rv/control/Roster.java
@@ -56,6 +56,7 @@
 
     public void start() {
         loop.every(timing.beat(), this::round);
+        loop.post(this::round);
     }
 
     private void round() {
--- a/control/src/main/java/rv/control/Sync.java
+++ b/control/src/main/java/rv/control/Sync.java
@@ -44,6 +44,17 @@
 
     public void start() {
         loop.every(300, this::round);
+        hurry(40);
+    }
+
+    /** A node that has just begun asks at once, and again soon, until its frame is confirmed. */
+    private void hurry(final long wait) {
+        loop.after(wait, () -> {
+            round();
+            if (!fresh() && wait < 300) {
+                hurry(wait * 2);
+            }
+        });
     }
 
     public void round() {
--- a/prog/src/main/java/rv/prog/Seating.java
+++ b/prog/src/main/java/rv/prog/Seating.java
@@ -22,7 +22,7 @@
  */
 final class Seating {
     private static final String ROW = "seats";
-    private static final long AGAIN = 200;
+    private static final long AGAIN = 60;
     private final Options options;
     private final CoreLoop loop;
     private final TcpNet net;
