All addresses share one HTTP server, and edges load no client for origins

Cause: three servers had a pool, a selector and an acceptor each; an edge made and started a client that it never uses. Ruled out: acceptors of their own; the selector accepts.

--- /dev/null
+++ b/prog/src/main/java/rv/prog/Addresses.java
@@ -0,0 +1,61 @@
+package rv.prog;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Several addresses of one HTTP server, each with a handler of its own. */
+final class Addresses extends Handler.Abstract {
+    private final Server server;
+    private final Map<Connector, Handler> handlers = new ConcurrentHashMap<>();
+
+    Addresses(final Server server) {
+        this.server = server;
+    }
+
+    static Server server(final String name) {
+        final QueuedThreadPool pool = new QueuedThreadPool(24, 3);
+        pool.setName(name);
+        final Server server = new Server(pool);
+        server.setErrorHandler(new Faults());
+        server.setStopTimeout(0);
+        return server;
+    }
+
+    int open(final String what, final InetSocketAddress at, final Handler handler) throws IOException {
+        final HttpConfiguration conf = new HttpConfiguration();
+        conf.setSendServerVersion(false);
+        conf.setSendDateHeader(false);
+        final ServerConnector link = new ServerConnector(server, 0, 1, new HttpConnectionFactory(conf));
+        link.setHost(at.getHostString());
+        link.setPort(at.getPort());
+        link.setAcceptQueueSize(512);
+        try {
+            handler.setServer(server);
+            handler.start();
+            handlers.put(link, handler);
+            server.addConnector(link);
+            link.start();
+        } catch (final Exception e) {
+            throw new IOException(what + at + " cannot be used: " + e.getMessage(), e);
+        }
+        return link.getLocalPort();
+    }
+
+    @Override
+    public boolean handle(final Request req, final Response res, final Callback done) throws Exception {
+        final Handler handler = handlers.get(req.getConnectionMetaData().getConnector());
+        return handler != null && handler.handle(req, res, done);
+    }
+}
--- a/prog/src/main/java/rv/prog/Parts.java
+++ b/prog/src/main/java/rv/prog/Parts.java
@@ -3,6 +3,7 @@
 import dagger.Module;
 import dagger.Provides;
 import java.util.Random;
+import javax.inject.Provider;
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -14,6 +15,7 @@
 import rv.base.Condition;
 import rv.base.Role;
 import rv.data.Node;
+import rv.data.Port;
 import rv.data.Setup;
 
 /** How one process is put together. */
@@ -84,13 +86,16 @@
 
     @Provides
     @Singleton
-    OriginPort port(final CoreLoop loop, final HttpClient http) {
-        return new OriginPort(loop, http, dialect);
+    Port port(final CoreLoop loop, final Provider<HttpClient> http) {
+        return options.role() == Role.SHIELD ? new OriginPort(loop, http.get(), dialect) : (to, what, gate, then) -> {
+            loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "only shields send to origins")));
+            return () -> { };
+        };
     }
 
     @Provides
     @Singleton
-    Node node(final CoreLoop loop, final TcpNet net, final Disk disk, final OriginPort port, final Journal journal) {
+    Node node(final CoreLoop loop, final TcpNet net, final Disk disk, final Port port, final Journal journal) {
         final Member self = new Member(options.id(), options.role(), options.cell(), options.wire().getHostString(),
             options.wire().getPort(), boot, Condition.PARTIAL, Main.VERSION);
         final Setup setup = Setup.of(self).seeds(options.learns() ? options.quorum().electors() : java.util.List.copyOf(options.seeds().keySet())).quorum(options.quorum())
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -9,15 +9,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Handler;
-import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import rv.base.Code;
 import rv.base.DiskTrouble;
 import rv.base.Event;
 import rv.base.Net;
+import rv.base.Role;
 import rv.data.Node;
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
@@ -94,11 +91,13 @@
         stages.end("node");
         all.net().serve(node::take);
         final Ends ends = new Ends(all.loop(), node, all.net(), seated);
-        start(all.client());
+        if (options.role() == Role.SHIELD) {
+            start(all.client());
+        }
         stages.end("client");
         begin(all, node);
         stages.end("begin");
-        final int warm = new Warmup(options, faces).run(all.net(), all.client());
+        final int warm = new Warmup(options, faces).run(all);
         stages.end("warmup");
         show(ends);
         stages.end("http");
@@ -133,15 +132,20 @@
         }
     }
 
+    /** All addresses share one server, with one pool of threads. */
     private void show(final Ends ends) throws IOException {
-        open(server(options.http(), "http", new Api(ends.loop(), ends.node(), ends.net())), "http address " + options.http());
+        final Server server = Addresses.server("http");
+        final Addresses all = new Addresses(server);
+        server.setHandler(all);
+        open(server, "http server");
+        all.open("http address ", options.http(), new Api(ends.loop(), ends.node(), ends.net()));
         if (options.door() != null) {
-            open(server(options.door(), "door", faces.door(ends)), "door address " + options.door());
+            all.open("door address ", options.door(), faces.door(ends));
         }
         final Map<String, Handler> more = faces.more(ends);
         for (final Map.Entry<String, InetSocketAddress> e : options.faces().entrySet()) {
             if (more.containsKey(e.getKey())) {
-                open(server(e.getValue(), e.getKey(), more.get(e.getKey())), "address " + e.getKey() + " " + e.getValue());
+                all.open("address " + e.getKey() + " ", e.getValue(), more.get(e.getKey()));
             }
         }
     }
@@ -165,22 +169,4 @@
         log.flush();
         LogHold.release();
     }
-
-    static Server server(final InetSocketAddress at, final String name, final Handler handler) {
-        final QueuedThreadPool pool = new QueuedThreadPool(24, 3);
-        pool.setName(name);
-        final Server server = new Server(pool);
-        final HttpConfiguration conf = new HttpConfiguration();
-        conf.setSendServerVersion(false);
-        conf.setSendDateHeader(false);
-        final ServerConnector link = new ServerConnector(server, 1, 1, new HttpConnectionFactory(conf));
-        link.setHost(at.getHostString());
-        link.setPort(at.getPort());
-        link.setAcceptQueueSize(512);
-        server.addConnector(link);
-        server.setHandler(handler);
-        server.setErrorHandler(new Faults());
-        server.setStopTimeout(0);
-        return server;
-    }
 }
--- a/prog/src/main/java/rv/prog/Warmup.java
+++ b/prog/src/main/java/rv/prog/Warmup.java
@@ -12,7 +12,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import rv.base.Net;
 import rv.base.Role;
@@ -31,12 +30,12 @@
     }
 
     /** How many requests were rehearsed, none by a process that returns; whatever goes wrong here is of no consequence. */
-    int run(final Net net, final HttpClient http) throws InterruptedException {
+    int run(final Whole all) throws InterruptedException {
         if (!options.learns() || !options.first() || options.role() == Role.STORE) {
             return 0;
         }
         try {
-            return options.role() == Role.EDGE ? edge(net) : shield(http);
+            return options.role() == Role.EDGE ? edge(all.net()) : shield(all.client());
         } catch (final IOException | RuntimeException e) {
             return -1;
         }
@@ -48,10 +47,10 @@
             if (!play.prepare(1)) {
                 return 0;
             }
-            final Server server = Program.server(Rehearsal.inside(), "rehearsal", faces.door(new Program.Ends(play.loop(), play.edge(), net, options)));
-            Program.open(server, "rehearsal");
+            final Server server = Addresses.server("rehearsal");
+            final int port = open(server, faces.door(new Program.Ends(play.loop(), play.edge(), net, options)));
             try (Socket s = new Socket()) {
-                s.connect(new InetSocketAddress("127.0.0.1", port(server)), 200);
+                s.connect(new InetSocketAddress("127.0.0.1", port), 200);
                 s.setSoTimeout(200);
                 s.setTcpNoDelay(true);
                 final DataInputStream in = new DataInputStream(s.getInputStream());
@@ -69,19 +68,22 @@
     }
 
     private int shield(final HttpClient http) throws IOException, InterruptedException {
-        final Server server = Program.server(Rehearsal.inside(), "rehearsal", new Origin());
-        Program.open(server, "rehearsal");
+        final Server server = Addresses.server("rehearsal");
+        final int port = open(server, new Origin());
         final Rehearsal play = new Rehearsal(options, faces.dialect(), l -> new OriginPort(l, http, faces.dialect()), SPAN);
         try {
-            return play.prepare(port(server)) ? play.play(ROUNDS, (ask, then) -> play.loop().post(() -> play.edge().edge().take(ask, a -> then.run()))) : 0;
+            return play.prepare(port) ? play.play(ROUNDS, (ask, then) -> play.loop().post(() -> play.edge().edge().take(ask, a -> then.run()))) : 0;
         } finally {
             play.end();
             stop(server);
         }
     }
 
-    private static int port(final Server server) {
-        return ((ServerConnector) server.getConnectors()[0]).getLocalPort();
+    private static int open(final Server server, final Handler handler) throws IOException {
+        final Addresses one = new Addresses(server);
+        server.setHandler(one);
+        Program.open(server, "rehearsal");
+        return one.open("rehearsal address ", Rehearsal.inside(), handler);
     }
 
     private static void stop(final Server server) throws IOException {
