--- a/prog/src/main/java/rv/prog/Rehearsal.java
+++ b/prog/src/main/java/rv/prog/Rehearsal.java
@@ -67,7 +67,7 @@
         this.options = options;
         this.dialect = dialect;
         final Port way = ports.apply(loop);
-        this.port = way == null ? this::answer : way;
+        this.port = way == null ? new Inside() : way;
         this.until = System.nanoTime() + span * 1_000_000;
         shield = node(SHIELD, Role.SHIELD);
         second = node(SECOND, Role.SHIELD);
@@ -104,11 +104,20 @@
         }
     }
 
-    private Port.Rope answer(final Origin to, final Port.Send what, final Port.Gate gate, final Consumer<Port.Got> then) {
-        dialect.heads(to, what, (k, v) -> { });
-        final Map<String, String> heads = heads(what.id());
-        loop.post(() -> then.accept(gate.open() ? dialect.read(to, what, 200, heads, new byte[6000]) : Port.Got.none(Port.End.BARRED, "")));
-        return () -> { };
+    /** An origin in memory. */
+    private final class Inside implements Port {
+        @Override
+        public Rope send(final Origin to, final Send what, final Gate gate, final Consumer<Got> then) {
+            dialect.heads(to, what, (k, v) -> { });
+            final Map<String, String> heads = heads(what.id());
+            loop.post(() -> then.accept(gate.open() ? dialect.read(to, what, 200, heads, new byte[6000]) : Got.none(End.BARRED, "")));
+            return () -> { };
+        }
+
+        @Override
+        public String fault(final Origin to, final Send what, final Got got) {
+            return "";
+        }
     }
 
     static Map<String, String> heads(final String id) {
