--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -8,26 +8,17 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
-import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import rv.base.Code;
 import rv.base.DiskTrouble;
 import rv.base.Event;
 import rv.base.Net;
+import rv.base.Role;
 import rv.data.Node;
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
 public final class Program {
-    /** Paths are never decoded here, so what another reader could take in two ways is passed on as it came. */
-    private static final UriCompliance PATHS = UriCompliance.DEFAULT.with("paths", UriCompliance.Violation.AMBIGUOUS_PATH_SEPARATOR,
-        UriCompliance.Violation.AMBIGUOUS_PATH_SEGMENT, UriCompliance.Violation.AMBIGUOUS_EMPTY_SEGMENT,
-        UriCompliance.Violation.AMBIGUOUS_PATH_ENCODING, UriCompliance.Violation.AMBIGUOUS_PATH_PARAMETER);
-    private static final int ANSWERS = 64 << 10;
     private final Options options;
     private final Faces faces;
     private final Stages stages;
@@ -100,13 +91,20 @@
         stages.end("node");
         all.net().serve(node::take);
         final Ends ends = new Ends(all.loop(), node, all.net(), seated);
-        start(all.client());
+        if (options.role() == Role.SHIELD) {
+            start(all.client());
+        }
         stages.end("client");
         begin(all, node);
         stages.end("begin");
+        final int warm = new Warmup(options, faces).run(all);
+        stages.end("warmup");
         show(ends);
         stages.end("http");
-        all.journal().add(Event.of(Code.READY, "http", options.http().toString(), "ms", stages.whole(), "parts", stages.toString()));
+        all.journal().add(Event.of(Code.READY, "http", options.http().toString(), "ms", stages.whole(), "parts", stages.toString(), "rehearsed", warm));
+        if (options.role() == Role.EDGE) {
+            start(all.client());
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(all, log), "stop"));
     }
 
@@ -137,20 +135,25 @@
         }
     }
 
+    /** All addresses share one server, with one pool of threads. */
     private void show(final Ends ends) throws IOException {
-        open(server(options.http(), "http", new Api(ends.loop(), ends.node(), ends.net())), "http address " + options.http());
+        final Server server = Addresses.server("http");
+        final Addresses all = new Addresses(server);
+        server.setHandler(all);
+        open(server, "http server");
+        all.open("http address ", options.http(), new Api(ends.loop(), ends.node(), ends.net()));
         if (options.door() != null) {
-            open(server(options.door(), "door", faces.door(ends)), "door address " + options.door());
+            all.open("door address ", options.door(), faces.door(ends));
         }
         final Map<String, Handler> more = faces.more(ends);
         for (final Map.Entry<String, InetSocketAddress> e : options.faces().entrySet()) {
             if (more.containsKey(e.getKey())) {
-                open(server(e.getValue(), e.getKey(), more.get(e.getKey())), "address " + e.getKey() + " " + e.getValue());
+                all.open("address " + e.getKey() + " ", e.getValue(), more.get(e.getKey()));
             }
         }
     }
 
-    private static void open(final Server s, final String what) throws IOException {
+    static void open(final Server s, final String what) throws IOException {
         try {
             s.start();
         } catch (final Exception e) {
@@ -169,25 +172,4 @@
         log.flush();
         LogHold.release();
     }
-
-    static Server server(final InetSocketAddress at, final String name, final Handler handler) {
-        final QueuedThreadPool pool = new QueuedThreadPool(24, 3);
-        pool.setName(name);
-        final Server server = new Server(pool);
-        final HttpConfiguration conf = new HttpConfiguration();
-        conf.setSendServerVersion(false);
-        conf.setSendDateHeader(false);
-        conf.setRequestHeaderSize(Heads.MOST);
-        conf.setUriCompliance(PATHS);
-        conf.setResponseHeaderSize(ANSWERS);
-        final ServerConnector link = new ServerConnector(server, 1, 1, new HttpConnectionFactory(conf));
-        link.setHost(at.getHostString());
-        link.setPort(at.getPort());
-        link.setAcceptQueueSize(512);
-        server.addConnector(link);
-        server.setHandler(handler);
-        server.setErrorHandler(new Faults());
-        server.setStopTimeout(0);
-        return server;
-    }
 }
