A network is founded though electors end on the way; rests after a lost ballot, not after silence

Cause: a process that ended before the founding started again as one of a network that began before, and an elector that had founded while the others ended knew no majority: FoundingTest, five of eight first cases, no elector ever full again. An elector with a disk now notes there that it was there from the first start; without a seal beside it, it has never voted and lost nothing.

Ruled out: counting such an elector as rebuilt, since nobody may have a majority to be read.

FoundingTest: 69 networks whose electors end at 400 to 2600 ms all stand.

ProofTest: two tests of one name in two modules hid each other; their texts are put together.

--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Elector.java
@@ -28,6 +28,8 @@
 public final class Elector {
     private static final String SEAL = "seal";
     private static final String ROW = "e/";
+    /** Stands on a disk that was there when the network began: without a seal beside it, it has never voted and lost nothing. */
+    private static final String FIRST = "first";
     private static final long HUSH = 1200;
     private static final long CALM = 700;
     private final NodeId self;
@@ -38,6 +40,7 @@
     private final Journal journal;
     private final String boot;
     private final BooleanSupplier virgin;
+    private boolean first;
     private final Map<ItemId, Msg.Slot> slots = new TreeMap<>();
     private Map<NodeId, String> founders = Map.of();
     private boolean full;
@@ -54,7 +57,7 @@
     }
 
     public Elector(final NodeId self, final Quorum quorum, final Loop loop, final Net net, final Gauge disk,
-                   final Journal journal, final String boot, final BooleanSupplier virgin) {
+                   final Journal journal, final String boot, final boolean first, final BooleanSupplier virgin) {
         this.self = self;
         this.quorum = quorum;
         this.loop = loop;
@@ -62,6 +65,7 @@
         this.disk = disk;
         this.journal = journal;
         this.boot = boot;
+        this.first = first;
         this.virgin = virgin;
     }
 
@@ -75,6 +79,8 @@
                     floor = seal.floor();
                     lives = seal.lives();
                     full = true;
+                } else if (e.getKey().equals(FIRST)) {
+                    first = true;
                 } else if (e.getKey().startsWith(ROW)) {
                     put(Wire.unpack(e.getValue(), Msg.Slot.class));
                 }
@@ -87,6 +93,9 @@
             digest = new Digest();
             fresh = true;
             journal.add(Event.of(Code.AMNESIA, "boot", boot));
+            if (first) {
+                disk.save(Map.of(FIRST, new byte[0]), ok -> { });
+            }
             recall();
         }
     }
@@ -97,7 +106,7 @@
 
     /** True when this process began without memory and was not part of the founding. */
     public boolean lapsed() {
-        return fresh && !boot.equals(founders.get(self));
+        return fresh && !(full && first) && !boot.equals(founders.get(self));
     }
 
     /** How often this memory, or the one it was rebuilt from, was the only one left. */
@@ -263,7 +272,7 @@
                 with.add(id);
             }
         });
-        if (got.values().stream().anyMatch(m -> m.has() && boot.equals(m.founders().get(self)))) {
+        if (got.values().stream().anyMatch(m -> m.has() && (first || boot.equals(m.founders().get(self))))) {
             got.values().stream().filter(Msg.Memory::has).findFirst().ifPresent(m -> found(m.founders()));
         } else if (with.isEmpty() && got.size() == quorum.electors().size() - 1 && willing()
             && got.values().stream().noneMatch(m -> m.boot().isEmpty())) {
@@ -289,7 +298,7 @@
 
     /** A network is founded only after a while in which no node has said that it holds anything. */
     private boolean willing() {
-        return loop.now() - born >= HUSH && virgin.getAsBoolean();
+        return first && loop.now() - born >= HUSH && virgin.getAsBoolean();
     }
 
     private void found(final Map<NodeId, String> all) {
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -89,6 +89,7 @@
         private boolean done;
         private int tries;
         private long begun = loop.now();
+        private boolean beaten;
         private Ballot best = Ballot.ZERO;
         private Item now;
         private final Set<NodeId> yes = new HashSet<>();
@@ -117,8 +118,9 @@
             if (done) {
                 return;
             }
-            final long took = Math.min(WAIT, loop.now() - begun);
-            final long rest = 5 + dice.nextInt(15 + 20 * Math.min(8, ++tries) + (int) (Math.min(2, tries) * took));
+            final long took = beaten ? Math.min(WAIT, loop.now() - begun) : 0;
+            beaten = false;
+            final long rest = 5 + dice.nextInt(15 + 20 * Math.min(8, ++tries) + (int) (Math.min(3, tries) * took));
             if (loop.now() + rest >= cutoff) {
                 end(sent ? Fate.UNKNOWN : Fate.REJECTED, held.get(id));
             } else {
@@ -157,6 +159,7 @@
                 return;
             }
             if (got.isEmpty() || !got.get().ok()) {
+                beaten |= got.isPresent();
                 if (++bad > quorum.electors().size() - quorum.need()) {
                     again();
                 }
@@ -226,6 +229,7 @@
                 return;
             }
             if (!ok) {
+                beaten |= got.isPresent();
                 if (got.isPresent() && stores.has(e) || ++bad > quorum.electors().size() - quorum.need()) {
                     again();
                 } else {
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -96,7 +96,7 @@
         clerk = new Clerk(loop, held, sync, writer, journal, tags);
         orders = new Orders(held, sync, writer, tags);
         registry = new Registry(held, sync, writer, journal, tags);
-        elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), disk, journal, boot, () -> setup.first() && !roster.told()) : null;
+        elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told()) : null;
         keeper = elector == null ? null : new Keeper(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
         settler = elector == null ? null : new Settler(elector, held, writer, loop, s.dice(), setup.quorum().electors().indexOf(self));
         desk = elector == null ? null : new Sync.Desk(elector, held);
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -113,7 +113,7 @@
         final String[] ends = ((String) set.valueOf("seeds")).split("\\.\\.");
         final Map<Integer, java.util.concurrent.atomic.AtomicLong> checked = new java.util.concurrent.ConcurrentSkipListMap<>();
         final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1])).boxed()
-            .flatMap(seed -> Script.pairs().stream().map(two -> Map.entry(seed, two))).toList().parallelStream().filter(e -> {
+            .flatMap(seed -> Script.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two))).toList().parallelStream().filter(e -> {
                 final Play play = new Play(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
                 final Judge j = new Judge(play.run());
                 j.verdicts().forEach(v -> checked.computeIfAbsent(v.rule(), k -> new java.util.concurrent.atomic.AtomicLong()).addAndGet(v.checked()));
@@ -123,7 +123,7 @@
                 }
                 return !ok;
             }).count();
-        System.out.println(place + ": " + bad + " not clean of " + Script.pairs().size() + " pairs a seed; checked by rule " + checked);
+        System.out.println(place + ": " + bad + " not clean of " + Script.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
         return bad == 0 ? 0 : 1;
     }
 
--- a/rig/src/main/java/rv/rig/Script.java
+++ b/rig/src/main/java/rv/rig/Script.java
@@ -95,8 +95,8 @@
     }
 
     /** Every two troubles, also one twice. */
-    public static List<List<String>> pairs() {
-        final List<String> all = TROUBLES.stream().sorted().toList();
+    public static List<List<String>> pairs(final Place place) {
+        final List<String> all = troubles(place).stream().sorted().toList();
         final List<List<String>> list = new ArrayList<>();
         all.forEach(a -> all.stream().filter(b -> a.compareTo(b) <= 0).forEach(b -> list.add(List.of(a, b))));
         return list;
--- a/rig/src/test/java/rv/rig/PairsTest.java
+++ b/rig/src/test/java/rv/rig/PairsTest.java
@@ -16,7 +16,7 @@
     void everyRuleIsKeptThroughBoth(final String first, final String second) {
         for (final Place place : List.of(Place.kilimanjaro(), Place.coastline())) {
             final List<String> two = List.of(first, second);
-            assertTrue(Script.pairs().contains(two));
+            assertTrue(Script.pairs(place).contains(two));
             final Play play = new Play(Script.pair(place, two, 1), 1);
             final Judge judge = new Judge(play.run());
             assertTrue(judge.clean(), place.name() + " " + judge.text(3));
--- a/rig/src/test/java/rv/rig/ProofTest.java
+++ b/rig/src/test/java/rv/rig/ProofTest.java
@@ -25,7 +25,7 @@
         final Map<String, String> map = new TreeMap<>();
         try (Stream<Path> all = Files.walk(TOP)) {
             for (final Path p : all.filter(f -> f.toString().endsWith(".java") && !f.toString().contains("target")).toList()) {
-                map.put(p.getFileName().toString().replace(".java", ""), Files.readString(p));
+                map.merge(p.getFileName().toString().replace(".java", ""), Files.readString(p), String::concat);
             }
         }
         return map;
