--- a/rig/src/test/java/rv/rig/DeskTest.java
+++ b/rig/src/test/java/rv/rig/DeskTest.java
@@ -81,7 +81,7 @@
             "e/" + OPEN.text(), Wire.pack(new Msg.Slot(FIRST.ballot(), FIRST.ballot(), FIRST.item()))));
         final NodeId self = NodeId.of("e1");
         elector = new Elector(self, new Quorum(List.of(self), Set.of()), clock, (to, msg, wait, then) -> { }, new Gauge(kept, clock),
-            new Journal(clock, 10), "b1", () -> false);
+            new Journal(clock, 10), "b1", true, () -> false);
         elector.start();
         assertTrue(elector.full());
         desk = new Sync.Desk(elector, held, clock);
