The platform's words stay in its folder; a frame is not confirmed by one that knows no tenure

Cause: the rehearsal and the archive's script named the platform's headers and settings outside platform/ (BoundsTest).

--- a/control/src/main/java/rv/control/Sync.java
+++ b/control/src/main/java/rv/control/Sync.java
@@ -168,7 +168,8 @@
             final Map<ItemId, Ver> open = new HashMap<>();
             elector.slots().forEach((id, s) -> {
                 final Ver v = s.item().ver();
-                if (!id.equals(ItemId.TENURE) && ask.cells().contains(Digest.cell(id)) && v.above(held.get(id).ver())
+                final boolean renewal = id.equals(ItemId.TENURE) && held.get(id).ver().n() > 0;
+                if (!renewal && ask.cells().contains(Digest.cell(id)) && v.above(held.get(id).ver())
                     && v.above(ask.vers().getOrDefault(id, Ver.ZERO))) {
                     open.put(id, v);
                 }
--- a/prog/src/main/java/rv/prog/Dialect.java
+++ b/prog/src/main/java/rv/prog/Dialect.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
 import rv.control.Origin;
 import rv.data.Port;
 
@@ -15,6 +16,9 @@
     /** {@code heads} with names in small letters. */
     Port.Got read(Origin to, Port.Send what, int status, Map<String, String> heads, byte[] body);
 
+    /** What a sound answer states, given the request's headers by name; for rehearsals in this process only. */
+    Map<String, String> rehearsed(UnaryOperator<String> heads);
+
     /** What an answer lacks to be shown to a caller; empty where it lacks nothing. */
     String fault(Origin to, Port.Send what, Port.Got got);
 }
--- a/prog/src/main/java/rv/prog/OwnDialect.java
+++ b/prog/src/main/java/rv/prog/OwnDialect.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
 import rv.control.Origin;
 import rv.data.Port;
 import rv.data.Proof;
@@ -33,6 +34,11 @@
         return new Port.Got(Port.End.WHOLE, status, heads, body, "", tags, Port.Load.NONE);
     }
 
+    @Override
+    public Map<String, String> rehearsed(final UnaryOperator<String> heads) {
+        return Map.of(Proof.REQUEST, heads.apply("Rv-Request"), Proof.STAMP, "o", "content-type", "text/plain", TAGS, "a b");
+    }
+
     @Override
     public String fault(final Origin to, final Port.Send what, final Port.Got got) {
         return Proof.fault(to, what, got.heads(), got.body());
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -15,6 +15,7 @@
 import rv.base.Event;
 import rv.base.Net;
 import rv.base.Role;
+import rv.data.Ask;
 import rv.data.Node;
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
@@ -31,6 +32,9 @@
     public interface Faces {
         Dialect dialect();
 
+        /** The headers by which a caller's request states itself; for rehearsals in this process only. */
+        Map<String, String> stated(Ask ask);
+
         /** For callers, at the option {@code door}. */
         Handler door(Ends ends);
 
@@ -44,6 +48,11 @@
             return new OwnDialect();
         }
 
+        @Override
+        public Map<String, String> stated(final Ask ask) {
+            return ask.key() == null ? Map.of() : Map.of("Rv-Key", ask.key());
+        }
+
         @Override
         public Handler door(final Ends e) {
             return new Door(e.loop(), e.node().edge());
--- a/prog/src/main/java/rv/prog/Rehearsal.java
+++ b/prog/src/main/java/rv/prog/Rehearsal.java
@@ -109,7 +109,7 @@
         @Override
         public Rope send(final Origin to, final Send what, final Gate gate, final Consumer<Got> then) {
             dialect.heads(to, what, (k, v) -> { });
-            final Map<String, String> heads = heads(what.id());
+            final Map<String, String> heads = dialect.rehearsed(n -> what.id());
             loop.post(() -> then.accept(gate.open() ? dialect.read(to, what, 200, heads, new byte[6000]) : Got.none(End.BARRED, "")));
             return () -> { };
         }
@@ -120,10 +120,6 @@
         }
     }
 
-    static Map<String, String> heads(final String id) {
-        return Map.of("x-attempt-id", id, "x-edge-seal", "rehearsal", "content-type", "text/plain", "etag", "\"1\"", "x-server-load", "1,0,8", "x-object-tags", "a b");
-    }
-
     Node edge() {
         return edge;
     }
--- a/prog/src/main/java/rv/prog/Warmup.java
+++ b/prog/src/main/java/rv/prog/Warmup.java
@@ -94,10 +94,11 @@
         }
     }
 
-    private static byte[] text(final Ask a) {
-        final String head = a.method() + " " + a.path() + " HTTP/1.1\r\nHost: " + a.host() + "\r\nX-Attempt-Id: " + a.id() + "\r\nX-Deadline-Remaining: 1000\r\n"
-            + (a.key() == null ? "" : "X-Operation-Key: " + a.key() + "\r\nRv-Key: " + a.key() + "\r\nContent-Type: " + a.type() + "\r\nContent-Length: " + a.body().length + "\r\n")
-            + "Accept: */*\r\n\r\n";
+    private byte[] text(final Ask a) {
+        final StringBuilder own = new StringBuilder();
+        faces.stated(a).forEach((k, v) -> own.append(k).append(": ").append(v).append("\r\n"));
+        final String head = a.method() + " " + a.path() + " HTTP/1.1\r\nHost: " + a.host() + "\r\n" + own
+            + (a.key() == null ? "" : "Content-Type: " + a.type() + "\r\nContent-Length: " + a.body().length + "\r\n") + "Accept: */*\r\n\r\n";
         final byte[] b = head.getBytes(StandardCharsets.ISO_8859_1);
         return ByteBuffer.allocate(b.length + a.body().length).put(b).put(a.body()).array();
     }
@@ -125,10 +126,10 @@
         return b.toString();
     }
 
-    private static final class Origin extends Handler.Abstract {
+    private final class Origin extends Handler.Abstract {
         @Override
         public boolean handle(final Request req, final Response res, final Callback done) {
-            Rehearsal.heads(String.valueOf(req.getHeaders().get("X-Attempt-Id"))).forEach((k, v) -> res.getHeaders().put(k, v));
+            faces.dialect().rehearsed(n -> String.valueOf(req.getHeaders().get(n))).forEach((k, v) -> res.getHeaders().put(k, v));
             res.write(true, ByteBuffer.allocate(6000), done);
             return true;
         }
--- a/prog/src/test/java/rv/prog/StayTest.java
+++ b/prog/src/test/java/rv/prog/StayTest.java
@@ -44,6 +44,11 @@
             return new Port.Got(Port.End.WHOLE, status, heads, body, "");
         }
 
+        @Override
+        public Map<String, String> rehearsed(final java.util.function.UnaryOperator<String> heads) {
+            return Map.of();
+        }
+
         @Override
         public String fault(final Origin to, final Port.Send what, final Port.Got got) {
             return "";
