--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -170,7 +170,8 @@
                        final Map<NodeId, List<Msg.Claim>> revokes) {
         final Row row = rows.get(s);
         final Plan.Part part = s < plan.parts().size() ? plan.parts().get(s) : null;
-        final NodeId want = Plan.assign(s, local(s, calm));
+        final NodeId now = part == null ? null : part.node();
+        final NodeId want = Plan.assign(s, local(s, now == null || !able.contains(now) || calm.contains(now) ? calm : with(calm, now)));
         if (part == null || row.free) {
             moves.put(s, want);
             return;
@@ -195,6 +196,13 @@
         }
     }
 
+    /** An owner that is back counts, though it has not been heard of for long: it holds the shard already. */
+    private static List<NodeId> with(final List<NodeId> calm, final NodeId owner) {
+        final List<NodeId> list = new ArrayList<>(calm);
+        list.add(owner);
+        return list;
+    }
+
     private List<NodeId> local(final int s, final List<NodeId> calm) {
         final List<NodeId> near = places.count() < 2 ? calm
             : calm.stream().filter(n -> places.at(roster.get(n).cell()) == s % places.count()).toList();
--- a/rig/src/test/java/rv/rig/ReturnTest.java
+++ b/rig/src/test/java/rv/rig/ReturnTest.java
@@ -1,5 +1,6 @@
 package rv.rig;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -29,4 +30,24 @@
         }
         assertTrue(seen >= 0 && seen <= 400, "all nodes confirmed after " + seen + " ms");
     }
+
+    private static List<String> owners(final Town town) {
+        return town.node("ed1").node().view().plan().parts().stream().map(p -> p.owner() + " " + p.token()).toList();
+    }
+
+    /** Who holds what stays as it was: that some are heard of a moment later than others is no reason to move anything. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void nothingMovesWhenAllComeBack(final long seed) {
+        final Town town = new Town(seed % 2 == 0 ? Place.coastline() : Place.kilimanjaro(), seed).open();
+        town.run(4000);
+        town.crowd().factor(1e-6);
+        final List<String> before = owners(town);
+        final List<String> all = new ArrayList<>(town.nodes().keySet());
+        all.forEach(n -> town.kill(n, 0));
+        town.run(1000);
+        all.forEach(n -> town.world().in(town.world().dice().nextInt(900), () -> town.start(n)));
+        town.run(12_000);
+        assertEquals(before, owners(town));
+    }
 }
