--- a/base/src/main/java/rv/base/Code.java
+++ b/base/src/main/java/rv/base/Code.java
@@ -24,6 +24,7 @@
     STORE_HEARD(1309, "silent store heard again"),
     RESUMED(1310, "only memory left, electors resume from it"),
     SWEPT(1311, "old items dropped"),
+    SHORTAGE(1312, "too few electors for the wanted losses"),
     TENURE_WON(1401, "tenure taken"),
     TENURE_LOST(1402, "tenure ended"),
     PLAN_SET(1403, "plan written"),
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -26,10 +26,11 @@
 public record Options(NodeId id, Role role, String cell, InetSocketAddress wire, InetSocketAddress http, InetSocketAddress door,
                       Path data, Map<NodeId, InetSocketAddress> seeds, Quorum quorum, Map<NodeId, InetSocketAddress> electors,
                       Map<NodeId, InetSocketAddress> reach, Timing timing, int shards, long cacheBytes, long stopMs, boolean json,
-                      boolean first, double extraRatio, double extraSlack, Map<String, InetSocketAddress> faces, List<String> cells, long noticeMs, List<String> places) {
+                      boolean first, double extraRatio, double extraSlack, Map<String, InetSocketAddress> faces, List<String> cells, long noticeMs, List<String> places,
+                      String shortage) {
 
     static final List<String> FLAGS = List.of("id", "cell", "wire", "http", "door", "data", "seeds", "electors", "stores", "reach",
-        "d", "m", "shards", "cache-bytes", "stop-ms", "log", "seed-port", "first", "losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms", "drain-ms",
+        "d", "m", "shards", "cache-bytes", "stop-ms", "log", "seed-port", "first", "losses", "wanted-losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms", "drain-ms",
         "grace-s", "faces", "cells", "notice-ms", "spread");
 
     public static OptionParser parser() {
@@ -55,7 +56,8 @@
         p.accepts("log", "text or json").withRequiredArg();
         p.accepts("seed-port", "wire port of seeds that are given without a name").withRequiredArg();
         p.accepts("first", "true where the network is started for the first time").withRequiredArg();
-        p.accepts("losses", "electors that may be lost at once").withRequiredArg();
+        p.accepts("losses", "electors that may be lost at once; nothing starts where their number cannot bear it").withRequiredArg();
+        p.accepts("wanted-losses", "the same, but told by an event only").withRequiredArg();
         p.accepts("extra-ratio", "extra tries for each request to a service").withRequiredArg();
         p.accepts("extra-slack", "extra tries beside those, in 10 s, over all nodes").withRequiredArg();
         p.accepts("purge-ms", "when a purge must be in force everywhere").withRequiredArg();
@@ -109,7 +111,7 @@
         if (Set.of("seeds", "electors", "stores", "reach", "faces", "cells").contains(name)) {
             return text.isEmpty() ? List.of() : List.of((Object[]) text.split(","));
         }
-        if (Set.of("d", "m", "shards", "cache-bytes", "stop-ms", "seed-port", "losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms",
+        if (Set.of("d", "m", "shards", "cache-bytes", "stop-ms", "seed-port", "losses", "wanted-losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms",
             "drain-ms", "grace-s", "notice-ms").contains(name) && text.matches("-?[0-9]{1,15}([.][0-9]{1,6})?")) {
             return new java.math.BigDecimal(text);
         }
@@ -141,6 +143,7 @@
         final Map<NodeId, InetSocketAddress> named = sites(s, "electors", list(all, "electors", s), faults);
         final Map<NodeId, InetSocketAddress> electors = named.isEmpty() ? seeds : named;
         final int losses = (int) s.whole("losses", false, 0, 0, 100);
+        final int wanted = (int) s.whole("wanted-losses", false, 0, 0, 100);
         final int most = electors.size() - electors.size() / 2 - 1;
         if (disks && losses > most) {
             s.fault("losses", electors.size() + " electors bear the loss of " + most + ", not of " + losses);
@@ -192,7 +195,8 @@
         s.end();
         return faults.isEmpty() ? new Options(NodeId.of(id), role, cell, wire, http, door, data.isEmpty() ? null : Path.of(data),
             seeds, new Quorum(List.copyOf(electors.keySet()), Set.copyOf(stores)), electors, reach, timing, shards, cache, stop,
-            log.equals("json"), first, ratio < 0 ? 0.2 : ratio, slack < 0 ? 60 : slack, faces, cells, notice, places) : null;
+            log.equals("json"), first, ratio < 0 ? 0.2 : ratio, slack < 0 ? 60 : slack, faces, cells, notice, places,
+            disks && wanted > most ? electors.size() + " electors bear the loss of " + most + ", not of " + wanted : "") : null;
     }
 
     /** Three quarters of the shortest of the times within which all healthy nodes must go by something new. */
@@ -218,7 +222,7 @@
     /** The same place once it is known who votes. */
     public Options seated(final Map<NodeId, InetSocketAddress> who) {
         return new Options(id, role, cell, wire, http, door, data, seeds, new Quorum(List.copyOf(who.keySet()), quorum.stores()), who, reach, timing,
-            shards, cacheBytes, stopMs, json, first, extraRatio, extraSlack, faces, cells, noticeMs, places);
+            shards, cacheBytes, stopMs, json, first, extraRatio, extraSlack, faces, cells, noticeMs, places, shortage);
     }
 
     /** Whether every elector has a disk, so that the set of them is kept and learned, not stated. */
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -84,6 +84,9 @@
         stages.end("disk");
         final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
         log.start(all.journal());
+        if (!options.shortage().isEmpty()) {
+            all.journal().add(Event.of(Code.SHORTAGE, "why", options.shortage()));
+        }
         all.loop().onShed(() -> all.journal().add(Event.of(Code.RING_FULL, "ring", "core")));
         try {
             all.net().bind(options.wire(), Seating::blank);
--- a/prog/src/test/java/rv/prog/NamelessTest.java
+++ b/prog/src/test/java/rv/prog/NamelessTest.java
@@ -71,6 +71,13 @@
         assertEquals(List.of("/losses: 4 electors bear the loss of 1, not of 2"), told(), "an even number bears no more than the odd one below");
     }
 
+    @Test
+    void wantedLossesThatTheElectorsCannotBearAreToldAndNoFault() {
+        assertEquals("", read(Role.SHIELD, "--data", "d", "--wanted-losses", "1").shortage());
+        assertEquals("3 electors bear the loss of 1, not of 2", read(Role.SHIELD, "--data", "d", "--wanted-losses", "2").shortage());
+        assertEquals(List.of(), told());
+    }
+
     @Test
     void aFrameCountsForThreeQuartersOfTheShortestTime() {
         assertEquals(1500, read(Role.SHIELD, "--data", "d").timing().fresh());
