A holder that says it has stopped gets its shard under a new token at once

Cause: an authority lost between a revoke and the plan that followed it left the plan's owner with a lease it had given up; the next authority granted the same token, which a holder rejects after a revoke, for ever. Moves to and fro after each return had healed this by chance (ResumeTest, 2 of 24 orders red once they stopped). Changed: in its hello a holder tells a stop that is confirmed apart from one under way; a confirmed one frees the shard. After: ResumeTest, LeaseTest, FaultTest, ReturnTest, ShieldRunTest, RemovalsTest green (154 tests).

--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -303,6 +303,7 @@
             return;
         }
         final long term = tenure.term();
+        h.claims().stream().filter(c -> c.state().equals("REVOKED") && fits(from, c)).forEach(c -> rows.get(c.shard()).free = true);
         final List<Msg.Claim> stale = h.claims().stream().filter(c -> !fits(from, c) && !c.state().equals("REVOKED")).toList();
         final Runnable third = () -> {
             if (tenure.term() == term) {
--- a/control/src/main/java/rv/control/Holder.java
+++ b/control/src/main/java/rv/control/Holder.java
@@ -127,7 +127,7 @@
         final List<Msg.Claim> list = new ArrayList<>();
         leases.forEach((s, l) -> {
             if (all || l.state == State.HELD || l.state == State.UNCERTAIN) {
-                list.add(new Msg.Claim(s, l.token, l.state.name()));
+                list.add(new Msg.Claim(s, l.token, l.fencing ? "FENCING" : l.state.name()));
             }
         });
         return list;
