A majority that never voted founds the network without one that came back with no note

Ruled out: founding without it where starts are not told apart, since a majority there may have lost its memory. Changed: after 2.5 s a majority of electors in their first life, none of which ever voted, founds; any accepted write would need one of them. Before: FoundingTest.oneThatEndsBeforeItsFirstNoteStopsNoFounding red in its four cases. After: green, with ResumeTest, FaultTest, ShieldRunTest, RemovalsTest.

--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Elector.java
@@ -32,6 +32,7 @@
     private static final String FIRST = "first";
     private static final long HUSH = 1200;
     private static final long CALM = 700;
+    private static final long PATIENCE = 2500;
     private final NodeId self;
     private final Quorum quorum;
     private final Loop loop;
@@ -287,6 +288,12 @@
             got.forEach((id, m) -> all.put(id, m.boot()));
             all.put(self, boot);
             found(all);
+        } else if (with.isEmpty() && willing() && enough(got)) {
+            final Map<NodeId, String> all = new HashMap<>();
+            got.forEach((id, m) -> all.put(id, m.boot()));
+            all.values().removeIf(String::isEmpty);
+            all.put(self, boot);
+            found(all);
         } else if ((quorum.read(with) || sole(got, with)) && loop.now() - born >= CALM) {
             if (bar) {
                 rebuild(got);
@@ -303,9 +310,22 @@
             && loop.now() - born >= HUSH && got.values().stream().filter(Msg.Memory::has).allMatch(m -> m.age() >= HUSH);
     }
 
+    /**
+     * Where starts are told apart, a majority in its first life that never voted is proof that nothing was ever accepted:
+     * it need not wait for one that ended during the first start and came back without a note of it.
+     */
+    private boolean enough(final Map<NodeId, Msg.Memory> got) {
+        return quorum.stores().isEmpty() && early() && loop.now() - born >= PATIENCE
+            && 1 + got.values().stream().filter(m -> !m.has() && !m.boot().isEmpty()).count() >= quorum.need();
+    }
+
+    private boolean early() {
+        return first || early;
+    }
+
     /** A network is founded only after a while in which no node has said that it holds anything. */
     private boolean willing() {
-        return (first || early) && loop.now() - born >= HUSH && virgin.getAsBoolean();
+        return early() && loop.now() - born >= HUSH && virgin.getAsBoolean();
     }
 
     private void found(final Map<NodeId, String> all) {
--- a/rig/src/test/java/rv/rig/FoundingTest.java
+++ b/rig/src/test/java/rv/rig/FoundingTest.java
@@ -54,4 +54,17 @@
         ELECTORS.forEach(e -> assertFalse(town.node(e).node().elector().full(), e));
         assertEquals(before, founded(town));
     }
+
+    /** It came back without a note of the first start, as one whose disk was lost: the other two never voted, so nothing was. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void oneThatEndsBeforeItsFirstNoteStopsNoFounding(final long seed) {
+        final Town town = begun(seed);
+        town.run(350);
+        final String gone = ELECTORS.get((int) seed % 3);
+        town.loseDisk(gone, 400);
+        town.run(9000);
+        ELECTORS.forEach(e -> assertTrue(town.node(e).node().elector().full(), e + " beside " + gone));
+        assertTrue(town.node("ed1").node().sync().fresh());
+    }
 }
