--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -34,6 +34,7 @@
     private long serial;
     private int busy;
     private boolean shut;
+    private long last = Long.MIN_VALUE / 2;
 
     /** One pass to the holder for all who ask for an object under one mark. */
     record Flight(Mark mark, List<Walk> queue) {
@@ -93,7 +94,13 @@
         return !shut && !view.rows().isEmpty() && !way.near().isEmpty();
     }
 
+    /** Whether no request has come for a while, in ms. */
+    public boolean quiet(final long ms) {
+        return loop.now() - last >= ms;
+    }
+
     public void take(final Ask ask, final Consumer<Answer> then) {
+        last = loop.now();
         if (shut) {
             then.accept(Answer.reject(503, "this node is leaving", 1000));
             return;
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -41,6 +41,8 @@
 public final class Node {
     private static final long QUIET = 1500;
     private static final long LINGER = 100;
+    /** A leaving edge that still gets requests answers them: it ends once none has come for so long. */
+    private static final long CALM = 250;
     private static final long HANDOVER = 2500;
     private final Setup setup;
     private final Loop loop;
@@ -297,7 +299,7 @@
     }
 
     private void drain(final long cutoff, final Runnable then) {
-        final boolean idle = (edge == null || edge.busy() == 0) && (sender == null || sender.busy() == 0) && handed();
+        final boolean idle = (edge == null || edge.busy() == 0 && edge.quiet(CALM)) && (sender == null || sender.busy() == 0) && handed();
         if (idle || loop.now() >= cutoff) {
             loop.after(LINGER, () -> {
                 journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
