One way to found, whether all electors or a majority is willing

The founding without one elector had written the building of the founders' map a second time beside its twin, and asked again whether it is early, which being willing says already. Both go one way now; behaviour is the same, since with all electors willing no name is left out.

--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Elector.java
@@ -282,13 +282,7 @@
         });
         if (got.values().stream().anyMatch(m -> m.has() && (early || boot.equals(m.founders().get(self))))) {
             got.values().stream().filter(Msg.Memory::has).findFirst().ifPresent(m -> found(m.founders()));
-        } else if (with.isEmpty() && got.size() == quorum.electors().size() - 1 && willing()
-            && got.values().stream().noneMatch(m -> m.boot().isEmpty())) {
-            final Map<NodeId, String> all = new HashMap<>();
-            got.forEach((id, m) -> all.put(id, m.boot()));
-            all.put(self, boot);
-            found(all);
-        } else if (with.isEmpty() && willing() && enough(got)) {
+        } else if (with.isEmpty() && willing() && (unanimous(got) || enough(got))) {
             final Map<NodeId, String> all = new HashMap<>();
             got.forEach((id, m) -> all.put(id, m.boot()));
             all.values().removeIf(String::isEmpty);
@@ -310,12 +304,17 @@
             && loop.now() - born >= HUSH && got.values().stream().filter(Msg.Memory::has).allMatch(m -> m.age() >= HUSH);
     }
 
+    /** Every other elector has answered that it is willing too. */
+    private boolean unanimous(final Map<NodeId, Msg.Memory> got) {
+        return got.size() == quorum.electors().size() - 1 && got.values().stream().noneMatch(m -> m.boot().isEmpty());
+    }
+
     /**
      * Where starts are told apart, a majority in its first life that never voted is proof that nothing was ever accepted:
      * it need not wait for one that ended during the first start and came back without a note of it.
      */
     private boolean enough(final Map<NodeId, Msg.Memory> got) {
-        return quorum.stores().isEmpty() && early() && loop.now() - born >= PATIENCE
+        return quorum.stores().isEmpty() && loop.now() - born >= PATIENCE
             && 1 + got.values().stream().filter(m -> !m.has() && !m.boot().isEmpty()).count() >= quorum.need();
     }
 
