--- a/base/src/main/java/rv/base/Condition.java
+++ b/base/src/main/java/rv/base/Condition.java
@@ -1,3 +1,8 @@
 package rv.base;
 
-public enum Condition { READY, PARTIAL, UNREADY, LEAVING }
+public enum Condition {
+    READY,
+    PARTIAL,
+    UNREADY,
+    LEAVING
+}
--- a/base/src/main/java/rv/base/Hash.java
+++ b/base/src/main/java/rv/base/Hash.java
@@ -6,8 +6,7 @@
 import java.util.HexFormat;
 
 public final class Hash {
-    private Hash() {
-    }
+    private Hash() {}
 
     public static long mix(final String text) {
         long h = 0xcbf29ce484222325L;
--- a/base/src/main/java/rv/base/Journal.java
+++ b/base/src/main/java/rv/base/Journal.java
@@ -13,8 +13,7 @@
     private final List<Consumer<Entry>> views = new CopyOnWriteArrayList<>();
     private long seq;
 
-    public record Entry(long seq, long at, Event event) {
-    }
+    public record Entry(long seq, long at, Event event) {}
 
     public Journal(final Loop loop, final int room) {
         this.loop = loop;
--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -4,7 +4,14 @@
 import java.util.Optional;
 
 public enum Kind {
-    ROUTE, SERVICE, PURGE, ORIGIN, PLAN, TENURE, SWEEP, LIMIT;
+    ROUTE,
+    SERVICE,
+    PURGE,
+    ORIGIN,
+    PLAN,
+    TENURE,
+    SWEEP,
+    LIMIT;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
--- a/base/src/main/java/rv/base/Member.java
+++ b/base/src/main/java/rv/base/Member.java
@@ -1,6 +1,7 @@
 package rv.base;
 
-public record Member(NodeId id, Role role, String cell, String host, int port, String boot, Condition condition, String version) {
+public record Member(
+        NodeId id, Role role, String cell, String host, int port, String boot, Condition condition, String version) {
     public Member with(final Condition c) {
         return new Member(id, role, cell, host, port, boot, c, version);
     }
--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -7,7 +7,7 @@
 
 /** All that processes say to each other. Unknown members are ignored, unknown types end the circuit. */
 public sealed interface Msg {
-    record Ok() implements Msg { }
+    record Ok() implements Msg {}
 
     record Nay(String why) implements Msg {
         /** A store's own word that its disk has been stalled or failing for the stated time. */
@@ -22,77 +22,86 @@
      * {@code list}, {@code since}: the seed's member list that this node has, and the last change in it; a node that states
      * none is told by {@code roll}.
      */
-    record Beat(Member self, long tick, int seen, long roll, String list, long since) implements Msg { }
+    record Beat(Member self, long tick, int seen, long roll, String list, long since) implements Msg {}
 
-    record Heard(NodeId id, long silence, Condition condition, Member member) { }
+    record Heard(NodeId id, long silence, Condition condition, Member member) {}
 
     /** {@code at}: its place in the seed's list, for good, below zero for edges; without a member it is gone. */
-    record Listed(int at, Member member) { }
+    record Listed(int at, Member member) {}
 
-    record Late(int at, int units) { }
+    record Late(int at, int units) {}
 
     /**
      * {@code members}: to a node that stated no list. Else what changed in {@code list} up to {@code last}; by place the silence
      * of each member but edges in {@link #UNIT} ms, rounded up, {@link #LOST} where it is lost; and of edges only those that
      * are {@code late}: the others have been silent for {@link #CALM} at most, and are taken as that.
      */
-    record Beaten(List<Heard> members, long tick, String list, long last, List<Listed> changed, byte[] silences, List<Late> late) implements Msg {
+    record Beaten(
+            List<Heard> members,
+            long tick,
+            String list,
+            long last,
+            List<Listed> changed,
+            byte[] silences,
+            List<Late> late)
+            implements Msg {
         public static final int UNIT = 10;
         public static final int LOST = 255;
         public static final int CALM = 750;
     }
 
     // electors
-    record Prepare(ItemId id, Ballot ballot) implements Msg { }
+    record Prepare(ItemId id, Ballot ballot) implements Msg {}
 
-    record Promise(boolean ok, Ballot high, Ballot at, Item item) implements Msg { }
+    record Promise(boolean ok, Ballot high, Ballot at, Item item) implements Msg {}
 
     /** {@code next}: the ballot that whoever accepts promises at the same time, or none. */
-    record Accept(Ballot ballot, Item item, Ballot next) implements Msg { }
+    record Accept(Ballot ballot, Item item, Ballot next) implements Msg {}
 
-    record Accepted(boolean ok, Ballot high) implements Msg { }
+    record Accepted(boolean ok, Ballot high) implements Msg {}
 
-    record Reread(String boot, boolean bar, boolean sole) implements Msg { }
+    record Reread(String boot, boolean bar, boolean sole) implements Msg {}
 
-    record Slot(Ballot promised, Ballot at, Item item) { }
+    record Slot(Ballot promised, Ballot at, Item item) {}
 
-    record Memory(boolean has, String boot, Map<NodeId, String> founders, long floor, List<Slot> slots, long lives,
-                  long age) implements Msg { }
+    record Memory(
+            boolean has, String boot, Map<NodeId, String> founders, long floor, List<Slot> slots, long lives, long age)
+            implements Msg {}
 
     // learning
-    record Chosen(Ballot ballot, Item item) { }
+    record Chosen(Ballot ballot, Item item) {}
 
-    record Learn(List<Chosen> list) implements Msg { }
+    record Learn(List<Chosen> list) implements Msg {}
 
-    record Query(long hash) implements Msg { }
+    record Query(long hash) implements Msg {}
 
-    record Same(boolean same, List<Long> sums) implements Msg { }
+    record Same(boolean same, List<Long> sums) implements Msg {}
 
-    record Vers(List<Integer> cells, Map<ItemId, Ver> vers) implements Msg { }
+    record Vers(List<Integer> cells, Map<ItemId, Ver> vers) implements Msg {}
 
-    record Give(List<Chosen> list, boolean all, List<ItemId> want) implements Msg { }
+    record Give(List<Chosen> list, boolean all, List<ItemId> want) implements Msg {}
 
     // leases
-    record Claim(int shard, Token token, String state) { }
+    record Claim(int shard, Token token, String state) {}
 
-    record Hello(long term, List<Claim> claims) implements Msg { }
+    record Hello(long term, List<Claim> claims) implements Msg {}
 
-    record Welcome(boolean mine, long term) implements Msg { }
+    record Welcome(boolean mine, long term) implements Msg {}
 
-    record Revoke(long term, List<Claim> list) implements Msg { }
+    record Revoke(long term, List<Claim> list) implements Msg {}
 
-    record Revoked(boolean ok, List<Integer> stopped) implements Msg { }
+    record Revoked(boolean ok, List<Integer> stopped) implements Msg {}
 
-    record FenceAck(long term, List<Integer> shards) implements Msg { }
+    record FenceAck(long term, List<Integer> shards) implements Msg {}
 
-    record Place(long term, long epoch, List<Claim> grants) implements Msg { }
+    record Place(long term, long epoch, List<Claim> grants) implements Msg {}
 
-    record Wish(String service, int shard, int n) { }
+    record Wish(String service, int shard, int n) {}
 
     /** {@code serial}: of the weights this holder goes by; {@code wishes}: sends it wanted to make since the last one. */
-    record Renew(long term, List<Claim> claims, long serial, List<Wish> wishes) implements Msg { }
+    record Renew(long term, List<Claim> claims, long serial, List<Wish> wishes) implements Msg {}
 
-    record Renewed(long term, boolean mine, List<Claim> granted, List<Claim> stale) implements Msg { }
+    record Renewed(long term, boolean mine, List<Claim> granted, List<Claim> stale) implements Msg {}
 
     // keepers
     /** {@code turn} names one try of one process; {@code clear}: nothing of that try has left for an origin. */
@@ -107,62 +116,106 @@
                 return this;
             }
             final boolean same = old.token.equals(token) && old.turn == turn;
-            return old.outcome != null || token.below(old.token) || same && old.clear
-                || clear && !same && !old.token.below(token) ? old : this;
+            return old.outcome != null
+                            || token.below(old.token)
+                            || same && old.clear
+                            || clear && !same && !old.token.below(token)
+                    ? old
+                    : this;
         }
 
         /** What several keepers' notes of one key come to: a try counts as clear only if no other try stands beside it. */
         public static Note settle(final Collection<Note> all) {
             final Note top = all.stream().max(Comparator.comparing(Note::token)).orElseThrow();
-            final List<Note> last = all.stream().filter(n -> n.token.equals(top.token)).toList();
-            return all.stream().filter(n -> n.outcome != null).findFirst()
-                .or(() -> last.stream().filter(n -> !n.clear && last.stream().noneMatch(c -> c.clear && c.turn == n.turn)).findFirst())
-                .or(() -> last.stream().filter(Note::clear).findFirst()).orElse(top);
+            final List<Note> last =
+                    all.stream().filter(n -> n.token.equals(top.token)).toList();
+            return all.stream()
+                    .filter(n -> n.outcome != null)
+                    .findFirst()
+                    .or(() -> last.stream()
+                            .filter(n -> !n.clear && last.stream().noneMatch(c -> c.clear && c.turn == n.turn))
+                            .findFirst())
+                    .or(() -> last.stream().filter(Note::clear).findFirst())
+                    .orElse(top);
         }
     }
 
-    record Outcome(int status, Map<String, String> heads, byte[] body, boolean done) { }
+    record Outcome(int status, Map<String, String> heads, byte[] body, boolean done) {}
 
-    record KeepRead(int shard, Token token, String boot) implements Msg { }
+    record KeepRead(int shard, Token token, String boot) implements Msg {}
 
-    record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era) implements Msg { }
+    record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era) implements Msg {}
 
-    record KeepWrite(Note note, long era) implements Msg { }
+    record KeepWrite(Note note, long era) implements Msg {}
 
-    record KeepSeen(boolean ok, boolean lapse, boolean stale) implements Msg { }
+    record KeepSeen(boolean ok, boolean lapse, boolean stale) implements Msg {}
 
     /** {@code after}: the last key of the page before; none for the first page, which ends the era where {@code bar} says so. */
-    record KeepAll(boolean bar, String after) implements Msg { }
+    record KeepAll(boolean bar, String after) implements Msg {}
 
     /** {@code next}: what to ask the next page with, or none after the last. */
-    record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars, String next) implements Msg { }
+    record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars, String next) implements Msg {}
 
     // traffic
     /**
      * {@code id}: the caller's own name for this try; {@code pass}: to be passed through without the right to fill;
      * {@code extra}: another way was asked before; {@code heads}: the caller's other headers.
      */
-    record Fill(long serial, String route, String method, String host, String path, int shard, Token known, Mark mark, String key,
-                byte[] body, String type, long span, String id, boolean pass, boolean extra, Map<String, String> heads) implements Msg { }
+    record Fill(
+            long serial,
+            String route,
+            String method,
+            String host,
+            String path,
+            int shard,
+            Token known,
+            Mark mark,
+            String key,
+            byte[] body,
+            String type,
+            long span,
+            String id,
+            boolean pass,
+            boolean extra,
+            Map<String, String> heads)
+            implements Msg {}
 
     /** {@code service}: which one answered, where a route is split over several. */
-    record Filled(String fate, String why, int status, Token token, Map<String, String> heads, byte[] body, long age,
-                  Mark mark, long retryMs, String service) implements Msg {
-        public Filled(final String fate, final String why, final int status, final Token token, final Map<String, String> heads,
-                      final byte[] body, final long age, final Mark mark, final long retryMs) {
+    record Filled(
+            String fate,
+            String why,
+            int status,
+            Token token,
+            Map<String, String> heads,
+            byte[] body,
+            long age,
+            Mark mark,
+            long retryMs,
+            String service)
+            implements Msg {
+        public Filled(
+                final String fate,
+                final String why,
+                final int status,
+                final Token token,
+                final Map<String, String> heads,
+                final byte[] body,
+                final long age,
+                final Mark mark,
+                final long retryMs) {
             this(fate, why, status, token, heads, body, age, mark, retryMs, null);
         }
     }
 
     /** One-way: how many requests of the sender each of these origins has now. */
-    record Busy(Map<String, Integer> counts) implements Msg { }
+    record Busy(Map<String, Integer> counts) implements Msg {}
 
     /** Who votes, asked of any node that may know; an empty answer means that it does not know either. */
-    record Seats() implements Msg { }
+    record Seats() implements Msg {}
 
-    record Seated(List<String> electors) implements Msg { }
+    record Seated(List<String> electors) implements Msg {}
 
-    record Report(String what) implements Msg { }
+    record Report(String what) implements Msg {}
 
-    record Reported(String json) implements Msg { }
+    record Reported(String json) implements Msg {}
 }
--- a/base/src/main/java/rv/base/Net.java
+++ b/base/src/main/java/rv/base/Net.java
@@ -8,7 +8,7 @@
 
     /** One-way: nothing is heard of it, and it may be lost. */
     default void tell(final NodeId to, final Msg msg) {
-        ask(to, msg, 300, r -> { });
+        ask(to, msg, 300, r -> {});
     }
 
     default void tell(final Collection<NodeId> to, final Msg msg) {
--- a/base/src/main/java/rv/base/Reply.java
+++ b/base/src/main/java/rv/base/Reply.java
@@ -3,7 +3,11 @@
 import java.util.Optional;
 
 public record Reply(Msg msg, Trouble trouble) {
-    public enum Trouble { NONE, NOT_SENT, NO_ANSWER }
+    public enum Trouble {
+        NONE,
+        NOT_SENT,
+        NO_ANSWER
+    }
 
     public static Reply of(final Msg msg) {
         return new Reply(msg, Trouble.NONE);
--- a/base/src/main/java/rv/base/Role.java
+++ b/base/src/main/java/rv/base/Role.java
@@ -3,7 +3,9 @@
 import java.util.Locale;
 
 public enum Role {
-    STORE, SHIELD, EDGE;
+    STORE,
+    SHIELD,
+    EDGE;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
--- a/base/src/main/java/rv/base/Wire.java
+++ b/base/src/main/java/rv/base/Wire.java
@@ -13,16 +13,15 @@
     public static final int LIMIT = 4 << 20;
     private static final ObjectMapper MAP = make();
 
-    private Wire() {
-    }
+    private Wire() {}
 
-    public record Envelope(int v, long id, long re, NodeId from, Msg msg) {
-    }
+    public record Envelope(int v, long id, long re, NodeId from, Msg msg) {}
 
     private static ObjectMapper make() {
         final CBORMapper map = CBORMapper.builder()
-            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-            .serializationInclusion(JsonInclude.Include.NON_NULL).build();
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .serializationInclusion(JsonInclude.Include.NON_NULL)
+                .build();
         map.addMixIn(Msg.class, Typed.class);
         for (final Class<?> c : Msg.class.getPermittedSubclasses()) {
             map.registerSubtypes(new NamedType(c, c.getSimpleName()));
@@ -31,8 +30,7 @@
     }
 
     @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
-    private interface Typed {
-    }
+    private interface Typed {}
 
     public static byte[] pack(final Object o) {
         try {
--- a/base/src/test/java/rv/base/WireTest.java
+++ b/base/src/test/java/rv/base/WireTest.java
@@ -14,7 +14,8 @@
 
     @Test
     void aMessageComesBackAsItWent() throws WireTrouble {
-        final Msg msg = new Msg.Learn(List.of(new Msg.Chosen(new Ballot(3, "st1#x"), Item.none(ID).next("{}", "tag"))));
+        final Msg msg = new Msg.Learn(
+                List.of(new Msg.Chosen(new Ballot(3, "st1#x"), Item.none(ID).next("{}", "tag"))));
         final Wire.Envelope got = Wire.open(Wire.pack(new Wire.Envelope(1, 7, 0, NodeId.of("st1"), msg)));
         assertEquals(msg, got.msg());
         assertEquals(7, got.id());
@@ -23,8 +24,19 @@
     @Test
     void unknownMembersAreIgnoredAndUnknownTypesAreNot() throws Exception {
         final CBORMapper map = new CBORMapper();
-        final Map<String, Object> later = Map.of("v", 1, "id", 1, "re", 0, "from", "st1", "hue", "red",
-            "msg", Map.of("t", "Query", "hash", 5, "depth", 9));
+        final Map<String, Object> later = Map.of(
+                "v",
+                1,
+                "id",
+                1,
+                "re",
+                0,
+                "from",
+                "st1",
+                "hue",
+                "red",
+                "msg",
+                Map.of("t", "Query", "hash", 5, "depth", 9));
         assertEquals(new Msg.Query(5), Wire.open(map.writeValueAsBytes(later)).msg());
         final Map<String, Object> odd = Map.of("v", 1, "id", 1, "re", 0, "from", "st1", "msg", Map.of("t", "Sing"));
         assertThrows(WireTrouble.class, () -> Wire.open(map.writeValueAsBytes(odd)));
--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -30,7 +30,7 @@
     private final Loop loop;
     private final Net net;
     private final Writer writer;
-    private final Roster roster;
+    private final Membership roster;
     private final Timing timing;
     private final Journal journal;
     private final int shards;
@@ -65,8 +65,16 @@
         private boolean free;
     }
 
-    public Authority(final Loop loop, final Net net, final Writer writer, final Roster roster, final Timing timing,
-                     final Journal journal, final int shards, final Predicate<NodeId> sound, final Places places) {
+    public Authority(
+            final Loop loop,
+            final Net net,
+            final Writer writer,
+            final Membership roster,
+            final Timing timing,
+            final Journal journal,
+            final int shards,
+            final Predicate<NodeId> sound,
+            final Places places) {
         this.places = places;
         this.loop = loop;
         this.net = net;
@@ -101,28 +109,32 @@
         busy = true;
         final long term = tenure.term();
         final String tag = "load-" + term + "-" + loop.now();
-        writer.write(ItemId.PLAN, tag, 1000, now -> {
-            final Plan old = Plan.of(now);
-            return old.term() > term ? Optional.empty()
-                : Optional.of(now.next(Json.text(old.of(term)), tag));
-        }, r -> {
-            if (term != tenure.term()) {
-                return;
-            }
-            busy = false;
-            if (r.ok()) {
-                plan = Plan.of(r.item());
-                ver = r.item().ver();
-                for (int i = 0; i < shards; i++) {
-                    rows.computeIfAbsent(i, k -> {
-                        final Row row = new Row();
-                        row.granted = base;
-                        return row;
-                    });
-                }
-                ready = true;
-            }
-        });
+        writer.write(
+                ItemId.PLAN,
+                tag,
+                1000,
+                now -> {
+                    final Plan old = Plan.of(now);
+                    return old.term() > term ? Optional.empty() : Optional.of(now.next(Json.text(old.of(term)), tag));
+                },
+                r -> {
+                    if (term != tenure.term()) {
+                        return;
+                    }
+                    busy = false;
+                    if (r.ok()) {
+                        plan = Plan.of(r.item());
+                        ver = r.item().ver();
+                        for (int i = 0; i < shards; i++) {
+                            rows.computeIfAbsent(i, k -> {
+                                final Row row = new Row();
+                                row.granted = base;
+                                return row;
+                            });
+                        }
+                        ready = true;
+                    }
+                });
     }
 
     private void tick() {
@@ -133,15 +145,20 @@
             load();
             return;
         }
-        final List<NodeId> able = roster.live(Role.SHIELD).stream().filter(m -> m.condition() != Condition.LEAVING && m.condition() != Condition.UNREADY)
-            .map(Member::id).filter(sound).toList();
+        final List<NodeId> able = roster.live(Role.SHIELD).stream()
+                .filter(m -> m.condition() != Condition.LEAVING && m.condition() != Condition.UNREADY)
+                .map(Member::id)
+                .filter(sound)
+                .toList();
         if (able.isEmpty() || plan.parts().isEmpty() && loop.now() - began < 1500) {
             return;
         }
         if (wary && !calmed()) {
             return;
         }
-        final List<NodeId> calm = able.stream().filter(n -> roster.age(n) >= SETTLE || plan.parts().isEmpty()).toList();
+        final List<NodeId> calm = able.stream()
+                .filter(n -> roster.age(n) >= SETTLE || plan.parts().isEmpty())
+                .toList();
         final Map<Integer, NodeId> moves = new TreeMap<>();
         final Map<NodeId, List<Msg.Claim>> revokes = new TreeMap<>();
         for (int s = 0; s < shards; s++) {
@@ -166,12 +183,17 @@
         return true;
     }
 
-    private void weigh(final int s, final List<NodeId> able, final List<NodeId> calm, final Map<Integer, NodeId> moves,
-                       final Map<NodeId, List<Msg.Claim>> revokes) {
+    private void weigh(
+            final int s,
+            final List<NodeId> able,
+            final List<NodeId> calm,
+            final Map<Integer, NodeId> moves,
+            final Map<NodeId, List<Msg.Claim>> revokes) {
         final Row row = rows.get(s);
         final Plan.Part part = s < plan.parts().size() ? plan.parts().get(s) : null;
         final NodeId now = part == null ? null : part.node();
-        final NodeId want = Plan.assign(s, local(s, now == null || !able.contains(now) || calm.contains(now) ? calm : with(calm, now)));
+        final NodeId want = Plan.assign(
+                s, local(s, now == null || !able.contains(now) || calm.contains(now) ? calm : with(calm, now)));
         if (part == null || row.free) {
             moves.put(s, want);
             return;
@@ -204,8 +226,11 @@
     }
 
     private List<NodeId> local(final int s, final List<NodeId> calm) {
-        final List<NodeId> near = places.count() < 2 ? calm
-            : calm.stream().filter(n -> places.at(roster.get(n).cell()) == s % places.count()).toList();
+        final List<NodeId> near = places.count() < 2
+                ? calm
+                : calm.stream()
+                        .filter(n -> places.at(roster.get(n).cell()) == s % places.count())
+                        .toList();
         return near.isEmpty() ? calm : near;
     }
 
@@ -243,23 +268,27 @@
         final long term = tenure.term();
         final Ver old = ver;
         final String tag = "plan-" + term + "-" + next.epoch() + "-" + loop.now();
-        writer.write(ItemId.PLAN, tag, 1000, now -> now.ver().equals(old)
-            ? Optional.of(now.next(Json.text(next), tag)) : Optional.empty(), r -> {
-            if (tenure.term() != term) {
-                return;
-            }
-            busy = false;
-            if (!r.ok()) {
-                ready = false;
-                return;
-            }
-            plan = next;
-            ver = r.item().ver();
-            moved = moves.isEmpty() ? moved : loop.now();
-            journal.add(Event.of(Code.PLAN_SET, "epoch", plan.epoch(), "term", term, "moves", moves.size()));
-            moves.forEach((s, n) -> rows.put(s, new Row()));
-            moves.values().stream().distinct().forEach(this::place);
-        });
+        writer.write(
+                ItemId.PLAN,
+                tag,
+                1000,
+                now -> now.ver().equals(old) ? Optional.of(now.next(Json.text(next), tag)) : Optional.empty(),
+                r -> {
+                    if (tenure.term() != term) {
+                        return;
+                    }
+                    busy = false;
+                    if (!r.ok()) {
+                        ready = false;
+                        return;
+                    }
+                    plan = next;
+                    ver = r.item().ver();
+                    moved = moves.isEmpty() ? moved : loop.now();
+                    journal.add(Event.of(Code.PLAN_SET, "epoch", plan.epoch(), "term", term, "moves", moves.size()));
+                    moves.forEach((s, n) -> rows.put(s, new Row()));
+                    moves.values().stream().distinct().forEach(this::place);
+                });
     }
 
     private void remind(final List<NodeId> able) {
@@ -267,8 +296,11 @@
         for (int s = 0; s < shards; s++) {
             final Row row = rows.get(s);
             final NodeId owner = plan.parts().get(s).node();
-            if (!row.moving && able.contains(owner) && roster.silence(owner) < 600 && loop.now() - row.renewed > timing.d() / 2
-                && loop.now() - row.granted > 500) {
+            if (!row.moving
+                    && able.contains(owner)
+                    && roster.silence(owner) < 600
+                    && loop.now() - row.renewed > timing.d() / 2
+                    && loop.now() - row.granted > 500) {
                 slow.add(owner);
             }
         }
@@ -291,7 +323,7 @@
         if (tenure.acting() && ready && !wary && met.contains(node)) {
             final List<Msg.Claim> list = owned(node);
             journal.add(Event.of(Code.GRANTED, "node", node.text(), "shards", list.size(), "epoch", plan.epoch()));
-            net.ask(node, new Msg.Place(tenure.term(), plan.epoch(), list), 450, r -> { });
+            net.ask(node, new Msg.Place(tenure.term(), plan.epoch(), list), 450, r -> {});
         }
     }
 
@@ -303,8 +335,12 @@
             return;
         }
         final long term = tenure.term();
-        h.claims().stream().filter(c -> c.state().equals("REVOKED") && fits(from, c)).forEach(c -> rows.get(c.shard()).free = true);
-        final List<Msg.Claim> stale = h.claims().stream().filter(c -> !fits(from, c) && !c.state().equals("REVOKED")).toList();
+        h.claims().stream()
+                .filter(c -> c.state().equals("REVOKED") && fits(from, c))
+                .forEach(c -> rows.get(c.shard()).free = true);
+        final List<Msg.Claim> stale = h.claims().stream()
+                .filter(c -> !fits(from, c) && !c.state().equals("REVOKED"))
+                .toList();
         final Runnable third = () -> {
             if (tenure.term() == term) {
                 met.add(from);
@@ -316,17 +352,24 @@
             if (due.isEmpty()) {
                 third.run();
             } else {
-                net.ask(from, new Msg.FenceAck(term, List.copyOf(due)), 450, r -> r.as(Msg.Ok.class).ifPresent(ok -> {
-                    acks.remove(from);
-                    third.run();
-                }));
+                net.ask(
+                        from,
+                        new Msg.FenceAck(term, List.copyOf(due)),
+                        450,
+                        r -> r.as(Msg.Ok.class).ifPresent(ok -> {
+                            acks.remove(from);
+                            third.run();
+                        }));
             }
         };
         if (stale.isEmpty()) {
             second.run();
         } else {
-            net.ask(from, new Msg.Revoke(term, stale), timing.m() + 500, r -> r.as(Msg.Revoked.class)
-                .ifPresent(ok -> second.run()));
+            net.ask(
+                    from,
+                    new Msg.Revoke(term, stale),
+                    timing.m() + 500,
+                    r -> r.as(Msg.Revoked.class).ifPresent(ok -> second.run()));
         }
     }
 
--- a/control/src/main/java/rv/control/Sweeper.java
+++ b/control/src/main/java/rv/control/Compactor.java
@@ -11,16 +11,16 @@
 import rv.base.Msg;
 
 /** The acting store's duty: drops purges that no copy can be older than, and origins long gone. */
-public final class Sweeper {
+public final class Compactor {
     private static final long ROUND = 10_000;
     private static final long REST = 60_000;
     private static final int LEAST = 20;
     private final Loop loop;
-    private final Held held;
+    private final ItemStore held;
     private final Writer writer;
     private final BooleanSupplier acting;
 
-    public Sweeper(final Loop loop, final Held held, final Writer writer, final BooleanSupplier acting) {
+    public Compactor(final Loop loop, final ItemStore held, final Writer writer, final BooleanSupplier acting) {
         this.loop = loop;
         this.held = held;
         this.writer = writer;
@@ -40,18 +40,34 @@
             return;
         }
         final List<Item> all = held.all().stream().map(Msg.Chosen::item).toList();
-        final long life = all.stream().filter(i -> i.id().kind() == Kind.ROUTE && i.live())
-            .map(i -> Json.read(i.body(), Match.class)).filter(Match::purgeable).mapToLong(Match::lifetimeMs).max().orElse(0);
+        final long life = all.stream()
+                .filter(i -> i.id().kind() == Kind.ROUTE && i.live())
+                .map(i -> Json.read(i.body(), Match.class))
+                .filter(Match::purgeable)
+                .mapToLong(Match::lifetimeMs)
+                .max()
+                .orElse(0);
         final Sweep was = held.sweep();
-        final Sweep now = new Sweep(floor(all, Kind.PURGE, was.purges(), i -> age(i) > life + life / 4 + REST),
-            floor(all, Kind.ORIGIN, was.origins(), this::gone));
+        final Sweep now = new Sweep(
+                floor(all, Kind.PURGE, was.purges(), i -> age(i) > life + life / 4 + REST),
+                floor(all, Kind.ORIGIN, was.origins(), this::gone));
         if (!now.equals(was)) {
             final String tag = "sweep-" + now.purges() + "-" + now.origins() + "-" + loop.now();
-            writer.write(Sweep.ID, tag, 1000, at -> {
-                final Sweep s = Sweep.of(at);
-                return Optional.of(at.next(Json.text(Map.of("purges", Math.max(s.purges(), now.purges()), "origins",
-                    Math.max(s.origins(), now.origins()))), tag));
-            }, r -> { });
+            writer.write(
+                    Sweep.ID,
+                    tag,
+                    1000,
+                    at -> {
+                        final Sweep s = Sweep.of(at);
+                        return Optional.of(at.next(
+                                Json.text(Map.of(
+                                        "purges",
+                                        Math.max(s.purges(), now.purges()),
+                                        "origins",
+                                        Math.max(s.origins(), now.origins()))),
+                                tag));
+                    },
+                    r -> {});
         }
     }
 
@@ -64,8 +80,14 @@
     /** The highest version under all that must stay; unchanged while too few would go. */
     private static long floor(final List<Item> all, final Kind kind, final long was, final Predicate<Item> old) {
         final List<Item> mine = all.stream().filter(i -> i.id().kind() == kind).toList();
-        final long stay = mine.stream().filter(old.negate()).mapToLong(i -> i.ver().n()).min().orElse(Long.MAX_VALUE);
+        final long stay = mine.stream()
+                .filter(old.negate())
+                .mapToLong(i -> i.ver().n())
+                .min()
+                .orElse(Long.MAX_VALUE);
         final List<Item> go = mine.stream().filter(i -> i.ver().n() < stay).toList();
-        return go.size() < LEAST ? was : go.stream().mapToLong(i -> i.ver().n()).max().orElse(was);
+        return go.size() < LEAST
+                ? was
+                : go.stream().mapToLong(i -> i.ver().n()).max().orElse(was);
     }
 }
--- a/control/src/main/java/rv/control/View.java
+++ b/control/src/main/java/rv/control/ConfigView.java
@@ -14,8 +14,8 @@
 import rv.base.Ver;
 
 /** What the held items mean to traffic, folded anew after each change. */
-public final class View {
-    private final Held held;
+public final class ConfigView {
+    private final ItemStore held;
     private final List<Row> rows = new ArrayList<>();
     private final Map<String, Service> services = new TreeMap<>();
     private final Map<String, Match> routes = new TreeMap<>();
@@ -42,13 +42,11 @@
     }
 
     /** The version of a tag's newest purge, and when this node learned of it. */
-    public record Tagged(long ver, long at) {
-    }
+    public record Tagged(long ver, long at) {}
 
-    private record Wide(Purge purge, Ver ver) {
-    }
+    private record Wide(Purge purge, Ver ver) {}
 
-    public View(final Held held) {
+    public ConfigView(final ItemStore held) {
         this.held = held;
         held.watch(this::take);
     }
@@ -68,7 +66,7 @@
             case ORIGIN -> put(origins, item.id(), item, Origin.class);
             case PURGE -> purge(item);
             case LIMIT -> limits = Limits.of(item);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -88,7 +86,8 @@
         if (p.tag() != null) {
             tags.merge(p.tag(), new Tagged(item.ver().n(), held.now()), (a, b) -> a.ver() >= b.ver() ? a : b);
         } else if (p.host() != null) {
-            spots.computeIfAbsent(p.host() + "|" + p.path(), k -> new TreeMap<>()).merge("p/" + item.id().name(), item.ver().n(), Math::max);
+            spots.computeIfAbsent(p.host() + "|" + p.path(), k -> new TreeMap<>())
+                    .merge("p/" + item.id().name(), item.ver().n(), Math::max);
         }
         return p.wide();
     }
@@ -110,14 +109,18 @@
             drop(item);
         }
         if (was != null) {
-            exact.getOrDefault(was.route(), Map.of()).getOrDefault(String.valueOf(was.path()), new HashMap<>()).remove(item.id());
+            exact.getOrDefault(was.route(), Map.of())
+                    .getOrDefault(String.valueOf(was.path()), new HashMap<>())
+                    .remove(item.id());
             wide.getOrDefault(was.route(), new HashMap<>()).remove(item.id());
         }
         if (!item.body().isEmpty()) {
             final Purge p = Json.read(item.body(), Purge.class);
             purges.put(item.id(), p);
             if (p.path() != null) {
-                exact.computeIfAbsent(p.route(), k -> new HashMap<>()).computeIfAbsent(p.path(), k -> new TreeMap<>()).put(item.id(), item.ver());
+                exact.computeIfAbsent(p.route(), k -> new HashMap<>())
+                        .computeIfAbsent(p.path(), k -> new TreeMap<>())
+                        .put(item.id(), item.ver());
             } else {
                 wide.computeIfAbsent(p.route(), k -> new TreeMap<>()).put(item.id(), new Wide(p, item.ver()));
             }
@@ -131,16 +134,28 @@
         old = false;
         rows.clear();
         hosts.clear();
-        routes.forEach((n, m) -> rows.add(new Row(n, m, m.services().stream().allMatch(services::containsKey) ? services.get(m.services().get(0)) : null, m.when().isEmpty() ? Optional.empty() : Optional.of(Rule.of(m.when())))));
-        rows.sort(Comparator.comparingInt((Row r) -> -r.match().prefix().length()).thenComparing(Row::name));
-        rows.forEach(r -> hosts.computeIfAbsent(r.match().host(), k -> new ArrayList<>()).add(r));
+        routes.forEach((n, m) -> rows.add(new Row(
+                n,
+                m,
+                m.services().stream().allMatch(services::containsKey)
+                        ? services.get(m.services().get(0))
+                        : null,
+                m.when().isEmpty() ? Optional.empty() : Optional.of(Rule.of(m.when())))));
+        rows.sort(
+                Comparator.comparingInt((Row r) -> -r.match().prefix().length()).thenComparing(Row::name));
+        rows.forEach(r ->
+                hosts.computeIfAbsent(r.match().host(), k -> new ArrayList<>()).add(r));
     }
 
     /** The longest prefix among the host's own routes; routes that name no host take what those leave. */
     public Optional<Row> route(final String host, final String path) {
         fold();
-        return hosts.getOrDefault(host, List.of()).stream().filter(r -> r.match().takes(path)).findFirst()
-            .or(() -> hosts.getOrDefault("", List.of()).stream().filter(r -> r.match().takes(path)).findFirst());
+        return hosts.getOrDefault(host, List.of()).stream()
+                .filter(r -> r.match().takes(path))
+                .findFirst()
+                .or(() -> hosts.getOrDefault("", List.of()).stream()
+                        .filter(r -> r.match().takes(path))
+                        .findFirst());
     }
 
     public Optional<Row> route(final String path) {
@@ -192,14 +207,18 @@
 
     public Mark mark(final Row row, final String path) {
         final Map<String, Long> vers = new TreeMap<>();
-        exact.getOrDefault(row.name(), Map.of()).getOrDefault(path, Map.of()).forEach((id, v) -> vers.put("p/" + id.name(), v.n()));
+        exact.getOrDefault(row.name(), Map.of())
+                .getOrDefault(path, Map.of())
+                .forEach((id, v) -> vers.put("p/" + id.name(), v.n()));
         wide.getOrDefault(row.name(), Map.of()).forEach((id, w) -> {
             if (w.purge().touches(row.name(), path)) {
                 vers.put("p/" + id.name(), w.ver().n());
             }
         });
         if (row.match().host().isEmpty()) {
-            vers.put("r/" + row.name(), held.get(new ItemId(Kind.ROUTE, row.name())).ver().n());
+            vers.put(
+                    "r/" + row.name(),
+                    held.get(new ItemId(Kind.ROUTE, row.name())).ver().n());
         } else {
             vers.putAll(spots.getOrDefault(row.match().host() + "|" + path, Map.of()));
         }
--- a/control/src/main/java/rv/control/Digest.java
+++ b/control/src/main/java/rv/control/Digest.java
@@ -18,7 +18,8 @@
 
     public void swap(final Item old, final Item now) {
         final int c = cell(now.id());
-        final long change = (old != null && old.ver().n() > 0 ? old.mix() : 0) ^ (now.ver().n() > 0 ? now.mix() : 0);
+        final long change =
+                (old != null && old.ver().n() > 0 ? old.mix() : 0) ^ (now.ver().n() > 0 ? now.mix() : 0);
         sums[c] ^= change;
         all ^= change;
     }
--- a/control/src/main/java/rv/control/Drift.java
+++ b/control/src/main/java/rv/control/Drift.java
@@ -13,8 +13,7 @@
     private final Timing timing;
     private final Map<NodeId, ArrayDeque<Point>> points = new HashMap<>();
 
-    private record Point(long own, long peer, long blur) {
-    }
+    private record Point(long own, long peer, long blur) {}
 
     public Drift(final Timing timing) {
         this.timing = timing;
@@ -50,7 +49,8 @@
 
     /** Against most peers: one peer with a bad clock does not condemn this one. */
     public long worst() {
-        final long[] all = points.keySet().stream().mapToLong(this::proved).sorted().toArray();
+        final long[] all =
+                points.keySet().stream().mapToLong(this::proved).sorted().toArray();
         return all.length == 0 ? 0 : all[(all.length - 1) / 2];
     }
 
--- a/control/src/main/java/rv/control/Sync.java
+++ b/control/src/main/java/rv/control/FrameSync.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 import rv.base.Code;
 import rv.base.Event;
-import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Loop;
@@ -19,12 +18,12 @@
 import rv.base.Ver;
 
 /** Asks the electors whether this node holds all they have accepted, and takes what it lacks. */
-public final class Sync {
+public final class FrameSync {
     private static final long NEVER = Long.MIN_VALUE / 2;
     private final Quorum quorum;
     private final Loop loop;
     private final Net net;
-    private final Held held;
+    private final ItemStore held;
     private final Timing timing;
     private final Journal journal;
     private final Consumer<Msg.Chosen> take;
@@ -36,8 +35,15 @@
     private long since;
     private int ticks;
 
-    public Sync(final Quorum quorum, final Loop loop, final Net net, final Held held, final Timing timing, final Journal journal,
-                final Consumer<Msg.Chosen> take, final Consumer<NodeId> alive) {
+    public FrameSync(
+            final Quorum quorum,
+            final Loop loop,
+            final Net net,
+            final ItemStore held,
+            final Timing timing,
+            final Journal journal,
+            final Consumer<Msg.Chosen> take,
+            final Consumer<NodeId> alive) {
         this.alive = alive;
         this.take = take;
         this.quorum = quorum;
@@ -72,14 +78,18 @@
         }
         for (final NodeId e : quorum.electors()) {
             final long sent = loop.now();
-            net.ask(e, new Msg.Query(held.digest().all()), 700, r -> r.as(Msg.Same.class).ifPresent(s -> {
-                alive.accept(e);
-                if (s.same()) {
-                    confirm(e, sent);
-                } else {
-                    fetch(e, sent, held.digest().apart(s.sums()));
-                }
-            }));
+            net.ask(
+                    e,
+                    new Msg.Query(held.digest().all()),
+                    700,
+                    r -> r.as(Msg.Same.class).ifPresent(s -> {
+                        alive.accept(e);
+                        if (s.same()) {
+                            confirm(e, sent);
+                        } else {
+                            fetch(e, sent, held.digest().apart(s.sums()));
+                        }
+                    }));
         }
     }
 
@@ -89,15 +99,19 @@
             confirm(e, sent);
             return;
         }
-        net.ask(e, new Msg.Vers(cells, held.vers(cells)), 1000, r -> r.as(Msg.Give.class).ifPresent(g -> {
-            g.list().forEach(take);
-            if (g.all()) {
-                confirm(e, sent);
-            }
-            if (g.want() != null && !g.want().isEmpty()) {
-                net.ask(e, new Msg.Learn(held.chosen(g.want())), 500, x -> { });
-            }
-        }));
+        net.ask(
+                e,
+                new Msg.Vers(cells, held.vers(cells)),
+                1000,
+                r -> r.as(Msg.Give.class).ifPresent(g -> {
+                    g.list().forEach(take);
+                    if (g.all()) {
+                        confirm(e, sent);
+                    }
+                    if (g.want() != null && !g.want().isEmpty()) {
+                        net.ask(e, new Msg.Learn(held.chosen(g.want())), 500, x -> {});
+                    }
+                }));
     }
 
     private void confirm(final NodeId e, final long sent) {
@@ -145,11 +159,11 @@
         private static final int WANT = 200;
         private static final long LOOK = 10;
         private static final long MOST = 300;
-        private final Elector elector;
-        private final Held held;
+        private final Voter elector;
+        private final ItemStore held;
         private final Loop loop;
 
-        public Desk(final Elector elector, final Held held, final Loop loop) {
+        public Desk(final Voter elector, final ItemStore held, final Loop loop) {
             this.elector = elector;
             this.held = held;
             this.loop = loop;
@@ -157,7 +171,11 @@
 
         public void query(final Msg.Query ask, final Consumer<Msg> back) {
             final boolean same = ask.hash() == elector.digest().all();
-            back.accept(elector.full() ? new Msg.Same(same, same ? List.of() : elector.digest().sums()) : new Msg.Nay("amnesia"));
+            back.accept(
+                    elector.full()
+                            ? new Msg.Same(
+                                    same, same ? List.of() : elector.digest().sums())
+                            : new Msg.Nay("amnesia"));
         }
 
         public void vers(final Msg.Vers ask, final Consumer<Msg> back) {
@@ -168,9 +186,12 @@
             final Map<ItemId, Ver> open = new HashMap<>();
             elector.slots().forEach((id, s) -> {
                 final Ver v = s.item().ver();
-                final boolean renewal = id.equals(ItemId.TENURE) && held.get(id).ver().n() > 0;
-                if (!renewal && ask.cells().contains(Digest.cell(id)) && v.above(held.get(id).ver())
-                    && v.above(ask.vers().getOrDefault(id, Ver.ZERO))) {
+                final boolean renewal =
+                        id.equals(ItemId.TENURE) && held.get(id).ver().n() > 0;
+                if (!renewal
+                        && ask.cells().contains(Digest.cell(id))
+                        && v.above(held.get(id).ver())
+                        && v.above(ask.vers().getOrDefault(id, Ver.ZERO))) {
                     open.put(id, v);
                 }
             });
@@ -178,8 +199,11 @@
         }
 
         /** What was accepted here and not known as chosen when the question came is waited for; later writes are not. */
-        private void settled(final Msg.Vers ask, final Map<ItemId, Ver> open, final long cutoff, final Consumer<Msg> back) {
-            open.entrySet().removeIf(e -> !e.getValue().above(held.get(e.getKey()).ver()) || held.sweep().drops(e.getKey(), e.getValue().n()));
+        private void settled(
+                final Msg.Vers ask, final Map<ItemId, Ver> open, final long cutoff, final Consumer<Msg> back) {
+            open.entrySet()
+                    .removeIf(e -> !e.getValue().above(held.get(e.getKey()).ver())
+                            || held.sweep().drops(e.getKey(), e.getValue().n()));
             if (!open.isEmpty() && loop.now() < cutoff) {
                 loop.after(LOOK, () -> settled(ask, open, cutoff, back));
             } else {
@@ -192,7 +216,8 @@
             int size = 0;
             boolean all = whole && elector.full();
             for (final Msg.Chosen c : held.all()) {
-                if (ask.cells().contains(Digest.cell(c.item().id())) && c.item().ver().above(ask.vers().getOrDefault(c.item().id(), Ver.ZERO))) {
+                if (ask.cells().contains(Digest.cell(c.item().id()))
+                        && c.item().ver().above(ask.vers().getOrDefault(c.item().id(), Ver.ZERO))) {
                     size += c.item().size();
                     if (size > 1 << 20) {
                         all = false;
@@ -201,8 +226,13 @@
                     list.add(c);
                 }
             }
-            final List<ItemId> want = ask.vers().entrySet().stream().filter(e -> e.getValue().above(held.get(e.getKey()).ver())
-                && !held.sweep().drops(e.getKey(), e.getValue().n()) && e.getValue().above(elector.ver(e.getKey()))).map(Map.Entry::getKey).limit(WANT).toList();
+            final List<ItemId> want = ask.vers().entrySet().stream()
+                    .filter(e -> e.getValue().above(held.get(e.getKey()).ver())
+                            && !held.sweep().drops(e.getKey(), e.getValue().n())
+                            && e.getValue().above(elector.ver(e.getKey())))
+                    .map(Map.Entry::getKey)
+                    .limit(WANT)
+                    .toList();
             back.accept(new Msg.Give(list, all, want));
         }
     }
--- a/control/src/main/java/rv/control/Holder.java
+++ b/control/src/main/java/rv/control/Holder.java
@@ -24,7 +24,7 @@
     private static final long AGAIN = 200;
     private final Loop loop;
     private final Net net;
-    private final Held held;
+    private final ItemStore held;
     private final Timing timing;
     private final Journal journal;
     private final BooleanSupplier sound;
@@ -38,7 +38,12 @@
     private long asked;
     private long missed;
 
-    public enum State { HELD, UNCERTAIN, EXPIRED, REVOKED }
+    public enum State {
+        HELD,
+        UNCERTAIN,
+        EXPIRED,
+        REVOKED
+    }
 
     public static final class Lease {
         private Token token;
@@ -61,8 +66,15 @@
         void stop(int shard, long grace, Consumer<Boolean> done);
     }
 
-    public Holder(final Loop loop, final Net net, final Held held, final Timing timing, final Journal journal,
-                  final BooleanSupplier sound, final Supplier<List<Msg.Wish>> wishes, final Stopper stopper) {
+    public Holder(
+            final Loop loop,
+            final Net net,
+            final ItemStore held,
+            final Timing timing,
+            final Journal journal,
+            final BooleanSupplier sound,
+            final Supplier<List<Msg.Wish>> wishes,
+            final Stopper stopper) {
         this.wishes = wishes;
         this.loop = loop;
         this.net = net;
@@ -113,13 +125,18 @@
         leases.forEach((s, l) -> {
             if ((l.state == State.HELD || l.state == State.UNCERTAIN) && l.until > 0 && loop.now() >= l.until) {
                 l.state = State.EXPIRED;
-                fence(s, l, "expired", ok -> { });
+                fence(s, l, "expired", ok -> {});
             }
         });
         if (boss != null && !placed && loop.now() - asked >= 500) {
             asked = loop.now();
-            net.ask(boss, new Msg.Hello(term, claims(true)), 450, r -> r.as(Msg.Welcome.class).filter(w -> !w.mine() && w.term() == term)
-                .ifPresent(w -> asked = Math.min(asked, loop.now() - 450)));
+            net.ask(
+                    boss,
+                    new Msg.Hello(term, claims(true)),
+                    450,
+                    r -> r.as(Msg.Welcome.class)
+                            .filter(w -> !w.mine() && w.term() == term)
+                            .ifPresent(w -> asked = Math.min(asked, loop.now() - 450)));
         }
     }
 
@@ -181,8 +198,11 @@
         }
         for (final Msg.Claim c : g.granted()) {
             final Lease l = leases.get(c.shard());
-            if (l == null || !l.token.equals(c.token()) || l.fencing
-                || l.state != State.HELD && l.state != State.UNCERTAIN || timing.valid(sent) <= loop.now()) {
+            if (l == null
+                    || !l.token.equals(c.token())
+                    || l.fencing
+                    || l.state != State.HELD && l.state != State.UNCERTAIN
+                    || timing.valid(sent) <= loop.now()) {
                 continue;
             }
             l.until = Math.max(l.until, timing.valid(sent));
@@ -191,7 +211,7 @@
                 journal.add(Event.of(Code.HELD, "shard", c.shard(), "token", l.token.toString()));
             }
         }
-        g.stale().forEach(c -> revoke(c, ok -> { }));
+        g.stale().forEach(c -> revoke(c, ok -> {}));
     }
 
     public void place(final NodeId from, final Msg.Place p, final Consumer<Msg> back) {
@@ -215,7 +235,8 @@
         final Token top = high.getOrDefault(c.shard(), Token.ZERO);
         final Lease old = leases.get(c.shard());
         if (c.token().below(top) || old != null && old.state == State.REVOKED && !top.below(c.token())) {
-            journal.add(Event.of(Code.GRANT_REJECTED, "shard", c.shard(), "token", c.token().toString(), "known", top.toString()));
+            journal.add(Event.of(
+                    Code.GRANT_REJECTED, "shard", c.shard(), "token", c.token().toString(), "known", top.toString()));
             return false;
         }
         if (old != null && old.token.equals(c.token()) && (old.state != State.EXPIRED || old.fencing)) {
@@ -299,7 +320,7 @@
         leases.forEach((s, l) -> {
             if (l.state == State.HELD || l.state == State.UNCERTAIN) {
                 l.state = State.EXPIRED;
-                fence(s, l, "dropped", ok -> { });
+                fence(s, l, "dropped", ok -> {});
             }
         });
     }
--- /dev/null
+++ b/control/src/main/java/rv/control/ItemService.java
@@ -0,0 +1,380 @@
+package rv.control;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Finding;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Kind;
+import rv.base.Loop;
+import rv.base.Ver;
+
+/** Takes what operators and origins state, at any node. */
+public final class ItemService {
+    private static final long SPAN = 2500;
+    private final Loop loop;
+    private final ItemStore held;
+    private final FrameSync sync;
+    private final Writer writer;
+    private final Journal journal;
+    private final Supplier<String> tags;
+
+    public record ApiResult(int status, Map<String, Object> body) {}
+
+    public ItemService(
+            final Loop loop,
+            final ItemStore held,
+            final FrameSync sync,
+            final Writer writer,
+            final Journal journal,
+            final Supplier<String> tags) {
+        this.loop = loop;
+        this.held = held;
+        this.sync = sync;
+        this.writer = writer;
+        this.journal = journal;
+        this.tags = tags;
+    }
+
+    static Map<String, Object> map(final Object... pairs) {
+        final Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < pairs.length; i += 2) {
+            map.put((String) pairs[i], pairs[i + 1]);
+        }
+        return map;
+    }
+
+    public static ApiResult faults(final List<Finding> list) {
+        return new ApiResult(
+                422,
+                map(
+                        "fate",
+                        "refused",
+                        "reason",
+                        "the statement has faults",
+                        "findings",
+                        list.stream()
+                                .map(f -> map("path", f.place(), "text", f.text()))
+                                .toList()));
+    }
+
+    private static ApiResult late() {
+        return new ApiResult(
+                503, map("fate", "refused", "reason", "this node's frame is not confirmed", "retryAfterMs", 1000));
+    }
+
+    private static String path(final ItemId id) {
+        return "/" + id.kind().word() + "s/" + id.name();
+    }
+
+    private List<Finding> added(final Config before, final Config after) {
+        final List<Finding> old = new ArrayList<>();
+        final List<Finding> now = new ArrayList<>();
+        before.check(old);
+        after.check(now);
+        now.removeAll(old);
+        return now;
+    }
+
+    public void put(
+            final ItemId id, final byte[] data, final long expect, final String tag, final Consumer<ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late());
+            return;
+        }
+        final List<Finding> faults = new ArrayList<>();
+        final Object o = JsonReader.read(data, faults);
+        final Config next = Config.of(held);
+        if (o != null || faults.isEmpty()) {
+            next.put(id, o, path(id), faults);
+        }
+        if (o instanceof Map) {
+            faults.addAll(added(Config.of(held), next));
+        }
+        if (!faults.isEmpty()) {
+            back.accept(faults(faults));
+            return;
+        }
+        final String body = next.bodies().get(id);
+        write(id, expect, tag, now -> now.next(body, tag(tag)), back);
+    }
+
+    public void delete(final ItemId id, final long expect, final String tag, final Consumer<ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late());
+            return;
+        }
+        final Config next = Config.of(held);
+        switch (id.kind()) {
+            case SERVICE -> next.services().remove(id.name());
+            case ROUTE -> next.routes().remove(id.name());
+            default -> next.purges().remove(id.name());
+        }
+        final List<Finding> faults = added(Config.of(held), next);
+        if (!faults.isEmpty()) {
+            back.accept(faults(faults));
+            return;
+        }
+        write(id, expect, tag, now -> now.grave(tag(tag)), back);
+    }
+
+    private String tag(final String given) {
+        return given == null || given.isEmpty() ? tags.get() : "w-" + given;
+    }
+
+    private Item risen(final Item n) {
+        return new Item(n.id(), held.rise(n), n.body(), n.gone(), n.tag());
+    }
+
+    private interface Step {
+        Item next(Item now);
+    }
+
+    private void write(
+            final ItemId id, final long expect, final String tag, final Step step, final Consumer<ApiResult> back) {
+        final String name = tag(tag);
+        writer.write(
+                id,
+                name,
+                SPAN,
+                now -> {
+                    final boolean fits = now.ver().n() == expect
+                            || now.gone() && expect == 0
+                            || now.ver().n() == 0 && held.sweep().drops(id, expect);
+                    if (!fits) {
+                        return Optional.empty();
+                    }
+                    final Item n = step.next(now);
+                    return Optional.of(new Item(n.id(), held.rise(n), n.body(), n.gone(), name));
+                },
+                r -> back.accept(said(id, r)));
+    }
+
+    private static ApiResult said(final ItemId id, final Writer.Result r) {
+        final String name = id.kind().word() + "/" + id.name();
+        return switch (r.fate()) {
+            case ACCEPTED ->
+                new ApiResult(
+                        200,
+                        map(
+                                "fate",
+                                "done",
+                                "item",
+                                name,
+                                "version",
+                                r.item().ver().n()));
+            case CLASH ->
+                new ApiResult(
+                        409,
+                        map(
+                                "fate",
+                                "refused",
+                                "item",
+                                name,
+                                "reason",
+                                "the item stands at another version",
+                                "version",
+                                r.item().ver().n()));
+            case REJECTED ->
+                new ApiResult(
+                        503,
+                        map(
+                                "fate",
+                                "refused",
+                                "item",
+                                name,
+                                "reason",
+                                "no majority of electors answered",
+                                "retryAfterMs",
+                                1000));
+            case UNKNOWN ->
+                new ApiResult(504, map("fate", "unknown", "item", name, "reason", "no majority confirmed in time"));
+        };
+    }
+
+    /** A whole declared configuration: checked whole first, then stated item by item. */
+    public void apply(final byte[] data, final Consumer<ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late());
+            return;
+        }
+        final List<Finding> faults = new ArrayList<>();
+        final Config want = Config.read(data, faults);
+        if (!faults.isEmpty()) {
+            back.accept(faults(faults));
+            return;
+        }
+        final Map<ItemId, String> now = Config.of(held).bodies();
+        final Map<ItemId, String> next = want.bodies();
+        final List<ItemId> work = new ArrayList<>();
+        final List<ItemId> dead = new ArrayList<>();
+        for (final Kind k : List.of(Kind.SERVICE, Kind.ROUTE, Kind.PURGE)) {
+            next.forEach((id, b) -> {
+                if (id.kind() == k && !b.equals(now.get(id))) {
+                    work.add(id);
+                }
+            });
+        }
+        for (final Kind k : List.of(Kind.ROUTE, Kind.SERVICE)) {
+            now.keySet().stream()
+                    .filter(id -> id.kind() == k && !next.containsKey(id))
+                    .forEach(dead::add);
+        }
+        work.addAll(dead);
+        step(work, next, new ArrayList<>(), 200, back);
+    }
+
+    private void step(
+            final List<ItemId> work,
+            final Map<ItemId, String> next,
+            final List<Map<String, Object>> done,
+            final int worst,
+            final Consumer<ApiResult> back) {
+        if (work.isEmpty()) {
+            back.accept(new ApiResult(
+                    worst, map("fate", worst == 200 ? "done" : worst == 504 ? "unknown" : "refused", "items", done)));
+            return;
+        }
+        final ItemId id = work.get(0);
+        final long ver = held.get(id).ver().n();
+        final String body = next.get(id);
+        write(id, ver, null, now -> body == null ? now.grave("") : now.next(body, ""), s -> {
+            done.add(s.body());
+            if (s.status() != 200 && s.status() != 409) {
+                step(List.of(), next, done, s.status(), back);
+            } else {
+                step(work.subList(1, work.size()), next, done, Math.max(worst, s.status()), back);
+            }
+        });
+    }
+
+    public void announce(final String name, final byte[] data, final Consumer<ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late());
+            return;
+        }
+        final List<Finding> faults = new ArrayList<>();
+        final Object o = JsonReader.read(data, faults);
+        final JsonShape s = new JsonShape(o, "", faults);
+        final String service = s.text("service", true, "");
+        final String kind = s.word("kind", Set.of(Service.CONTENT, Service.BOOKING, Service.OPEN));
+        final Origin said = new Origin(
+                service,
+                s.text("host", true, ""),
+                (int) s.whole("port", true, 1, 1, 65_535),
+                s.text("stamp", true, ""),
+                kind,
+                s.number("load", false, 0, 0, 1_000_000).doubleValue(),
+                s.whole("ttlMs", false, 10_000, 1000, 600_000),
+                s.flag("leaving", false),
+                s.whole("beat", false, 0, 0, Long.MAX_VALUE));
+        s.end();
+        final Service to = Config.of(held).services().get(service);
+        if (to == null) {
+            faults.add(new Finding("/service", "no configuration names this service"));
+        } else if (!to.kind().equals(kind)) {
+            faults.add(new Finding("/kind", "the service is of kind " + to.kind()));
+        }
+        if (!name.matches("[a-z0-9][a-z0-9._-]{0,60}")) {
+            faults.add(new Finding("/", "bad origin name"));
+        }
+        if (!faults.isEmpty()) {
+            back.accept(faults(faults));
+            return;
+        }
+        final ItemId id = new ItemId(Kind.ORIGIN, name);
+        final String tag = tags.get();
+        writer.write(
+                id,
+                tag,
+                SPAN,
+                now -> {
+                    final Origin old = now.live() ? Json.read(now.body(), Origin.class) : null;
+                    final boolean left =
+                            old != null && old.leaving() && old.stamp().equals(said.stamp());
+                    final boolean gone =
+                            said.leaving() && old != null && !old.stamp().equals(said.stamp());
+                    final boolean late = old != null && old.stamp().equals(said.stamp()) && said.beat() < old.beat();
+                    return left && !said.leaving() || gone || late
+                            ? Optional.empty()
+                            : Optional.of(risen(now.next(Json.text(said), tag)));
+                },
+                r -> {
+                    if (r.ok()) {
+                        journal.add(Event.of(
+                                said.leaving() ? Code.ORIGIN_LEFT : Code.ORIGIN_SEEN,
+                                "origin",
+                                name,
+                                "service",
+                                service,
+                                "ver",
+                                r.item().ver().n()));
+                    }
+                    back.accept(said(id, r));
+                });
+    }
+
+    public ApiResult get(final ItemId id) {
+        final Item i = held.get(id);
+        if (i.ver().equals(Ver.ZERO) || i.gone()) {
+            return new ApiResult(
+                    404,
+                    map(
+                            "item",
+                            id.kind().word() + "/" + id.name(),
+                            "version",
+                            i.ver().n(),
+                            "state",
+                            "absent"));
+        }
+        final Map<String, Object> all = map(
+                "item",
+                id.kind().word() + "/" + id.name(),
+                "version",
+                i.ver().n(),
+                "state",
+                "stated",
+                "body",
+                Json.read(i.body(), Map.class));
+        final List<Object> unfit = unfit().stream()
+                .filter(f -> f.place().startsWith(path(id) + "/"))
+                .<Object>map(f -> map("path", f.place(), "text", f.text()))
+                .toList();
+        if (!unfit.isEmpty()) {
+            all.put("findings", unfit);
+        }
+        return new ApiResult(200, all);
+    }
+
+    /** What was accepted piece by piece and does not fit together now. */
+    public List<Finding> unfit() {
+        final List<Finding> list = new ArrayList<>();
+        Config.of(held).check(list);
+        return list;
+    }
+
+    public ApiResult list(final Kind kind) {
+        final Map<String, Object> all = new TreeMap<>();
+        held.all().stream()
+                .map(rv.base.Msg.Chosen::item)
+                .filter(i -> i.id().kind() == kind && i.live())
+                .forEach(i ->
+                        all.put(i.id().name(), map("version", i.ver().n(), "body", Json.read(i.body(), Map.class))));
+        return new ApiResult(200, map("kind", kind.word(), "items", all));
+    }
+
+    public static byte[] bytes(final ApiResult s) {
+        return Json.text(s.body()).getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/control/src/main/java/rv/control/Held.java
+++ b/control/src/main/java/rv/control/ItemStore.java
@@ -20,7 +20,7 @@
 import rv.base.Ver;
 
 /** The chosen items a node has learned. Versions never fall. */
-public final class Held {
+public final class ItemStore {
     private final Loop loop;
     private final Journal journal;
     private final MutableMap<ItemId, Msg.Chosen> map = Maps.mutable.empty();
@@ -30,7 +30,7 @@
     private final Map<Kind, Long> tops = new HashMap<>();
     private Sweep sweep = Sweep.NONE;
 
-    public Held(final Loop loop, final Journal journal) {
+    public ItemStore(final Loop loop, final Journal journal) {
         this.loop = loop;
         this.journal = journal;
     }
@@ -48,7 +48,8 @@
         digest.swap(old, item);
         map.put(item.id(), got);
         since.put(item.id(), loop.now());
-        journal.add(Event.of(Code.LEARNED, "item", item.id().text(), "ver", item.ver().n(), "gone", item.gone()));
+        journal.add(Event.of(
+                Code.LEARNED, "item", item.id().text(), "ver", item.ver().n(), "gone", item.gone()));
         views.forEach(v -> v.accept(item));
         tops.merge(item.id().kind(), item.ver().n(), Math::max);
         if (item.id().equals(Sweep.ID)) {
@@ -59,7 +60,10 @@
 
     private void drop(final Sweep now) {
         sweep = now;
-        final List<Item> dead = map.values().stream().map(Msg.Chosen::item).filter(i -> sweep.drops(i.id(), i.ver().n())).toList();
+        final List<Item> dead = map.values().stream()
+                .map(Msg.Chosen::item)
+                .filter(i -> sweep.drops(i.id(), i.ver().n()))
+                .toList();
         for (final Item i : dead) {
             digest.swap(i, Item.none(i.id()));
             map.remove(i.id());
--- a/control/src/main/java/rv/control/Json.java
+++ b/control/src/main/java/rv/control/Json.java
@@ -7,11 +7,11 @@
 
 public final class Json {
     private static final JsonMapper MAP = JsonMapper.builder()
-        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-        .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS).build();
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+            .build();
 
-    private Json() {
-    }
+    private Json() {}
 
     public static String text(final Object o) {
         try {
--- a/control/src/main/java/rv/control/Tree.java
+++ b/control/src/main/java/rv/control/JsonReader.java
@@ -13,18 +13,18 @@
 import rv.base.Finding;
 
 /** Reads operators' JSON whole, so that every fault is found with its path in one pass. */
-public final class Tree {
+public final class JsonReader {
     private static final int DEPTH = 16;
     private final List<Finding> faults;
 
-    private Tree(final List<Finding> faults) {
+    private JsonReader(final List<Finding> faults) {
         this.faults = faults;
     }
 
     public static Object read(final byte[] data, final List<Finding> faults) {
         final JsonIterator it = JsonIterator.parse(data.length == 0 ? " ".getBytes(StandardCharsets.UTF_8) : data);
         try {
-            final Object o = new Tree(faults).value(it, "", 0);
+            final Object o = new JsonReader(faults).value(it, "", 0);
             boolean rest = false;
             try {
                 rest = it.whatIsNext() != ValueType.INVALID;
--- a/control/src/main/java/rv/control/Shape.java
+++ b/control/src/main/java/rv/control/JsonShape.java
@@ -8,13 +8,13 @@
 import rv.base.Finding;
 
 /** Reads one object's members, noting what is missing, of the wrong type, out of range or unknown. */
-public final class Shape {
+public final class JsonShape {
     private final Map<?, ?> map;
     private final String path;
     private final List<Finding> faults;
     private final Set<String> known = new HashSet<>();
 
-    public Shape(final Object o, final String path, final List<Finding> faults) {
+    public JsonShape(final Object o, final String path, final List<Finding> faults) {
         this.path = path;
         this.faults = faults;
         if (o instanceof Map<?, ?> m) {
@@ -127,6 +127,9 @@
     }
 
     public void end() {
-        map.keySet().stream().map(String::valueOf).filter(k -> !known.contains(k)).forEach(k -> fault(k, "unknown member"));
+        map.keySet().stream()
+                .map(String::valueOf)
+                .filter(k -> !known.contains(k))
+                .forEach(k -> fault(k, "unknown member"));
     }
 }
--- a/control/src/main/java/rv/control/Keeper.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -26,7 +26,7 @@
  * the era in which its writer read this keeper: whoever rebuilds a lost memory from here ends the era, so that no
  * intent can stand on an answer given before the loss and one given after the rebuilding.
  */
-public final class Keeper {
+public final class KeyRecordStore {
     public static final long LAPSE = 60_000;
     private static final long STAY = 150_000;
     private static final String NOTE = "k/";
@@ -41,7 +41,7 @@
     private final Net net;
     private final Loop loop;
     private final LongSupplier wall;
-    private final Gauge disk;
+    private final MonitoredDisk disk;
     private final BooleanSupplier lost;
     private final TreeMap<String, Row> notes = new TreeMap<>();
     private final Map<Integer, Token> bars = new HashMap<>();
@@ -51,19 +51,23 @@
     private boolean fetching;
     private long era;
 
-    record Row(Msg.Note note, long at) {
-    }
+    record Row(Msg.Note note, long at) {}
 
-    record Lapse(long until) {
-    }
+    record Lapse(long until) {}
 
-    record Bar(long term, long count, String boot) {
-    }
+    record Bar(long term, long count, String boot) {}
 
-    record Era(long n) {
-    }
+    record Era(long n) {}
 
-    public Keeper(final NodeId self, final String boot, final Quorum quorum, final Net net, final Loop loop, final LongSupplier wall, final Gauge disk, final BooleanSupplier lost) {
+    public KeyRecordStore(
+            final NodeId self,
+            final String boot,
+            final Quorum quorum,
+            final Net net,
+            final Loop loop,
+            final LongSupplier wall,
+            final MonitoredDisk disk,
+            final BooleanSupplier lost) {
         this.self = self;
         this.quorum = quorum;
         this.net = net;
@@ -84,9 +88,11 @@
                 } else if (e.getKey().startsWith(BAR)) {
                     final Bar bar = Wire.unpack(e.getValue(), Bar.class);
                     bars.put(Integer.parseInt(e.getKey().substring(BAR.length())), new Token(bar.term(), bar.count()));
-                    readers.put(Integer.parseInt(e.getKey().substring(BAR.length())), bar.boot() == null ? "" : bar.boot());
+                    readers.put(
+                            Integer.parseInt(e.getKey().substring(BAR.length())), bar.boot() == null ? "" : bar.boot());
                 } else if (e.getKey().equals(SHORT)) {
-                    until = Math.min(now + LAPSE, Wire.unpack(e.getValue(), Lapse.class).until());
+                    until = Math.min(
+                            now + LAPSE, Wire.unpack(e.getValue(), Lapse.class).until());
                     kept = true;
                 } else if (e.getKey().equals(ERA)) {
                     era = Wire.unpack(e.getValue(), Era.class).n();
@@ -121,7 +127,8 @@
         readers.put(ask.shard(), reader);
         save(BAR + ask.shard(), new Bar(ask.token().term(), ask.token().count(), reader), ok -> {
             if (ok) {
-                back.accept(new Msg.Kept(true, lapse(), ask.token(), fit(n -> n.shard() == ask.shard()), era(ask.shard())));
+                back.accept(
+                        new Msg.Kept(true, lapse(), ask.token(), fit(n -> n.shard() == ask.shard()), era(ask.shard())));
             }
         });
     }
@@ -183,27 +190,38 @@
     private void gather() {
         final Set<NodeId> with = new HashSet<>();
         final Set<NodeId> bare = new HashSet<>();
-        quorum.electors().stream().filter(e -> !e.equals(self)).forEach(e -> net.ask(e, new Msg.KeepAll(false, null), 450,
-            r -> r.as(Msg.KeptAll.class).ifPresent(k -> {
-                (k.ok() ? with : bare).add(e);
-                if (!fetching && lapse() && (quorum.read(with) || sole(with, bare))) {
-                    fetching = true;
-                    final Map<NodeId, Msg.KeptAll> got = new HashMap<>();
-                    Set.copyOf(with).forEach(w -> fetch(w, null, new ArrayList<>(), new HashMap<>(), whole -> {
-                        got.put(w, whole);
-                        if (got.keySet().containsAll(with) && lapse()) {
-                            rebuild(got);
-                        }
-                    }));
-                }
-            })));
+        quorum.electors().stream()
+                .filter(e -> !e.equals(self))
+                .forEach(e -> net.ask(
+                        e,
+                        new Msg.KeepAll(false, null),
+                        450,
+                        r -> r.as(Msg.KeptAll.class).ifPresent(k -> {
+                            (k.ok() ? with : bare).add(e);
+                            if (!fetching && lapse() && (quorum.read(with) || sole(with, bare))) {
+                                fetching = true;
+                                final Map<NodeId, Msg.KeptAll> got = new HashMap<>();
+                                Set.copyOf(with)
+                                        .forEach(w -> fetch(w, null, new ArrayList<>(), new HashMap<>(), whole -> {
+                                            got.put(w, whole);
+                                            if (got.keySet().containsAll(with) && lapse()) {
+                                                rebuild(got);
+                                            }
+                                        }));
+                            }
+                        })));
     }
 
     /** A page that does not come ends the attempt; the next one begins anew. */
-    private void fetch(final NodeId from, final String after, final List<Msg.Note> list, final Map<Integer, Token> tops,
-                       final Consumer<Msg.KeptAll> then) {
+    private void fetch(
+            final NodeId from,
+            final String after,
+            final List<Msg.Note> list,
+            final Map<Integer, Token> tops,
+            final Consumer<Msg.KeptAll> then) {
         net.ask(from, new Msg.KeepAll(true, after), PATIENCE, r -> {
-            final Msg.KeptAll k = r.as(Msg.KeptAll.class).filter(Msg.KeptAll::ok).orElse(null);
+            final Msg.KeptAll k =
+                    r.as(Msg.KeptAll.class).filter(Msg.KeptAll::ok).orElse(null);
             if (k == null) {
                 fetching = false;
                 return;
@@ -220,7 +238,8 @@
 
     /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
     private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
-        return with.size() + bare.size() == quorum.electors().size() - 1 && quorum.stores().stream().anyMatch(with::contains);
+        return with.size() + bare.size() == quorum.electors().size() - 1
+                && quorum.stores().stream().anyMatch(with::contains);
     }
 
     private void rebuild(final Map<NodeId, Msg.KeptAll> got) {
@@ -229,7 +248,8 @@
             k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
             k.notes().forEach(n -> {
                 final Row old = notes.get(n.key());
-                notes.put(n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
+                notes.put(
+                        n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
             });
         });
         bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(new Bar(t.term(), t.count(), readers.get(s)))));
@@ -293,7 +313,7 @@
         });
         dead.keySet().forEach(k -> notes.remove(k.substring(NOTE.length())));
         if (!dead.isEmpty()) {
-            disk.save(dead, ok -> { });
+            disk.save(dead, ok -> {});
         }
     }
 
--- a/control/src/main/java/rv/control/Limits.java
+++ b/control/src/main/java/rv/control/Limits.java
@@ -15,6 +15,9 @@
     }
 
     public static Limits of(final Item item) {
-        return Optional.of(item).filter(Item::live).map(i -> Json.read(i.body(), Limits.class)).orElse(PLAIN);
+        return Optional.of(item)
+                .filter(Item::live)
+                .map(i -> Json.read(i.body(), Limits.class))
+                .orElse(PLAIN);
     }
 }
--- a/control/src/main/java/rv/control/Match.java
+++ b/control/src/main/java/rv/control/Match.java
@@ -8,15 +8,27 @@
  * {@code any}: what needs no right to fill may go through any shield; {@code rank}: 0 is refused last; {@code tries}:
  * origins that one request may be sent to; {@code note}: the operator's own words, kept as they came.
  */
-public record Match(String prefix, String service, String mode, long lifetimeMs, boolean purgeable, String when, String host,
-                    List<Part> split, boolean any, long timeoutMs, long aimMs, int rank, int tries, String note) {
+public record Match(
+        String prefix,
+        String service,
+        String mode,
+        long lifetimeMs,
+        boolean purgeable,
+        String when,
+        String host,
+        List<Part> split,
+        boolean any,
+        long timeoutMs,
+        long aimMs,
+        int rank,
+        int tries,
+        String note) {
     public static final String CACHED = "cached";
     public static final String STATUS = "status";
     public static final String ONCE = "once";
     public static final String SINGLE = "single";
 
-    public record Part(String service, int weight) {
-    }
+    public record Part(String service, int weight) {}
 
     public Match {
         when = when == null ? "" : when;
@@ -36,12 +48,16 @@
 
     /** All services that may get requests of this route. */
     public List<String> services() {
-        return split.isEmpty() ? List.of(service) : split.stream().filter(p -> p.weight() > 0).map(Part::service).toList();
+        return split.isEmpty()
+                ? List.of(service)
+                : split.stream().filter(p -> p.weight() > 0).map(Part::service).toList();
     }
 
     /** All services that it names, also those that get nothing now. */
     public List<String> named() {
-        return Stream.concat(Stream.of(service), split.stream().map(Part::service)).distinct().toList();
+        return Stream.concat(Stream.of(service), split.stream().map(Part::service))
+                .distinct()
+                .toList();
     }
 
     /** One of them by weight; {@code roll} is any number. */
@@ -49,7 +65,8 @@
         if (split.isEmpty()) {
             return service;
         }
-        long at = Long.remainderUnsigned(roll, Math.max(1, split.stream().mapToLong(Part::weight).sum()));
+        long at = Long.remainderUnsigned(
+                roll, Math.max(1, split.stream().mapToLong(Part::weight).sum()));
         for (final Part p : split) {
             if (at < p.weight()) {
                 return p.service();
--- a/control/src/main/java/rv/control/MemberList.java
+++ b/control/src/main/java/rv/control/MemberList.java
@@ -51,8 +51,7 @@
     }
 
     /** What came of a word about a member: whether it is new or back, and whether its address is. */
-    record Noted(boolean seen, boolean moved) {
-    }
+    record Noted(boolean seen, boolean moved) {}
 
     private Row place(final Role role) {
         final List<Row> list = role == Role.EDGE ? edges : near;
@@ -138,7 +137,9 @@
 
     private int units(final Row r, final long now) {
         final long ms = Math.max(0, now - r.heard);
-        return ms > lost ? Msg.Beaten.LOST : (int) Math.min(Msg.Beaten.LOST, (ms + Msg.Beaten.UNIT - 1) / Msg.Beaten.UNIT);
+        return ms > lost
+                ? Msg.Beaten.LOST
+                : (int) Math.min(Msg.Beaten.LOST, (ms + Msg.Beaten.UNIT - 1) / Msg.Beaten.UNIT);
     }
 
     /** Of all but edges, by place. */
@@ -152,6 +153,9 @@
 
     /** Edges that are not gone and have been silent for longer than {@link Msg.Beaten#CALM}. */
     List<Msg.Late> late(final long now) {
-        return edges.stream().filter(r -> (live(r, now) || !r.gone()) && now - r.heard > Msg.Beaten.CALM).map(r -> new Msg.Late(r.at, units(r, now))).toList();
+        return edges.stream()
+                .filter(r -> (live(r, now) || !r.gone()) && now - r.heard > Msg.Beaten.CALM)
+                .map(r -> new Msg.Late(r.at, units(r, now)))
+                .toList();
     }
 }
--- a/control/src/main/java/rv/control/Roster.java
+++ b/control/src/main/java/rv/control/Membership.java
@@ -21,9 +21,10 @@
 import rv.base.Timing;
 
 /** Who is there: every node beats to the seeds, the seeds tell all they have heard. */
-public final class Roster {
+public final class Membership {
     /** Shields beside the seeds that are beaten to as well, so that their silence is seen at first hand. */
     private static final int OTHERS = 3;
+
     private static final int FEW = 8;
     private static final long UNHEARD = 1000;
     private final Supplier<Member> self;
@@ -36,15 +37,24 @@
     private final Drift drift;
     private final Pace pace;
     private final IntSupplier items;
-    private final Stores stores;
+    private final StoreHealth stores;
     private boolean told;
     private Member own;
     private long answered = Long.MIN_VALUE / 2;
     private final MemberList members;
     private final Map<NodeId, SeedView> views = new HashMap<>();
 
-    public Roster(final Supplier<Member> self, final List<NodeId> seeds, final Loop loop, final Net net, final Timing timing,
-                  final Journal journal, final Consumer<Member> book, final Drift drift, final IntSupplier items, final Stores stores) {
+    public Membership(
+            final Supplier<Member> self,
+            final List<NodeId> seeds,
+            final Loop loop,
+            final Net net,
+            final Timing timing,
+            final Journal journal,
+            final Consumer<Member> book,
+            final Drift drift,
+            final IntSupplier items,
+            final StoreHealth stores) {
         this.stores = stores;
         this.items = items;
         this.self = self;
@@ -74,12 +84,19 @@
 
     /** Where shields are many, they are beaten to only while no seed answers, and not all nodes choose the same. */
     private List<NodeId> others() {
-        final List<NodeId> list = live(Role.SHIELD).stream().map(Member::id).filter(n -> !seeds.contains(n)).toList();
+        final List<NodeId> list = live(Role.SHIELD).stream()
+                .map(Member::id)
+                .filter(n -> !seeds.contains(n))
+                .toList();
         if (list.size() <= FEW) {
             return list.stream().limit(OTHERS).toList();
         }
-        return loop.now() - answered <= UNHEARD ? List.of()
-            : list.stream().sorted(Comparator.comparingLong(n -> Hash.mix(own().id() + "/" + n))).limit(OTHERS).toList();
+        return loop.now() - answered <= UNHEARD
+                ? List.of()
+                : list.stream()
+                        .sorted(Comparator.comparingLong(n -> Hash.mix(own().id() + "/" + n)))
+                        .limit(OTHERS)
+                        .toList();
     }
 
     /** The roll is for a seed that has not answered with its list yet. */
@@ -87,16 +104,23 @@
         final long sent = loop.now();
         final SeedView view = views.computeIfAbsent(s, k -> new SeedView());
         final long roll = view.list().isEmpty() ? roll() : 0;
-        net.ask(s, new Msg.Beat(me, sent, items.getAsInt(), roll, view.list(), view.last()), 450, r -> r.as(Msg.Beaten.class).ifPresentOrElse(b -> {
-            stores.alive(s);
-            answered = seeds.contains(s) ? loop.now() : answered;
-            drift.sample(s, sent, loop.now(), b.tick());
-            if (b.list() != null) {
-                view.take(b, this::hear);
-            } else {
-                b.members().forEach(this::hear);
-            }
-        }, () -> stores.missed(s, sent)));
+        net.ask(
+                s,
+                new Msg.Beat(me, sent, items.getAsInt(), roll, view.list(), view.last()),
+                450,
+                r -> r.as(Msg.Beaten.class)
+                        .ifPresentOrElse(
+                                b -> {
+                                    stores.alive(s);
+                                    answered = seeds.contains(s) ? loop.now() : answered;
+                                    drift.sample(s, sent, loop.now(), b.tick());
+                                    if (b.list() != null) {
+                                        view.take(b, this::hear);
+                                    } else {
+                                        b.members().forEach(this::hear);
+                                    }
+                                },
+                                () -> stores.missed(s, sent)));
     }
 
     /** What of this node never changes in its life. */
@@ -120,7 +144,9 @@
 
     /** Two nodes with the same roll know the same members at the same addresses. */
     private long roll() {
-        return live().stream().mapToLong(m -> Hash.mix(m.with(Condition.READY).toString())).reduce(0, (a, b) -> a ^ b);
+        return live().stream()
+                .mapToLong(m -> Hash.mix(m.with(Condition.READY).toString()))
+                .reduce(0, (a, b) -> a ^ b);
     }
 
     /** Whether any node has said that it holds items. */
@@ -140,18 +166,28 @@
         if (b.list() != null) {
             final String list = own().boot();
             final List<Msg.Listed> changed = members.since(b.list().equals(list) ? b.since() : 0, now);
-            back.accept(new Msg.Beaten(null, now, list, members.last(), changed, members.silences(now), members.late(now)));
+            back.accept(
+                    new Msg.Beaten(null, now, list, members.last(), changed, members.silences(now), members.late(now)));
             return;
         }
         final boolean same = b.roll() == roll();
-        back.accept(new Msg.Beaten(live().stream().map(m -> new Msg.Heard(m.id(), silence(m.id()), m.condition(), same ? null : m)).toList(),
-            now, null, 0, null, null, null));
+        back.accept(new Msg.Beaten(
+                live().stream()
+                        .map(m -> new Msg.Heard(m.id(), silence(m.id()), m.condition(), same ? null : m))
+                        .toList(),
+                now,
+                null,
+                0,
+                null,
+                null,
+                null));
     }
 
     private void note(final Member m, final long at) {
         final MemberList.Noted n = members.note(m, at, loop.now());
         if (n.seen()) {
-            journal.add(Event.of(Code.MEMBER_SEEN, "node", m.id().text(), "role", m.role().word(), "cell", m.cell()));
+            journal.add(Event.of(
+                    Code.MEMBER_SEEN, "node", m.id().text(), "role", m.role().word(), "cell", m.cell()));
         }
         if (n.moved()) {
             book.accept(m);
@@ -160,7 +196,10 @@
 
     public List<Member> live() {
         final long now = loop.now();
-        return members.all().stream().filter(r -> members.live(r, now)).map(MemberList.Row::member).toList();
+        return members.all().stream()
+                .filter(r -> members.live(r, now))
+                .map(MemberList.Row::member)
+                .toList();
     }
 
     /** Something was just heard from it. */
@@ -170,7 +209,8 @@
 
     /** How many of a role were ever heard of. */
     public int known(final Role role) {
-        return (int) members.all().stream().filter(r -> r.member().role() == role).count();
+        return (int)
+                members.all().stream().filter(r -> r.member().role() == role).count();
     }
 
     public boolean lives(final NodeId id) {
--- a/control/src/main/java/rv/control/Gauge.java
+++ b/control/src/main/java/rv/control/MonitoredDisk.java
@@ -12,7 +12,7 @@
  * A disk that knows how long it has been behind, so that its owner can say so instead of keeping others waiting. Rows
  * that could not be saved are owed: they go along with whatever is saved next, so that a yes covers all before it.
  */
-public final class Gauge implements Disk {
+public final class MonitoredDisk implements Disk {
     private static final long PROBE = 300;
     private final Disk disk;
     private final Loop loop;
@@ -23,7 +23,7 @@
     private long failed = -1;
     private long tried;
 
-    public Gauge(final Disk disk, final Loop loop) {
+    public MonitoredDisk(final Disk disk, final Loop loop) {
         this.disk = disk;
         this.loop = loop;
     }
@@ -31,8 +31,8 @@
     /** Stalled or failing for the stated time; one that fails is still tried now and then. */
     public boolean stuck() {
         final long now = loop.now();
-        final boolean slow = !open.isEmpty() && now - open.firstEntry().getValue() >= Stores.HUSH;
-        return slow || failed >= 0 && now - failed >= Stores.HUSH && now - tried < PROBE;
+        final boolean slow = !open.isEmpty() && now - open.firstEntry().getValue() >= StoreHealth.HUSH;
+        return slow || failed >= 0 && now - failed >= StoreHealth.HUSH && now - tried < PROBE;
     }
 
     @Override
@@ -66,7 +66,7 @@
 
     private void settle() {
         if (!owed.isEmpty() && open.isEmpty()) {
-            save(Map.of(), ok -> { });
+            save(Map.of(), ok -> {});
         }
     }
 }
--- a/control/src/main/java/rv/control/Origin.java
+++ b/control/src/main/java/rv/control/Origin.java
@@ -4,15 +4,34 @@
  * {@code cell}: its zone; {@code slots}: requests that it works on at once, 0 where it does not say; {@code coldMs}: how
  * much longer it was slow from its start when it said so; {@code ttlMs}: 0 where its beats are counted elsewhere.
  */
-public record Origin(String service, String host, int port, String stamp, String kind, double load, long ttlMs, boolean leaving,
-                     long beat, String cell, int slots, long coldMs) {
+public record Origin(
+        String service,
+        String host,
+        int port,
+        String stamp,
+        String kind,
+        double load,
+        long ttlMs,
+        boolean leaving,
+        long beat,
+        String cell,
+        int slots,
+        long coldMs) {
 
     public Origin {
         cell = cell == null ? "" : cell;
     }
 
-    public Origin(final String service, final String host, final int port, final String stamp, final String kind, final double load,
-                  final long ttlMs, final boolean leaving, final long beat) {
+    public Origin(
+            final String service,
+            final String host,
+            final int port,
+            final String stamp,
+            final String kind,
+            final double load,
+            final long ttlMs,
+            final boolean leaving,
+            final long beat) {
         this(service, host, port, stamp, kind, load, ttlMs, leaving, beat, "", 0, 0);
     }
 
--- a/control/src/main/java/rv/control/Pace.java
+++ b/control/src/main/java/rv/control/Pace.java
@@ -39,8 +39,10 @@
     }
 
     private static Point prompt(final ArrayDeque<Point> q, final long from, final long to) {
-        return q.stream().filter(p -> p.own() >= from && p.own() < to)
-            .min(java.util.Comparator.comparingLong(Point::late)).orElse(null);
+        return q.stream()
+                .filter(p -> p.own() >= from && p.own() < to)
+                .min(java.util.Comparator.comparingLong(Point::late))
+                .orElse(null);
     }
 
     /** When beats were last heard again after a silence; what was held up arrives then, all at once. */
@@ -66,7 +68,10 @@
         final long mid = (q.peekFirst().own() + end) / 2;
         final Point a = prompt(q, Long.MIN_VALUE, mid);
         final Point b = prompt(q, mid, Long.MAX_VALUE);
-        if (a == null || end - resumed(q) < LEAST / 2 || b.own() - a.own() < LEAST || end - q.peekFirst().own() < 2 * LEAST) {
+        if (a == null
+                || end - resumed(q) < LEAST / 2
+                || b.own() - a.own() < LEAST
+                || end - q.peekFirst().own() < 2 * LEAST) {
             return 0;
         }
         final long skew = Math.abs(b.late() - a.late()) - BLUR;
--- a/control/src/main/java/rv/control/Plan.java
+++ b/control/src/main/java/rv/control/Plan.java
@@ -67,8 +67,10 @@
     }
 
     public static NodeId assign(final int shard, final Collection<NodeId> members) {
-        return members.stream().max(Comparator.comparingLong((NodeId n) -> Hash.mix("shard-" + shard + "/" + n.text()))
-            .thenComparing(Comparator.naturalOrder())).orElseThrow();
+        return members.stream()
+                .max(Comparator.comparingLong((NodeId n) -> Hash.mix("shard-" + shard + "/" + n.text()))
+                        .thenComparing(Comparator.naturalOrder()))
+                .orElseThrow();
     }
 
     public static int shard(final String route, final String service, final String key, final int shards) {
--- a/control/src/main/java/rv/control/Rule.java
+++ b/control/src/main/java/rv/control/Rule.java
@@ -17,14 +17,29 @@
     public static final int LONGEST = 400;
     private final CelRuntime.Program program;
 
-    public enum Verdict { HOLDS, FAILS, UNSURE }
+    public enum Verdict {
+        HOLDS,
+        FAILS,
+        UNSURE
+    }
 
     private static final class Lib {
-        private static final CelOptions OPTIONS = CelOptions.current().maxExpressionCodePointSize(LONGEST).maxParseRecursionDepth(32).build();
-        private static final CelCompiler COMPILER = CelCompilerFactory.standardCelCompilerBuilder().setOptions(OPTIONS)
-            .addVar("method", SimpleType.STRING).addVar("path", SimpleType.STRING).addVar("query", SimpleType.STRING)
-            .addVar("key", SimpleType.STRING).addVar("size", SimpleType.INT).setResultType(SimpleType.BOOL).build();
-        private static final CelRuntime RUNTIME = CelRuntimeFactory.standardCelRuntimeBuilder().setOptions(OPTIONS).build();
+        private static final CelOptions OPTIONS = CelOptions.current()
+                .maxExpressionCodePointSize(LONGEST)
+                .maxParseRecursionDepth(32)
+                .build();
+        private static final CelCompiler COMPILER = CelCompilerFactory.standardCelCompilerBuilder()
+                .setOptions(OPTIONS)
+                .addVar("method", SimpleType.STRING)
+                .addVar("path", SimpleType.STRING)
+                .addVar("query", SimpleType.STRING)
+                .addVar("key", SimpleType.STRING)
+                .addVar("size", SimpleType.INT)
+                .setResultType(SimpleType.BOOL)
+                .build();
+        private static final CelRuntime RUNTIME = CelRuntimeFactory.standardCelRuntimeBuilder()
+                .setOptions(OPTIONS)
+                .build();
     }
 
     private Rule(final CelRuntime.Program program) {
@@ -37,7 +52,13 @@
             return Optional.of("at most " + LONGEST + " characters");
         }
         final CelValidationResult r = Lib.COMPILER.compile(text);
-        return r.hasError() ? Optional.of(r.getErrorString().lines().findFirst().orElse("not an expression").replace("ERROR: <input>:", "at ")) : Optional.empty();
+        return r.hasError()
+                ? Optional.of(r.getErrorString()
+                        .lines()
+                        .findFirst()
+                        .orElse("not an expression")
+                        .replace("ERROR: <input>:", "at "))
+                : Optional.empty();
     }
 
     /** Of an expression that was found sound; one of a later version that is not sound here judges nothing. */
@@ -52,8 +73,19 @@
     public Verdict judge(final String method, final String target, final String key, final int size) {
         final int cut = target.indexOf('?');
         try {
-            final Object got = program == null ? null : program.eval(Map.of("method", method, "path", cut < 0 ? target : target.substring(0, cut),
-                "query", cut < 0 ? "" : target.substring(cut + 1), "key", key == null ? "" : key, "size", (long) size));
+            final Object got = program == null
+                    ? null
+                    : program.eval(Map.of(
+                            "method",
+                            method,
+                            "path",
+                            cut < 0 ? target : target.substring(0, cut),
+                            "query",
+                            cut < 0 ? "" : target.substring(cut + 1),
+                            "key",
+                            key == null ? "" : key,
+                            "size",
+                            (long) size));
             return got instanceof Boolean b ? b ? Verdict.HOLDS : Verdict.FAILS : Verdict.UNSURE;
         } catch (final CelEvaluationException e) {
             return Verdict.UNSURE;
--- a/control/src/main/java/rv/control/Shares.java
+++ b/control/src/main/java/rv/control/Shares.java
@@ -37,7 +37,9 @@
     void hear(final NodeId from, final Msg.Renew r) {
         said.put(from, r.serial());
         if (r.wishes() != null) {
-            r.wishes().forEach(w -> wishes.computeIfAbsent(w.service(), k -> new HashMap<>()).merge(w.shard(), (double) w.n(), Double::sum));
+            r.wishes()
+                    .forEach(w -> wishes.computeIfAbsent(w.service(), k -> new HashMap<>())
+                            .merge(w.shard(), (double) w.n(), Double::sum));
         }
     }
 
@@ -52,7 +54,8 @@
         looked = now;
         final Map<String, List<Integer>> want = new TreeMap<>(plan.weights());
         wishes.forEach((service, by) -> {
-            final double sum = by.values().stream().mapToDouble(Double::doubleValue).sum();
+            final double sum =
+                    by.values().stream().mapToDouble(Double::doubleValue).sum();
             if (sum >= 20) {
                 final List<Integer> list = new ArrayList<>();
                 for (int s = 0; s < shards; s++) {
--- a/control/src/main/java/rv/control/Stores.java
+++ b/control/src/main/java/rv/control/StoreHealth.java
@@ -11,7 +11,7 @@
 import rv.base.NodeId;
 
 /** Which stores are heard from: what is accepted stands at both, or at one once the other has been silent for a while. */
-public final class Stores {
+public final class StoreHealth {
     public static final long HUSH = 400;
     private final Set<NodeId> all;
     private final Journal journal;
@@ -20,7 +20,7 @@
     private final Map<NodeId, Long> missed = new HashMap<>();
     private final Map<NodeId, Long> last = new HashMap<>();
 
-    public Stores(final Quorum quorum, final Loop loop, final Journal journal) {
+    public StoreHealth(final Quorum quorum, final Loop loop, final Journal journal) {
         this.loop = loop;
         this.all = quorum.stores();
         this.journal = journal;
@@ -28,8 +28,10 @@
 
     /** {@code waited}: how long the stores that are not among {@code synced} have been waited for. */
     public boolean enough(final Set<NodeId> synced, final long waited) {
-        all.stream().filter(s -> !synced.contains(s) && (waited >= HUSH || loop.now() - missed.getOrDefault(s, loop.now()) >= HUSH))
-            .forEach(this::failing);
+        all.stream()
+                .filter(s -> !synced.contains(s)
+                        && (waited >= HUSH || loop.now() - missed.getOrDefault(s, loop.now()) >= HUSH))
+                .forEach(this::failing);
         return all.stream().allMatch(s -> synced.contains(s) || silent.contains(s));
     }
 
--- a/control/src/main/java/rv/control/Tenure.java
+++ b/control/src/main/java/rv/control/Tenure.java
@@ -16,11 +16,12 @@
 public final class Tenure {
     /** More terms than a side whose memory was lost can have begun in two weeks. */
     public static final long LEAP = 1_000_000;
+
     private final NodeId self;
     private final String boot;
     private final Loop loop;
     private final Writer writer;
-    private final Held held;
+    private final ItemStore held;
     private final Timing timing;
     private final Journal journal;
     private final BooleanSupplier able;
@@ -34,7 +35,8 @@
     private boolean mine;
     private boolean quit;
 
-    public record Body(String holder, String boot, long term, long beat, boolean free, long lives, long reign, long slack) {
+    public record Body(
+            String holder, String boot, long term, long beat, boolean free, long lives, long reign, long slack) {
         /** A body of a version that did not state its duration had the shards' lease. */
         long reign(final Timing t) {
             return reign > 0 ? reign : t.d();
@@ -55,8 +57,17 @@
         void won(long term, long last, boolean wary);
     }
 
-    public Tenure(final NodeId self, final String boot, final Loop loop, final Writer writer, final Held held,
-                  final Timing timing, final Journal journal, final BooleanSupplier able, final Won won, final LongSupplier lives) {
+    public Tenure(
+            final NodeId self,
+            final String boot,
+            final Loop loop,
+            final Writer writer,
+            final ItemStore held,
+            final Timing timing,
+            final Journal journal,
+            final BooleanSupplier able,
+            final Won won,
+            final LongSupplier lives) {
         this.lives = lives;
         this.self = self;
         this.boot = boot;
@@ -118,23 +129,44 @@
         }
     }
 
-    private void put(final boolean free, final long next, final long span, final java.util.function.Consumer<Writer.Result> then) {
+    private void put(
+            final boolean free,
+            final long next,
+            final long span,
+            final java.util.function.Consumer<Writer.Result> then) {
         final Item seen = held.get(ItemId.TENURE);
         final Body old = Body.of(seen);
         final boolean renewal = next == term;
         final String tag = self + "-" + boot + "-" + next + "-" + ++serial;
-        writer.write(ItemId.TENURE, tag, span, now -> {
-            final Body b = Body.of(now);
-            final boolean same = renewal ? b.term() == next && b.boot().equals(boot) && lives.getAsLong() <= b.lives() : now.ver().equals(seen.ver());
-            return same ? Optional.of(now.next(Json.text(new Body(self.text(), boot, next, b.beat() + 1, free,
-                Math.max(b.lives(), lives.getAsLong()), timing.reign(), timing.slack())), tag))
-                : Optional.empty();
-        }, r -> {
-            then.accept(r);
-            if (r.ok() && next != old.term()) {
-                busy = false;
-            }
-        });
+        writer.write(
+                ItemId.TENURE,
+                tag,
+                span,
+                now -> {
+                    final Body b = Body.of(now);
+                    final boolean same = renewal
+                            ? b.term() == next && b.boot().equals(boot) && lives.getAsLong() <= b.lives()
+                            : now.ver().equals(seen.ver());
+                    return same
+                            ? Optional.of(now.next(
+                                    Json.text(new Body(
+                                            self.text(),
+                                            boot,
+                                            next,
+                                            b.beat() + 1,
+                                            free,
+                                            Math.max(b.lives(), lives.getAsLong()),
+                                            timing.reign(),
+                                            timing.slack())),
+                                    tag))
+                            : Optional.empty();
+                },
+                r -> {
+                    then.accept(r);
+                    if (r.ok() && next != old.term()) {
+                        busy = false;
+                    }
+                });
     }
 
     private void look() {
@@ -165,7 +197,8 @@
                 mine = true;
                 term = next;
                 until = valid(sent);
-                journal.add(Event.of(Code.TENURE_WON, "term", term, "after", seen.ver().n()));
+                journal.add(Event.of(
+                        Code.TENURE_WON, "term", term, "after", seen.ver().n()));
                 won.won(term, wary ? loop.now() : last, wary);
             }
         });
--- a/control/src/main/java/rv/control/Elector.java
+++ b/control/src/main/java/rv/control/Voter.java
@@ -25,11 +25,12 @@
 import rv.base.WireTrouble;
 
 /** One voter over all registers. Without its memory it answers no vote. */
-public final class Elector {
+public final class Voter {
     private static final String SEAL = "seal";
     private static final String ROW = "e/";
     /** On a disk that was there at the network's first start; for a later start it says, without a seal, that nothing was lost. */
     private static final String FIRST = "first";
+
     private static final long HUSH = 1200;
     private static final long CALM = 700;
     private static final long PATIENCE = 2500;
@@ -37,13 +38,13 @@
     private final Quorum quorum;
     private final Loop loop;
     private final Net net;
-    private final Gauge disk;
+    private final MonitoredDisk disk;
     private final Journal journal;
     private final String boot;
     private final BooleanSupplier virgin;
     private final boolean first;
     private boolean early;
-    private Runnable whole = () -> { };
+    private Runnable whole = () -> {};
     private final Map<ItemId, Msg.Slot> slots = new TreeMap<>();
     private Map<NodeId, String> founders = Map.of();
     private boolean full;
@@ -56,11 +57,18 @@
     private long turn;
     private long born;
 
-    record Seal(Map<NodeId, String> founders, long floor, long lives) {
-    }
-
-    public Elector(final NodeId self, final Quorum quorum, final Loop loop, final Net net, final Gauge disk,
-                   final Journal journal, final String boot, final boolean first, final BooleanSupplier virgin) {
+    record Seal(Map<NodeId, String> founders, long floor, long lives) {}
+
+    public Voter(
+            final NodeId self,
+            final Quorum quorum,
+            final Loop loop,
+            final Net net,
+            final MonitoredDisk disk,
+            final Journal journal,
+            final String boot,
+            final boolean first,
+            final BooleanSupplier virgin) {
         this.self = self;
         this.quorum = quorum;
         this.loop = loop;
@@ -97,7 +105,7 @@
             fresh = true;
             journal.add(Event.of(Code.AMNESIA, "boot", boot));
             if (first && quorum.stores().isEmpty()) {
-                disk.save(Map.of(FIRST, new byte[0]), ok -> { });
+                disk.save(Map.of(FIRST, new byte[0]), ok -> {});
             }
             recall();
         }
@@ -200,16 +208,21 @@
             back.accept(new Msg.Accepted(false, high(s)));
             return;
         }
-        final Msg.Slot n = new Msg.Slot(ask.next() != null && ask.next().above(ballot) ? ask.next() : ballot, ballot, item);
+        final Msg.Slot n =
+                new Msg.Slot(ask.next() != null && ask.next().above(ballot) ? ask.next() : ballot, ballot, item);
         put(n);
         save(List.of(n), false, () -> back.accept(new Msg.Accepted(true, n.promised())));
     }
 
     /** Slots of dropped items go; the floor keeps all that was promised or accepted for them from coming back. */
     public void sweep(final Sweep sweep) {
-        final List<Msg.Slot> dead = !full || disk.stuck() ? List.of()
-            : slots.values().stream().filter(s -> s.item().id().kind().rising() && sweep.drops(s.item().id(), s.item().ver().n())
-                && sweep.floor(s.item().id().kind()) > 0).toList();
+        final List<Msg.Slot> dead = !full || disk.stuck()
+                ? List.of()
+                : slots.values().stream()
+                        .filter(s -> s.item().id().kind().rising()
+                                && sweep.drops(s.item().id(), s.item().ver().n())
+                                && sweep.floor(s.item().id().kind()) > 0)
+                        .toList();
         if (dead.isEmpty()) {
             return;
         }
@@ -221,33 +234,40 @@
             rows.put(ROW + s.item().id().text(), null);
         });
         rows.put(SEAL, Wire.pack(new Seal(founders, floor, lives)));
-        disk.save(rows, ok -> { });
+        disk.save(rows, ok -> {});
     }
 
     /** A chosen value is a fact: whoever prepares above its ballot hears of it from a majority anyway. */
     public void learn(final Msg.Chosen got) {
         final Msg.Slot s = slot(got.item().id());
         if (full && got.item().ver().above(s.item().ver()) && got.ballot().above(s.at())) {
-            final Msg.Slot n = new Msg.Slot(got.ballot().above(s.promised()) ? got.ballot() : s.promised(), got.ballot(), got.item());
+            final Msg.Slot n = new Msg.Slot(
+                    got.ballot().above(s.promised()) ? got.ballot() : s.promised(), got.ballot(), got.item());
             put(n);
-            save(List.of(n), false, () -> { });
+            save(List.of(n), false, () -> {});
         }
     }
 
     public void reread(final Msg.Reread ask, final Consumer<Msg> back) {
         if (!full || !ask.bar()) {
-            back.accept(new Msg.Memory(full, full || willing() ? boot : "", founders, floor, List.of(), lives, loop.now() - born));
+            back.accept(new Msg.Memory(
+                    full, full || willing() ? boot : "", founders, floor, List.of(), lives, loop.now() - born));
             return;
         }
         if (ask.sole()) {
             lives++;
             journal.add(Event.of(Code.RESUMED, "lives", lives, "floor", floor));
         }
-        floor = 1 + slots.values().stream().mapToLong(s -> Math.max(s.promised().round(), s.at().round()))
-            .reduce(floor, Math::max);
+        floor = 1
+                + slots.values().stream()
+                        .mapToLong(s -> Math.max(s.promised().round(), s.at().round()))
+                        .reduce(floor, Math::max);
         final List<Msg.Slot> all = List.copyOf(slots.values());
         final long bar = floor;
-        save(List.of(), true, () -> back.accept(new Msg.Memory(true, boot, founders, bar, all, lives, loop.now() - born)));
+        save(
+                List.of(),
+                true,
+                () -> back.accept(new Msg.Memory(true, boot, founders, bar, all, lives, loop.now() - born)));
     }
 
     private void recall() {
@@ -263,12 +283,16 @@
         final Map<NodeId, Msg.Memory> got = new HashMap<>();
         for (final NodeId id : quorum.electors()) {
             if (!id.equals(self)) {
-                net.ask(id, new Msg.Reread(boot, bar, sole), 350, r -> r.as(Msg.Memory.class).ifPresent(m -> {
-                    if (!full && turn == mine) {
-                        got.put(id, m);
-                        weigh(got, bar, mine);
-                    }
-                }));
+                net.ask(
+                        id,
+                        new Msg.Reread(boot, bar, sole),
+                        350,
+                        r -> r.as(Msg.Memory.class).ifPresent(m -> {
+                            if (!full && turn == mine) {
+                                got.put(id, m);
+                                weigh(got, bar, mine);
+                            }
+                        }));
             }
         }
     }
@@ -280,7 +304,8 @@
                 with.add(id);
             }
         });
-        if (got.values().stream().anyMatch(m -> m.has() && (early || boot.equals(m.founders().get(self))))) {
+        if (got.values().stream()
+                .anyMatch(m -> m.has() && (early || boot.equals(m.founders().get(self))))) {
             got.values().stream().filter(Msg.Memory::has).findFirst().ifPresent(m -> found(m.founders()));
         } else if (with.isEmpty() && willing() && (unanimous(got) || enough(got))) {
             final Map<NodeId, String> all = new HashMap<>();
@@ -300,13 +325,16 @@
 
     /** Every other elector was asked, those without memory stand blank, and a store has its own: nothing accepted stands elsewhere. */
     private boolean sole(final Map<NodeId, Msg.Memory> got, final Set<NodeId> with) {
-        return got.size() == quorum.electors().size() - 1 && quorum.stores().stream().anyMatch(with::contains)
-            && loop.now() - born >= HUSH && got.values().stream().filter(Msg.Memory::has).allMatch(m -> m.age() >= HUSH);
+        return got.size() == quorum.electors().size() - 1
+                && quorum.stores().stream().anyMatch(with::contains)
+                && loop.now() - born >= HUSH
+                && got.values().stream().filter(Msg.Memory::has).allMatch(m -> m.age() >= HUSH);
     }
 
     /** Every other elector has answered that it is willing too. */
     private boolean unanimous(final Map<NodeId, Msg.Memory> got) {
-        return got.size() == quorum.electors().size() - 1 && got.values().stream().noneMatch(m -> m.boot().isEmpty());
+        return got.size() == quorum.electors().size() - 1
+                && got.values().stream().noneMatch(m -> m.boot().isEmpty());
     }
 
     /**
@@ -314,8 +342,13 @@
      * it need not wait for one that ended during the first start and came back without a note of it.
      */
     private boolean enough(final Map<NodeId, Msg.Memory> got) {
-        return quorum.stores().isEmpty() && loop.now() - born >= PATIENCE
-            && 1 + got.values().stream().filter(m -> !m.has() && !m.boot().isEmpty()).count() >= quorum.need();
+        return quorum.stores().isEmpty()
+                && loop.now() - born >= PATIENCE
+                && 1
+                                + got.values().stream()
+                                        .filter(m -> !m.has() && !m.boot().isEmpty())
+                                        .count()
+                        >= quorum.need();
     }
 
     private boolean early() {
--- a/control/src/main/java/rv/control/Settler.java
+++ b/control/src/main/java/rv/control/WriteRecovery.java
@@ -14,9 +14,9 @@
  * Finishes what a vanished writer began: values accepted here that nobody has called chosen. What a start finds on its
  * disk is finished at once, by the first of the electors that is there, since after a loss of all power nobody else can.
  */
-public final class Settler {
-    private final Elector elector;
-    private final Held held;
+public final class WriteRecovery {
+    private final Voter elector;
+    private final ItemStore held;
     private final Writer writer;
     private final Loop loop;
     private final Random dice;
@@ -28,7 +28,13 @@
     private long born;
 
     /** {@code rank}: this elector's place among all. */
-    public Settler(final Elector elector, final Held held, final Writer writer, final Loop loop, final Random dice, final int rank) {
+    public WriteRecovery(
+            final Voter elector,
+            final ItemStore held,
+            final Writer writer,
+            final Loop loop,
+            final Random dice,
+            final int rank) {
         this.rank = rank;
         this.elector = elector;
         this.held = held;
@@ -51,10 +57,11 @@
                 seen.remove(e.getKey());
             } else {
                 final boolean kept = loop.now() - born < YOUNG && old.contains(e.getKey());
-                final long due = seen.computeIfAbsent(e.getKey(), k -> loop.now() + (kept ? rank * TURN : 150 + dice.nextInt(300)));
+                final long due = seen.computeIfAbsent(
+                        e.getKey(), k -> loop.now() + (kept ? rank * TURN : 150 + dice.nextInt(300)));
                 if (loop.now() >= due) {
                     seen.put(e.getKey(), loop.now() + (kept ? TURN + dice.nextInt(100) : 800));
-                    writer.read(e.getKey(), 700, r -> { });
+                    writer.read(e.getKey(), 700, r -> {});
                 }
             }
         }
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -1,10 +1,10 @@
 package rv.control;
 
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -26,6 +26,7 @@
 public final class Writer {
     /** Two that keep overtaking each other must draw from more than a round takes, at most so long. */
     private static final long WAIT = 400;
+
     private static final Set<ItemId> KEPT = Set.of(ItemId.TENURE, ItemId.PLAN);
     private final Quorum quorum;
     private final Loop loop;
@@ -33,17 +34,21 @@
     private final Random dice;
     private final Journal journal;
     private final String name;
-    private final Held held;
+    private final ItemStore held;
     private final Supplier<List<NodeId>> all;
-    private final Stores stores;
+    private final StoreHealth stores;
     private final Map<ItemId, Warm> warm = new HashMap<>();
     private long top;
 
     /** A ballot that a majority promised when it accepted this value: the next write need not prepare. */
-    private record Warm(Ballot ballot, Item item) {
-    }
+    private record Warm(Ballot ballot, Item item) {}
 
-    public enum Fate { ACCEPTED, CLASH, REJECTED, UNKNOWN }
+    public enum Fate {
+        ACCEPTED,
+        CLASH,
+        REJECTED,
+        UNKNOWN
+    }
 
     public record Result(Fate fate, Item item) {
         public boolean ok() {
@@ -57,8 +62,17 @@
         Optional<Item> apply(Item now);
     }
 
-    public Writer(final NodeId self, final String boot, final Quorum quorum, final Loop loop, final Net net,
-                  final Random dice, final Journal journal, final Held held, final Supplier<List<NodeId>> all, final Stores stores) {
+    public Writer(
+            final NodeId self,
+            final String boot,
+            final Quorum quorum,
+            final Loop loop,
+            final Net net,
+            final Random dice,
+            final Journal journal,
+            final ItemStore held,
+            final Supplier<List<NodeId>> all,
+            final StoreHealth stores) {
         this.stores = stores;
         this.quorum = quorum;
         this.loop = loop;
@@ -70,7 +84,8 @@
         this.all = all;
     }
 
-    public void write(final ItemId id, final String tag, final long span, final Change change, final Consumer<Result> then) {
+    public void write(
+            final ItemId id, final String tag, final long span, final Change change, final Consumer<Result> then) {
         new Try(id, tag, loop.now() + span, change, then).prepare();
     }
 
@@ -149,7 +164,11 @@
             bad = 0;
             final int mine = ++stage;
             for (final NodeId e : quorum.electors()) {
-                net.ask(e, new Msg.Prepare(id, ballot), Math.max(20, Math.min(600, cutoff - loop.now() - 20)), r -> promised(e, mine, r.as(Msg.Promise.class)));
+                net.ask(
+                        e,
+                        new Msg.Prepare(id, ballot),
+                        Math.max(20, Math.min(600, cutoff - loop.now() - 20)),
+                        r -> promised(e, mine, r.as(Msg.Promise.class)));
             }
         }
 
@@ -183,7 +202,8 @@
             final Optional<Item> next = change.apply(now);
             if (next.isEmpty()) {
                 stage++;
-                journal.add(Event.of(Code.CLASHED, "item", id.text(), "ver", now.ver().n()));
+                journal.add(Event.of(
+                        Code.CLASHED, "item", id.text(), "ver", now.ver().n()));
                 settle(now);
             } else {
                 offer(next.get());
@@ -196,8 +216,12 @@
                 end(sent ? Fate.UNKNOWN : Fate.CLASH, standing);
                 return;
             }
-            read(id, Math.max(200, cutoff - loop.now()), r -> end(
-                sent && r.item().ver().n() > standing.ver().n() ? Fate.UNKNOWN : Fate.CLASH, r.ok() ? r.item() : standing));
+            read(
+                    id,
+                    Math.max(200, cutoff - loop.now()),
+                    r -> end(
+                            sent && r.item().ver().n() > standing.ver().n() ? Fate.UNKNOWN : Fate.CLASH,
+                            r.ok() ? r.item() : standing));
         }
 
         private void offer(final Item item) {
@@ -213,7 +237,7 @@
             for (final NodeId e : quorum.electors()) {
                 net.ask(e, new Msg.Accept(ballot, item, after), 600, r -> accepted(e, mine, from, item, r));
             }
-            loop.after(Stores.HUSH, () -> settled(mine, from, item));
+            loop.after(StoreHealth.HUSH, () -> settled(mine, from, item));
         }
 
         private void accepted(final NodeId e, final int mine, final long from, final Item item, final Reply r) {
@@ -230,7 +254,8 @@
             }
             if (!ok) {
                 beaten |= got.isPresent();
-                if (got.isPresent() && stores.has(e) || ++bad > quorum.electors().size() - quorum.need()) {
+                if (got.isPresent() && stores.has(e)
+                        || ++bad > quorum.electors().size() - quorum.need()) {
                     again();
                 } else {
                     settled(mine, from, item);
@@ -253,7 +278,14 @@
                 final Msg.Chosen won = new Msg.Chosen(ballot, item);
                 if (item.ver().n() > 0) {
                     if (sent) {
-                        journal.add(Event.of(Code.ACCEPTED, "item", id.text(), "ver", item.ver().n(), "tag", item.tag()));
+                        journal.add(Event.of(
+                                Code.ACCEPTED,
+                                "item",
+                                id.text(),
+                                "ver",
+                                item.ver().n(),
+                                "tag",
+                                item.tag()));
                     }
                     held.merge(won);
                     tell(won);
--- a/control/src/test/java/rv/control/MatchTest.java
+++ b/control/src/test/java/rv/control/MatchTest.java
@@ -16,7 +16,11 @@
 
     @Test
     void everyRollPicksByWeightAndNeverAServiceWithoutOne() {
-        final Match m = split(new Match.Part("none", 0), new Match.Part("most", 90), new Match.Part("few", 10), new Match.Part("zero", 0));
+        final Match m = split(
+                new Match.Part("none", 0),
+                new Match.Part("most", 90),
+                new Match.Part("few", 10),
+                new Match.Part("zero", 0));
         final Map<String, Integer> seen = new TreeMap<>();
         for (int i = 0; i < 10_000; i++) {
             seen.merge(m.pick(Hash.mix("request-" + i)), 1, Integer::sum);
--- a/control/src/test/java/rv/control/OrdersTest.java
+++ b/control/src/test/java/rv/control/OrdersTest.java
@@ -19,10 +19,11 @@
 
 /** Orders under versions of the operator's own, before three electors. */
 class OrdersTest {
-    private static final String SET = "{\"set\":{\"services\":{\"s\":{\"kind\":\"open\",\"note\":\"%s\",\"version\":%d}}}}";
+    private static final String SET =
+            "{\"set\":{\"services\":{\"s\":{\"kind\":\"open\",\"note\":\"%s\",\"version\":%d}}}}";
     private final Voters net = new Voters();
     private final Orders orders = new Orders(net.held, net.sync, net.writer, net::tag);
-    private final List<Clerk.Said> said = new ArrayList<>();
+    private final List<ItemService.ApiResult> said = new ArrayList<>();
 
     private int patch(final String text, final long ms) {
         said.clear();
@@ -52,17 +53,28 @@
     @Test
     void aFaultyCallWritesNothing() {
         net.confirm();
-        assertEquals(422, patch("{\"set\":{\"services\":{\"s\":{\"kind\":\"open\",\"version\":3},\"t\":{\"kind\":\"?\",\"version\":3}}}}", 100));
+        assertEquals(
+                422,
+                patch(
+                        "{\"set\":{\"services\":{\"s\":{\"kind\":\"open\",\"version\":3},\"t\":{\"kind\":\"?\",\"version\":3}}}}",
+                        100));
         assertEquals(List.of(), net.written);
     }
 
     @Test
     void aCallIsRefusedOnlyByAFrameConfirmedSince() {
         net.confirm();
-        final String route = "{\"set\":{\"routes\":{\"r\":{\"prefix\":\"/x/\",\"service\":\"s\",\"mode\":\"status\",\"version\":7}}}}";
+        final String route =
+                "{\"set\":{\"routes\":{\"r\":{\"prefix\":\"/x/\",\"service\":\"s\",\"mode\":\"status\",\"version\":7}}}}";
         assertEquals(422, patch(route, 100));
-        net.news.add(new Msg.Chosen(Ballot.ZERO, new Item(new ItemId(Kind.SERVICE, "s"), new Ver(1),
-            Json.text(new Service("open", 0, 1, 1000, 0, 0, "")), false, "")));
+        net.news.add(new Msg.Chosen(
+                Ballot.ZERO,
+                new Item(
+                        new ItemId(Kind.SERVICE, "s"),
+                        new Ver(1),
+                        Json.text(new Service("open", 0, 1, 1000, 0, 0, "")),
+                        false,
+                        "")));
         assertEquals(200, patch(route, 100), "the service was stated at another node a moment ago");
         net.deaf.addAll(List.of(NodeId.of("a"), NodeId.of("b")));
         assertEquals(503, patch(route.replace("\"s\"", "\"t\""), 800), "nobody can say that there is none");
@@ -117,7 +129,9 @@
         orders.whole(900, got::add);
         assertEquals(List.of(), got, "what was confirmed before the question does not count");
         net.loop.run(50);
-        assertEquals(List.of("s"), List.copyOf(got.get(0).orElseThrow().get(Kind.SERVICE).keySet()));
+        assertEquals(
+                List.of("s"),
+                List.copyOf(got.get(0).orElseThrow().get(Kind.SERVICE).keySet()));
         net.deaf.addAll(List.of(NodeId.of("a"), NodeId.of("b")));
         orders.whole(900, got::add);
         net.loop.run(950);
--- a/control/src/test/java/rv/control/StoresTest.java
+++ b/control/src/test/java/rv/control/StoresTest.java
@@ -27,7 +27,8 @@
             throw new IllegalStateException();
         }
     };
-    private final Stores stores = new Stores(new Quorum(List.of(A, B, NodeId.of("sh1")), Set.of(A, B)), loop, new Journal(loop, 10));
+    private final StoreHealth stores =
+            new StoreHealth(new Quorum(List.of(A, B, NodeId.of("sh1")), Set.of(A, B)), loop, new Journal(loop, 10));
 
     @Test
     void bothWhileBothAreHeardFrom() {
--- a/control/src/test/java/rv/control/SyncTest.java
+++ b/control/src/test/java/rv/control/SyncTest.java
@@ -40,7 +40,15 @@
 
     @Test
     void aFramesAgeIsBoundedByWhatTheTimingSays() {
-        final Sync quick = new Sync(net.quorum, net.loop, net, net.held, new rv.base.Timing(3000, 1000, 300), net.journal, net.held::merge, e -> { });
+        final FrameSync quick = new FrameSync(
+                net.quorum,
+                net.loop,
+                net,
+                net.held,
+                new rv.base.Timing(3000, 1000, 300),
+                net.journal,
+                net.held::merge,
+                e -> {});
         quick.round();
         net.loop.run(10);
         assertTrue(quick.fresh());
--- a/control/src/test/java/rv/control/ViewTest.java
+++ b/control/src/test/java/rv/control/ViewTest.java
@@ -19,9 +19,10 @@
 /** Hosts, prefixes, purges of a host's path and of tags. */
 class ViewTest {
     private final Voters net = new Voters();
-    private final View view = net.view;
+    private final ConfigView view = net.view;
 
-    private static Match match(final String host, final String prefix, final String service, final List<Match.Part> split) {
+    private static Match match(
+            final String host, final String prefix, final String service, final List<Match.Part> split) {
         return new Match(prefix, service, Match.CACHED, 1000, true, "", host, split, true, 0, 0, 0, 3, "");
     }
 
@@ -34,7 +35,7 @@
     }
 
     private String at(final String host, final String path) {
-        return view.route(host, path).map(View.Row::name).orElse("none");
+        return view.route(host, path).map(ConfigView.Row::name).orElse("none");
     }
 
     @Test
@@ -53,14 +54,18 @@
         route("any", "", "/a/", "s");
         assertEquals("any", at("three", "/a/1"));
         assertEquals("narrow", at("one", "/a/1"), "a host's own routes go first");
-        net.held.merge(new Msg.Chosen(Ballot.ZERO, new Item(new ItemId(Kind.ROUTE, "narrow"), new Ver(2), "", true, "")));
+        net.held.merge(
+                new Msg.Chosen(Ballot.ZERO, new Item(new ItemId(Kind.ROUTE, "narrow"), new Ver(2), "", true, "")));
         assertEquals("wide", at("one", "/a/1"));
     }
 
     @Test
     void aSplitRouteIsFitOnlyWhileAllItsServicesStand() {
         service("s");
-        net.put(new ItemId(Kind.ROUTE, "r"), 1, match("h", "/", "s", List.of(new Match.Part("s", 9), new Match.Part("t", 1))));
+        net.put(
+                new ItemId(Kind.ROUTE, "r"),
+                1,
+                match("h", "/", "s", List.of(new Match.Part("s", 9), new Match.Part("t", 1))));
         assertFalse(view.route("h", "/x").orElseThrow().fit());
         service("t");
         assertTrue(view.route("h", "/x").orElseThrow().fit());
@@ -74,7 +79,7 @@
     void aPurgeOfAHostsPathMarksThatPathOnly() {
         service("s");
         route("r", "h", "/", "s");
-        final View.Row row = view.route("h", "/x").orElseThrow();
+        final ConfigView.Row row = view.route("h", "/x").orElseThrow();
         final Mark none = view.mark(row, "/x");
         purge("h.1", 4, new Purge(null, "/x", null, "h", null));
         assertEquals(Map.of("p/h.1", 4L), view.mark(row, "/x").vers());
@@ -116,7 +121,8 @@
         purge("t.1", 5, new Purge(null, null, null, null, "t1"));
         purge("t.2", 6, new Purge(null, null, null, null, "t2"));
         net.put(Sweep.ID, 1, new Sweep(5, 0));
-        assertEquals(Map.of(), view.mark(view.route("h", "/x").orElseThrow(), "/x").vers());
+        assertEquals(
+                Map.of(), view.mark(view.route("h", "/x").orElseThrow(), "/x").vers());
         assertEquals(0, view.tagged("t1").ver());
         assertEquals(6, view.tagged("t2").ver());
     }
--- a/control/src/test/java/rv/control/Voters.java
+++ b/control/src/test/java/rv/control/Voters.java
@@ -22,16 +22,27 @@
     static final List<NodeId> ALL = List.of(NodeId.of("a"), NodeId.of("b"), NodeId.of("c"));
     final Ticks loop = new Ticks();
     final Journal journal = new Journal(loop, 100);
-    final Held held = new Held(loop, journal);
-    final View view = new View(held);
+    final ItemStore held = new ItemStore(loop, journal);
+    final ConfigView view = new ConfigView(held);
     final Set<NodeId> deaf = new HashSet<>();
     final List<Item> written = new ArrayList<>();
     /** What the electors hold and this node does not. */
     final List<Msg.Chosen> news = new ArrayList<>();
+
     final Quorum quorum = new Quorum(ALL, Set.of());
-    final Sync sync = new Sync(quorum, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge, e -> { });
-    final Writer writer = new Writer(NodeId.of("z"), "1", quorum, loop, this, new Random(1), journal, held, () -> List.of(),
-        new Stores(quorum, loop, journal));
+    final FrameSync sync =
+            new FrameSync(quorum, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge, e -> {});
+    final Writer writer = new Writer(
+            NodeId.of("z"),
+            "1",
+            quorum,
+            loop,
+            this,
+            new Random(1),
+            journal,
+            held,
+            () -> List.of(),
+            new StoreHealth(quorum, loop, journal));
     private final Map<NodeId, Map<ItemId, Msg.Slot>> memory = new HashMap<>();
     private long tags;
 
@@ -76,6 +87,8 @@
         if (msg instanceof Msg.Vers) {
             return new Msg.Give(news, true, List.of());
         }
-        return msg instanceof Msg.Query ? new Msg.Same(news.isEmpty(), java.util.Collections.nCopies(Digest.CELLS, 1L)) : new Msg.Ok();
+        return msg instanceof Msg.Query
+                ? new Msg.Same(news.isEmpty(), java.util.Collections.nCopies(Digest.CELLS, 1L))
+                : new Msg.Ok();
     }
 }
--- a/data/src/main/java/rv/data/Answer.java
+++ b/data/src/main/java/rv/data/Answer.java
@@ -24,10 +24,12 @@
 
     private static Answer say(final int status, final String fate, final String why, final long retryMs) {
         final Map<String, String> heads = retryMs > 0
-            ? Map.of("Retry-After", String.valueOf((retryMs + 999) / 1000), "Content-Type", "application/json")
-            : Map.of("Content-Type", "application/json");
-        final String text = Json.text(retryMs > 0 ? Map.of("fate", fate, "reason", why, "retryAfterMs", retryMs)
-            : Map.of("fate", fate, "reason", why));
+                ? Map.of("Retry-After", String.valueOf((retryMs + 999) / 1000), "Content-Type", "application/json")
+                : Map.of("Content-Type", "application/json");
+        final String text = Json.text(
+                retryMs > 0
+                        ? Map.of("fate", fate, "reason", why, "retryAfterMs", retryMs)
+                        : Map.of("fate", fate, "reason", why));
         return new Answer(status, fate, heads, text.getBytes(StandardCharsets.UTF_8), retryMs);
     }
 }
--- a/data/src/main/java/rv/data/Proof.java
+++ b/data/src/main/java/rv/data/AnswerCheck.java
@@ -5,16 +5,16 @@
 import rv.control.Origin;
 
 /** What an origin's answer must show before any caller may see it as a success. */
-public final class Proof {
+public final class AnswerCheck {
     public static final String STAMP = "rv-stamp";
     public static final String REQUEST = "rv-request";
     public static final String DIGEST = "rv-digest";
     public static final String SERVICE = "rv-service";
 
-    private Proof() {
-    }
+    private AnswerCheck() {}
 
-    public static String fault(final Origin to, final Port.Send sent, final Map<String, String> heads, final byte[] body) {
+    public static String fault(
+            final Origin to, final Port.Send sent, final Map<String, String> heads, final byte[] body) {
         if (!to.stamp().equals(heads.get(STAMP))) {
             return "stamp is not the announced one";
         }
--- a/data/src/main/java/rv/data/Copy.java
+++ b/data/src/main/java/rv/data/CachedCopy.java
@@ -8,7 +8,15 @@
  * {@code born}: when, on this clock, the fill that brought it was sent; {@code tags}: the versions of its tags' purges at
  * that moment; {@code service}: which one it came from.
  */
-record Copy(int status, Map<String, String> heads, byte[] body, long born, long life, Mark mark, Map<String, Long> tags, String service) {
+record CachedCopy(
+        int status,
+        Map<String, String> heads,
+        byte[] body,
+        long born,
+        long life,
+        Mark mark,
+        Map<String, Long> tags,
+        String service) {
     static final long GRACE = 1500;
     private static final String TAG = "t/";
 
--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -13,9 +13,9 @@
 import rv.base.Net;
 import rv.base.NodeId;
 import rv.base.Token;
+import rv.control.ConfigView;
 import rv.control.Limits;
 import rv.control.Match;
-import rv.control.View;
 
 /** A request's way at an edge: the steps compiled for its route, run one by one until one answers. */
 public final class Edge {
@@ -23,11 +23,11 @@
     private static final int ROOM = 2048;
     private final Loop loop;
     private final Net net;
-    private final View view;
+    private final ConfigView view;
     private final BooleanSupplier fresh;
     private final int shards;
     private final Journal journal;
-    private final Way way;
+    private final EdgeRouting way;
     private final Cache cache;
     private final Map<Integer, Token> high = new HashMap<>();
     private final Map<String, Flight> flights = new HashMap<>();
@@ -37,16 +37,29 @@
     private long last = Long.MIN_VALUE / 2;
 
     /** One pass to the holder for all who ask for an object under one mark. */
-    record Flight(Mark mark, List<Walk> queue) {
-    }
-
-    public Edge(final Loop loop, final Net net, final View view, final BooleanSupplier fresh, final int shards,
-                final Journal journal, final long room, final Predicate<NodeId> heard) {
-        this(loop, net, view, fresh, shards, journal, room, Way.of(heard));
-    }
-
-    public Edge(final Loop loop, final Net net, final View view, final BooleanSupplier fresh, final int shards,
-                final Journal journal, final long room, final Way way) {
+    record Flight(Mark mark, List<EdgeRequest> queue) {}
+
+    public Edge(
+            final Loop loop,
+            final Net net,
+            final ConfigView view,
+            final BooleanSupplier fresh,
+            final int shards,
+            final Journal journal,
+            final long room,
+            final Predicate<NodeId> heard) {
+        this(loop, net, view, fresh, shards, journal, room, EdgeRouting.of(heard));
+    }
+
+    public Edge(
+            final Loop loop,
+            final Net net,
+            final ConfigView view,
+            final BooleanSupplier fresh,
+            final int shards,
+            final Journal journal,
+            final long room,
+            final EdgeRouting way) {
         this.way = way;
         this.loop = loop;
         this.net = net;
@@ -57,9 +70,18 @@
         this.cache = new Cache(room, c -> view.clean(c.tags()));
     }
 
-    enum Step { FRAME, METHOD, SIZE, RULE, KEY, COPY, JOIN, SEND }
+    enum Step {
+        FRAME,
+        METHOD,
+        SIZE,
+        RULE,
+        KEY,
+        COPY,
+        JOIN,
+        SEND
+    }
 
-    static List<Step> compile(final View.Row row) {
+    static List<Step> compile(final ConfigView.Row row) {
         final List<Step> list = new ArrayList<>(List.of(Step.METHOD, Step.SIZE));
         if (row.rule().isPresent()) {
             list.add(Step.RULE);
@@ -70,7 +92,7 @@
         switch (row.match().mode()) {
             case Match.CACHED -> list.addAll(List.of(Step.COPY, Step.JOIN));
             case Match.ONCE -> list.add(Step.KEY);
-            default -> { }
+            default -> {}
         }
         list.add(Step.SEND);
         return list;
@@ -99,7 +121,7 @@
         return loop.now() - last >= ms;
     }
 
-    public void take(final Ask ask, final Consumer<Answer> then) {
+    public void take(final ClientRequest ask, final Consumer<Answer> then) {
         last = loop.now();
         if (shut) {
             then.accept(Answer.reject(503, "this node is leaving", 1000));
@@ -109,10 +131,12 @@
             then.accept(Answer.reject(503, "too many requests wait here", 1000));
             return;
         }
-        final View.Row row = view.route(ask.host(), ask.path()).orElse(null);
+        final ConfigView.Row row = view.route(ask.host(), ask.path()).orElse(null);
         if (row == null) {
-            then.accept(fresh.getAsBoolean() ? Answer.reject(404, "no route takes this path", 0)
-                : Answer.reject(503, "the frame is not confirmed", 1000));
+            then.accept(
+                    fresh.getAsBoolean()
+                            ? Answer.reject(404, "no route takes this path", 0)
+                            : Answer.reject(503, "the frame is not confirmed", 1000));
             return;
         }
         if (!row.fit()) {
@@ -120,10 +144,11 @@
             return;
         }
         busy++;
-        new Walk(this, ask, row, a -> {
-            busy--;
-            then.accept(a);
-        }).run();
+        new EdgeRequest(this, ask, row, a -> {
+                    busy--;
+                    then.accept(a);
+                })
+                .run();
     }
 
     Loop loop() {
@@ -134,11 +159,11 @@
         return net;
     }
 
-    View view() {
+    ConfigView view() {
         return view;
     }
 
-    Way way() {
+    EdgeRouting way() {
         return way;
     }
 
--- a/data/src/main/java/rv/data/Walk.java
+++ b/data/src/main/java/rv/data/EdgeRequest.java
@@ -15,19 +15,20 @@
 import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Reply;
+import rv.control.ConfigView;
 import rv.control.Match;
 import rv.control.Plan;
-import rv.control.View;
 
 /** One request on its way through an edge. */
-final class Walk {
+final class EdgeRequest {
     private static final long SILENT = 650;
     private static final long LOOK = 100;
     /** The part of its time for which a keyed request is kept while nobody may send it. */
     private static final double PATIENCE = 0.4;
+
     private final Edge edge;
-    private final Ask ask;
-    private final View.Row row;
+    private final ClientRequest ask;
+    private final ConfigView.Row row;
     private final Consumer<Answer> then;
     private final String key;
     private final long cutoff;
@@ -42,12 +43,12 @@
     private boolean bare;
     private boolean maybe;
 
-    Walk(final Edge edge, final Ask ask, final View.Row row, final Consumer<Answer> then) {
+    EdgeRequest(final Edge edge, final ClientRequest ask, final ConfigView.Row row, final Consumer<Answer> then) {
         this.edge = edge;
         this.ask = row.match().is(Match.CACHED) && ask.method().equals("GET") ? ask.shared() : ask;
         this.row = row;
         this.then = then;
-        this.key = Way.slot(row, ask.path(), null);
+        this.key = EdgeRouting.slot(row, ask.path(), null);
         this.mark = edge.view().mark(row, ask.path());
         final boolean told = ask.spanMs() > 0;
         this.margin = told ? 20 : 300;
@@ -86,11 +87,18 @@
     private boolean step(final Edge.Step s) {
         final boolean post = is(Match.ONCE);
         return switch (s) {
-            case METHOD -> !row.match().any() && !ask.method().equals(post ? "POST" : "GET") && refuse(405, "this route takes " + (post ? "POST" : "GET"), 0);
-            case SIZE -> ask.body() != null && ask.body().length > row.service().bodyLimit() && refuse(413, "body over the limit", 0);
+            case METHOD ->
+                !row.match().any()
+                        && !ask.method().equals(post ? "POST" : "GET")
+                        && refuse(405, "this route takes " + (post ? "POST" : "GET"), 0);
+            case SIZE ->
+                ask.body() != null
+                        && ask.body().length > row.service().bodyLimit()
+                        && refuse(413, "body over the limit", 0);
             case RULE -> rule();
-            case KEY -> (ask.key() == null || ask.key().isEmpty() || ask.key().length() > 128)
-                && refuse(400, "header Rv-Key must be 1 to 128 characters", 0);
+            case KEY ->
+                (ask.key() == null || ask.key().isEmpty() || ask.key().length() > 128)
+                        && refuse(400, "header Rv-Key must be 1 to 128 characters", 0);
             case FRAME -> !edge.fresh() && stale();
             case COPY -> ask.method().equals("GET") && copy();
             case JOIN -> ask.method().equals("GET") && join();
@@ -111,7 +119,9 @@
     }
 
     private boolean rule() {
-        return switch (row.rule().orElseThrow().judge(ask.method(), ask.path(), ask.key(), ask.body() == null ? 0 : ask.body().length)) {
+        return switch (row.rule()
+                .orElseThrow()
+                .judge(ask.method(), ask.path(), ask.key(), ask.body() == null ? 0 : ask.body().length)) {
             case HOLDS -> false;
             case FAILS -> refuse(403, "the route's condition does not hold", 0);
             case UNSURE -> refuse(400, "the route's condition cannot judge this request", 0);
@@ -119,12 +129,12 @@
     }
 
     private boolean copy() {
-        final Optional<Copy> c = edge.cache().get(key, now(), mark).filter(x -> x.of(row.match()));
+        final Optional<CachedCopy> c = edge.cache().get(key, now(), mark).filter(x -> x.of(row.match()));
         c.ifPresent(x -> give(x, "hit"));
         return c.isPresent();
     }
 
-    void give(final Copy c, final String how) {
+    void give(final CachedCopy c, final String how) {
         final Map<String, String> heads = new TreeMap<>(c.heads());
         heads.put("Age", String.valueOf((now() - c.born()) / 1000));
         heads.put("Rv-Cache", how);
@@ -146,7 +156,7 @@
         return false;
     }
 
-    private List<Walk> land() {
+    private List<EdgeRequest> land() {
         edge.flights().remove(key, lead);
         return lead == null ? List.of(this) : lead.queue();
     }
@@ -154,8 +164,11 @@
     /** Overtaken by a newer flight: all who waited for this one wait for that. */
     private boolean handed() {
         final Edge.Flight now = edge.flights().get(key);
-        if (lead == null || now == null || now == lead || !now.mark().covers(edge.view().mark(row, ask.path()))
-            || now.queue().size() + lead.queue().size() > Edge.QUEUE) {
+        if (lead == null
+                || now == null
+                || now == lead
+                || !now.mark().covers(edge.view().mark(row, ask.path()))
+                || now.queue().size() + lead.queue().size() > Edge.QUEUE) {
             return false;
         }
         now.queue().addAll(lead.queue());
@@ -163,11 +176,19 @@
     }
 
     private void send() {
-        if (row.match().any() && !is(Match.ONCE) && !(is(Match.CACHED) && ask.method().equals("GET"))) {
+        if (row.match().any()
+                && !is(Match.ONCE)
+                && !(is(Match.CACHED) && ask.method().equals("GET"))) {
             pass(Answer.reject(503, "no shield is heard of", 300));
             return;
         }
-        final int shard = Way.shard(row, ask.path(), ask.key(), edge.shards(), edge.way().places(), edge.way().place());
+        final int shard = EdgeRouting.shard(
+                row,
+                ask.path(),
+                ask.key(),
+                edge.shards(),
+                edge.way().places(),
+                edge.way().place());
         if (shard >= edge.view().plan().parts().size()) {
             lost(Answer.reject(503, "no plan is known yet", 500));
             return;
@@ -189,8 +210,23 @@
     }
 
     private Msg.Fill fill(final int shard, final boolean loose, final long sent) {
-        return new Msg.Fill(edge.next(), row.name(), ask.method(), ask.host(), ask.path(), shard, shard < 0 ? null : edge.high(shard), loose ? null : mark,
-            ask.key(), ask.body(), ask.type(), Math.max(margin > 100 ? 100 : 1, cutoff - sent - margin), ask.id(), loose, loose && tries > 1, ask.heads());
+        return new Msg.Fill(
+                edge.next(),
+                row.name(),
+                ask.method(),
+                ask.host(),
+                ask.path(),
+                shard,
+                shard < 0 ? null : edge.high(shard),
+                loose ? null : mark,
+                ask.key(),
+                ask.body(),
+                ask.type(),
+                Math.max(margin > 100 ? 100 : 1, cutoff - sent - margin),
+                ask.id(),
+                loose,
+                loose && tries > 1,
+                ask.heads());
     }
 
     /** Where a shield falls silent, another passes a read through while there is time; the first answer counts. */
@@ -210,7 +246,10 @@
     /** By any shield: for what needs no right to fill, or when nobody has the right. */
     private void pass(final Answer none) {
         bare = true;
-        final NodeId to = edge.way().near().stream().filter(n -> !asked.contains(n) && edge.way().silent(n) <= SILENT).findFirst().orElse(null);
+        final NodeId to = edge.way().near().stream()
+                .filter(n -> !asked.contains(n) && edge.way().silent(n) <= SILENT)
+                .findFirst()
+                .orElse(null);
         if (to == null || now() + margin >= cutoff) {
             if (to == null && !maybe && open == 0 && edge.way().direct() != null && now() + margin < cutoff) {
                 direct(none);
@@ -235,11 +274,29 @@
     /** No shield is heard of at all: a read goes to an origin from here, within the small part of the ceiling that is for this. */
     private void direct(final Answer none) {
         final String to = row.match().pick(rv.base.Hash.mix(ask.id().isEmpty() ? ask.path() + edge.next() : ask.id()));
-        final Order order = new Order(Order.NONE, new Port.Send(to, ask.method(), ask.path(), ask.id(), ask.key(), ask.body(), ask.type(), 0, ask.heads()),
-            is(Match.SINGLE), cutoff - margin, row.match().rank(), row.match().tries(), false);
+        final OriginRequest order = new OriginRequest(
+                OriginRequest.NONE,
+                new Port.Send(
+                        to, ask.method(), ask.path(), ask.id(), ask.key(), ask.body(), ask.type(), 0, ask.heads()),
+                is(Match.SINGLE),
+                cutoff - margin,
+                row.match().rank(),
+                row.match().tries(),
+                false);
         edge.way().direct().send(order, sent -> {
             if (sent.got().end() == Port.End.WHOLE) {
-                done(now(), new Msg.Filled(Answer.DONE, "", sent.got().status(), null, Shield.pass(sent.got().heads()), sent.got().body(), 0, null, 0));
+                done(
+                        now(),
+                        new Msg.Filled(
+                                Answer.DONE,
+                                "",
+                                sent.got().status(),
+                                null,
+                                Shield.pass(sent.got().heads()),
+                                sent.got().body(),
+                                0,
+                                null,
+                                0));
             } else {
                 maybe |= sent.ran();
                 finish(sent.ran() ? Answer.unsure(sent.got().why()) : none);
@@ -252,11 +309,15 @@
             return;
         }
         final Msg.Filled f = r.as(Msg.Filled.class).orElse(null);
-        maybe |= f == null && r.trouble() != Reply.Trouble.NOT_SENT || f != null && f.fate().equals(Answer.UNKNOWN);
+        maybe |= f == null && r.trouble() != Reply.Trouble.NOT_SENT
+                || f != null && f.fate().equals(Answer.UNKNOWN);
         if (f == null) {
             if (r.trouble() == Reply.Trouble.NOT_SENT || !is(Match.SINGLE)) {
                 tries -= r.trouble() == Reply.Trouble.NOT_SENT ? 1 : 0;
-                pass(r.trouble() == Reply.Trouble.NOT_SENT ? Answer.reject(503, "no shield can be reached", 300) : Answer.unsure("no shield answered"));
+                pass(
+                        r.trouble() == Reply.Trouble.NOT_SENT
+                                ? Answer.reject(503, "no shield can be reached", 300)
+                                : Answer.unsure("no shield answered"));
             } else {
                 finish(Answer.unsure("the shield did not answer"));
             }
@@ -266,7 +327,10 @@
             tries--;
             pass(Answer.reject(f.status(), f.why(), f.retryMs()));
         } else if (open == 0) {
-            finish(f.fate().equals(Answer.REFUSED) ? Answer.reject(f.status(), f.why(), f.retryMs()) : Answer.unsure(f.why()));
+            finish(
+                    f.fate().equals(Answer.REFUSED)
+                            ? Answer.reject(f.status(), f.why(), f.retryMs())
+                            : Answer.unsure(f.why()));
         }
     }
 
@@ -295,7 +359,8 @@
             return;
         }
         final Msg.Filled f = r.as(Msg.Filled.class).orElse(null);
-        maybe |= f == null && r.trouble() != Reply.Trouble.NOT_SENT || f != null && f.fate().equals(Answer.UNKNOWN);
+        maybe |= f == null && r.trouble() != Reply.Trouble.NOT_SENT
+                || f != null && f.fate().equals(Answer.UNKNOWN);
         if (f == null) {
             if (r.trouble() == Reply.Trouble.NOT_SENT) {
                 again(Answer.reject(503, "the holder cannot be reached", 1000));
@@ -320,7 +385,15 @@
             return;
         }
         if (f.token().below(edge.high(shard))) {
-            edge.journal().add(Event.of(Code.TOKEN_LOW, "shard", shard, "token", f.token().toString(), "known", edge.high(shard).toString()));
+            edge.journal()
+                    .add(Event.of(
+                            Code.TOKEN_LOW,
+                            "shard",
+                            shard,
+                            "token",
+                            f.token().toString(),
+                            "known",
+                            edge.high(shard).toString()));
             if (is(Match.ONCE)) {
                 finish(Answer.unsure("the answer came from an earlier holder"));
             } else {
@@ -346,8 +419,16 @@
             }
             return;
         }
-        final Copy c = new Copy(f.status(), f.heads(), f.body(), sent - f.age(), row.match().lifetimeMs(), Copy.bare(f.mark()), Copy.tags(f.mark()), f.service());
-        final View.Row now = edge.view().named(row.name()).orElse(null);
+        final CachedCopy c = new CachedCopy(
+                f.status(),
+                f.heads(),
+                f.body(),
+                sent - f.age(),
+                row.match().lifetimeMs(),
+                CachedCopy.bare(f.mark()),
+                CachedCopy.tags(f.mark()),
+                f.service());
+        final ConfigView.Row now = edge.view().named(row.name()).orElse(null);
         final Mark want = now == null ? null : edge.view().mark(now, ask.path());
         if (want == null || !f.mark().covers(want) || !edge.view().clean(c.tags())) {
             again(Answer.reject(503, "purged while it was filled", 500));
@@ -378,17 +459,22 @@
     }
 
     /** When no fill can be had, a copy just past its lifetime is better than none, as long as the frame is sure. */
-    private Copy spare() {
+    private CachedCopy spare() {
         return is(Match.CACHED) && (edge.fresh() || !row.match().purgeable())
-            ? edge.cache().late(key, now(), edge.view().mark(row, ask.path())).orElse(null) : null;
+                ? edge.cache()
+                        .late(key, now(), edge.view().mark(row, ask.path()))
+                        .orElse(null)
+                : null;
     }
 
     /** Where an earlier way may have sent it, no refusal can promise that it has not run. */
     private void finish(final Answer said) {
         final boolean once = is(Match.ONCE) || is(Match.SINGLE);
-        final Answer a = maybe && once && said.fate().equals(Answer.REFUSED) ? Answer.unsure("an earlier way may have sent it") : said;
-        final List<Walk> all = land();
-        final Copy old = a.fate().equals(Answer.DONE) ? null : spare();
+        final Answer a = maybe && once && said.fate().equals(Answer.REFUSED)
+                ? Answer.unsure("an earlier way may have sent it")
+                : said;
+        final List<EdgeRequest> all = land();
+        final CachedCopy old = a.fate().equals(Answer.DONE) ? null : spare();
         all.forEach(w -> {
             if (old == null) {
                 w.end(a);
--- a/data/src/main/java/rv/data/Way.java
+++ b/data/src/main/java/rv/data/EdgeRouting.java
@@ -3,12 +3,12 @@
 import java.util.List;
 import java.util.function.Predicate;
 import rv.base.NodeId;
+import rv.control.ConfigView;
 import rv.control.Match;
 import rv.control.Plan;
-import rv.control.View;
 
 /** Where an edge can send what it does not answer itself. */
-public interface Way {
+public interface EdgeRouting {
     /** Shields that are heard of, the nearest first. */
     List<NodeId> near();
 
@@ -28,8 +28,8 @@
     /** No majority of electors can be heard from here: nothing newer can be known, so what needs no right goes on. */
     boolean alone();
 
-    static Way of(final Predicate<NodeId> heard) {
-        return new Way() {
+    static EdgeRouting of(final Predicate<NodeId> heard) {
+        return new EdgeRouting() {
             @Override
             public List<NodeId> near() {
                 return List.of();
@@ -68,7 +68,7 @@
     }
 
     /** An object's or operation's name; the same on every node. */
-    static String slot(final View.Row row, final String path, final String key) {
+    static String slot(final ConfigView.Row row, final String path, final String key) {
         return row.match().slot(row.name(), row.match().is(Match.ONCE) && key != null ? "#" + key : path);
     }
 
@@ -76,12 +76,20 @@
      * Objects belong to one of the shards of the place that asks, so that what a place reads is filled there; operations to
      * one of all, whoever asks.
      */
-    static int shard(final View.Row row, final String path, final String key, final int shards, final int places, final int place) {
+    static int shard(
+            final ConfigView.Row row,
+            final String path,
+            final String key,
+            final int shards,
+            final int places,
+            final int place) {
         final Match m = row.match();
         if (m.host().isEmpty()) {
             return Plan.shard(row.name(), m.service(), m.is(Match.ONCE) && key != null ? key : path, shards);
         }
         final boolean near = m.is(Match.CACHED) && places > 1 && shards >= places;
-        return near ? Plan.shard("", "", slot(row, path, key), shards / places) * places + place : Plan.shard("", "", slot(row, path, key), shards);
+        return near
+                ? Plan.shard("", "", slot(row, path, key), shards / places) * places + place
+                : Plan.shard("", "", slot(row, path, key), shards);
     }
 }
--- a/data/src/main/java/rv/data/Once.java
+++ b/data/src/main/java/rv/data/KeyedRequests.java
@@ -19,10 +19,10 @@
 import rv.base.Token;
 import rv.control.Holder;
 import rv.control.Quorum;
-import rv.control.Stores;
+import rv.control.StoreHealth;
 
 /** Keyed requests: the intent stands at a majority of keepers before a byte leaves for the origin. */
-public final class Once {
+public final class KeyedRequests {
     private static final int ROOM = 128;
     private static final long STAY = 150_000;
     private final Quorum quorum;
@@ -30,7 +30,7 @@
     private final Net net;
     private final Holder holder;
     private final Journal journal;
-    private final Stores stores;
+    private final StoreHealth stores;
     private final String boot;
     private final long turns;
     private final Map<Integer, Desk> desks = new HashMap<>();
@@ -71,7 +71,14 @@
         }
     }
 
-    public Once(final Quorum quorum, final Loop loop, final Net net, final Holder holder, final Journal journal, final Stores stores, final String boot) {
+    public KeyedRequests(
+            final Quorum quorum,
+            final Loop loop,
+            final Net net,
+            final Holder holder,
+            final Journal journal,
+            final StoreHealth stores,
+            final String boot) {
         this.boot = boot;
         this.turns = Hash.mix(boot) << 24;
         this.quorum = quorum;
@@ -91,7 +98,8 @@
         return new Msg.Filled(fate, why, status, token, Map.of(), new byte[0], 0, null, retry);
     }
 
-    public void take(final int shard, final String key, final String digest, final Send send, final Consumer<Msg.Filled> back) {
+    public void take(
+            final int shard, final String key, final String digest, final Send send, final Consumer<Msg.Filled> back) {
         final Token token = holder.token(shard);
         Desk d = desks.get(shard);
         if (d == null || d.token.below(token)) {
@@ -135,7 +143,9 @@
                 }
                 r.as(Msg.Kept.class).filter(g -> g.ok()).ifPresent(g -> {
                     desk.eras.put(k, g.era());
-                    g.notes().forEach(n -> notes.computeIfAbsent(n.key(), x -> new ArrayList<>()).add(n));
+                    g.notes()
+                            .forEach(n -> notes.computeIfAbsent(n.key(), x -> new ArrayList<>())
+                                    .add(n));
                     told.add(k);
                     stores.heard(k);
                     if (!g.lapse()) {
@@ -145,11 +155,18 @@
                 read(desk, shard, from, begun, good, told, left[0], notes);
             });
         }
-        loop.after(Stores.HUSH, () -> read(desk, shard, from, begun, good, told, left[0], notes));
+        loop.after(StoreHealth.HUSH, () -> read(desk, shard, from, begun, good, told, left[0], notes));
     }
 
-    private void read(final Desk desk, final int shard, final long from, final long begun, final Set<NodeId> good, final Set<NodeId> told, final int left,
-                      final Map<String, List<Msg.Note>> notes) {
+    private void read(
+            final Desk desk,
+            final int shard,
+            final long from,
+            final long begun,
+            final Set<NodeId> good,
+            final Set<NodeId> told,
+            final int left,
+            final Map<String, List<Msg.Note>> notes) {
         final boolean whole = quorum.read(good) && stores.enough(told, loop.now() - begun);
         final boolean lack = good.size() + left < quorum.need() || left == 0;
         if (!desk.asking || desk.from != from || !whole && !lack) {
@@ -173,8 +190,13 @@
         list.forEach(Runnable::run);
     }
 
-    private void run(final Desk desk, final int shard, final String key, final String digest, final Send send,
-                     final Consumer<Msg.Filled> back) {
+    private void run(
+            final Desk desk,
+            final int shard,
+            final String key,
+            final String digest,
+            final Send send,
+            final Consumer<Msg.Filled> back) {
         final Entry seen = desk.keys.get(key);
         final Entry old = seen != null && seen.clear && !seen.digest.equals(digest) ? null : seen;
         if (old != null && !old.digest.equals(digest)) {
@@ -209,7 +231,12 @@
         keep(desk, new Msg.Note(key, shard, desk.token, e.digest, e.turn, false, null), 1000, true, ok -> {
             if (!ok) {
                 journal.add(Event.of(Code.KEEP_SHORT, "shard", shard, "key", key));
-                free(desk, shard, key, e, say(Answer.REFUSED, 503, "the intent could not be recorded", desk.token, 1000));
+                free(
+                        desk,
+                        shard,
+                        key,
+                        e,
+                        say(Answer.REFUSED, 503, "the intent could not be recorded", desk.token, 1000));
                 return;
             }
             if (!holder.token(shard).equals(desk.token)) {
@@ -225,7 +252,8 @@
         e.busy = false;
         e.clear = true;
         final Msg.Note note = new Msg.Note(key, shard, desk.token, e.digest, e.turn, true, null);
-        quorum.electors().forEach(k -> net.ask(k, new Msg.KeepWrite(note, desk.eras.getOrDefault(k, 0L)), 700, r -> { }));
+        quorum.electors()
+                .forEach(k -> net.ask(k, new Msg.KeepWrite(note, desk.eras.getOrDefault(k, 0L)), 700, r -> {}));
         answer(e, f);
     }
 
@@ -248,12 +276,13 @@
     }
 
     /** Counts only keepers that are still in the era in which this desk read them; if one is not, all are read anew. */
-    private void keep(final Desk desk, final Msg.Note note, final long span, final boolean again, final Consumer<Boolean> then) {
+    private void keep(
+            final Desk desk, final Msg.Note note, final long span, final boolean again, final Consumer<Boolean> then) {
         final Round round = new Round(desk, note, span, again, then);
         for (final NodeId k : quorum.electors()) {
             net.ask(k, new Msg.KeepWrite(note, desk.eras.getOrDefault(k, 0L)), span, r -> round.heard(k, r));
         }
-        loop.after(Stores.HUSH, round::look);
+        loop.after(StoreHealth.HUSH, round::look);
     }
 
     /** One note on its way to the keepers: done at a majority and at every store that is heard from. */
@@ -271,7 +300,12 @@
         private boolean barred;
         private boolean over;
 
-        Round(final Desk desk, final Msg.Note note, final long span, final boolean again, final Consumer<Boolean> then) {
+        Round(
+                final Desk desk,
+                final Msg.Note note,
+                final long span,
+                final boolean again,
+                final Consumer<Boolean> then) {
             this.desk = desk;
             this.note = note;
             this.span = span;
--- a/data/src/main/java/rv/data/Gossip.java
+++ b/data/src/main/java/rv/data/LoadExchange.java
@@ -9,17 +9,17 @@
 import rv.control.Origin;
 
 /** Tells the other shields how many requests this one has at each origin: soon where slots are few, else now and then. */
-final class Gossip {
+final class LoadExchange {
     static final long EACH = 500;
     private static final long SOON = 4;
     private static final int FEW = 16;
     private final Loop loop;
     private final Net net;
-    private final Pool pool;
+    private final OriginLoad pool;
     private final Supplier<List<NodeId>> peers;
     private boolean due;
 
-    Gossip(final Loop loop, final Net net, final Pool pool, final Supplier<List<NodeId>> peers) {
+    LoadExchange(final Loop loop, final Net net, final OriginLoad pool, final Supplier<List<NodeId>> peers) {
         this.loop = loop;
         this.net = net;
         this.pool = pool;
--- a/data/src/main/java/rv/data/Inbox.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -4,19 +4,24 @@
 import rv.base.Msg;
 import rv.base.NodeId;
 import rv.control.Authority;
-import rv.control.Sync;
+import rv.control.FrameSync;
 
 /** Brings each message to the part of the node that it is for. */
-final class Inbox {
+final class MessageRouter {
     private final Node node;
-    private final Sync.Desk desk;
+    private final FrameSync.Desk desk;
     private final Authority authority;
     private final Sender sender;
     private final Shield shield;
     private final Consumer<Msg.Chosen> learn;
 
-    Inbox(final Node node, final Sync.Desk desk, final Authority authority, final Sender sender, final Shield shield,
-          final Consumer<Msg.Chosen> learn) {
+    MessageRouter(
+            final Node node,
+            final FrameSync.Desk desk,
+            final Authority authority,
+            final Sender sender,
+            final Shield shield,
+            final Consumer<Msg.Chosen> learn) {
         this.node = node;
         this.desk = desk;
         this.authority = authority;
@@ -79,7 +84,7 @@
         } else if (msg instanceof Msg.Seats) {
             back.accept(new Msg.Seated(node.setup().seats()));
         } else if (msg instanceof Msg.Report m) {
-            back.accept(new Msg.Reported(new Tell(node).say(m.what())));
+            back.accept(new Msg.Reported(new StatusReport(node).say(m.what())));
         } else {
             back.accept(new Msg.Nay("not done here: " + msg.getClass().getSimpleName()));
         }
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import rv.base.Code;
 import rv.base.Condition;
 import rv.base.Disk;
@@ -19,22 +19,22 @@
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.control.Authority;
-import rv.control.Clerk;
+import rv.control.Compactor;
+import rv.control.ConfigView;
 import rv.control.Drift;
-import rv.control.Gauge;
-import rv.control.Elector;
-import rv.control.Held;
+import rv.control.FrameSync;
 import rv.control.Holder;
-import rv.control.Keeper;
+import rv.control.ItemService;
+import rv.control.ItemStore;
+import rv.control.KeyRecordStore;
+import rv.control.Membership;
+import rv.control.MonitoredDisk;
 import rv.control.Orders;
 import rv.control.Registry;
-import rv.control.Roster;
-import rv.control.Settler;
-import rv.control.Stores;
-import rv.control.Sweeper;
-import rv.control.Sync;
+import rv.control.StoreHealth;
 import rv.control.Tenure;
-import rv.control.View;
+import rv.control.Voter;
+import rv.control.WriteRecovery;
 import rv.control.Writer;
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
@@ -43,24 +43,25 @@
     private static final long LINGER = 100;
     /** A leaving edge that still gets requests answers them: it ends once none has come for so long. */
     private static final long CALM = 250;
+
     private static final long HANDOVER = 2500;
     private final Setup setup;
     private final Loop loop;
     private final LongSupplier wall;
     private final Journal journal;
-    private final Held held;
-    private final View view;
-    private final Sync sync;
-    private final Stores stores;
+    private final ItemStore held;
+    private final ConfigView view;
+    private final FrameSync sync;
+    private final StoreHealth stores;
     private final Drift drift;
-    private final Roster roster;
+    private final Membership roster;
     private final Writer writer;
-    private final Clerk clerk;
-    private final Elector elector;
-    private final Keeper keeper;
-    private final Settler settler;
-    private final Sync.Desk desk;
-    private final Inbox inbox;
+    private final ItemService clerk;
+    private final Voter elector;
+    private final KeyRecordStore keeper;
+    private final WriteRecovery settler;
+    private final FrameSync.Desk desk;
+    private final MessageRouter inbox;
     private final Orders orders;
     private final Registry registry;
     private final Tenure tenure;
@@ -75,8 +76,8 @@
     private long lag;
 
     /** The outside of a node. {@code book} learns where members can be reached. */
-    public record Seams(Loop loop, Net net, Disk disk, Port port, Random dice, LongSupplier wall, Consumer<Member> book) {
-    }
+    public record Seams(
+            Loop loop, Net net, Disk disk, Port port, Random dice, LongSupplier wall, Consumer<Member> book) {}
 
     public Node(final Setup setup, final Seams s, final Journal journal) {
         this.setup = setup;
@@ -85,90 +86,178 @@
         this.journal = journal;
         final NodeId self = setup.self().id();
         final String boot = setup.self().boot();
-        journal.add(Event.of(Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
-        held = new Held(loop, journal);
-        view = new View(held);
+        journal.add(Event.of(
+                Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
+        held = new ItemStore(loop, journal);
+        view = new ConfigView(held);
         drift = new Drift(setup.timing());
-        stores = new Stores(setup.quorum(), loop, journal);
-        final Gauge disk = new Gauge(s.disk(), loop);
-        roster = new Roster(this::self, setup.seeds(), loop, s.net(), setup.timing(), journal, s.book(), drift, () -> held.all().size(), stores);
-        sync = new Sync(setup.quorum(), loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
+        stores = new StoreHealth(setup.quorum(), loop, journal);
+        final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
+        roster = new Membership(
+                this::self,
+                setup.seeds(),
+                loop,
+                s.net(),
+                setup.timing(),
+                journal,
+                s.book(),
+                drift,
+                () -> held.all().size(),
+                stores);
+        sync = new FrameSync(setup.quorum(), loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
         writer = new Writer(self, boot, setup.quorum(), loop, s.net(), s.dice(), journal, held, roster::ids, stores);
-        final Supplier<String> tags = () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
-        clerk = new Clerk(loop, held, sync, writer, journal, tags);
+        final Supplier<String> tags =
+                () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
+        clerk = new ItemService(loop, held, sync, writer, journal, tags);
         orders = new Orders(held, sync, writer, tags);
         registry = new Registry(held, sync, writer, journal, tags);
-        elector = setup.elector() ? new Elector(self, setup.quorum(), loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told()) : null;
-        keeper = elector == null ? null : new Keeper(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
-        settler = elector == null ? null : new Settler(elector, held, writer, loop, s.dice(), setup.quorum().electors().indexOf(self));
-        desk = elector == null ? null : new Sync.Desk(elector, held, loop);
+        elector = setup.elector()
+                ? new Voter(
+                        self, setup.quorum(), loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
+                : null;
+        keeper = elector == null
+                ? null
+                : new KeyRecordStore(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
+        settler = elector == null
+                ? null
+                : new WriteRecovery(
+                        elector,
+                        held,
+                        writer,
+                        loop,
+                        s.dice(),
+                        setup.quorum().electors().indexOf(self));
+        desk = elector == null ? null : new FrameSync.Desk(elector, held, loop);
         final boolean store = setup.arbitrates();
-        authority = store ? new Authority(loop, s.net(), writer, roster, setup.timing(), journal, setup.shards(), roster::sound, new Authority.Places() {
-            @Override
-            public int at(final String cell) {
-                return setup.at(cell);
-            }
-
-            @Override
-            public int count() {
-                return setup.places().size();
-            }
-        }) : null;
-        tenure = store ? new Tenure(self, boot, loop, writer, held, setup.timing(), journal,
-            () -> sync.fresh() && !drift.beyond(), authority::won, () -> elector == null ? 0 : elector.lives()) : null;
+        authority = store
+                ? new Authority(
+                        loop,
+                        s.net(),
+                        writer,
+                        roster,
+                        setup.timing(),
+                        journal,
+                        setup.shards(),
+                        roster::sound,
+                        new Authority.Places() {
+                            @Override
+                            public int at(final String cell) {
+                                return setup.at(cell);
+                            }
+
+                            @Override
+                            public int count() {
+                                return setup.places().size();
+                            }
+                        })
+                : null;
+        tenure = store
+                ? new Tenure(
+                        self,
+                        boot,
+                        loop,
+                        writer,
+                        held,
+                        setup.timing(),
+                        journal,
+                        () -> sync.fresh() && !drift.beyond(),
+                        authority::won,
+                        () -> elector == null ? 0 : elector.lives())
+                : null;
         final boolean fills = setup.is(Role.SHIELD);
-        holder = fills ? new Holder(loop, s.net(), held, setup.timing(), journal, () -> !drift.beyond(), this::wishes, this::stop) : null;
-        sender = fills || setup.is(Role.EDGE) ? new Sender(setup, loop, s.net(), s.port(), view, holder,
-            new Sender.Ties(sync::fresh, this::alone, fills ? this::peers : List::of, () -> Math.max(1, roster.known(Role.EDGE))), journal) : null;
-        shield = fills ? new Shield(loop, view, holder, sender, new Once(setup.quorum(), loop, s.net(), holder, journal, stores, self + "#" + boot),
-            sync::fresh, sync::round, setup, setup.cacheBytes()) : null;
-        edge = setup.is(Role.EDGE) ? new Edge(loop, s.net(), view, sync::fresh, setup.shards(), journal, setup.cacheBytes(),
-            new Way() {
-                @Override
-                public int places() {
-                    return setup.places().size();
-                }
-
-                @Override
-                public int place() {
-                    return setup.place();
-                }
-
-                @Override
-                public Sender direct() {
-                    return sender;
-                }
-
-                @Override
-                public List<NodeId> near() {
-                    return Node.this.near();
-                }
-
-                @Override
-                public boolean heard(final NodeId id) {
-                    return roster.silence(id) <= QUIET;
-                }
-
-                @Override
-                public long silent(final NodeId id) {
-                    return roster.silence(id);
-                }
-
-                @Override
-                public boolean alone() {
-                    return Node.this.alone();
-                }
-            }) : null;
-        inbox = new Inbox(this, desk, authority, sender, shield, this::learn);
+        holder = fills
+                ? new Holder(
+                        loop, s.net(), held, setup.timing(), journal, () -> !drift.beyond(), this::wishes, this::stop)
+                : null;
+        sender = fills || setup.is(Role.EDGE)
+                ? new Sender(
+                        setup,
+                        loop,
+                        s.net(),
+                        s.port(),
+                        view,
+                        holder,
+                        new Sender.Ties(
+                                sync::fresh,
+                                this::alone,
+                                fills ? this::peers : List::of,
+                                () -> Math.max(1, roster.known(Role.EDGE))),
+                        journal)
+                : null;
+        shield = fills
+                ? new Shield(
+                        loop,
+                        view,
+                        holder,
+                        sender,
+                        new KeyedRequests(setup.quorum(), loop, s.net(), holder, journal, stores, self + "#" + boot),
+                        sync::fresh,
+                        sync::round,
+                        setup,
+                        setup.cacheBytes())
+                : null;
+        edge = setup.is(Role.EDGE)
+                ? new Edge(
+                        loop,
+                        s.net(),
+                        view,
+                        sync::fresh,
+                        setup.shards(),
+                        journal,
+                        setup.cacheBytes(),
+                        new EdgeRouting() {
+                            @Override
+                            public int places() {
+                                return setup.places().size();
+                            }
+
+                            @Override
+                            public int place() {
+                                return setup.place();
+                            }
+
+                            @Override
+                            public Sender direct() {
+                                return sender;
+                            }
+
+                            @Override
+                            public List<NodeId> near() {
+                                return Node.this.near();
+                            }
+
+                            @Override
+                            public boolean heard(final NodeId id) {
+                                return roster.silence(id) <= QUIET;
+                            }
+
+                            @Override
+                            public long silent(final NodeId id) {
+                                return roster.silence(id);
+                            }
+
+                            @Override
+                            public boolean alone() {
+                                return Node.this.alone();
+                            }
+                        })
+                : null;
+        inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
     }
 
     /** Too few electors are heard from to learn anything new. */
     private boolean alone() {
-        return setup.quorum().electors().stream().filter(e -> e.equals(setup.self().id()) || roster.silence(e) <= QUIET).count() < setup.quorum().need();
+        return setup.quorum().electors().stream()
+                        .filter(e -> e.equals(setup.self().id()) || roster.silence(e) <= QUIET)
+                        .count()
+                < setup.quorum().need();
     }
 
     private List<NodeId> peers() {
-        return roster.live(Role.SHIELD).stream().map(Member::id).filter(n -> !n.equals(setup.self().id())).toList();
+        return roster.live(Role.SHIELD).stream()
+                .map(Member::id)
+                .filter(n -> !n.equals(setup.self().id()))
+                .toList();
     }
 
     /** Shields that are heard of: of the same zone first, then of the same region. */
@@ -176,9 +265,13 @@
         final String cell = setup.self().cell();
         final String region = cell.substring(0, cell.lastIndexOf('/') + 1);
         final int turn = setup.self().id().hashCode();
-        return roster.live(Role.SHIELD).stream().filter(m -> m.condition() != Condition.LEAVING && roster.silence(m.id()) <= QUIET)
-            .sorted(Comparator.comparingInt((Member m) -> m.cell().equals(cell) ? 0 : m.cell().startsWith(region) ? 1 : 2)
-                .thenComparingInt(m -> (m.id().hashCode() ^ turn) & 0xffff)).map(Member::id).toList();
+        return roster.live(Role.SHIELD).stream()
+                .filter(m -> m.condition() != Condition.LEAVING && roster.silence(m.id()) <= QUIET)
+                .sorted(Comparator.comparingInt((Member m) ->
+                                m.cell().equals(cell) ? 0 : m.cell().startsWith(region) ? 1 : 2)
+                        .thenComparingInt(m -> (m.id().hashCode() ^ turn) & 0xffff))
+                .map(Member::id)
+                .toList();
     }
 
     private List<Msg.Wish> wishes() {
@@ -201,7 +294,7 @@
         sync.start();
         if (tenure != null) {
             tenure.start();
-            new Sweeper(loop, held, writer, tenure::acting).start();
+            new Compactor(loop, held, writer, tenure::acting).start();
             authority.start(tenure);
         }
         if (holder != null) {
@@ -271,7 +364,8 @@
     /** How ready, from 0 to 100, so that a platform can pick by it. */
     public int grade() {
         return switch (condition()) {
-            case READY -> 100 - Math.min(50, (edge == null ? 0 : edge.busy() / 40) + (holder == null ? 0 : sender.busy() / 10));
+            case READY ->
+                100 - Math.min(50, (edge == null ? 0 : edge.busy() / 40) + (holder == null ? 0 : sender.busy() / 10));
             case PARTIAL -> view.rows().isEmpty() ? 0 : 20;
             default -> 0;
         };
@@ -287,10 +381,12 @@
         bare = loop.now();
         journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
         final long cutoff = loop.now() + most;
-        final Runnable rest = edge == null ? () -> drain(cutoff, then) : () -> loop.after(Math.min(setup.noticeMs(), most), () -> {
-            edge.shut();
-            drain(cutoff, then);
-        });
+        final Runnable rest = edge == null
+                ? () -> drain(cutoff, then)
+                : () -> loop.after(Math.min(setup.noticeMs(), most), () -> {
+                    edge.shut();
+                    drain(cutoff, then);
+                });
         if (tenure != null) {
             tenure.step(rest);
         } else {
@@ -299,7 +395,9 @@
     }
 
     private void drain(final long cutoff, final Runnable then) {
-        final boolean idle = (edge == null || edge.busy() == 0 && edge.quiet(CALM)) && (sender == null || sender.busy() == 0) && handed();
+        final boolean idle = (edge == null || edge.busy() == 0 && edge.quiet(CALM))
+                && (sender == null || sender.busy() == 0)
+                && handed();
         if (idle || loop.now() >= cutoff) {
             loop.after(LINGER, () -> {
                 journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
@@ -335,7 +433,7 @@
         return registry;
     }
 
-    public Clerk clerk() {
+    public ItemService clerk() {
         return clerk;
     }
 
@@ -343,23 +441,23 @@
         return edge;
     }
 
-    public Held held() {
+    public ItemStore held() {
         return held;
     }
 
-    public View view() {
+    public ConfigView view() {
         return view;
     }
 
-    public Stores stores() {
+    public StoreHealth stores() {
         return stores;
     }
 
-    public Sync sync() {
+    public FrameSync sync() {
         return sync;
     }
 
-    public Roster roster() {
+    public Membership roster() {
         return roster;
     }
 
@@ -371,11 +469,11 @@
         return tenure;
     }
 
-    public Elector elector() {
+    public Voter elector() {
         return elector;
     }
 
-    public Keeper keeper() {
+    public KeyRecordStore keeper() {
         return keeper;
     }
 
--- a/data/src/main/java/rv/data/Pool.java
+++ b/data/src/main/java/rv/data/OriginLoad.java
@@ -13,7 +13,7 @@
  * What is known of each origin's load: this node's own requests there, other nodes' as they tell them, the load that the
  * origin told, how long it takes, and whether it has failed of late. Times are milliseconds of this node's clock.
  */
-final class Pool {
+final class OriginLoad {
     private static final long STALE = 1500;
     private static final long GHOST = 400;
     private static final long SOUR = 1000;
@@ -24,8 +24,7 @@
     private final Map<NodeId, Told> others = new HashMap<>();
     private final java.util.Set<String> gone = new java.util.HashSet<>();
 
-    private record Told(Map<String, Integer> counts, long at) {
-    }
+    private record Told(Map<String, Integer> counts, long at) {}
 
     private static final class Stat {
         private int mine;
@@ -37,7 +36,7 @@
         private final TreeMap<Long, Integer> begun = new TreeMap<>();
     }
 
-    Pool(final String cell) {
+    OriginLoad(final String cell) {
         this.cell = cell;
     }
 
@@ -179,7 +178,10 @@
         final double mean = mean(all, now);
         final Map<ItemId, Double> costs = new HashMap<>();
         all.forEach((id, o) -> costs.put(id, cost(id, o, o.coldMs() - ages.getOrDefault(id, 0L), mean, now)));
-        return all.keySet().stream().sorted(Comparator.comparingDouble((ItemId id) -> costs.get(id)).thenComparing(Comparator.naturalOrder())).toList();
+        return all.keySet().stream()
+                .sorted(Comparator.comparingDouble((ItemId id) -> costs.get(id))
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
     }
 
     void keep(final java.util.Set<ItemId> known) {
--- a/data/src/main/java/rv/data/Order.java
+++ b/data/src/main/java/rv/data/OriginRequest.java
@@ -5,10 +5,10 @@
  * bytes sent are never sent again; {@code cutoff}: on this node's clock; {@code rank}: 0 is refused last; {@code tries}:
  * origins it may be sent to; {@code extra}: another node may have sent it before.
  */
-public record Order(int shard, Port.Send what, boolean once, long cutoff, int rank, int tries, boolean extra) {
+public record OriginRequest(int shard, Port.Send what, boolean once, long cutoff, int rank, int tries, boolean extra) {
     public static final int NONE = -1;
 
-    public Order(final int shard, final Port.Send what, final boolean once, final long cutoff) {
+    public OriginRequest(final int shard, final Port.Send what, final boolean once, final long cutoff) {
         this(shard, what, once, cutoff, 0, 3, false);
     }
 
--- a/data/src/main/java/rv/data/Port.java
+++ b/data/src/main/java/rv/data/Port.java
@@ -8,12 +8,35 @@
 /** The way to origins. Nothing reaches an origin that is not the announced one. */
 public interface Port {
     /** {@code TURNED}: the origin said that it did not run the request. */
-    enum End { WHOLE, NOT_SENT, TURNED, BARRED, STRANGE, LOST, BAD }
+    enum End {
+        WHOLE,
+        NOT_SENT,
+        TURNED,
+        BARRED,
+        STRANGE,
+        LOST,
+        BAD
+    }
 
-    record Send(String service, String method, String path, String id, String key, byte[] body, String type, long span,
-                Map<String, String> heads) {
-        public Send(final String service, final String method, final String path, final String id, final String key, final byte[] body,
-                    final String type, final long span) {
+    record Send(
+            String service,
+            String method,
+            String path,
+            String id,
+            String key,
+            byte[] body,
+            String type,
+            long span,
+            Map<String, String> heads) {
+        public Send(
+                final String service,
+                final String method,
+                final String path,
+                final String id,
+                final String key,
+                final byte[] body,
+                final String type,
+                final long span) {
             this(service, method, path, id, key, body, type, span, Map.of());
         }
     }
@@ -25,7 +48,8 @@
 
     /** {@code tags}: names under which the answer may be purged. */
     record Got(End end, int status, Map<String, String> heads, byte[] body, String why, List<String> tags, Load load) {
-        public Got(final End end, final int status, final Map<String, String> heads, final byte[] body, final String why) {
+        public Got(
+                final End end, final int status, final Map<String, String> heads, final byte[] body, final String why) {
             this(end, status, heads, body, why, List.of(), Load.NONE);
         }
 
@@ -49,6 +73,6 @@
 
     /** What an answer lacks to be shown to a caller; empty where it lacks nothing. */
     default String fault(final Origin to, final Send sent, final Got got) {
-        return Proof.fault(to, sent, got.heads(), got.body());
+        return AnswerCheck.fault(to, sent, got.heads(), got.body());
     }
 }
--- a/data/src/main/java/rv/data/Range.java
+++ b/data/src/main/java/rv/data/Range.java
@@ -10,8 +10,7 @@
 final class Range {
     private static final Pattern ONE = Pattern.compile("bytes=([0-9]{1,15})-([0-9]{0,15})");
 
-    private Range() {
-    }
+    private Range() {}
 
     static Answer cut(final Answer whole, final String wish) {
         final Matcher m = wish == null || whole.status() != 200 ? null : ONE.matcher(wish.trim());
--- a/data/src/main/java/rv/data/Pacer.java
+++ b/data/src/main/java/rv/data/RateLimiter.java
@@ -5,11 +5,17 @@
 import java.util.OptionalLong;
 
 /** Spaces sends to one content store by this holder's share of its rate; no burst is ever saved up. */
-public final class Pacer {
+public final class RateLimiter {
     private final Map<String, Double> next = new HashMap<>();
 
     /** The wait until the slots taken, or empty where it would pass {@code most}. */
-    public OptionalLong take(final String store, final double rate, final double share, final int slots, final long now, final long most) {
+    public OptionalLong take(
+            final String store,
+            final double rate,
+            final double share,
+            final int slots,
+            final long now,
+            final long most) {
         final double gap = rate * share <= 0 ? Double.POSITIVE_INFINITY : 1000.0 / (rate * share);
         final Double due = next.get(store);
         final double from = due == null ? now + gap : Math.max(due, now);
--- a/data/src/main/java/rv/data/Allow.java
+++ b/data/src/main/java/rv/data/RetryBudget.java
@@ -7,19 +7,19 @@
  * Extra tries to a service. Each first request earns a part of a try, time earns a little, and little can be saved:
  * so in any 10 s whatever, even when requests have just stopped, a fifth plus the small allowance is not passed.
  */
-public final class Allow {
+public final class RetryBudget {
     private final double share;
     private final double saved;
     private static final double WINDOW = 10_000;
     private final Map<String, Pot> pots = new HashMap<>();
 
     /** {@code ratio}: extra tries for each request; {@code slack}: beyond those, in any 10 s, over all senders. */
-    public Allow(final double ratio, final double slack) {
+    public RetryBudget(final double ratio, final double slack) {
         this.share = ratio * 0.9;
         this.saved = slack * 0.4;
     }
 
-    public Allow() {
+    public RetryBudget() {
         this(0.2, 60);
     }
 
--- a/data/src/main/java/rv/data/Wishes.java
+++ b/data/src/main/java/rv/data/SendDemand.java
@@ -7,11 +7,11 @@
 import rv.base.Msg;
 
 /** Sends that were wanted, by service and shard, since they were last asked for. */
-final class Wishes {
+final class SendDemand {
     private final Map<String, Map<Integer, Integer>> counts = new HashMap<>();
 
     void add(final String service, final int shard) {
-        if (shard != Order.NONE) {
+        if (shard != OriginRequest.NONE) {
             counts.computeIfAbsent(service, k -> new HashMap<>()).merge(shard, 1, Integer::sum);
         }
     }
