--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -19,10 +19,10 @@
 import rv.base.Msg;
 import rv.base.Net;
 import rv.base.NodeId;
+import rv.control.ConfigView;
 import rv.control.Holder;
 import rv.control.Origin;
 import rv.control.Service;
-import rv.control.View;
 
 /** Every request to an origin leaves a shield through here; the right to send is checked at the last moment. */
 public final class Sender {
@@ -30,33 +30,41 @@
     private static final int REACH = 6;
     /** The parts of a ceiling for holders' fills, for what shields pass through, and for edges that hear no shield. */
     private static final double FILLS = 0.55;
+
     private static final double PASSED = 0.1;
     private static final double ALONE = 0.35;
     private final Setup setup;
     private final Loop loop;
     private final Port port;
-    private final View view;
+    private final ConfigView view;
     private final Holder holder;
     private final Ties ties;
     private final Journal journal;
-    private final Pacer pacer = new Pacer();
-    private final Allow allow;
-    private final Pool pool;
-    private final Gossip gossip;
-    private final Line line = new Line();
+    private final RateLimiter pacer = new RateLimiter();
+    private final RetryBudget allow;
+    private final OriginLoad pool;
+    private final LoadExchange gossip;
+    private final WaitQueue line = new WaitQueue();
     private final Map<Integer, Set<Job.Leg>> live = new HashMap<>();
-    private final Wishes wishes = new Wishes();
+    private final SendDemand wishes = new SendDemand();
     private long serial;
     private int waiting;
 
     /** {@code ran}: bytes may have reached the origin. */
-    public record Sent(Port.Got got, boolean ran, long at, long retryMs) { }
+    public record Sent(Port.Got got, boolean ran, long at, long retryMs) {}
 
     /** {@code alone}: no majority can be heard from; {@code peers}: the other shields; {@code edges}: how many there are. */
-    public record Ties(BooleanSupplier fresh, BooleanSupplier alone, Supplier<List<NodeId>> peers, IntSupplier edges) { }
-
-    public Sender(final Setup setup, final Loop loop, final Net net, final Port port, final View view, final Holder holder,
-                  final Ties ties, final Journal journal) {
+    public record Ties(BooleanSupplier fresh, BooleanSupplier alone, Supplier<List<NodeId>> peers, IntSupplier edges) {}
+
+    public Sender(
+            final Setup setup,
+            final Loop loop,
+            final Net net,
+            final Port port,
+            final ConfigView view,
+            final Holder holder,
+            final Ties ties,
+            final Journal journal) {
         this.setup = setup;
         this.loop = loop;
         this.port = port;
@@ -65,25 +73,27 @@
         this.ties = ties;
         this.journal = journal;
         final boolean edge = setup.is(rv.base.Role.EDGE);
-        this.allow = new Allow(edge ? 0 : setup.share(), edge ? 0 : setup.slack());
-        this.pool = new Pool(setup.self().cell());
-        this.gossip = new Gossip(loop, net, pool, ties.peers());
-        loop.every(Gossip.EACH, () -> view.serviceNames().forEach(this::drain));
+        this.allow = new RetryBudget(edge ? 0 : setup.share(), edge ? 0 : setup.slack());
+        this.pool = new OriginLoad(setup.self().cell());
+        this.gossip = new LoadExchange(loop, net, pool, ties.peers());
+        loop.every(LoadExchange.EACH, () -> view.serviceNames().forEach(this::drain));
     }
 
-    public void send(final Order order, final Consumer<Sent> then) {
+    public void send(final OriginRequest order, final Consumer<Sent> then) {
         new Job(order, then).step();
     }
 
     private boolean right(final int shard, final String service) {
-        if (shard == Order.NONE) {
+        if (shard == OriginRequest.NONE) {
             return (ties.fresh().getAsBoolean() || ties.alone().getAsBoolean()) && view.allows(service);
         }
         return holder.may(shard) && ties.fresh().getAsBoolean() && view.allows(service);
     }
 
     public int busy() {
-        return waiting + line.size() + live.values().stream().mapToInt(Set::size).sum();
+        return waiting
+                + line.size()
+                + live.values().stream().mapToInt(Set::size).sum();
     }
 
     /** For the holder's fence: in-flight sends get the grace, then their circuits are closed. */
@@ -105,13 +115,13 @@
     }
 
     private void drain(final String service) {
-        for (Line.Place p = line.next(service); p != null; p = line.next(service)) {
+        for (WaitQueue.Place p = line.next(service); p != null; p = line.next(service)) {
             p.go().run();
         }
     }
 
     private final class Job {
-        private final Order order;
+        private final OriginRequest order;
         private final Consumer<Sent> then;
         private final Set<ItemId> tried = new HashSet<>();
         private boolean done;
@@ -121,7 +131,7 @@
         private int reached;
         private int legs;
 
-        Job(final Order order, final Consumer<Sent> then) {
+        Job(final OriginRequest order, final Consumer<Sent> then) {
             this.order = order;
             this.then = then;
         }
@@ -174,7 +184,9 @@
         private void offer(final Service s, final Map<ItemId, Origin> all, final long now) {
             final Map<ItemId, Long> ages = new HashMap<>();
             all.keySet().forEach(id -> ages.put(id, now - view.since(id)));
-            final List<ItemId> ids = pool.order(all, ages, now).stream().filter(id -> pool.room(id, all.get(id), now)).toList();
+            final List<ItemId> ids = pool.order(all, ages, now).stream()
+                    .filter(id -> pool.room(id, all.get(id), now))
+                    .toList();
             if (ids.isEmpty()) {
                 queue(all, now);
                 return;
@@ -197,11 +209,15 @@
         private OptionalLong pace(final Service s, final ItemId id, final long now) {
             final long most = Math.min(800, order.cutoff() - now);
             if (s.ceiling() > 0) {
-                final boolean loose = order.shard() == Order.NONE;
-                final double part = setup.is(rv.base.Role.EDGE) ? ALONE / ties.edges().getAsInt() : loose ? PASSED / senders() : FILLS * share(order.service());
+                final boolean loose = order.shard() == OriginRequest.NONE;
+                final double part = setup.is(rv.base.Role.EDGE)
+                        ? ALONE / ties.edges().getAsInt()
+                        : loose ? PASSED / senders() : FILLS * share(order.service());
                 return pacer.take(order.service() + (loose ? "/pass" : "/fill"), s.ceiling(), part, 1, now, most);
             }
-            return s.rate() <= 0 ? OptionalLong.of(0) : pacer.take(id.name(), s.rate(), share(order.service()), 1, now, most);
+            return s.rate() <= 0
+                    ? OptionalLong.of(0)
+                    : pacer.take(id.name(), s.rate(), share(order.service()), 1, now, most);
         }
 
         /** No origin has a free slot: waits its turn, or is refused at once where the turn would come too late. */
@@ -214,7 +230,7 @@
                 none("every origin is busy", (long) Math.max(250, Math.min(1000, est)));
                 return;
             }
-            final Line.Place mine = line.add(order.service(), order.rank(), this::fits, this::step);
+            final WaitQueue.Place mine = line.add(order.service(), order.rank(), this::fits, this::step);
             loop.after(most, () -> {
                 if (line.drop(order.service(), mine)) {
                     none("every origin is busy", 250);
@@ -270,26 +286,62 @@
                 pool.begin(id, at);
                 gossip.changed(to);
                 live.computeIfAbsent(shard, k -> new HashSet<>()).add(this);
-                out = new Port.Send(what.service(), what.method(), what.path(), what.id().isEmpty()
-                    ? setup.self().id().text() + "-" + setup.self().boot() + "-" + ++serial : what.id(),
-                    what.key(), what.body(), what.type(), cutoff - at, what.heads());
-                journal.add(Event.of(Code.ORIGIN_SEND, "shard", shard, "token", shard == Order.NONE ? "none" : holder.token(shard).toString(), "service",
-                    what.service(), "origin", id.name(), "request", out.id(), "extra", tries > 0, "key", what.key() == null ? "" : what.key()));
+                out = new Port.Send(
+                        what.service(),
+                        what.method(),
+                        what.path(),
+                        what.id().isEmpty()
+                                ? setup.self().id().text() + "-" + setup.self().boot() + "-" + ++serial
+                                : what.id(),
+                        what.key(),
+                        what.body(),
+                        what.type(),
+                        cutoff - at,
+                        what.heads());
+                journal.add(Event.of(
+                        Code.ORIGIN_SEND,
+                        "shard",
+                        shard,
+                        "token",
+                        shard == OriginRequest.NONE
+                                ? "none"
+                                : holder.token(shard).toString(),
+                        "service",
+                        what.service(),
+                        "origin",
+                        id.name(),
+                        "request",
+                        out.id(),
+                        "extra",
+                        tries > 0,
+                        "key",
+                        what.key() == null ? "" : what.key()));
                 if (!counted) {
                     allow.first(what.service(), at);
                 }
                 counted = true;
                 tries++;
-                rope = port.send(to, out, () -> right(shard, what.service()) && to.site(view.live(what.service(), loop.now()).get(id))
-                    && loop.now() < cutoff, this::back);
-                loop.after((long) Math.max(order.once() ? 1000 : 200, (order.once() ? 6 : 4) * pool.mean(Map.of(id, to), at)), this::slow);
+                rope = port.send(
+                        to,
+                        out,
+                        () -> right(shard, what.service())
+                                && to.site(view.live(what.service(), loop.now()).get(id))
+                                && loop.now() < cutoff,
+                        this::back);
+                loop.after(
+                        (long) Math.max(
+                                order.once() ? 1000 : 200, (order.once() ? 6 : 4) * pool.mean(Map.of(id, to), at)),
+                        this::slow);
             }
 
             /** Not answered for long: what may run more than once is tried elsewhere too, and the first answer counts. */
             private void slow() {
                 if (!done && live.getOrDefault(order.shard(), Set.of()).contains(this)) {
                     pool.fail(id, loop.now());
-                    if (!order.once() && tries < order.tries() && loop.now() < order.cutoff() && allow.extra(order.service(), loop.now(), senders())) {
+                    if (!order.once()
+                            && tries < order.tries()
+                            && loop.now() < order.cutoff()
+                            && allow.extra(order.service(), loop.now(), senders())) {
                         step();
                     }
                 }
@@ -307,8 +359,14 @@
                     }
                 }
                 if (got.end() == Port.End.BAD || got.end() == Port.End.STRANGE) {
-                    journal.add(Event.of(got.end() == Port.End.BAD ? Code.ORIGIN_BAD : Code.ORIGIN_STRANGE, "origin", id.name(),
-                        "request", out.id(), "why", got.why()));
+                    journal.add(Event.of(
+                            got.end() == Port.End.BAD ? Code.ORIGIN_BAD : Code.ORIGIN_STRANGE,
+                            "origin",
+                            id.name(),
+                            "request",
+                            out.id(),
+                            "why",
+                            got.why()));
                 }
                 if (!done) {
                     weigh(got);
@@ -381,7 +439,11 @@
 
     /** This holder's part of a service's rate: the weights of the shards it may fill. */
     private double share(final String service) {
-        return holder.leases().keySet().stream().filter(holder::may).mapToInt(s -> view.plan().weight(service, s)).sum() / (double) rv.control.Plan.WHOLE;
+        return holder.leases().keySet().stream()
+                        .filter(holder::may)
+                        .mapToInt(s -> view.plan().weight(service, s))
+                        .sum()
+                / (double) rv.control.Plan.WHOLE;
     }
 
     /** What was wanted since this was last asked. */
@@ -390,6 +452,9 @@
     }
 
     private int senders() {
-        return Math.max(1, Math.max(ties.peers().get().size() + 1, (int) view.plan().parts().stream().map(rv.control.Plan.Part::owner).distinct().count()));
+        return Math.max(1, Math.max(ties.peers().get().size() + 1, (int) view.plan().parts().stream()
+                .map(rv.control.Plan.Part::owner)
+                .distinct()
+                .count()));
     }
 }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -9,8 +9,19 @@
 import rv.control.Quorum;
 
 /** What a process is told about its place. */
-public record Setup(Member self, List<NodeId> seeds, Quorum quorum, Timing timing, int shards, long cacheBytes, boolean first,
-                    double share, double slack, List<String> seats, long noticeMs, List<String> places) {
+public record Setup(
+        Member self,
+        List<NodeId> seeds,
+        Quorum quorum,
+        Timing timing,
+        int shards,
+        long cacheBytes,
+        boolean first,
+        double share,
+        double slack,
+        List<String> seats,
+        long noticeMs,
+        List<String> places) {
 
     public boolean elector() {
         return quorum.has(self.id());
@@ -118,7 +129,8 @@
         }
 
         public Setup build() {
-            return new Setup(self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice, places);
+            return new Setup(
+                    self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice, places);
         }
     }
 }
--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -13,36 +13,52 @@
 import rv.base.Mark;
 import rv.base.Msg;
 import rv.base.Token;
+import rv.control.ConfigView;
 import rv.control.Holder;
 import rv.control.Match;
-import rv.control.View;
 
 /** Answers edges: from its cache, by one fill for many, straight through, or once only. */
 public final class Shield {
     private static final int ROOM = 512;
     private final Loop loop;
-    private final View view;
+    private final ConfigView view;
     private final Holder holder;
     private final Sender sender;
-    private final Once once;
+    private final KeyedRequests once;
     private final BooleanSupplier fresh;
     private final Runnable sync;
     private final Setup setup;
     private final Cache cache;
     private final Map<String, Flight> flights = new HashMap<>();
 
-    private record Flight(Mark mark, List<Waiter> queue) {
-    }
+    private record Flight(Mark mark, List<Waiter> queue) {}
 
-    private record Waiter(Msg.Fill fill, long cutoff, Consumer<Msg.Filled> back) {
-    }
+    private record Waiter(Msg.Fill fill, long cutoff, Consumer<Msg.Filled> back) {}
 
     /** Headers that concern one connection, or that say what another member says already. */
-    private static final Set<String> HOPS = Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade",
-        "proxy-connection", "date", "server", Proof.SERVICE);
+    private static final Set<String> HOPS = Set.of(
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "content-length",
+            "te",
+            "trailer",
+            "upgrade",
+            "proxy-connection",
+            "date",
+            "server",
+            AnswerCheck.SERVICE);
 
-    public Shield(final Loop loop, final View view, final Holder holder, final Sender sender, final Once once,
-                  final BooleanSupplier fresh, final Runnable sync, final Setup setup, final long room) {
+    public Shield(
+            final Loop loop,
+            final ConfigView view,
+            final Holder holder,
+            final Sender sender,
+            final KeyedRequests once,
+            final BooleanSupplier fresh,
+            final Runnable sync,
+            final Setup setup,
+            final long room) {
         this.loop = loop;
         this.view = view;
         this.holder = holder;
@@ -61,7 +77,7 @@
     }
 
     private Msg.Filled reject(final Msg.Fill f, final int status, final String why, final long retry) {
-        return Once.say(Answer.REFUSED, status, why, holder.token(f.shard()), retry);
+        return KeyedRequests.say(Answer.REFUSED, status, why, holder.token(f.shard()), retry);
     }
 
     public void take(final Msg.Fill f, final Consumer<Msg> back) {
@@ -69,7 +85,7 @@
     }
 
     private void take(final Msg.Fill f, final long cutoff, final long patience, final Consumer<Msg.Filled> back) {
-        final View.Row row = view.named(f.route()).orElse(null);
+        final ConfigView.Row row = view.named(f.route()).orElse(null);
         final Mark mark = row == null ? null : view.mark(row, f.path());
         if (row == null || f.mark() != null && !mark.covers(f.mark())) {
             if (loop.now() >= patience) {
@@ -82,9 +98,17 @@
         }
         if (f.pass()) {
             loose(f, row, cutoff, back);
-        } else if (f.shard() != Way.shard(row, f.path(), f.key(), setup.shards(), setup.places().size(), f.shard() % setup.places().size())) {
+        } else if (f.shard()
+                != EdgeRouting.shard(
+                        row,
+                        f.path(),
+                        f.key(),
+                        setup.shards(),
+                        setup.places().size(),
+                        f.shard() % setup.places().size())) {
             back.accept(reject(f, 400, "the shard does not fit the request", 0));
-        } else if (holder.token(f.shard()).below(f.known()) || holder.token(f.shard()).equals(Token.ZERO)) {
+        } else if (holder.token(f.shard()).below(f.known())
+                || holder.token(f.shard()).equals(Token.ZERO)) {
             back.accept(reject(f, 503, "not the holder", 500));
         } else if (row.match().purgeable() && !fresh.getAsBoolean()) {
             back.accept(reject(f, 503, "the holder's frame is not confirmed", 1000));
@@ -98,23 +122,43 @@
     }
 
     /** What needs no right to fill, or is passed through unkept while nobody has the right. */
-    private void loose(final Msg.Fill f, final View.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+    private void loose(final Msg.Fill f, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
         if (!row.match().any() || row.match().is(Match.ONCE)) {
             back.accept(reject(f, 503, "this route needs the right to fill", 500));
             return;
         }
         final boolean once = row.match().is(Match.SINGLE);
-        sender.send(order(f, row, Order.NONE, once, cutoff), sent -> back.accept(sent.got().end() == Port.End.WHOLE ? whole(f, sent.got()) : fail(f, sent)));
+        sender.send(
+                order(f, row, OriginRequest.NONE, once, cutoff),
+                sent -> back.accept(sent.got().end() == Port.End.WHOLE ? whole(f, sent.got()) : fail(f, sent)));
     }
 
     private Msg.Filled whole(final Msg.Fill f, final Port.Got got) {
-        return new Msg.Filled(Answer.DONE, "", got.status(), holder.token(f.shard()), pass(got.heads()), got.body(), 0, null, 0);
+        return new Msg.Filled(
+                Answer.DONE, "", got.status(), holder.token(f.shard()), pass(got.heads()), got.body(), 0, null, 0);
     }
 
-    private Order order(final Msg.Fill f, final View.Row row, final int shard, final boolean once, final long cutoff) {
-        final String to = row.match().pick(Hash.mix(f.id() == null || f.id().isEmpty() ? f.path() + f.serial() : f.id()));
-        return new Order(shard, new Port.Send(to, f.method(), f.path(), f.id() == null ? "" : f.id(), f.key(), f.body(), f.type(), 0,
-            f.heads() == null ? Map.of() : f.heads()), once, cutoff, row.match().rank(), row.match().tries(), f.extra());
+    private OriginRequest order(
+            final Msg.Fill f, final ConfigView.Row row, final int shard, final boolean once, final long cutoff) {
+        final String to =
+                row.match().pick(Hash.mix(f.id() == null || f.id().isEmpty() ? f.path() + f.serial() : f.id()));
+        return new OriginRequest(
+                shard,
+                new Port.Send(
+                        to,
+                        f.method(),
+                        f.path(),
+                        f.id() == null ? "" : f.id(),
+                        f.key(),
+                        f.body(),
+                        f.type(),
+                        0,
+                        f.heads() == null ? Map.of() : f.heads()),
+                once,
+                cutoff,
+                row.match().rank(),
+                row.match().tries(),
+                f.extra());
     }
 
     private boolean may(final Msg.Fill f, final Consumer<Msg.Filled> back) {
@@ -125,9 +169,14 @@
         return true;
     }
 
-    private void cached(final Msg.Fill f, final View.Row row, final Mark mark, final long cutoff, final Consumer<Msg.Filled> back) {
-        final String key = Way.slot(row, f.path(), null);
-        final Copy c = holder.serves(f.shard()) ? copy(f, key, mark) : null;
+    private void cached(
+            final Msg.Fill f,
+            final ConfigView.Row row,
+            final Mark mark,
+            final long cutoff,
+            final Consumer<Msg.Filled> back) {
+        final String key = EdgeRouting.slot(row, f.path(), null);
+        final CachedCopy c = holder.serves(f.shard()) ? copy(f, key, mark) : null;
         if (c != null && c.of(row.match())) {
             back.accept(give(f, c));
             return;
@@ -146,7 +195,7 @@
         }
         final Flight mine = new Flight(mark, new ArrayList<>(List.of(new Waiter(f, cutoff, back))));
         flights.put(key, mine);
-        final Order order = order(f, row, f.shard(), false, cutoff);
+        final OriginRequest order = order(f, row, f.shard(), false, cutoff);
         sender.send(order, sent -> {
             flights.remove(key, mine);
             filled(key, row, mine, order.service(), sent);
@@ -154,11 +203,17 @@
     }
 
     /** Without the right to fill, what is cached is served on, for as long as an object's change allows. */
-    private Copy copy(final Msg.Fill f, final String key, final Mark mark) {
-        return (holder.may(f.shard()) ? cache.get(key, loop.now(), mark) : cache.late(key, loop.now(), mark)).orElse(null);
+    private CachedCopy copy(final Msg.Fill f, final String key, final Mark mark) {
+        return (holder.may(f.shard()) ? cache.get(key, loop.now(), mark) : cache.late(key, loop.now(), mark))
+                .orElse(null);
     }
 
-    private void filled(final String key, final View.Row row, final Flight flight, final String service, final Sender.Sent sent) {
+    private void filled(
+            final String key,
+            final ConfigView.Row row,
+            final Flight flight,
+            final String service,
+            final Sender.Sent sent) {
         final Port.Got got = sent.got();
         if (got.end() != Port.End.WHOLE) {
             flight.queue().forEach(w -> w.back().accept(fail(w.fill(), sent)));
@@ -167,10 +222,20 @@
         final Map<String, Long> tags = new TreeMap<>();
         got.tags().forEach(t -> tags.put(t, view.tagged(t).ver()));
         final boolean clean = got.tags().stream().allMatch(t -> view.tagged(t).at() < sent.at());
-        final Copy copy = new Copy(got.status(), pass(got.heads()), got.body(), sent.at(), row.match().lifetimeMs(), flight.mark(), tags, service);
-        final View.Row now = view.named(row.name()).orElse(null);
-        final boolean same = clean && now != null && now.match().services().contains(service)
-            && view.mark(now, flight.queue().get(0).fill().path()).equals(flight.mark());
+        final CachedCopy copy = new CachedCopy(
+                got.status(),
+                pass(got.heads()),
+                got.body(),
+                sent.at(),
+                row.match().lifetimeMs(),
+                flight.mark(),
+                tags,
+                service);
+        final ConfigView.Row now = view.named(row.name()).orElse(null);
+        final boolean same = clean
+                && now != null
+                && now.match().services().contains(service)
+                && view.mark(now, flight.queue().get(0).fill().path()).equals(flight.mark());
         if (same && got.status() == 200) {
             cache.put(key, copy);
         }
@@ -185,31 +250,49 @@
         }
     }
 
-    private Msg.Filled give(final Msg.Fill f, final Copy c) {
-        return new Msg.Filled(Answer.DONE, "", c.status(), holder.token(f.shard()), c.heads(), c.body(), loop.now() - c.born(),
-            c.whole(), 0, c.service());
+    private Msg.Filled give(final Msg.Fill f, final CachedCopy c) {
+        return new Msg.Filled(
+                Answer.DONE,
+                "",
+                c.status(),
+                holder.token(f.shard()),
+                c.heads(),
+                c.body(),
+                loop.now() - c.born(),
+                c.whole(),
+                0,
+                c.service());
     }
 
     private Msg.Filled fail(final Msg.Fill f, final Sender.Sent sent) {
         final String fate = sent.ran() ? Answer.UNKNOWN : Answer.REFUSED;
-        return Once.say(fate, sent.ran() ? 502 : 503, sent.got().why(), holder.token(f.shard()), sent.retryMs());
+        return KeyedRequests.say(
+                fate, sent.ran() ? 502 : 503, sent.got().why(), holder.token(f.shard()), sent.retryMs());
     }
 
-    private void through(final Msg.Fill f, final View.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+    private void through(
+            final Msg.Fill f, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
         if (may(f, back)) {
-            sender.send(order(f, row, f.shard(), row.match().is(Match.SINGLE), cutoff),
-                sent -> back.accept(sent.got().end() == Port.End.WHOLE ? whole(f, sent.got()) : fail(f, sent)));
+            sender.send(
+                    order(f, row, f.shard(), row.match().is(Match.SINGLE), cutoff),
+                    sent -> back.accept(sent.got().end() == Port.End.WHOLE ? whole(f, sent.got()) : fail(f, sent)));
         }
     }
 
-    private void keyed(final Msg.Fill f, final View.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+    private void keyed(final Msg.Fill f, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
         if (f.key() == null) {
             back.accept(reject(f, 400, "a keyed request lacks its key", 0));
         } else if (may(f, back)) {
             final byte[] body = f.body() == null ? new byte[0] : f.body();
-            once.take(f.shard(), row.match().host().isEmpty() ? row.name() + "|" + row.match().service() + "|" + f.key() : Way.slot(row, f.path(), f.key()),
-                Hash.digest((f.path() + "\n" + Hash.digest(body)).getBytes(java.nio.charset.StandardCharsets.UTF_8)),
-                then -> sender.send(order(f, row, f.shard(), true, cutoff), then), back);
+            once.take(
+                    f.shard(),
+                    row.match().host().isEmpty()
+                            ? row.name() + "|" + row.match().service() + "|" + f.key()
+                            : EdgeRouting.slot(row, f.path(), f.key()),
+                    Hash.digest(
+                            (f.path() + "\n" + Hash.digest(body)).getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                    then -> sender.send(order(f, row, f.shard(), true, cutoff), then),
+                    back);
         }
     }
 }
--- a/data/src/main/java/rv/data/Tell.java
+++ b/data/src/main/java/rv/data/StatusReport.java
@@ -8,23 +8,28 @@
 import rv.base.Kind;
 import rv.base.Msg;
 import rv.base.NodeId;
-import rv.base.Role;
 import rv.control.Json;
 import rv.control.Origin;
 import rv.control.Tenure;
 
 /** What one node believes, as JSON, for operators and for the comparison of two nodes. */
-public final class Tell {
+public final class StatusReport {
     private final Node node;
 
-    public Tell(final Node node) {
+    public StatusReport(final Node node) {
         this.node = node;
     }
 
     public String say(final String what) {
         if (what.startsWith("item ")) {
             final Item i = node.held().get(ItemId.parse(what.substring(5)));
-            return Json.text(Map.of("version", i.ver().n(), "gone", i.gone(), "condition", node.condition().name()));
+            return Json.text(Map.of(
+                    "version",
+                    i.ver().n(),
+                    "gone",
+                    i.gone(),
+                    "condition",
+                    node.condition().name()));
         }
         return Json.text(all());
     }
@@ -40,35 +45,57 @@
         map.put("grade", node.grade());
         map.put("frameAgeMs", node.sync().fresh() ? node.sync().age() : -1);
         map.put("driftMs", node.drift().worst());
-        map.put("storesSilent", node.stores().silent().stream().map(NodeId::text).sorted().toList());
+        map.put(
+                "storesSilent",
+                node.stores().silent().stream().map(NodeId::text).sorted().toList());
         final Map<String, Object> members = new TreeMap<>();
-        node.roster().live().forEach(m -> members.put(m.id().text(), m.condition().name()));
+        node.roster()
+                .live()
+                .forEach(m -> members.put(m.id().text(), m.condition().name()));
         map.put("members", members);
         map.put("findings", node.clerk().unfit().stream().map(Object::toString).toList());
         final Map<String, Object> items = new TreeMap<>();
-        node.held().all().stream().map(Msg.Chosen::item).forEach(i -> items.put(i.id().kind().word() + "/" + i.id().name(), i.ver().n()));
+        node.held().all().stream()
+                .map(Msg.Chosen::item)
+                .forEach(i -> items.put(
+                        i.id().kind().word() + "/" + i.id().name(), i.ver().n()));
         map.put("items", items);
         final Tenure.Body t = Tenure.Body.of(node.held().get(ItemId.TENURE));
         map.put("tenure", Map.of("holder", t.holder(), "term", t.term(), "free", t.free()));
         map.put("planEpoch", node.view().plan().epoch());
         final Map<String, Object> plan = new TreeMap<>();
         for (int i = 0; i < node.view().plan().parts().size(); i++) {
-            plan.put(String.valueOf(i), node.view().plan().parts().get(i).owner() + " " + node.view().plan().parts().get(i).token());
+            plan.put(
+                    String.valueOf(i),
+                    node.view().plan().parts().get(i).owner() + " "
+                            + node.view().plan().parts().get(i).token());
         }
         map.put("plan", plan);
         map.put("weights", node.view().plan().weights());
         final Map<String, Object> leases = new TreeMap<>();
         if (node.holder() != null) {
-            node.holder().leases().forEach((s, l) -> leases.put(String.valueOf(s), l.state().name() + " " + l.token()));
+            node.holder()
+                    .leases()
+                    .forEach((s, l) -> leases.put(String.valueOf(s), l.state().name() + " " + l.token()));
         }
         map.put("leases", leases);
         final Map<String, Object> origins = new TreeMap<>();
-        node.held().all().stream().map(Msg.Chosen::item).filter(i -> i.live() && i.id().kind() == Kind.ORIGIN).forEach(i -> {
-            final Origin o = Json.read(i.body(), Origin.class);
-            final long age = node.loop().now() - node.held().since(i.id());
-            origins.put(i.id().name(), Map.of("service", o.service(), "stamp", o.stamp(), "state",
-                o.leaving() ? "leaving" : age < o.ttlMs() ? "live" : "stale"));
-        });
+        node.held().all().stream()
+                .map(Msg.Chosen::item)
+                .filter(i -> i.live() && i.id().kind() == Kind.ORIGIN)
+                .forEach(i -> {
+                    final Origin o = Json.read(i.body(), Origin.class);
+                    final long age = node.loop().now() - node.held().since(i.id());
+                    origins.put(
+                            i.id().name(),
+                            Map.of(
+                                    "service",
+                                    o.service(),
+                                    "stamp",
+                                    o.stamp(),
+                                    "state",
+                                    o.leaving() ? "leaving" : age < o.ttlMs() ? "live" : "stale"));
+                });
         map.put("origins", origins);
         if (node.tenure() != null) {
             map.put("acting", node.tenure().acting());
--- a/data/src/main/java/rv/data/Line.java
+++ b/data/src/main/java/rv/data/WaitQueue.java
@@ -9,14 +9,13 @@
 import java.util.function.BooleanSupplier;
 
 /** Requests that wait for a free slot at any origin of their service: the higher rank first, then the earlier. */
-final class Line {
+final class WaitQueue {
     private static final int ROOM = 256;
     private final Map<String, PriorityQueue<Place>> lines = new HashMap<>();
     private long serial;
 
     /** {@code fits}: whether it could go now; {@code go} is run once when the turn has come. */
-    record Place(int rank, long seq, BooleanSupplier fits, Runnable go) {
-    }
+    record Place(int rank, long seq, BooleanSupplier fits, Runnable go) {}
 
     /** How many go before one of this rank. */
     int ahead(final String service, final int rank) {
@@ -30,7 +29,11 @@
 
     Place add(final String service, final int rank, final BooleanSupplier fits, final Runnable go) {
         final Place p = new Place(rank, ++serial, fits, go);
-        lines.computeIfAbsent(service, k -> new PriorityQueue<>(Comparator.comparingInt(Place::rank).thenComparingLong(Place::seq))).add(p);
+        lines.computeIfAbsent(
+                        service,
+                        k -> new PriorityQueue<>(
+                                Comparator.comparingInt(Place::rank).thenComparingLong(Place::seq)))
+                .add(p);
         return p;
     }
 
--- a/data/src/test/java/rv/data/AllowTest.java
+++ b/data/src/test/java/rv/data/AllowTest.java
@@ -13,10 +13,10 @@
 
     @Test
     void theStatedRatioAndSlackBoundEachSender() {
-        final Allow none = new Allow(0, 0);
+        final RetryBudget none = new RetryBudget(0, 0);
         none.first("s", 0);
         assertFalse(none.extra("s", 0, 1));
-        final Allow a = new Allow(0.5, 50);
+        final RetryBudget a = new RetryBudget(0.5, 50);
         a.first("s", 0);
         a.first("s", 0);
         assertFalse(a.extra("s", 0, 1), "0.45 each come to less than one");
@@ -38,12 +38,12 @@
     void noWindowOfTenSecondsHoldsMoreThanAFifthPlusSixty() {
         for (int seed = 0; seed < 20; seed++) {
             final Random dice = new Random(seed);
-            final Allow[] all = {new Allow(), new Allow(), new Allow(), new Allow()};
+            final RetryBudget[] all = {new RetryBudget(), new RetryBudget(), new RetryBudget(), new RetryBudget()};
             final List<Long> first = new ArrayList<>();
             final List<Long> extra = new ArrayList<>();
             for (long t = 0; t < 60_000; t += 5) {
                 final boolean busy = (t / 3000 + seed) % 3 != 0;
-                for (final Allow a : all) {
+                for (final RetryBudget a : all) {
                     if (busy && dice.nextInt(4) == 0) {
                         a.first("s", t);
                         first.add(t);
@@ -55,8 +55,10 @@
             }
             assertTrue(extra.size() > 300, "tries were allowed at all");
             for (final long end : extra) {
-                final long tries = extra.stream().filter(t -> t > end - 10_000 && t <= end).count();
-                final long asked = first.stream().filter(t -> t > end - 10_000 && t <= end).count();
+                final long tries =
+                        extra.stream().filter(t -> t > end - 10_000 && t <= end).count();
+                final long asked =
+                        first.stream().filter(t -> t > end - 10_000 && t <= end).count();
                 assertTrue(tries <= 0.2 * asked + 60, tries + " extra tries beside " + asked + ", seed " + seed);
             }
         }
--- a/data/src/test/java/rv/data/CacheTest.java
+++ b/data/src/test/java/rv/data/CacheTest.java
@@ -15,8 +15,8 @@
     private final Set<String> purged = new HashSet<>();
     private final Cache cache = new Cache(3000, c -> c.tags().keySet().stream().noneMatch(purged::contains));
 
-    private static Copy copy(final long born, final Mark mark, final Map<String, Long> tags, final int size) {
-        return new Copy(200, Map.of(), new byte[size], born, 1000, mark, tags, "s");
+    private static CachedCopy copy(final long born, final Mark mark, final Map<String, Long> tags, final int size) {
+        return new CachedCopy(200, Map.of(), new byte[size], born, 1000, mark, tags, "s");
     }
 
     @Test
@@ -25,7 +25,7 @@
         assertTrue(cache.get("k", 999, M).isPresent());
         assertFalse(cache.get("k", 1000, M).isPresent());
         assertTrue(cache.late("k", 1000, M).isPresent(), "kept for when no fill can be had");
-        assertTrue(cache.late("k", 1000 + Copy.GRACE - 1, M).isPresent());
+        assertTrue(cache.late("k", 1000 + CachedCopy.GRACE - 1, M).isPresent());
         purged.add("t1");
         assertFalse(cache.late("k", 1000, M).isPresent());
         assertEquals(0, cache.size(), "and thrown away");
@@ -38,7 +38,7 @@
     @Test
     void pastTheGraceItIsGone() {
         cache.put("k", copy(0, M, Map.of(), 10));
-        assertFalse(cache.late("k", 1000 + Copy.GRACE, M).isPresent());
+        assertFalse(cache.late("k", 1000 + CachedCopy.GRACE, M).isPresent());
         assertEquals(0, cache.size());
     }
 
@@ -59,13 +59,13 @@
 
     @Test
     void tagsTravelWithTheMarkAndComeApartAgain() {
-        final Copy c = copy(0, M, Map.of("t1", 2L, "t9", 0L), 1);
+        final CachedCopy c = copy(0, M, Map.of("t1", 2L, "t9", 0L), 1);
         final Mark both = c.whole();
         assertEquals(Map.of("p/1", 4L, "t/t1", 2L, "t/t9", 0L), both.vers());
-        assertEquals(M, Copy.bare(both));
-        assertEquals(c.tags(), Copy.tags(both));
+        assertEquals(M, CachedCopy.bare(both));
+        assertEquals(c.tags(), CachedCopy.tags(both));
         assertTrue(both.covers(M));
-        assertEquals(Map.of(), Copy.tags(M));
+        assertEquals(Map.of(), CachedCopy.tags(M));
         assertEquals(M, copy(0, M, Map.of(), 1).whole());
     }
 }
--- a/data/src/test/java/rv/data/EdgeTest.java
+++ b/data/src/test/java/rv/data/EdgeTest.java
@@ -27,14 +27,14 @@
 import rv.base.Role;
 import rv.base.Token;
 import rv.base.Ver;
-import rv.control.Held;
+import rv.control.ConfigView;
+import rv.control.ItemStore;
 import rv.control.Json;
 import rv.control.Match;
 import rv.control.Origin;
 import rv.control.Plan;
 import rv.control.Purge;
 import rv.control.Service;
-import rv.control.View;
 
 /** A request's way through an edge, on routes whose uncached requests may go through any shield. */
 class EdgeTest {
@@ -42,8 +42,8 @@
     private static final NodeId N2 = NodeId.of("n2");
     private final Ticks loop = new Ticks();
     private final Journal journal = new Journal(loop, 1000);
-    private final Held held = new Held(loop, journal);
-    private final View view = new View(held);
+    private final ItemStore held = new ItemStore(loop, journal);
+    private final ConfigView view = new ConfigView(held);
     private final List<Asked> asked = new ArrayList<>();
     private final List<Answer> said = new ArrayList<>();
     private final Map<NodeId, Long> silence = new HashMap<>();
@@ -53,7 +53,7 @@
     private long heard;
     private Sender direct;
     private final Net net = (to, msg, wait, then) -> asked.add(new Asked(to, (Msg.Fill) msg, then));
-    private final Edge edge = new Edge(loop, net, view, () -> fresh, 1, journal, 1 << 20, new Way() {
+    private final Edge edge = new Edge(loop, net, view, () -> fresh, 1, journal, 1 << 20, new EdgeRouting() {
         @Override
         public List<NodeId> near() {
             return near;
@@ -90,8 +90,7 @@
         }
     });
 
-    private record Asked(NodeId to, Msg.Fill fill, Consumer<Reply> then) {
-    }
+    private record Asked(NodeId to, Msg.Fill fill, Consumer<Reply> then) {}
 
     private void put(final ItemId id, final long ver, final Object body) {
         held.merge(new Msg.Chosen(Ballot.ZERO, new Item(id, new Ver(ver), Json.text(body), false, "")));
@@ -101,17 +100,31 @@
     void begin() {
         put(new ItemId(Kind.SERVICE, "s"), 1, new Service("open", 0, 1000, 5000, 0, 0, ""));
         for (final String m : List.of(Match.CACHED, Match.STATUS, Match.ONCE, Match.SINGLE)) {
-            put(new ItemId(Kind.ROUTE, m), 1, new Match("/" + m + "/", "s", m, 1000, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
+            put(
+                    new ItemId(Kind.ROUTE, m),
+                    1,
+                    new Match("/" + m + "/", "s", m, 1000, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
         }
         put(ItemId.PLAN, 1, new Plan(1, 1, List.of(new Plan.Part("n1", 1, 1))));
     }
 
     private void ask(final String mode, final String range, final Map<String, String> heads) {
-        edge.take(new Ask(mode.equals(Match.ONCE) || mode.equals(Match.SINGLE) ? "POST" : "GET", "h", "/" + mode + "/1", mode.equals(Match.ONCE) ? "k" : null,
-            new byte[0], null, "id", 1200, range, heads), a -> {
-                said.add(a);
-                heard = loop.now();
-            });
+        edge.take(
+                new ClientRequest(
+                        mode.equals(Match.ONCE) || mode.equals(Match.SINGLE) ? "POST" : "GET",
+                        "h",
+                        "/" + mode + "/1",
+                        mode.equals(Match.ONCE) ? "k" : null,
+                        new byte[0],
+                        null,
+                        "id",
+                        1200,
+                        range,
+                        heads),
+                a -> {
+                    said.add(a);
+                    heard = loop.now();
+                });
         loop.run(1);
     }
 
@@ -127,8 +140,10 @@
         at(i).then().accept(r);
     }
 
-    private static Reply filled(final String fate, final int status, final String why, final long retry, final Mark mark) {
-        return Reply.of(new Msg.Filled(fate, why, status, new Token(1, 1), Map.of(), why.getBytes(), 0, mark, retry, "s"));
+    private static Reply filled(
+            final String fate, final int status, final String why, final long retry, final Mark mark) {
+        return Reply.of(
+                new Msg.Filled(fate, why, status, new Token(1, 1), Map.of(), why.getBytes(), 0, mark, retry, "s"));
     }
 
     private static Reply good(final String body) {
@@ -306,7 +321,8 @@
         assertEquals(List.of(200, 206), said.stream().map(Answer::status).toList());
         ask(Match.CACHED, "bytes=9-", Map.of());
         ask(Match.CACHED);
-        assertEquals(List.of(200, 206, 416, 200), said.stream().map(Answer::status).toList());
+        assertEquals(
+                List.of(200, 206, 416, 200), said.stream().map(Answer::status).toList());
         assertEquals(1, asked.size());
         assertEquals("bc", new String(said.get(1).body()));
     }
@@ -353,7 +369,9 @@
         ask(Match.STATUS);
         ask(Match.CACHED);
         assertTrue(at(0).fill().pass() && at(1).fill().pass());
-        edge.take(new Ask("GET", "h", "/nowhere/1", null, new byte[0], null, "id", 1200, null, Map.of()), said::add);
+        edge.take(
+                new ClientRequest("GET", "h", "/nowhere/1", null, new byte[0], null, "id", 1200, null, Map.of()),
+                said::add);
         assertEquals(503, said.get(2).status(), "no 404 without a confirmed frame");
     }
 
@@ -363,7 +381,15 @@
         final Yes port = new Yes(loop, new ArrayList<>());
         final List<Port.Send> sent = port.sent();
         final Member self = new Member(NodeId.of("e"), Role.EDGE, "z", "127.0.0.1", 1, "b", Condition.READY, "1");
-        direct = new Sender(Setup.of(self).build(), loop, net, port, view, null, new Sender.Ties(() -> fresh, () -> alone, List::of, () -> 2), journal);
+        direct = new Sender(
+                Setup.of(self).build(),
+                loop,
+                net,
+                port,
+                view,
+                null,
+                new Sender.Ties(() -> fresh, () -> alone, List::of, () -> 2),
+                journal);
         put(new ItemId(Kind.ORIGIN, "o"), 1, new Origin("s", "10.0.0.1", 80, "o", "open", 0, 0, false, 1, "z", 4, 0));
         ask(Match.STATUS);
         loop.run(5);
@@ -375,7 +401,9 @@
         loop.run(5);
         assertEquals(List.of(200, 206), said.stream().map(Answer::status).toList());
         assertEquals(Map.of("x", "y"), said.get(0).heads());
-        assertEquals(List.of("/status/1", "/cached/1"), sent.stream().map(Port.Send::path).toList());
+        assertEquals(
+                List.of("/status/1", "/cached/1"),
+                sent.stream().map(Port.Send::path).toList());
         assertEquals(Map.of(), sent.get(1).heads());
         assertEquals("id", sent.get(0).id());
         ask(Match.ONCE);
--- a/data/src/test/java/rv/data/GossipTest.java
+++ b/data/src/test/java/rv/data/GossipTest.java
@@ -16,10 +16,11 @@
 class GossipTest {
     private static final ItemId A = new ItemId(Kind.ORIGIN, "a");
     private final Ticks loop = new Ticks();
-    private final Pool pool = new Pool("z");
+    private final OriginLoad pool = new OriginLoad("z");
     private final List<String> told = new ArrayList<>();
     private final Net net = (to, msg, wait, then) -> told.add(to + " " + ((Msg.Busy) msg).counts());
-    private final Gossip gossip = new Gossip(loop, net, pool, () -> List.of(NodeId.of("n2"), NodeId.of("n3")));
+    private final LoadExchange gossip =
+            new LoadExchange(loop, net, pool, () -> List.of(NodeId.of("n2"), NodeId.of("n3")));
 
     private static Origin slots(final int n) {
         return new Origin("s", "10.0.0.1", 80, "x", "open", 0, 0, false, 1, "z", n, 0);
@@ -45,11 +46,11 @@
     void manySlotsAreToldNowAndThenEvenIfNothingChanged() {
         gossip.changed(slots(32));
         gossip.changed(slots(0));
-        loop.run(Gossip.EACH - 1);
+        loop.run(LoadExchange.EACH - 1);
         assertEquals(List.of(), told);
         loop.run(1);
         assertEquals(List.of("n2 " + Map.of(), "n3 " + Map.of()), told);
-        loop.run(Gossip.EACH);
+        loop.run(LoadExchange.EACH);
         assertEquals(4, told.size());
     }
 }
--- a/data/src/test/java/rv/data/LineTest.java
+++ b/data/src/test/java/rv/data/LineTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 
 class LineTest {
-    private final Line line = new Line();
+    private final WaitQueue line = new WaitQueue();
 
     @Test
     void theHigherRankThenTheEarlier() {
@@ -23,7 +23,7 @@
         assertEquals(2, line.ahead("s", 0));
         assertEquals(3, line.ahead("s", 1));
         assertEquals(0, line.ahead("u", 5));
-        for (Line.Place p = line.next("s"); p != null; p = line.next("s")) {
+        for (WaitQueue.Place p = line.next("s"); p != null; p = line.next("s")) {
             p.go().run();
         }
         assertEquals(List.of("first", "second", "then", "late"), gone);
@@ -34,10 +34,10 @@
     @Test
     void whoCannotGoNowKeepsItsPlaceAndHoldsNobodyUp() {
         final boolean[] room = {false};
-        final Line.Place first = line.add("s", 0, () -> room[0], () -> { });
-        final Line.Place second = line.add("s", 0, () -> true, () -> { });
+        final WaitQueue.Place first = line.add("s", 0, () -> room[0], () -> {});
+        final WaitQueue.Place second = line.add("s", 0, () -> true, () -> {});
         assertEquals(second, line.next("s"));
-        line.add("s", 0, () -> true, () -> { });
+        line.add("s", 0, () -> true, () -> {});
         room[0] = true;
         assertEquals(first, line.next("s"));
         assertNull(line.next("t"));
@@ -45,13 +45,13 @@
 
     @Test
     void whoLeavesIsDroppedOnceAndALineHasAnEnd() {
-        final Line.Place p = line.add("s", 0, () -> true, () -> { });
+        final WaitQueue.Place p = line.add("s", 0, () -> true, () -> {});
         assertTrue(line.drop("s", p));
         assertFalse(line.drop("s", p));
         assertFalse(line.drop("t", p));
         for (int i = 0; i < 256; i++) {
             assertFalse(line.full("s"));
-            line.add("s", 0, () -> true, () -> { });
+            line.add("s", 0, () -> true, () -> {});
         }
         assertTrue(line.full("s"));
     }
--- a/data/src/test/java/rv/data/PoolTest.java
+++ b/data/src/test/java/rv/data/PoolTest.java
@@ -18,7 +18,7 @@
     private static final ItemId A = new ItemId(Kind.ORIGIN, "a");
     private static final ItemId B = new ItemId(Kind.ORIGIN, "b");
     private static final ItemId C = new ItemId(Kind.ORIGIN, "c");
-    private final Pool pool = new Pool("coast/one");
+    private final OriginLoad pool = new OriginLoad("coast/one");
 
     private static Origin origin(final String cell, final int slots, final long cold) {
         return new Origin("s", "10.0.0.1", 80, "x", "open", 0, 0, false, 1, cell, slots, cold);
@@ -30,7 +30,8 @@
 
     @Test
     void theNearerTheLessBusyAndTheWarmerGoFirst() {
-        final Map<ItemId, Origin> all = new HashMap<>(Map.of(A, origin("inland/two", 2, 0), B, origin("coast/two", 2, 0), C, origin("coast/one", 2, 0)));
+        final Map<ItemId, Origin> all = new HashMap<>(
+                Map.of(A, origin("inland/two", 2, 0), B, origin("coast/two", 2, 0), C, origin("coast/one", 2, 0)));
         assertEquals(List.of(C, B, A), order(all, 0));
         pool.begin(C, 0);
         pool.begin(C, 0);
@@ -100,7 +101,7 @@
         assertEquals(900, pool.mean(A, 1000), "the other one of that moment still waits");
         pool.end(A, 100, 1000, false, Port.Load.NONE);
         assertEquals(40, pool.mean(A, 1000));
-        assertEquals(60, new Pool("x").mean(Map.of(A, origin("", 2, 0)), 0), "a guess where nothing is known");
+        assertEquals(60, new OriginLoad("x").mean(Map.of(A, origin("", 2, 0)), 0), "a guess where nothing is known");
     }
 
     @Test
--- a/data/src/test/java/rv/data/RangeTest.java
+++ b/data/src/test/java/rv/data/RangeTest.java
@@ -8,7 +8,8 @@
 import org.junit.jupiter.api.Test;
 
 class RangeTest {
-    private final Answer whole = new Answer(200, Answer.DONE, Map.of("etag", "v1"), "0123456789".getBytes(StandardCharsets.UTF_8));
+    private final Answer whole =
+            new Answer(200, Answer.DONE, Map.of("etag", "v1"), "0123456789".getBytes(StandardCharsets.UTF_8));
 
     private String cut(final String wish) {
         final Answer a = Range.cut(whole, wish);
@@ -28,11 +29,15 @@
 
     @Test
     void anyOtherWishGetsTheWhole() {
-        for (final String w : new String[] {null, "", "bytes=-3", "bytes=1-2,4-5", "bytes=4-2", "items=1-2", "bytes=a-", "bytes=1"}) {
+        for (final String w :
+                new String[] {null, "", "bytes=-3", "bytes=1-2,4-5", "bytes=4-2", "items=1-2", "bytes=a-", "bytes=1"}) {
             assertSame(whole, Range.cut(whole, w), w);
         }
         final Answer none = new Answer(404, Answer.DONE, Map.of(), new byte[5]);
         assertSame(none, Range.cut(none, "bytes=1-2"));
-        assertEquals(416, Range.cut(new Answer(200, Answer.DONE, Map.of(), new byte[0]), "bytes=0-").status());
+        assertEquals(
+                416,
+                Range.cut(new Answer(200, Answer.DONE, Map.of(), new byte[0]), "bytes=0-")
+                        .status());
     }
 }
--- a/data/src/test/java/rv/data/SenderTest.java
+++ b/data/src/test/java/rv/data/SenderTest.java
@@ -25,20 +25,20 @@
 import rv.base.Role;
 import rv.base.Timing;
 import rv.base.Ver;
-import rv.control.Held;
+import rv.control.ConfigView;
 import rv.control.Holder;
+import rv.control.ItemStore;
 import rv.control.Json;
 import rv.control.Origin;
 import rv.control.Service;
-import rv.control.View;
 
 /** Slots, the waiting line, and how often a request may be sent. */
 class SenderTest {
     private final Ticks loop = new Ticks();
     private final Journal journal = new Journal(loop, 1000);
-    private final Held held = new Held(loop, journal);
-    private final View view = new View(held);
-    private final Net net = (to, msg, wait, then) -> { };
+    private final ItemStore held = new ItemStore(loop, journal);
+    private final ConfigView view = new ConfigView(held);
+    private final Net net = (to, msg, wait, then) -> {};
     private final List<String> sent = new ArrayList<>();
     private final List<Consumer<Port.Got>> open = new ArrayList<>();
     private final Map<String, Port.Got> says = new HashMap<>();
@@ -57,7 +57,7 @@
         final Port port = (to, what, gate, then) -> {
             if (!gate.open()) {
                 then.accept(Port.Got.none(Port.End.BARRED, "barred"));
-                return () -> { };
+                return () -> {};
             }
             sent.add(to.stamp() + " " + what.path());
             final Port.Got now = says.get(to.stamp());
@@ -66,7 +66,7 @@
             } else {
                 open.add(then);
             }
-            return () -> { };
+            return () -> {};
         };
         final Port plain = new Port() {
             @Override
@@ -79,13 +79,22 @@
                 return "";
             }
         };
-        final Holder holder = new Holder(loop, net, held, Timing.DEFAULT, journal, () -> true, List::of, (s, g, d) -> d.accept(true));
-        return new Sender(Setup.of(self).extra(ratio, slack).build(), loop, net, plain, view, holder,
-            new Sender.Ties(() -> fresh, () -> alone, () -> peers, () -> 11), journal);
+        final Holder holder =
+                new Holder(loop, net, held, Timing.DEFAULT, journal, () -> true, List::of, (s, g, d) -> d.accept(true));
+        return new Sender(
+                Setup.of(self).extra(ratio, slack).build(),
+                loop,
+                net,
+                plain,
+                view,
+                holder,
+                new Sender.Ties(() -> fresh, () -> alone, () -> peers, () -> 11),
+                journal);
     }
 
     private void put(final Kind kind, final String name, final long ver, final Object body) {
-        held.merge(new Msg.Chosen(Ballot.ZERO, new Item(new ItemId(kind, name), new Ver(ver), Json.text(body), false, "")));
+        held.merge(new Msg.Chosen(
+                Ballot.ZERO, new Item(new ItemId(kind, name), new Ver(ver), Json.text(body), false, "")));
     }
 
     private void service(final double ceiling) {
@@ -100,11 +109,19 @@
         return new Port.Got(Port.End.WHOLE, 200, Map.of(), new byte[0], "");
     }
 
-    private Order order(final String path, final boolean once, final int rank, final int tries, final long span) {
-        return new Order(Order.NONE, new Port.Send("s", "GET", path, "id" + path, null, null, null, 0), once, loop.now() + span, rank, tries, false);
+    private OriginRequest order(
+            final String path, final boolean once, final int rank, final int tries, final long span) {
+        return new OriginRequest(
+                OriginRequest.NONE,
+                new Port.Send("s", "GET", path, "id" + path, null, null, null, 0),
+                once,
+                loop.now() + span,
+                rank,
+                tries,
+                false);
     }
 
-    private void send(final Sender by, final Order o) {
+    private void send(final Sender by, final OriginRequest o) {
         by.send(o, ends::add);
         loop.run(1);
     }
@@ -148,7 +165,12 @@
         send(sender, order("/later", false, 0, 3, 700));
         assertEquals(1, ends.size());
         loop.run(700);
-        assertEquals(2, ends.stream().filter(e -> e.got().why().equals("every origin is busy")).count(), "its time to be served has passed");
+        assertEquals(
+                2,
+                ends.stream()
+                        .filter(e -> e.got().why().equals("every origin is busy"))
+                        .count(),
+                "its time to be served has passed");
     }
 
     @Test
@@ -283,7 +305,8 @@
             loop.run(3000);
         }
         assertEquals(1, sent.stream().filter(t -> t.startsWith("a ")).count(), sent.toString());
-        assertEquals(10, ends.stream().filter(e -> e.got().end() == Port.End.WHOLE).count());
+        assertEquals(
+                10, ends.stream().filter(e -> e.got().end() == Port.End.WHOLE).count());
     }
 
     /** The budget is the shields' to spend: edges are many, and none knows what the others do. */
@@ -340,6 +363,8 @@
             loop.run(50);
         }
         assertTrue(sent.size() >= 90 && sent.size() <= 101, "10 a second for 10 s, not " + sent.size());
-        assertTrue(ends.stream().filter(e -> e.got().end() == Port.End.NOT_SENT).allMatch(e -> e.retryMs() >= 1000 && !e.ran()));
+        assertTrue(ends.stream()
+                .filter(e -> e.got().end() == Port.End.NOT_SENT)
+                .allMatch(e -> e.retryMs() >= 1000 && !e.ran()));
     }
 }
--- a/data/src/test/java/rv/data/WayTest.java
+++ b/data/src/test/java/rv/data/WayTest.java
@@ -8,12 +8,16 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import rv.control.ConfigView;
 import rv.control.Match;
-import rv.control.View;
 
 class WayTest {
-    private static View.Row row(final String host, final String mode) {
-        return new View.Row("r", new Match("/", "s", mode, 1000, true, "", host, List.of(), true, 0, 0, 0, 3, ""), null, Optional.empty());
+    private static ConfigView.Row row(final String host, final String mode) {
+        return new ConfigView.Row(
+                "r",
+                new Match("/", "s", mode, 1000, true, "", host, List.of(), true, 0, 0, 0, 3, ""),
+                null,
+                Optional.empty());
     }
 
     @Test
@@ -21,11 +25,13 @@
         final Set<Integer> seen = new HashSet<>();
         for (int i = 0; i < 500; i++) {
             for (int place = 0; place < 3; place++) {
-                final int shard = Way.shard(row("h", Match.CACHED), "/" + i, null, 32, 3, place);
+                final int shard = EdgeRouting.shard(row("h", Match.CACHED), "/" + i, null, 32, 3, place);
                 assertEquals(place, shard % 3);
                 assertTrue(shard < 32);
                 seen.add(shard);
-                assertEquals(Way.shard(row("h", Match.ONCE), "/x", "k" + i, 32, 3, 0), Way.shard(row("h", Match.ONCE), "/x", "k" + i, 32, 3, place));
+                assertEquals(
+                        EdgeRouting.shard(row("h", Match.ONCE), "/x", "k" + i, 32, 3, 0),
+                        EdgeRouting.shard(row("h", Match.ONCE), "/x", "k" + i, 32, 3, place));
             }
         }
         assertEquals(30, seen.size(), "the shards of each place");
@@ -33,8 +39,11 @@
 
     @Test
     void oneKeyIsOneOperationWhateverItsPathAndRoute() {
-        assertEquals(Way.slot(row("h", Match.ONCE), "/x", "k"), Way.slot(row("h", Match.ONCE), "/y", "k"));
-        assertTrue(!Way.slot(row("h", Match.ONCE), "/x", "k").equals(Way.slot(row("i", Match.ONCE), "/x", "k")));
-        assertTrue(!Way.slot(row("h", Match.CACHED), "/x", "k").equals(Way.slot(row("h", Match.CACHED), "/y", "k")));
+        assertEquals(
+                EdgeRouting.slot(row("h", Match.ONCE), "/x", "k"), EdgeRouting.slot(row("h", Match.ONCE), "/y", "k"));
+        assertTrue(!EdgeRouting.slot(row("h", Match.ONCE), "/x", "k")
+                .equals(EdgeRouting.slot(row("i", Match.ONCE), "/x", "k")));
+        assertTrue(!EdgeRouting.slot(row("h", Match.CACHED), "/x", "k")
+                .equals(EdgeRouting.slot(row("h", Match.CACHED), "/y", "k")));
     }
 }
--- a/data/src/test/java/rv/data/Yes.java
+++ b/data/src/test/java/rv/data/Yes.java
@@ -11,8 +11,9 @@
     @Override
     public Rope send(final Origin to, final Send what, final Gate gate, final Consumer<Got> then) {
         sent.add(what);
-        loop.post(() -> then.accept(new Got(End.WHOLE, 200, Map.of("connection", "close", "x", "y"), "abcd".getBytes(), "")));
-        return () -> { };
+        loop.post(() ->
+                then.accept(new Got(End.WHOLE, 200, Map.of("connection", "close", "x", "y"), "abcd".getBytes(), "")));
+        return () -> {};
     }
 
     @Override
--- a/prog/src/main/java/rv/prog/Addresses.java
+++ b/prog/src/main/java/rv/prog/Addresses.java
@@ -4,9 +4,9 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
-import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
@@ -19,9 +19,14 @@
 /** Several addresses of one HTTP server, each with a handler of its own. */
 final class Addresses extends Handler.Abstract {
     /** Paths are never decoded here, so what another reader could take in two ways is passed on as it came. */
-    private static final UriCompliance PATHS = UriCompliance.DEFAULT.with("paths", UriCompliance.Violation.AMBIGUOUS_PATH_SEPARATOR,
-        UriCompliance.Violation.AMBIGUOUS_PATH_SEGMENT, UriCompliance.Violation.AMBIGUOUS_EMPTY_SEGMENT,
-        UriCompliance.Violation.AMBIGUOUS_PATH_ENCODING, UriCompliance.Violation.AMBIGUOUS_PATH_PARAMETER);
+    private static final UriCompliance PATHS = UriCompliance.DEFAULT.with(
+            "paths",
+            UriCompliance.Violation.AMBIGUOUS_PATH_SEPARATOR,
+            UriCompliance.Violation.AMBIGUOUS_PATH_SEGMENT,
+            UriCompliance.Violation.AMBIGUOUS_EMPTY_SEGMENT,
+            UriCompliance.Violation.AMBIGUOUS_PATH_ENCODING,
+            UriCompliance.Violation.AMBIGUOUS_PATH_PARAMETER);
+
     private static final int ANSWERS = 64 << 10;
     private final Server server;
     private final Map<Connector, Handler> handlers = new ConcurrentHashMap<>();
--- a/prog/src/main/java/rv/prog/Api.java
+++ b/prog/src/main/java/rv/prog/Api.java
@@ -21,11 +21,11 @@
 import rv.base.Msg;
 import rv.base.Net;
 import rv.base.NodeId;
-import rv.control.Clerk;
 import rv.control.Config;
+import rv.control.ItemService;
 import rv.control.Json;
 import rv.data.Node;
-import rv.data.Tell;
+import rv.data.StatusReport;
 
 /** What operators, origins and the platform ask of any node. */
 public final class Api extends Handler.Abstract {
@@ -50,18 +50,30 @@
     public boolean handle(final Request req, final Response res, final Callback done) {
         Content.Source.asByteArrayAsync(req, LIMIT).whenComplete((body, trouble) -> {
             if (trouble != null) {
-                send(res, done, new Clerk.Said(413, Map.of("fate", "refused", "reason", "body over the limit or cut short")));
+                send(
+                        res,
+                        done,
+                        new ItemService.ApiResult(
+                                413, Map.of("fate", "refused", "reason", "body over the limit or cut short")));
                 return;
             }
             final Call call;
             try {
                 call = call(req, body);
             } catch (final NumberFormatException e) {
-                send(res, done, new Clerk.Said(400, Map.of("fate", "refused", "reason", "If-Match must be a version number")));
+                send(
+                        res,
+                        done,
+                        new ItemService.ApiResult(
+                                400, Map.of("fate", "refused", "reason", "If-Match must be a version number")));
                 return;
             }
             if (!loop.offer(() -> serve(call, s -> send(res, done, s)))) {
-                send(res, done, new Clerk.Said(503, Map.of("fate", "refused", "reason", "ring full", "retryAfterMs", 1000)));
+                send(
+                        res,
+                        done,
+                        new ItemService.ApiResult(
+                                503, Map.of("fate", "refused", "reason", "ring full", "retryAfterMs", 1000)));
             }
         });
         return true;
@@ -70,12 +82,19 @@
     private static Call call(final Request req, final byte[] body) {
         final String path = Request.getPathInContext(req);
         final List<String> parts = List.of(path.substring(1).split("/"));
-        final String match = Optional.ofNullable(req.getHeaders().get(HttpHeader.IF_MATCH)).orElse("0").replace("\"", "");
-        return new Call(req.getMethod(), parts, body, Long.parseLong(match), req.getHeaders().get("Rv-Write-Id"),
-            Request.extractQueryParameters(req));
+        final String match = Optional.ofNullable(req.getHeaders().get(HttpHeader.IF_MATCH))
+                .orElse("0")
+                .replace("\"", "");
+        return new Call(
+                req.getMethod(),
+                parts,
+                body,
+                Long.parseLong(match),
+                req.getHeaders().get("Rv-Write-Id"),
+                Request.extractQueryParameters(req));
     }
 
-    private static void send(final Response res, final Callback done, final Clerk.Said s) {
+    private static void send(final Response res, final Callback done, final ItemService.ApiResult s) {
         res.setStatus(s.status());
         res.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         if (s.body().get("retryAfterMs") instanceof Number n) {
@@ -87,21 +106,33 @@
         res.write(true, ByteBuffer.wrap((Json.text(s.body()) + "\n").getBytes(StandardCharsets.UTF_8)), done);
     }
 
-    private static Clerk.Said none() {
-        return new Clerk.Said(404, Map.of("fate", "refused", "reason", "nothing is here"));
+    private static ItemService.ApiResult none() {
+        return new ItemService.ApiResult(404, Map.of("fate", "refused", "reason", "nothing is here"));
     }
 
-    private void serve(final Call c, final Consumer<Clerk.Said> back) {
+    private void serve(final Call c, final Consumer<ItemService.ApiResult> back) {
         if (!c.at(0).equals("v1")) {
             back.accept(none());
             return;
         }
         switch (c.at(1)) {
-            case "live" -> back.accept(new Clerk.Said(200, Map.of("live", true)));
+            case "live" -> back.accept(new ItemService.ApiResult(200, Map.of("live", true)));
             case "ready" -> back.accept(ready());
             case "state" -> state(c, back);
-            case "journal" -> back.accept(new Clerk.Said(200, Map.of("events", node.journal().tail().stream()
-                .map(e -> Map.of("seq", e.seq(), "atMs", e.at(), "line", e.event().line())).toList())));
+            case "journal" ->
+                back.accept(new ItemService.ApiResult(
+                        200,
+                        Map.of(
+                                "events",
+                                node.journal().tail().stream()
+                                        .map(e -> Map.of(
+                                                "seq",
+                                                e.seq(),
+                                                "atMs",
+                                                e.at(),
+                                                "line",
+                                                e.event().line()))
+                                        .toList())));
             case "config" -> config(c, back);
             case "elector" -> vouch(c, back);
             case "origins" -> origins(c, back);
@@ -109,23 +140,31 @@
         }
     }
 
-    private Clerk.Said ready() {
+    private ItemService.ApiResult ready() {
         final int grade = node.grade();
-        return new Clerk.Said(grade > 0 ? 200 : 503, Map.of("grade", grade, "condition", node.condition().name()));
+        return new ItemService.ApiResult(
+                grade > 0 ? 200 : 503,
+                Map.of("grade", grade, "condition", node.condition().name()));
     }
 
-    private void state(final Call c, final Consumer<Clerk.Said> back) {
+    private void state(final Call c, final Consumer<ItemService.ApiResult> back) {
         if (c.at(2).isEmpty() || c.at(2).equals(node.setup().self().id().text())) {
-            back.accept(new Clerk.Said(200, new Tell(node).all()));
+            back.accept(new ItemService.ApiResult(200, new StatusReport(node).all()));
             return;
         }
         if (!c.at(2).matches("[a-z0-9][a-z0-9-]{0,40}") || node.roster().get(NodeId.of(c.at(2))) == null) {
-            back.accept(new Clerk.Said(404, Map.of("reason", "no node is known as " + c.at(2))));
+            back.accept(new ItemService.ApiResult(404, Map.of("reason", "no node is known as " + c.at(2))));
             return;
         }
-        net.ask(NodeId.of(c.at(2)), new Msg.Report("all"), 1500, r -> back.accept(r.as(Msg.Reported.class)
-            .map(m -> new Clerk.Said(200, Api.<String, Object>cast(Json.read(m.json(), Map.class))))
-            .orElse(new Clerk.Said(504, Map.of("reason", "node " + c.at(2) + " does not answer")))));
+        net.ask(
+                NodeId.of(c.at(2)),
+                new Msg.Report("all"),
+                1500,
+                r -> back.accept(r.as(Msg.Reported.class)
+                        .map(m -> new ItemService.ApiResult(
+                                200, Api.<String, Object>cast(Json.read(m.json(), Map.class))))
+                        .orElse(new ItemService.ApiResult(
+                                504, Map.of("reason", "node " + c.at(2) + " does not answer")))));
     }
 
     @SuppressWarnings("unchecked")
@@ -133,32 +172,47 @@
         return (Map<K, V>) o;
     }
 
-    private void config(final Call c, final Consumer<Clerk.Said> back) {
+    private void config(final Call c, final Consumer<ItemService.ApiResult> back) {
         switch (c.method()) {
             case "PUT" -> node.clerk().apply(c.body(), back);
             case "GET" -> {
                 final Config all = Config.of(node.held());
-                back.accept(new Clerk.Said(200, Map.of("services", all.services(), "routes", all.routes(), "purges", all.purges())));
+                back.accept(new ItemService.ApiResult(
+                        200, Map.of("services", all.services(), "routes", all.routes(), "purges", all.purges())));
             }
             default -> back.accept(wrong());
         }
     }
 
-    private static Clerk.Said wrong() {
-        return new Clerk.Said(405, Map.of("fate", "refused", "reason", "this method is not taken here"));
+    private static ItemService.ApiResult wrong() {
+        return new ItemService.ApiResult(405, Map.of("fate", "refused", "reason", "this method is not taken here"));
     }
 
-    private void vouch(final Call c, final Consumer<Clerk.Said> back) {
+    private void vouch(final Call c, final Consumer<ItemService.ApiResult> back) {
         final String from = Optional.ofNullable(c.query().getValue("from")).orElse("");
-        if (!c.at(2).equals("vouch") || !c.method().equals("POST") || node.elector() == null || !from.matches("[a-z0-9][a-z0-9-]{0,40}")) {
+        if (!c.at(2).equals("vouch")
+                || !c.method().equals("POST")
+                || node.elector() == null
+                || !from.matches("[a-z0-9][a-z0-9-]{0,40}")) {
             back.accept(none());
             return;
         }
-        node.elector().vouch(NodeId.of(from), ok -> back.accept(ok ? new Clerk.Said(200, Map.of("fate", "done"))
-            : new Clerk.Said(409, Map.of("fate", "refused", "reason", from + " did not answer with its memory"))));
+        node.elector()
+                .vouch(
+                        NodeId.of(from),
+                        ok -> back.accept(
+                                ok
+                                        ? new ItemService.ApiResult(200, Map.of("fate", "done"))
+                                        : new ItemService.ApiResult(
+                                                409,
+                                                Map.of(
+                                                        "fate",
+                                                        "refused",
+                                                        "reason",
+                                                        from + " did not answer with its memory"))));
     }
 
-    private void origins(final Call c, final Consumer<Clerk.Said> back) {
+    private void origins(final Call c, final Consumer<ItemService.ApiResult> back) {
         if (c.method().equals("GET")) {
             if (c.at(2).isEmpty()) {
                 back.accept(node.clerk().list(Kind.ORIGIN));
@@ -172,7 +226,7 @@
         }
     }
 
-    private void items(final Call c, final Consumer<Clerk.Said> back) {
+    private void items(final Call c, final Consumer<ItemService.ApiResult> back) {
         final Kind kind = Kind.of(c.at(1)).filter(Kind::stated).orElse(null);
         if (kind == null || c.path().size() > 3) {
             back.accept(none());
@@ -190,23 +244,28 @@
     }
 
     /** The stated version, and the version in force on every node that answers. */
-    private void force(final ItemId id, final Consumer<Clerk.Said> back) {
-        final Clerk.Said base = node.clerk().get(id);
+    private void force(final ItemId id, final Consumer<ItemService.ApiResult> back) {
+        final ItemService.ApiResult base = node.clerk().get(id);
         final List<NodeId> all = node.roster().live().stream().map(Member::id).toList();
         final Map<String, Object> seen = new TreeMap<>();
         final int[] left = {all.size()};
         for (final NodeId n : all) {
             net.ask(n, new Msg.Report("item " + id.text()), 600, r -> {
-                seen.put(n.text(), r.as(Msg.Reported.class).<Object>map(m -> Json.read(m.json(), Map.class)).orElse(Map.of("silent", true)));
+                seen.put(
+                        n.text(),
+                        r.as(Msg.Reported.class)
+                                .<Object>map(m -> Json.read(m.json(), Map.class))
+                                .orElse(Map.of("silent", true)));
                 if (--left[0] == 0) {
                     final Map<String, Object> body = new LinkedHashMap<>(base.body());
                     final long ver = ((Number) base.body().get("version")).longValue();
-                    final boolean whole = seen.values().stream().allMatch(o -> ((Map<?, ?>) o).get("version") instanceof Number v && v.longValue() >= ver);
+                    final boolean whole = seen.values().stream()
+                            .allMatch(o -> ((Map<?, ?>) o).get("version") instanceof Number v && v.longValue() >= ver);
                     body.put("inForce", seen);
                     if (base.status() == 200) {
                         body.put("state", body.containsKey("findings") ? "unfit" : whole ? "in force" : "spreading");
                     }
-                    back.accept(new Clerk.Said(base.status(), body));
+                    back.accept(new ItemService.ApiResult(base.status(), body));
                 }
             });
         }
--- a/prog/src/main/java/rv/prog/Circuit.java
+++ b/prog/src/main/java/rv/prog/Circuit.java
@@ -23,7 +23,10 @@
         private final Runnable lost;
 
         Out(final byte[] frame, final Runnable begun, final Runnable lost) {
-            data = ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).flip();
+            data = ByteBuffer.allocate(4 + frame.length)
+                    .putInt(frame.length)
+                    .put(frame)
+                    .flip();
             this.begun = begun;
             this.lost = lost;
         }
--- a/prog/src/main/java/rv/prog/Door.java
+++ b/prog/src/main/java/rv/prog/ClientHandler.java
@@ -9,16 +9,16 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import rv.data.Answer;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.data.Edge;
 
 /** Callers' side of an edge. */
-public final class Door extends Handler.Abstract {
+public final class ClientHandler extends Handler.Abstract {
     private static final int LIMIT = 1 << 20;
     private final CoreLoop loop;
     private final Edge edge;
 
-    public Door(final CoreLoop loop, final Edge edge) {
+    public ClientHandler(final CoreLoop loop, final Edge edge) {
         this.loop = loop;
         this.edge = edge;
     }
@@ -38,8 +38,13 @@
                 send(res, done, Answer.reject(413, "body over the limit or cut short", 0));
                 return;
             }
-            final Ask ask = new Ask(req.getMethod(), req.getHttpURI().getPathQuery(), req.getHeaders().get("Rv-Key"), body,
-                Optional.ofNullable(req.getHeaders().get(HttpHeader.CONTENT_TYPE)).orElse("application/json"));
+            final ClientRequest ask = new ClientRequest(
+                    req.getMethod(),
+                    req.getHttpURI().getPathQuery(),
+                    req.getHeaders().get("Rv-Key"),
+                    body,
+                    Optional.ofNullable(req.getHeaders().get(HttpHeader.CONTENT_TYPE))
+                            .orElse("application/json"));
             if (!loop.offer(() -> edge.take(ask, a -> send(res, done, a)))) {
                 send(res, done, Answer.reject(503, "ring full", 1000));
             }
--- a/prog/src/main/java/rv/prog/CoreLoop.java
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -15,7 +15,7 @@
     private final Thread thread = new Thread(this::run, "core");
     private volatile boolean on = true;
     private volatile long told = Long.MIN_VALUE / 2;
-    private volatile Runnable shed = () -> { };
+    private volatile Runnable shed = () -> {};
     private long seq;
     private volatile boolean leaps;
     private volatile long leapt;
@@ -46,7 +46,7 @@
 
     public void stop() {
         on = false;
-        ring.offer(() -> { });
+        ring.offer(() -> {});
     }
 
     @Override
--- a/prog/src/main/java/rv/prog/Ctl.java
+++ b/prog/src/main/java/rv/prog/Ctl.java
@@ -64,9 +64,14 @@
         final OptionParser p = new OptionParser();
         p.accepts("at", "operators' address of any node").withRequiredArg().defaultsTo("127.0.0.1:8000");
         p.accepts("json", "print JSON");
-        p.accepts("version", "the version to replace; without a value: print the program's version").withOptionalArg().ofType(Long.class);
+        p.accepts("version", "the version to replace; without a value: print the program's version")
+                .withOptionalArg()
+                .ofType(Long.class);
         p.accepts("write-id", "names this write, so that it can be repeated").withRequiredArg();
-        p.accepts("seconds", "how long watch follows").withRequiredArg().ofType(Long.class).defaultsTo(10L);
+        p.accepts("seconds", "how long watch follows")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(10L);
         p.accepts("help", "print this and end");
         final OptionSet set;
         try {
@@ -79,7 +84,8 @@
             out.println("rwctl " + Main.VERSION);
             return 0;
         }
-        final List<String> words = set.nonOptionArguments().stream().map(String::valueOf).toList();
+        final List<String> words =
+                set.nonOptionArguments().stream().map(String::valueOf).toList();
         if (set.has("help") || words.isEmpty()) {
             (set.has("help") ? out : err).println(USAGE);
             p.printHelpOn(set.has("help") ? out : err);
@@ -91,7 +97,8 @@
         try {
             return new Ctl(http, (String) set.valueOf("at"), set.has("json"), out, err).go(words, set);
         } catch (final TimeoutException | ExecutionException | IOException e) {
-            err.println("rwctl: could not ask: " + (e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage()));
+            err.println("rwctl: could not ask: "
+                    + (e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage()));
             return 2;
         } finally {
             http.stop();
@@ -100,15 +107,23 @@
 
     private int go(final List<String> w, final OptionSet set) throws Exception {
         final long ver = set.hasArgument("version") ? (Long) set.valueOf("version") : -1;
-        final String id = set.has("write-id") ? (String) set.valueOf("write-id") : UUID.randomUUID().toString();
+        final String id = set.has("write-id")
+                ? (String) set.valueOf("write-id")
+                : UUID.randomUUID().toString();
         final int n = w.size();
         return switch (w.get(0)) {
-            case "apply" -> n == 2 ? show(ask("PUT", "config", Files.readAllBytes(Path.of(w.get(1))), -1, null)) : usage();
-            case "get" -> n == 2 || n == 3 ? show(ask("GET", String.join("/", w.subList(1, n)), null, -1, null)) : usage();
-            case "put" -> n == 4 ? show(ask("PUT", w.get(1) + "/" + w.get(2), Files.readAllBytes(Path.of(w.get(3))), ver, id)) : usage();
+            case "apply" ->
+                n == 2 ? show(ask("PUT", "config", Files.readAllBytes(Path.of(w.get(1))), -1, null)) : usage();
+            case "get" ->
+                n == 2 || n == 3 ? show(ask("GET", String.join("/", w.subList(1, n)), null, -1, null)) : usage();
+            case "put" ->
+                n == 4
+                        ? show(ask("PUT", w.get(1) + "/" + w.get(2), Files.readAllBytes(Path.of(w.get(3))), ver, id))
+                        : usage();
             case "delete" -> n == 3 ? show(ask("DELETE", w.get(1) + "/" + w.get(2), null, ver, id)) : usage();
             case "purge" -> n == 3 ? purge(w.get(1), w.get(2), id) : usage();
-            case "status" -> n <= 2 ? show(ask("GET", "state" + (n == 2 ? "/" + w.get(1) : ""), null, -1, null)) : usage();
+            case "status" ->
+                n <= 2 ? show(ask("GET", "state" + (n == 2 ? "/" + w.get(1) : ""), null, -1, null)) : usage();
             case "watch" -> n == 3 ? watch(w.get(1) + "/" + w.get(2), (Long) set.valueOf("seconds")) : usage();
             case "ready" -> n == 1 ? ready((Long) set.valueOf("seconds")) : usage();
             case "diff" -> n == 3 ? diff(w.get(1), w.get(2)) : usage();
@@ -123,13 +138,15 @@
     }
 
     private Got ask(final String method, final String path, final byte[] body, final long ver, final String id)
-        throws InterruptedException, ExecutionException, TimeoutException {
+            throws InterruptedException, ExecutionException, TimeoutException {
         return ask(site, method, path, body, ver, id);
     }
 
-    private Got ask(final String at, final String method, final String path, final byte[] body, final long ver, final String id)
-        throws InterruptedException, ExecutionException, TimeoutException {
-        final Request r = http.newRequest("http://" + at + "/v1/" + path).method(method).timeout(30, TimeUnit.SECONDS);
+    private Got ask(
+            final String at, final String method, final String path, final byte[] body, final long ver, final String id)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        final Request r =
+                http.newRequest("http://" + at + "/v1/" + path).method(method).timeout(30, TimeUnit.SECONDS);
         r.headers(h -> {
             if (ver >= 0) {
                 h.put("If-Match", "\"" + ver + "\"");
@@ -168,9 +185,11 @@
 
     private int purge(final String route, final String path, final String id) throws Exception {
         final boolean wide = path.endsWith("*");
-        final String name = route + "-" + rv.base.Hash.digest(path.getBytes(StandardCharsets.UTF_8)).substring(0, 16);
-        final byte[] body = Json.text(Map.of("route", route, wide ? "prefix" : "path", wide ? path.substring(0, path.length() - 1) : path))
-            .getBytes(StandardCharsets.UTF_8);
+        final String name = route + "-"
+                + rv.base.Hash.digest(path.getBytes(StandardCharsets.UTF_8)).substring(0, 16);
+        final byte[] body = Json.text(Map.of(
+                        "route", route, wide ? "prefix" : "path", wide ? path.substring(0, path.length() - 1) : path))
+                .getBytes(StandardCharsets.UTF_8);
         Got g = new Got(409, "{\"version\":0}");
         for (int i = 0; i < 5 && g.status() == 409; i++) {
             g = ask("PUT", "purges/" + name, body, ((Number) g.map().get("version")).longValue(), id);
@@ -203,7 +222,8 @@
         String last = "";
         while (System.nanoTime() < end) {
             final Got g = ask("GET", path, null, -1, null);
-            final String now = "version " + g.map().get("version") + " " + g.map().get("state");
+            final String now =
+                    "version " + g.map().get("version") + " " + g.map().get("state");
             if (!now.equals(last)) {
                 out.println(json ? g.text().trim() : now);
                 last = now;
@@ -217,7 +237,9 @@
     }
 
     private Got state(final String node) throws Exception {
-        return node.contains(":") ? ask(node, "GET", "state", null, -1, null) : ask("GET", "state/" + node, null, -1, null);
+        return node.contains(":")
+                ? ask(node, "GET", "state", null, -1, null)
+                : ask("GET", "state/" + node, null, -1, null);
     }
 
     private int diff(final String a, final String b) throws Exception {
--- a/prog/src/main/java/rv/prog/Diff.java
+++ b/prog/src/main/java/rv/prog/Diff.java
@@ -12,7 +12,8 @@
 public final class Diff {
     public record Row(String what, String left, String right, String newer, String kind) {
         public String line() {
-            return what + ": " + left + " | " + right + "  (" + kind + (newer.isEmpty() ? "" : ", newer: " + newer) + ")";
+            return what + ": " + left + " | " + right + "  (" + kind + (newer.isEmpty() ? "" : ", newer: " + newer)
+                    + ")";
         }
     }
 
@@ -90,8 +91,12 @@
             final Object x = part(a, "plan").get(n);
             final Object y = part(b, "plan").get(n);
             if (!Objects.equals(x, y)) {
-                rows.add(new Row("plan shard " + n, show(x), show(y), same ? "" : newer(a.get("planEpoch"), b.get("planEpoch")),
-                    same ? "contradiction" : "lag"));
+                rows.add(new Row(
+                        "plan shard " + n,
+                        show(x),
+                        show(y),
+                        same ? "" : newer(a.get("planEpoch"), b.get("planEpoch")),
+                        same ? "contradiction" : "lag"));
             }
         }
     }
@@ -125,7 +130,12 @@
         final long x = ((Number) a.get("frameAgeMs")).longValue();
         final long y = ((Number) b.get("frameAgeMs")).longValue();
         if (x < 0 != y < 0) {
-            rows.add(new Row("frame age", x < 0 ? "not confirmed" : x + " ms", y < 0 ? "not confirmed" : y + " ms", x < 0 ? right : left, "lag"));
+            rows.add(new Row(
+                    "frame age",
+                    x < 0 ? "not confirmed" : x + " ms",
+                    y < 0 ? "not confirmed" : y + " ms",
+                    x < 0 ? right : left,
+                    "lag"));
         }
     }
 }
--- a/prog/src/main/java/rv/prog/Faults.java
+++ b/prog/src/main/java/rv/prog/Faults.java
@@ -17,7 +17,8 @@
         final Object why = req.getAttribute(ERROR_MESSAGE);
         res.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         res.getHeaders().put("Rv-Fate", "refused");
-        final String text = Json.text(Map.of("fate", "refused", "reason", why == null ? "malformed request" : String.valueOf(why)));
+        final String text =
+                Json.text(Map.of("fate", "refused", "reason", why == null ? "malformed request" : String.valueOf(why)));
         res.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), done);
         return true;
     }
--- a/prog/src/main/java/rv/prog/LogLine.java
+++ b/prog/src/main/java/rv/prog/LogLine.java
@@ -19,8 +19,13 @@
 
     @Override
     public String format(final LogRecord r) {
-        final StringBuilder b = new StringBuilder(120).append(Instant.ofEpochMilli(r.getMillis())).append(' ').append(r.getLevel().getName())
-            .append(' ').append(formatMessage(r)).append('\n');
+        final StringBuilder b = new StringBuilder(120)
+                .append(Instant.ofEpochMilli(r.getMillis()))
+                .append(' ')
+                .append(r.getLevel().getName())
+                .append(' ')
+                .append(formatMessage(r))
+                .append('\n');
         if (r.getThrown() != null) {
             final StringWriter w = new StringWriter();
             r.getThrown().printStackTrace(new PrintWriter(w));
--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -15,16 +15,19 @@
 
     private static final java.util.logging.Logger JETTY = java.util.logging.Logger.getLogger("org.eclipse.jetty");
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(final String[] args) throws InterruptedException, IOException {
-        if (args.length == 0 || Arrays.stream(Role.values()).noneMatch(r -> r.word().equals(args[0]))) {
+        if (args.length == 0
+                || Arrays.stream(Role.values()).noneMatch(r -> r.word().equals(args[0]))) {
             System.err.println("usage: rwstore | rwshield | rwedge [options], see --help");
             System.exit(2);
         }
         quiet();
-        final Role role = Arrays.stream(Role.values()).filter(r -> r.word().equals(args[0])).findFirst().orElseThrow();
+        final Role role = Arrays.stream(Role.values())
+                .filter(r -> r.word().equals(args[0]))
+                .findFirst()
+                .orElseThrow();
         final String[] rest = Arrays.copyOfRange(args, 1, args.length);
         if (List.of(rest).contains("--version")) {
             System.out.println("rw" + role.word() + " " + VERSION);
--- a/prog/src/main/java/rv/prog/Meter.java
+++ b/prog/src/main/java/rv/prog/Meter.java
@@ -6,12 +6,10 @@
 public interface Meter {
     Meter NONE = new Meter() {
         @Override
-        public void out(final Msg msg, final int bytes) {
-        }
+        public void out(final Msg msg, final int bytes) {}
 
         @Override
-        public void in(final Msg msg, final int bytes) {
-        }
+        public void in(final Msg msg, final int bytes) {}
     };
 
     void out(Msg msg, int bytes);
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -18,35 +18,89 @@
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
+import rv.control.JsonReader;
+import rv.control.JsonShape;
 import rv.control.Quorum;
-import rv.control.Shape;
-import rv.control.Tree;
 
 /** A process's place: from a JSON file, from flags, flags first; all faults are found before any is told. */
-public record Options(NodeId id, Role role, String cell, InetSocketAddress wire, InetSocketAddress http, InetSocketAddress door,
-                      Path data, Map<NodeId, InetSocketAddress> seeds, Quorum quorum, Map<NodeId, InetSocketAddress> electors,
-                      Map<NodeId, InetSocketAddress> reach, Timing timing, int shards, long cacheBytes, long stopMs, boolean json,
-                      boolean first, double extraRatio, double extraSlack, Map<String, InetSocketAddress> faces, List<String> cells, long noticeMs, List<String> places,
-                      String shortage) {
+public record Options(
+        NodeId id,
+        Role role,
+        String cell,
+        InetSocketAddress wire,
+        InetSocketAddress http,
+        InetSocketAddress door,
+        Path data,
+        Map<NodeId, InetSocketAddress> seeds,
+        Quorum quorum,
+        Map<NodeId, InetSocketAddress> electors,
+        Map<NodeId, InetSocketAddress> reach,
+        Timing timing,
+        int shards,
+        long cacheBytes,
+        long stopMs,
+        boolean json,
+        boolean first,
+        double extraRatio,
+        double extraSlack,
+        Map<String, InetSocketAddress> faces,
+        List<String> cells,
+        long noticeMs,
+        List<String> places,
+        String shortage) {
 
-    static final List<String> FLAGS = List.of("id", "cell", "wire", "http", "door", "data", "seeds", "electors", "stores", "reach",
-        "d", "m", "shards", "cache-bytes", "stop-ms", "log", "seed-port", "first", "losses", "wanted-losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms", "drain-ms",
-        "grace-s", "faces", "cells", "notice-ms", "spread");
+    static final List<String> FLAGS = List.of(
+            "id",
+            "cell",
+            "wire",
+            "http",
+            "door",
+            "data",
+            "seeds",
+            "electors",
+            "stores",
+            "reach",
+            "d",
+            "m",
+            "shards",
+            "cache-bytes",
+            "stop-ms",
+            "log",
+            "seed-port",
+            "first",
+            "losses",
+            "wanted-losses",
+            "extra-ratio",
+            "extra-slack",
+            "purge-ms",
+            "apply-ms",
+            "drain-ms",
+            "grace-s",
+            "faces",
+            "cells",
+            "notice-ms",
+            "spread");
 
     public static OptionParser parser() {
         final OptionParser p = new OptionParser();
         p.accepts("help", "print this and end");
         p.accepts("version", "print the version and end");
-        p.accepts("options", "JSON file with the options below as members").withRequiredArg().describedAs("FILE");
+        p.accepts("options", "JSON file with the options below as members")
+                .withRequiredArg()
+                .describedAs("FILE");
         p.accepts("id", "this node's name").withRequiredArg();
         p.accepts("cell", "the zone this node is in").withRequiredArg();
         p.accepts("wire", "address for other processes").withRequiredArg().describedAs("IP:PORT");
-        p.accepts("http", "address for operators, origins and the platform").withRequiredArg().describedAs("IP:PORT");
+        p.accepts("http", "address for operators, origins and the platform")
+                .withRequiredArg()
+                .describedAs("IP:PORT");
         p.accepts("door", "address for callers (edges only)").withRequiredArg().describedAs("IP:PORT");
         p.accepts("data", "data folder (stores only)").withRequiredArg().describedAs("DIR");
         p.accepts("seeds", "three processes to begin with: ID@IP:PORT,...").withRequiredArg();
-        p.accepts("electors", "an odd number of voters, default the seeds: ID@IP:PORT,...").withRequiredArg();
-        p.accepts("stores", "which electors are stores, default the first two: ID,ID").withRequiredArg();
+        p.accepts("electors", "an odd number of voters, default the seeds: ID@IP:PORT,...")
+                .withRequiredArg();
+        p.accepts("stores", "which electors are stores, default the first two: ID,ID")
+                .withRequiredArg();
         p.accepts("reach", "other ways to peers: ID@IP:PORT,...").withRequiredArg();
         p.accepts("d", "lease duration in ms, at least 3000").withRequiredArg();
         p.accepts("m", "margin in ms, at least max(1000, D/10)").withRequiredArg();
@@ -54,18 +108,25 @@
         p.accepts("cache-bytes", "room for cached copies").withRequiredArg();
         p.accepts("stop-ms", "how long an orderly stop may take").withRequiredArg();
         p.accepts("log", "text or json").withRequiredArg();
-        p.accepts("seed-port", "wire port of seeds that are given without a name").withRequiredArg();
-        p.accepts("first", "true where the network is started for the first time").withRequiredArg();
-        p.accepts("losses", "electors that may be lost at once; nothing starts where their number cannot bear it").withRequiredArg();
+        p.accepts("seed-port", "wire port of seeds that are given without a name")
+                .withRequiredArg();
+        p.accepts("first", "true where the network is started for the first time")
+                .withRequiredArg();
+        p.accepts("losses", "electors that may be lost at once; nothing starts where their number cannot bear it")
+                .withRequiredArg();
         p.accepts("wanted-losses", "the same, but told by an event only").withRequiredArg();
         p.accepts("extra-ratio", "extra tries for each request to a service").withRequiredArg();
-        p.accepts("extra-slack", "extra tries beside those, in 10 s, over all nodes").withRequiredArg();
+        p.accepts("extra-slack", "extra tries beside those, in 10 s, over all nodes")
+                .withRequiredArg();
         p.accepts("purge-ms", "when a purge must be in force everywhere").withRequiredArg();
-        p.accepts("apply-ms", "when a configuration must be in force everywhere").withRequiredArg();
+        p.accepts("apply-ms", "when a configuration must be in force everywhere")
+                .withRequiredArg();
         p.accepts("drain-ms", "when a leaving origin must get nothing more").withRequiredArg();
-        p.accepts("grace-s", "when a stopping process is killed; its stop is over a second and a half earlier").withRequiredArg();
+        p.accepts("grace-s", "when a stopping process is killed; its stop is over a second and a half earlier")
+                .withRequiredArg();
         p.accepts("cells", "all zones, as REGION/ZONE,...").withRequiredArg();
-        p.accepts("spread", "what objects are filled for apart: region, zone or none").withRequiredArg();
+        p.accepts("spread", "what objects are filled for apart: region, zone or none")
+                .withRequiredArg();
         p.accepts("notice-ms", "how long a leaving edge still takes requests").withRequiredArg();
         p.accepts("faces", "further addresses for an adapter: NAME@IP:PORT,...").withRequiredArg();
         return p;
@@ -95,7 +156,7 @@
     private static void file(final Path at, final Map<String, Object> all, final List<Finding> faults) {
         try {
             final List<Finding> own = new ArrayList<>();
-            final Object o = Tree.read(Files.readAllBytes(at), own);
+            final Object o = JsonReader.read(Files.readAllBytes(at), own);
             own.forEach(f -> faults.add(new Finding(at + f.place(), f.text())));
             if (o instanceof Map<?, ?> m) {
                 m.forEach((k, v) -> all.put(String.valueOf(k), v));
@@ -111,8 +172,24 @@
         if (Set.of("seeds", "electors", "stores", "reach", "faces", "cells").contains(name)) {
             return text.isEmpty() ? List.of() : List.of((Object[]) text.split(","));
         }
-        if (Set.of("d", "m", "shards", "cache-bytes", "stop-ms", "seed-port", "losses", "wanted-losses", "extra-ratio", "extra-slack", "purge-ms", "apply-ms",
-            "drain-ms", "grace-s", "notice-ms").contains(name) && text.matches("-?[0-9]{1,15}([.][0-9]{1,6})?")) {
+        if (Set.of(
+                                "d",
+                                "m",
+                                "shards",
+                                "cache-bytes",
+                                "stop-ms",
+                                "seed-port",
+                                "losses",
+                                "wanted-losses",
+                                "extra-ratio",
+                                "extra-slack",
+                                "purge-ms",
+                                "apply-ms",
+                                "drain-ms",
+                                "grace-s",
+                                "notice-ms")
+                        .contains(name)
+                && text.matches("-?[0-9]{1,15}([.][0-9]{1,6})?")) {
             return new java.math.BigDecimal(text);
         }
         if (name.equals("first") && Set.of("true", "false").contains(text)) {
@@ -122,7 +199,7 @@
     }
 
     private static Options check(final Role role, final Map<String, Object> all, final List<Finding> faults) {
-        final Shape s = new Shape(all, "", faults);
+        final JsonShape s = new JsonShape(all, "", faults);
         final InetSocketAddress wire = site(s, "wire", s.text("wire", true, ""), false);
         final String id = s.text("id", wire == null, wire == null ? "" : named(wire));
         if (!id.isEmpty() && !id.matches("[a-z0-9][a-z0-9-]{0,40}")) {
@@ -136,7 +213,11 @@
         final boolean disks = names.equals(List.of("none"));
         final String data = s.text("data", role == Role.STORE || disks && role == Role.SHIELD, "");
         final int seedPort = (int) s.whole("seed-port", false, 0, 0, 65_535);
-        final Map<NodeId, InetSocketAddress> seeds = sites(s, "seeds", list(all, "seeds", s).stream().map(t -> seed(t, seedPort)).toList(), faults);
+        final Map<NodeId, InetSocketAddress> seeds = sites(
+                s,
+                "seeds",
+                list(all, "seeds", s).stream().map(t -> seed(t, seedPort)).toList(),
+                faults);
         if (seeds.size() != 3 && !(disks && seeds.size() > 0 && seeds.size() < 3)) {
             s.fault("seeds", "three are wanted, " + seeds.size() + " given");
         }
@@ -151,12 +232,22 @@
         if (!disks && !electors.isEmpty() && (electors.size() % 2 == 0 || electors.size() > 5 || electors.size() < 3)) {
             s.fault("electors", "three or five are wanted, " + electors.size() + " given");
         }
-        final List<NodeId> stores = disks ? List.of() : names.isEmpty() ? electors.keySet().stream().limit(2).toList()
-            : names.stream().filter(n -> n.matches("[a-z0-9][a-z0-9-]{0,40}")).map(NodeId::of).toList();
-        if (!disks && !electors.isEmpty() && (stores.size() != 2 || !electors.keySet().containsAll(stores))) {
+        final List<NodeId> stores = disks
+                ? List.of()
+                : names.isEmpty()
+                        ? electors.keySet().stream().limit(2).toList()
+                        : names.stream()
+                                .filter(n -> n.matches("[a-z0-9][a-z0-9-]{0,40}"))
+                                .map(NodeId::of)
+                                .toList();
+        if (!disks
+                && !electors.isEmpty()
+                && (stores.size() != 2 || !electors.keySet().containsAll(stores))) {
             s.fault("stores", "two of the electors must be stores");
         }
-        if (role == Role.STORE && !id.isEmpty() && stores.stream().noneMatch(n -> n.text().equals(id))) {
+        if (role == Role.STORE
+                && !id.isEmpty()
+                && stores.stream().noneMatch(n -> n.text().equals(id))) {
             s.fault("stores", "this store " + id + " is not among them");
         }
         final Map<NodeId, InetSocketAddress> reach = sites(s, "reach", list(all, "reach", s), faults);
@@ -180,28 +271,64 @@
         if (!Set.of("region", "zone", "none").contains(spread)) {
             s.fault("spread", "region, zone or none");
         }
-        final List<String> places = spread.equals("none") ? List.of() : cells.stream()
-            .map(c -> spread.equals("zone") ? c : c.substring(0, c.lastIndexOf('/') + 1)).distinct().sorted().toList();
+        final List<String> places = spread.equals("none")
+                ? List.of()
+                : cells.stream()
+                        .map(c -> spread.equals("zone") ? c : c.substring(0, c.lastIndexOf('/') + 1))
+                        .distinct()
+                        .sorted()
+                        .toList();
         final long notice = s.whole("notice-ms", false, Math.min(1000, stop), 0, 600_000);
         if (!cells.isEmpty() && !cells.contains(cell)) {
             s.fault("cell", cell + " is not among the cells");
         }
         final Map<String, InetSocketAddress> faces = new LinkedHashMap<>();
-        list(all, "faces", s).forEach(t -> faces.put(t.substring(0, Math.max(0, t.indexOf('@'))), site(s, "faces", t.substring(t.indexOf('@') + 1), false)));
+        list(all, "faces", s)
+                .forEach(t -> faces.put(
+                        t.substring(0, Math.max(0, t.indexOf('@'))),
+                        site(s, "faces", t.substring(t.indexOf('@') + 1), false)));
         final String log = s.text("log", false, "text");
         if (!Set.of("text", "json").contains(log)) {
             s.fault("log", "text or json");
         }
         s.end();
-        return faults.isEmpty() ? new Options(NodeId.of(id), role, cell, wire, http, door, data.isEmpty() ? null : Path.of(data),
-            seeds, new Quorum(List.copyOf(electors.keySet()), Set.copyOf(stores)), electors, reach, timing, shards, cache, stop,
-            log.equals("json"), first, ratio < 0 ? 0.2 : ratio, slack < 0 ? 60 : slack, faces, cells, notice, places,
-            disks && wanted > most ? electors.size() + " electors bear the loss of " + most + ", not of " + wanted : "") : null;
+        return faults.isEmpty()
+                ? new Options(
+                        NodeId.of(id),
+                        role,
+                        cell,
+                        wire,
+                        http,
+                        door,
+                        data.isEmpty() ? null : Path.of(data),
+                        seeds,
+                        new Quorum(List.copyOf(electors.keySet()), Set.copyOf(stores)),
+                        electors,
+                        reach,
+                        timing,
+                        shards,
+                        cache,
+                        stop,
+                        log.equals("json"),
+                        first,
+                        ratio < 0 ? 0.2 : ratio,
+                        slack < 0 ? 60 : slack,
+                        faces,
+                        cells,
+                        notice,
+                        places,
+                        disks && wanted > most
+                                ? electors.size() + " electors bear the loss of " + most + ", not of " + wanted
+                                : "")
+                : null;
     }
 
     /** Three quarters of the shortest of the times within which all healthy nodes must go by something new. */
-    private static long fresh(final Shape s) {
-        final long least = List.of("purge-ms", "apply-ms", "drain-ms").stream().mapToLong(n -> s.whole(n, false, 2000, 400, 600_000)).min().orElse(2000);
+    private static long fresh(final JsonShape s) {
+        final long least = List.of("purge-ms", "apply-ms", "drain-ms").stream()
+                .mapToLong(n -> s.whole(n, false, 2000, 400, 600_000))
+                .min()
+                .orElse(2000);
         return Math.min(1500, least * 3 / 4);
     }
 
@@ -216,13 +343,37 @@
             return text;
         }
         final String host = text.substring(0, text.indexOf(':'));
-        return named(new InetSocketAddress(host, 0)) + "@" + host + ":" + (port > 0 ? port : text.substring(text.indexOf(':') + 1));
+        return named(new InetSocketAddress(host, 0)) + "@" + host + ":"
+                + (port > 0 ? port : text.substring(text.indexOf(':') + 1));
     }
 
     /** The same place once it is known who votes. */
     public Options seated(final Map<NodeId, InetSocketAddress> who) {
-        return new Options(id, role, cell, wire, http, door, data, seeds, new Quorum(List.copyOf(who.keySet()), quorum.stores()), who, reach, timing,
-            shards, cacheBytes, stopMs, json, first, extraRatio, extraSlack, faces, cells, noticeMs, places, shortage);
+        return new Options(
+                id,
+                role,
+                cell,
+                wire,
+                http,
+                door,
+                data,
+                seeds,
+                new Quorum(List.copyOf(who.keySet()), quorum.stores()),
+                who,
+                reach,
+                timing,
+                shards,
+                cacheBytes,
+                stopMs,
+                json,
+                first,
+                extraRatio,
+                extraSlack,
+                faces,
+                cells,
+                noticeMs,
+                places,
+                shortage);
     }
 
     /** Whether every elector has a disk, so that the set of them is kept and learned, not stated. */
@@ -230,7 +381,7 @@
         return quorum.stores().isEmpty();
     }
 
-    private static List<String> list(final Map<String, Object> all, final String name, final Shape s) {
+    private static List<String> list(final Map<String, Object> all, final String name, final JsonShape s) {
         s.known(name);
         final Object o = all.get(name);
         if (o == null) {
@@ -243,7 +394,8 @@
         return List.of();
     }
 
-    private static Map<NodeId, InetSocketAddress> sites(final Shape s, final String name, final List<String> list, final List<Finding> faults) {
+    private static Map<NodeId, InetSocketAddress> sites(
+            final JsonShape s, final String name, final List<String> list, final List<Finding> faults) {
         final Map<NodeId, InetSocketAddress> map = new LinkedHashMap<>();
         for (int i = 0; i < list.size(); i++) {
             final String at = name + "/" + i;
@@ -261,7 +413,8 @@
         return map;
     }
 
-    private static InetSocketAddress site(final Shape s, final String name, final String text, final boolean fixed) {
+    private static InetSocketAddress site(
+            final JsonShape s, final String name, final String text, final boolean fixed) {
         if (text.isEmpty()) {
             return null;
         }
@@ -280,7 +433,10 @@
 
     /** The electors as {@code ID@IP:PORT}. */
     public List<String> seats() {
-        return electors.entrySet().stream().map(e -> e.getKey() + "@" + e.getValue().getHostString() + ":" + e.getValue().getPort()).toList();
+        return electors.entrySet().stream()
+                .map(e -> e.getKey() + "@" + e.getValue().getHostString() + ":"
+                        + e.getValue().getPort())
+                .toList();
     }
 
     public Map<NodeId, InetSocketAddress> known() {
--- a/prog/src/main/java/rv/prog/OriginPort.java
+++ b/prog/src/main/java/rv/prog/OriginPort.java
@@ -34,11 +34,9 @@
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
 
     /** {@code most}: for how long the origin keeps it, in ms. */
-    private record Idle(Connection circuit, long at, long most) {
-    }
+    private record Idle(Connection circuit, long at, long most) {}
 
-    public record Who(String service, String stamp) {
-    }
+    public record Who(String service, String stamp) {}
 
     public OriginPort(final Loop loop, final HttpClient http) {
         this(loop, http, new OwnDialect());
@@ -83,7 +81,9 @@
         }
 
         void begin() {
-            loop.after(Math.max(50, what.span()), () -> end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"), false));
+            loop.after(
+                    Math.max(50, what.span()),
+                    () -> end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"), false));
             final ArrayDeque<Idle> q = idle.computeIfAbsent(site, k -> new ArrayDeque<>());
             for (Idle i = q.pollLast(); i != null; i = q.pollLast()) {
                 if (!i.circuit().isClosed() && loop.now() - i.at() < i.most()) {
@@ -94,14 +94,16 @@
                 i.circuit().close();
             }
             final Destination d = http.resolveDestination(ask("GET", "/"));
-            d.newConnection(Promise.from(c -> loop.post(() -> opened(c)),
-                e -> loop.post(() -> end(Got.none(End.NOT_SENT, "no circuit: " + e.getMessage()), false))));
+            d.newConnection(Promise.from(
+                    c -> loop.post(() -> opened(c)),
+                    e -> loop.post(() -> end(Got.none(End.NOT_SENT, "no circuit: " + e.getMessage()), false))));
         }
 
         /** A target that is no URI by the letter goes out as it came. */
         private Request ask(final String method, final String path) {
             try {
-                return http.newRequest(URI.create("http://" + to.host() + ":" + to.port() + path)).method(method);
+                return http.newRequest(URI.create("http://" + to.host() + ":" + to.port() + path))
+                        .method(method);
             } catch (final IllegalArgumentException e) {
                 return http.newRequest(to.host(), to.port()).path(path).method(method);
             }
@@ -164,8 +166,9 @@
                 @Override
                 public void onComplete(final Result res) {
                     final byte[] body = getContent() == null ? new byte[0] : getContent();
-                    final Got got = res.isSucceeded() ? whole(res, body)
-                        : Got.none(End.LOST, String.valueOf(res.getFailure().getMessage()));
+                    final Got got = res.isSucceeded()
+                            ? whole(res, body)
+                            : Got.none(End.LOST, String.valueOf(res.getFailure().getMessage()));
                     loop.post(() -> end(got, res.isSucceeded()));
                 }
             });
@@ -185,8 +188,12 @@
             }
             over = true;
             if (circuit != null) {
-                if (reuse && !circuit.isClosed() && !"close".equalsIgnoreCase(got.heads().get("connection"))) {
-                    idle.computeIfAbsent(site, k -> new ArrayDeque<>()).addLast(new Idle(circuit, loop.now(), stay(got.heads().get("keep-alive"))));
+                if (reuse
+                        && !circuit.isClosed()
+                        && !"close".equalsIgnoreCase(got.heads().get("connection"))) {
+                    idle.computeIfAbsent(site, k -> new ArrayDeque<>())
+                            .addLast(new Idle(
+                                    circuit, loop.now(), stay(got.heads().get("keep-alive"))));
                 } else {
                     circuit.close();
                 }
--- a/prog/src/main/java/rv/prog/OwnDialect.java
+++ b/prog/src/main/java/rv/prog/OwnDialect.java
@@ -6,8 +6,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.UnaryOperator;
 import rv.control.Origin;
+import rv.data.AnswerCheck;
 import rv.data.Port;
-import rv.data.Proof;
 
 /** The origin contract of docs/ORIGINS.md. */
 public final class OwnDialect implements Dialect {
@@ -29,18 +29,32 @@
     }
 
     @Override
-    public Port.Got read(final Origin to, final Port.Send what, final int status, final Map<String, String> heads, final byte[] body) {
-        final List<String> tags = heads.containsKey(TAGS) ? Arrays.asList(heads.get(TAGS).trim().split(" +")) : List.of();
+    public Port.Got read(
+            final Origin to,
+            final Port.Send what,
+            final int status,
+            final Map<String, String> heads,
+            final byte[] body) {
+        final List<String> tags =
+                heads.containsKey(TAGS) ? Arrays.asList(heads.get(TAGS).trim().split(" +")) : List.of();
         return new Port.Got(Port.End.WHOLE, status, heads, body, "", tags, Port.Load.NONE);
     }
 
     @Override
     public Map<String, String> rehearsed(final UnaryOperator<String> heads) {
-        return Map.of(Proof.REQUEST, heads.apply("Rv-Request"), Proof.STAMP, "o", "content-type", "text/plain", TAGS, "a b");
+        return Map.of(
+                AnswerCheck.REQUEST,
+                heads.apply("Rv-Request"),
+                AnswerCheck.STAMP,
+                "o",
+                "content-type",
+                "text/plain",
+                TAGS,
+                "a b");
     }
 
     @Override
     public String fault(final Origin to, final Port.Send what, final Port.Got got) {
-        return Proof.fault(to, what, got.heads(), got.body());
+        return AnswerCheck.fault(to, what, got.heads(), got.body());
     }
 }
--- a/prog/src/main/java/rv/prog/PlainConnector.java
+++ b/prog/src/main/java/rv/prog/PlainConnector.java
@@ -7,12 +7,10 @@
 final class PlainConnector extends ClientConnector {
     private static final class Unused extends SslContextFactory.Client {
         @Override
-        protected void doStart() {
-        }
+        protected void doStart() {}
 
         @Override
-        protected void doStop() {
-        }
+        protected void doStop() {}
     }
 
     @Override
--- a/prog/src/main/java/rv/prog/Whole.java
+++ b/prog/src/main/java/rv/prog/ProcessComponent.java
@@ -8,8 +8,8 @@
 import rv.data.Node;
 
 @Singleton
-@Component(modules = Parts.class)
-public interface Whole {
+@Component(modules = ProcessModule.class)
+public interface ProcessComponent {
     CoreLoop loop();
 
     Journal journal();
--- a/prog/src/main/java/rv/prog/Parts.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -9,10 +9,10 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import rv.base.Condition;
 import rv.base.Disk;
 import rv.base.Journal;
 import rv.base.Member;
-import rv.base.Condition;
 import rv.base.Role;
 import rv.data.Node;
 import rv.data.Port;
@@ -20,12 +20,12 @@
 
 /** How one process is put together. */
 @Module
-public final class Parts {
+public final class ProcessModule {
     private final String boot;
     private final Dialect dialect;
     private Options options;
 
-    public Parts(final Options options, final String boot, final Dialect dialect) {
+    public ProcessModule(final Options options, final String boot, final Dialect dialect) {
         this.options = options;
         this.boot = boot;
         this.dialect = dialect;
@@ -89,20 +89,44 @@
     @Provides
     @Singleton
     Port port(final CoreLoop loop, final Provider<HttpClient> http) {
-        return options.role() == Role.SHIELD ? new OriginPort(loop, http.get(), dialect) : (to, what, gate, then) -> {
-            loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "only shields send to origins")));
-            return () -> { };
-        };
+        return options.role() == Role.SHIELD
+                ? new OriginPort(loop, http.get(), dialect)
+                : (to, what, gate, then) -> {
+                    loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "only shields send to origins")));
+                    return () -> {};
+                };
     }
 
     @Provides
     @Singleton
     Node node(final CoreLoop loop, final TcpNet net, final Disk disk, final Port port, final Journal journal) {
-        final Member self = new Member(options.id(), options.role(), options.cell(), options.wire().getHostString(),
-            options.wire().getPort(), boot, Condition.PARTIAL, Main.VERSION);
-        final Setup setup = Setup.of(self).seeds(options.learns() ? options.quorum().electors() : java.util.List.copyOf(options.seeds().keySet())).quorum(options.quorum())
-            .timing(options.timing()).shards(options.shards()).cacheBytes(options.cacheBytes())
-            .first(options.first()).extra(options.extraRatio(), options.extraSlack()).seats(options.seats()).notice(options.noticeMs()).places(options.places()).build();
-        return new Node(setup, new Node.Seams(loop, net, disk, port, new Random(), System::currentTimeMillis, net::learn), journal);
+        final Member self = new Member(
+                options.id(),
+                options.role(),
+                options.cell(),
+                options.wire().getHostString(),
+                options.wire().getPort(),
+                boot,
+                Condition.PARTIAL,
+                Main.VERSION);
+        final Setup setup = Setup.of(self)
+                .seeds(
+                        options.learns()
+                                ? options.quorum().electors()
+                                : java.util.List.copyOf(options.seeds().keySet()))
+                .quorum(options.quorum())
+                .timing(options.timing())
+                .shards(options.shards())
+                .cacheBytes(options.cacheBytes())
+                .first(options.first())
+                .extra(options.extraRatio(), options.extraSlack())
+                .seats(options.seats())
+                .notice(options.noticeMs())
+                .places(options.places())
+                .build();
+        return new Node(
+                setup,
+                new Node.Seams(loop, net, disk, port, new Random(), System::currentTimeMillis, net::learn),
+                journal);
     }
 }
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -15,25 +15,24 @@
 import rv.base.Event;
 import rv.base.Net;
 import rv.base.Role;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.data.Node;
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
 public final class Program {
     private final Options options;
     private final Faces faces;
-    private final Stages stages;
+    private final StartupTimer stages;
 
     /** What a handler may use of the process. */
-    public record Ends(CoreLoop loop, Node node, Net net, Options options) {
-    }
+    public record Ends(CoreLoop loop, Node node, Net net, Options options) {}
 
     /** How the outside is spoken to; the product's own way, or an adapter's. */
     public interface Faces {
         Dialect dialect();
 
         /** The headers by which a caller's request states itself; for rehearsals in this process only. */
-        Map<String, String> stated(Ask ask);
+        Map<String, String> stated(ClientRequest ask);
 
         /** For callers, at the option {@code door}. */
         Handler door(Ends ends);
@@ -49,13 +48,13 @@
         }
 
         @Override
-        public Map<String, String> stated(final Ask ask) {
+        public Map<String, String> stated(final ClientRequest ask) {
             return ask.key() == null ? Map.of() : Map.of("Rv-Key", ask.key());
         }
 
         @Override
         public Handler door(final Ends e) {
-            return new Door(e.loop(), e.node().edge());
+            return new ClientHandler(e.loop(), e.node().edge());
         }
 
         @Override
@@ -65,10 +64,10 @@
     }
 
     public Program(final Options options) {
-        this(options, new Own(), new Stages());
+        this(options, new Own(), new StartupTimer());
     }
 
-    public Program(final Options options, final Faces faces, final Stages stages) {
+    public Program(final Options options, final Faces faces, final StartupTimer stages) {
         this.options = options;
         this.faces = faces;
         this.stages = stages;
@@ -76,8 +75,9 @@
 
     public void run() throws DiskTrouble, IOException, InterruptedException {
         final String boot = UUID.randomUUID().toString().substring(0, 8);
-        final Parts parts = new Parts(options, boot, faces.dialect());
-        final Whole all = DaggerWhole.builder().parts(parts).build();
+        final ProcessModule parts = new ProcessModule(options, boot, faces.dialect());
+        final ProcessComponent all =
+                DaggerProcessComponent.builder().processModule(parts).build();
         if (all.disk() instanceof SqlDisk d) {
             d.open();
         }
@@ -89,13 +89,13 @@
         }
         all.loop().onShed(() -> all.journal().add(Event.of(Code.RING_FULL, "ring", "core")));
         try {
-            all.net().bind(options.wire(), Seating::blank);
+            all.net().bind(options.wire(), VoterDiscovery::blank);
         } catch (final IOException e) {
             throw new IOException("wire address " + options.wire() + " cannot be used: " + e.getMessage(), e);
         }
         all.loop().start();
         stages.end("wire");
-        final Options seated = new Seating(options, all.loop(), all.net(), all.disk()).seat();
+        final Options seated = new VoterDiscovery(options, all.loop(), all.net(), all.disk()).seat();
         parts.seated(seated);
         seated.known().forEach(all.net()::learn);
         stages.end("seats");
@@ -113,7 +113,17 @@
         stages.end("warmup");
         show(ends);
         stages.end("http");
-        all.journal().add(Event.of(Code.READY, "http", options.http().toString(), "ms", stages.whole(), "parts", stages.toString(), "rehearsed", warm));
+        all.journal()
+                .add(Event.of(
+                        Code.READY,
+                        "http",
+                        options.http().toString(),
+                        "ms",
+                        stages.whole(),
+                        "parts",
+                        stages.toString(),
+                        "rehearsed",
+                        warm));
         if (options.role() == Role.EDGE) {
             start(all.client());
         }
@@ -130,7 +140,7 @@
         http.getContentDecoderFactories().clear();
     }
 
-    private static void begin(final Whole all, final Node node) throws DiskTrouble, InterruptedException {
+    private static void begin(final ProcessComponent all, final Node node) throws DiskTrouble, InterruptedException {
         final CountDownLatch begun = new CountDownLatch(1);
         final List<DiskTrouble> bad = new ArrayList<>();
         all.loop().post(() -> {
@@ -173,7 +183,7 @@
         }
     }
 
-    private void leave(final Whole all, final EventLog log) {
+    private void leave(final ProcessComponent all, final EventLog log) {
         final CountDownLatch gone = new CountDownLatch(1);
         all.loop().post(() -> all.node().leave(options.stopMs(), gone::countDown));
         try {
--- a/prog/src/main/java/rv/prog/Rehearsal.java
+++ b/prog/src/main/java/rv/prog/Rehearsal.java
@@ -26,7 +26,7 @@
 import rv.control.Origin;
 import rv.control.Quorum;
 import rv.control.Service;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.data.Node;
 import rv.data.Port;
 import rv.data.Setup;
@@ -59,7 +59,7 @@
     /** {@code sent}: how a request is put to the rehearsed edge. */
     @FunctionalInterface
     interface Caller {
-        void call(Ask ask, Runnable then) throws IOException;
+        void call(ClientRequest ask, Runnable then) throws IOException;
     }
 
     /** {@code ports} gives the way to the origin, or null where that stands in this process's memory only. */
@@ -75,10 +75,19 @@
     }
 
     private Node node(final NodeId id, final Role role) {
-        final Setup setup = Setup.of(new Member(id, role, options.cell(), "127.0.0.1", 1, id.text(), Condition.PARTIAL, Main.VERSION)).seeds(List.of(SHIELD, SECOND))
-            .quorum(new Quorum(List.of(SHIELD, SECOND), Set.of())).timing(Timing.DEFAULT).shards(options.shards()).cacheBytes(1 << 20).build();
+        final Setup setup = Setup.of(new Member(
+                        id, role, options.cell(), "127.0.0.1", 1, id.text(), Condition.PARTIAL, Main.VERSION))
+                .seeds(List.of(SHIELD, SECOND))
+                .quorum(new Quorum(List.of(SHIELD, SECOND), Set.of()))
+                .timing(Timing.DEFAULT)
+                .shards(options.shards())
+                .cacheBytes(1 << 20)
+                .build();
         final Net net = new Within(id);
-        return new Node(setup, new Node.Seams(loop, net, new NoDisk(loop), port, new Random(7), loop::now, m -> { }), new Journal(loop, 64));
+        return new Node(
+                setup,
+                new Node.Seams(loop, net, new NoDisk(loop), port, new Random(7), loop::now, m -> {}),
+                new Journal(loop, 64));
     }
 
     /** Between the two, each message is packed and read as on the wire. */
@@ -92,12 +101,14 @@
         @Override
         public void ask(final NodeId to, final Msg msg, final long wait, final Consumer<Reply> then) {
             final Msg sent = copy(msg);
-            loop.post(() -> (to.equals(SHIELD) ? shield : to.equals(SECOND) ? second : edge).take(self, sent, m -> loop.post(() -> then.accept(Reply.of(copy(m))))));
+            loop.post(() -> (to.equals(SHIELD) ? shield : to.equals(SECOND) ? second : edge)
+                    .take(self, sent, m -> loop.post(() -> then.accept(Reply.of(copy(m))))));
         }
 
         private Msg copy(final Msg msg) {
             try {
-                return Wire.open(Wire.pack(new Wire.Envelope(Wire.VERSION, 1, 0, self, msg))).msg();
+                return Wire.open(Wire.pack(new Wire.Envelope(Wire.VERSION, 1, 0, self, msg)))
+                        .msg();
             } catch (final WireTrouble e) {
                 throw new IllegalStateException(e);
             }
@@ -108,10 +119,11 @@
     private final class Inside implements Port {
         @Override
         public Rope send(final Origin to, final Send what, final Gate gate, final Consumer<Got> then) {
-            dialect.heads(to, what, (k, v) -> { });
+            dialect.heads(to, what, (k, v) -> {});
             final Map<String, String> heads = dialect.rehearsed(n -> what.id());
-            loop.post(() -> then.accept(gate.open() ? dialect.read(to, what, 200, heads, new byte[6000]) : Got.none(End.BARRED, "")));
-            return () -> { };
+            loop.post(() -> then.accept(
+                    gate.open() ? dialect.read(to, what, 200, heads, new byte[6000]) : Got.none(End.BARRED, "")));
+            return () -> {};
         }
 
         @Override
@@ -148,12 +160,32 @@
     }
 
     private void configure(final int originPort, final CountDownLatch set) {
-        if (!shield.sync().fresh() || shield.holder().count() == 0 || second.holder().count() == 0) {
+        if (!shield.sync().fresh()
+                || shield.holder().count() == 0
+                || second.holder().count() == 0) {
             loop.after(50, () -> configure(originPort, set));
             return;
         }
-        shield.orders().patch(CONFIG.getBytes(StandardCharsets.UTF_8), r -> shield.registry().beat("o", new Origin("s", "127.0.0.1", originPort, "o",
-            Service.OPEN, 0, 0, false, 1, options.cell(), 8, 0), q -> settle(set)));
+        shield.orders()
+                .patch(
+                        CONFIG.getBytes(StandardCharsets.UTF_8),
+                        r -> shield.registry()
+                                .beat(
+                                        "o",
+                                        new Origin(
+                                                "s",
+                                                "127.0.0.1",
+                                                originPort,
+                                                "o",
+                                                Service.OPEN,
+                                                0,
+                                                0,
+                                                false,
+                                                1,
+                                                options.cell(),
+                                                8,
+                                                0),
+                                        q -> settle(set)));
     }
 
     private void settle(final CountDownLatch set) {
@@ -177,13 +209,15 @@
         return done;
     }
 
-    private static Ask ask(final int i) {
+    private static ClientRequest ask(final int i) {
         final String id = "rehearsal-" + i;
         final Map<String, String> heads = Map.of("Accept", "*/*", "User-Agent", "rehearsal");
         return switch (i % 4) {
-            case 0, 1 -> new Ask("GET", HOST, "/c/" + i / 8, null, new byte[0], null, id, 1000, null, heads);
-            case 2 -> new Ask("GET", HOST, "/i/" + i, null, new byte[0], null, id, 1000, null, heads);
-            default -> new Ask("POST", HOST, "/k/" + i, "k" + i, new byte[300], "application/json", id, 1000, null, heads);
+            case 0, 1 -> new ClientRequest("GET", HOST, "/c/" + i / 8, null, new byte[0], null, id, 1000, null, heads);
+            case 2 -> new ClientRequest("GET", HOST, "/i/" + i, null, new byte[0], null, id, 1000, null, heads);
+            default ->
+                new ClientRequest(
+                        "POST", HOST, "/k/" + i, "k" + i, new byte[300], "application/json", id, 1000, null, heads);
         };
     }
 
--- a/prog/src/main/java/rv/prog/SqlDisk.java
+++ b/prog/src/main/java/rv/prog/SqlDisk.java
@@ -29,8 +29,7 @@
     private volatile boolean on = true;
     private boolean broken;
 
-    private record Job(Map<String, byte[]> rows, Consumer<Boolean> done) {
-    }
+    private record Job(Map<String, byte[]> rows, Consumer<Boolean> done) {}
 
     public SqlDisk(final Loop loop, final Path home) {
         this.loop = loop;
@@ -84,7 +83,8 @@
     @Override
     public Map<String, byte[]> load() throws DiskTrouble {
         final Map<String, byte[]> map = new HashMap<>();
-        try (Statement s = sql.createStatement(); ResultSet r = s.executeQuery("SELECT k, v FROM rows")) {
+        try (Statement s = sql.createStatement();
+                ResultSet r = s.executeQuery("SELECT k, v FROM rows")) {
             while (r.next()) {
                 map.put(r.getString(1), r.getBytes(2));
             }
@@ -126,7 +126,7 @@
             return false;
         }
         try (PreparedStatement put = sql.prepareStatement("INSERT OR REPLACE INTO rows (k, v) VALUES (?, ?)");
-             PreparedStatement del = sql.prepareStatement("DELETE FROM rows WHERE k = ?")) {
+                PreparedStatement del = sql.prepareStatement("DELETE FROM rows WHERE k = ?")) {
             for (final Job j : list) {
                 for (final Map.Entry<String, byte[]> e : j.rows().entrySet()) {
                     if (e.getValue() == null) {
--- a/prog/src/main/java/rv/prog/Stages.java
+++ b/prog/src/main/java/rv/prog/StartupTimer.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** How long each part of a start took, in ms, as a fact of the event that ends it. */
-public final class Stages {
+public final class StartupTimer {
     private final Map<String, Long> done = new LinkedHashMap<>();
     private final long from = System.nanoTime();
     private long last = from;
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -54,13 +54,22 @@
         }
     }
 
-    public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
-                  final Map<NodeId, InetSocketAddress> fixed) {
+    public TcpNet(
+            final NodeId self,
+            final CoreLoop loop,
+            final Journal journal,
+            final Map<NodeId, InetSocketAddress> seeds,
+            final Map<NodeId, InetSocketAddress> fixed) {
         this(self, loop, journal, seeds, fixed, Meter.NONE);
     }
 
-    public TcpNet(final NodeId self, final CoreLoop loop, final Journal journal, final Map<NodeId, InetSocketAddress> seeds,
-                  final Map<NodeId, InetSocketAddress> fixed, final Meter meter) {
+    public TcpNet(
+            final NodeId self,
+            final CoreLoop loop,
+            final Journal journal,
+            final Map<NodeId, InetSocketAddress> seeds,
+            final Map<NodeId, InetSocketAddress> fixed,
+            final Meter meter) {
         this.meter = meter;
         this.self = self;
         this.loop = loop;
@@ -135,7 +144,7 @@
     @Override
     public void tell(final Collection<NodeId> to, final Msg msg) {
         if (to.contains(self)) {
-            loop.post(() -> port.take(self, msg, m -> { }));
+            loop.post(() -> port.take(self, msg, m -> {}));
         }
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 0, self, msg));
         if (data.length > Wire.LIMIT) {
@@ -151,7 +160,7 @@
     private void send(final NodeId to, final byte[] data) {
         final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
         if (c != null) {
-            c.send(new Circuit.Out(data, () -> { }, () -> { }));
+            c.send(new Circuit.Out(data, () -> {}, () -> {}));
         }
     }
 
@@ -268,8 +277,11 @@
     private void close(final Circuit c) {
         out.values().remove(c);
         c.close();
-        waits.entrySet().stream().filter(e -> e.getValue().circuit == c).map(Map.Entry::getKey).toList()
-            .forEach(id -> end(id, Reply.lost(Reply.Trouble.NO_ANSWER)));
+        waits.entrySet().stream()
+                .filter(e -> e.getValue().circuit == c)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(id -> end(id, Reply.lost(Reply.Trouble.NO_ANSWER)));
     }
 
     private void take(final Circuit c, final byte[] data) {
@@ -284,14 +296,14 @@
         if (e.re() != 0) {
             end(e.re(), Reply.of(e.msg()));
         } else {
-            loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> { } : m -> back(c, e.id(), m)));
+            loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> {} : m -> back(c, e.id(), m)));
         }
     }
 
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
         meter.out(m, 4 + data.length);
-        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> { }, () -> { })))) {
+        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
             selector.wakeup();
         }
     }
--- a/prog/src/main/java/rv/prog/Seating.java
+++ b/prog/src/main/java/rv/prog/VoterDiscovery.java
@@ -20,7 +20,7 @@
  * Who votes: the seeds, when the network is started for the first time; later what this node's disk says, or what any
  * node that can be reached says. The seeds of a later start may be others, so they are asked and not believed.
  */
-final class Seating {
+final class VoterDiscovery {
     private static final String ROW = "seats";
     private static final long AGAIN = 60;
     private final Options options;
@@ -28,10 +28,9 @@
     private final TcpNet net;
     private final Disk disk;
 
-    record Row(List<String> electors) {
-    }
+    record Row(List<String> electors) {}
 
-    Seating(final Options options, final CoreLoop loop, final TcpNet net, final Disk disk) {
+    VoterDiscovery(final Options options, final CoreLoop loop, final TcpNet net, final Disk disk) {
         this.options = options;
         this.loop = loop;
         this.net = net;
@@ -53,7 +52,7 @@
             return options.seated(sites(kept));
         }
         final Options o = options.first() ? options : options.seated(sites(ask()));
-        disk.save(Map.of(ROW, Wire.pack(new Row(o.seats()))), ok -> { });
+        disk.save(Map.of(ROW, Wire.pack(new Row(o.seats()))), ok -> {});
         return o;
     }
 
@@ -65,8 +64,15 @@
     private List<String> ask() throws InterruptedException {
         final CompletableFuture<List<String>> got = new CompletableFuture<>();
         while (true) {
-            options.seeds().keySet().stream().filter(s -> !s.equals(options.id())).forEach(s -> loop.post(() -> net.ask(s, new Msg.Seats(), 1000,
-                r -> r.as(Msg.Seated.class).filter(m -> !m.electors().isEmpty()).ifPresent(m -> got.complete(m.electors())))));
+            options.seeds().keySet().stream()
+                    .filter(s -> !s.equals(options.id()))
+                    .forEach(s -> loop.post(() -> net.ask(
+                            s,
+                            new Msg.Seats(),
+                            1000,
+                            r -> r.as(Msg.Seated.class)
+                                    .filter(m -> !m.electors().isEmpty())
+                                    .ifPresent(m -> got.complete(m.electors())))));
             try {
                 return got.get(AGAIN, TimeUnit.MILLISECONDS);
             } catch (final TimeoutException | ExecutionException e) {
@@ -80,7 +86,9 @@
         list.forEach(t -> {
             final int at = t.indexOf('@');
             final int cut = t.lastIndexOf(':');
-            map.put(NodeId.of(t.substring(0, at)), new InetSocketAddress(t.substring(at + 1, cut), Integer.parseInt(t.substring(cut + 1))));
+            map.put(
+                    NodeId.of(t.substring(0, at)),
+                    new InetSocketAddress(t.substring(at + 1, cut), Integer.parseInt(t.substring(cut + 1))));
         });
         return map;
     }
--- a/prog/src/main/java/rv/prog/Warmup.java
+++ b/prog/src/main/java/rv/prog/Warmup.java
@@ -15,7 +15,7 @@
 import org.eclipse.jetty.util.Callback;
 import rv.base.Net;
 import rv.base.Role;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 
 /** Lets a rehearsal's requests run through this role's own way: an edge's door, or a shield's client for origins. */
 final class Warmup {
@@ -30,7 +30,7 @@
     }
 
     /** How many requests were rehearsed, none by a process that returns; whatever goes wrong here is of no consequence. */
-    int run(final Whole all) throws InterruptedException {
+    int run(final ProcessComponent all) throws InterruptedException {
         if (!options.learns() || !options.first() || options.role() == Role.STORE) {
             return 0;
         }
@@ -70,9 +70,15 @@
     private int shield(final HttpClient http) throws IOException, InterruptedException {
         final Server server = Addresses.server("rehearsal");
         final int port = open(server, new Origin());
-        final Rehearsal play = new Rehearsal(options, faces.dialect(), l -> new OriginPort(l, http, faces.dialect()), SPAN);
+        final Rehearsal play =
+                new Rehearsal(options, faces.dialect(), l -> new OriginPort(l, http, faces.dialect()), SPAN);
         try {
-            return play.prepare(port) ? play.play(ROUNDS, (ask, then) -> play.loop().post(() -> play.edge().edge().take(ask, a -> then.run()))) : 0;
+            return play.prepare(port)
+                    ? play.play(
+                            ROUNDS,
+                            (ask, then) ->
+                                    play.loop().post(() -> play.edge().edge().take(ask, a -> then.run())))
+                    : 0;
         } finally {
             play.end();
             stop(server);
@@ -94,13 +100,19 @@
         }
     }
 
-    private byte[] text(final Ask a) {
+    private byte[] text(final ClientRequest a) {
         final StringBuilder own = new StringBuilder();
         faces.stated(a).forEach((k, v) -> own.append(k).append(": ").append(v).append("\r\n"));
         final String head = a.method() + " " + a.path() + " HTTP/1.1\r\nHost: " + a.host() + "\r\n" + own
-            + (a.key() == null ? "" : "Content-Type: " + a.type() + "\r\nContent-Length: " + a.body().length + "\r\n") + "Accept: */*\r\n\r\n";
+                + (a.key() == null
+                        ? ""
+                        : "Content-Type: " + a.type() + "\r\nContent-Length: " + a.body().length + "\r\n")
+                + "Accept: */*\r\n\r\n";
         final byte[] b = head.getBytes(StandardCharsets.ISO_8859_1);
-        return ByteBuffer.allocate(b.length + a.body().length).put(b).put(a.body()).array();
+        return ByteBuffer.allocate(b.length + a.body().length)
+                .put(b)
+                .put(a.body())
+                .array();
     }
 
     private static void skip(final DataInputStream in) throws IOException {
@@ -129,7 +141,9 @@
     private final class Origin extends Handler.Abstract {
         @Override
         public boolean handle(final Request req, final Response res, final Callback done) {
-            faces.dialect().rehearsed(n -> String.valueOf(req.getHeaders().get(n))).forEach((k, v) -> res.getHeaders().put(k, v));
+            faces.dialect()
+                    .rehearsed(n -> String.valueOf(req.getHeaders().get(n)))
+                    .forEach((k, v) -> res.getHeaders().put(k, v));
             res.write(true, ByteBuffer.allocate(6000), done);
             return true;
         }
--- a/prog/src/test/java/rv/prog/DialectTest.java
+++ b/prog/src/test/java/rv/prog/DialectTest.java
@@ -15,7 +15,8 @@
 class DialectTest {
     private static final Origin TO = new Origin("s", "10.0.0.1", 80, "stamp1", "content", 0, 0, false, 1);
     private final OwnDialect own = new OwnDialect();
-    private final Port.Send what = new Port.Send("s", "POST", "/x", "id1", "k1", new byte[0], null, 900, Map.of("Accept-Language", "sw"));
+    private final Port.Send what =
+            new Port.Send("s", "POST", "/x", "id1", "k1", new byte[0], null, 900, Map.of("Accept-Language", "sw"));
 
     @Test
     void aRequestNamesItselfItsOriginAndItsKey() {
@@ -31,8 +32,17 @@
     @Test
     void anAnswerTellsItsTagsAndMustProveItself() {
         final byte[] body = {1, 2, 3};
-        final Map<String, String> heads = Map.of("rv-stamp", "stamp1", "rv-request", "id1", "rv-digest", Hash.digest(body), "content-length", "3",
-            "rv-tags", " drinks  perfume ");
+        final Map<String, String> heads = Map.of(
+                "rv-stamp",
+                "stamp1",
+                "rv-request",
+                "id1",
+                "rv-digest",
+                Hash.digest(body),
+                "content-length",
+                "3",
+                "rv-tags",
+                " drinks  perfume ");
         final Port.Got got = own.read(TO, what, 200, heads, body);
         assertEquals(List.of("drinks", "perfume"), got.tags());
         assertEquals(Port.End.WHOLE, got.end());
--- a/prog/src/test/java/rv/prog/DocsTest.java
+++ b/prog/src/test/java/rv/prog/DocsTest.java
@@ -25,7 +25,8 @@
     void everyEventIsInTheCatalogueAndTheCatalogueHasNoOther() throws IOException {
         final String text = Files.readString(DOCS.resolve("EVENTS.md"));
         final List<String> told = new ArrayList<>();
-        final Matcher m = Pattern.compile("\\| (RV\\d+) \\| (\\w+) \\| ([^|]+) \\|").matcher(text);
+        final Matcher m =
+                Pattern.compile("\\| (RV\\d+) \\| (\\w+) \\| ([^|]+) \\|").matcher(text);
         while (m.find()) {
             told.add(m.group(1) + " " + m.group(2) + " " + m.group(3));
         }
@@ -38,7 +39,8 @@
 
     @Test
     void everyExampleConfigurationInTheDocsIsSound() throws IOException {
-        final Matcher m = Pattern.compile("```json config\n(.*?)```", Pattern.DOTALL).matcher(Files.readString(DOCS.resolve("CONFIG.md")));
+        final Matcher m = Pattern.compile("```json config\n(.*?)```", Pattern.DOTALL)
+                .matcher(Files.readString(DOCS.resolve("CONFIG.md")));
         int n = 0;
         while (m.find()) {
             final List<Finding> faults = new ArrayList<>();
@@ -67,14 +69,17 @@
                        "r4":{"prefix":"/q/","service":"a","mode":"cached","lifetimeMs":1.5,"purgeable":false,"when":"size >"}},
              "purges":{"p":{"route":"r4","path":"/q/1"},"q":{"route":"r9"}}, "more":1}
             """.getBytes(StandardCharsets.UTF_8), faults);
-        Approvals.verify(String.join("\n", faults.stream().map(Finding::toString).toList()));
+        Approvals.verify(
+                String.join("\n", faults.stream().map(Finding::toString).toList()));
     }
 
     @Test
     void noSourceFileIsOverFourHundredLines() throws IOException {
         try (var all = Files.walk(Path.of(".."))) {
             final List<String> big = new ArrayList<>();
-            for (final Path p : all.filter(f -> f.toString().endsWith(".java") && !f.toString().contains("target")).toList()) {
+            for (final Path p : all.filter(
+                            f -> f.toString().endsWith(".java") && !f.toString().contains("target"))
+                    .toList()) {
                 if (Files.readAllLines(p).size() > 400) {
                     big.add(p.toString());
                 }
--- a/prog/src/test/java/rv/prog/FullDisk.java
+++ b/prog/src/test/java/rv/prog/FullDisk.java
@@ -8,11 +8,16 @@
 
 /** A process of its own whose files can no longer grow for a while; prints what each save came to. */
 final class FullDisk {
-    private FullDisk() {
-    }
+    private FullDisk() {}
 
     private static void limit(final String bytes) throws Exception {
-        final int rc = new ProcessBuilder("prlimit", "--pid", String.valueOf(ProcessHandle.current().pid()), "--fsize=" + bytes + ":unlimited").start().waitFor();
+        final int rc = new ProcessBuilder(
+                        "prlimit",
+                        "--pid",
+                        String.valueOf(ProcessHandle.current().pid()),
+                        "--fsize=" + bytes + ":unlimited")
+                .start()
+                .waitFor();
         if (rc != 0) {
             throw new IllegalStateException("prlimit " + rc);
         }
--- a/prog/src/test/java/rv/prog/NamelessTest.java
+++ b/prog/src/test/java/rv/prog/NamelessTest.java
@@ -18,13 +18,24 @@
 
 /** Options of nodes that are told addresses only. */
 class NamelessTest {
-    private static final String[] BASE = {"--wire", "10.0.0.9:7000", "--http", "10.0.0.9:7001", "--seeds", "10.0.0.1:80,10.0.0.2:80,10.0.0.3:80",
-        "--seed-port", "7000", "--stores", "none"};
+    private static final String[] BASE = {
+        "--wire",
+        "10.0.0.9:7000",
+        "--http",
+        "10.0.0.9:7001",
+        "--seeds",
+        "10.0.0.1:80,10.0.0.2:80,10.0.0.3:80",
+        "--seed-port",
+        "7000",
+        "--stores",
+        "none"
+    };
     private final List<Finding> faults = new ArrayList<>();
 
     private Options read(final Role role, final String... more) {
         faults.clear();
-        return Options.read(role, Stream.concat(Arrays.stream(BASE), Arrays.stream(more)).toArray(String[]::new), faults);
+        return Options.read(
+                role, Stream.concat(Arrays.stream(BASE), Arrays.stream(more)).toArray(String[]::new), faults);
     }
 
     private List<String> told() {
@@ -36,7 +47,9 @@
         final Options o = read(Role.SHIELD, "--data", "d");
         assertEquals(List.of(), told());
         assertEquals(NodeId.of("n10-0-0-9"), o.id());
-        assertEquals(Set.of(NodeId.of("n10-0-0-1"), NodeId.of("n10-0-0-2"), NodeId.of("n10-0-0-3")), o.seeds().keySet());
+        assertEquals(
+                Set.of(NodeId.of("n10-0-0-1"), NodeId.of("n10-0-0-2"), NodeId.of("n10-0-0-3")),
+                o.seeds().keySet());
         assertEquals(new InetSocketAddress("10.0.0.1", 7000), o.seeds().get(NodeId.of("n10-0-0-1")));
         assertEquals(List.copyOf(o.seeds().keySet()), o.quorum().electors());
         assertEquals(Set.of(), o.quorum().stores());
@@ -46,8 +59,21 @@
 
     @Test
     void withoutASeedPortASeedsOwnPortStands() {
-        final Options o = Options.read(Role.SHIELD, new String[] {"--wire", "10.0.0.9:7000", "--http", "10.0.0.9:7001", "--data", "d", "--stores", "none",
-            "--seeds", "10.0.0.1:81,x@10.0.0.2:82"}, faults);
+        final Options o = Options.read(
+                Role.SHIELD,
+                new String[] {
+                    "--wire",
+                    "10.0.0.9:7000",
+                    "--http",
+                    "10.0.0.9:7001",
+                    "--data",
+                    "d",
+                    "--stores",
+                    "none",
+                    "--seeds",
+                    "10.0.0.1:81,x@10.0.0.2:82"
+                },
+                faults);
         assertEquals(List.of(), told());
         assertEquals(new InetSocketAddress("10.0.0.1", 81), o.seeds().get(NodeId.of("n10-0-0-1")));
         assertEquals(new InetSocketAddress("10.0.0.2", 82), o.seeds().get(NodeId.of("x")));
@@ -62,28 +88,49 @@
 
     @Test
     void lossesThatTheElectorsCannotBearAreAFault() {
-        assertEquals(2, read(Role.SHIELD, "--data", "d", "--losses", "1").quorum().need());
+        assertEquals(
+                2, read(Role.SHIELD, "--data", "d", "--losses", "1").quorum().need());
         read(Role.SHIELD, "--data", "d", "--losses", "2");
         assertEquals(List.of("/losses: 3 electors bear the loss of 1, not of 2"), told());
         final String five = "a@10.0.0.1:1,b@10.0.0.2:1,c@10.0.0.3:1,d@10.0.0.4:1,e@10.0.0.5:1";
-        assertEquals(3, read(Role.SHIELD, "--data", "d", "--losses", "2", "--electors", five).quorum().need());
+        assertEquals(
+                3,
+                read(Role.SHIELD, "--data", "d", "--losses", "2", "--electors", five)
+                        .quorum()
+                        .need());
         read(Role.SHIELD, "--data", "d", "--losses", "2", "--electors", five.substring(0, five.lastIndexOf(',')));
-        assertEquals(List.of("/losses: 4 electors bear the loss of 1, not of 2"), told(), "an even number bears no more than the odd one below");
+        assertEquals(
+                List.of("/losses: 4 electors bear the loss of 1, not of 2"),
+                told(),
+                "an even number bears no more than the odd one below");
     }
 
     @Test
     void wantedLossesThatTheElectorsCannotBearAreToldAndNoFault() {
-        assertEquals("", read(Role.SHIELD, "--data", "d", "--wanted-losses", "1").shortage());
-        assertEquals("3 electors bear the loss of 1, not of 2", read(Role.SHIELD, "--data", "d", "--wanted-losses", "2").shortage());
+        assertEquals(
+                "", read(Role.SHIELD, "--data", "d", "--wanted-losses", "1").shortage());
+        assertEquals(
+                "3 electors bear the loss of 1, not of 2",
+                read(Role.SHIELD, "--data", "d", "--wanted-losses", "2").shortage());
         assertEquals(List.of(), told());
     }
 
     @Test
     void aFrameCountsForThreeQuartersOfTheShortestTime() {
         assertEquals(1500, read(Role.SHIELD, "--data", "d").timing().fresh());
-        assertEquals(750, read(Role.SHIELD, "--data", "d", "--purge-ms", "1000").timing().fresh());
-        assertEquals(600, read(Role.SHIELD, "--data", "d", "--purge-ms", "1000", "--drain-ms", "800").timing().fresh());
-        assertEquals(1500, read(Role.SHIELD, "--data", "d", "--apply-ms", "9000", "--purge-ms", "9000", "--drain-ms", "9000").timing().fresh());
+        assertEquals(
+                750,
+                read(Role.SHIELD, "--data", "d", "--purge-ms", "1000").timing().fresh());
+        assertEquals(
+                600,
+                read(Role.SHIELD, "--data", "d", "--purge-ms", "1000", "--drain-ms", "800")
+                        .timing()
+                        .fresh());
+        assertEquals(
+                1500,
+                read(Role.SHIELD, "--data", "d", "--apply-ms", "9000", "--purge-ms", "9000", "--drain-ms", "9000")
+                        .timing()
+                        .fresh());
         read(Role.SHIELD, "--data", "d", "--apply-ms", "399");
         assertEquals(List.of("/apply-ms: must be from 400 to 600000"), told());
     }
@@ -114,7 +161,16 @@
     void aCellMustBeAmongTheCellsAndFacesAreAddresses() {
         read(Role.SHIELD, "--data", "d", "--cell", "r/z", "--cells", "r/a,r/b");
         assertEquals(List.of("/cell: r/z is not among the cells"), told());
-        final Options o = read(Role.SHIELD, "--data", "d", "--cell", "r/b", "--cells", "r/a,r/b", "--faces", "one@10.0.0.9:90,two@10.0.0.9:91");
+        final Options o = read(
+                Role.SHIELD,
+                "--data",
+                "d",
+                "--cell",
+                "r/b",
+                "--cells",
+                "r/a,r/b",
+                "--faces",
+                "one@10.0.0.9:90,two@10.0.0.9:91");
         assertEquals(new InetSocketAddress("10.0.0.9", 91), o.faces().get("two"));
         read(Role.SHIELD, "--data", "d", "--faces", "one@host:90");
         assertEquals(List.of("/faces: IP:PORT is wanted, not host:90"), told());
--- a/prog/src/test/java/rv/prog/OptionsTest.java
+++ b/prog/src/test/java/rv/prog/OptionsTest.java
@@ -16,6 +16,7 @@
 
 class OptionsTest {
     private static final String SEEDS = "st1@127.0.0.1:7001,st2@127.0.0.2:7001,sh1@127.0.0.3:7001";
+
     @TempDir
     private Path dir;
 
@@ -26,9 +27,29 @@
     @Test
     void allFaultsAreToldAtOnceWithTheirPlace() {
         final List<Finding> faults = new ArrayList<>();
-        read(faults, Role.STORE, "--id", "St 1", "--wire", "host:1", "--http", "127.0.0.1:99999", "--seeds", "st1@127.0.0.1:7001,x",
-            "--electors", SEEDS + ",sh2@127.0.0.4:7001", "--d", "2999", "--m", "a", "--shards", "0", "--log", "xml");
-        Approvals.verify(String.join("\n", faults.stream().map(Finding::toString).toList()));
+        read(
+                faults,
+                Role.STORE,
+                "--id",
+                "St 1",
+                "--wire",
+                "host:1",
+                "--http",
+                "127.0.0.1:99999",
+                "--seeds",
+                "st1@127.0.0.1:7001,x",
+                "--electors",
+                SEEDS + ",sh2@127.0.0.4:7001",
+                "--d",
+                "2999",
+                "--m",
+                "a",
+                "--shards",
+                "0",
+                "--log",
+                "xml");
+        Approvals.verify(
+                String.join("\n", faults.stream().map(Finding::toString).toList()));
     }
 
     @Test
@@ -38,21 +59,43 @@
             "st2@127.0.0.2:7001","sh1@127.0.0.3:7001"],"electors":["st1@127.0.0.1:7001","st2@127.0.0.2:7001"]}""");
         final List<Finding> faults = new ArrayList<>();
         read(faults, Role.SHIELD, "--options", file.toString());
-        final List<String> lines = faults.stream().map(f -> f.toString().replace(file.toString(), "FILE")).toList();
-        assertEquals(List.of("FILE/id: member stated twice", "/electors: three or five are wanted, 2 given", "/colour: unknown member"), lines);
+        final List<String> lines = faults.stream()
+                .map(f -> f.toString().replace(file.toString(), "FILE"))
+                .toList();
+        assertEquals(
+                List.of(
+                        "FILE/id: member stated twice",
+                        "/electors: three or five are wanted, 2 given",
+                        "/colour: unknown member"),
+                lines);
     }
 
     @Test
     void flagsGoBeforeTheFileAndDefaultsAreTheDesigns() throws Exception {
         final Path file = Files.writeString(dir.resolve("o.json"), "{\"id\":\"ed1\",\"cell\":\"north\",\"d\":6000}");
         final List<Finding> faults = new ArrayList<>();
-        final Options o = read(faults, Role.EDGE, "--options", file.toString(), "--wire", "127.0.0.9:1", "--http", "127.0.0.9:2", "--door",
-            "127.0.0.9:3", "--seeds", SEEDS, "--cell", "south");
+        final Options o = read(
+                faults,
+                Role.EDGE,
+                "--options",
+                file.toString(),
+                "--wire",
+                "127.0.0.9:1",
+                "--http",
+                "127.0.0.9:2",
+                "--door",
+                "127.0.0.9:3",
+                "--seeds",
+                SEEDS,
+                "--cell",
+                "south");
         assertTrue(faults.isEmpty(), faults.toString());
         assertEquals("south", o.cell());
         assertEquals(6000, o.timing().d());
         assertEquals(1000, o.timing().m());
-        assertEquals(List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")), o.quorum().electors());
+        assertEquals(
+                List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
+                o.quorum().electors());
         assertEquals(2, o.quorum().need());
     }
 }
--- a/prog/src/test/java/rv/prog/RehearsalTest.java
+++ b/prog/src/test/java/rv/prog/RehearsalTest.java
@@ -13,8 +13,23 @@
 class RehearsalTest {
     private static Options options() {
         final List<Finding> faults = new ArrayList<>();
-        final Options o = Options.read(Role.EDGE, new String[] {"--wire", "127.0.0.1:1", "--http", "127.0.0.1:2", "--door", "127.0.0.1:3", "--cell", "a/b",
-            "--seeds", "127.0.0.1:4", "--stores", "none"}, faults);
+        final Options o = Options.read(
+                Role.EDGE,
+                new String[] {
+                    "--wire",
+                    "127.0.0.1:1",
+                    "--http",
+                    "127.0.0.1:2",
+                    "--door",
+                    "127.0.0.1:3",
+                    "--cell",
+                    "a/b",
+                    "--seeds",
+                    "127.0.0.1:4",
+                    "--stores",
+                    "none"
+                },
+                faults);
         assertEquals(List.of(), faults);
         return o;
     }
@@ -24,10 +39,15 @@
         final Rehearsal play = new Rehearsal(options(), new OwnDialect(), l -> null, 20_000);
         final List<Integer> got = new ArrayList<>();
         assertTrue(play.prepare(1));
-        assertEquals(8, play.play(8, (ask, then) -> play.loop().post(() -> play.edge().edge().take(ask, a -> {
-            got.add(a.status());
-            then.run();
-        }))));
+        assertEquals(
+                8,
+                play.play(
+                        8,
+                        (ask, then) -> play.loop()
+                                .post(() -> play.edge().edge().take(ask, a -> {
+                                    got.add(a.status());
+                                    then.run();
+                                }))));
         play.end();
         assertEquals(java.util.Collections.nCopies(8, 200), got);
     }
--- a/prog/src/test/java/rv/prog/SeatingTest.java
+++ b/prog/src/test/java/rv/prog/SeatingTest.java
@@ -25,7 +25,8 @@
 
 /** Who votes: at the first start the seeds, then what the disk says, or what others say. */
 class SeatingTest {
-    private static final List<String> FOUNDERS = List.of("n10-0-0-1@10.0.0.1:7000", "n10-0-0-2@10.0.0.2:7000", "n10-0-0-3@10.0.0.3:7000");
+    private static final List<String> FOUNDERS =
+            List.of("n10-0-0-1@10.0.0.1:7000", "n10-0-0-2@10.0.0.2:7000", "n10-0-0-3@10.0.0.3:7000");
     private final CoreLoop loop = new CoreLoop();
     private final Map<String, byte[]> rows = new HashMap<>();
     private final List<TcpNet> open = new ArrayList<>();
@@ -50,7 +51,8 @@
 
     private static Options options(final String... more) {
         final List<Finding> faults = new ArrayList<>();
-        final List<String> words = new ArrayList<>(List.of("--wire", "127.0.0.1:7000", "--http", "127.0.0.1:7001", "--data", "d"));
+        final List<String> words =
+                new ArrayList<>(List.of("--wire", "127.0.0.1:7000", "--http", "127.0.0.1:7001", "--data", "d"));
         words.addAll(List.of(more));
         final Options o = Options.read(Role.SHIELD, words.toArray(new String[0]), faults);
         assertEquals(List.of(), faults);
@@ -63,26 +65,41 @@
 
     private TcpNet bound(final String name, final Map<NodeId, InetSocketAddress> known) throws Exception {
         final TcpNet net = net(name, known);
-        net.bind(new InetSocketAddress("127.0.0.1", 0), Seating::blank);
+        net.bind(new InetSocketAddress("127.0.0.1", 0), VoterDiscovery::blank);
         open.add(net);
         return net;
     }
 
     @Test
     void theFirstStartsSeedsVoteAndThatIsKept() throws Exception {
-        final String[] seeds = {"--stores", "none", "--seeds", "10.0.0.1:1,10.0.0.2:1,10.0.0.3:1", "--seed-port", "7000"};
-        final Options first = new Seating(options(seeds), loop, net("me", Map.of()), disk).seat();
+        final String[] seeds = {"--stores", "none", "--seeds", "10.0.0.1:1,10.0.0.2:1,10.0.0.3:1", "--seed-port", "7000"
+        };
+        final Options first = new VoterDiscovery(options(seeds), loop, net("me", Map.of()), disk).seat();
         assertEquals(FOUNDERS, first.seats());
-        final Options later = new Seating(options("--stores", "none", "--seeds", "10.0.0.7:1,10.0.0.8:1", "--seed-port", "7000", "--first", "false"), loop,
-            net("me", Map.of()), disk).seat();
+        final Options later = new VoterDiscovery(
+                        options(
+                                "--stores",
+                                "none",
+                                "--seeds",
+                                "10.0.0.7:1,10.0.0.8:1",
+                                "--seed-port",
+                                "7000",
+                                "--first",
+                                "false"),
+                        loop,
+                        net("me", Map.of()),
+                        disk)
+                .seat();
         assertEquals(FOUNDERS, later.seats(), "later seeds are others");
-        assertEquals(List.of("n10-0-0-1", "n10-0-0-2", "n10-0-0-3"), later.quorum().electors().stream().map(NodeId::text).toList());
+        assertEquals(
+                List.of("n10-0-0-1", "n10-0-0-2", "n10-0-0-3"),
+                later.quorum().electors().stream().map(NodeId::text).toList());
     }
 
     @Test
     void electorsThatAreStatedAreNotLearned() throws Exception {
         final Options o = options("--id", "sh1", "--seeds", "st1@10.0.0.1:1,st2@10.0.0.2:1,sh1@127.0.0.1:7000");
-        assertSame(o, new Seating(o, loop, net("me", Map.of()), disk).seat());
+        assertSame(o, new VoterDiscovery(o, loop, net("me", Map.of()), disk).seat());
         assertEquals(Map.of(), rows);
     }
 
@@ -93,7 +110,7 @@
         final TcpNet other = bound("o", Map.of());
         final Options o = options("--stores", "none", "--seeds", "o@127.0.0.1:" + other.bound(), "--first", "false");
         final TcpNet mine = bound("me", o.seeds());
-        final FutureTask<Options> seat = new FutureTask<>(() -> new Seating(o, loop, mine, disk).seat());
+        final FutureTask<Options> seat = new FutureTask<>(() -> new VoterDiscovery(o, loop, mine, disk).seat());
         final CountDownLatch refused = new CountDownLatch(1);
         loop.post(() -> mine.ask(NodeId.of("o"), new Msg.Seats(), 5000, r -> {
             assertTrue(r.as(Msg.Seated.class).orElseThrow().electors().isEmpty());
@@ -104,6 +121,8 @@
         other.serve((from, msg, back) -> back.accept(new Msg.Seated(FOUNDERS)));
         assertEquals(FOUNDERS, seat.get(20, TimeUnit.SECONDS).seats());
         assertEquals(1, rows.size());
-        assertEquals(FOUNDERS, Wire.unpack(rows.get("seats"), Seating.Row.class).electors());
+        assertEquals(
+                FOUNDERS,
+                Wire.unpack(rows.get("seats"), VoterDiscovery.Row.class).electors());
     }
 }
--- a/prog/src/test/java/rv/prog/SqlDiskTest.java
+++ b/prog/src/test/java/rv/prog/SqlDiskTest.java
@@ -19,6 +19,7 @@
 class SqlDiskTest {
     @TempDir
     private Path dir;
+
     private final CoreLoop loop = new CoreLoop();
 
     @AfterEach
@@ -46,7 +47,9 @@
         assertEquals(1, d.load().size());
         assertArrayEquals(new byte[] {9}, d.load().get("a"));
         try (var all = Files.list(dir.resolve("data"))) {
-            assertEquals(java.util.Set.of("items.db", "items.db-wal"), all.map(p -> p.getFileName().toString()).collect(java.util.stream.Collectors.toSet()));
+            assertEquals(
+                    java.util.Set.of("items.db", "items.db-wal"),
+                    all.map(p -> p.getFileName().toString()).collect(java.util.stream.Collectors.toSet()));
         }
         d.stop();
     }
@@ -54,13 +57,21 @@
     /** A disk that was full takes rows again once there is room, and lost none of those it had said yes to. */
     @Test
     void aDiskThatWasFullGoesOn() throws Exception {
-        final Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")), FullDisk.class.getName(), dir.resolve("data").toString())
-            .redirectErrorStream(true).start();
+        final Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                        FullDisk.class.getName(),
+                        dir.resolve("data").toString())
+                .redirectErrorStream(true)
+                .start();
         final String text = new String(p.getInputStream().readAllBytes());
         assertEquals(0, p.waitFor(), text);
-        assertEquals("before true, full false, full false, full false, full false, full false, after true, again true, rows [a, c, d]",
-            text.lines().filter(l -> l.matches("(before|full|after|again|rows) .*")).collect(java.util.stream.Collectors.joining(", ")));
+        assertEquals(
+                "before true, full false, full false, full false, full false, full false, after true, again true, rows [a, c, d]",
+                text.lines()
+                        .filter(l -> l.matches("(before|full|after|again|rows) .*"))
+                        .collect(java.util.stream.Collectors.joining(", ")));
     }
 
     @Test
--- a/prog/src/test/java/rv/prog/StayTest.java
+++ b/prog/src/test/java/rv/prog/StayTest.java
@@ -40,7 +40,12 @@
         }
 
         @Override
-        public Port.Got read(final Origin to, final Port.Send what, final int status, final Map<String, String> heads, final byte[] body) {
+        public Port.Got read(
+                final Origin to,
+                final Port.Send what,
+                final int status,
+                final Map<String, String> heads,
+                final byte[] body) {
             return new Port.Got(Port.End.WHOLE, status, heads, body, "");
         }
 
@@ -67,13 +72,16 @@
     void begin() throws Exception {
         Main.quiet();
         link.setHost("127.0.0.1");
-        link.getConnectionFactory(HttpConnectionFactory.class).getHttpConfiguration().setUriCompliance(UriCompliance.UNSAFE);
+        link.getConnectionFactory(HttpConnectionFactory.class)
+                .getHttpConfiguration()
+                .setUriCompliance(UriCompliance.UNSAFE);
         server.addConnector(link);
         server.setHandler(new Handler.Abstract() {
             @Override
             public boolean handle(final Request req, final Response res, final Callback done) {
                 target = req.getHttpURI().getPathQuery();
-                circuits.add(req.getConnectionMetaData().getRemoteSocketAddress().toString());
+                circuits.add(
+                        req.getConnectionMetaData().getRemoteSocketAddress().toString());
                 says.forEach((k, v) -> res.getHeaders().put(k, v));
                 res.setStatus(Integer.parseInt(says.getOrDefault("Status", "200")));
                 res.write(true, ByteBuffer.allocate(0), done);
@@ -95,12 +103,15 @@
 
     private int circuits(final String stay, final String stamp) throws Exception {
         final Set<String> before = new HashSet<>(circuits);
-        says = stay.equals("close") ? Map.of("Connection", "close") : stay.isEmpty() ? Map.of() : Map.of("Keep-Alive", stay);
+        says = stay.equals("close")
+                ? Map.of("Connection", "close")
+                : stay.isEmpty() ? Map.of() : Map.of("Keep-Alive", stay);
         final Origin to = new Origin("s", "127.0.0.1", link.getLocalPort(), stamp, "open", 0, 0, false, 1);
         for (int i = 0; i < 3; i++) {
             final CompletableFuture<Port.Got> f = new CompletableFuture<>();
             final String id = "r" + i;
-            loop.post(() -> port.send(to, new Port.Send("s", "GET", "/", id, null, null, null, 20_000), () -> true, f::complete));
+            loop.post(() -> port.send(
+                    to, new Port.Send("s", "GET", "/", id, null, null, null, 20_000), () -> true, f::complete));
             assertEquals(Port.End.WHOLE, f.get(30, TimeUnit.SECONDS).end());
         }
         circuits.removeAll(before);
@@ -125,7 +136,8 @@
         final Origin to = new Origin("s", "127.0.0.1", link.getLocalPort(), "a", "open", 0, 0, false, 1);
         for (final String target : List.of("/x?a=b|c", "//h/x?a={b}", "/x//y", "/a%2Fb?%25", "/x?u=//h/%2F&&=")) {
             final CompletableFuture<Port.Got> f = new CompletableFuture<>();
-            loop.post(() -> port.send(to, new Port.Send("s", "GET", target, "r", null, null, null, 20_000), () -> true, f::complete));
+            loop.post(() -> port.send(
+                    to, new Port.Send("s", "GET", target, "r", null, null, null, 20_000), () -> true, f::complete));
             final Port.Got got = f.get(30, TimeUnit.SECONDS);
             assertEquals("200 " + target, got.status() + " " + this.target, got.why());
         }
@@ -138,7 +150,8 @@
         says = Map.of("Status", "503");
         final Origin to = new Origin("s", "127.0.0.1", link.getLocalPort(), "a", "open", 0, 0, false, 1);
         final CompletableFuture<Port.Got> f = new CompletableFuture<>();
-        loop.post(() -> port.send(to, new Port.Send("s", "GET", "/", "r", null, null, null, 20_000), () -> true, f::complete));
+        loop.post(() ->
+                port.send(to, new Port.Send("s", "GET", "/", "r", null, null, null, 20_000), () -> true, f::complete));
         assertEquals(Port.End.NOT_SENT, f.get(30, TimeUnit.SECONDS).end());
     }
 
--- a/prog/src/test/java/rv/prog/TcpNetTest.java
+++ b/prog/src/test/java/rv/prog/TcpNetTest.java
@@ -42,8 +42,16 @@
             back.accept(new Msg.Nay("heard " + from));
         });
         port = two.bound();
-        one = new TcpNet(NodeId.of("one"), loop, journal, Map.of(NodeId.of("two"), new InetSocketAddress("127.0.0.1", port),
-            NodeId.of("dead"), new InetSocketAddress("127.0.0.1", 1)), Map.of());
+        one = new TcpNet(
+                NodeId.of("one"),
+                loop,
+                journal,
+                Map.of(
+                        NodeId.of("two"),
+                        new InetSocketAddress("127.0.0.1", port),
+                        NodeId.of("dead"),
+                        new InetSocketAddress("127.0.0.1", 1)),
+                Map.of());
         one.bind(new InetSocketAddress("127.0.0.1", 0), (from, msg, back) -> back.accept(new Msg.Ok()));
     }
 
@@ -78,11 +86,16 @@
 
     private static byte[] frame(final String kind) throws IOException {
         final CBORMapper map = new CBORMapper();
-        final byte[] data = switch (kind) {
-            case "unknown" -> map.writeValueAsBytes(Map.of("v", 1, "id", 1, "re", 0, "from", "one", "msg", Map.of("t", "Dance")));
-            case "version" -> map.writeValueAsBytes(Map.of("v", 9, "id", 1, "re", 0, "from", "one", "msg", Map.of("t", "Ok")));
-            default -> new byte[] {1, 2, 3, 4, 5};
-        };
+        final byte[] data =
+                switch (kind) {
+                    case "unknown" ->
+                        map.writeValueAsBytes(
+                                Map.of("v", 1, "id", 1, "re", 0, "from", "one", "msg", Map.of("t", "Dance")));
+                    case "version" ->
+                        map.writeValueAsBytes(
+                                Map.of("v", 9, "id", 1, "re", 0, "from", "one", "msg", Map.of("t", "Ok")));
+                    default -> new byte[] {1, 2, 3, 4, 5};
+                };
         return data;
     }
 
--- a/rig/src/main/java/rv/rig/Figures.java
+++ b/rig/src/main/java/rv/rig/Figures.java
@@ -17,8 +17,17 @@
     public String text() {
         final StringBuilder s = new StringBuilder();
         final List<Facts.Row> asks = facts.of("req");
-        s.append("fates ").append(Rig.count(asks.stream().map(Facts.Row::map).toList(), "mode", "fate", "status")).append('\n');
-        s.append("reasons ").append(Rig.count(asks.stream().filter(r -> r.has("why")).map(Facts.Row::map).toList(), "why")).append('\n');
+        s.append("fates ")
+                .append(Rig.count(asks.stream().map(Facts.Row::map).toList(), "mode", "fate", "status"))
+                .append('\n');
+        s.append("reasons ")
+                .append(Rig.count(
+                        asks.stream()
+                                .filter(r -> r.has("why"))
+                                .map(Facts.Row::map)
+                                .toList(),
+                        "why"))
+                .append('\n');
         s.append("served by second ").append(seconds(asks, true)).append('\n');
         s.append("useful answers by second ").append(seconds(asks, false)).append('\n');
         for (final String what : List.of("put", "purge")) {
@@ -29,20 +38,33 @@
                 s.append("after return: ").append(back(asks, r.t())).append('\n');
             }
         }
-        s.append("by trouble (share served, by kind, worst second, longest time a shard had no filler):\n").append(new Troubles(facts).text());
+        s.append("by trouble (share served, by kind, worst second, longest time a shard had no filler):\n")
+                .append(new Troubles(facts).text());
         for (final Facts.Row r : facts.of("cost")) {
-            s.append("between processes: ").append(r.num("messages") / Math.max(1, r.num("seconds"))).append(" questions and ")
-                .append(r.num("bytes") / Math.max(1, r.num("seconds"))).append(" bytes a second, ").append(r.num("items"))
-                .append(" items, ").append(r.num("syncs")).append(" syncs on st1; share by kind: ").append(shares(r)).append('\n');
+            s.append("between processes: ")
+                    .append(r.num("messages") / Math.max(1, r.num("seconds")))
+                    .append(" questions and ")
+                    .append(r.num("bytes") / Math.max(1, r.num("seconds")))
+                    .append(" bytes a second, ")
+                    .append(r.num("items"))
+                    .append(" items, ")
+                    .append(r.num("syncs"))
+                    .append(" syncs on st1; share by kind: ")
+                    .append(shares(r))
+                    .append('\n');
         }
         return s.toString();
     }
 
     private static String shares(final Facts.Row r) {
         final Map<?, ?> kinds = (Map<?, ?>) r.map().get("kinds");
-        final long all = kinds.values().stream().mapToLong(v -> ((Number) v).longValue()).sum();
-        return kinds.entrySet().stream().filter(e -> ((Number) e.getValue()).longValue() * 50 >= all)
-            .map(e -> e.getKey() + " " + ((Number) e.getValue()).longValue() * 100 / all + "%").toList().toString();
+        final long all =
+                kinds.values().stream().mapToLong(v -> ((Number) v).longValue()).sum();
+        return kinds.entrySet().stream()
+                .filter(e -> ((Number) e.getValue()).longValue() * 50 >= all)
+                .map(e -> e.getKey() + " " + ((Number) e.getValue()).longValue() * 100 / all + "%")
+                .toList()
+                .toString();
     }
 
     private static boolean done(final Facts.Row r) {
@@ -64,14 +86,25 @@
 
     private String spread(final String what) {
         final Map<String, List<Facts.Row>> by = Facts.group(facts.nodes("LEARNED"), "item");
-        final long[] worst = facts.accepted(what).stream().mapToLong(w -> {
-            final Map<String, Long> first = new TreeMap<>();
-            by.getOrDefault(w.text("item") + "|", List.of()).stream().filter(r -> r.num("ver") >= w.num("version")
-                && facts.healthy(r.text("node"), w.t(), w.num("end") + 2500)).forEach(r -> first.merge(r.text("node"), r.t(), Math::min));
-            return first.values().stream().mapToLong(t -> t - w.num("end")).max().orElse(0);
-        }).sorted().toArray();
-        return worst.length == 0 ? "none" : "n " + worst.length + ", median " + worst[worst.length / 2] + ", 99th "
-            + worst[Math.min(worst.length - 1, worst.length * 99 / 100)] + ", worst " + Arrays.stream(worst).max().orElse(0) + " ms";
+        final long[] worst = facts.accepted(what).stream()
+                .mapToLong(w -> {
+                    final Map<String, Long> first = new TreeMap<>();
+                    by.getOrDefault(w.text("item") + "|", List.of()).stream()
+                            .filter(r -> r.num("ver") >= w.num("version")
+                                    && facts.healthy(r.text("node"), w.t(), w.num("end") + 2500))
+                            .forEach(r -> first.merge(r.text("node"), r.t(), Math::min));
+                    return first.values().stream()
+                            .mapToLong(t -> t - w.num("end"))
+                            .max()
+                            .orElse(0);
+                })
+                .sorted()
+                .toArray();
+        return worst.length == 0
+                ? "none"
+                : "n " + worst.length + ", median " + worst[worst.length / 2] + ", 99th "
+                        + worst[Math.min(worst.length - 1, worst.length * 99 / 100)] + ", worst "
+                        + Arrays.stream(worst).max().orElse(0) + " ms";
     }
 
     private static String back(final List<Facts.Row> asks, final long at) {
@@ -80,12 +113,17 @@
             long found = -1;
             for (long t = at; t < at + 30_000 && found < 0; t += 250) {
                 final long from = t;
-                final List<Facts.Row> win = asks.stream().filter(r -> r.t() >= from && r.t() < from + 1000).toList();
+                final List<Facts.Row> win = asks.stream()
+                        .filter(r -> r.t() >= from && r.t() < from + 1000)
+                        .toList();
                 if (!win.isEmpty() && win.stream().filter(Figures::done).count() * 100 >= (long) share * win.size()) {
                     found = t - at;
                 }
             }
-            s.append(share).append("% at ").append(found < 0 ? "never" : found + " ms").append("  ");
+            s.append(share)
+                    .append("% at ")
+                    .append(found < 0 ? "never" : found + " ms")
+                    .append("  ");
         }
         return s.toString().trim();
     }
--- a/rig/src/main/java/rv/rig/Originator.java
+++ b/rig/src/main/java/rv/rig/Originator.java
@@ -32,14 +32,21 @@
     private final List<String> nodes;
     private final Log log;
     private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(2, QUIET);
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(800)).build();
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofMillis(800)).build();
     private final AtomicLong beat = new AtomicLong();
     private Server server;
     private StandIn face;
     private int port;
     private volatile boolean on;
 
-    public Originator(final String name, final Stock stock, final String kind, final String host, final List<String> nodes, final Log log) {
+    public Originator(
+            final String name,
+            final Stock stock,
+            final String kind,
+            final String host,
+            final List<String> nodes,
+            final Log log) {
         this.name = name;
         this.stock = stock;
         this.kind = kind;
@@ -111,21 +118,58 @@
     private int announce(final boolean leaving) {
         final long n = beat.incrementAndGet();
         final String node = nodes.get((int) (n % nodes.size()));
-        final String body = Json.text(Log.row("service", stock.service(), "host", host, "port", port, "stamp", face.stamp(),
-            "kind", kind, "load", 0, "ttlMs", 10_000, "leaving", leaving, "beat", n));
+        final String body = Json.text(Log.row(
+                "service",
+                stock.service(),
+                "host",
+                host,
+                "port",
+                port,
+                "stamp",
+                face.stamp(),
+                "kind",
+                kind,
+                "load",
+                0,
+                "ttlMs",
+                10_000,
+                "leaving",
+                leaving,
+                "beat",
+                n));
         final long t = System.currentTimeMillis();
         int status = 0;
         try {
-            status = http.send(HttpRequest.newBuilder(URI.create("http://" + node + "/v1/origins/" + name)).timeout(Duration.ofSeconds(3))
-                .PUT(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString()).statusCode();
+            status = http.send(
+                            HttpRequest.newBuilder(URI.create("http://" + node + "/v1/origins/" + name))
+                                    .timeout(Duration.ofSeconds(3))
+                                    .PUT(HttpRequest.BodyPublishers.ofString(body))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .statusCode();
         } catch (final java.io.IOException e) {
             status = 0;
         } catch (final InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         if (leaving || n == 1) {
-            log.add(Log.row("log", "op", "t", t, "end", System.currentTimeMillis(), "what", leaving ? "leave" : "announce", "origin",
-                name, "service", stock.service(), "stamp", face.stamp(), "status", status));
+            log.add(Log.row(
+                    "log",
+                    "op",
+                    "t",
+                    t,
+                    "end",
+                    System.currentTimeMillis(),
+                    "what",
+                    leaving ? "leave" : "announce",
+                    "origin",
+                    name,
+                    "service",
+                    stock.service(),
+                    "stamp",
+                    face.stamp(),
+                    "status",
+                    status));
         }
         return status;
     }
