--- a/rig/src/main/java/rv/rig/Place.java
+++ b/rig/src/main/java/rv/rig/Place.java
@@ -8,26 +8,55 @@
 import rv.control.Json;
 
 /** One deployment: its machines, its origins, its configuration and its mix of requests. */
-public record Place(String name, int edges, int shields, List<String> cells, long regionMs, long syncMs, int perSecond, List<Kin> kin,
-                    boolean hasty, boolean shieldRun) {
-    public static final Set<String> NAMES = Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields");
+public record Place(
+        String name,
+        int edges,
+        int shields,
+        List<String> cells,
+        long regionMs,
+        long syncMs,
+        int perSecond,
+        List<Kin> kin,
+        boolean hasty,
+        boolean shieldRun) {
+    public static final Set<String> NAMES =
+            Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields");
     private static final String HOST = "shop.example";
 
     /** A service, its origins, and the routes to it; {@code share} of requests each route gets. */
-    public record Kin(String service, String kind, double rate, int origins, List<Way> ways) {
-    }
+    public record Kin(String service, String kind, double rate, int origins, List<EdgeRouting> ways) {}
 
     /** {@code host} and {@code split} are for routes of a shield-run place: which services share the requests, by weight. */
-    public record Way(String route, String prefix, String mode, long lifetimeMs, boolean purgeable, double share, int objects, String host,
-                      Map<String, Integer> split) {
-        public Way(final String route, final String prefix, final String mode, final long lifetimeMs, final boolean purgeable, final double share,
-                   final int objects) {
+    public record EdgeRouting(
+            String route,
+            String prefix,
+            String mode,
+            long lifetimeMs,
+            boolean purgeable,
+            double share,
+            int objects,
+            String host,
+            Map<String, Integer> split) {
+        public EdgeRouting(
+                final String route,
+                final String prefix,
+                final String mode,
+                final long lifetimeMs,
+                final boolean purgeable,
+                final double share,
+                final int objects) {
             this(route, prefix, mode, lifetimeMs, purgeable, share, objects, "", Map.of());
         }
 
-        static Way at(final String route, final String mode, final long lifetimeMs, final double share, final int objects,
-                      final Map<String, Integer> split) {
-            return new Way(route, "/" + route + "/", mode, lifetimeMs, true, share, objects, HOST, new TreeMap<>(split));
+        static EdgeRouting at(
+                final String route,
+                final String mode,
+                final long lifetimeMs,
+                final double share,
+                final int objects,
+                final Map<String, Integer> split) {
+            return new EdgeRouting(
+                    route, "/" + route + "/", mode, lifetimeMs, true, share, objects, HOST, new TreeMap<>(split));
         }
 
         /** Whether a request may run at most once. */
@@ -37,57 +66,164 @@
     }
 
     public static Place kilimanjaro() {
-        return new Place("kilimanjaro", 11, 4, List.of("north", "east", "south", "west"), 0, 1, 370, List.of(
-            new Kin("stock", "content", 60, 4, List.of(
-                new Way("stock", "/stock/", "cached", 2000, true, 0.667, 120))),
-            new Kin("catalog", "content", 30, 3, List.of(
-                new Way("catalog", "/catalog/", "cached", 15_000, true, 0.15, 80),
-                new Way("terms", "/terms/", "cached", 60_000, false, 0.02, 5))),
-            new Kin("reserve", "booking", 0, 3, List.of(
-                new Way("reserve", "/reserve/", "once", 0, true, 0.06, 50))),
-            new Kin("collect", "booking", 0, 2, List.of(
-                new Way("collect", "/collect/", "status", 0, true, 0.103, 200)))), false, false);
+        return new Place(
+                "kilimanjaro",
+                11,
+                4,
+                List.of("north", "east", "south", "west"),
+                0,
+                1,
+                370,
+                List.of(
+                        new Kin(
+                                "stock",
+                                "content",
+                                60,
+                                4,
+                                List.of(new EdgeRouting("stock", "/stock/", "cached", 2000, true, 0.667, 120))),
+                        new Kin(
+                                "catalog",
+                                "content",
+                                30,
+                                3,
+                                List.of(
+                                        new EdgeRouting("catalog", "/catalog/", "cached", 15_000, true, 0.15, 80),
+                                        new EdgeRouting("terms", "/terms/", "cached", 60_000, false, 0.02, 5))),
+                        new Kin(
+                                "reserve",
+                                "booking",
+                                0,
+                                3,
+                                List.of(new EdgeRouting("reserve", "/reserve/", "once", 0, true, 0.06, 50))),
+                        new Kin(
+                                "collect",
+                                "booking",
+                                0,
+                                2,
+                                List.of(new EdgeRouting("collect", "/collect/", "status", 0, true, 0.103, 200)))),
+                false,
+                false);
     }
 
     public static Place coastline() {
-        return new Place("coastline", 9, 4, List.of("coast-a", "coast-b", "interior-a", "interior-b"), 17, 5, 225, List.of(
-            new Kin("listing", "content", 40, 4, List.of(
-                new Way("listing", "/courses/", "cached", 5000, true, 0.45, 150),
-                new Way("campus", "/campus/", "cached", 60_000, false, 0.05, 8))),
-            new Kin("seats", "content", 50, 3, List.of(
-                new Way("seats", "/seats/", "cached", 1500, true, 0.25, 60))),
-            new Kin("claim", "booking", 0, 3, List.of(
-                new Way("claim", "/claim/", "once", 0, true, 0.1, 60))),
-            new Kin("apply", "booking", 0, 2, List.of(
-                new Way("status", "/status/", "status", 0, true, 0.15, 300)))), true, false);
+        return new Place(
+                "coastline",
+                9,
+                4,
+                List.of("coast-a", "coast-b", "interior-a", "interior-b"),
+                17,
+                5,
+                225,
+                List.of(
+                        new Kin(
+                                "listing",
+                                "content",
+                                40,
+                                4,
+                                List.of(
+                                        new EdgeRouting("listing", "/courses/", "cached", 5000, true, 0.45, 150),
+                                        new EdgeRouting("campus", "/campus/", "cached", 60_000, false, 0.05, 8))),
+                        new Kin(
+                                "seats",
+                                "content",
+                                50,
+                                3,
+                                List.of(new EdgeRouting("seats", "/seats/", "cached", 1500, true, 0.25, 60))),
+                        new Kin(
+                                "claim",
+                                "booking",
+                                0,
+                                3,
+                                List.of(new EdgeRouting("claim", "/claim/", "once", 0, true, 0.1, 60))),
+                        new Kin(
+                                "apply",
+                                "booking",
+                                0,
+                                2,
+                                List.of(new EdgeRouting("status", "/status/", "status", 0, true, 0.15, 300)))),
+                true,
+                false);
     }
 
     /** No stores: three of four shields vote, each with a disk; rates hold for all origins of a service together. */
     public static Place kilimanjaroShields() {
-        return new Place("kilimanjaro-shields", 6, 4, List.of("dar/kurasini", "dar/mikocheni", "dar/ubungo", "dar/kipawa"), 0, 1, 180, List.of(
-            new Kin("shelf", "open", 60, 4, List.of(
-                Way.at("gate", "cached", 2000, 0.55, 120, Map.of("shelf", 90, "annex", 10)),
-                Way.at("catalogue", "cached", 15_000, 0.15, 80, Map.of("shelf", 100)))),
-            new Kin("annex", "open", 30, 2, List.of()),
-            new Kin("till", "open", 0, 6, List.of(
-                Way.at("reserve", "once", 0, 0.1, 50, Map.of("till", 70, "desk", 30)),
-                Way.at("collect", "status", 0, 0.13, 200, Map.of("till", 100)),
-                Way.at("hold", "single", 0, 0.07, 50, Map.of("till", 50, "desk", 50)))),
-            new Kin("desk", "open", 0, 3, List.of())), false, true);
+        return new Place(
+                "kilimanjaro-shields",
+                6,
+                4,
+                List.of("dar/kurasini", "dar/mikocheni", "dar/ubungo", "dar/kipawa"),
+                0,
+                1,
+                180,
+                List.of(
+                        new Kin(
+                                "shelf",
+                                "open",
+                                60,
+                                4,
+                                List.of(
+                                        EdgeRouting.at(
+                                                "gate", "cached", 2000, 0.55, 120, Map.of("shelf", 90, "annex", 10)),
+                                        EdgeRouting.at("catalogue", "cached", 15_000, 0.15, 80, Map.of("shelf", 100)))),
+                        new Kin("annex", "open", 30, 2, List.of()),
+                        new Kin(
+                                "till",
+                                "open",
+                                0,
+                                6,
+                                List.of(
+                                        EdgeRouting.at("reserve", "once", 0, 0.1, 50, Map.of("till", 70, "desk", 30)),
+                                        EdgeRouting.at("collect", "status", 0, 0.13, 200, Map.of("till", 100)),
+                                        EdgeRouting.at("hold", "single", 0, 0.07, 50, Map.of("till", 50, "desk", 50)))),
+                        new Kin("desk", "open", 0, 3, List.of())),
+                false,
+                true);
     }
 
     public static Place coastlineShields() {
-        return new Place("coastline-shields", 6, 4, List.of("coast/burnaby", "coast/surrey", "interior/kelowna", "interior/kamloops"), 17, 5, 150,
-            List.of(
-                new Kin("listing", "open", 60, 4, List.of(
-                    Way.at("course", "cached", 5000, 0.45, 150, Map.of("listing", 100)),
-                    Way.at("seats", "cached", 1500, 0.2, 60, Map.of("listing", 80, "mirror", 20)))),
-                new Kin("mirror", "open", 30, 2, List.of()),
-                new Kin("registrar", "open", 0, 6, List.of(
-                    Way.at("claim", "once", 0, 0.15, 60, Map.of("registrar", 80, "clerk", 20)),
-                    Way.at("status", "status", 0, 0.15, 300, Map.of("registrar", 100)),
-                    Way.at("waitlist", "single", 0, 0.05, 50, Map.of("registrar", 50, "clerk", 50)))),
-                new Kin("clerk", "open", 0, 3, List.of())), true, true);
+        return new Place(
+                "coastline-shields",
+                6,
+                4,
+                List.of("coast/burnaby", "coast/surrey", "interior/kelowna", "interior/kamloops"),
+                17,
+                5,
+                150,
+                List.of(
+                        new Kin(
+                                "listing",
+                                "open",
+                                60,
+                                4,
+                                List.of(
+                                        EdgeRouting.at("course", "cached", 5000, 0.45, 150, Map.of("listing", 100)),
+                                        EdgeRouting.at(
+                                                "seats",
+                                                "cached",
+                                                1500,
+                                                0.2,
+                                                60,
+                                                Map.of("listing", 80, "mirror", 20)))),
+                        new Kin("mirror", "open", 30, 2, List.of()),
+                        new Kin(
+                                "registrar",
+                                "open",
+                                0,
+                                6,
+                                List.of(
+                                        EdgeRouting.at(
+                                                "claim", "once", 0, 0.15, 60, Map.of("registrar", 80, "clerk", 20)),
+                                        EdgeRouting.at("status", "status", 0, 0.15, 300, Map.of("registrar", 100)),
+                                        EdgeRouting.at(
+                                                "waitlist",
+                                                "single",
+                                                0,
+                                                0.05,
+                                                50,
+                                                Map.of("registrar", 50, "clerk", 50)))),
+                        new Kin("clerk", "open", 0, 3, List.of())),
+                true,
+                true);
     }
 
     public static Place of(final String name) {
@@ -117,7 +253,9 @@
 
     /** Machines whose disk outlives a loss of power. */
     public List<String> disks() {
-        return machines().stream().filter(m -> m.startsWith(shieldRun ? "sh" : "st")).toList();
+        return machines().stream()
+                .filter(m -> m.startsWith(shieldRun ? "sh" : "st"))
+                .toList();
     }
 
     public List<String> origins() {
@@ -148,9 +286,12 @@
         final Map<String, Object> services = Log.row();
         final Map<String, Object> routes = Log.row();
         for (final Kin k : kin) {
-            services.put(k.service(), k.rate() > 0 ? Log.row("kind", k.kind(), "rate", k.rate()) : Log.row("kind", k.kind()));
-            for (final Way w : k.ways()) {
-                final Map<String, Object> r = Log.row("prefix", w.prefix(), "service", k.service(), "mode", w.mode(), "purgeable", w.purgeable());
+            services.put(
+                    k.service(),
+                    k.rate() > 0 ? Log.row("kind", k.kind(), "rate", k.rate()) : Log.row("kind", k.kind()));
+            for (final EdgeRouting w : k.ways()) {
+                final Map<String, Object> r = Log.row(
+                        "prefix", w.prefix(), "service", k.service(), "mode", w.mode(), "purgeable", w.purgeable());
                 if (w.mode().equals("cached")) {
                     r.put("lifetimeMs", w.lifetimeMs());
                 }
@@ -160,13 +301,13 @@
         return Json.text(Log.row("services", services, "routes", routes));
     }
 
-    public List<Way> ways() {
+    public List<EdgeRouting> ways() {
         return kin.stream().flatMap(k -> k.ways().stream()).toList();
     }
 
-    public Way pick(final double roll) {
+    public EdgeRouting pick(final double roll) {
         double sum = 0;
-        for (final Way w : ways()) {
+        for (final EdgeRouting w : ways()) {
             sum += w.share();
             if (roll < sum) {
                 return w;
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.LongStream;
 import joptsimple.OptionException;
@@ -31,18 +30,29 @@
           origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
         """;
 
-    private Rig() {
-    }
+    private Rig() {}
 
     public static void main(final String[] args) throws Exception {
         rv.prog.Main.quiet();
         final OptionParser p = new OptionParser();
         p.accepts("seeds", "one seed or a range: 1..20").withRequiredArg().defaultsTo("1");
-        p.accepts("troubles", "how many troubles a day from a seed has").withRequiredArg().ofType(Integer.class).defaultsTo(0);
-        p.accepts("seconds", "length of a quiet day").withRequiredArg().ofType(Long.class).defaultsTo(20L);
+        p.accepts("troubles", "how many troubles a day from a seed has")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(0);
+        p.accepts("seconds", "length of a quiet day")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(20L);
         p.accepts("dir", "folder for a fleet's logs and data").withRequiredArg();
-        p.accepts("from", "bin folder of another build: a fleet begins on it, each restart brings a machine to this one").withRequiredArg();
-        p.accepts("shards", "shards of the key space, in a scale run").withRequiredArg().ofType(Integer.class).defaultsTo(512);
+        p.accepts(
+                        "from",
+                        "bin folder of another build: a fleet begins on it, each restart brings a machine to this one")
+                .withRequiredArg();
+        p.accepts("shards", "shards of the key space, in a scale run")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(512);
         p.accepts("figures", "print availability and spread");
         p.accepts("help", "print this and end");
         final OptionSet set;
@@ -53,7 +63,8 @@
             System.exit(2);
             return;
         }
-        final List<String> w = set.nonOptionArguments().stream().map(String::valueOf).toList();
+        final List<String> w =
+                set.nonOptionArguments().stream().map(String::valueOf).toList();
         if (set.has("help") || w.size() < 2) {
             System.out.println(USAGE);
             p.printHelpOn(System.out);
@@ -73,10 +84,13 @@
         }
     }
 
-    private static Script script(final String what, final long seed, final OptionSet set, final List<Finding> faults) throws IOException {
+    private static Script script(final String what, final long seed, final OptionSet set, final List<Finding> faults)
+            throws IOException {
         if (Place.NAMES.contains(what)) {
             final int n = (Integer) set.valueOf("troubles");
-            return n == 0 ? new Script("quiet", Place.of(what), (Long) set.valueOf("seconds"), List.of()) : Script.day(Place.of(what), seed, n, 4000);
+            return n == 0
+                    ? new Script("quiet", Place.of(what), (Long) set.valueOf("seconds"), List.of())
+                    : Script.day(Place.of(what), seed, n, 4000);
         }
         if (!Files.isReadable(Path.of(what))) {
             faults.add(new Finding(what, "cannot be read"));
@@ -99,14 +113,18 @@
         if (bad(faults)) {
             return 2;
         }
-        return LongStream.rangeClosed(from, to).parallel().mapToInt(seed -> {
-            try {
-                final Play play = new Play(script(what, seed, set, new ArrayList<>()), seed);
-                return show("seed " + seed, play.run(), play.missed(), set);
-            } catch (final IOException e) {
-                return 1;
-            }
-        }).max().orElse(0);
+        return LongStream.rangeClosed(from, to)
+                .parallel()
+                .mapToInt(seed -> {
+                    try {
+                        final Play play = new Play(script(what, seed, set, new ArrayList<>()), seed);
+                        return show("seed " + seed, play.run(), play.missed(), set);
+                    } catch (final IOException e) {
+                        return 1;
+                    }
+                })
+                .max()
+                .orElse(0);
     }
 
     private static int pairs(final String place, final OptionSet set) {
@@ -115,26 +133,39 @@
             return 2;
         }
         final String[] ends = ((String) set.valueOf("seeds")).split("\\.\\.");
-        final Map<Integer, java.util.concurrent.atomic.AtomicLong> checked = new java.util.concurrent.ConcurrentSkipListMap<>();
-        final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1])).boxed()
-            .flatMap(seed -> Script.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two))).toList().parallelStream().filter(e -> {
-                final Play play = new Play(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
-                final Judge j = new Judge(play.run());
-                j.verdicts().forEach(v -> checked.computeIfAbsent(v.rule(), k -> new java.util.concurrent.atomic.AtomicLong()).addAndGet(v.checked()));
-                final boolean ok = j.clean() && play.missed().isEmpty();
-                if (!ok) {
-                    System.out.print(e.getValue() + " seed " + e.getKey() + " BROKEN " + play.missed() + "\n" + j.text(2));
-                }
-                return !ok;
-            }).count();
-        System.out.println(place + ": " + bad + " not clean of " + Script.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
+        final Map<Integer, java.util.concurrent.atomic.AtomicLong> checked =
+                new java.util.concurrent.ConcurrentSkipListMap<>();
+        final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]))
+                .boxed()
+                .flatMap(seed -> Script.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two)))
+                .toList()
+                .parallelStream()
+                .filter(e -> {
+                    final Play play = new Play(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
+                    final Judge j = new Judge(play.run());
+                    j.verdicts()
+                            .forEach(v -> checked.computeIfAbsent(
+                                            v.rule(), k -> new java.util.concurrent.atomic.AtomicLong())
+                                    .addAndGet(v.checked()));
+                    final boolean ok = j.clean() && play.missed().isEmpty();
+                    if (!ok) {
+                        System.out.print(
+                                e.getValue() + " seed " + e.getKey() + " BROKEN " + play.missed() + "\n" + j.text(2));
+                    }
+                    return !ok;
+                })
+                .count();
+        System.out.println(place + ": " + bad + " not clean of "
+                + Script.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
         return bad == 0 ? 0 : 1;
     }
 
-    private static int show(final String title, final List<Map<String, Object>> rows, final List<String> missed, final OptionSet set) {
+    private static int show(
+            final String title, final List<Map<String, Object>> rows, final List<String> missed, final OptionSet set) {
         final Judge j = new Judge(rows);
         final boolean ok = j.clean() && missed.isEmpty();
-        final StringBuilder s = new StringBuilder(title + (ok ? " clean" : " BROKEN") + (missed.isEmpty() ? "" : ", not brought about: " + missed) + "\n");
+        final StringBuilder s = new StringBuilder(title + (ok ? " clean" : " BROKEN")
+                + (missed.isEmpty() ? "" : ", not brought about: " + missed) + "\n");
         s.append(j.text(5));
         if (set.has("figures")) {
             s.append(new Figures(rows).text());
@@ -157,7 +188,8 @@
         }
         final Path dir = set.has("dir") ? Path.of((String) set.valueOf("dir")) : Files.createTempDirectory("rwrig");
         final Path bin = Path.of(System.getProperty("rv.bin", "bin")).toAbsolutePath();
-        final Path from = set.has("from") ? Path.of((String) set.valueOf("from")).toAbsolutePath() : bin;
+        final Path from =
+                set.has("from") ? Path.of((String) set.valueOf("from")).toAbsolutePath() : bin;
         if (!Files.isExecutable(from.resolve("rwstore"))) {
             System.err.println("rwrig: --from: no programs in " + from);
             return 2;
@@ -194,7 +226,13 @@
     }
 
     private static void origin(final List<String> a) throws Exception {
-        final Originator o = new Originator(a.get(0), new Stock(a.get(1)), a.get(2), a.get(3), List.of(a.get(6).split(",")), new Log(Path.of(a.get(5))));
+        final Originator o = new Originator(
+                a.get(0),
+                new Stock(a.get(1)),
+                a.get(2),
+                a.get(3),
+                List.of(a.get(6).split(",")),
+                new Log(Path.of(a.get(5))));
         o.start(Integer.parseInt(a.get(4)));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> o.leave(5)));
         System.out.println("origin " + o.name() + " on port " + o.port());
--- a/rig/src/main/java/rv/rig/StandIn.java
+++ b/rig/src/main/java/rv/rig/StandIn.java
@@ -24,7 +24,12 @@
     private volatile String fault = "none";
     private volatile long slow = 3;
 
-    public StandIn(final String name, final String stamp, final Stock stock, final Log log, final ScheduledExecutorService clock) {
+    public StandIn(
+            final String name,
+            final String stamp,
+            final Stock stock,
+            final Log log,
+            final ScheduledExecutorService clock) {
         this.name = name;
         this.stamp = stamp;
         this.stock = stock;
@@ -52,7 +57,12 @@
             final String path = req.getHttpURI().getPathQuery();
             if (path.equals("/rv/identity")) {
                 final boolean other = fault.equals("foreign");
-                send(res, done, 200, Json.text(Map.of("service", other ? "someone-else" : stock.service(), "stamp", stamp)), "");
+                send(
+                        res,
+                        done,
+                        200,
+                        Json.text(Map.of("service", other ? "someone-else" : stock.service(), "stamp", stamp)),
+                        "");
                 return;
             }
             serve(req.getMethod(), path, req.getHeaders(), body, res, done);
@@ -60,16 +70,43 @@
         return true;
     }
 
-    private void serve(final String method, final String path, final HttpFields heads, final byte[] body, final Response res, final Callback done) {
+    private void serve(
+            final String method,
+            final String path,
+            final HttpFields heads,
+            final byte[] body,
+            final Response res,
+            final Callback done) {
         final String id = heads.get("Rv-Request");
         final String key = heads.get("Rv-Key");
         final boolean run = method.equals("POST");
-        log.add(Log.row("log", "org", "t", System.currentTimeMillis(), "origin", name, "service",
-            fault.equals("foreign") ? "someone-else" : stock.service(), "want", heads.get("Rv-Service"), "stamp", stamp, "what",
-            run ? "run" : "get", "request", id, "path", path, "key", key, "body", Hash.digest(body)));
+        log.add(Log.row(
+                "log",
+                "org",
+                "t",
+                System.currentTimeMillis(),
+                "origin",
+                name,
+                "service",
+                fault.equals("foreign") ? "someone-else" : stock.service(),
+                "want",
+                heads.get("Rv-Service"),
+                "stamp",
+                stamp,
+                "what",
+                run ? "run" : "get",
+                "request",
+                id,
+                "path",
+                path,
+                "key",
+                key,
+                "body",
+                Hash.digest(body)));
         final String text = run ? stock.run(path, String.valueOf(key)) : stock.view(path);
         if (!fault.equals("lose")) {
-            clock.schedule(() -> send(res, done, run ? 201 : 200, text, String.valueOf(id)), slow, TimeUnit.MILLISECONDS);
+            clock.schedule(
+                    () -> send(res, done, run ? 201 : 200, text, String.valueOf(id)), slow, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/rig/src/main/java/rv/rig/Stock.java
+++ b/rig/src/main/java/rv/rig/Stock.java
@@ -53,8 +53,10 @@
     public synchronized String run(final String path, final String key) {
         count++;
         runs.merge(key, 1L, Long::sum);
-        return Json.text(key == null ? Map.of("service", service, "path", path, "number", count)
-            : Map.of("service", service, "path", path, "key", key, "number", count));
+        return Json.text(
+                key == null
+                        ? Map.of("service", service, "path", path, "number", count)
+                        : Map.of("service", service, "path", path, "key", key, "number", count));
     }
 
     public synchronized long rev(final String path) {
--- a/rig/src/main/java/rv/rig/Troubles.java
+++ b/rig/src/main/java/rv/rig/Troubles.java
@@ -24,7 +24,9 @@
         final Map<Long, String> holder = new HashMap<>();
         final Map<Long, Long> since = new HashMap<>();
         final List<Facts.Row> all = new ArrayList<>(facts.of("node"));
-        facts.of("rig").stream().filter(r -> List.of("kill", "lose-disk", "freeze").contains(r.text("what"))).forEach(all::add);
+        facts.of("rig").stream()
+                .filter(r -> List.of("kill", "lose-disk", "freeze").contains(r.text("what")))
+                .forEach(all::add);
         all.sort(java.util.Comparator.comparingLong(Facts.Row::t));
         for (final Facts.Row r : all) {
             final long shard = r.num("shard");
@@ -42,14 +44,15 @@
                         since.put(shard, r.t());
                     }
                 }
-                case "GONE" -> holder.entrySet().removeIf(e -> {
-                    if (e.getValue().equals(r.text("node"))) {
-                        since.put(e.getKey(), r.t());
-                        return true;
-                    }
-                    return false;
-                });
-                default -> { }
+                case "GONE" ->
+                    holder.entrySet().removeIf(e -> {
+                        if (e.getValue().equals(r.text("node"))) {
+                            since.put(e.getKey(), r.t());
+                            return true;
+                        }
+                        return false;
+                    });
+                default -> {}
             }
         }
     }
@@ -62,10 +65,17 @@
             if (what.equals("start") || what.equals("returned") || seen.put(what + r.t(), "") != null) {
                 continue;
             }
-            final List<String> who = facts.of("rig").stream().filter(o -> o.t() == r.t() && o.text("what").equals(what))
-                .map(o -> o.text("node")).toList();
-            s.append(String.format(Locale.ROOT, "  %7d %-13s %-24s %s%n", r.t(), what, who.size() > 4 ? who.size() + " machines"
-                : String.join(",", who), line(r.t(), r.t() + Math.min(r.num("ms"), 20_000) + AFTER)));
+            final List<String> who = facts.of("rig").stream()
+                    .filter(o -> o.t() == r.t() && o.text("what").equals(what))
+                    .map(o -> o.text("node"))
+                    .toList();
+            s.append(String.format(
+                    Locale.ROOT,
+                    "  %7d %-13s %-24s %s%n",
+                    r.t(),
+                    what,
+                    who.size() > 4 ? who.size() + " machines" : String.join(",", who),
+                    line(r.t(), r.t() + Math.min(r.num("ms"), 20_000) + AFTER)));
         }
         return s.toString();
     }
@@ -76,8 +86,9 @@
         for (final Facts.Row q : facts.of("req")) {
             if (q.t() >= from && q.t() < to) {
                 final int done = q.text("fate").equals("done") ? 1 : 0;
-                for (final int[] c : List.of(kinds.computeIfAbsent(q.text("mode"), k -> new int[2]),
-                    seconds.computeIfAbsent(q.t() / 1000, k -> new int[2]))) {
+                for (final int[] c : List.of(
+                        kinds.computeIfAbsent(q.text("mode"), k -> new int[2]),
+                        seconds.computeIfAbsent(q.t() / 1000, k -> new int[2]))) {
                     c[0]++;
                     c[1] += done;
                 }
@@ -85,8 +96,13 @@
         }
         final StringBuilder s = new StringBuilder();
         kinds.forEach((k, c) -> s.append(String.format(Locale.ROOT, "%s %5.1f%%  ", k, 100.0 * c[1] / c[0])));
-        final int worst = seconds.values().stream().mapToInt(c -> 100 * c[1] / c[0]).min().orElse(100);
-        final long gap = gaps.stream().filter(g -> g[0] >= from && g[0] < to).mapToLong(g -> g[1] - g[0]).max().orElse(0);
+        final int worst =
+                seconds.values().stream().mapToInt(c -> 100 * c[1] / c[0]).min().orElse(100);
+        final long gap = gaps.stream()
+                .filter(g -> g[0] >= from && g[0] < to)
+                .mapToLong(g -> g[1] - g[0])
+                .max()
+                .orElse(0);
         return s + "worst " + worst + "%  gap " + gap + " ms";
     }
 }
--- a/rig/src/main/java/rv/rig/fleet/Drill.java
+++ b/rig/src/main/java/rv/rig/fleet/Drill.java
@@ -14,9 +14,28 @@
 
 /** Brings a script's troubles about on processes. */
 public final class Drill {
-    private static final Set<String> SHOWN = Set.of("kill", "power", "lose-disk", "freeze", "cut", "origin-crash", "origin-slow", "origin-lose",
-        "origin-wrong", "origin-swap", "origin-leave", "purges", "storm", "invalid", "surge", "restart", "slow", "full", "origin-replace",
-        "blackout", "ack-lose");
+    private static final Set<String> SHOWN = Set.of(
+            "kill",
+            "power",
+            "lose-disk",
+            "freeze",
+            "cut",
+            "origin-crash",
+            "origin-slow",
+            "origin-lose",
+            "origin-wrong",
+            "origin-swap",
+            "origin-leave",
+            "purges",
+            "storm",
+            "invalid",
+            "surge",
+            "restart",
+            "slow",
+            "full",
+            "origin-replace",
+            "blackout",
+            "ack-lose");
     private final Fleet fleet;
     private final Script script;
     private final List<String> missed = new ArrayList<>();
@@ -37,7 +56,9 @@
         final List<Finding> list = new ArrayList<>();
         for (int i = 0; i < s.steps().size(); i++) {
             if (!SHOWN.contains(s.steps().get(i).trouble())) {
-                list.add(new Finding("/steps/" + i + "/trouble", s.steps().get(i).trouble() + " can be brought about in the simulator only"));
+                list.add(new Finding(
+                        "/steps/" + i + "/trouble",
+                        s.steps().get(i).trouble() + " can be brought about in the simulator only"));
             }
         }
         return list;
@@ -58,15 +79,18 @@
     }
 
     private void in(final long ms, final String what, final Act act) {
-        clock.schedule(() -> {
-            try {
-                act.run();
-            } catch (final Exception e) {
-                synchronized (missed) {
-                    missed.add(what + ": " + e.getMessage());
-                }
-            }
-        }, ms, TimeUnit.MILLISECONDS);
+        clock.schedule(
+                () -> {
+                    try {
+                        act.run();
+                    } catch (final Exception e) {
+                        synchronized (missed) {
+                            missed.add(what + ": " + e.getMessage());
+                        }
+                    }
+                },
+                ms,
+                TimeUnit.MILLISECONDS);
     }
 
     private List<Machine> who(final Script.Step s) throws IOException, InterruptedException {
@@ -84,7 +108,10 @@
     private String boss() {
         for (final String n : List.of("st1", "st2")) {
             try {
-                final String text = new String(new java.net.URL("http://" + fleet.machine(n).http() + "/v1/state").openStream().readAllBytes());
+                final String text =
+                        new String(new java.net.URL("http://" + fleet.machine(n).http() + "/v1/state")
+                                .openStream()
+                                .readAllBytes());
                 if (text.contains("\"acting\":true")) {
                     return n;
                 }
@@ -122,11 +149,18 @@
             }
             case "purges", "storm" -> {
                 for (int i = 0; i < s.size(); i++) {
-                    in((long) (i * s.ms() / s.size()), s.trouble(), s.trouble().equals("purges") ? fleet.desk()::purgeAny : fleet.desk()::restateService);
+                    in(
+                            (long) (i * s.ms() / s.size()),
+                            s.trouble(),
+                            s.trouble().equals("purges") ? fleet.desk()::purgeAny : fleet.desk()::restateService);
                 }
             }
             case "invalid" -> {
-                final int status = fleet.desk().ask("PUT", "config", "{\"routes\":{\"x\":{\"prefix\":\"/x/\",\"service\":\"nobody\",\"mode\":\"cached\"}}}");
+                final int status = fleet.desk()
+                        .ask(
+                                "PUT",
+                                "config",
+                                "{\"routes\":{\"x\":{\"prefix\":\"/x/\",\"service\":\"nobody\",\"mode\":\"cached\"}}}");
                 if (status == 200) {
                     throw new IOException("an invalid configuration was accepted");
                 }
@@ -210,7 +244,8 @@
 
     private void cut(final List<Machine> list, final long ms) {
         final List<String> side = list.stream().map(Machine::name).toList();
-        final long votes = side.stream().filter(List.of("st1", "st2", "sh1")::contains).count();
+        final long votes =
+                side.stream().filter(List.of("st1", "st2", "sh1")::contains).count();
         for (final String n : fleet.machines().keySet()) {
             if (side.contains(n) == votes < 2) {
                 fleet.trouble("cut", n, ms);
--- a/rig/src/main/java/rv/rig/fleet/Fleet.java
+++ b/rig/src/main/java/rv/rig/fleet/Fleet.java
@@ -28,11 +28,12 @@
     private final Map<String, Stock> stocks = new TreeMap<>();
     private final Relay relay;
     private final Log log;
-    private final Mob mob;
+    private final LoadGenerator mob;
     private final Desk desk;
     private final Thread hook = new Thread(this::reap, "reap");
 
-    public Fleet(final Place place, final Path dir, final Path bin, final Path from, final long seed) throws IOException {
+    public Fleet(final Place place, final Path dir, final Path bin, final Path from, final long seed)
+            throws IOException {
         this.bin = bin;
         this.place = place;
         this.dir = dir;
@@ -53,11 +54,13 @@
             final Stock stock = new Stock(k.service());
             stocks.put(k.service(), stock);
             for (int i = 1; i <= k.origins(); i++) {
-                final Originator o = new Originator(k.service() + i, stock, k.kind(), "127." + net + ".1." + (origins.size() + 1), sites, log);
+                final Originator o = new Originator(
+                        k.service() + i, stock, k.kind(), "127." + net + ".1." + (origins.size() + 1), sites, log);
                 origins.put(o.name(), o);
             }
         }
-        mob = new Mob(place, machines.values().stream().filter(Machine::edge).toList(), log, seed);
+        mob = new LoadGenerator(
+                place, machines.values().stream().filter(Machine::edge).toList(), log, seed);
         desk = new Desk(place, List.copyOf(machines.values()), stocks, log, seed + 1);
         Runtime.getRuntime().addShutdownHook(hook);
     }
@@ -65,7 +68,9 @@
     /** Three free ports at once, so that they differ. */
     public static int[] free(final String host) throws IOException {
         final InetAddress at = InetAddress.getByName(host);
-        try (ServerSocket a = new ServerSocket(0, 1, at); ServerSocket b = new ServerSocket(0, 1, at); ServerSocket c = new ServerSocket(0, 1, at)) {
+        try (ServerSocket a = new ServerSocket(0, 1, at);
+                ServerSocket b = new ServerSocket(0, 1, at);
+                ServerSocket c = new ServerSocket(0, 1, at)) {
             return new int[] {a.getLocalPort(), b.getLocalPort(), c.getLocalPort()};
         }
     }
@@ -74,12 +79,17 @@
         final List<String> reach = new ArrayList<>();
         for (final Machine o : machines.values()) {
             if (o != m) {
-                final int port = relay.open(m.name(), o.name(), o.host().replace(".0.", ".2."), new InetSocketAddress(o.host(), o.wire()));
+                final int port = relay.open(
+                        m.name(), o.name(), o.host().replace(".0.", ".2."), new InetSocketAddress(o.host(), o.wire()));
                 reach.add(o.name() + "@" + o.host().replace(".0.", ".2.") + ":" + port);
             }
         }
-        final List<String> seeds = Stream.of("st1", "st2", "sh1").map(n -> n + "@" + machines.get(n).host() + ":" + machines.get(n).wire()).toList();
-        return List.of("--cell", place.cell(m.name()), "--seeds", String.join(",", seeds), "--reach", String.join(",", reach));
+        final List<String> seeds = Stream.of("st1", "st2", "sh1")
+                .map(n ->
+                        n + "@" + machines.get(n).host() + ":" + machines.get(n).wire())
+                .toList();
+        return List.of(
+                "--cell", place.cell(m.name()), "--seeds", String.join(",", seeds), "--reach", String.join(",", reach));
     }
 
     public Fleet open() throws Exception {
@@ -88,7 +98,8 @@
             m.start();
         }
         final long end = System.currentTimeMillis() + 60_000;
-        while (desk.ask("GET", "config", "") != 200 || machines.values().stream().anyMatch(m -> !ready(m))) {
+        while (desk.ask("GET", "config", "") != 200
+                || machines.values().stream().anyMatch(m -> !ready(m))) {
             if (System.currentTimeMillis() > end) {
                 throw new IOException("the fleet was not ready within 60 s");
             }
@@ -129,7 +140,13 @@
 
     /** Another machine for the same service, under a name and address of its own. */
     synchronized Originator heir(final Originator old) {
-        final Originator next = new Originator(old.name() + "-n", stocks.get(old.service()), old.kind(), old.host().replace(".1.", ".3."), old.nodes(), log);
+        final Originator next = new Originator(
+                old.name() + "-n",
+                stocks.get(old.service()),
+                old.kind(),
+                old.host().replace(".1.", ".3."),
+                old.nodes(),
+                log);
         origins.put(next.name(), next);
         return next;
     }
@@ -143,7 +160,7 @@
         return relay;
     }
 
-    Mob mob() {
+    LoadGenerator mob() {
         return mob;
     }
 
--- a/rig/src/main/java/rv/rig/fleet/Mob.java
+++ b/rig/src/main/java/rv/rig/fleet/LoadGenerator.java
@@ -20,13 +20,16 @@
 import rv.rig.Place;
 
 /** Requesters of a fleet: the deployment's mix over HTTP, the platform picking edges by readiness. */
-final class Mob {
+final class LoadGenerator {
     private static final int ROOM = 3000;
     private final Place place;
     private final List<Machine> edges;
     private final Log log;
     private final Random dice;
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofMillis(1000)).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(1000))
+            .build();
     private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(2, r -> {
         final Thread t = new Thread(r, "mob");
         t.setDaemon(true);
@@ -39,7 +42,7 @@
     private volatile double factor = 1;
     private double due;
 
-    Mob(final Place place, final List<Machine> edges, final Log log, final long seed) {
+    LoadGenerator(final Place place, final List<Machine> edges, final Log log, final long seed) {
         this.place = place;
         this.edges = edges;
         this.log = log;
@@ -64,9 +67,16 @@
 
     private void grade() {
         for (final Machine m : edges) {
-            http.sendAsync(HttpRequest.newBuilder(URI.create("http://" + m.http() + "/v1/ready")).timeout(Duration.ofMillis(700)).build(),
-                HttpResponse.BodyHandlers.ofString()).whenComplete((r, e) -> grades.put(m.name(), e != null || r.statusCode() != 200 ? 0
-                    : ((Number) Json.read(r.body(), Map.class).get("grade")).intValue()));
+            http.sendAsync(
+                            HttpRequest.newBuilder(URI.create("http://" + m.http() + "/v1/ready"))
+                                    .timeout(Duration.ofMillis(700))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString())
+                    .whenComplete((r, e) -> grades.put(
+                            m.name(),
+                            e != null || r.statusCode() != 200
+                                    ? 0
+                                    : ((Number) Json.read(r.body(), Map.class).get("grade")).intValue()));
         }
     }
 
@@ -74,7 +84,7 @@
         final long now = System.currentTimeMillis();
         while (on && due <= now) {
             due += -Math.log(1 - dice.nextDouble()) * 1000 / (place.perSecond() * factor);
-            final Place.Way w = place.pick(dice.nextDouble());
+            final Place.EdgeRouting w = place.pick(dice.nextDouble());
             final double roll = dice.nextDouble();
             final String path = w.prefix() + (int) (w.objects() * roll * roll);
             send(w, path, w.mode().equals("once") ? "key-" + serial.incrementAndGet() : null, 1);
@@ -82,12 +92,14 @@
     }
 
     private synchronized Machine pick() {
-        final List<Machine> good = edges.stream().filter(m -> grades.getOrDefault(m.name(), 0) >= 50).toList();
+        final List<Machine> good = edges.stream()
+                .filter(m -> grades.getOrDefault(m.name(), 0) >= 50)
+                .toList();
         final List<Machine> from = good.isEmpty() ? edges : good;
         return from.get(dice.nextInt(from.size()));
     }
 
-    private void send(final Place.Way w, final String path, final String key, final int turn) {
+    private void send(final Place.EdgeRouting w, final String path, final String key, final int turn) {
         final Machine at = pick();
         final long t = System.currentTimeMillis();
         final long id = serial.incrementAndGet();
@@ -95,9 +107,12 @@
             open.decrementAndGet();
             return;
         }
-        final HttpRequest.Builder r = HttpRequest.newBuilder(URI.create("http://" + at.door() + path)).timeout(Duration.ofSeconds(5));
+        final HttpRequest.Builder r =
+                HttpRequest.newBuilder(URI.create("http://" + at.door() + path)).timeout(Duration.ofSeconds(5));
         if (key != null) {
-            r.header("Rv-Key", key).header("Content-Type", "application/json").POST(HttpRequest.BodyPublishers.ofString("{\"for\":\"" + key + "\"}"));
+            r.header("Rv-Key", key)
+                    .header("Content-Type", "application/json")
+                    .POST(HttpRequest.BodyPublishers.ofString("{\"for\":\"" + key + "\"}"));
         }
         http.sendAsync(r.build(), HttpResponse.BodyHandlers.ofByteArray()).whenComplete((a, e) -> {
             open.decrementAndGet();
@@ -105,9 +120,17 @@
         });
     }
 
-    private void note(final Place.Way w, final String path, final String key, final int turn, final Machine at, final long t, final long id,
-                      final HttpResponse<byte[]> a) {
-        final String fate = a == null ? "none" : a.headers().firstValue("rv-fate").orElse("none");
+    private void note(
+            final Place.EdgeRouting w,
+            final String path,
+            final String key,
+            final int turn,
+            final Machine at,
+            final long t,
+            final long id,
+            final HttpResponse<byte[]> a) {
+        final String fate =
+                a == null ? "none" : a.headers().firstValue("rv-fate").orElse("none");
         Map<?, ?> map = Map.of();
         if (fate.equals("done")) {
             try {
@@ -116,13 +139,50 @@
                 map = Map.of("path", "unreadable");
             }
         }
-        log.add(Log.row("log", "req", "t", t, "end", System.currentTimeMillis(), "id", id, "node", at.name(), "route", w.route(), "mode", w.mode(),
-            "life", w.lifetimeMs(), "path", path, "key", key, "turn", turn, "status", a == null ? 0 : a.statusCode(), "fate", fate,
-            "stamp", a == null ? null : a.headers().firstValue("rv-stamp").orElse(null),
-            "request", a == null ? null : a.headers().firstValue("rv-request").orElse(null),
-            "whole", a == null ? null : Hash.digest(a.body()).equals(a.headers().firstValue("rv-digest").orElse("")),
-            "why", fate.equals("done") || a == null ? null : new String(a.body(), java.nio.charset.StandardCharsets.UTF_8),
-            "said", map.get("path"), "saidKey", map.get("key"), "rev", map.get("rev")));
+        log.add(Log.row(
+                "log",
+                "req",
+                "t",
+                t,
+                "end",
+                System.currentTimeMillis(),
+                "id",
+                id,
+                "node",
+                at.name(),
+                "route",
+                w.route(),
+                "mode",
+                w.mode(),
+                "life",
+                w.lifetimeMs(),
+                "path",
+                path,
+                "key",
+                key,
+                "turn",
+                turn,
+                "status",
+                a == null ? 0 : a.statusCode(),
+                "fate",
+                fate,
+                "stamp",
+                a == null ? null : a.headers().firstValue("rv-stamp").orElse(null),
+                "request",
+                a == null ? null : a.headers().firstValue("rv-request").orElse(null),
+                "whole",
+                a == null
+                        ? null
+                        : Hash.digest(a.body())
+                                .equals(a.headers().firstValue("rv-digest").orElse("")),
+                "why",
+                fate.equals("done") || a == null ? null : new String(a.body(), java.nio.charset.StandardCharsets.UTF_8),
+                "said",
+                map.get("path"),
+                "saidKey",
+                map.get("key"),
+                "rev",
+                map.get("rev")));
         final boolean again = !fate.equals("done");
         if (on && again && turn < 4 && roll() < (place.hasty() ? 0.9 : 0.4)) {
             later(place.hasty() ? 20 : 500 + (long) (1000 * roll()), () -> send(w, path, key, turn + 1));
--- a/rig/src/main/java/rv/rig/fleet/Machine.java
+++ b/rig/src/main/java/rv/rig/fleet/Machine.java
@@ -90,7 +90,8 @@
 
     public void start() throws IOException {
         final List<String> line = new ArrayList<>();
-        line.add(bin.resolve(store() ? "rwstore" : edge() ? "rwedge" : "rwshield").toString());
+        line.add(bin.resolve(store() ? "rwstore" : edge() ? "rwedge" : "rwshield")
+                .toString());
         line.addAll(List.of("--id", name, "--wire", host + ":" + wire, "--http", http(), "--log", "json"));
         if (edge()) {
             line.addAll(List.of("--door", door()));
@@ -102,7 +103,8 @@
         final ProcessBuilder b = new ProcessBuilder(line);
         b.environment().put("RW_JAVA", "-Xms16m -Xmx64m -Xss256k -XX:+UseSerialGC -XX:CICompilerCount=1");
         b.environment().put("RW_TIER", "1");
-        b.redirectError(ProcessBuilder.Redirect.appendTo(dir.resolve("err-" + name + ".log").toFile()));
+        b.redirectError(ProcessBuilder.Redirect.appendTo(
+                dir.resolve("err-" + name + ".log").toFile()));
         if (store()) {
             process = b.start();
             copy(process.getInputStream());
@@ -114,19 +116,25 @@
 
     /** A store's log goes through here, since a limit on its files would stop the log as well. */
     private void copy(final InputStream from) {
-        final Thread t = new Thread(() -> {
-            try (OutputStream to = Files.newOutputStream(log(), StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
-                from.transferTo(to);
-            } catch (final IOException e) {
-                System.err.println(name + ": log ended: " + e.getMessage());
-            }
-        }, "log-" + name);
+        final Thread t = new Thread(
+                () -> {
+                    try (OutputStream to =
+                            Files.newOutputStream(log(), StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+                        from.transferTo(to);
+                    } catch (final IOException e) {
+                        System.err.println(name + ": log ended: " + e.getMessage());
+                    }
+                },
+                "log-" + name);
         t.setDaemon(true);
         t.start();
     }
 
     void limit(final String bytes) throws IOException, InterruptedException {
-        final int rc = new ProcessBuilder("prlimit", "--pid", String.valueOf(process.pid()), "--fsize=" + bytes + ":unlimited").start().waitFor();
+        final int rc = new ProcessBuilder(
+                        "prlimit", "--pid", String.valueOf(process.pid()), "--fsize=" + bytes + ":unlimited")
+                .start()
+                .waitFor();
         if (rc != 0) {
             throw new IOException("the file size of " + name + " cannot be limited");
         }
@@ -156,7 +164,9 @@
     }
 
     void signal(final String sig) throws IOException, InterruptedException {
-        final int rc = new ProcessBuilder("kill", "-" + sig, String.valueOf(process.pid())).start().waitFor();
+        final int rc = new ProcessBuilder("kill", "-" + sig, String.valueOf(process.pid()))
+                .start()
+                .waitFor();
         if (rc != 0) {
             throw new IOException("signal " + sig + " to " + name + " failed");
         }
--- a/rig/src/main/java/rv/rig/fleet/Relay.java
+++ b/rig/src/main/java/rv/rig/fleet/Relay.java
@@ -43,11 +43,9 @@
         }
     }
 
-    private record Part(long due, ByteBuffer data) {
-    }
+    private record Part(long due, ByteBuffer data) {}
 
-    private record Way(String link, InetSocketAddress target) {
-    }
+    private record EdgeRouting(String link, InetSocketAddress target) {}
 
     /** {@code delay} gives the one-way milliseconds of a link named "a>b". */
     public Relay(final ToLongFunction<String> delay) throws IOException {
@@ -56,11 +54,12 @@
         thread.setDaemon(true);
     }
 
-    public int open(final String a, final String b, final String host, final InetSocketAddress target) throws IOException {
+    public int open(final String a, final String b, final String host, final InetSocketAddress target)
+            throws IOException {
         final ServerSocketChannel s = ServerSocketChannel.open();
         s.bind(new InetSocketAddress(host, 0), 64);
         s.configureBlocking(false);
-        s.register(selector, SelectionKey.OP_ACCEPT, new Way(a + ">" + b, target));
+        s.register(selector, SelectionKey.OP_ACCEPT, new EdgeRouting(a + ">" + b, target));
         final int port = ((InetSocketAddress) s.getLocalAddress()).getPort();
         ports.put(a + ">" + b, port);
         return port;
@@ -81,7 +80,7 @@
 
     public void heal() {
         cuts.clear();
-        jobs.add(() -> { });
+        jobs.add(() -> {});
         selector.wakeup();
     }
 
@@ -119,7 +118,7 @@
     }
 
     private void serve(final SelectionKey k) {
-        if (k.attachment() instanceof Way w) {
+        if (k.attachment() instanceof EdgeRouting w) {
             accept((ServerSocketChannel) k.channel(), w);
             return;
         }
@@ -137,7 +136,7 @@
         }
     }
 
-    private void accept(final ServerSocketChannel s, final Way w) {
+    private void accept(final ServerSocketChannel s, final EdgeRouting w) {
         try {
             final SocketChannel a = s.accept();
             if (a == null) {
@@ -154,7 +153,7 @@
             b.connect(w.target());
             b.register(selector, SelectionKey.OP_CONNECT, back);
         } catch (final IOException e) {
-            jobs.add(() -> { });
+            jobs.add(() -> {});
         }
     }
 
@@ -175,7 +174,8 @@
         }
         b.flip();
         p.size += n;
-        p.queue.addLast(new Part(System.currentTimeMillis() + delay.applyAsLong(p.link) + (slow == 0 ? 0 : dice.nextInt(slow)), b));
+        p.queue.addLast(new Part(
+                System.currentTimeMillis() + delay.applyAsLong(p.link) + (slow == 0 ? 0 : dice.nextInt(slow)), b));
     }
 
     private void flush(final Pipe p, final long now) {
--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -13,6 +13,7 @@
 public final class Facts {
     /** After which a node counts as healthy again: two rounds of beats and of frames. */
     private static final long REST = 2500;
+
     private static final Set<String> DOWN = Set.of("kill", "lose-disk", "restart");
     private static final Set<String> APART = Set.of("cut", "freeze", "drift");
     private final Map<String, List<Row>> kinds = new HashMap<>();
@@ -46,8 +47,11 @@
     }
 
     public Facts(final List<Map<String, Object>> rows) {
-        rows.stream().map(Row::new).sorted(Comparator.comparingLong(Row::t))
-            .forEach(r -> kinds.computeIfAbsent(r.text("log"), k -> new ArrayList<>()).add(r));
+        rows.stream()
+                .map(Row::new)
+                .sorted(Comparator.comparingLong(Row::t))
+                .forEach(r -> kinds.computeIfAbsent(r.text("log"), k -> new ArrayList<>())
+                        .add(r));
         for (final Row r : of("rig")) {
             final String what = r.text("what");
             if (DOWN.contains(what) || APART.contains(what)) {
@@ -59,8 +63,13 @@
 
     /** The process that came after, by its own word. */
     private long back(final Row gone) {
-        return of("node").stream().filter(r -> r.text("name").equals("STARTED") && r.text("node").equals(gone.text("node")) && r.t() > gone.t())
-            .mapToLong(Row::t).min().orElse(Long.MAX_VALUE / 4);
+        return of("node").stream()
+                .filter(r -> r.text("name").equals("STARTED")
+                        && r.text("node").equals(gone.text("node"))
+                        && r.t() > gone.t())
+                .mapToLong(Row::t)
+                .min()
+                .orElse(Long.MAX_VALUE / 4);
     }
 
     public List<Row> of(final String kind) {
@@ -72,7 +81,9 @@
     }
 
     public List<Row> accepted(final String what) {
-        return of("op").stream().filter(r -> r.text("what").equals(what) && r.num("status") == 200).toList();
+        return of("op").stream()
+                .filter(r -> r.text("what").equals(what) && r.num("status") == 200)
+                .toList();
     }
 
     public boolean healthy(final String node, final long from, final long to) {
@@ -95,13 +106,23 @@
     }
 
     private boolean in(final Set<String> troubles, final String node, final long t) {
-        return of("rig").stream().anyMatch(r -> troubles.contains(r.text("what")) && r.text("node").equals(node) && t >= r.t() && t <= r.t() + r.num("ms") + REST);
+        return of("rig").stream()
+                .anyMatch(r -> troubles.contains(r.text("what"))
+                        && r.text("node").equals(node)
+                        && t >= r.t()
+                        && t <= r.t() + r.num("ms") + REST);
     }
 
     /** More than half of the electors had no trouble; always so where the log does not name them. */
     public boolean settled(final long from, final long to) {
-        final List<?> electors = shieldRun() && of("place").get(0).map().get("electors") instanceof List<?> l ? l : List.of();
-        return electors.stream().filter(e -> healthy(String.valueOf(e), from, to)).count() * 2 > electors.size() || electors.isEmpty();
+        final List<?> electors =
+                shieldRun() && of("place").get(0).map().get("electors") instanceof List<?> l ? l : List.of();
+        return electors.stream()
+                                        .filter(e -> healthy(String.valueOf(e), from, to))
+                                        .count()
+                                * 2
+                        > electors.size()
+                || electors.isEmpty();
     }
 
     /** The next moment at which no machine is up. */
--- a/rig/src/main/java/rv/rig/judge/Judge.java
+++ b/rig/src/main/java/rv/rig/judge/Judge.java
@@ -47,7 +47,9 @@
         final StringBuilder s = new StringBuilder();
         for (final Verdict v : verdicts) {
             s.append(v.line()).append('\n');
-            v.breaches().stream().limit(most).forEach(b -> s.append("    ").append(b).append('\n'));
+            v.breaches().stream()
+                    .limit(most)
+                    .forEach(b -> s.append("    ").append(b).append('\n'));
         }
         return s.toString();
     }
--- a/rig/src/main/java/rv/rig/judge/Spread.java
+++ b/rig/src/main/java/rv/rig/judge/Spread.java
@@ -10,8 +10,7 @@
 
 /** Rules on configuration: in force in time, never back, never lost. */
 final class Spread {
-    private Spread() {
-    }
+    private Spread() {}
 
     private static List<Facts.Row> writes(final Facts f) {
         final List<Facts.Row> list = new ArrayList<>(f.accepted("put"));
@@ -24,7 +23,8 @@
         final Set<String> nodes = new TreeSet<>();
         f.nodes("STARTED").forEach(r -> nodes.add(r.text("node")));
         final Map<String, List<Facts.Row>> by = Facts.group(learned, "node", "item");
-        final long last = f.of("end").isEmpty() ? Long.MAX_VALUE : f.of("end").get(0).t();
+        final long last =
+                f.of("end").isEmpty() ? Long.MAX_VALUE : f.of("end").get(0).t();
         for (final Facts.Row w : writes(f)) {
             final long due = w.num("end") + 2500;
             for (final String n : nodes) {
@@ -37,10 +37,13 @@
                 }
                 v.check();
                 final long at = by.getOrDefault(n + "|" + w.text("item") + "|", List.of()).stream()
-                    .filter(r -> r.num("ver") >= w.num("version")).mapToLong(Facts.Row::t).min().orElse(Long.MAX_VALUE);
+                        .filter(r -> r.num("ver") >= w.num("version"))
+                        .mapToLong(Facts.Row::t)
+                        .min()
+                        .orElse(Long.MAX_VALUE);
                 if (at > due) {
-                    v.breach(w.text("item") + " version " + w.num("version") + " accepted at " + w.num("end") + ", in force on " + n + " "
-                        + (at == Long.MAX_VALUE ? "never" : "at " + at));
+                    v.breach(w.text("item") + " version " + w.num("version") + " accepted at " + w.num("end")
+                            + ", in force on " + n + " " + (at == Long.MAX_VALUE ? "never" : "at " + at));
                 }
             }
         }
@@ -51,12 +54,20 @@
 
     /** A route that comes and goes, asked for at every edge: what callers see, whatever nodes say. */
     private static void probed(final Facts f, final Verdict v) {
-        final List<Facts.Row> ops = f.of("op").stream().filter(r -> r.has("shown")).toList();
+        final List<Facts.Row> ops =
+                f.of("op").stream().filter(r -> r.has("shown")).toList();
         for (final Facts.Row p : f.of("probe")) {
-            final Facts.Row last = ops.stream().filter(o -> o.num("status") == 200 && o.num("end") + 2500 <= p.t())
-                .reduce((a, b) -> f.shieldRun() ? b.num("version") > a.num("version") ? b : a : b.num("end") >= a.num("end") ? b : a).orElse(null);
-            if (last == null || ops.stream().anyMatch(o -> o != last && o.t() <= p.num("end")
-                && (f.shieldRun() ? o.num("version") > last.num("version") : o.t() >= last.t()))) {
+            final Facts.Row last = ops.stream()
+                    .filter(o -> o.num("status") == 200 && o.num("end") + 2500 <= p.t())
+                    .reduce((a, b) -> f.shieldRun()
+                            ? b.num("version") > a.num("version") ? b : a
+                            : b.num("end") >= a.num("end") ? b : a)
+                    .orElse(null);
+            if (last == null
+                    || ops.stream()
+                            .anyMatch(o -> o != last
+                                    && o.t() <= p.num("end")
+                                    && (f.shieldRun() ? o.num("version") > last.num("version") : o.t() >= last.t()))) {
                 continue;
             }
             if (!f.healthy(p.text("node"), last.t(), p.num("end")) || !f.settled(last.t(), p.num("end"))) {
@@ -66,8 +77,8 @@
             v.check();
             final boolean there = p.num("status") != 404;
             if (p.num("status") != 503 && there != last.yes("shown")) {
-                v.breach(p.text("node") + " answered " + p.num("status") + " at " + p.t() + ", though the route was " + (last.yes("shown")
-                    ? "stated" : "deleted") + " and accepted at " + last.num("end"));
+                v.breach(p.text("node") + " answered " + p.num("status") + " at " + p.t() + ", though the route was "
+                        + (last.yes("shown") ? "stated" : "deleted") + " and accepted at " + last.num("end"));
             }
         }
     }
@@ -90,7 +101,8 @@
             } else if (name.equals("LEARNED")) {
                 final Long old = now.computeIfAbsent(n, k -> new TreeMap<>()).put(r.text("item"), r.num("ver"));
                 if (old != null && old >= r.num("ver")) {
-                    v.breach(n + " went from version " + old + " of " + r.text("item") + " to " + r.num("ver") + " at " + r.t());
+                    v.breach(n + " went from version " + old + " of " + r.text("item") + " to " + r.num("ver") + " at "
+                            + r.t());
                 }
             } else if (name.equals("FRAME_FRESH")) {
                 shown.getOrDefault(n, new TreeMap<>()).forEach((item, ver) -> {
@@ -99,8 +111,8 @@
                     }
                     v.check();
                     if (now.get(n).getOrDefault(item, 0L) < ver && !f.swept(item, ver, r.t())) {
-                        v.breach(n + " was confirmed at " + r.t() + " with version " + now.get(n).getOrDefault(item, 0L) + " of " + item
-                            + " after it had shown " + ver);
+                        v.breach(n + " was confirmed at " + r.t() + " with version "
+                                + now.get(n).getOrDefault(item, 0L) + " of " + item + " after it had shown " + ver);
                     }
                 });
             }
@@ -116,21 +128,27 @@
                 v.check();
                 final long held = items.get(w.text("item")) instanceof Number n ? n.longValue() : 0;
                 if (held < w.num("version") && !f.swept(w.text("item"), w.num("version"), e.t())) {
-                    v.breach(e.text("node") + " ends with version " + held + " of " + w.text("item") + ", version " + w.num("version")
-                        + " was accepted at " + w.num("end"));
+                    v.breach(e.text("node") + " ends with version " + held + " of " + w.text("item") + ", version "
+                            + w.num("version") + " was accepted at " + w.num("end"));
                 }
             }
         }
-        for (final Facts.Row r : f.of("rig").stream().filter(x -> x.text("what").equals("returned")).toList()) {
+        for (final Facts.Row r : f.of("rig").stream()
+                .filter(x -> x.text("what").equals("returned"))
+                .toList()) {
             final long from = r.t() + 15_000;
             final long dark = f.dark(r.t());
-            final List<Facts.Row> all = f.of("req").stream().filter(q -> q.t() >= from && q.t() < from + 5000).toList();
+            final List<Facts.Row> all = f.of("req").stream()
+                    .filter(q -> q.t() >= from && q.t() < from + 5000)
+                    .toList();
             final List<Facts.Row> asked = all.stream().filter(q -> q.t() < dark).toList();
             v.excuse(all.size() - asked.size());
-            final long done = asked.stream().filter(q -> q.text("fate").equals("done")).count();
+            final long done =
+                    asked.stream().filter(q -> q.text("fate").equals("done")).count();
             v.check(asked.size());
             if (!asked.isEmpty() && done * 4 < asked.size()) {
-                v.breach("machines returned at " + r.t() + ", 15 s later " + done + " of " + asked.size() + " were served");
+                v.breach("machines returned at " + r.t() + ", 15 s later " + done + " of " + asked.size()
+                        + " were served");
             }
         }
         return v;
--- a/rig/src/main/java/rv/rig/judge/Stated.java
+++ b/rig/src/main/java/rv/rig/judge/Stated.java
@@ -11,8 +11,7 @@
 final class Stated {
     private static final Set<Long> PROMISES = Set.of(408L, 421L, 429L, 503L);
 
-    private Stated() {
-    }
+    private Stated() {}
 
     private static List<Facts.Row> reads(final Facts f) {
         return f.of("read").stream().filter(r -> r.yes("whole")).toList();
@@ -24,24 +23,33 @@
 
     /** What was acknowledged stands as it was sent, or something newer that was sent does. */
     static Verdict whole(final Facts f, final Verdict v) {
-        final Map<String, List<Facts.Row>> sent = Facts.group(f.of("op").stream().filter(r -> r.text("what").equals("sent")).toList(), "item");
+        final Map<String, List<Facts.Row>> sent = Facts.group(
+                f.of("op").stream().filter(r -> r.text("what").equals("sent")).toList(), "item");
         final Map<String, Facts.Row> best = new TreeMap<>();
-        f.accepted("put").forEach(r -> best.merge(r.text("item"), r, (a, b) -> b.num("version") > a.num("version") ? b : a));
+        f.accepted("put")
+                .forEach(r -> best.merge(r.text("item"), r, (a, b) -> b.num("version") > a.num("version") ? b : a));
         for (final Facts.Row read : reads(f)) {
             best.forEach((item, top) -> {
                 v.check();
                 final String is = said(read, item);
                 final List<Facts.Row> mine = sent.getOrDefault(item + "|", List.of());
-                final boolean fits = is.isEmpty() ? mine.stream().anyMatch(s -> s.yes("gone") && s.num("version") >= top.num("version"))
-                    : mine.stream().anyMatch(s -> !s.yes("gone") && s.num("version") >= top.num("version") && is.equals(s.num("version") + " " + s.text("note")));
+                final boolean fits = is.isEmpty()
+                        ? mine.stream().anyMatch(s -> s.yes("gone") && s.num("version") >= top.num("version"))
+                        : mine.stream()
+                                .anyMatch(s -> !s.yes("gone")
+                                        && s.num("version") >= top.num("version")
+                                        && is.equals(s.num("version") + " " + s.text("note")));
                 if (!fits) {
-                    v.breach(read.text("node") + " reads back '" + is + "' of " + item + ", version " + top.num("version") + (top.yes("gone") ? " (dropped)"
-                        : "") + " was accepted at " + top.num("end"));
+                    v.breach(read.text("node") + " reads back '" + is + "' of " + item + ", version "
+                            + top.num("version") + (top.yes("gone") ? " (dropped)" : "") + " was accepted at "
+                            + top.num("end"));
                 }
             });
             if (read.map().get("items") instanceof Map<?, ?> m) {
-                m.keySet().stream().filter(i -> !sent.containsKey(i + "|")).forEach(i -> v.breach(read.text("node") + " reads back " + i
-                    + ", which no valid call ever stated"));
+                m.keySet().stream()
+                        .filter(i -> !sent.containsKey(i + "|"))
+                        .forEach(i ->
+                                v.breach(read.text("node") + " reads back " + i + ", which no valid call ever stated"));
             }
         }
         return v;
@@ -50,15 +58,20 @@
     /** Checked on items for which two operators used one version; all nodes must read back the same of every item. */
     static Verdict winner(final Facts f, final Verdict v) {
         final Map<String, Set<String>> rivals = new HashMap<>();
-        f.of("op").stream().filter(r -> r.text("what").equals("sent")).forEach(r ->
-            rivals.computeIfAbsent(r.text("item") + "|" + r.num("version"), k -> new HashSet<>()).add(r.text("note")));
+        f.of("op").stream()
+                .filter(r -> r.text("what").equals("sent"))
+                .forEach(r -> rivals.computeIfAbsent(r.text("item") + "|" + r.num("version"), k -> new HashSet<>())
+                        .add(r.text("note")));
         final List<Facts.Row> reads = reads(f);
         final Set<String> items = new HashSet<>();
         f.accepted("put").forEach(r -> items.add(r.text("item")));
         for (final String item : items) {
             final Set<String> all = new HashSet<>();
             reads.forEach(r -> all.add(said(r, item)));
-            rivals.entrySet().stream().filter(e -> e.getKey().startsWith(item + "|") && e.getValue().size() > 1).forEach(e -> v.check());
+            rivals.entrySet().stream()
+                    .filter(e ->
+                            e.getKey().startsWith(item + "|") && e.getValue().size() > 1)
+                    .forEach(e -> v.check());
             if (all.size() > 1) {
                 v.breach(item + " reads back as " + all);
             }
@@ -68,18 +81,26 @@
 
     static Verdict refused(final Facts f, final Verdict v) {
         final Map<String, Facts.Row> no = new HashMap<>();
-        f.of("req").stream().filter(r -> r.has("attempt") && r.text("fate").equals("refused") && PROMISES.contains(r.num("status")))
-            .forEach(r -> no.put(r.text("attempt"), r));
-        Facts.group(f.of("org").stream().filter(r -> r.text("what").equals("run")).toList(), "request").forEach((id, runs) -> {
-            v.check();
-            final Facts.Row told = no.get(runs.get(0).text("request"));
-            if (runs.size() > 1) {
-                v.breach(runs.get(0).text("request") + " ran " + runs.size() + " times, at " + runs.stream().map(Facts.Row::t).toList());
-            }
-            if (told != null) {
-                v.breach(runs.get(0).text("request") + " ran at " + runs.get(0).t() + " and was refused at " + told.num("end"));
-            }
-        });
+        f.of("req").stream()
+                .filter(r -> r.has("attempt") && r.text("fate").equals("refused") && PROMISES.contains(r.num("status")))
+                .forEach(r -> no.put(r.text("attempt"), r));
+        Facts.group(
+                        f.of("org").stream()
+                                .filter(r -> r.text("what").equals("run"))
+                                .toList(),
+                        "request")
+                .forEach((id, runs) -> {
+                    v.check();
+                    final Facts.Row told = no.get(runs.get(0).text("request"));
+                    if (runs.size() > 1) {
+                        v.breach(runs.get(0).text("request") + " ran " + runs.size() + " times, at "
+                                + runs.stream().map(Facts.Row::t).toList());
+                    }
+                    if (told != null) {
+                        v.breach(runs.get(0).text("request") + " ran at "
+                                + runs.get(0).t() + " and was refused at " + told.num("end"));
+                    }
+                });
         return v;
     }
 }
--- a/rig/src/main/java/rv/rig/judge/Totals.java
+++ b/rig/src/main/java/rv/rig/judge/Totals.java
@@ -13,13 +13,15 @@
 final class Totals {
     private static final long SPAN = 10_000;
 
-    private Totals() {
-    }
+    private Totals() {}
 
     static Verdict ceiling(final Facts f, final Verdict v) {
         final Map<String, Double> rates = new HashMap<>();
-        f.of("op").stream().filter(r -> r.real("ceiling") > 0).forEach(r -> rates.put(r.text("service"), r.real("ceiling")));
-        for (final Map.Entry<String, List<Facts.Row>> e : Facts.group(f.of("org"), "service").entrySet()) {
+        f.of("op").stream()
+                .filter(r -> r.real("ceiling") > 0)
+                .forEach(r -> rates.put(r.text("service"), r.real("ceiling")));
+        for (final Map.Entry<String, List<Facts.Row>> e :
+                Facts.group(f.of("org"), "service").entrySet()) {
             final Double rate = rates.get(e.getKey().split("\\|")[0]);
             if (rate == null) {
                 continue;
@@ -36,7 +38,8 @@
                     window.removeFirst();
                 }
                 if (window.size() > rate * 5 * 1.1 + 5) {
-                    v.breach(e.getKey() + " got " + window.size() + " in 5 s up to " + r.t() + ", its ceiling allows " + rate * 5);
+                    v.breach(e.getKey() + " got " + window.size() + " in 5 s up to " + r.t() + ", its ceiling allows "
+                            + rate * 5);
                 }
             }
         }
@@ -45,11 +48,19 @@
 
     static Verdict budget(final Facts f, final Verdict v) {
         final Map<String, Set<String>> ways = new TreeMap<>();
-        f.of("op").stream().filter(r -> r.map().get("services") instanceof List<?>).forEach(r -> ((List<?>) r.map().get("services"))
-            .forEach(s -> ways.computeIfAbsent(String.valueOf(s), k -> new HashSet<>()).add(r.text("prefix"))));
-        for (final Map.Entry<String, List<Facts.Row>> e : Facts.group(f.of("org"), "service").entrySet()) {
+        f.of("op").stream()
+                .filter(r -> r.map().get("services") instanceof List<?>)
+                .forEach(r -> ((List<?>) r.map().get("services"))
+                        .forEach(s -> ways.computeIfAbsent(String.valueOf(s), k -> new HashSet<>())
+                                .add(r.text("prefix"))));
+        for (final Map.Entry<String, List<Facts.Row>> e :
+                Facts.group(f.of("org"), "service").entrySet()) {
             final Set<String> mine = ways.getOrDefault(e.getKey().split("\\|")[0], Set.of());
-            final long[] asked = f.of("req").stream().filter(q -> mine.stream().anyMatch(q.text("path")::startsWith)).mapToLong(Facts.Row::t).sorted().toArray();
+            final long[] asked = f.of("req").stream()
+                    .filter(q -> mine.stream().anyMatch(q.text("path")::startsWith))
+                    .mapToLong(Facts.Row::t)
+                    .sorted()
+                    .toArray();
             final Set<String> seen = new HashSet<>();
             final List<Long> extra = new ArrayList<>();
             int from = 0;
@@ -62,10 +73,14 @@
                 while (r.t() - extra.get(from) >= SPAN) {
                     from++;
                 }
-                final long most = Math.max(count(asked, r.t() - SPAN, r.t()), Math.max(count(asked, r.t() - 2 * SPAN, r.t() - SPAN),
-                    count(asked, r.t() - SPAN * 3 / 2, r.t() - SPAN / 2)));
+                final long most = Math.max(
+                        count(asked, r.t() - SPAN, r.t()),
+                        Math.max(
+                                count(asked, r.t() - 2 * SPAN, r.t() - SPAN),
+                                count(asked, r.t() - SPAN * 3 / 2, r.t() - SPAN / 2)));
                 if (extra.size() - from > 0.2 * most + 62) {
-                    v.breach(e.getKey() + " got " + (extra.size() - from) + " arrivals beyond the first in 10 s up to " + r.t() + ", for " + most + " requests");
+                    v.breach(e.getKey() + " got " + (extra.size() - from) + " arrivals beyond the first in 10 s up to "
+                            + r.t() + ", for " + most + " requests");
                 }
             }
         }
--- a/rig/src/main/java/rv/rig/judge/Verdict.java
+++ b/rig/src/main/java/rv/rig/judge/Verdict.java
@@ -50,9 +50,14 @@
     }
 
     public String line() {
-        final String end = checked == 0 ? "not checked" : breaches.isEmpty() ? "kept, checked on " + checked
-            : "BROKEN " + breaches.size() + " times, checked on " + checked;
-        final String rest = excused == 0 ? "" : String.format(java.util.Locale.ROOT, ", %.1f%% excused", 100.0 * excused / (excused + checked));
+        final String end = checked == 0
+                ? "not checked"
+                : breaches.isEmpty()
+                        ? "kept, checked on " + checked
+                        : "BROKEN " + breaches.size() + " times, checked on " + checked;
+        final String rest = excused == 0
+                ? ""
+                : String.format(java.util.Locale.ROOT, ", %.1f%% excused", 100.0 * excused / (excused + checked));
         return String.format("rule %2d %-48s %s", rule, name, end + rest);
     }
 }
--- a/rig/src/main/java/rv/rig/scale/Chart.java
+++ b/rig/src/main/java/rv/rig/scale/Chart.java
@@ -11,15 +11,20 @@
 
 /** One small chart for each figure, over the number of nodes. */
 final class Chart {
-    private Chart() {
-    }
+    private Chart() {}
 
-    static void draw(final List<Map<String, Double>> rows, final List<String> names, final Path file) throws IOException {
+    static void draw(final List<Map<String, Double>> rows, final List<String> names, final Path file)
+            throws IOException {
         System.setProperty("java.awt.headless", "true");
         final double[] x = rows.stream().mapToDouble(r -> r.get("nodes")).toArray();
         final List<XYChart> charts = new ArrayList<>();
         for (final String name : names) {
-            final XYChart c = new XYChartBuilder().width(420).height(280).title(name).xAxisTitle("nodes").build();
+            final XYChart c = new XYChartBuilder()
+                    .width(420)
+                    .height(280)
+                    .title(name)
+                    .xAxisTitle("nodes")
+                    .build();
             c.getStyler().setYAxisMin(0.0).setLegendVisible(false);
             c.addSeries(name, x, rows.stream().mapToDouble(r -> r.get(name)).toArray());
             charts.add(c);
--- a/rig/src/main/java/rv/rig/scale/Herd.java
+++ b/rig/src/main/java/rv/rig/scale/Herd.java
@@ -43,9 +43,17 @@
             seeds.put(NodeId.of(e), new InetSocketAddress(host, real.get(e).wire()));
         }
         real.put("ed1", new Machine("ed1", net + "4", Fleet.free(net + "4"), dir, bin));
-        seat = new Hollow.Seat(seeds, new Quorum(List.copyOf(seeds.keySet()), Set.of(NodeId.of("st1"), NodeId.of("st2"))), shards, net + "9");
-        final String line = String.join(",", seeds.entrySet().stream()
-            .map(e -> e.getKey() + "@" + e.getValue().getHostString() + ":" + e.getValue().getPort()).toList());
+        seat = new Hollow.Seat(
+                seeds,
+                new Quorum(List.copyOf(seeds.keySet()), Set.of(NodeId.of("st1"), NodeId.of("st2"))),
+                shards,
+                net + "9");
+        final String line = String.join(
+                ",",
+                seeds.entrySet().stream()
+                        .map(e -> e.getKey() + "@" + e.getValue().getHostString() + ":"
+                                + e.getValue().getPort())
+                        .toList());
         Runtime.getRuntime().addShutdownHook(hook);
         for (final Machine m : real.values()) {
             if (processes) {
@@ -55,8 +63,14 @@
         }
         if (!processes) {
             for (final String e : ELECTORS) {
-                final Hollow.Seat at = new Hollow.Seat(seat.seeds(), seat.quorum(), shards, real.get(e).host());
-                add(NodeId.of(e), e.startsWith("st") ? Role.STORE : Role.SHIELD, "r0/z0", at, real.get(e).wire());
+                final Hollow.Seat at = new Hollow.Seat(
+                        seat.seeds(), seat.quorum(), shards, real.get(e).host());
+                add(
+                        NodeId.of(e),
+                        e.startsWith("st") ? Role.STORE : Role.SHIELD,
+                        "r0/z0",
+                        at,
+                        real.get(e).wire());
             }
             real.clear();
         }
@@ -77,8 +91,10 @@
         return "r" + zone % REGIONS + "/z" + zone;
     }
 
-    private void add(final NodeId id, final Role role, final String cell, final Hollow.Seat at, final int port) throws IOException {
-        hollow.put(id, new Hollow(id, role, cell, Long.toHexString(System.nanoTime()), at, port, i -> waves.hit(i, id)));
+    private void add(final NodeId id, final Role role, final String cell, final Hollow.Seat at, final int port)
+            throws IOException {
+        hollow.put(
+                id, new Hollow(id, role, cell, Long.toHexString(System.nanoTime()), at, port, i -> waves.hit(i, id)));
     }
 
     Waves waves() {
@@ -121,7 +137,8 @@
     }
 
     /** Milliseconds until every one of them says yes, or -1 where one does not within {@code most}. */
-    static long until(final List<Hollow> which, final long most, final Predicate<Hollow> yes) throws InterruptedException {
+    static long until(final List<Hollow> which, final long most, final Predicate<Hollow> yes)
+            throws InterruptedException {
         final long from = System.nanoTime();
         List<Hollow> left = new ArrayList<>(which);
         while (!left.isEmpty()) {
--- a/rig/src/main/java/rv/rig/scale/Hollow.java
+++ b/rig/src/main/java/rv/rig/scale/Hollow.java
@@ -41,24 +41,39 @@
     private volatile long core;
 
     /** What all nodes of a run are told alike. */
-    record Seat(Map<NodeId, InetSocketAddress> seeds, Quorum quorum, int shards, String host) {
-    }
+    record Seat(Map<NodeId, InetSocketAddress> seeds, Quorum quorum, int shards, String host) {}
 
     /** At {@code port}, or at any free one where it is 0. */
-    Hollow(final NodeId id, final Role role, final String cell, final String boot, final Seat seat, final int port,
-           final Consumer<Item> learned) throws IOException {
+    Hollow(
+            final NodeId id,
+            final Role role,
+            final String cell,
+            final String boot,
+            final Seat seat,
+            final int port,
+            final Consumer<Item> learned)
+            throws IOException {
         this.id = id;
         this.role = role;
         final Journal journal = new Journal(loop, 200);
         wire = new TcpNet(id, loop, journal, seat.seeds(), Map.of(), tally);
-        wire.bind(new InetSocketAddress(seat.host(), port), (f, m, b) -> { });
-        final Member self = new Member(id, role, cell, seat.host(), wire.bound(), boot, Condition.PARTIAL, rv.prog.Main.VERSION);
-        final Setup setup = Setup.of(self).seeds(List.copyOf(seat.seeds().keySet())).quorum(seat.quorum()).shards(seat.shards()).build();
+        wire.bind(new InetSocketAddress(seat.host(), port), (f, m, b) -> {});
+        final Member self =
+                new Member(id, role, cell, seat.host(), wire.bound(), boot, Condition.PARTIAL, rv.prog.Main.VERSION);
+        final Setup setup = Setup.of(self)
+                .seeds(List.copyOf(seat.seeds().keySet()))
+                .quorum(seat.quorum())
+                .shards(seat.shards())
+                .build();
         final rv.data.Port none = (to, what, gate, then) -> {
             then.accept(rv.data.Port.Got.none(rv.data.Port.End.NOT_SENT, "hollow"));
-            return () -> { };
+            return () -> {};
         };
-        node = new Node(setup, new Node.Seams(loop, this, new NoDisk(loop), none, new Random(), System::currentTimeMillis, wire::learn), journal);
+        node = new Node(
+                setup,
+                new Node.Seams(
+                        loop, this, new NoDisk(loop), none, new Random(), System::currentTimeMillis, wire::learn),
+                journal);
         node.held().watch(learned);
         wire.serve((from, msg, back) -> {
             if (!cut) {
@@ -143,7 +158,8 @@
 
     /** What its own thread sees, or {@code other} where it does not say within 2 s. */
     <T> T see(final java.util.function.Function<Node, T> what, final T other) {
-        final java.util.concurrent.atomic.AtomicReference<T> got = new java.util.concurrent.atomic.AtomicReference<>(other);
+        final java.util.concurrent.atomic.AtomicReference<T> got =
+                new java.util.concurrent.atomic.AtomicReference<>(other);
         final CountDownLatch done = new CountDownLatch(1);
         loop.post(() -> {
             got.set(what.apply(node));
--- a/rig/src/main/java/rv/rig/scale/Load.java
+++ b/rig/src/main/java/rv/rig/scale/Load.java
@@ -12,8 +12,7 @@
 final class Load {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-    private Load() {
-    }
+    private Load() {}
 
     /** Milliseconds of processor time that a hollow node's two threads have had. */
     static double node(final Hollow h) {
@@ -45,7 +44,11 @@
 
     /** Milliseconds for which the machine's processors were busy, all work together. */
     static double machine() throws IOException {
-        final long[] f = Arrays.stream(Files.readAllLines(Path.of("/proc/stat")).get(0).split("\\s+")).skip(1).mapToLong(Long::parseLong).toArray();
+        final long[] f = Arrays.stream(
+                        Files.readAllLines(Path.of("/proc/stat")).get(0).split("\\s+"))
+                .skip(1)
+                .mapToLong(Long::parseLong)
+                .toArray();
         return 10.0 * (f[0] + f[1] + f[2] + f[5] + f[6] + f[7]);
     }
 }
--- a/rig/src/main/java/rv/rig/scale/Room.java
+++ b/rig/src/main/java/rv/rig/scale/Room.java
@@ -16,9 +16,12 @@
     private static final int NODE_FILES = 24;
 
     static Room here() throws IOException {
-        return new Room(number(Path.of("/proc/meminfo"), "MemTotal:", 2L << 20) / 1024, Runtime.getRuntime().maxMemory() >> 20,
-            number(Path.of("/proc/self/limits"), "Max open files", 1024), number(Path.of("/proc/sys/kernel/threads-max"), "", 4096),
-            Runtime.getRuntime().availableProcessors());
+        return new Room(
+                number(Path.of("/proc/meminfo"), "MemTotal:", 2L << 20) / 1024,
+                Runtime.getRuntime().maxMemory() >> 20,
+                number(Path.of("/proc/self/limits"), "Max open files", 1024),
+                number(Path.of("/proc/sys/kernel/threads-max"), "", 4096),
+                Runtime.getRuntime().availableProcessors());
     }
 
     /** The first number after {@code word}. */
@@ -26,8 +29,13 @@
         if (!Files.isReadable(file)) {
             return other;
         }
-        return Files.readAllLines(file).stream().filter(l -> l.startsWith(word)).findFirst()
-            .map(l -> l.substring(word.length()).strip().split("\\s+")[0]).filter(t -> t.matches("[0-9]+")).map(Long::parseLong).orElse(other);
+        return Files.readAllLines(file).stream()
+                .filter(l -> l.startsWith(word))
+                .findFirst()
+                .map(l -> l.substring(word.length()).strip().split("\\s+")[0])
+                .filter(t -> t.matches("[0-9]+"))
+                .map(Long::parseLong)
+                .orElse(other);
     }
 
     /** Why {@code nodes} do not fit; empty where they do. */
@@ -36,15 +44,28 @@
         final double heap = nodes * (NODE_MB + PEER_MB * nodes);
         less(list, nodes, "MB of memory", heap + REST_MB, memoryMb / 2.0, "half of this machine's " + memoryMb);
         less(list, nodes, "MB of heap", heap, heapMb, "of this process");
-        less(list, nodes, "open files", (double) nodes * NODE_FILES + 2.0 * Herd.shields(nodes) * Herd.shields(nodes), files, "allowed to this process");
+        less(
+                list,
+                nodes,
+                "open files",
+                (double) nodes * NODE_FILES + 2.0 * Herd.shields(nodes) * Herd.shields(nodes),
+                files,
+                "allowed to this process");
         less(list, nodes, "threads", 2.0 * nodes, threads / 2.0, "half of this machine's " + threads);
         less(list, nodes, "cores", nodes * NODE_CORE, cores / 2, "half of this machine's " + (int) cores);
         return list;
     }
 
-    private static void less(final List<String> list, final int nodes, final String what, final double need, final double has, final String why) {
+    private static void less(
+            final List<String> list,
+            final int nodes,
+            final String what,
+            final double need,
+            final double has,
+            final String why) {
         if (need > has) {
-            list.add(String.format(Locale.ROOT, "%d nodes need %.0f %s, there are %.0f, %s", nodes, need, what, has, why));
+            list.add(String.format(
+                    Locale.ROOT, "%d nodes need %.0f %s, there are %.0f, %s", nodes, need, what, has, why));
         }
     }
 }
--- a/rig/src/main/java/rv/rig/scale/Scale.java
+++ b/rig/src/main/java/rv/rig/scale/Scale.java
@@ -12,8 +12,13 @@
 
 /** Hollow nodes in steps of size: what each size costs, and the slope of each figure over the sizes. */
 public final class Scale {
-    private static final List<String> CHARTED = List.of("edge_bytes_s", "edge_messages_s", "edge_cpu_percent", "st1_cpu_percent", "heap_mb_node",
-        "purge_everywhere_p50_ms");
+    private static final List<String> CHARTED = List.of(
+            "edge_bytes_s",
+            "edge_messages_s",
+            "edge_cpu_percent",
+            "st1_cpu_percent",
+            "heap_mb_node",
+            "purge_everywhere_p50_ms");
     private final List<Integer> sizes;
     private final int shards;
     private final long seconds;
@@ -31,8 +36,14 @@
     /** Sizes as {@code 50,150,430}; empty where a part is not a size. */
     public static List<Integer> sizes(final String text) {
         final String[] parts = text.split(",");
-        return Arrays.stream(parts).allMatch(t -> t.matches("[0-9]{2,7}")) && Arrays.stream(parts).mapToInt(Integer::parseInt).min().orElse(0) >= 12
-            ? Arrays.stream(parts).map(Integer::valueOf).toList() : List.of();
+        return Arrays.stream(parts).allMatch(t -> t.matches("[0-9]{2,7}"))
+                        && Arrays.stream(parts)
+                                        .mapToInt(Integer::parseInt)
+                                        .min()
+                                        .orElse(0)
+                                >= 12
+                ? Arrays.stream(parts).map(Integer::valueOf).toList()
+                : List.of();
     }
 
     /** What this machine lacks for the greatest size. */
@@ -53,7 +64,8 @@
                 System.out.println("step " + rows.get(rows.size() - 1));
             }
         }
-        final List<String> csv = new ArrayList<>(List.of(String.join(",", rows.get(0).keySet())));
+        final List<String> csv =
+                new ArrayList<>(List.of(String.join(",", rows.get(0).keySet())));
         rows.forEach(r -> csv.add(Step.line(r)));
         Files.write(dir.resolve("scale.csv"), csv);
         Files.writeString(dir.resolve("kinds.csv"), kinds);
@@ -70,10 +82,13 @@
         final Map<String, double[]> map = new LinkedHashMap<>();
         final double n = rows.size();
         final double mx = rows.stream().mapToDouble(r -> r.get("nodes")).sum() / n;
-        final double xx = rows.stream().mapToDouble(r -> Math.pow(r.get("nodes") - mx, 2)).sum();
+        final double xx =
+                rows.stream().mapToDouble(r -> Math.pow(r.get("nodes") - mx, 2)).sum();
         rows.get(0).keySet().stream().filter(k -> !k.equals("nodes")).forEach(k -> {
             final double my = rows.stream().mapToDouble(r -> r.get(k)).sum() / n;
-            final double xy = rows.stream().mapToDouble(r -> (r.get("nodes") - mx) * (r.get(k) - my)).sum();
+            final double xy = rows.stream()
+                    .mapToDouble(r -> (r.get("nodes") - mx) * (r.get(k) - my))
+                    .sum();
             final double slope = xx == 0 ? 0 : xy / xx;
             map.put(k, new double[] {my - slope * mx, slope});
         });
--- a/rig/src/main/java/rv/rig/scale/Step.java
+++ b/rig/src/main/java/rv/rig/scale/Step.java
@@ -33,9 +33,13 @@
         this.seconds = seconds;
     }
 
-    private record Shot(long at, Map<NodeId, Map<String, Tally.Count>> counts, Map<NodeId, Double> cpu, Map<NodeId, String> lives,
-                        Map<String, Double> process, double machine) {
-    }
+    private record Shot(
+            long at,
+            Map<NodeId, Map<String, Tally.Count>> counts,
+            Map<NodeId, Double> cpu,
+            Map<NodeId, String> lives,
+            Map<String, Double> process,
+            double machine) {}
 
     /** The columns of one line, in order. */
     Map<String, Double> run() throws IOException, InterruptedException {
@@ -86,13 +90,16 @@
     private void kinds(final String name, final Shot one, final Shot two) {
         final double s = (two.at() - one.at()) / 1e9;
         final List<NodeId> doors = doors().stream().map(Hollow::id).toList();
-        final List<NodeId> edges = ids(Role.EDGE, two).stream().filter(n -> !doors.contains(n)).toList();
+        final List<NodeId> edges =
+                ids(Role.EDGE, two).stream().filter(n -> !doors.contains(n)).toList();
         edges.forEach(n -> Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))
-            .forEach((k, c) -> kinds.merge(name + k, c.bytes() / s / edges.size(), Double::sum)));
+                .forEach((k, c) -> kinds.merge(name + k, c.bytes() / s / edges.size(), Double::sum)));
     }
 
     private List<NodeId> ids(final Role role, final Shot shot) {
-        return herd.up(h -> h.role() == role && shot.counts().containsKey(h.id())).stream().map(Hollow::id).toList();
+        return herd.up(h -> h.role() == role && shot.counts().containsKey(h.id())).stream()
+                .map(Hollow::id)
+                .toList();
     }
 
     private Shot shot() throws IOException {
@@ -116,16 +123,24 @@
         final List<NodeId> doors = doors().stream().map(Hollow::id).toList();
         for (final String role : List.of("edge", "shield", "door")) {
             final List<NodeId> ids = ids(role.equals("shield") ? Role.SHIELD : Role.EDGE, two).stream()
-                .filter(n -> doors.contains(n) == role.equals("door") && one.lives().get(n).equals(two.lives().get(n))).toList();
-            final Tally.Count sum = ids.stream().map(n -> Tally.sum(Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))))
-                .reduce(new Tally.Count(0, 0), Tally.Count::plus);
-            final double cpu = ids.stream().mapToDouble(n -> two.cpu().get(n) - one.cpu().getOrDefault(n, 0.0)).sum();
+                    .filter(n -> doors.contains(n) == role.equals("door")
+                            && one.lives().get(n).equals(two.lives().get(n)))
+                    .toList();
+            final Tally.Count sum = ids.stream()
+                    .map(n -> Tally.sum(
+                            Tally.less(two.counts().get(n), one.counts().getOrDefault(n, Map.of()))))
+                    .reduce(new Tally.Count(0, 0), Tally.Count::plus);
+            final double cpu = ids.stream()
+                    .mapToDouble(n -> two.cpu().get(n) - one.cpu().getOrDefault(n, 0.0))
+                    .sum();
             row.put(name + role + "_messages_s", sum.frames() / s / ids.size());
             row.put(name + role + "_bytes_s", sum.bytes() / s / ids.size());
             row.put(name + role + "_cpu_percent", cpu / s / 10 / ids.size());
         }
         for (final Machine m : herd.real().values()) {
-            row.put(name + m.name() + "_cpu_percent", (two.process().get(m.name()) - one.process().get(m.name())) / s / 10);
+            row.put(
+                    name + m.name() + "_cpu_percent",
+                    (two.process().get(m.name()) - one.process().get(m.name())) / s / 10);
             row.put(name + m.name() + "_resident_mb", Load.residentMb(m));
         }
         row.put(name + "machine_busy_cores", (two.machine() - one.machine()) / s / 1000);
@@ -190,8 +205,15 @@
             final ItemId id = new ItemId(Kind.SERVICE, "store-" + serial++);
             final Hollow at = door();
             herd.waves().begin(id.text(), reach());
-            at.loop().post(() -> at.node().clerk().put(id, "{\"kind\":\"content\",\"rate\":50}".getBytes(StandardCharsets.UTF_8), 0, null,
-                said -> said(id.text(), said.status())));
+            at.loop()
+                    .post(() -> at.node()
+                            .clerk()
+                            .put(
+                                    id,
+                                    "{\"kind\":\"content\",\"rate\":50}".getBytes(StandardCharsets.UTF_8),
+                                    0,
+                                    null,
+                                    said -> said(id.text(), said.status())));
             TimeUnit.MILLISECONDS.sleep(2 * PAUSE);
         }
         times("config_");
@@ -200,7 +222,8 @@
     /** All of one zone that are not doors or electors end at once and come back, while purges go on. */
     private void zone() throws IOException, InterruptedException {
         final String cell = Herd.cell(5);
-        final List<Hollow> zone = herd.up(h -> h.node().setup().self().cell().equals(cell) && !herd.electors().contains(h.id()));
+        final List<Hollow> zone = herd.up(h ->
+                h.node().setup().self().cell().equals(cell) && !herd.electors().contains(h.id()));
         final Shot one = shot();
         purges(3, true);
         herd.end(zone);
@@ -217,7 +240,8 @@
 
     /** A region hears nothing while purges are stated as fast as they are taken; then it has to learn them all. */
     private void cut() throws IOException, InterruptedException {
-        final List<Hollow> region = herd.up(h -> h.node().setup().self().cell().startsWith("r3/") && !herd.electors().contains(h.id()));
+        final List<Hollow> region = herd.up(h -> h.node().setup().self().cell().startsWith("r3/")
+                && !herd.electors().contains(h.id()));
         region.forEach(h -> h.cut(true));
         final int from = serial;
         for (int i = 0; i < MISSED; i++) {
@@ -231,14 +255,28 @@
         region.forEach(h -> h.cut(false));
         row.put("cut_nodes", (double) region.size());
         row.put("cut_missed", (double) serial - from);
-        row.put("cut_healed_ms", (double) Herd.until(region, 20_000, h -> h.see(n -> n.sync().fresh() && n.held().all().size() >= want, false)));
+        row.put("cut_healed_ms", (double) Herd.until(
+                region,
+                20_000,
+                h -> h.see(n -> n.sync().fresh() && n.held().all().size() >= want, false)));
         final Shot two = shot();
-        final double bytes = region.stream().mapToDouble(h -> Tally.less(two.counts().get(h.id()), one.counts().get(h.id())).entrySet().stream()
-            .filter(e -> e.getKey().equals("in Give")).mapToDouble(e -> e.getValue().bytes()).sum()).sum();
+        final double bytes = region.stream()
+                .mapToDouble(h -> Tally.less(
+                                two.counts().get(h.id()), one.counts().get(h.id()))
+                        .entrySet()
+                        .stream()
+                        .filter(e -> e.getKey().equals("in Give"))
+                        .mapToDouble(e -> e.getValue().bytes())
+                        .sum())
+                .sum();
         row.put("cut_give_bytes_item", bytes / Math.max(1, region.size()) / (serial - from));
     }
 
     static String line(final Map<String, Double> row) {
-        return String.join(",", row.values().stream().map(v -> String.format(Locale.ROOT, "%.2f", v)).toList());
+        return String.join(
+                ",",
+                row.values().stream()
+                        .map(v -> String.format(Locale.ROOT, "%.2f", v))
+                        .toList());
     }
 }
--- a/rig/src/main/java/rv/rig/scale/Waves.java
+++ b/rig/src/main/java/rv/rig/scale/Waves.java
@@ -16,8 +16,7 @@
     private final Histogram each = new ConcurrentHistogram(60_000_000, 3);
     private final Histogram all = new ConcurrentHistogram(60_000_000, 3);
 
-    private record Wave(long from, Set<NodeId> left) {
-    }
+    private record Wave(long from, Set<NodeId> left) {}
 
     /** Of purges the body, since one name may be purged again; else the name. */
     static String key(final Item item) {
--- a/rig/src/main/java/rv/rig/sim/Patcher.java
+++ b/rig/src/main/java/rv/rig/sim/Patcher.java
@@ -10,7 +10,7 @@
 import rv.base.Kind;
 import rv.control.Json;
 import rv.control.Purge;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.rig.Log;
 import rv.rig.Place;
 import rv.rig.Stock;
@@ -19,7 +19,7 @@
 public final class Patcher implements Operators {
     private static final String BLINK = "blink";
     private static final int TRIES = 12;
-    private final Town town;
+    private final SimCluster town;
     private final Map<String, Long> vers = new TreeMap<>();
     private final List<Call> past = new ArrayList<>();
     private boolean on;
@@ -29,8 +29,25 @@
     /** One item of a call; {@code body}: null drops it. */
     private record Part(Kind kind, String name, long ver, Map<String, Object> body, Map<String, Object> facts) {
         Map<String, Object> row(final String what, final long t, final long end, final int status) {
-            final Map<String, Object> row = Log.row("log", "op", "t", t, "end", end, "what", what, "item", kind.name() + "/" + name, "version", ver,
-                "gone", body == null, "note", body == null ? null : body.get("note"), "status", status);
+            final Map<String, Object> row = Log.row(
+                    "log",
+                    "op",
+                    "t",
+                    t,
+                    "end",
+                    end,
+                    "what",
+                    what,
+                    "item",
+                    kind.name() + "/" + name,
+                    "version",
+                    ver,
+                    "gone",
+                    body == null,
+                    "note",
+                    body == null ? null : body.get("note"),
+                    "status",
+                    status);
             row.putAll(facts);
             return row;
         }
@@ -45,13 +62,15 @@
                 if (body != null) {
                     body.put("version", p.ver());
                 }
-                (body == null ? drop : set).computeIfAbsent(p.kind().word() + "s", k -> new TreeMap<>()).put(p.name(), body == null ? p.ver() : body);
+                (body == null ? drop : set)
+                        .computeIfAbsent(p.kind().word() + "s", k -> new TreeMap<>())
+                        .put(p.name(), body == null ? p.ver() : body);
             }
             return Json.text(Map.of("set", set, "drop", drop)).getBytes(StandardCharsets.UTF_8);
         }
     }
 
-    Patcher(final Town town) {
+    Patcher(final SimCluster town) {
         this.town = town;
     }
 
@@ -69,19 +88,64 @@
     }
 
     private Part service(final Place.Kin k) {
-        return new Part(Kind.SERVICE, k.service(), rise(Kind.SERVICE, k.service()), Log.row("kind", k.kind(), "ceiling", k.rate() > 0 ? k.rate() : null,
-            "circuits", 130, "note", note(), "cutoffMs", 1500 + dice().nextInt(1000)), Log.row("service", k.service(), "ceiling", k.rate()));
+        return new Part(
+                Kind.SERVICE,
+                k.service(),
+                rise(Kind.SERVICE, k.service()),
+                Log.row(
+                        "kind",
+                        k.kind(),
+                        "ceiling",
+                        k.rate() > 0 ? k.rate() : null,
+                        "circuits",
+                        130,
+                        "note",
+                        note(),
+                        "cutoffMs",
+                        1500 + dice().nextInt(1000)),
+                Log.row("service", k.service(), "ceiling", k.rate()));
     }
 
-    private Part route(final Place.Way w, final long ver) {
+    private Part route(final Place.EdgeRouting w, final long ver) {
         final List<Map<String, Object>> split = new ArrayList<>();
-        w.split().forEach((s, n) -> split.add(Log.row("service", s, "weight", w.split().size() == 1 ? n : Math.max(1, n - 5 + dice().nextInt(11)))));
-        return new Part(Kind.ROUTE, w.route(), ver, Log.row("host", w.host(), "prefix", w.prefix(), "split", split, "mode", w.mode(), "lifetimeMs",
-            w.lifetimeMs(), "timeoutMs", 1500 + dice().nextInt(2000), "aimMs", 300, "rank", 1, "tries", 2, "any", true, "note", note()),
-            Log.row("prefix", w.prefix(), "services", new ArrayList<>(w.split().keySet())));
+        w.split()
+                .forEach((s, n) -> split.add(Log.row(
+                        "service", s, "weight", w.split().size() == 1 ? n : Math.max(1, n - 5 + dice().nextInt(11)))));
+        return new Part(
+                Kind.ROUTE,
+                w.route(),
+                ver,
+                Log.row(
+                        "host",
+                        w.host(),
+                        "prefix",
+                        w.prefix(),
+                        "split",
+                        split,
+                        "mode",
+                        w.mode(),
+                        "lifetimeMs",
+                        w.lifetimeMs(),
+                        "timeoutMs",
+                        1500 + dice().nextInt(2000),
+                        "aimMs",
+                        300,
+                        "rank",
+                        1,
+                        "tries",
+                        2,
+                        "any",
+                        true,
+                        "note",
+                        note()),
+                Log.row(
+                        "prefix",
+                        w.prefix(),
+                        "services",
+                        new ArrayList<>(w.split().keySet())));
     }
 
-    private Part route(final Place.Way w) {
+    private Part route(final Place.EdgeRouting w) {
         return route(w, rise(Kind.ROUTE, w.route()));
     }
 
@@ -89,7 +153,7 @@
         return "n" + ++serial;
     }
 
-    private Place.Way some() {
+    private Place.EdgeRouting some() {
         return town.place().ways().get(dice().nextInt(town.place().ways().size()));
     }
 
@@ -98,9 +162,13 @@
         final List<Part> all = new ArrayList<>();
         town.place().kin().forEach(k -> all.add(service(k)));
         town.place().ways().forEach(w -> all.add(route(w)));
-        all.add(new Part(Kind.LIMIT, "limits", rise(Kind.LIMIT, "limits"), Log.row("headBytes", 16_384, "bodyBytes", 1 << 20, "headMs", 3000, "idleMs",
-            15_000, "note", note()), Map.of()));
-        send(new Call(all), s -> { });
+        all.add(new Part(
+                Kind.LIMIT,
+                "limits",
+                rise(Kind.LIMIT, "limits"),
+                Log.row("headBytes", 16_384, "bodyBytes", 1 << 20, "headMs", 3000, "idleMs", 15_000, "note", note()),
+                Map.of()));
+        send(new Call(all), s -> {});
     }
 
     @Override
@@ -161,16 +229,22 @@
 
     @Override
     public void state(final IntConsumer then) {
-        send(new Call(dice().nextInt(3) == 0 ? List.of(service(town.place().kin().get(dice().nextInt(town.place().kin().size()))))
-            : List.of(route(some()))), then);
+        send(
+                new Call(
+                        dice().nextInt(3) == 0
+                                ? List.of(service(town.place()
+                                        .kin()
+                                        .get(dice().nextInt(town.place().kin().size()))))
+                                : List.of(route(some()))),
+                then);
     }
 
     /** Two operators, one version, two bodies, two nodes. */
     public void race() {
-        final Place.Way w = some();
+        final Place.EdgeRouting w = some();
         final long ver = rise(Kind.ROUTE, w.route());
         for (int i = 0; i < 2; i++) {
-            send(new Call(List.of(route(w, ver))), s -> { });
+            send(new Call(List.of(route(w, ver))), s -> {});
         }
     }
 
@@ -181,19 +255,22 @@
         }
         switch (dice().nextInt(4)) {
             case 0 -> race();
-            case 1 -> send(past.get(dice().nextInt(past.size())), s -> { });
+            case 1 -> send(past.get(dice().nextInt(past.size())), s -> {});
             case 2 -> extra();
-            default -> state(s -> { });
+            default -> state(s -> {});
         }
         town.world().in(1500 + dice().nextInt(2000), this::restate);
     }
 
     private void extra() {
         final String name = "extra" + dice().nextInt(4);
-        final Place.Way model = some();
-        final Place.Way w = new Place.Way(name, "/" + name + "/", model.mode(), model.lifetimeMs(), true, 0, 1, model.host(), model.split());
+        final Place.EdgeRouting model = some();
+        final Place.EdgeRouting w = new Place.EdgeRouting(
+                name, "/" + name + "/", model.mode(), model.lifetimeMs(), true, 0, 1, model.host(), model.split());
         final Part set = route(w);
-        send(new Call(List.of(dice().nextBoolean() ? set : new Part(Kind.ROUTE, name, set.ver(), null, Map.of()))), s -> { });
+        send(
+                new Call(List.of(dice().nextBoolean() ? set : new Part(Kind.ROUTE, name, set.ver(), null, Map.of()))),
+                s -> {});
     }
 
     /** A route that is stated and dropped in turn; the older statement comes again, late. */
@@ -202,14 +279,14 @@
             return;
         }
         shown = !shown;
-        final Place.Way w = town.place().ways().get(0);
-        final Part set = route(new Place.Way(BLINK, "/blink/", "cached", 500, true, 0, 1, w.host(), w.split()));
+        final Place.EdgeRouting w = town.place().ways().get(0);
+        final Part set = route(new Place.EdgeRouting(BLINK, "/blink/", "cached", 500, true, 0, 1, w.host(), w.split()));
         final Map<String, Object> facts = new TreeMap<>(set.facts());
         facts.put("shown", shown);
-        send(new Call(List.of(new Part(Kind.ROUTE, BLINK, set.ver(), shown ? set.body() : null, facts))), s -> { });
+        send(new Call(List.of(new Part(Kind.ROUTE, BLINK, set.ver(), shown ? set.body() : null, facts))), s -> {});
         if (!shown) {
             final Part old = new Part(Kind.ROUTE, BLINK, set.ver() - 1, set.body(), set.facts());
-            town.world().in(1500, () -> send(new Call(List.of(old)), s -> { }));
+            town.world().in(1500, () -> send(new Call(List.of(old)), s -> {}));
         }
         town.world().in(6000 + dice().nextInt(2000), this::blink);
     }
@@ -219,11 +296,37 @@
             return;
         }
         final String host = town.place().ways().get(0).host();
-        town.nodes().values().stream().filter(n -> n.role() == rv.base.Role.EDGE && n.alive()).forEach(n -> {
-            final long t = now();
-            n.post(() -> n.node().edge().take(new Ask("GET", host, "/blink/1", null, new byte[0], "", "p-" + ++serial, 1000, null, Map.of()),
-                a -> town.log().add(Log.row("log", "probe", "t", t, "end", now(), "node", n.id().text(), "status", a.status()))));
-        });
+        town.nodes().values().stream()
+                .filter(n -> n.role() == rv.base.Role.EDGE && n.alive())
+                .forEach(n -> {
+                    final long t = now();
+                    n.post(() -> n.node()
+                            .edge()
+                            .take(
+                                    new ClientRequest(
+                                            "GET",
+                                            host,
+                                            "/blink/1",
+                                            null,
+                                            new byte[0],
+                                            "",
+                                            "p-" + ++serial,
+                                            1000,
+                                            null,
+                                            Map.of()),
+                                    a -> town.log()
+                                            .add(Log.row(
+                                                    "log",
+                                                    "probe",
+                                                    "t",
+                                                    t,
+                                                    "end",
+                                                    now(),
+                                                    "node",
+                                                    n.id().text(),
+                                                    "status",
+                                                    a.status()))));
+                });
         town.world().in(500, this::probe);
     }
 
@@ -232,11 +335,17 @@
         if (!on) {
             return;
         }
-        final List<Place.Way> ways = town.place().ways().stream().filter(w -> w.mode().equals("cached")).toList();
-        final Place.Way w = ways.get(dice().nextInt(ways.size()));
+        final List<Place.EdgeRouting> ways = town.place().ways().stream()
+                .filter(w -> w.mode().equals("cached"))
+                .toList();
+        final Place.EdgeRouting w = ways.get(dice().nextInt(ways.size()));
         final double roll = dice().nextDouble();
         final String path = w.prefix() + (int) (w.objects() * roll * roll * roll);
-        final String service = town.place().kin().stream().filter(k -> k.ways().contains(w)).findFirst().orElseThrow().service();
+        final String service = town.place().kin().stream()
+                .filter(k -> k.ways().contains(w))
+                .findFirst()
+                .orElseThrow()
+                .service();
         final long rev = town.stock(service).change(path);
         town.log().add(Log.row("log", "change", "t", now(), "path", path, "rev", rev, "tag", Stock.tag(path)));
         if (dice().nextInt(3) == 0) {
@@ -248,13 +357,16 @@
 
     @Override
     public void purge() {
-        final List<Place.Way> ways = town.place().ways().stream().filter(w -> w.mode().equals("cached")).toList();
-        final Place.Way w = ways.get(dice().nextInt(ways.size()));
+        final List<Place.EdgeRouting> ways = town.place().ways().stream()
+                .filter(w -> w.mode().equals("cached"))
+                .toList();
+        final Place.EdgeRouting w = ways.get(dice().nextInt(ways.size()));
         purge(w, w.prefix() + dice().nextInt(w.objects()), dice().nextInt(4) == 0);
     }
 
-    private void purge(final Place.Way w, final String path, final boolean wide) {
-        final Purge what = wide ? new Purge(null, null, null, null, Stock.tag(path)) : new Purge(null, path, null, w.host(), null);
+    private void purge(final Place.EdgeRouting w, final String path, final boolean wide) {
+        final Purge what =
+                wide ? new Purge(null, null, null, null, Stock.tag(path)) : new Purge(null, path, null, w.host(), null);
         purge(what, Log.row("path", wide ? null : path, "tag", wide ? what.tag() : null), now(), 4);
     }
 
@@ -280,8 +392,21 @@
             }
             over[0] = true;
             final String item = String.valueOf(s.body().get("item")).replace("purge/", "PURGE/");
-            final Map<String, Object> row = Log.row("log", "op", "t", from, "end", now(), "what", "purge", "item", item, "status", 200, "version",
-                s.body().get("version"));
+            final Map<String, Object> row = Log.row(
+                    "log",
+                    "op",
+                    "t",
+                    from,
+                    "end",
+                    now(),
+                    "what",
+                    "purge",
+                    "item",
+                    item,
+                    "status",
+                    200,
+                    "version",
+                    s.body().get("version"));
             row.putAll(facts);
             town.log().add(row);
         }));
@@ -295,8 +420,14 @@
             town.world().in(500, () -> invalid(then));
             return;
         }
-        final Part good = new Part(Kind.SERVICE, town.place().kin().get(0).service(), Long.MAX_VALUE / 2, service(town.place().kin().get(0)).body(), Map.of());
-        final Map<String, Object> body = new TreeMap<>(route(town.place().ways().get(0)).body());
+        final Part good = new Part(
+                Kind.SERVICE,
+                town.place().kin().get(0).service(),
+                Long.MAX_VALUE / 2,
+                service(town.place().kin().get(0)).body(),
+                Map.of());
+        final Map<String, Object> body =
+                new TreeMap<>(route(town.place().ways().get(0)).body());
         body.put("split", List.of(Map.of("service", "nobody", "weight", 1)));
         final Call call = new Call(List.of(good, new Part(Kind.ROUTE, "faulty", 9, body, Map.of())));
         final long t = now();
@@ -308,16 +439,30 @@
 
     /** What each shield says stands. */
     void readBack() {
-        town.nodes().values().stream().filter(n -> n.role() == rv.base.Role.SHIELD && n.alive()).forEach(n -> n.post(() ->
-            n.node().orders().whole(1000, all -> {
-                final Map<String, Object> items = new TreeMap<>();
-                all.ifPresent(m -> m.forEach((kind, some) -> {
-                    if (kind != Kind.PURGE) {
-                        some.forEach((name, item) -> items.put(kind.name() + "/" + name,
-                            item.ver().n() + " " + Json.read(item.body(), Map.class).get("note")));
-                    }
-                }));
-                town.log().add(Log.row("log", "read", "t", now(), "node", n.id().text(), "whole", all.isPresent(), "items", items));
-            })));
+        town.nodes().values().stream()
+                .filter(n -> n.role() == rv.base.Role.SHIELD && n.alive())
+                .forEach(n -> n.post(() -> n.node().orders().whole(1000, all -> {
+                    final Map<String, Object> items = new TreeMap<>();
+                    all.ifPresent(m -> m.forEach((kind, some) -> {
+                        if (kind != Kind.PURGE) {
+                            some.forEach((name, item) -> items.put(
+                                    kind.name() + "/" + name,
+                                    item.ver().n() + " "
+                                            + Json.read(item.body(), Map.class).get("note")));
+                        }
+                    }));
+                    town.log()
+                            .add(Log.row(
+                                    "log",
+                                    "read",
+                                    "t",
+                                    now(),
+                                    "node",
+                                    n.id().text(),
+                                    "whole",
+                                    all.isPresent(),
+                                    "items",
+                                    items));
+                })));
     }
 }
--- a/rig/src/main/java/rv/rig/sim/Play.java
+++ b/rig/src/main/java/rv/rig/sim/Play.java
@@ -8,16 +8,16 @@
 
 /** Brings a script's troubles about in the simulator. A trouble that could not be brought about fails the run. */
 public final class Play {
-    private final Town town;
+    private final SimCluster town;
     private final Script script;
     private final List<String> missed = new ArrayList<>();
 
     public Play(final Script script, final long seed) {
         this.script = script;
-        this.town = new Town(script.place(), seed);
+        this.town = new SimCluster(script.place(), seed);
     }
 
-    public Town town() {
+    public SimCluster town() {
         return town;
     }
 
@@ -66,11 +66,14 @@
             case "full" -> who(s).forEach(w -> town.full(w, s.ms()));
             case "cut" -> town.cut(who(s), s.ms());
             case "drift" -> who(s).forEach(w -> town.drift(w, s.size(), s.ms()));
-            case "slow" -> span(s, () -> town.net().slow((long) s.size()), () -> town.net().slow(0));
-            case "loss" -> span(s, () -> town.net().loss(s.size()), () -> town.net().loss(0));
-            case "surge" -> span(s, () -> town.crowd().factor(s.size()), () -> town.crowd().factor(1));
+            case "slow" ->
+                span(s, () -> town.net().slow((long) s.size()), () -> town.net().slow(0));
+            case "loss" ->
+                span(s, () -> town.net().loss(s.size()), () -> town.net().loss(0));
+            case "surge" ->
+                span(s, () -> town.crowd().factor(s.size()), () -> town.crowd().factor(1));
             case "purges" -> stream(s, town.operators()::purge);
-            case "storm" -> stream(s, () -> town.operators().state(r -> { }));
+            case "storm" -> stream(s, () -> town.operators().state(r -> {}));
             case "invalid" -> invalid();
             default -> s.who().forEach(w -> origin(s, w));
         }
@@ -93,13 +96,17 @@
     /** The machines of the first half of the zones. */
     private List<String> half() {
         final Place p = town.place();
-        return p.machines().stream().filter(m -> p.cells().indexOf(p.cell(m)) < p.cells().size() / 2).toList();
+        return p.machines().stream()
+                .filter(m -> p.cells().indexOf(p.cell(m)) < p.cells().size() / 2)
+                .toList();
     }
 
     /** All origins of a service are replaced, one after the other. */
     private void release(final Script.Step s) {
         final String service = s.who().get(0).replaceAll("[0-9]+$", "");
-        final List<String> all = town.place().origins().stream().filter(o -> o.replaceAll("[0-9]+$", "").equals(service)).toList();
+        final List<String> all = town.place().origins().stream()
+                .filter(o -> o.replaceAll("[0-9]+$", "").equals(service))
+                .toList();
         for (int i = 0; i < all.size(); i++) {
             final String o = all.get(i);
             town.world().in(i * s.ms() / all.size(), () -> town.replace(o, 2000));
@@ -187,8 +194,15 @@
     /** The origin dies without a word and its address answers as another service. */
     private void swap(final SimOrigin o, final long ms) {
         o.kill();
-        final SimOrigin other = new SimOrigin(town.world(), town.log(), "stranger", SimOrigin.Make.plain("content"), new rv.rig.Stock("stranger"),
-            o.host(), () -> null, new Words.Announced());
+        final SimOrigin other = new SimOrigin(
+                town.world(),
+                town.log(),
+                "stranger",
+                SimOrigin.Make.plain("content"),
+                new rv.rig.Stock("stranger"),
+                o.host(),
+                () -> null,
+                new Words.Announced());
         other.start();
         town.yard().move(o.host(), other);
         town.world().in(ms, () -> {
--- a/rig/src/main/java/rv/rig/sim/Town.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -13,7 +13,7 @@
 import rv.rig.Stock;
 
 /** A whole deployment in the simulator. */
-public final class Town {
+public final class SimCluster {
     private static final int SHARDS = 32;
     private final World world;
     private final Place place;
@@ -23,7 +23,7 @@
     private final Map<String, SimOrigin> origins = new TreeMap<>();
     private final Map<String, Stock> stocks = new TreeMap<>();
     private final SimPort.Yard yard;
-    private final Crowd crowd;
+    private final SimClients crowd;
     private final Staff staff;
     private final Patcher patcher;
     private final SimOrigin.Word word;
@@ -32,13 +32,14 @@
     private long sent;
     private long bytes;
 
-    public Town(final Place place, final long seed) {
+    public SimCluster(final Place place, final long seed) {
         this.place = place;
         world = new World(seed);
         net = new SimNet(world, this::delay);
         yard = new SimPort.Yard(world, net, log);
         final List<NodeId> seeds = place.electors().stream().map(NodeId::of).toList();
-        final Quorum quorum = new Quorum(seeds, place.shieldRun() ? Set.of() : Set.of(NodeId.of("st1"), NodeId.of("st2")));
+        final Quorum quorum =
+                new Quorum(seeds, place.shieldRun() ? Set.of() : Set.of(NodeId.of("st1"), NodeId.of("st2")));
         word = place.shieldRun() ? new Words.Beating() : new Words.Announced();
         if (place.shieldRun()) {
             log.add(Log.row("log", "place", "t", 0, "name", place.name(), "electors", place.electors()));
@@ -46,7 +47,9 @@
         for (final String m : place.machines()) {
             final Role role = m.startsWith("st") ? Role.STORE : m.startsWith("sh") ? Role.SHIELD : Role.EDGE;
             final SimDisk disk = new SimDisk(world, place.disks().contains(m) ? place.syncMs() : 0);
-            nodes.put(m, new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS));
+            nodes.put(
+                    m,
+                    new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS));
         }
         int at = 0;
         for (final Place.Kin k : place.kin()) {
@@ -54,25 +57,36 @@
             stocks.put(k.service(), stock);
             for (int i = 1; i <= k.origins(); i++) {
                 final String host = "127.1.0." + ++at;
-                final SimOrigin o = new SimOrigin(world, log, k.service() + i, make(k, i), stock, host, this::ear, word);
+                final SimOrigin o =
+                        new SimOrigin(world, log, k.service() + i, make(k, i), stock, host, this::ear, word);
                 origins.put(o.name(), o);
                 yard.move(host, o);
             }
         }
         staff = place.shieldRun() ? null : new Staff(this);
         patcher = place.shieldRun() ? new Patcher(this) : null;
-        crowd = new Crowd(this);
+        crowd = new SimClients(this);
     }
 
     /** A service that gets a part of another's objects has the same. */
     private Stock stock(final Place.Kin kin) {
-        return place.kin().stream().filter(k -> !k.equals(kin) && kin.ways().isEmpty() && k.ways().stream().anyMatch(w -> w.split().containsKey(kin.service())))
-            .findFirst().map(k -> stocks.get(k.service()).twin(kin.service())).orElseGet(() -> new Stock(kin.service()));
+        return place.kin().stream()
+                .filter(k -> !k.equals(kin)
+                        && kin.ways().isEmpty()
+                        && k.ways().stream().anyMatch(w -> w.split().containsKey(kin.service())))
+                .findFirst()
+                .map(k -> stocks.get(k.service()).twin(kin.service()))
+                .orElseGet(() -> new Stock(kin.service()));
     }
 
     private SimOrigin.Make make(final Place.Kin kin, final int i) {
-        return !place.shieldRun() ? SimOrigin.Make.plain(kin.kind())
-            : new SimOrigin.Make(kin.kind(), kin.rate() > 0 ? 32 : 4, kin.rate() > 0 ? 30 : 60, place.cells().get(i % place.cells().size()));
+        return !place.shieldRun()
+                ? SimOrigin.Make.plain(kin.kind())
+                : new SimOrigin.Make(
+                        kin.kind(),
+                        kin.rate() > 0 ? 32 : 4,
+                        kin.rate() > 0 ? 30 : 60,
+                        place.cells().get(i % place.cells().size()));
     }
 
     /** Who hears origins and operators: any node, or the shields where they serve control. */
@@ -80,7 +94,9 @@
         if (!place.shieldRun()) {
             return any();
         }
-        final List<SimNode> list = nodes.values().stream().filter(n -> n.role() == Role.SHIELD && n.alive()).toList();
+        final List<SimNode> list = nodes.values().stream()
+                .filter(n -> n.role() == Role.SHIELD && n.alive())
+                .toList();
         return list.isEmpty() ? null : list.get(world.dice().nextInt(list.size()));
     }
 
@@ -93,7 +109,7 @@
     }
 
     /** Everything on, the configuration stated, traffic begun. */
-    public Town open() {
+    public SimCluster open() {
         nodes.values().forEach(n -> world.in(world.dice().nextInt(300), n::start));
         world.in(3000, operators()::open);
         origins.values().forEach(o -> world.in(4500 + world.dice().nextInt(500), o::start));
@@ -112,20 +128,33 @@
         final Map<Integer, String> holders = new TreeMap<>();
         for (final SimNode n : nodes.values()) {
             if (n.alive() && n.role() == Role.SHIELD && n.node() != null) {
-                n.node().holder().leases().keySet().stream().filter(n.node().holder()::may).forEach(s -> {
-                    looks++;
-                    final String other = holders.put(s, n.id().text());
-                    if (other != null) {
-                        log.add(Log.row("log", "rights", "t", world.now(), "shard", s, "first", other, "second", n.id().text()));
-                    }
-                });
+                n.node().holder().leases().keySet().stream()
+                        .filter(n.node().holder()::may)
+                        .forEach(s -> {
+                            looks++;
+                            final String other = holders.put(s, n.id().text());
+                            if (other != null) {
+                                log.add(Log.row(
+                                        "log",
+                                        "rights",
+                                        "t",
+                                        world.now(),
+                                        "shard",
+                                        s,
+                                        "first",
+                                        other,
+                                        "second",
+                                        n.id().text()));
+                            }
+                        });
             }
         }
         world.in(20, this::watch);
     }
 
     SimNode any() {
-        final List<SimNode> list = new ArrayList<>(nodes.values().stream().filter(n -> n.alive() && !n.frozen()).toList());
+        final List<SimNode> list = new ArrayList<>(
+                nodes.values().stream().filter(n -> n.alive() && !n.frozen()).toList());
         return list.isEmpty() ? null : list.get(world.dice().nextInt(list.size()));
     }
 
@@ -137,9 +166,23 @@
     public List<Map<String, Object>> close() {
         crowd.stop();
         operators().stop();
-        log.add(Log.row("log", "cost", "t", world.now(), "seconds", (world.now() - opened) / 1000, "messages", net.sent() - sent, "bytes",
-            net.bytes() - bytes, "items", nodes.get("ed1").alive() ? nodes.get("ed1").node().held().all().size() : 0,
-            "syncs", nodes.get(place.disks().get(0)).disk().syncs(), "kinds", new TreeMap<>(net.kinds())));
+        log.add(Log.row(
+                "log",
+                "cost",
+                "t",
+                world.now(),
+                "seconds",
+                (world.now() - opened) / 1000,
+                "messages",
+                net.sent() - sent,
+                "bytes",
+                net.bytes() - bytes,
+                "items",
+                nodes.get("ed1").alive() ? nodes.get("ed1").node().held().all().size() : 0,
+                "syncs",
+                nodes.get(place.disks().get(0)).disk().syncs(),
+                "kinds",
+                new TreeMap<>(net.kinds())));
         run(6000);
         log.add(Log.row("log", "rights", "t", world.now(), "looks", looks));
         if (patcher != null) {
@@ -148,8 +191,21 @@
         }
         nodes.values().stream().filter(SimNode::alive).forEach(n -> {
             final Map<String, Object> items = new TreeMap<>();
-            n.node().held().all().forEach(c -> items.put(c.item().id().text(), c.item().ver().n()));
-            log.add(Log.row("log", "end", "t", world.now(), "node", n.id().text(), "items", items, "fresh", n.node().sync().fresh()));
+            n.node()
+                    .held()
+                    .all()
+                    .forEach(c -> items.put(c.item().id().text(), c.item().ver().n()));
+            log.add(Log.row(
+                    "log",
+                    "end",
+                    "t",
+                    world.now(),
+                    "node",
+                    n.id().text(),
+                    "items",
+                    items,
+                    "fresh",
+                    n.node().sync().fresh()));
         });
         return log.rows();
     }
@@ -262,8 +318,11 @@
     /** It ends in order, and its address goes to a new origin of another service. */
     public void reuse(final String name, final long ms) {
         final SimOrigin old = origins.get(name);
-        final SimOrigin model = origins.values().stream().filter(o -> !o.stock().service().equals(old.stock().service())
-            && o.make().slots() == old.make().slots()).findFirst().orElseThrow();
+        final SimOrigin model = origins.values().stream()
+                .filter(o -> !o.stock().service().equals(old.stock().service())
+                        && o.make().slots() == old.make().slots())
+                .findFirst()
+                .orElseThrow();
         trouble("origin-reuse", name, ms);
         old.leave();
         world.in(ms / 2, old::quit);
@@ -299,7 +358,15 @@
     /** One more origin, of a service of its own. */
     public void origin(final String name, final String service, final String kind) {
         final String host = "127.1.2." + (1 + world.serial() % 250);
-        final SimOrigin o = new SimOrigin(world, log, name, SimOrigin.Make.plain(kind), stocks.computeIfAbsent(service, Stock::new), host, this::ear, word);
+        final SimOrigin o = new SimOrigin(
+                world,
+                log,
+                name,
+                SimOrigin.Make.plain(kind),
+                stocks.computeIfAbsent(service, Stock::new),
+                host,
+                this::ear,
+                word);
         origins.put(name, o);
         yard.move(host, o);
         o.start();
@@ -337,13 +404,18 @@
         return patcher;
     }
 
-    public Crowd crowd() {
+    public SimClients crowd() {
         return crowd;
     }
 
     /** The acting lease authority, by the nodes' own word; empty while there is none. */
     public String boss() {
-        return nodes.values().stream().filter(n -> n.alive() && n.node().tenure() != null && n.node().tenure().acting())
-            .map(n -> n.id().text()).findFirst().orElse("");
+        return nodes.values().stream()
+                .filter(n -> n.alive()
+                        && n.node().tenure() != null
+                        && n.node().tenure().acting())
+                .map(n -> n.id().text())
+                .findFirst()
+                .orElse("");
     }
 }
--- a/rig/src/main/java/rv/rig/sim/SimNet.java
+++ b/rig/src/main/java/rv/rig/sim/SimNet.java
@@ -29,7 +29,7 @@
     private long sent;
     private long bytes;
     private BiFunction<NodeId, byte[], byte[]> word = (from, data) -> data;
-    private java.util.function.BiConsumer<NodeId, Msg> tap = (to, msg) -> { };
+    private java.util.function.BiConsumer<NodeId, Msg> tap = (to, msg) -> {};
 
     public SimNet(final World world, final BiFunction<String, String, Long> base) {
         this.world = world;
@@ -97,7 +97,9 @@
     }
 
     public long delay(final String from, final String to) {
-        long d = base.apply(from, to) + world.dice().nextInt(2) + (slow == 0 ? 0 : world.dice().nextInt((int) slow));
+        long d = base.apply(from, to)
+                + world.dice().nextInt(2)
+                + (slow == 0 ? 0 : world.dice().nextInt((int) slow));
         if (loss > 0 && world.dice().nextDouble() < loss) {
             d += 200 + world.dice().nextInt(200);
         }
@@ -138,7 +140,8 @@
             self.post(() -> self.node().take(self.id(), msg, m -> self.post(() -> once.accept(Reply.of(m)))));
             return;
         }
-        final byte[] data = word.apply(self.id(), Wire.pack(new Wire.Envelope(Wire.VERSION, ++sent, 0, self.id(), msg)));
+        final byte[] data =
+                word.apply(self.id(), Wire.pack(new Wire.Envelope(Wire.VERSION, ++sent, 0, self.id(), msg)));
         weigh(msg, data.length);
         final String a = self.id().text();
         final String b = to.text();
@@ -156,7 +159,11 @@
                 final byte[] back = word.apply(to, Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, to, m)));
                 weigh(m, back.length);
                 if (peer.life() == life && peer.alive()) {
-                    carry(b, a, () -> self.post(() -> once.accept(Reply.of(open(back).msg()))));
+                    carry(
+                            b,
+                            a,
+                            () -> self.post(
+                                    () -> once.accept(Reply.of(open(back).msg()))));
                 }
             }));
         });
--- a/rig/src/main/java/rv/rig/sim/SimNode.java
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -36,8 +36,18 @@
     private long shift;
     private long hop;
 
-    public SimNode(final World world, final SimNet net, final SimDisk disk, final SimPort.Yard yard, final Log log, final NodeId id,
-                   final Role role, final String cell, final java.util.List<NodeId> seeds, final Quorum quorum, final int shards) {
+    public SimNode(
+            final World world,
+            final SimNet net,
+            final SimDisk disk,
+            final SimPort.Yard yard,
+            final Log log,
+            final NodeId id,
+            final Role role,
+            final String cell,
+            final java.util.List<NodeId> seeds,
+            final Quorum quorum,
+            final int shards) {
         this.world = world;
         this.net = net;
         this.disk = disk;
@@ -103,9 +113,23 @@
             log.add(row);
         });
         final Member self = new Member(id, role, cell, "127.0.0.1", 1, boot, Condition.PARTIAL, "sim");
-        final Setup setup = Setup.of(self).seeds(seeds).quorum(quorum).shards(shards).first(life == 1 || !quorum.stores().isEmpty()).build();
-        node = new Node(setup, new Node.Seams(this, net.of(this), disk.open(this), yard.port(this), new Random(world.dice().nextLong()),
-            () -> 1_700_000_000_000L + world.now(), m -> { }), journal);
+        final Setup setup = Setup.of(self)
+                .seeds(seeds)
+                .quorum(quorum)
+                .shards(shards)
+                .first(life == 1 || !quorum.stores().isEmpty())
+                .build();
+        node = new Node(
+                setup,
+                new Node.Seams(
+                        this,
+                        net.of(this),
+                        disk.open(this),
+                        yard.port(this),
+                        new Random(world.dice().nextLong()),
+                        () -> 1_700_000_000_000L + world.now(),
+                        m -> {}),
+                journal);
         post(() -> {
             try {
                 node.start();
--- a/rig/src/main/java/rv/rig/sim/SimOrigin.java
+++ b/rig/src/main/java/rv/rig/sim/SimOrigin.java
@@ -2,7 +2,7 @@
 
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import rv.control.Clerk;
+import rv.control.ItemService;
 import rv.data.Port;
 import rv.rig.Log;
 import rv.rig.Stock;
@@ -36,10 +36,10 @@
 
     /** How origins tell the network of themselves. */
     interface Word {
-        void say(SimNode at, SimOrigin who, String stamp, boolean out, long beat, Consumer<Clerk.Said> then);
+        void say(SimNode at, SimOrigin who, String stamp, boolean out, long beat, Consumer<ItemService.ApiResult> then);
 
         /** Its last word: it has ended. */
-        void end(SimNode at, String name, String stamp, Consumer<Clerk.Said> then);
+        void end(SimNode at, String name, String stamp, Consumer<ItemService.ApiResult> then);
 
         /** Whether an end is told at all. */
         boolean tells();
@@ -47,8 +47,15 @@
         long rest(World world, long beat);
     }
 
-    public SimOrigin(final World world, final Log log, final String name, final Make make, final Stock stock, final String host,
-                     final Supplier<SimNode> any, final Word word) {
+    public SimOrigin(
+            final World world,
+            final Log log,
+            final String name,
+            final Make make,
+            final Stock stock,
+            final String host,
+            final Supplier<SimNode> any,
+            final Word word) {
         this.world = world;
         this.log = log;
         this.name = name;
@@ -62,7 +69,8 @@
 
     /** Another machine of the same service, under a name of its own. */
     SimOrigin heir(final String at) {
-        return new SimOrigin(world, log, name.replaceAll("-r\\d+$", "") + "-r" + world.serial(), make, stock, at, any, word);
+        return new SimOrigin(
+                world, log, name.replaceAll("-r\\d+$", "") + "-r" + world.serial(), make, stock, at, any, word);
     }
 
     public String name() {
@@ -143,7 +151,7 @@
 
     private void round(final long mine) {
         if (alive && life == mine && !leaving) {
-            announce(false, s -> { });
+            announce(false, s -> {});
             world.in(word.rest(world, beat), () -> round(mine));
         }
     }
@@ -184,16 +192,31 @@
         if (at != null && beat > 1) {
             final long n = beat - 1;
             final String mark = stamp;
-            at.post(() -> word.say(at, this, mark, false, n, s -> { }));
+            at.post(() -> word.say(at, this, mark, false, n, s -> {}));
         }
     }
 
-    private void note(final long t, final String what, final String mark, final Clerk.Said s) {
-        log.add(Log.row("log", "op", "t", t, "end", world.now(), "what", what, "origin", name, "service", stock.service(), "stamp", mark,
-            "status", s.status()));
-    }
-
-    private void announce(final boolean out, final Consumer<Clerk.Said> then) {
+    private void note(final long t, final String what, final String mark, final ItemService.ApiResult s) {
+        log.add(Log.row(
+                "log",
+                "op",
+                "t",
+                t,
+                "end",
+                world.now(),
+                "what",
+                what,
+                "origin",
+                name,
+                "service",
+                stock.service(),
+                "stamp",
+                mark,
+                "status",
+                s.status()));
+    }
+
+    private void announce(final boolean out, final Consumer<ItemService.ApiResult> then) {
         final SimNode at = any.get();
         final long t = world.now();
         final String mark = stamp;
--- a/rig/src/main/java/rv/rig/sim/SimPort.java
+++ b/rig/src/main/java/rv/rig/sim/SimPort.java
@@ -8,8 +8,8 @@
 import java.util.function.Consumer;
 import rv.base.Hash;
 import rv.control.Origin;
+import rv.data.AnswerCheck;
 import rv.data.Port;
-import rv.data.Proof;
 import rv.rig.Log;
 import rv.rig.Stock;
 
@@ -100,7 +100,8 @@
                     if (over) {
                         return;
                     }
-                    if (!who.stock().service().equals(to.service()) || !who.stamp().equals(to.stamp())) {
+                    if (!who.stock().service().equals(to.service())
+                            || !who.stamp().equals(to.stamp())) {
                         end(Got.none(End.STRANGE, "identity " + who.stock().service() + " " + who.stamp()));
                         return;
                     }
@@ -134,10 +135,31 @@
                 hop(() -> self.post(() -> end(Got.none(End.TURNED, "every slot is taken"))));
                 return;
             }
-            yard.log.add(Log.row("log", "org", "t", yard.world.now(), "origin", who.name(), "service", who.stock().service(), "want",
-                what.service(), "stamp", who.stamp(), "what", run ? "run" : "get", "request", what.id(), "path", what.path(), "key", what.key(),
-                "from", self.id().text()));
-            final String text = run ? who.stock().run(what.path(), what.key()) : who.stock().view(what.path());
+            yard.log.add(Log.row(
+                    "log",
+                    "org",
+                    "t",
+                    yard.world.now(),
+                    "origin",
+                    who.name(),
+                    "service",
+                    who.stock().service(),
+                    "want",
+                    what.service(),
+                    "stamp",
+                    who.stamp(),
+                    "what",
+                    run ? "run" : "get",
+                    "request",
+                    what.id(),
+                    "path",
+                    what.path(),
+                    "key",
+                    what.key(),
+                    "from",
+                    self.id().text()));
+            final String text =
+                    run ? who.stock().run(what.path(), what.key()) : who.stock().view(what.path());
             if (who.fault().equals("lose")) {
                 yard.world.in(who.slow(), who::exit);
                 return;
@@ -158,13 +180,20 @@
             final Map<String, String> heads = new TreeMap<>();
             heads.put("content-type", "application/json");
             heads.put("content-length", String.valueOf(body.length));
-            heads.put(Proof.STAMP, who.stamp());
-            heads.put(Proof.REQUEST, what.id());
-            heads.put(Proof.DIGEST, Hash.digest(body));
+            heads.put(AnswerCheck.STAMP, who.stamp());
+            heads.put(AnswerCheck.REQUEST, what.id());
+            heads.put(AnswerCheck.DIGEST, Hash.digest(body));
             if (who.fault().equals("wrong")) {
                 body[body.length - 2] ^= 1;
             }
-            final Got own = new Got(End.WHOLE, run ? 201 : 200, heads, body, "", run || who.make().slots() == 0 ? List.of() : List.of(Stock.tag(what.path())), Load.NONE);
+            final Got own = new Got(
+                    End.WHOLE,
+                    run ? 201 : 200,
+                    heads,
+                    body,
+                    "",
+                    run || who.make().slots() == 0 ? List.of() : List.of(Stock.tag(what.path())),
+                    Load.NONE);
             return who.fault().equals("surplus") ? who.late(own) : own;
         }
 
--- a/rig/src/main/java/rv/rig/sim/Words.java
+++ b/rig/src/main/java/rv/rig/sim/Words.java
@@ -2,29 +2,52 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
-import rv.control.Clerk;
+import rv.control.ItemService;
 import rv.control.Json;
 import rv.control.Origin;
 import rv.rig.Log;
 
 /** The two ways in which origins tell of themselves. */
 final class Words {
-    private Words() {
-    }
+    private Words() {}
 
     /** By the product's own contract: named, with a time to live. */
     record Announced() implements SimOrigin.Word {
         @Override
-        public void say(final SimNode at, final SimOrigin who, final String stamp, final boolean out, final long beat,
-                        final Consumer<Clerk.Said> then) {
-            final byte[] body = Json.text(Log.row("service", who.stock().service(), "host", who.host(), "port", 80, "stamp", stamp, "kind",
-                who.make().kind(), "load", 0, "ttlMs", 10_000, "leaving", out, "beat", beat)).getBytes(StandardCharsets.UTF_8);
+        public void say(
+                final SimNode at,
+                final SimOrigin who,
+                final String stamp,
+                final boolean out,
+                final long beat,
+                final Consumer<ItemService.ApiResult> then) {
+            final byte[] body = Json.text(Log.row(
+                            "service",
+                            who.stock().service(),
+                            "host",
+                            who.host(),
+                            "port",
+                            80,
+                            "stamp",
+                            stamp,
+                            "kind",
+                            who.make().kind(),
+                            "load",
+                            0,
+                            "ttlMs",
+                            10_000,
+                            "leaving",
+                            out,
+                            "beat",
+                            beat))
+                    .getBytes(StandardCharsets.UTF_8);
             at.node().clerk().announce(who.name(), body, then);
         }
 
         @Override
-        public void end(final SimNode at, final String name, final String stamp, final Consumer<Clerk.Said> then) {
-            then.accept(new Clerk.Said(204, java.util.Map.of()));
+        public void end(
+                final SimNode at, final String name, final String stamp, final Consumer<ItemService.ApiResult> then) {
+            then.accept(new ItemService.ApiResult(204, java.util.Map.of()));
         }
 
         @Override
@@ -41,15 +64,37 @@
     /** By counted beats: each life is an instance of its own, and its end is told. */
     record Beating() implements SimOrigin.Word {
         @Override
-        public void say(final SimNode at, final SimOrigin who, final String stamp, final boolean out, final long beat,
-                        final Consumer<Clerk.Said> then) {
+        public void say(
+                final SimNode at,
+                final SimOrigin who,
+                final String stamp,
+                final boolean out,
+                final long beat,
+                final Consumer<ItemService.ApiResult> then) {
             final SimOrigin.Make m = who.make();
-            at.node().registry().beat(stamp, new Origin(who.stock().service(), who.host(), 80, stamp, m.kind(), 0, 0, out, beat, m.cell(),
-                m.slots(), 0), then);
+            at.node()
+                    .registry()
+                    .beat(
+                            stamp,
+                            new Origin(
+                                    who.stock().service(),
+                                    who.host(),
+                                    80,
+                                    stamp,
+                                    m.kind(),
+                                    0,
+                                    0,
+                                    out,
+                                    beat,
+                                    m.cell(),
+                                    m.slots(),
+                                    0),
+                            then);
         }
 
         @Override
-        public void end(final SimNode at, final String name, final String stamp, final Consumer<Clerk.Said> then) {
+        public void end(
+                final SimNode at, final String name, final String stamp, final Consumer<ItemService.ApiResult> then) {
             at.node().registry().end(stamp, then);
         }
 
--- a/rig/src/test/java/rv/rig/DayTest.java
+++ b/rig/src/test/java/rv/rig/DayTest.java
@@ -32,13 +32,17 @@
         assertTrue(judge.clean(), judge.text(3));
         assertEquals(List.of(), play.missed());
         judge.verdicts().forEach(v -> MET.merge(place + " rule " + v.rule(), v.checked(), Long::sum));
-        System.out.println(place + " " + seed + "\n" + String.join("\n", judge.verdicts().stream().map(Verdict::line).toList()));
+        System.out.println(place + " " + seed + "\n"
+                + String.join("\n", judge.verdicts().stream().map(Verdict::line).toList()));
     }
 
     /** A rule that none of the days above was checked on would be a hole. */
     @AfterAll
     static void everyRuleWasMet() {
-        final List<String> holes = MET.entrySet().stream().filter(e -> e.getValue() == 0).map(Map.Entry::getKey).toList();
+        final List<String> holes = MET.entrySet().stream()
+                .filter(e -> e.getValue() == 0)
+                .map(Map.Entry::getKey)
+                .toList();
         assertEquals(List.of(), holes);
     }
 
--- a/rig/src/test/java/rv/rig/DeskTest.java
+++ b/rig/src/test/java/rv/rig/DeskTest.java
@@ -23,21 +23,22 @@
 import rv.base.NodeId;
 import rv.base.Wire;
 import rv.control.Digest;
-import rv.control.Elector;
-import rv.control.Gauge;
-import rv.control.Held;
+import rv.control.FrameSync;
+import rv.control.ItemStore;
+import rv.control.MonitoredDisk;
 import rv.control.Quorum;
-import rv.control.Sync;
+import rv.control.Voter;
 
 /** What an elector says to a node that asks whether it holds all. */
 class DeskTest {
     private static final ItemId OPEN = new ItemId(Kind.PURGE, "open");
-    private static final Msg.Chosen FIRST = new Msg.Chosen(new Ballot(1, "w"), Item.none(OPEN).next("{}", "t1"));
+    private static final Msg.Chosen FIRST =
+            new Msg.Chosen(new Ballot(1, "w"), Item.none(OPEN).next("{}", "t1"));
     private final Clock clock = new Clock();
-    private final Held held = new Held(clock, new Journal(clock, 10));
+    private final ItemStore held = new ItemStore(clock, new Journal(clock, 10));
     private final List<Msg.Give> said = new ArrayList<>();
-    private Elector elector;
-    private Sync.Desk desk;
+    private Voter elector;
+    private FrameSync.Desk desk;
 
     private static final class Clock implements Loop {
         private final PriorityQueue<Map.Entry<Long, Runnable>> jobs = new PriorityQueue<>(Map.Entry.comparingByKey());
@@ -77,18 +78,31 @@
 
     @BeforeEach
     void anElectorThatAcceptedAWrite() throws Exception {
-        final Kept kept = new Kept(Map.of("seal", Wire.pack(Map.of("founders", Map.of("e1", "b1"), "floor", 0, "lives", 0)),
-            "e/" + OPEN.text(), Wire.pack(new Msg.Slot(FIRST.ballot(), FIRST.ballot(), FIRST.item()))));
+        final Kept kept = new Kept(Map.of(
+                "seal",
+                Wire.pack(Map.of("founders", Map.of("e1", "b1"), "floor", 0, "lives", 0)),
+                "e/" + OPEN.text(),
+                Wire.pack(new Msg.Slot(FIRST.ballot(), FIRST.ballot(), FIRST.item()))));
         final NodeId self = NodeId.of("e1");
-        elector = new Elector(self, new Quorum(List.of(self), Set.of()), clock, (to, msg, wait, then) -> { }, new Gauge(kept, clock),
-            new Journal(clock, 10), "b1", true, () -> false);
+        elector = new Voter(
+                self,
+                new Quorum(List.of(self), Set.of()),
+                clock,
+                (to, msg, wait, then) -> {},
+                new MonitoredDisk(kept, clock),
+                new Journal(clock, 10),
+                "b1",
+                true,
+                () -> false);
         elector.start();
         assertTrue(elector.full());
-        desk = new Sync.Desk(elector, held, clock);
+        desk = new FrameSync.Desk(elector, held, clock);
     }
 
     private void ask(final ItemId... about) {
-        desk.vers(new Msg.Vers(java.util.Arrays.stream(about).map(Digest::cell).toList(), Map.of()), m -> said.add((Msg.Give) m));
+        desk.vers(
+                new Msg.Vers(java.util.Arrays.stream(about).map(Digest::cell).toList(), Map.of()),
+                m -> said.add((Msg.Give) m));
     }
 
     @Test
@@ -116,7 +130,7 @@
         ask(OPEN);
         assertTrue(said.get(0).all());
         ask(OPEN);
-        elector.accept(new Msg.Accept(new Ballot(2, "w"), FIRST.item().next("{}", "t2"), null), m -> { });
+        elector.accept(new Msg.Accept(new Ballot(2, "w"), FIRST.item().next("{}", "t2"), null), m -> {});
         assertTrue(said.get(1).all());
         ask(OPEN);
         assertEquals(2, said.size());
--- a/rig/src/test/java/rv/rig/DiffTest.java
+++ b/rig/src/test/java/rv/rig/DiffTest.java
@@ -9,49 +9,73 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rv.control.Json;
-import rv.data.Tell;
+import rv.data.StatusReport;
 import rv.prog.Ctl;
 import rv.prog.Diff;
-import rv.rig.sim.Town;
+import rv.rig.sim.SimCluster;
 
 /** What two nodes believe, compared: lag, contradiction, and what cannot be asked. */
 class DiffTest {
-    private static Map<?, ?> tell(final Town town, final String node) {
-        return Json.read(new Tell(town.node(node).node()).say("all"), Map.class);
+    private static Map<?, ?> tell(final SimCluster town, final String node) {
+        return Json.read(new StatusReport(town.node(node).node()).say("all"), Map.class);
     }
 
-    private static List<Diff.Row> diff(final Town town, final String a, final String b) {
+    private static List<Diff.Row> diff(final SimCluster town, final String a, final String b) {
         return Diff.of(tell(town, a), tell(town, b));
     }
 
     @Test
     void nodesThatAgreeDifferInNothing() {
-        final Town town = new Town(Place.kilimanjaro(), 3).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
         town.crowd().factor(0.01);
         town.staff().stop();
         town.run(5000);
-        final List<Diff.Row> rows = diff(town, "st1", "ed4").stream().filter(r -> !r.what().startsWith("item origin") && !r.what().startsWith("item tenure")).toList();
+        final List<Diff.Row> rows = diff(town, "st1", "ed4").stream()
+                .filter(r -> !r.what().startsWith("item origin") && !r.what().startsWith("item tenure"))
+                .toList();
         assertEquals(List.of(), rows);
     }
 
     @Test
     void acrossACutLinkOneSideLagsAndSaysHowOldItsFrameIs() {
-        final Town town = new Town(Place.kilimanjaro(), 3).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
         town.cut(List.of("ed3", "sh4"), 20_000);
         town.run(9000);
         final List<Diff.Row> rows = diff(town, "st1", "ed3");
-        assertTrue(rows.stream().anyMatch(r -> r.what().equals("frame age") && r.right().equals("not confirmed") && r.newer().equals("st1")), rows.toString());
-        assertTrue(rows.stream().anyMatch(r -> r.what().equals("plan epoch") && r.newer().equals("st1") && r.kind().equals("lag")), rows.toString());
-        assertTrue(rows.stream().anyMatch(r -> r.what().startsWith("plan shard") && r.kind().equals("lag")), rows.toString());
-        assertTrue(rows.stream().anyMatch(r -> r.what().startsWith("member ed3") || r.what().startsWith("member sh4")), rows.toString());
+        assertTrue(
+                rows.stream()
+                        .anyMatch(r -> r.what().equals("frame age")
+                                && r.right().equals("not confirmed")
+                                && r.newer().equals("st1")),
+                rows.toString());
+        assertTrue(
+                rows.stream()
+                        .anyMatch(r -> r.what().equals("plan epoch")
+                                && r.newer().equals("st1")
+                                && r.kind().equals("lag")),
+                rows.toString());
+        assertTrue(
+                rows.stream()
+                        .anyMatch(r ->
+                                r.what().startsWith("plan shard") && r.kind().equals("lag")),
+                rows.toString());
+        assertTrue(
+                rows.stream()
+                        .anyMatch(r ->
+                                r.what().startsWith("member ed3") || r.what().startsWith("member sh4")),
+                rows.toString());
         assertTrue(rows.stream().noneMatch(r -> r.kind().equals("contradiction")), rows.toString());
     }
 
     @Test
     void twoHoldersOfAShardAreAContradiction() {
-        final Map<String, Object> a = Log.row("node", "sh1", "frameAgeMs", 5, "planEpoch", 2, "leases", Map.of("3", "HELD 1.4"));
-        final Map<String, Object> b = Log.row("node", "sh2", "frameAgeMs", 5, "planEpoch", 2, "leases", Map.of("3", "HELD 1.5"));
-        assertEquals(List.of("lease of shard 3: HELD 1.4 | HELD 1.5  (contradiction, newer: sh2)"), Diff.of(a, b).stream().map(Diff.Row::line).toList());
+        final Map<String, Object> a =
+                Log.row("node", "sh1", "frameAgeMs", 5, "planEpoch", 2, "leases", Map.of("3", "HELD 1.4"));
+        final Map<String, Object> b =
+                Log.row("node", "sh2", "frameAgeMs", 5, "planEpoch", 2, "leases", Map.of("3", "HELD 1.5"));
+        assertEquals(
+                List.of("lease of shard 3: HELD 1.4 | HELD 1.5  (contradiction, newer: sh2)"),
+                Diff.of(a, b).stream().map(Diff.Row::line).toList());
     }
 
     private static String run(final int want, final String... args) throws Exception {
--- a/rig/src/test/java/rv/rig/FaultTest.java
+++ b/rig/src/test/java/rv/rig/FaultTest.java
@@ -16,12 +16,12 @@
 import rv.base.ItemId;
 import rv.base.Kind;
 import rv.base.NodeId;
-import rv.control.Clerk;
+import rv.control.ItemService;
 import rv.control.Json;
 import rv.control.Plan;
 import rv.rig.judge.Judge;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 /** Single troubles brought about at the worst moment. */
 class FaultTest {
@@ -31,16 +31,18 @@
         return Json.text(Log.row("prefix", "/extra/", "service", "listing", "mode", "cached", "lifetimeMs", life));
     }
 
-    private static long ver(final Town town, final String node, final ItemId id) {
+    private static long ver(final SimCluster town, final String node, final ItemId id) {
         return town.node(node).node().held().get(id).ver().n();
     }
 
-    private static List<Map<String, Object>> named(final Town town, final String name) {
-        return town.log().rows().stream().filter(r -> name.equals(r.get("name"))).toList();
+    private static List<Map<String, Object>> named(final SimCluster town, final String name) {
+        return town.log().rows().stream()
+                .filter(r -> name.equals(r.get("name")))
+                .toList();
     }
 
     /** Plans that gave shards away; others only changed weights. */
-    private static java.util.stream.Stream<Map<String, Object>> moves(final Town town) {
+    private static java.util.stream.Stream<Map<String, Object>> moves(final SimCluster town) {
         return named(town, "PLAN_SET").stream().filter(r -> num(r, "moves") > 0);
     }
 
@@ -51,24 +53,30 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void anAcceptedWriteOutlivesAStoresPowerOrDiskLostRightAfterTheAnswer(final long seed) {
-        final Town town = new Town(Place.coastline(), seed).open();
+        final SimCluster town = new SimCluster(Place.coastline(), seed).open();
         final String victim = seed % 2 == 0 ? "st1" : "st2";
-        final List<Clerk.Said> said = new ArrayList<>();
-        town.node("ed1").post(() -> town.node("ed1").node().clerk().put(ROUTE, body(1000 + seed).getBytes(), 0, "w", s -> {
-            said.add(s);
-            if (seed <= 3) {
-                town.kill(victim, 1500);
-            } else {
-                town.loseDisk(victim, 1500);
-            }
-        }));
+        final List<ItemService.ApiResult> said = new ArrayList<>();
+        town.node("ed1")
+                .post(() -> town.node("ed1")
+                        .node()
+                        .clerk()
+                        .put(ROUTE, body(1000 + seed).getBytes(), 0, "w", s -> {
+                            said.add(s);
+                            if (seed <= 3) {
+                                town.kill(victim, 1500);
+                            } else {
+                                town.loseDisk(victim, 1500);
+                            }
+                        }));
         town.run(8000);
         assertEquals(200, said.get(0).status());
         town.nodes().keySet().forEach(n -> assertEquals(1, ver(town, n, ROUTE), n));
         assertTrue(town.node(victim).node().elector().full());
-        town.nodes().values().stream().filter(n -> !n.id().text().equals(victim) && n.id().text().startsWith("st")).forEach(SimNode::kill);
+        town.nodes().values().stream()
+                .filter(n -> !n.id().text().equals(victim) && n.id().text().startsWith("st"))
+                .forEach(SimNode::kill);
         town.run(3000);
-        final List<Clerk.Said> next = new ArrayList<>();
+        final List<ItemService.ApiResult> next = new ArrayList<>();
         town.node("ed2").post(() -> town.node("ed2").node().clerk().put(ROUTE, body(7).getBytes(), 1, "w2", next::add));
         town.run(3000);
         assertEquals(200, next.get(0).status(), "the rebuilt store votes, and knows version 1");
@@ -76,7 +84,7 @@
 
     @Test
     void anElectorWithoutMemoryDoesNotVoteUntilAMajorityOfTheOthersWasRead() {
-        final Town town = new Town(Place.coastline(), 5).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 5).open();
         town.node("st2").kill();
         town.loseDisk("st1", 500);
         town.run(9000);
@@ -89,7 +97,7 @@
 
     @Test
     void anOperatorMayVouchForOneElectorWhenBothStoresDisksAreGone() {
-        final Town town = new Town(Place.coastline(), 5).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 5).open();
         town.loseDisk("st1", 500);
         town.loseDisk("st2", 500);
         town.run(5000);
@@ -105,7 +113,7 @@
 
     @Test
     void blankElectorsAmongNodesThatHoldItemsFoundNothing() {
-        final Town town = new Town(Place.coastline(), 6).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 6).open();
         final long before = ver(town, "ed1", new ItemId(Kind.ROUTE, "listing"));
         assertTrue(before > 0);
         List.of("st1", "st2", "sh1").forEach(n -> {
@@ -115,14 +123,15 @@
         town.run(500);
         List.of("st1", "st2", "sh1").forEach(town::start);
         town.run(10_000);
-        List.of("st1", "st2", "sh1").forEach(n -> assertFalse(town.node(n).node().elector().full(), n));
+        List.of("st1", "st2", "sh1")
+                .forEach(n -> assertFalse(town.node(n).node().elector().full(), n));
         assertTrue(ver(town, "ed1", new ItemId(Kind.ROUTE, "listing")) >= before);
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void ofManyWritersAtOnceEachVersionHasOne(final long seed) {
-        final Town town = new Town(Place.coastline(), seed).open();
+        final SimCluster town = new SimCluster(Place.coastline(), seed).open();
         town.net().loss(0.05);
         final Set<Long> won = new TreeSet<>();
         final Set<String> twice = new HashSet<>();
@@ -132,15 +141,20 @@
             for (final String n : List.of("ed1", "ed2", "sh2", "st1", "ed5")) {
                 final String tag = n + "-" + round;
                 final long expect = standing[0];
-                town.node(n).post(() -> town.node(n).node().clerk().put(ROUTE, body(1000 + tag.hashCode() % 500).getBytes(), expect, tag, s -> {
-                    if (s.body().get("version") instanceof Number v) {
-                        standing[0] = Math.max(standing[0], v.longValue());
-                    }
-                    ends[s.status() == 200 ? 0 : s.status() == 409 ? 1 : 2]++;
-                    if (s.status() == 200 && !won.add(((Number) s.body().get("version")).longValue())) {
-                        twice.add(tag);
-                    }
-                }));
+                town.node(n)
+                        .post(() -> town.node(n)
+                                .node()
+                                .clerk()
+                                .put(ROUTE, body(1000 + tag.hashCode() % 500).getBytes(), expect, tag, s -> {
+                                    if (s.body().get("version") instanceof Number v) {
+                                        standing[0] = Math.max(standing[0], v.longValue());
+                                    }
+                                    ends[s.status() == 200 ? 0 : s.status() == 409 ? 1 : 2]++;
+                                    if (s.status() == 200
+                                            && !won.add(((Number) s.body().get("version")).longValue())) {
+                                        twice.add(tag);
+                                    }
+                                }));
             }
             town.run(4000);
         }
@@ -153,13 +167,17 @@
 
     @Test
     void aRepeatedWriteIsAnsweredLikeTheFirst() {
-        final Town town = new Town(Place.coastline(), 3).open();
-        final List<Clerk.Said> said = new ArrayList<>();
+        final SimCluster town = new SimCluster(Place.coastline(), 3).open();
+        final List<ItemService.ApiResult> said = new ArrayList<>();
         for (final String n : List.of("ed1", "ed4")) {
-            town.node(n).post(() -> town.node(n).node().clerk().put(ROUTE, body(1234).getBytes(), 0, "same", said::add));
+            town.node(n)
+                    .post(() ->
+                            town.node(n).node().clerk().put(ROUTE, body(1234).getBytes(), 0, "same", said::add));
             town.run(1000);
         }
-        assertEquals(List.of(200, 200), said.stream().map(Clerk.Said::status).toList());
+        assertEquals(
+                List.of(200, 200),
+                said.stream().map(ItemService.ApiResult::status).toList());
         assertEquals(said.get(0).body().get("version"), said.get(1).body().get("version"));
     }
 
@@ -167,7 +185,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void aDeadHoldersShardsWaitForTheGate(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         final Plan before = town.node("ed1").node().view().plan();
         final long died = town.world().now();
         town.kill("sh2", 0);
@@ -178,11 +196,16 @@
             if (before.parts().get(i).owner().equals("sh2")) {
                 moved++;
                 assertFalse(after.parts().get(i).owner().equals("sh2"));
-                assertTrue(before.parts().get(i).token().below(after.parts().get(i).token()));
+                assertTrue(
+                        before.parts().get(i).token().below(after.parts().get(i).token()));
             }
         }
         assertTrue(moved > 0);
-        final long set = moves(town).mapToLong(r -> num(r, "t")).filter(t -> t > died).min().orElseThrow();
+        final long set = moves(town)
+                .mapToLong(r -> num(r, "t"))
+                .filter(t -> t > died)
+                .min()
+                .orElseThrow();
         assertTrue(set >= died - 1000 + 5000, "regranted " + (set - died) + " ms after the death");
         assertTrue(set <= died + 5300, "regranted only " + (set - died) + " ms after the death");
     }
@@ -191,35 +214,44 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void aLeavingShieldEndsOnlyOnceThePlanNoLongerNamesIt(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         final long from = town.world().now();
         town.restart("sh4", 4000);
         town.run(2500);
-        final long stopped = named(town, "STOPPED").stream().mapToLong(r -> num(r, "t")).findFirst().orElseThrow();
-        final long set = moves(town).mapToLong(r -> num(r, "t")).filter(t -> t > from).findFirst().orElseThrow();
+        final long stopped = named(town, "STOPPED").stream()
+                .mapToLong(r -> num(r, "t"))
+                .findFirst()
+                .orElseThrow();
+        final long set = moves(town)
+                .mapToLong(r -> num(r, "t"))
+                .filter(t -> t > from)
+                .findFirst()
+                .orElseThrow();
         assertTrue(set <= stopped, "plan at " + set + ", stopped at " + stopped);
-        assertTrue(town.node("ed1").node().view().plan().parts().stream().noneMatch(p -> p.owner().equals("sh4")));
+        assertTrue(town.node("ed1").node().view().plan().parts().stream()
+                .noneMatch(p -> p.owner().equals("sh4")));
     }
 
     /** A holder that is cut off with the origins in reach stops by itself before the next one starts. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void aHolderCutOffStopsBeforeTheNextOneStarts(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         town.run(2000);
         final long from = town.world().now();
         town.cut(List.of("sh3", "ed1", "ed2"), 9000);
         town.run(15_000);
         final Judge judge = new Judge(town.close());
         assertTrue(judge.clean(), judge.text(3));
-        assertTrue(named(town, "FENCED").stream().anyMatch(r -> "sh3".equals(r.get("node")) && num(r, "t") <= from + 3000));
+        assertTrue(named(town, "FENCED").stream()
+                .anyMatch(r -> "sh3".equals(r.get("node")) && num(r, "t") <= from + 3000));
         assertTrue(moves(town).anyMatch(r -> num(r, "t") > from && num(r, "t") < from + 7000));
     }
 
     /** The authority dies: holders go on with the same tokens under the next one. */
     @Test
     void theNextAuthorityGoesOnWithTheTokensHoldersReport() {
-        final Town town = new Town(Place.kilimanjaro(), 2).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 2).open();
         final Plan before = town.node("ed1").node().view().plan();
         final String boss = town.boss();
         town.kill(boss, 0);
@@ -234,7 +266,7 @@
 
     @Test
     void aFreezeAcrossValidityEndsTheRightBeforeAnythingIsSent() {
-        final Town town = new Town(Place.kilimanjaro(), 4).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 4).open();
         town.run(1000);
         town.freeze("sh2", 7000);
         town.run(16_000);
@@ -246,28 +278,32 @@
     @ParameterizedTest
     @ValueSource(doubles = {0.8, 1.25})
     void aClockBeyondTheBoundLosesItsRights(final double pace) {
-        final Town town = new Town(Place.kilimanjaro(), 5).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 5).open();
         town.drift("sh2", pace, 60_000);
         town.run(25_000);
         assertTrue(named(town, "DRIFT_HIGH").stream().anyMatch(r -> "sh2".equals(r.get("node"))));
         assertEquals(0, town.node("sh2").node().holder().count());
-        assertTrue(town.node("ed1").node().view().plan().parts().stream().noneMatch(p -> p.owner().equals("sh2")));
+        assertTrue(town.node("ed1").node().view().plan().parts().stream()
+                .noneMatch(p -> p.owner().equals("sh2")));
         final Judge judge = new Judge(town.close());
         assertTrue(judge.rule(4).breaches().isEmpty(), judge.text(3));
     }
 
     @Test
     void aNodeCutOffStopsServingWhatCanBePurgedButNotTheRest() {
-        final Town town = new Town(Place.kilimanjaro(), 6).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 6).open();
         town.staff().stop();
         final SimNode ed = town.node("ed3");
-        ed.post(() -> ed.node().edge().take(new rv.data.Ask("GET", "/terms/0", null, new byte[0], ""), a -> { }));
+        ed.post(() ->
+                ed.node().edge().take(new rv.data.ClientRequest("GET", "/terms/0", null, new byte[0], ""), a -> {}));
         town.run(4000);
         town.cut(List.of("ed3"), 8000);
         town.run(2500);
         final List<Integer> seen = new ArrayList<>();
         for (final String path : List.of("/stock/0", "/terms/0")) {
-            ed.post(() -> ed.node().edge().take(new rv.data.Ask("GET", path, null, new byte[0], ""), a -> seen.add(a.status())));
+            ed.post(() -> ed.node()
+                    .edge()
+                    .take(new rv.data.ClientRequest("GET", path, null, new byte[0], ""), a -> seen.add(a.status())));
         }
         town.run(100);
         assertEquals(List.of(503, 200), seen);
--- a/rig/src/test/java/rv/rig/GrowthTest.java
+++ b/rig/src/test/java/rv/rig/GrowthTest.java
@@ -11,33 +11,41 @@
 import rv.base.ItemId;
 import rv.base.Kind;
 import rv.base.Msg;
-import rv.control.Clerk;
+import rv.control.ItemService;
 import rv.control.Json;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.rig.judge.Judge;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 /** What would grow over days is dropped, on every node and disk, also on those that were away. */
 class GrowthTest {
     private static final long LONG = Long.getLong("rv.cut", 400_000);
 
     private static long purges(final SimNode n) {
-        return n.node().held().all().stream().map(Msg.Chosen::item).filter(i -> i.id().kind() == Kind.PURGE).count();
+        return n.node().held().all().stream()
+                .map(Msg.Chosen::item)
+                .filter(i -> i.id().kind() == Kind.PURGE)
+                .count();
     }
 
-    private static void purge(final Town town, final String name, final String path, final List<Clerk.Said> said) {
+    private static void purge(
+            final SimCluster town, final String name, final String path, final List<ItemService.ApiResult> said) {
         final byte[] body = Json.text(Log.row("route", "stock", "path", path)).getBytes();
-        town.node("ed1").post(() -> town.node("ed1").node().clerk().put(new ItemId(Kind.PURGE, name), body, 0, "w-" + name, said::add));
+        town.node("ed1")
+                .post(() -> town.node("ed1")
+                        .node()
+                        .clerk()
+                        .put(new ItemId(Kind.PURGE, name), body, 0, "w-" + name, said::add));
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void oldPurgesAreDroppedEverywhereAndTheirNamesPurgeAgain(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         town.crowd().factor(0.02);
         town.staff().stop();
-        final List<Clerk.Said> said = new ArrayList<>();
+        final List<ItemService.ApiResult> said = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
             purge(town, "p" + i, "/stock/" + i, said);
             town.run(50);
@@ -53,7 +61,8 @@
             assertTrue(purges(n) < 30, n.id() + " " + purges(n));
             assertTrue(n.node().sync().fresh(), n.id().text());
         }
-        assertTrue(!town.node("st1").disk().has("e/PURGE/p7") && !town.node("st2").disk().has("e/PURGE/p7"));
+        assertTrue(!town.node("st1").disk().has("e/PURGE/p7")
+                && !town.node("st2").disk().has("e/PURGE/p7"));
         final long floor = town.node("ed3").node().held().sweep().purges();
         town.crowd().factor(1e-6);
         town.run(2500);
@@ -64,7 +73,11 @@
                 purge(town, "p7", "/stock/7", said);
                 town.run(1000);
             }
-            ed.post(() -> ed.node().edge().take(new Ask("GET", "/stock/7", null, new byte[0], ""), a -> seen.add(a.status() + " " + a.heads().get("Rv-Cache"))));
+            ed.post(() -> ed.node()
+                    .edge()
+                    .take(
+                            new ClientRequest("GET", "/stock/7", null, new byte[0], ""),
+                            a -> seen.add(a.status() + " " + a.heads().get("Rv-Cache"))));
             town.run(200);
         }
         assertEquals(List.of("200 miss", "200 hit", "200 miss"), seen);
@@ -76,7 +89,7 @@
     /** Origins replaced under ever new names leave nothing behind. */
     @Test
     void originsLongGoneAreDropped() {
-        final Town town = new Town(Place.coastline(), 3).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 3).open();
         town.crowd().factor(0.02);
         town.staff().stop();
         for (int i = 0; i < 40; i++) {
@@ -85,7 +98,9 @@
         }
         town.run(100_000);
         town.nodes().values().forEach(n -> {
-            final long left = n.node().held().all().stream().filter(c -> c.item().id().kind() == Kind.ORIGIN).count();
+            final long left = n.node().held().all().stream()
+                    .filter(c -> c.item().id().kind() == Kind.ORIGIN)
+                    .count();
             assertTrue(left <= 12 + 20, n.id() + " holds " + left);
         });
         final Judge judge = new Judge(town.close());
@@ -93,9 +108,10 @@
     }
 
     /** Tenure is written all the time, so two nodes are alike between two of its renewals. */
-    private static boolean alike(final Town town, final String a, final String b) {
+    private static boolean alike(final SimCluster town, final String a, final String b) {
         for (int i = 0; i < 50; i++) {
-            if (town.node(a).node().held().digest().all() == town.node(b).node().held().digest().all()) {
+            if (town.node(a).node().held().digest().all()
+                    == town.node(b).node().held().digest().all()) {
                 return true;
             }
             town.run(20);
@@ -106,23 +122,40 @@
     /** A side cut off for longer than anything here is remembered, under purges and changes, serves what is safe throughout, and rejoins without harm. */
     @Test
     void aSideCutOffForLongServesWhatIsSafeAndRejoins() {
-        final Town town = new Town(Place.coastline(), 5).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 5).open();
         town.crowd().factor(0.03);
         final List<String> side = List.of("ed3", "ed7", "sh3");
         town.run(5000);
         final List<Integer> safe = new ArrayList<>();
         final List<Integer> rest = new ArrayList<>();
         final SimNode ed = town.node("ed3");
-        ed.post(() -> ed.node().edge().take(new Ask("GET", "/campus/0", null, new byte[0], ""), a -> { }));
+        ed.post(() -> ed.node().edge().take(new ClientRequest("GET", "/campus/0", null, new byte[0], ""), a -> {}));
         town.run(1000);
         town.staff().stop();
         town.cut(side, LONG);
         for (int i = 0; i < 8; i++) {
             town.run(6000);
-            ed.post(() -> ed.node().edge().take(new Ask("GET", "/campus/0", null, new byte[0], ""), a -> safe.add(a.status())));
-            ed.post(() -> ed.node().edge().take(new Ask("GET", "/courses/0", null, new byte[0], ""), a -> rest.add(a.status())));
-            town.node("ed1").post(() -> town.node("ed1").node().clerk().put(new ItemId(Kind.PURGE, "hours"), "{\"route\":\"listing\",\"path\":\"/courses/0\"}"
-                .getBytes(), town.node("ed1").node().held().get(new ItemId(Kind.PURGE, "hours")).ver().n(), "h" + town.world().now(), s -> { }));
+            ed.post(() -> ed.node()
+                    .edge()
+                    .take(new ClientRequest("GET", "/campus/0", null, new byte[0], ""), a -> safe.add(a.status())));
+            ed.post(() -> ed.node()
+                    .edge()
+                    .take(new ClientRequest("GET", "/courses/0", null, new byte[0], ""), a -> rest.add(a.status())));
+            town.node("ed1")
+                    .post(() -> town.node("ed1")
+                            .node()
+                            .clerk()
+                            .put(
+                                    new ItemId(Kind.PURGE, "hours"),
+                                    "{\"route\":\"listing\",\"path\":\"/courses/0\"}".getBytes(),
+                                    town.node("ed1")
+                                            .node()
+                                            .held()
+                                            .get(new ItemId(Kind.PURGE, "hours"))
+                                            .ver()
+                                            .n(),
+                                    "h" + town.world().now(),
+                                    s -> {}));
         }
         town.run(100);
         assertTrue(safe.stream().allMatch(s -> s == 200), safe.toString());
