--- a/rig/src/test/java/rv/rig/JudgeShieldsTest.java
+++ b/rig/src/test/java/rv/rig/JudgeShieldsTest.java
@@ -13,9 +13,11 @@
 
 /** The rules for places whose shields vote: for each a clean log and ones with a breach. */
 class JudgeShieldsTest {
-    private static final Map<String, Object> PLACE = Log.row("log", "place", "t", 0, "electors", List.of("sh1", "sh2", "sh3"));
+    private static final Map<String, Object> PLACE =
+            Log.row("log", "place", "t", 0, "electors", List.of("sh1", "sh2", "sh3"));
 
-    private static void rule(final int n, final List<Map<String, Object>> clean, final List<List<Map<String, Object>>> worse) {
+    private static void rule(
+            final int n, final List<Map<String, Object>> clean, final List<List<Map<String, Object>>> worse) {
         final List<Map<String, Object>> all = new ArrayList<>(List.of(PLACE));
         all.addAll(clean);
         final Judge good = new Judge(all);
@@ -29,61 +31,169 @@
         assertEquals(12, new Judge(clean).verdicts().size(), "asked of places whose shields vote only");
     }
 
-    private static Map<String, Object> op(final String what, final long t, final long ver, final String note, final Object... more) {
-        final Map<String, Object> row = Log.row("log", "op", "t", t, "end", t + 5, "what", what, "item", "ROUTE/r", "version", ver, "note", note,
-            "gone", note == null, "status", what.equals("sent") ? 0 : 200);
+    private static Map<String, Object> op(
+            final String what, final long t, final long ver, final String note, final Object... more) {
+        final Map<String, Object> row = Log.row(
+                "log",
+                "op",
+                "t",
+                t,
+                "end",
+                t + 5,
+                "what",
+                what,
+                "item",
+                "ROUTE/r",
+                "version",
+                ver,
+                "note",
+                note,
+                "gone",
+                note == null,
+                "status",
+                what.equals("sent") ? 0 : 200);
         row.putAll(Log.row(more));
         return row;
     }
 
     private static Map<String, Object> read(final long t, final String node, final String said) {
-        return Log.row("log", "read", "t", t, "node", node, "whole", true, "items", said == null ? Map.of() : Map.of("ROUTE/r", said));
+        return Log.row(
+                "log",
+                "read",
+                "t",
+                t,
+                "node",
+                node,
+                "whole",
+                true,
+                "items",
+                said == null ? Map.of() : Map.of("ROUTE/r", said));
     }
 
-    private static Map<String, Object> org(final long t, final String what, final String id, final String origin, final String from) {
-        return Log.row("log", "org", "t", t, "origin", origin, "service", "s", "want", "s", "stamp", "b1", "what", what, "request", id,
-            "path", "/s/1", "from", from);
+    private static Map<String, Object> org(
+            final long t, final String what, final String id, final String origin, final String from) {
+        return Log.row(
+                "log", "org", "t", t, "origin", origin, "service", "s", "want", "s", "stamp", "b1", "what", what,
+                "request", id, "path", "/s/1", "from", from);
     }
 
     private static Map<String, Object> req(final long t, final String id, final String fate, final long status) {
-        return Log.row("log", "req", "t", t, "end", t + 10, "node", "ed1", "path", "/s/1", "status", status, "fate", fate, "attempt", id);
+        return Log.row(
+                "log", "req", "t", t, "end", t + 10, "node", "ed1", "path", "/s/1", "status", status, "fate", fate,
+                "attempt", id);
     }
 
     @Test
     void rule13WhatStandsIsTheHighestVersionAsItWasSent() {
-        final List<Map<String, Object>> sent = List.of(op("sent", 100, 7, "a"), op("put", 100, 7, "a"), op("sent", 200, 9, "b"), op("put", 200, 9, "b"),
-            op("sent", 300, 8, "late"), op("put", 300, 8, "late"), read(900, "sh1", "9 b"));
-        rule(13, sent, List.of(List.of(read(901, "sh2", "8 late")), List.of(read(901, "sh2", "9 c")), List.of(read(901, "sh2", null)),
-            List.of(Log.row("log", "read", "t", 902, "node", "sh2", "whole", true, "items", Map.of("ROUTE/r", "9 b", "ROUTE/faulty", "9 x")))));
-        rule(13, List.of(op("sent", 100, 7, "a"), op("put", 100, 7, "a"), op("sent", 200, 9, null), op("put", 200, 9, null), read(900, "sh1", null)),
-            List.of(List.of(read(901, "sh2", "7 a"))));
+        final List<Map<String, Object>> sent = List.of(
+                op("sent", 100, 7, "a"),
+                op("put", 100, 7, "a"),
+                op("sent", 200, 9, "b"),
+                op("put", 200, 9, "b"),
+                op("sent", 300, 8, "late"),
+                op("put", 300, 8, "late"),
+                read(900, "sh1", "9 b"));
+        rule(
+                13,
+                sent,
+                List.of(
+                        List.of(read(901, "sh2", "8 late")),
+                        List.of(read(901, "sh2", "9 c")),
+                        List.of(read(901, "sh2", null)),
+                        List.of(Log.row(
+                                "log",
+                                "read",
+                                "t",
+                                902,
+                                "node",
+                                "sh2",
+                                "whole",
+                                true,
+                                "items",
+                                Map.of("ROUTE/r", "9 b", "ROUTE/faulty", "9 x")))));
+        rule(
+                13,
+                List.of(
+                        op("sent", 100, 7, "a"),
+                        op("put", 100, 7, "a"),
+                        op("sent", 200, 9, null),
+                        op("put", 200, 9, null),
+                        read(900, "sh1", null)),
+                List.of(List.of(read(901, "sh2", "7 a"))));
     }
 
     @Test
     void rule14TwoNodesWithOneVersionAndTwoBodies() {
-        rule(14, List.of(op("sent", 100, 7, "a"), op("sent", 100, 7, "b"), op("put", 100, 7, "a"), op("put", 100, 7, "b"), read(900, "sh1", "7 b")),
-            List.of(List.of(read(901, "sh2", "7 a"))));
+        rule(
+                14,
+                List.of(
+                        op("sent", 100, 7, "a"),
+                        op("sent", 100, 7, "b"),
+                        op("put", 100, 7, "a"),
+                        op("put", 100, 7, "b"),
+                        read(900, "sh1", "7 b")),
+                List.of(List.of(read(901, "sh2", "7 a"))));
     }
 
     @Test
     void rule15ARefusedTryThatRanOrOneThatRanTwice() {
-        rule(15, List.of(org(100, "run", "a-1", "s1", "sh1"), req(90, "a-1", "done", 201), req(95, "a-2", "refused", 503), org(105, "get", "a-3", "s1", "sh1"),
-            org(106, "get", "a-3", "s2", "sh1"), org(107, "run", "a-4", "s1", "sh1"), req(107, "a-4", "unknown", 504)),
-            List.of(List.of(org(5000, "run", "a-2", "s1", "sh1")), List.of(org(300, "run", "a-1", "s2", "sh2"))));
+        rule(
+                15,
+                List.of(
+                        org(100, "run", "a-1", "s1", "sh1"),
+                        req(90, "a-1", "done", 201),
+                        req(95, "a-2", "refused", 503),
+                        org(105, "get", "a-3", "s1", "sh1"),
+                        org(106, "get", "a-3", "s2", "sh1"),
+                        org(107, "run", "a-4", "s1", "sh1"),
+                        req(107, "a-4", "unknown", 504)),
+                List.of(List.of(org(5000, "run", "a-2", "s1", "sh1")), List.of(org(300, "run", "a-1", "s2", "sh2"))));
     }
 
     @Test
     void rule16TheCeilingIsOneForAllOrigins() {
-        final Map<String, Object> rate = Log.row("log", "op", "t", 1, "end", 2, "what", "put", "item", "SERVICE/s", "service", "s", "ceiling", 10.0, "status", 200);
+        final Map<String, Object> rate = Log.row(
+                "log",
+                "op",
+                "t",
+                1,
+                "end",
+                2,
+                "what",
+                "put",
+                "item",
+                "SERVICE/s",
+                "service",
+                "s",
+                "ceiling",
+                10.0,
+                "status",
+                200);
         final List<Map<String, Object>> some = new ArrayList<>(List.of(rate));
-        IntStream.range(0, 60).forEach(i -> some.add(org(1000 + i * 80L, "get", "a-" + i, "s" + i % 4, "sh" + (1 + i % 4))));
+        IntStream.range(0, 60)
+                .forEach(i -> some.add(org(1000 + i * 80L, "get", "a-" + i, "s" + i % 4, "sh" + (1 + i % 4))));
         rule(16, some, List.of(List.of(org(5800, "get", "b", "s1", "sh1"))));
     }
 
     @Test
     void rule17ArrivalsBeyondTheFirstOfEachTry() {
-        final List<Map<String, Object>> some = new ArrayList<>(List.of(Log.row("log", "op", "t", 1, "end", 2, "what", "put", "item", "ROUTE/r", "prefix",
-            "/s/", "services", List.of("s"), "status", 200)));
+        final List<Map<String, Object>> some = new ArrayList<>(List.of(Log.row(
+                "log",
+                "op",
+                "t",
+                1,
+                "end",
+                2,
+                "what",
+                "put",
+                "item",
+                "ROUTE/r",
+                "prefix",
+                "/s/",
+                "services",
+                List.of("s"),
+                "status",
+                200)));
         IntStream.range(0, 50).forEach(i -> some.add(req(1000 + i, "a-" + i, "done", 200)));
         IntStream.range(0, 50).forEach(i -> some.add(org(1100 + i, "get", "a-" + i, "s1", "sh1")));
         IntStream.range(0, 72).forEach(i -> some.add(org(1200 + i, "get", "a-" + i % 50, "s2", "sh" + (1 + i % 4))));
@@ -93,14 +203,29 @@
     /** A frame that a majority could not confirm excuses; a settled core and a healthy node do not. */
     @Test
     void rule8ALeavingOriginIsExcusedOnlyWithoutASettledCore() {
-        final Map<String, Object> leave = Log.row("log", "op", "t", 100, "end", 110, "what", "leave", "origin", "s1", "service", "s", "stamp", "b1",
-            "status", 200);
+        final Map<String, Object> leave = Log.row(
+                "log", "op", "t", 100, "end", 110, "what", "leave", "origin", "s1", "service", "s", "stamp", "b1",
+                "status", 200);
         final Map<String, Object> late = org(3000, "get", "a-1", "s1", "sh4");
         rule(8, List.of(leave, org(2000, "get", "a-1", "s1", "sh4")), List.of(List.of(late)));
-        rule(8, List.of(leave, late, Log.row("log", "rig", "t", 900, "what", "cut", "node", "sh4", "ms", 3000)), List.of());
-        rule(8, List.of(leave, late, Log.row("log", "rig", "t", 900, "what", "cut", "node", "sh1", "ms", 3000),
-            Log.row("log", "rig", "t", 900, "what", "freeze", "node", "sh2", "ms", 3000)), List.of());
-        rule(8, List.of(leave, org(2000, "get", "a-1", "s1", "sh4"), Log.row("log", "rig", "t", 900, "what", "cut", "node", "sh1", "ms", 3000)),
-            List.of(List.of(late)));
+        rule(
+                8,
+                List.of(leave, late, Log.row("log", "rig", "t", 900, "what", "cut", "node", "sh4", "ms", 3000)),
+                List.of());
+        rule(
+                8,
+                List.of(
+                        leave,
+                        late,
+                        Log.row("log", "rig", "t", 900, "what", "cut", "node", "sh1", "ms", 3000),
+                        Log.row("log", "rig", "t", 900, "what", "freeze", "node", "sh2", "ms", 3000)),
+                List.of());
+        rule(
+                8,
+                List.of(
+                        leave,
+                        org(2000, "get", "a-1", "s1", "sh4"),
+                        Log.row("log", "rig", "t", 900, "what", "cut", "node", "sh1", "ms", 3000)),
+                List.of(List.of(late)));
     }
 }
--- a/rig/src/test/java/rv/rig/JudgeTest.java
+++ b/rig/src/test/java/rv/rig/JudgeTest.java
@@ -12,7 +12,8 @@
 
 /** For each rule a clean log and one with a breach. */
 class JudgeTest {
-    private static final Map<String, Object> PUT = op("put", 100, 110, "item", "SERVICE/s", "service", "s", "rate", 10.0, "version", 1);
+    private static final Map<String, Object> PUT =
+            op("put", 100, 110, "item", "SERVICE/s", "service", "s", "rate", 10.0, "version", 1);
 
     @SafeVarargs
     private static void rule(final int n, final List<Map<String, Object>> clean, final Map<String, Object>... worse) {
@@ -32,14 +33,43 @@
     }
 
     private static Map<String, Object> org(final long t, final String what, final String id, final String key) {
-        return Log.row("log", "org", "t", t, "origin", "s1", "service", "s", "want", "s", "stamp", "b1", "what", what, "request", id,
-            "path", "/s/1", "key", key);
+        return Log.row(
+                "log", "org", "t", t, "origin", "s1", "service", "s", "want", "s", "stamp", "b1", "what", what,
+                "request", id, "path", "/s/1", "key", key);
     }
 
     private static Map<String, Object> req(final long t, final String fate, final Object... more) {
-        final Map<String, Object> row = Log.row("log", "req", "t", t, "end", t + 10, "id", t, "node", "ed1", "mode", "cached", "life", 1000,
-            "path", "/s/1", "status", fate.equals("done") ? 200 : 503, "fate", fate, "stamp", "b1", "request", "r1", "whole", true,
-            "said", "/s/1", "rev", 1);
+        final Map<String, Object> row = Log.row(
+                "log",
+                "req",
+                "t",
+                t,
+                "end",
+                t + 10,
+                "id",
+                t,
+                "node",
+                "ed1",
+                "mode",
+                "cached",
+                "life",
+                1000,
+                "path",
+                "/s/1",
+                "status",
+                fate.equals("done") ? 200 : 503,
+                "fate",
+                fate,
+                "stamp",
+                "b1",
+                "request",
+                "r1",
+                "whole",
+                true,
+                "said",
+                "/s/1",
+                "rev",
+                1);
         row.putAll(Log.row(more));
         return row;
     }
@@ -50,7 +80,8 @@
         return row;
     }
 
-    private static Map<String, Object> send(final long t, final String node, final String id, final String token, final boolean extra) {
+    private static Map<String, Object> send(
+            final long t, final String node, final String id, final String token, final boolean extra) {
         return node(t, node, "ORIGIN_SEND", "shard", 3, "token", token, "service", "s", "request", id, "extra", extra);
     }
 
@@ -61,8 +92,11 @@
 
     @Test
     void rule2RunsAgainOrAfterARefusal() {
-        rule(2, List.of(req(900, "refused", "key", "k"), req(990, "unknown", "key", "k"), org(1000, "run", "r1", "k")),
-            req(4000, "refused", "key", "z"), org(5000, "run", "r2", "z"));
+        rule(
+                2,
+                List.of(req(900, "refused", "key", "k"), req(990, "unknown", "key", "k"), org(1000, "run", "r1", "k")),
+                req(4000, "refused", "key", "z"),
+                org(5000, "run", "r2", "z"));
         rule(2, List.of(org(1000, "run", "r1", "k")), org(100_000, "run", "r2", "k"));
     }
 
@@ -77,8 +111,12 @@
 
     @Test
     void rule4TwoHoldersOfAShard() {
-        final List<Map<String, Object>> clean = List.of(send(10, "sh1", "r1", "1.1", false), org(11, "get", "r1", null),
-            node(20, "sh1", "FENCED", "shard", 3, "token", "1.1"), send(30, "sh2", "r2", "1.2", false), org(31, "get", "r2", null));
+        final List<Map<String, Object>> clean = List.of(
+                send(10, "sh1", "r1", "1.1", false),
+                org(11, "get", "r1", null),
+                node(20, "sh1", "FENCED", "shard", 3, "token", "1.1"),
+                send(30, "sh2", "r2", "1.2", false),
+                org(31, "get", "r2", null));
         rule(4, clean, send(32, "sh1", "r3", "1.1", false), org(33, "get", "r3", null));
         rule(4, clean, node(40, "sh1", "FENCED", "shard", 3, "token", "1.1"));
         rule(4, clean, org(50, "get", "r7", null));
@@ -86,28 +124,48 @@
 
     @Test
     void rule5LateOrBack() {
-        final List<Map<String, Object>> clean = List.of(node(1, "ed1", "STARTED"), PUT, node(900, "ed1", "LEARNED", "item", "SERVICE/s", "ver", 1),
-            node(950, "ed1", "FRAME_FRESH"));
+        final List<Map<String, Object>> clean = List.of(
+                node(1, "ed1", "STARTED"),
+                PUT,
+                node(900, "ed1", "LEARNED", "item", "SERVICE/s", "ver", 1),
+                node(950, "ed1", "FRAME_FRESH"));
         rule(5, clean, node(1, "ed2", "STARTED"), node(2700, "ed2", "LEARNED", "item", "SERVICE/s", "ver", 1));
         rule(5, clean, node(1000, "ed1", "LEARNED", "item", "SERVICE/s", "ver", 1));
-        rule(5, clean, Log.row("log", "rig", "t", 1000, "what", "kill", "node", "ed1", "ms", 10), Log.row("log", "rig", "t", 1010, "what", "start",
-            "node", "ed1", "ms", 0), node(1010, "ed1", "STARTED"), node(1500, "ed1", "FRAME_FRESH"));
+        rule(
+                5,
+                clean,
+                Log.row("log", "rig", "t", 1000, "what", "kill", "node", "ed1", "ms", 10),
+                Log.row("log", "rig", "t", 1010, "what", "start", "node", "ed1", "ms", 0),
+                node(1010, "ed1", "STARTED"),
+                node(1500, "ed1", "FRAME_FRESH"));
     }
 
     @Test
     void rule6APurgedObjectStillServed() {
-        rule(6, List.of(Log.row("log", "change", "t", 50, "path", "/s/1", "rev", 2), op("purge", 100, 110, "path", "/s/1"),
-            req(2000, "done", "rev", 1), req(2200, "done", "rev", 2)), req(2111, "done", "rev", 1));
+        rule(
+                6,
+                List.of(
+                        Log.row("log", "change", "t", 50, "path", "/s/1", "rev", 2),
+                        op("purge", 100, 110, "path", "/s/1"),
+                        req(2000, "done", "rev", 1),
+                        req(2200, "done", "rev", 2)),
+                req(2111, "done", "rev", 1));
     }
 
     @Test
     void rule7ACopyBeyondItsLifetime() {
-        rule(7, List.of(Log.row("log", "change", "t", 50, "path", "/s/1", "rev", 2), req(3050, "done", "rev", 1)), req(3051, "done", "rev", 1));
+        rule(
+                7,
+                List.of(Log.row("log", "change", "t", 50, "path", "/s/1", "rev", 2), req(3050, "done", "rev", 1)),
+                req(3051, "done", "rev", 1));
     }
 
     @Test
     void rule8ALeavingOriginStillAsked() {
-        rule(8, List.of(op("leave", 100, 110, "origin", "s1", "stamp", "b1"), org(2600, "get", "r1", null)), org(2611, "get", "r2", null));
+        rule(
+                8,
+                List.of(op("leave", 100, 110, "origin", "s1", "stamp", "b1"), org(2600, "get", "r1", null)),
+                org(2611, "get", "r2", null));
     }
 
     @Test
@@ -132,10 +190,18 @@
 
     @Test
     void rule11LostOrUnserved() {
-        final Map<String, Object> end = Log.row("log", "end", "t", 90_000, "node", "st1", "fresh", true, "items", Map.of("SERVICE/s", 1));
-        rule(11, List.of(PUT, end), Log.row("log", "end", "t", 90_000, "node", "st2", "fresh", true, "items", Map.of()));
-        final List<Map<String, Object>> back = List.of(Log.row("log", "rig", "t", 1000, "what", "returned", "node", "", "ms", 0),
-            req(16_100, "done"), req(16_200, "refused"), req(16_300, "refused"), req(16_400, "refused"));
+        final Map<String, Object> end =
+                Log.row("log", "end", "t", 90_000, "node", "st1", "fresh", true, "items", Map.of("SERVICE/s", 1));
+        rule(
+                11,
+                List.of(PUT, end),
+                Log.row("log", "end", "t", 90_000, "node", "st2", "fresh", true, "items", Map.of()));
+        final List<Map<String, Object>> back = List.of(
+                Log.row("log", "rig", "t", 1000, "what", "returned", "node", "", "ms", 0),
+                req(16_100, "done"),
+                req(16_200, "refused"),
+                req(16_300, "refused"),
+                req(16_400, "refused"));
         rule(11, back, req(16_500, "refused"));
     }
 
@@ -146,15 +212,27 @@
     /** What a return has to bring ends when no machine is up any more, and not before; the next return has to bring it anew. */
     @Test
     void rule11AllPowerGoneAgainEndsAReturn() {
-        final List<Map<String, Object>> clean = List.of(node(10, "ed1", "STARTED"), node(10, "ed2", "STARTED"), rig(1000, "returned", ""),
-            req(16_100, "done"), rig(16_150, "kill", "ed1"), rig(16_150, "kill", "ed2"), req(16_200, "none"), req(16_300, "none"),
-            req(16_400, "none"), req(16_500, "none"), node(19_150, "ed1", "STARTED"), node(19_150, "ed2", "STARTED"), rig(19_150, "returned", ""),
-            req(34_200, "done"));
+        final List<Map<String, Object>> clean = List.of(
+                node(10, "ed1", "STARTED"),
+                node(10, "ed2", "STARTED"),
+                rig(1000, "returned", ""),
+                req(16_100, "done"),
+                rig(16_150, "kill", "ed1"),
+                rig(16_150, "kill", "ed2"),
+                req(16_200, "none"),
+                req(16_300, "none"),
+                req(16_400, "none"),
+                req(16_500, "none"),
+                node(19_150, "ed1", "STARTED"),
+                node(19_150, "ed2", "STARTED"),
+                rig(19_150, "returned", ""),
+                req(34_200, "done"));
         rule(11, clean, req(16_140, "none"), req(16_141, "none"), req(16_142, "none"), req(16_143, "none"));
         rule(11, clean, req(34_300, "none"), req(34_301, "none"), req(34_302, "none"), req(34_303, "none"));
         assertEquals(2, new Judge(clean).rule(11).checked());
-        final List<List<Map<String, Object>>> ups = List.of(List.of(rig(16_150, "freeze", "ed2")),
-            List.of(node(16_160, "ed1", "STARTED"), rig(16_170, "kill", "ed2")));
+        final List<List<Map<String, Object>>> ups = List.of(
+                List.of(rig(16_150, "freeze", "ed2")),
+                List.of(node(16_160, "ed1", "STARTED"), rig(16_170, "kill", "ed2")));
         for (final List<Map<String, Object>> up : ups) {
             final List<Map<String, Object>> some = new ArrayList<>(clean);
             some.remove(5);
--- a/rig/src/test/java/rv/rig/KeeperTest.java
+++ b/rig/src/test/java/rv/rig/KeeperTest.java
@@ -16,7 +16,7 @@
 import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Token;
-import rv.control.Keeper;
+import rv.control.KeyRecordStore;
 import rv.rig.sim.World;
 
 /** The keepers of intents and outcomes. */
@@ -40,43 +40,71 @@
         }
     }
 
-    private Keeper keeper(final Disk disk, final boolean lost) {
-        return keeper("st1", disk, lost, (to, msg, wait, then) -> { });
+    private KeyRecordStore keeper(final Disk disk, final boolean lost) {
+        return keeper("st1", disk, lost, (to, msg, wait, then) -> {});
     }
 
-    private Keeper keeper(final String name, final Disk disk, final boolean lost, final rv.base.Net net) {
-        final rv.control.Quorum quorum = new rv.control.Quorum(List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
-            java.util.Set.of(NodeId.of("st1"), NodeId.of("st2")));
-        return new Keeper(NodeId.of(name), "b" + ++ver, quorum, net, loop, world::now, new rv.control.Gauge(disk, loop), () -> lost);
+    private KeyRecordStore keeper(final String name, final Disk disk, final boolean lost, final rv.base.Net net) {
+        final rv.control.Quorum quorum = new rv.control.Quorum(
+                List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
+                java.util.Set.of(NodeId.of("st1"), NodeId.of("st2")));
+        return new KeyRecordStore(
+                NodeId.of(name),
+                "b" + ++ver,
+                quorum,
+                net,
+                loop,
+                world::now,
+                new rv.control.MonitoredDisk(disk, loop),
+                () -> lost);
     }
 
     /** Over a slow way, 600 KB at 0.9 MB a second, a whole minute's notes do not come in one frame's time. */
     @Test
     void aLostMemoryIsRebuiltPageByPageAndEndsEachEraOnce() throws Exception {
-        final Map<NodeId, Keeper> others = new TreeMap<>();
+        final Map<NodeId, KeyRecordStore> others = new TreeMap<>();
         final Map<NodeId, Integer> ends = new TreeMap<>();
         for (final String n : List.of("st2", "sh1")) {
-            final Keeper k = keeper(n, new Rows(), false, (to, msg, wait, then) -> { });
+            final KeyRecordStore k = keeper(n, new Rows(), false, (to, msg, wait, then) -> {});
             k.start();
             final List<Msg> got = new ArrayList<>();
             k.read(new Msg.KeepRead(3, new Token(1, 1), "b"), got::add);
             final long era = ((Msg.Kept) got.get(0)).era();
             for (int i = 0; i < 400; i++) {
-                k.write(new Msg.KeepWrite(new Msg.Note("k" + i, 3, new Token(1, 1), "d", i, false,
-                    new Msg.Outcome(200, Map.of(), new byte[1500], true)), era), got::add);
+                k.write(
+                        new Msg.KeepWrite(
+                                new Msg.Note(
+                                        "k" + i,
+                                        3,
+                                        new Token(1, 1),
+                                        "d",
+                                        i,
+                                        false,
+                                        new Msg.Outcome(200, Map.of(), new byte[1500], true)),
+                                era),
+                        got::add);
             }
             others.put(NodeId.of(n), k);
         }
         final int[] largest = {0};
-        final Keeper lost = keeper("st1", new Rows(), true, (to, msg, wait, then) -> world.in(35, () -> {
-            ends.merge(to, msg instanceof Msg.KeepAll a && a.bar() && a.after() == null ? 1 : 0, Integer::sum);
-            others.get(to).all((Msg.KeepAll) msg, m -> {
-                final int size = rv.base.Wire.pack(new rv.base.Wire.Envelope(1, 1, 0, to, m)).length;
-                largest[0] = Math.max(largest[0], size);
-                final long took = 70 + size / 900;
-                world.in(took, () -> then.accept(took < wait ? rv.base.Reply.of(m) : rv.base.Reply.lost(rv.base.Reply.Trouble.NO_ANSWER)));
-            });
-        }));
+        final KeyRecordStore lost = keeper(
+                "st1",
+                new Rows(),
+                true,
+                (to, msg, wait, then) -> world.in(35, () -> {
+                    ends.merge(to, msg instanceof Msg.KeepAll a && a.bar() && a.after() == null ? 1 : 0, Integer::sum);
+                    others.get(to).all((Msg.KeepAll) msg, m -> {
+                        final int size = rv.base.Wire.pack(new rv.base.Wire.Envelope(1, 1, 0, to, m)).length;
+                        largest[0] = Math.max(largest[0], size);
+                        final long took = 70 + size / 900;
+                        world.in(
+                                took,
+                                () -> then.accept(
+                                        took < wait
+                                                ? rv.base.Reply.of(m)
+                                                : rv.base.Reply.lost(rv.base.Reply.Trouble.NO_ANSWER)));
+                    });
+                }));
         lost.start();
         world.run(4000);
         assertFalse(lost.lapse());
@@ -85,16 +113,16 @@
         assertTrue(largest[0] < 100_000, "largest frame " + largest[0]);
     }
 
-    private long era(final Keeper k) {
+    private long era(final KeyRecordStore k) {
         final List<Msg> got = new ArrayList<>();
-        k.read(new Msg.KeepRead(3, Token.ZERO, "b"), x -> { });
+        k.read(new Msg.KeepRead(3, Token.ZERO, "b"), x -> {});
         k.read(new Msg.KeepRead(9, new Token(9, 9), "b"), got::add);
         return ((Msg.Kept) got.get(0)).era();
     }
 
     @Test
     void anIntentOfAnEndedEraIsRejected() throws Exception {
-        final Keeper k = keeper(new Rows(), false);
+        final KeyRecordStore k = keeper(new Rows(), false);
         k.start();
         final long before = era(k);
         final List<Msg> got = new ArrayList<>();
@@ -111,7 +139,7 @@
     @Test
     void aKeeperBarsTokensBelowTheHighestItWasReadWith() throws Exception {
         final Rows disk = new Rows();
-        final Keeper k = keeper(disk, false);
+        final KeyRecordStore k = keeper(disk, false);
         k.start();
         final List<Msg> got = new ArrayList<>();
         final long era = era(k);
@@ -123,21 +151,22 @@
         assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(2));
         assertFalse(((Msg.Kept) got.get(3)).ok());
-        final Keeper again = keeper(disk, false);
+        final KeyRecordStore again = keeper(disk, false);
         again.start();
-        again.write(new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)), got::add);
+        again.write(
+                new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)), got::add);
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(4), "the bar outlives a restart");
     }
 
     @Test
     void aKeeperThatLostItsMemorySaysSoForAMinuteEvenAcrossARestart() throws Exception {
         final Rows disk = new Rows();
-        final Keeper k = keeper(disk, true);
+        final KeyRecordStore k = keeper(disk, true);
         k.start();
         final List<Msg> got = new ArrayList<>();
         k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
         world.run(30_000);
-        final Keeper again = keeper(disk, false);
+        final KeyRecordStore again = keeper(disk, false);
         again.start();
         assertTrue(again.lapse());
         world.run(60_001);
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -21,8 +21,8 @@
 import rv.base.Reply;
 import rv.base.Timing;
 import rv.base.Token;
-import rv.control.Held;
 import rv.control.Holder;
+import rv.control.ItemStore;
 import rv.control.Json;
 import rv.control.Tenure;
 import rv.rig.sim.World;
@@ -41,7 +41,7 @@
 
     @BeforeEach
     void begin() {
-        final Held held = new Held(loop, journal);
+        final ItemStore held = new ItemStore(loop, journal);
         final Net net = (to, msg, wait, then) -> {
             if (msg instanceof Msg.Renew) {
                 final boolean[] over = {false};
@@ -61,13 +61,17 @@
             world.in(stopTakes, () -> done.accept(true));
         });
         holder.start();
-        held.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(ItemId.TENURE).next(Json.text(new Tenure.Body("st1", "b", 1, 1, false, 0, 0, 0)), "t")));
+        held.merge(new Msg.Chosen(
+                new Ballot(1, "x"),
+                Item.none(ItemId.TENURE).next(Json.text(new Tenure.Body("st1", "b", 1, 1, false, 0, 0, 0)), "t")));
         world.run(100);
-        holder.place(BOSS, new Msg.Place(1, 1, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> { });
+        holder.place(BOSS, new Msg.Place(1, 1, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> {});
     }
 
     private void answer(final int n) {
-        renewals.get(n).accept(Reply.of(new Msg.Renewed(1, true, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED")), List.of())));
+        renewals.get(n)
+                .accept(Reply.of(
+                        new Msg.Renewed(1, true, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED")), List.of())));
     }
 
     @Test
@@ -118,14 +122,14 @@
     @Test
     void aLowerTokenIsRejectedAndARevokedOneIsNotTakenUpAgain() {
         answer(0);
-        holder.place(BOSS, new Msg.Place(1, 2, List.of(new Msg.Claim(3, new Token(1, 2), "GRANTED"))), m -> { });
+        holder.place(BOSS, new Msg.Place(1, 2, List.of(new Msg.Claim(3, new Token(1, 2), "GRANTED"))), m -> {});
         assertFalse(holder.may(3), "a higher token is a new grant");
-        holder.place(BOSS, new Msg.Place(1, 2, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> { });
+        holder.place(BOSS, new Msg.Place(1, 2, List.of(new Msg.Claim(3, new Token(1, 1), "GRANTED"))), m -> {});
         assertEquals(new Token(1, 2), holder.token(3));
         assertTrue(journal.tail().stream().anyMatch(e -> e.event().code() == Code.GRANT_REJECTED));
-        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 2), "REVOKED"))), m -> { });
+        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 2), "REVOKED"))), m -> {});
         world.run(world.now() + 10);
-        holder.place(BOSS, new Msg.Place(1, 3, List.of(new Msg.Claim(3, new Token(1, 2), "GRANTED"))), m -> { });
+        holder.place(BOSS, new Msg.Place(1, 3, List.of(new Msg.Claim(3, new Token(1, 2), "GRANTED"))), m -> {});
         assertEquals(Holder.State.REVOKED, holder.leases().get(3).state());
     }
 
@@ -133,55 +137,86 @@
     @Test
     void aSendThatWaitedForItsPaceDoesNotLeaveWithoutTheRight() {
         answer(0);
-        final Held own = new Held(loop, journal);
-        final rv.control.View view = new rv.control.View(own);
-        own.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(new ItemId(rv.base.Kind.SERVICE, "s"))
-            .next("{\"kind\":\"content\",\"rate\":4,\"bodyLimit\":9,\"cutoffMs\":2000}", "t")));
-        own.merge(new Msg.Chosen(new Ballot(1, "x"), Item.none(new ItemId(rv.base.Kind.ORIGIN, "s1"))
-            .next(Json.text(new rv.control.Origin("s", "h", 1, "b", "content", 0, 60_000, false, 1)), "t")));
+        final ItemStore own = new ItemStore(loop, journal);
+        final rv.control.ConfigView view = new rv.control.ConfigView(own);
+        own.merge(new Msg.Chosen(
+                new Ballot(1, "x"),
+                Item.none(new ItemId(rv.base.Kind.SERVICE, "s"))
+                        .next("{\"kind\":\"content\",\"rate\":4,\"bodyLimit\":9,\"cutoffMs\":2000}", "t")));
+        own.merge(new Msg.Chosen(
+                new Ballot(1, "x"),
+                Item.none(new ItemId(rv.base.Kind.ORIGIN, "s1"))
+                        .next(
+                                Json.text(new rv.control.Origin("s", "h", 1, "b", "content", 0, 60_000, false, 1)),
+                                "t")));
         final List<String> sent = new ArrayList<>();
-        final rv.data.Setup setup = rv.data.Setup.of(new rv.base.Member(NodeId.of("sh1"), rv.base.Role.SHIELD, "c", "127.0.0.1", 1, "b",
-            rv.base.Condition.READY, "t")).build();
-        final rv.data.Sender sender = new rv.data.Sender(setup, loop, (to, msg, wait, then) -> { }, (to, what, gate, then) -> {
-            sent.add(what.path());
-            return () -> { };
-        }, view, holder, new rv.data.Sender.Ties(() -> true, () -> false, List::of, () -> 1), journal);
+        final rv.data.Setup setup = rv.data.Setup.of(new rv.base.Member(
+                        NodeId.of("sh1"), rv.base.Role.SHIELD, "c", "127.0.0.1", 1, "b", rv.base.Condition.READY, "t"))
+                .build();
+        final rv.data.Sender sender = new rv.data.Sender(
+                setup,
+                loop,
+                (to, msg, wait, then) -> {},
+                (to, what, gate, then) -> {
+                    sent.add(what.path());
+                    return () -> {};
+                },
+                view,
+                holder,
+                new rv.data.Sender.Ties(() -> true, () -> false, List::of, () -> 1),
+                journal);
         final List<rv.data.Sender.Sent> ends = new ArrayList<>();
         for (final String path : List.of("/1", "/2")) {
-            sender.send(new rv.data.Order(3, new rv.data.Port.Send("s", "GET", path, "", null, null, "", 0), false, world.now() + 2000), ends::add);
+            sender.send(
+                    new rv.data.OriginRequest(
+                            3,
+                            new rv.data.Port.Send("s", "GET", path, "", null, null, "", 0),
+                            false,
+                            world.now() + 2000),
+                    ends::add);
         }
         world.run(world.now() + 260);
         assertEquals(List.of("/1"), sent);
-        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 1), "REVOKED"))), m -> { });
+        holder.revoke(BOSS, new Msg.Revoke(1, List.of(new Msg.Claim(3, new Token(1, 1), "REVOKED"))), m -> {});
         world.run(world.now() + 1000);
         assertEquals(List.of("/1"), sent);
         assertEquals("no held right to send", ends.get(0).got().why());
         assertFalse(ends.get(0).ran());
     }
 
-    private rv.data.Once once(final int writers, final List<Msg.Note> known) {
+    private rv.data.KeyedRequests once(final int writers, final List<Msg.Note> known) {
         final List<NodeId> keepers = List.of(BOSS, NodeId.of("st2"), NodeId.of("sh1"));
         final Net net = (to, msg, wait, then) -> world.in(1, () -> {
             if (msg instanceof Msg.KeepRead r) {
                 then.accept(Reply.of(new Msg.Kept(true, false, r.token(), known, 7)));
             } else if (msg instanceof Msg.KeepWrite w) {
                 final boolean now = w.era() == 7;
-                then.accept(keepers.indexOf(to) < writers ? Reply.of(new Msg.KeepSeen(now, false, !now)) : Reply.lost(Reply.Trouble.NO_ANSWER));
+                then.accept(
+                        keepers.indexOf(to) < writers
+                                ? Reply.of(new Msg.KeepSeen(now, false, !now))
+                                : Reply.lost(Reply.Trouble.NO_ANSWER));
             }
         });
         final rv.control.Quorum quorum = new rv.control.Quorum(keepers, java.util.Set.of(BOSS, keepers.get(1)));
-        return new rv.data.Once(quorum, loop, net, holder, journal, new rv.control.Stores(quorum, loop, journal), "b");
+        return new rv.data.KeyedRequests(
+                quorum, loop, net, holder, journal, new rv.control.StoreHealth(quorum, loop, journal), "b");
     }
 
     private List<String> keyed(final int writers, final List<Msg.Note> known, final int times) {
         answer(0);
-        final rv.data.Once once = once(writers, known);
+        final rv.data.KeyedRequests once = once(writers, known);
         final List<String> seen = new ArrayList<>();
         for (int i = 0; i < times; i++) {
-            once.take(3, "k", "d", then -> {
-                seen.add("sent");
-                then.accept(new rv.data.Sender.Sent(rv.data.Port.Got.none(rv.data.Port.End.LOST, "lost"), true, 0, 0));
-            }, f -> seen.add(f.fate()));
+            once.take(
+                    3,
+                    "k",
+                    "d",
+                    then -> {
+                        seen.add("sent");
+                        then.accept(new rv.data.Sender.Sent(
+                                rv.data.Port.Got.none(rv.data.Port.End.LOST, "lost"), true, 0, 0));
+                    },
+                    f -> seen.add(f.fate()));
             world.run(world.now() + 100);
         }
         return seen;
@@ -199,15 +234,18 @@
 
     @Test
     void anIntentOfAnEarlierHolderIsUnknownAndNotSent() {
-        assertEquals(List.of("unknown"), keyed(3, List.of(new Msg.Note("k", 3, new Token(1, 0), "d", 1, false, null)), 1));
+        assertEquals(
+                List.of("unknown"), keyed(3, List.of(new Msg.Note("k", 3, new Token(1, 0), "d", 1, false, null)), 1));
     }
 
     @Test
     void fourHoldersSharesAddUpToTheRateInEveryWindow() {
         final List<Long> sent = new ArrayList<>();
-        final rv.data.Pacer[] all = {new rv.data.Pacer(), new rv.data.Pacer(), new rv.data.Pacer(), new rv.data.Pacer()};
+        final rv.data.RateLimiter[] all = {
+            new rv.data.RateLimiter(), new rv.data.RateLimiter(), new rv.data.RateLimiter(), new rv.data.RateLimiter()
+        };
         for (long t = 0; t < 20_000; t += 5) {
-            for (final rv.data.Pacer p : all) {
+            for (final rv.data.RateLimiter p : all) {
                 final java.util.OptionalLong rest = p.take("o", 40, 0.25, 1, t, 0);
                 if (rest.isPresent()) {
                     sent.add(t);
--- a/rig/src/test/java/rv/rig/OriginPortTest.java
+++ b/rig/src/test/java/rv/rig/OriginPortTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Isolated;
 import rv.control.Origin;
+import rv.data.AnswerCheck;
 import rv.data.Port;
-import rv.data.Proof;
 import rv.prog.CoreLoop;
 import rv.prog.OriginPort;
 
@@ -45,7 +45,8 @@
 
     private Port.Got send(final Origin to, final String id, final long span) throws Exception {
         final CompletableFuture<Port.Got> f = new CompletableFuture<>();
-        loop.post(() -> port.send(to, new Port.Send("s", "GET", "/s/1", id, null, null, null, span), gate, f::complete));
+        loop.post(
+                () -> port.send(to, new Port.Send("s", "GET", "/s/1", id, null, null, null, span), gate, f::complete));
         return f.get(30, TimeUnit.SECONDS);
     }
 
@@ -65,15 +66,23 @@
     void aWholeAnswerProvesItself() throws Exception {
         final Port.Got got = send(here(), "r1", 20_000);
         assertEquals(Port.End.WHOLE, got.end());
-        assertEquals("", Proof.fault(here(), new Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1), got.heads(), got.body()));
+        assertEquals(
+                "",
+                AnswerCheck.fault(
+                        here(), new Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1), got.heads(), got.body()));
         assertEquals(Port.End.WHOLE, send(here(), "r2", 20_000).end());
         assertEquals(2, asked());
     }
 
     @Test
     void someoneElseAtTheAddressGetsNoRequest() throws Exception {
-        assertEquals(Port.End.STRANGE, send(at("t", origin.face().stamp(), origin.port()), "r1", 20_000).end());
-        assertEquals(Port.End.STRANGE, send(at("s", "older", origin.port()), "r2", 20_000).end());
+        assertEquals(
+                Port.End.STRANGE,
+                send(at("t", origin.face().stamp(), origin.port()), "r1", 20_000)
+                        .end());
+        assertEquals(
+                Port.End.STRANGE,
+                send(at("s", "older", origin.port()), "r2", 20_000).end());
         assertEquals(0, asked());
     }
 
@@ -106,7 +115,10 @@
     void wrongBytesDoNotProveThemselves() throws Exception {
         origin.face().fault("wrong", 1);
         final Port.Got got = send(here(), "r1", 20_000);
-        assertEquals("digest differs", Proof.fault(here(), new Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1), got.heads(), got.body()));
+        assertEquals(
+                "digest differs",
+                AnswerCheck.fault(
+                        here(), new Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1), got.heads(), got.body()));
     }
 
     @Test
@@ -116,6 +128,8 @@
         assertEquals(1, asked());
         final Origin dead = here();
         origin.stop();
-        assertEquals(Port.End.NOT_SENT, send(at("s", dead.stamp() + "x", dead.port()), "r2", 20_000).end());
+        assertEquals(
+                Port.End.NOT_SENT,
+                send(at("s", dead.stamp() + "x", dead.port()), "r2", 20_000).end());
     }
 }
--- a/rig/src/test/java/rv/rig/PairsTest.java
+++ b/rig/src/test/java/rv/rig/PairsTest.java
@@ -12,7 +12,16 @@
 /** Troubles on top of each other; {@code rwrig pairs} plays all of them. */
 class PairsTest {
     @ParameterizedTest
-    @CsvSource({"blackout,full", "ack-lose,stall", "freeze,lose-disk", "kill,origin-lose", "cut,origin-leave", "drift,restart", "power,surge", "purges,slow"})
+    @CsvSource({
+        "blackout,full",
+        "ack-lose,stall",
+        "freeze,lose-disk",
+        "kill,origin-lose",
+        "cut,origin-leave",
+        "drift,restart",
+        "power,surge",
+        "purges,slow"
+    })
     void everyRuleIsKeptThroughBoth(final String first, final String second) {
         for (final Place place : List.of(Place.kilimanjaro(), Place.coastline())) {
             final List<String> two = List.of(first, second);
--- a/rig/src/test/java/rv/rig/PartsTest.java
+++ b/rig/src/test/java/rv/rig/PartsTest.java
@@ -21,14 +21,14 @@
 import rv.base.NodeId;
 import rv.base.Reply;
 import rv.base.Token;
-import rv.control.Held;
+import rv.control.ConfigView;
+import rv.control.ItemStore;
 import rv.control.Json;
 import rv.control.Plan;
-import rv.control.View;
 import rv.data.Answer;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.data.Edge;
-import rv.rig.sim.Town;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.World;
 
 /** Single parts whose rules no whole run shows by itself. */
@@ -36,8 +36,8 @@
     private final World world = new World(1);
     private final Loop loop = world.loop();
     private final Journal journal = new Journal(loop, 100);
-    private final Held held = new Held(loop, journal);
-    private final View view = new View(held);
+    private final ItemStore held = new ItemStore(loop, journal);
+    private final ConfigView view = new ConfigView(held);
     private long ver;
 
     private void hold(final Kind kind, final String name, final String body) {
@@ -47,7 +47,11 @@
 
     private void stock(final long life) {
         hold(Kind.SERVICE, "s", "{\"kind\":\"content\",\"rate\":10,\"bodyLimit\":10,\"cutoffMs\":1000}");
-        hold(Kind.ROUTE, "r", Json.text(Log.row("prefix", "/s/", "service", "s", "mode", "cached", "lifetimeMs", life, "purgeable", true)));
+        hold(
+                Kind.ROUTE,
+                "r",
+                Json.text(Log.row(
+                        "prefix", "/s/", "service", "s", "mode", "cached", "lifetimeMs", life, "purgeable", true)));
         hold(Kind.PLAN, "plan", Json.text(new Plan(1, 1, List.of(new Plan.Part("sh1", 2, 5)))));
     }
 
@@ -59,9 +63,10 @@
     void anEdgeRejectsAnAnswerWithALowerToken() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge = new Edge(
+                loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         final Mark mark = view.mark(view.named("r").orElseThrow(), "/s/1");
         asks.get(0).accept(Reply.of(filled("2.4", mark, 0)));
         assertEquals(List.of(), got);
@@ -74,15 +79,16 @@
     void anAgedCopyIsNotKeptLongerAtTheEdge() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge = new Edge(
+                loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         asks.get(0).accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 900)));
         world.run(99);
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         assertEquals(2, got.size());
         world.run(101);
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         assertEquals(2, got.size());
         assertEquals(2, asks.size());
     }
@@ -91,9 +97,10 @@
     void aPurgeHeardOfDuringAPassKeepsItsAnswerOut() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge = new Edge(
+                loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         final Mark before = view.mark(view.named("r").orElseThrow(), "/s/1");
         hold(Kind.PURGE, "p", "{\"route\":\"r\",\"path\":\"/s/1\"}");
         asks.get(0).accept(Reply.of(filled("2.5", before, 0)));
@@ -104,7 +111,7 @@
         world.run(500);
         asks.get(2).accept(Reply.of(filled("2.5", before, 0)));
         assertEquals(503, got.get(0).status());
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         assertEquals(4, asks.size(), "nothing was kept");
         asks.get(3).accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 0)));
         assertEquals(200, got.get(1).status());
@@ -115,19 +122,20 @@
     void manyMarksOfAHotObjectMakeOnePassEach() {
         stock(1000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge = new Edge(
+                loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
         final List<Mark> marks = new ArrayList<>();
         for (int round = 0; round < 3; round++) {
             for (int i = 0; i < 40; i++) {
-                edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+                edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
             }
             marks.add(view.mark(view.named("r").orElseThrow(), "/s/1"));
             hold(Kind.PURGE, "p" + round, "{\"route\":\"r\",\"path\":\"/s/1\"}");
         }
         assertEquals(3, asks.size());
         for (int i = 0; i < 40; i++) {
-            edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+            edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
         }
         marks.add(view.mark(view.named("r").orElseThrow(), "/s/1"));
         for (int i = 0; i < 4; i++) {
@@ -142,17 +150,33 @@
     @Test
     void aRoutesConditionIsJudgedAtTheEdge() {
         stock(1000);
-        hold(Kind.ROUTE, "r", Json.text(Log.row("prefix", "/s/", "service", "s", "mode", "cached", "lifetimeMs", 1000, "purgeable", true, "when",
-            "int(query) < 3 && path.startsWith('/s/a')")));
+        hold(
+                Kind.ROUTE,
+                "r",
+                Json.text(Log.row(
+                        "prefix",
+                        "/s/",
+                        "service",
+                        "s",
+                        "mode",
+                        "cached",
+                        "lifetimeMs",
+                        1000,
+                        "purgeable",
+                        true,
+                        "when",
+                        "int(query) < 3 && path.startsWith('/s/a')")));
         final int[] asks = {0};
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks[0]++, view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge =
+                new Edge(loop, (to, msg, wait, then) -> asks[0]++, view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Integer> got = new ArrayList<>();
         for (final String path : List.of("/s/a?2", "/s/b?2", "/s/a?5", "/s/a?many")) {
-            edge.take(new Ask("GET", path, null, null, ""), a -> got.add(a.status()));
+            edge.take(new ClientRequest("GET", path, null, null, ""), a -> got.add(a.status()));
         }
         assertEquals(List.of(403, 403, 400), got);
         assertEquals(1, asks[0], "the first is on its way");
-        for (final String bad : List.of("path +", "size", "nobody == 1", "[1,2].all(x, x > 0)", "path == '" + "x".repeat(400) + "'")) {
+        for (final String bad :
+                List.of("path +", "size", "nobody == 1", "[1,2].all(x, x > 0)", "path == '" + "x".repeat(400) + "'")) {
             assertTrue(rv.control.Rule.fault(bad).isPresent(), bad);
         }
     }
@@ -161,17 +185,27 @@
     @Test
     void aRouteWithoutItsServiceIsUnfitAndServesNothing() {
         stock(1000);
-        hold(Kind.ROUTE, "wide", "{\"prefix\":\"/\",\"service\":\"s\",\"mode\":\"status\",\"lifetimeMs\":0,\"purgeable\":true}");
-        held.merge(new Msg.Chosen(new Ballot(98, "x"), Item.none(new ItemId(Kind.ROUTE, "late"))
-            .next("{\"prefix\":\"/s/late/\",\"service\":\"gone\",\"mode\":\"cached\",\"lifetimeMs\":9,\"purgeable\":true}", "t")));
+        hold(
+                Kind.ROUTE,
+                "wide",
+                "{\"prefix\":\"/\",\"service\":\"s\",\"mode\":\"status\",\"lifetimeMs\":0,\"purgeable\":true}");
+        held.merge(new Msg.Chosen(
+                new Ballot(98, "x"),
+                Item.none(new ItemId(Kind.ROUTE, "late"))
+                        .next(
+                                "{\"prefix\":\"/s/late/\",\"service\":\"gone\",\"mode\":\"cached\",\"lifetimeMs\":9,\"purgeable\":true}",
+                                "t")));
         final int[] asks = {0};
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks[0]++, view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge =
+                new Edge(loop, (to, msg, wait, then) -> asks[0]++, view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
-        edge.take(new Ask("GET", "/s/late/1", null, null, ""), got::add);
+        edge.take(new ClientRequest("GET", "/s/late/1", null, null, ""), got::add);
         assertEquals("503 refused", got.get(0).status() + " " + got.get(0).fate());
         assertEquals(0, asks[0], "not even the wider route gets it");
-        final rv.control.Clerk clerk = new rv.control.Clerk(loop, held, null, null, journal, () -> "t");
-        assertTrue(clerk.unfit().stream().anyMatch(f -> f.place().equals("/routes/late/service")), clerk.unfit().toString());
+        final rv.control.ItemService clerk = new rv.control.ItemService(loop, held, null, null, journal, () -> "t");
+        assertTrue(
+                clerk.unfit().stream().anyMatch(f -> f.place().equals("/routes/late/service")),
+                clerk.unfit().toString());
         assertTrue(clerk.get(new ItemId(Kind.ROUTE, "late")).body().containsKey("findings"));
         assertTrue(view.named("late").isEmpty(), "no shield fills for it");
     }
@@ -181,15 +215,22 @@
         final rv.control.Origin to = new rv.control.Origin("s", "h", 1, "b", "content", 0, 1, false, 1);
         final rv.data.Port.Send sent = new rv.data.Port.Send("s", "GET", "/s/1", "r1", null, null, null, 1);
         final byte[] body = "abc".getBytes();
-        final Map<String, String> good = new TreeMap<>(Map.of(rv.data.Proof.STAMP, "b", rv.data.Proof.REQUEST, "r1", "content-length", "3",
-            rv.data.Proof.DIGEST, rv.base.Hash.digest(body)));
-        assertEquals("", rv.data.Proof.fault(to, sent, good, body));
+        final Map<String, String> good = new TreeMap<>(Map.of(
+                rv.data.AnswerCheck.STAMP,
+                "b",
+                rv.data.AnswerCheck.REQUEST,
+                "r1",
+                "content-length",
+                "3",
+                rv.data.AnswerCheck.DIGEST,
+                rv.base.Hash.digest(body)));
+        assertEquals("", rv.data.AnswerCheck.fault(to, sent, good, body));
         good.forEach((k, v) -> {
             final Map<String, String> bad = new TreeMap<>(good);
             bad.put(k, v + "0");
-            assertFalse(rv.data.Proof.fault(to, sent, bad, body).isEmpty(), k);
+            assertFalse(rv.data.AnswerCheck.fault(to, sent, bad, body).isEmpty(), k);
             bad.remove(k);
-            assertFalse(rv.data.Proof.fault(to, sent, bad, body).isEmpty(), k);
+            assertFalse(rv.data.AnswerCheck.fault(to, sent, bad, body).isEmpty(), k);
         });
     }
 
@@ -207,23 +248,28 @@
     void aCopyEndsWithAPurge() {
         stock(60_000);
         final List<Consumer<Reply>> asks = new ArrayList<>();
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
+        final Edge edge = new Edge(
+                loop, (to, msg, wait, then) -> asks.add(then), view, () -> true, 1, journal, 1 << 20, n -> true);
         final List<Answer> got = new ArrayList<>();
-        for (final String purge : List.of("{\"route\":\"r\",\"path\":\"/s/1\"}", "{\"route\":\"r\",\"prefix\":\"/s/\"}")) {
-            edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
-            asks.get(asks.size() - 1).accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 0)));
-            edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
+        for (final String purge :
+                List.of("{\"route\":\"r\",\"path\":\"/s/1\"}", "{\"route\":\"r\",\"prefix\":\"/s/\"}")) {
+            edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
+            asks.get(asks.size() - 1)
+                    .accept(Reply.of(filled("2.5", view.mark(view.named("r").orElseThrow(), "/s/1"), 0)));
+            edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
             hold(Kind.PURGE, "p" + purge.length(), purge);
         }
-        edge.take(new Ask("GET", "/s/1", null, null, ""), got::add);
-        assertEquals(List.of("miss", "hit", "miss", "hit"), got.stream().map(a -> a.heads().get("Rv-Cache")).toList());
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), got::add);
+        assertEquals(
+                List.of("miss", "hit", "miss", "hit"),
+                got.stream().map(a -> a.heads().get("Rv-Cache")).toList());
         assertEquals(3, asks.size(), "the last one is on its way");
     }
 
     @Test
     void aDeletedPurgeStillHoldsForOlderCopies() {
         stock(1000);
-        final View.Row row = view.named("r").orElseThrow();
+        final ConfigView.Row row = view.named("r").orElseThrow();
         final Mark before = view.mark(row, "/s/1");
         hold(Kind.PURGE, "p", "{\"route\":\"r\",\"path\":\"/s/1\"}");
         final Item p = held.get(new ItemId(Kind.PURGE, "p"));
@@ -236,30 +282,49 @@
     void usualStatusesAtAnEdge() {
         stock(1000);
         hold(Kind.SERVICE, "b", "{\"kind\":\"booking\",\"rate\":0,\"bodyLimit\":10,\"cutoffMs\":1000}");
-        hold(Kind.ROUTE, "o", "{\"prefix\":\"/o/\",\"service\":\"b\",\"mode\":\"once\",\"lifetimeMs\":0,\"purgeable\":true}");
+        hold(
+                Kind.ROUTE,
+                "o",
+                "{\"prefix\":\"/o/\",\"service\":\"b\",\"mode\":\"once\",\"lifetimeMs\":0,\"purgeable\":true}");
         final boolean[] fresh = {true};
-        final Edge edge = new Edge(loop, (to, msg, wait, then) -> then.accept(Reply.lost(Reply.Trouble.NO_ANSWER)), view, () -> fresh[0], 1,
-            journal, 1 << 20, n -> true);
+        final Edge edge = new Edge(
+                loop,
+                (to, msg, wait, then) -> then.accept(Reply.lost(Reply.Trouble.NO_ANSWER)),
+                view,
+                () -> fresh[0],
+                1,
+                journal,
+                1 << 20,
+                n -> true);
         final List<String> got = new ArrayList<>();
         final Consumer<Answer> note = a -> got.add(a.status() + " " + a.fate());
-        edge.take(new Ask("GET", "/none", null, null, ""), note);
-        edge.take(new Ask("POST", "/s/1", null, null, ""), note);
-        edge.take(new Ask("POST", "/o/1", "k", new byte[11], ""), note);
-        edge.take(new Ask("POST", "/o/1", "", new byte[1], ""), note);
-        edge.take(new Ask("POST", "/o/1", "k", new byte[1], ""), note);
+        edge.take(new ClientRequest("GET", "/none", null, null, ""), note);
+        edge.take(new ClientRequest("POST", "/s/1", null, null, ""), note);
+        edge.take(new ClientRequest("POST", "/o/1", "k", new byte[11], ""), note);
+        edge.take(new ClientRequest("POST", "/o/1", "", new byte[1], ""), note);
+        edge.take(new ClientRequest("POST", "/o/1", "k", new byte[1], ""), note);
         fresh[0] = false;
-        edge.take(new Ask("GET", "/s/1", null, null, ""), note);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), note);
         edge.shut();
-        edge.take(new Ask("GET", "/s/1", null, null, ""), note);
-        assertEquals(List.of("404 refused", "405 refused", "413 refused", "400 refused", "504 unknown", "503 refused", "503 refused"), got);
+        edge.take(new ClientRequest("GET", "/s/1", null, null, ""), note);
+        assertEquals(
+                List.of(
+                        "404 refused",
+                        "405 refused",
+                        "413 refused",
+                        "400 refused",
+                        "504 unknown",
+                        "503 refused",
+                        "503 refused"),
+                got);
         assertEquals(0, edge.busy());
     }
 
     private static long worst(final double pace, final long heldFrom, final long heldTo) {
         final rv.control.Pace p = new rv.control.Pace(rv.base.Timing.DEFAULT);
         final NodeId peer = NodeId.of("sh1");
-        final java.util.PriorityQueue<long[]> beats = new java.util.PriorityQueue<>((a, b) -> a[0] != b[0] ? Long.compare(a[0], b[0])
-            : Long.compare(a[1], b[1]));
+        final java.util.PriorityQueue<long[]> beats = new java.util.PriorityQueue<>(
+                (a, b) -> a[0] != b[0] ? Long.compare(a[0], b[0]) : Long.compare(a[1], b[1]));
         for (long t = 0; t < 40_000; t += 500) {
             beats.add(new long[] {t >= heldFrom && t < heldTo ? heldTo : t + t % 7, (long) (5000 + t * pace)});
         }
@@ -283,10 +348,11 @@
     /** On reconnect: revokes, then fence acknowledgements, then the whole placement. */
     @Test
     void aReturningHolderHearsRevokesThenAcksThenItsPlacement() {
-        final Town town = new Town(Place.kilimanjaro(), 8).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 8).open();
         final List<String> heard = new ArrayList<>();
         town.net().tap((to, msg) -> {
-            if (to.text().equals("sh3") && (msg instanceof Msg.Revoke || msg instanceof Msg.FenceAck || msg instanceof Msg.Place)) {
+            if (to.text().equals("sh3")
+                    && (msg instanceof Msg.Revoke || msg instanceof Msg.FenceAck || msg instanceof Msg.Place)) {
                 heard.add(msg.getClass().getSimpleName());
             }
         });
@@ -306,7 +372,15 @@
             {"name":"x","place":"coastline","seconds":10,"steps":[{"at":1,"trouble":"rain","ms":1,"who":"st1"},
              {"at":99999,"trouble":"kill","ms":1,"who":"st9"},{"at":1,"trouble":"lose-disk","ms":5,"who":"ed1"},
              {"at":1,"trouble":"origin-crash","ms":5,"who":"st1"},{"at":-1,"trouble":"kill","ms":5}]}""".getBytes(), faults);
-        assertEquals(List.of("/steps/0/trouble", "/steps/1/at", "/steps/1/who", "/steps/2/who", "/steps/3/who", "/steps/4/at", "/steps/4/who"),
-            faults.stream().map(rv.base.Finding::place).toList());
+        assertEquals(
+                List.of(
+                        "/steps/0/trouble",
+                        "/steps/1/at",
+                        "/steps/1/who",
+                        "/steps/2/who",
+                        "/steps/3/who",
+                        "/steps/4/at",
+                        "/steps/4/who"),
+                faults.stream().map(rv.base.Finding::place).toList());
     }
 }
--- a/rig/src/test/java/rv/rig/ProofTest.java
+++ b/rig/src/test/java/rv/rig/ProofTest.java
@@ -24,7 +24,9 @@
     private static Map<String, String> sources() throws IOException {
         final Map<String, String> map = new TreeMap<>();
         try (Stream<Path> all = Files.walk(TOP)) {
-            for (final Path p : all.filter(f -> f.toString().endsWith(".java") && !f.toString().contains("target")).toList()) {
+            for (final Path p : all.filter(
+                            f -> f.toString().endsWith(".java") && !f.toString().contains("target"))
+                    .toList()) {
                 map.merge(p.getFileName().toString().replace(".java", ""), Files.readString(p), String::concat);
             }
         }
@@ -39,9 +41,12 @@
         final Matcher m = Pattern.compile("`([^`]+)`").matcher(Files.readString(TOP.resolve("docs/PROOF.md")));
         while (m.find()) {
             final String name = m.group(1);
-            final boolean there = name.contains("/") ? Files.exists(TOP.resolve(name))
-                : name.contains("#") ? code.getOrDefault(name.substring(0, name.indexOf('#')), "").contains("void " + name.substring(name.indexOf('#') + 1) + "(")
-                : !name.matches("[A-Z]\\w+") || code.containsKey(name);
+            final boolean there = name.contains("/")
+                    ? Files.exists(TOP.resolve(name))
+                    : name.contains("#")
+                            ? code.getOrDefault(name.substring(0, name.indexOf('#')), "")
+                                    .contains("void " + name.substring(name.indexOf('#') + 1) + "(")
+                            : !name.matches("[A-Z]\\w+") || code.containsKey(name);
             seen++;
             if (!there) {
                 missing.add(name);
--- a/rig/src/test/java/rv/rig/RemovalsTest.java
+++ b/rig/src/test/java/rv/rig/RemovalsTest.java
@@ -16,7 +16,9 @@
 
 /** Each rule has a removal; all fit the source; the quick ones are taken out here, the rest by {@code bin/rwremovals}. */
 class RemovalsTest {
-    private static final List<String> HERE = List.of("digest-not-compared", "pace-doubled", "grants-held-at-once", "old-intents-run");
+    private static final List<String> HERE =
+            List.of("digest-not-compared", "pace-doubled", "grants-held-at-once", "old-intents-run");
+
     @TempDir
     private Path dir;
 
@@ -25,8 +27,10 @@
         final List<Finding> faults = new ArrayList<>();
         final Map<String, Removals.Removal> all = Removals.all(faults);
         assertEquals(List.of(), faults);
-        final Set<String> rules = all.values().stream().map(Removals.Removal::rule).collect(Collectors.toCollection(TreeSet::new));
-        for (final String rule : List.of("1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12", "D1", "D2", "D3", "D4")) {
+        final Set<String> rules =
+                all.values().stream().map(Removals.Removal::rule).collect(Collectors.toCollection(TreeSet::new));
+        for (final String rule :
+                List.of("1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12", "D1", "D2", "D3", "D4")) {
             assertTrue(rules.contains(rule), "rule " + rule);
         }
     }
@@ -34,17 +38,24 @@
     @Test
     void aRuleTakenOutIsCaught() throws Exception {
         final Map<String, Removals.Removal> all = Removals.all(new ArrayList<>());
-        final Map<String, String> ends = Removals.run(HERE.stream().map(all::get).toList(), dir, 2);
+        final Map<String, String> ends =
+                Removals.run(HERE.stream().map(all::get).toList(), dir, 2);
         assertEquals(Set.of("caught"), Set.copyOf(ends.values()), ends.toString());
     }
 
     /** A change that takes nothing out must not count as caught. */
     @Test
     void nothingTakenOutIsNotCaught() throws Exception {
-        final Removals.Removal none = new Removals.Removal("none", "1", "data/src/main/java/rv/data/Pacer.java", "1000.0 / (rate * share)",
-            "1000.0 / (share * rate)", "LeaseTest#fourHoldersSharesAddUpToTheRateInEveryWindow");
+        final Removals.Removal none = new Removals.Removal(
+                "none",
+                "1",
+                "data/src/main/java/rv/data/Pacer.java",
+                "1000.0 / (rate * share)",
+                "1000.0 / (share * rate)",
+                "LeaseTest#fourHoldersSharesAddUpToTheRateInEveryWindow");
         assertEquals("NOT CAUGHT", Removals.caught(none, dir));
-        final Removals.Removal nobody = new Removals.Removal("nobody", "1", none.file(), none.find(), none.put(), "NoSuchTest#here");
+        final Removals.Removal nobody =
+                new Removals.Removal("nobody", "1", none.file(), none.find(), none.put(), "NoSuchTest#here");
         assertTrue(Removals.caught(nobody, dir).startsWith("NOT RUN"));
     }
 }
--- a/rig/src/test/java/rv/rig/ReturnTest.java
+++ b/rig/src/test/java/rv/rig/ReturnTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import rv.rig.sim.Town;
+import rv.rig.sim.SimCluster;
 
 /** How soon a network serves again after all its power was lost. */
 class ReturnTest {
@@ -15,7 +15,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void whatDisksHoldIsFinishedAtOnceAfterAllPowerWasLost(final long seed) {
         final Place place = seed % 2 == 0 ? Place.coastline() : Place.kilimanjaro();
-        final Town town = new Town(place, seed).open();
+        final SimCluster town = new SimCluster(place, seed).open();
         town.run(2000);
         town.crowd().factor(1e-6);
         final List<String> all = new ArrayList<>(town.nodes().keySet());
@@ -26,20 +26,26 @@
         long seen = -1;
         while (seen < 0 && town.world().now() - from < 10_000) {
             town.run(20);
-            seen = town.nodes().values().stream().allMatch(n -> n.node().sync().fresh() && !n.node().view().rows().isEmpty()) ? town.world().now() - from : -1;
+            seen = town.nodes().values().stream()
+                            .allMatch(n -> n.node().sync().fresh()
+                                    && !n.node().view().rows().isEmpty())
+                    ? town.world().now() - from
+                    : -1;
         }
         assertTrue(seen >= 0 && seen <= 400, "all nodes confirmed after " + seen + " ms");
     }
 
-    private static List<String> owners(final Town town) {
-        return town.node("ed1").node().view().plan().parts().stream().map(p -> p.owner() + " " + p.token()).toList();
+    private static List<String> owners(final SimCluster town) {
+        return town.node("ed1").node().view().plan().parts().stream()
+                .map(p -> p.owner() + " " + p.token())
+                .toList();
     }
 
     /** Who holds what stays as it was: that some are heard of a moment later than others is no reason to move anything. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void nothingMovesWhenAllComeBack(final long seed) {
-        final Town town = new Town(seed % 2 == 0 ? Place.coastline() : Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(seed % 2 == 0 ? Place.coastline() : Place.kilimanjaro(), seed).open();
         town.run(4000);
         town.crowd().factor(1e-6);
         final List<String> before = owners(town);
--- a/rig/src/test/java/rv/rig/SharesTest.java
+++ b/rig/src/test/java/rv/rig/SharesTest.java
@@ -12,10 +12,10 @@
 import rv.base.Kind;
 import rv.control.Json;
 import rv.control.Plan;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.rig.judge.Judge;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 /** A hot shard gets the part of a store's rate that it wants, and the ceiling holds while parts change hands. */
 class SharesTest {
@@ -23,16 +23,44 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void sharesFollowDemandAndTheCeilingHolds(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         town.crowd().factor(0.02);
         town.staff().stop();
         final byte[] service = "{\"kind\":\"content\",\"rate\":12}".getBytes();
-        final byte[] route = Json.text(Log.row("prefix", "/hot/", "service", "hot", "mode", "cached", "lifetimeMs", 1)).getBytes();
-        town.node("ed1").post(() -> town.node("ed1").node().clerk().put(new ItemId(Kind.SERVICE, "hot"), service, 0, "s", x ->
-            town.log().add(Log.row("log", "op", "t", town.world().now(), "end", town.world().now(), "what", "put", "item", "SERVICE/hot", "service", "hot",
-                "rate", 12.0, "status", x.status(), "version", 1))));
+        final byte[] route = Json.text(Log.row("prefix", "/hot/", "service", "hot", "mode", "cached", "lifetimeMs", 1))
+                .getBytes();
+        town.node("ed1")
+                .post(() -> town.node("ed1")
+                        .node()
+                        .clerk()
+                        .put(
+                                new ItemId(Kind.SERVICE, "hot"),
+                                service,
+                                0,
+                                "s",
+                                x -> town.log()
+                                        .add(Log.row(
+                                                "log",
+                                                "op",
+                                                "t",
+                                                town.world().now(),
+                                                "end",
+                                                town.world().now(),
+                                                "what",
+                                                "put",
+                                                "item",
+                                                "SERVICE/hot",
+                                                "service",
+                                                "hot",
+                                                "rate",
+                                                12.0,
+                                                "status",
+                                                x.status(),
+                                                "version",
+                                                1))));
         town.run(500);
-        town.node("ed1").post(() -> town.node("ed1").node().clerk().put(new ItemId(Kind.ROUTE, "hot"), route, 0, "r", s -> { }));
+        town.node("ed1")
+                .post(() -> town.node("ed1").node().clerk().put(new ItemId(Kind.ROUTE, "hot"), route, 0, "r", s -> {}));
         town.origin("hot1", "hot", "content");
         town.origin("hot2", "hot", "content");
         town.run(3000);
@@ -42,7 +70,10 @@
             final Plan plan = town.node("ed1").node().view().plan();
             final List<String> paths = new ArrayList<>();
             for (int i = 0; paths.size() < 40; i++) {
-                if (plan.parts().get(Plan.shard("hot", "hot", "/hot/" + i, 32)).owner().equals(holder)) {
+                if (plan.parts()
+                        .get(Plan.shard("hot", "hot", "/hot/" + i, 32))
+                        .owner()
+                        .equals(holder)) {
                     paths.add("/hot/" + i);
                 }
             }
@@ -51,7 +82,11 @@
                 for (int i = 0; i < 600; i++) {
                     final SimNode ed = town.node("ed" + (1 + i % 11));
                     final String path = paths.get(i % paths.size());
-                    ed.post(() -> ed.node().edge().take(new Ask("GET", path, null, new byte[0], ""), a -> done[at] += a.status() == 200 ? 1 : 0));
+                    ed.post(() -> ed.node()
+                            .edge()
+                            .take(
+                                    new ClientRequest("GET", path, null, new byte[0], ""),
+                                    a -> done[at] += a.status() == 200 ? 1 : 0));
                     town.run(20);
                 }
             }
@@ -67,7 +102,7 @@
     /** What a plan's weights come to is never more than the whole, whatever step they are at. */
     @Test
     void weightsNeverPassTheWhole() {
-        final Town town = new Town(Place.coastline(), 4).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 4).open();
         town.run(20_000);
         for (final String n : List.of("sh1", "st1", "ed1")) {
             final Plan plan = town.node(n).node().view().plan();
--- a/rig/src/test/java/rv/rig/ShieldDayTest.java
+++ b/rig/src/test/java/rv/rig/ShieldDayTest.java
@@ -22,22 +22,38 @@
     private static final List<Long> SEEDS = List.of(1L, 2L, 3L);
     /** Rates there hold for all origins of a service together: rule 16 in the place of rule 9. */
     private static final int NO_RULE = 9;
+
     private static final Map<String, Long> MET = new ConcurrentHashMap<>();
 
     @ParameterizedTest
-    @CsvSource({"kilimanjaro-shields,1", "kilimanjaro-shields,2", "kilimanjaro-shields,3", "coastline-shields,1", "coastline-shields,2", "coastline-shields,3"})
+    @CsvSource({
+        "kilimanjaro-shields,1",
+        "kilimanjaro-shields,2",
+        "kilimanjaro-shields,3",
+        "coastline-shields,1",
+        "coastline-shields,2",
+        "coastline-shields,3"
+    })
     void aDayKeepsEveryRule(final String place, final long seed) {
         final Play play = new Play(Script.day(Place.of(place), seed, COUNT, 3000), seed);
         final Judge judge = new Judge(play.run());
         assertTrue(judge.clean(), judge.text(3));
         assertEquals(List.of(), play.missed());
-        judge.verdicts().stream().filter(v -> v.rule() != NO_RULE).forEach(v -> MET.merge(place + " rule " + v.rule(), v.checked(), Long::sum));
-        System.out.println(place + " " + seed + "\n" + String.join("\n", judge.verdicts().stream().map(Verdict::line).toList()));
+        judge.verdicts().stream()
+                .filter(v -> v.rule() != NO_RULE)
+                .forEach(v -> MET.merge(place + " rule " + v.rule(), v.checked(), Long::sum));
+        System.out.println(place + " " + seed + "\n"
+                + String.join("\n", judge.verdicts().stream().map(Verdict::line).toList()));
     }
 
     @AfterAll
     static void everyRuleWasMet() {
-        assertEquals(List.of(), MET.entrySet().stream().filter(e -> e.getValue() == 0).map(Map.Entry::getKey).toList());
+        assertEquals(
+                List.of(),
+                MET.entrySet().stream()
+                        .filter(e -> e.getValue() == 0)
+                        .map(Map.Entry::getKey)
+                        .toList());
     }
 
     @Test
--- a/rig/src/test/java/rv/rig/ShieldRunTest.java
+++ b/rig/src/test/java/rv/rig/ShieldRunTest.java
@@ -27,18 +27,18 @@
 import rv.control.Origin;
 import rv.control.Purge;
 import rv.data.Answer;
-import rv.data.Ask;
+import rv.data.ClientRequest;
 import rv.rig.judge.Judge;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 /** Networks without stores: three shields vote, each with a disk, and operators state versions of their own. */
 class ShieldRunTest {
     private static final ItemId ROUTE = new ItemId(Kind.ROUTE, "more");
     private static final List<String> ELECTORS = List.of("sh1", "sh2", "sh3");
 
-    private static Town quiet(final Place place, final long seed) {
-        final Town town = new Town(place, seed).open();
+    private static SimCluster quiet(final Place place, final long seed) {
+        final SimCluster town = new SimCluster(place, seed).open();
         town.patcher().stop();
         return town;
     }
@@ -48,31 +48,53 @@
     }
 
     private static String patch(final Place place, final long ver, final String note) {
-        return Json.text(Map.of("set", Map.of("routes", Map.of(ROUTE.name(), Log.row("host", "shop.example", "prefix", "/more/", "service",
-            place.kin().get(0).service(), "mode", "cached", "lifetimeMs", 500, "any", true, "version", ver, "note", note)))));
+        return Json.text(Map.of(
+                "set",
+                Map.of(
+                        "routes",
+                        Map.of(
+                                ROUTE.name(),
+                                Log.row(
+                                        "host",
+                                        "shop.example",
+                                        "prefix",
+                                        "/more/",
+                                        "service",
+                                        place.kin().get(0).service(),
+                                        "mode",
+                                        "cached",
+                                        "lifetimeMs",
+                                        500,
+                                        "any",
+                                        true,
+                                        "version",
+                                        ver,
+                                        "note",
+                                        note)))));
     }
 
     private static String drop(final long ver) {
         return Json.text(Map.of("drop", Map.of("routes", Map.of(ROUTE.name(), ver))));
     }
 
-    private static void state(final Town town, final String at, final String text, final List<Integer> said) {
+    private static void state(final SimCluster town, final String at, final String text, final List<Integer> said) {
         final SimNode n = town.node(at);
         n.post(() -> n.node().orders().patch(text.getBytes(StandardCharsets.UTF_8), s -> said.add(s.status())));
     }
 
     /** Version and note of the route at every node. */
-    private static Set<String> seen(final Town town) {
+    private static Set<String> seen(final SimCluster town) {
         final Set<String> all = new TreeSet<>();
         town.nodes().values().forEach(n -> {
             final Item i = n.node().held().get(ROUTE);
-            all.add(i.ver().n() + " " + (i.live() ? Json.read(i.body(), Map.class).get("note") : "gone"));
+            all.add(i.ver().n() + " "
+                    + (i.live() ? Json.read(i.body(), Map.class).get("note") : "gone"));
         });
         return all;
     }
 
     /** All power lost: what stands afterwards stood on disks. */
-    private static void restarted(final Town town) {
+    private static void restarted(final SimCluster town) {
         List.copyOf(town.nodes().keySet()).forEach(n -> town.power(n, 1000));
         town.run(9000);
     }
@@ -88,7 +110,7 @@
     void anElectorWhoseDiskWasLostDoesNotVoteBeforeItIsRebuilt(final String blank) {
         final String down = blank.equals("sh1") ? "sh2" : "sh1";
         final String left = blank.equals("sh3") ? "sh2" : "sh3";
-        final Town town = quiet(place(blank.hashCode()), 3);
+        final SimCluster town = quiet(place(blank.hashCode()), 3);
         town.node(down).kill();
         town.loseDisk(blank, 500);
         town.run(3000);
@@ -98,7 +120,9 @@
             town.run(300);
             assertFalse(town.node(blank).node().elector().full());
             final Msg p = told(town.node(blank), new Msg.Prepare(ROUTE, new Ballot(1_000_000, "z")));
-            final Msg a = told(town.node(blank), new Msg.Accept(new Ballot(1_000_000, "z"), Item.none(ROUTE).next("{}", "z"), null));
+            final Msg a = told(
+                    town.node(blank),
+                    new Msg.Accept(new Ballot(1_000_000, "z"), Item.none(ROUTE).next("{}", "z"), null));
             assertEquals(List.of(new Msg.Nay("amnesia"), new Msg.Nay("amnesia")), List.of(p, a));
         }
         assertFalse(said.contains(200), said.toString());
@@ -127,46 +151,88 @@
     /** In the instant in which a write and a keyed request were answered: one disk lost, whatever else loses power. */
     @ParameterizedTest
     @MethodSource("losses")
-    void anyOneDiskLostRightAfterTheAnswerLosesNothing(final String who, final String power, final boolean first, final long seed) {
-        final Town town = quiet(place(seed), seed);
+    void anyOneDiskLostRightAfterTheAnswerLosesNothing(
+            final String who, final String power, final boolean first, final long seed) {
+        final SimCluster town = quiet(place(seed), seed);
         town.net().slow(seed % 3 == 0 ? 80 : 0);
         town.run(1000);
         final String victim = who.equals("authority") ? town.boss() : who;
         final List<Integer> disks = new ArrayList<>();
-        final Place.Way w = town.place().ways().stream().filter(x -> x.mode().equals("once")).findFirst().orElseThrow();
-        final Ask ask = new Ask("POST", w.host(), w.prefix() + "1", "the-key", "{}".getBytes(), "application/json", "a-own", 2000, null, Map.of());
+        final Place.EdgeRouting w = town.place().ways().stream()
+                .filter(x -> x.mode().equals("once"))
+                .findFirst()
+                .orElseThrow();
+        final ClientRequest ask = new ClientRequest(
+                "POST",
+                w.host(),
+                w.prefix() + "1",
+                "the-key",
+                "{}".getBytes(),
+                "application/json",
+                "a-own",
+                2000,
+                null,
+                Map.of());
         final List<String> bodies = new ArrayList<>();
         final int[] left = {2};
         final Runnable lose = () -> {
             if (--left[0] > 0) {
                 return;
             }
-            final List<String> gone = new ArrayList<>(power.equals("all") ? town.nodes().keySet() : power.equals("shields")
-                ? town.nodes().keySet().stream().filter(n -> n.startsWith("sh")).toList() : List.of(victim));
+            final List<String> gone = new ArrayList<>(
+                    power.equals("all")
+                            ? town.nodes().keySet()
+                            : power.equals("shields")
+                                    ? town.nodes().keySet().stream()
+                                            .filter(n -> n.startsWith("sh"))
+                                            .toList()
+                                    : List.of(victim));
             gone.forEach(n -> town.power(n, n.equals(victim) ? first ? 300 : 2500 : 900 + seed * 37 % 500));
             town.node(victim).disk().lose();
         };
-        town.node("ed1").post(() -> town.node("ed1").node().edge().take(ask, a -> {
-            bodies.add(a.fate() + new String(a.body(), StandardCharsets.UTF_8));
-            lose.run();
-        }));
+        town.node("ed1")
+                .post(() -> town.node("ed1").node().edge().take(ask, a -> {
+                    bodies.add(a.fate() + new String(a.body(), StandardCharsets.UTF_8));
+                    lose.run();
+                }));
         final SimNode at = town.node("sh4");
-        final Map<String, Object> sent = Log.row("log", "op", "what", "sent", "t", town.world().now(), "end", town.world().now(), "item", ROUTE.text(),
-            "version", 9, "note", "x", "status", 0);
+        final Map<String, Object> sent = Log.row(
+                "log",
+                "op",
+                "what",
+                "sent",
+                "t",
+                town.world().now(),
+                "end",
+                town.world().now(),
+                "item",
+                ROUTE.text(),
+                "version",
+                9,
+                "note",
+                "x",
+                "status",
+                0);
         town.log().add(sent);
         at.post(() -> at.node().orders().patch(patch(town.place(), 9, "x").getBytes(StandardCharsets.UTF_8), s -> {
             final Map<String, Object> put = new LinkedHashMap<>(sent);
             put.putAll(Log.row("what", "put", "end", town.world().now(), "status", s.status()));
             town.log().add(put);
             assertEquals(200, s.status());
-            disks.add((int) ELECTORS.stream().filter(e -> town.node(e).disk().has("e/" + ROUTE.text())).count());
+            disks.add((int) ELECTORS.stream()
+                    .filter(e -> town.node(e).disk().has("e/" + ROUTE.text()))
+                    .count());
             lose.run();
         }));
         town.run(20_000);
         assertTrue(disks.size() == 1 && disks.get(0) >= 2, "on " + disks + " disks when it was answered");
         assertEquals(Set.of("9 x"), seen(town));
         ELECTORS.forEach(e -> assertTrue(town.node(e).node().elector().full(), e));
-        town.node("ed2").post(() -> town.node("ed2").node().edge().take(ask, a -> bodies.add(a.fate() + new String(a.body(), StandardCharsets.UTF_8))));
+        town.node("ed2")
+                .post(() -> town.node("ed2")
+                        .node()
+                        .edge()
+                        .take(ask, a -> bodies.add(a.fate() + new String(a.body(), StandardCharsets.UTF_8))));
         town.run(3000);
         assertEquals(2, bodies.size());
         assertTrue(bodies.get(0).startsWith(Answer.DONE), bodies.get(0));
@@ -179,12 +245,14 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void ofTwoOperatorsWithOneVersionOneWinsEverywhere(final long seed) {
-        final Town town = quiet(place(seed), seed);
+        final SimCluster town = quiet(place(seed), seed);
         town.net().slow(seed % 3 * 40);
         if (seed > 4) {
             town.node(ELECTORS.get((int) seed % 3)).kill();
         }
-        final List<String> up = town.nodes().keySet().stream().filter(n -> n.startsWith("sh") && town.node(n).alive()).toList();
+        final List<String> up = town.nodes().keySet().stream()
+                .filter(n -> n.startsWith("sh") && town.node(n).alive())
+                .toList();
         final List<Integer> said = new ArrayList<>();
         for (int i = 1; i <= 5; i++) {
             state(town, up.get(0), patch(town.place(), 7 + i, "left" + i), said);
@@ -205,12 +273,14 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void twoOperatorsAtOnceAreBothAnsweredOverSlowLinks(final long seed) {
-        final Town town = quiet(place(seed), seed);
+        final SimCluster town = quiet(place(seed), seed);
         town.crowd().factor(0.05);
         town.net().slow(120);
         town.node(ELECTORS.get((int) seed % 3)).kill();
         town.run(3000);
-        final List<String> up = town.nodes().keySet().stream().filter(n -> n.startsWith("sh") && town.node(n).alive()).toList();
+        final List<String> up = town.nodes().keySet().stream()
+                .filter(n -> n.startsWith("sh") && town.node(n).alive())
+                .toList();
         final List<Integer> said = new ArrayList<>();
         for (int i = 1; i <= 6; i++) {
             state(town, up.get(0), patch(town.place(), 7 + i, "left" + i), said);
@@ -225,7 +295,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void anOlderVersionThatComesLateAltersNothing(final long seed) {
-        final Town town = quiet(place(seed), seed);
+        final SimCluster town = quiet(place(seed), seed);
         final List<Integer> said = new ArrayList<>();
         state(town, "sh1", patch(town.place(), 20, "new"), said);
         town.run(1000);
@@ -248,25 +318,30 @@
     /** A beat that comes late does not bring back an origin that is leaving or has ended. */
     @Test
     void aLateBeatBringsNoOriginBack() {
-        final Town town = quiet(Place.kilimanjaroShields(), 2);
+        final SimCluster town = quiet(Place.kilimanjaroShields(), 2);
         final String service = town.place().kin().get(0).service();
         final List<Integer> said = new ArrayList<>();
         final Origin ready = new Origin(service, "127.9.9.9", 80, "i-own", "open", 0, 0, false, 4, "", 8, 0);
         final Origin out = new Origin(service, "127.9.9.9", 80, "i-own", "open", 0, 0, true, 5, "", 8, 0);
         final Origin late = new Origin(service, "127.9.9.9", 80, "i-own", "open", 0, 0, false, 6, "", 8, 0);
         final List<Runnable> steps = List.of(
-            () -> town.node("sh1").node().registry().beat("i-own", ready, s -> said.add(s.status())),
-            () -> town.node("sh2").node().registry().beat("i-own", out, s -> said.add(s.status())),
-            () -> town.node("sh3").node().registry().beat("i-own", ready, s -> said.add(s.status())),
-            () -> town.node("sh4").node().registry().beat("i-own", late, s -> said.add(s.status())),
-            () -> town.node("sh1").node().registry().end("i-own", s -> said.add(s.status())),
-            () -> town.node("sh2").node().registry().beat("i-own", late, s -> said.add(s.status())));
+                () -> town.node("sh1").node().registry().beat("i-own", ready, s -> said.add(s.status())),
+                () -> town.node("sh2").node().registry().beat("i-own", out, s -> said.add(s.status())),
+                () -> town.node("sh3").node().registry().beat("i-own", ready, s -> said.add(s.status())),
+                () -> town.node("sh4").node().registry().beat("i-own", late, s -> said.add(s.status())),
+                () -> town.node("sh1").node().registry().end("i-own", s -> said.add(s.status())),
+                () -> town.node("sh2").node().registry().beat("i-own", late, s -> said.add(s.status())));
         for (int i = 0; i < steps.size(); i++) {
             town.node("sh1").post(steps.get(i));
             town.run(1000);
             final boolean there = i == 0;
-            town.nodes().values().forEach(n -> assertEquals(there, n.node().view().live(service, n.now()).keySet().stream()
-                .anyMatch(o -> o.name().equals("i-own")), n.id().text()));
+            town.nodes()
+                    .values()
+                    .forEach(n -> assertEquals(
+                            there,
+                            n.node().view().live(service, n.now()).keySet().stream()
+                                    .anyMatch(o -> o.name().equals("i-own")),
+                            n.id().text()));
         }
         assertEquals(List.of(200, 200, 200, 200, 200, 200), said);
     }
@@ -275,7 +350,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void anElectorThatMissedAWriteDoesNotSpeakForItAlone(final long seed) {
-        final Town town = quiet(place(seed), seed);
+        final SimCluster town = quiet(place(seed), seed);
         final String away = ELECTORS.get((int) (seed % 3));
         final String victim = ELECTORS.get((int) ((seed + 1) % 3));
         final String other = ELECTORS.get((int) ((seed + 2) % 3));
@@ -285,7 +360,9 @@
         state(town, other, patch(town.place(), 9, "x"), said);
         town.run(1000);
         assertEquals(List.of(200), said);
-        List.copyOf(town.nodes().keySet()).stream().filter(n -> town.node(n).alive()).forEach(n -> town.power(n, 0));
+        List.copyOf(town.nodes().keySet()).stream()
+                .filter(n -> town.node(n).alive())
+                .forEach(n -> town.power(n, 0));
         town.node(victim).disk().lose();
         town.nodes().keySet().stream().filter(n -> !n.equals(other)).forEach(town::start);
         town.run(6000);
@@ -299,15 +376,35 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aPurgeByTagOrPathEndsTheCopiesItNames(final boolean wide) {
-        final Town town = quiet(Place.kilimanjaroShields(), 4);
+        final SimCluster town = quiet(Place.kilimanjaroShields(), 4);
         town.crowd().factor(0.001);
         town.run(3000);
-        final Place.Way w = town.place().ways().stream().filter(x -> x.route().equals("catalogue")).findFirst().orElseThrow();
+        final Place.EdgeRouting w = town.place().ways().stream()
+                .filter(x -> x.route().equals("catalogue"))
+                .findFirst()
+                .orElseThrow();
         final String path = w.prefix() + "78";
         final List<String> said = new ArrayList<>();
-        final Runnable ask = () -> List.of("ed1", "ed2", "ed3").forEach(e -> town.node(e).post(() -> town.node(e).node().edge().take(
-            new Ask("GET", w.host(), path, null, new byte[0], "", "p-" + e + said.size(), 1000, null, Map.of()),
-            a -> said.add(a.status() + " " + Json.read(new String(a.body(), StandardCharsets.UTF_8), Map.class).get("rev")))));
+        final Runnable ask = () -> List.of("ed1", "ed2", "ed3")
+                .forEach(e -> town.node(e)
+                        .post(() -> town.node(e)
+                                .node()
+                                .edge()
+                                .take(
+                                        new ClientRequest(
+                                                "GET",
+                                                w.host(),
+                                                path,
+                                                null,
+                                                new byte[0],
+                                                "",
+                                                "p-" + e + said.size(),
+                                                1000,
+                                                null,
+                                                Map.of()),
+                                        a -> said.add(a.status() + " "
+                                                + Json.read(new String(a.body(), StandardCharsets.UTF_8), Map.class)
+                                                        .get("rev")))));
         ask.run();
         town.run(500);
         town.stock("shelf").change(path);
@@ -315,7 +412,8 @@
         town.run(500);
         final List<Integer> purged = new ArrayList<>();
         final Purge other = new Purge(null, path + "9", null, w.host(), null);
-        final Purge what = wide ? new Purge(null, null, null, null, Stock.tag(path)) : new Purge(null, path, null, w.host(), null);
+        final Purge what =
+                wide ? new Purge(null, null, null, null, Stock.tag(path)) : new Purge(null, path, null, w.host(), null);
         town.node("sh2").post(() -> town.node("sh2").node().orders().purge(other, s -> purged.add(s.status())));
         town.run(1000);
         ask.run();
@@ -333,7 +431,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void theCeilingHoldsForAllOriginsTogetherUnderASurge(final long seed) {
-        final Town town = new Town(place(seed), seed).open();
+        final SimCluster town = new SimCluster(place(seed), seed).open();
         town.crowd().factor(5);
         town.run(12_000);
         town.crowd().factor(0.001);
--- a/rig/src/test/java/rv/rig/StopTest.java
+++ b/rig/src/test/java/rv/rig/StopTest.java
@@ -6,15 +6,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import rv.data.Ask;
+import rv.data.ClientRequest;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 /** An edge that stops leaves nobody without an answer. */
 class StopTest {
     @Test
     void aLeavingEdgeEndsOnlyOnceNoRequestHasComeForAWhile() {
-        final Town town = new Town(Place.kilimanjaro(), 1).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 1).open();
         town.crowd().factor(1e-6);
         town.staff().stop();
         final SimNode ed = town.node("ed1");
@@ -24,7 +24,9 @@
         ed.post(() -> ed.node().leave(4000, () -> over.add(town.world().now() - from)));
         for (int i = 0; i < 17; i++) {
             town.run(100);
-            ed.post(() -> ed.node().edge().take(new Ask("GET", "/stock/1", null, new byte[0], ""), a -> said.add(a.status())));
+            ed.post(() -> ed.node()
+                    .edge()
+                    .take(new ClientRequest("GET", "/stock/1", null, new byte[0], ""), a -> said.add(a.status())));
         }
         town.run(3000);
         assertEquals(17, said.size());
--- a/rig/src/test/java/rv/rig/StormTest.java
+++ b/rig/src/test/java/rv/rig/StormTest.java
@@ -5,27 +5,29 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import rv.control.Clerk;
+import rv.control.ItemService;
 import rv.control.Purge;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 class StormTest {
     /** There is a write under way at every moment; those that were not when the question came do not matter. */
     @Test
     void framesStayConfirmedUnderAStreamOfWrites() {
-        final Town town = new Town(Place.coastline(), 1).open();
+        final SimCluster town = new SimCluster(Place.coastline(), 1).open();
         town.crowd().factor(0.02);
         town.staff().stop();
         town.run(1000);
-        final List<Clerk.Said> said = new ArrayList<>();
+        final List<ItemService.ApiResult> said = new ArrayList<>();
         int stale = 0;
         for (int i = 0; i < 600; i++) {
             final SimNode door = town.node("ed" + (1 + i % 5));
             final Purge p = new Purge(null, "/page/" + i, null, "shop.example", null);
             door.post(() -> door.node().orders().purge(p, said::add));
             town.run(10);
-            stale += town.nodes().values().stream().filter(n -> !n.node().sync().fresh()).count();
+            stale += town.nodes().values().stream()
+                    .filter(n -> !n.node().sync().fresh())
+                    .count();
         }
         town.run(2000);
         assertEquals(0, stale, "nodes with a stale frame, each 10 ms");
--- a/rig/src/test/java/rv/rig/VersionsTest.java
+++ b/rig/src/test/java/rv/rig/VersionsTest.java
@@ -16,13 +16,24 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import rv.base.NodeId;
 import rv.rig.judge.Judge;
-import rv.rig.sim.Town;
+import rv.rig.sim.SimCluster;
 
 /** Nodes of two versions in one network: one lacks the members that came last, the other says members unknown here. */
 class VersionsTest {
     private static final ObjectMapper CBOR = new CBORMapper();
-    private static final Map<String, List<String>> YOUNG = Map.of("Renew", List.of("serial", "wishes"), "Give", List.of("want"), "Memory",
-        List.of("lives", "age"), "Reread", List.of("sole"), "KeepRead", List.of("boot"), "Accept", List.of("next"));
+    private static final Map<String, List<String>> YOUNG = Map.of(
+            "Renew",
+            List.of("serial", "wishes"),
+            "Give",
+            List.of("want"),
+            "Memory",
+            List.of("lives", "age"),
+            "Reread",
+            List.of("sole"),
+            "KeepRead",
+            List.of("boot"),
+            "Accept",
+            List.of("next"));
     private static final Set<String> OLD = Set.of("st2", "sh3", "sh4", "ed1", "ed2", "ed3", "ed4");
 
     private static byte[] older(final NodeId from, final byte[] data) {
@@ -44,7 +55,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void twoVersionsKeepEveryRuleTogether(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed);
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed);
         town.net().word(VersionsTest::older);
         town.open();
         town.run(5000);
@@ -54,8 +65,12 @@
         town.run(9000);
         town.kill("sh1", 1000);
         town.run(6000);
-        final long asked = town.log().rows().stream().filter(r -> "req".equals(r.get("log"))).count();
-        final long done = town.log().rows().stream().filter(r -> "req".equals(r.get("log")) && "done".equals(r.get("fate"))).count();
+        final long asked = town.log().rows().stream()
+                .filter(r -> "req".equals(r.get("log")))
+                .count();
+        final long done = town.log().rows().stream()
+                .filter(r -> "req".equals(r.get("log")) && "done".equals(r.get("fate")))
+                .count();
         assertTrue(done > asked * 0.9, done + " of " + asked);
         final Judge judge = new Judge(town.close());
         assertTrue(judge.clean(), judge.text(3));
--- a/rig/src/test/java/rv/rig/WalkTest.java
+++ b/rig/src/test/java/rv/rig/WalkTest.java
@@ -12,8 +12,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
 
 /** The README's walk-through, run as it stands, on addresses of its own. */
 @Isolated
@@ -23,14 +23,22 @@
 
     private String walk(final String page, final int net) throws Exception {
         final StringBuilder script = new StringBuilder("trap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n");
-        final Matcher m = Pattern.compile("```sh\n(.*?)```", Pattern.DOTALL).matcher(Files.readString(Path.of("..", page)));
+        final Matcher m =
+                Pattern.compile("```sh\n(.*?)```", Pattern.DOTALL).matcher(Files.readString(Path.of("..", page)));
         while (m.find()) {
             script.append(m.group(1));
         }
         final Path file = Files.writeString(dir.resolve("walk.sh"), script);
         final File out = dir.resolve("out").toFile();
-        final ProcessBuilder b = new ProcessBuilder("bash", file.toString()).directory(new File("..")).redirectErrorStream(true).redirectOutput(out);
-        b.environment().put("NET", "127." + (net + ProcessHandle.current().pid() % 50) + "." + ProcessHandle.current().pid() / 50 % 250);
+        final ProcessBuilder b = new ProcessBuilder("bash", file.toString())
+                .directory(new File(".."))
+                .redirectErrorStream(true)
+                .redirectOutput(out);
+        b.environment()
+                .put(
+                        "NET",
+                        "127." + (net + ProcessHandle.current().pid() % 50) + "."
+                                + ProcessHandle.current().pid() / 50 % 250);
         b.environment().put("RUN", dir.resolve("run").toString());
         final Process p = b.start();
         final boolean ended = p.waitFor(300, TimeUnit.SECONDS);
@@ -54,11 +62,15 @@
     void theReadmesCommandsDoWhatItSays() throws Exception {
         final String text = walk("README.md", 140);
         final Map<String, Integer> seen = new TreeMap<>();
-        final Matcher s = Pattern.compile("HTTP/1.1 (\\d+)|Rv-Cache: (\\w+)|(version \\d+ in force)").matcher(text);
+        final Matcher s = Pattern.compile("HTTP/1.1 (\\d+)|Rv-Cache: (\\w+)|(version \\d+ in force)")
+                .matcher(text);
         while (s.find()) {
             seen.merge(s.group().replace("HTTP/1.1 ", "").replaceAll("version \\d+", "version"), 1, Integer::sum);
         }
-        assertEquals(Map.of("200", 3, "201", 2, "422", 1, "Rv-Cache: hit", 1, "Rv-Cache: miss", 2, "version in force", 3), seen, text);
+        assertEquals(
+                Map.of("200", 3, "201", 2, "422", 1, "Rv-Cache: hit", 1, "Rv-Cache: miss", 2, "version in force", 3),
+                seen,
+                text);
         assertEquals(1, text.split("\"number\":1", -1).length / 2, "the keyed request ran once: " + text);
     }
 }
--- a/rig/src/test/java/rv/rig/WorstTest.java
+++ b/rig/src/test/java/rv/rig/WorstTest.java
@@ -9,18 +9,18 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import rv.base.Kind;
 import rv.base.ItemId;
-import rv.control.Clerk;
-import rv.data.Ask;
+import rv.base.Kind;
+import rv.control.ItemService;
+import rv.data.ClientRequest;
 import rv.rig.judge.Judge;
 import rv.rig.judge.Verdict;
+import rv.rig.sim.SimCluster;
 import rv.rig.sim.SimNode;
-import rv.rig.sim.Town;
 
 /** Troubles put at the moment that is worst for one rule, swept over offsets and seeds. */
 class WorstTest {
-    private static void clean(final Town town, final int rule) {
+    private static void clean(final SimCluster town, final int rule) {
         final Judge judge = new Judge(town.close());
         assertTrue(judge.clean(), judge.text(3));
         final Verdict v = judge.rule(rule);
@@ -31,7 +31,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void aFreezeDuringTheIdentityCheckSendsNothingToAnOriginThatLeft(final long seed) {
-        final Town town = new Town(Place.kilimanjaro(), seed).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         town.run(1000);
         town.net().slow(250);
         town.origins().get("collect1").kill();
@@ -45,33 +45,75 @@
         clean(town, 8);
     }
 
-    private static Ask post(final String key) {
-        return new Ask("POST", "/reserve/1", key, "{}".getBytes(), "application/json");
+    private static ClientRequest post(final String key) {
+        return new ClientRequest("POST", "/reserve/1", key, "{}".getBytes(), "application/json");
     }
 
-    private static void ask(final Town town, final String edge, final Ask ask, final List<String> got) {
+    private static void ask(final SimCluster town, final String edge, final ClientRequest ask, final List<String> got) {
         final SimNode n = town.node(edge);
         final long t = town.world().now();
         n.post(() -> n.node().edge().take(ask, a -> {
             got.add(a.fate());
-            town.log().add(Log.row("log", "req", "t", t, "end", town.world().now(), "id", got.size(), "node", edge, "mode", "once", "path",
-                ask.path(), "key", ask.key(), "status", a.status(), "fate", a.fate(), "stamp", a.heads().get("rv-stamp"), "request",
-                a.heads().get("rv-request"), "whole", true, "said", ask.path(), "saidKey", ask.key()));
+            town.log()
+                    .add(Log.row(
+                            "log",
+                            "req",
+                            "t",
+                            t,
+                            "end",
+                            town.world().now(),
+                            "id",
+                            got.size(),
+                            "node",
+                            edge,
+                            "mode",
+                            "once",
+                            "path",
+                            ask.path(),
+                            "key",
+                            ask.key(),
+                            "status",
+                            a.status(),
+                            "fate",
+                            a.fate(),
+                            "stamp",
+                            a.heads().get("rv-stamp"),
+                            "request",
+                            a.heads().get("rv-request"),
+                            "whole",
+                            true,
+                            "said",
+                            ask.path(),
+                            "saidKey",
+                            ask.key()));
         }));
     }
 
     /** Rules 1 and 2: a loss at each moment of a keyed request's way, the key asked again through other nodes all along. */
     @ParameterizedTest
-    @CsvSource({"holder,kill", "holder,freeze", "holder,cut", "st1,kill", "st1,lose-disk", "st2,lose-disk", "sh1,kill", "authority,kill",
-        "st2,stall", "origin,lose", "origin,crash", "origin,reset"})
+    @CsvSource({
+        "holder,kill",
+        "holder,freeze",
+        "holder,cut",
+        "st1,kill",
+        "st1,lose-disk",
+        "st2,lose-disk",
+        "sh1,kill",
+        "authority,kill",
+        "st2,stall",
+        "origin,lose",
+        "origin,crash",
+        "origin,reset"
+    })
     void aKeyRunsOnceWhateverIsLostWheneverOnItsWay(final String who, final String what) {
         for (long off = 0; off < 8; off++) {
-            final Town town = new Town(Place.kilimanjaro(), 40 + off).open();
+            final SimCluster town = new SimCluster(Place.kilimanjaro(), 40 + off).open();
             town.net().slow(12);
             town.origins().values().forEach(o -> o.fault("none", 15));
             final String key = "aimed-" + off;
             final int shard = rv.control.Plan.shard("reserve", "reserve", key, 32);
-            final String holder = town.node("ed1").node().view().plan().parts().get(shard).owner();
+            final String holder =
+                    town.node("ed1").node().view().plan().parts().get(shard).owner();
             final String victim = who.equals("holder") ? holder : who.equals("authority") ? town.boss() : who;
             final List<String> got = new ArrayList<>();
             ask(town, "ed1", post(key), got);
@@ -81,14 +123,16 @@
                 town.world().in(i * 700L, () -> ask(town, edge, post(key), got));
             }
             town.run(16_000);
-            final long runs = town.log().rows().stream().filter(r -> "org".equals(r.get("log")) && key.equals(r.get("key"))).count();
+            final long runs = town.log().rows().stream()
+                    .filter(r -> "org".equals(r.get("log")) && key.equals(r.get("key")))
+                    .count();
             assertTrue(runs <= 1, runs + " runs, offset " + off);
             assertTrue(got.size() >= 10, "answers " + got.size());
             clean(town, 1);
         }
     }
 
-    private static void hit(final Town town, final String who, final String what) {
+    private static void hit(final SimCluster town, final String who, final String what) {
         switch (what) {
             case "kill" -> town.kill(who, 2000);
             case "freeze" -> town.freeze(who, 7000);
@@ -102,10 +146,13 @@
                 });
             }
             case "lose" -> town.origins().values().forEach(o -> o.fault("lose", 3));
-            default -> town.origins().values().stream().filter(o -> o.name().startsWith("reserve")).forEach(o -> {
-                o.kill();
-                town.world().in(1500, o::start);
-            });
+            default ->
+                town.origins().values().stream()
+                        .filter(o -> o.name().startsWith("reserve"))
+                        .forEach(o -> {
+                            o.kill();
+                            town.world().in(1500, o::start);
+                        });
         }
     }
 
@@ -114,17 +161,22 @@
     void aRefusedKeyMayRunAfterAMove() {
         int done = 0;
         for (long seed = 1; seed <= 6; seed++) {
-            final Town town = new Town(Place.kilimanjaro(), seed).open();
-            town.origins().values().stream().filter(o -> o.name().startsWith("reserve")).forEach(o -> o.kill());
+            final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
+            town.origins().values().stream()
+                    .filter(o -> o.name().startsWith("reserve"))
+                    .forEach(o -> o.kill());
             town.run(12_000);
             final String key = "again-" + seed;
             final int shard = rv.control.Plan.shard("reserve", "reserve", key, 32);
-            final String holder = town.node("ed1").node().view().plan().parts().get(shard).owner();
+            final String holder =
+                    town.node("ed1").node().view().plan().parts().get(shard).owner();
             final List<String> got = new ArrayList<>();
             ask(town, "ed1", post(key), got);
             town.run(3000);
             assertEquals(List.of("refused"), got);
-            town.origins().values().stream().filter(o -> o.name().startsWith("reserve")).forEach(o -> o.start());
+            town.origins().values().stream()
+                    .filter(o -> o.name().startsWith("reserve"))
+                    .forEach(o -> o.start());
             town.kill(holder, 0);
             town.run(9000);
             ask(town, "ed2", post(key), got);
@@ -140,20 +192,35 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void aNodeThatMissedThePushLearnsInTime(final long seed) {
-        final Town town = new Town(Place.coastline(), seed).open();
+        final SimCluster town = new SimCluster(Place.coastline(), seed).open();
         town.staff().stop();
         final long[] end = {0};
         for (final String n : List.of("ed5", "sh3", "ed9")) {
             town.net().cut("ed1", n);
         }
-        final byte[] body = "{\"prefix\":\"/new/\",\"service\":\"listing\",\"mode\":\"cached\",\"lifetimeMs\":100}".getBytes();
+        final byte[] body =
+                "{\"prefix\":\"/new/\",\"service\":\"listing\",\"mode\":\"cached\",\"lifetimeMs\":100}".getBytes();
         final ItemId id = new ItemId(Kind.ROUTE, "new");
-        town.node("ed1").post(() -> town.node("ed1").node().clerk().put(id, body, 0, "w", s -> end[0] = s.status() == 200 ? town.world().now() : -1));
+        town.node("ed1")
+                .post(() -> town.node("ed1")
+                        .node()
+                        .clerk()
+                        .put(
+                                id,
+                                body,
+                                0,
+                                "w",
+                                s -> end[0] = s.status() == 200 ? town.world().now() : -1));
         town.run(3000);
         assertTrue(end[0] > 0);
         for (final String n : town.nodes().keySet()) {
-            final long at = town.log().rows().stream().filter(r -> "LEARNED".equals(r.get("name")) && n.equals(r.get("node"))
-                && "ROUTE/new".equals(r.get("item"))).mapToLong(r -> ((Number) r.get("t")).longValue()).min().orElse(Long.MAX_VALUE);
+            final long at = town.log().rows().stream()
+                    .filter(r -> "LEARNED".equals(r.get("name"))
+                            && n.equals(r.get("node"))
+                            && "ROUTE/new".equals(r.get("item")))
+                    .mapToLong(r -> ((Number) r.get("t")).longValue())
+                    .min()
+                    .orElse(Long.MAX_VALUE);
             assertTrue(at <= end[0] + 2000, n + " learned " + (at - end[0]) + " ms after");
         }
     }
@@ -161,14 +228,23 @@
     /** What is given up is refused at once: with no majority there, not at the end of the write's own span. */
     @Test
     void aWriteWithoutAMajorityIsRefusedWhenItIsGivenUp() {
-        final Town town = new Town(Place.kilimanjaro(), 3).open();
+        final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
         town.staff().stop();
         town.node("st1").kill();
         town.node("sh1").kill();
         final long from = town.world().now();
         final List<String> said = new ArrayList<>();
-        town.node("ed1").post(() -> town.node("ed1").node().clerk().delete(new ItemId(Kind.ROUTE, "terms"), 1, "d",
-            (Clerk.Said s) -> said.add(s.status() + " " + (town.world().now() - from) + " " + s.body().get("retryAfterMs"))));
+        town.node("ed1")
+                .post(() -> town.node("ed1")
+                        .node()
+                        .clerk()
+                        .delete(
+                                new ItemId(Kind.ROUTE, "terms"),
+                                1,
+                                "d",
+                                (ItemService.ApiResult s) -> said.add(
+                                        s.status() + " " + (town.world().now() - from) + " "
+                                                + s.body().get("retryAfterMs"))));
         town.run(4000);
         assertEquals(1, said.size());
         final String[] parts = said.get(0).split(" ");
--- a/rig/src/test/java/rv/rig/scale/ScaleTest.java
+++ b/rig/src/test/java/rv/rig/scale/ScaleTest.java
@@ -38,13 +38,29 @@
         try (Herd herd = new Herd(SIZE, 32, false, dir.resolve("run"), dir)) {
             assertTrue(Herd.until(herd.up(), MOST, herd::settled) >= 0, "all hear of all");
             final List<Hollow> edges = herd.up(h -> h.role() == Role.EDGE);
-            assertTrue(Herd.until(herd.up(), MOST, h -> h.see(n -> n.condition() == Condition.READY, false)) >= 0, "all are ready");
+            assertTrue(
+                    Herd.until(herd.up(), MOST, h -> h.see(n -> n.condition() == Condition.READY, false)) >= 0,
+                    "all are ready");
             final Map<NodeId, Tally.Count> calm = counts(edges, "in Beaten");
-            assertTrue(Herd.until(edges, MOST, h -> count(h, "in Beaten").frames() >= calm.get(h.id()).frames() + 12) >= 0);
+            assertTrue(Herd.until(
+                            edges,
+                            MOST,
+                            h -> count(h, "in Beaten").frames()
+                                    >= calm.get(h.id()).frames() + 12)
+                    >= 0);
             final Map<NodeId, Tally.Count> from = counts(edges, "in Beaten");
-            assertTrue(Herd.until(edges, MOST, h -> count(h, "in Beaten").frames() >= from.get(h.id()).frames() + 24) >= 0);
-            final Tally.Count beaten = edges.stream().map(h -> count(h, "in Beaten").less(from.get(h.id()))).reduce(new Tally.Count(0, 0), Tally.Count::plus);
-            assertTrue(beaten.bytes() / beaten.frames() < 250, "bytes of an answer to a beat: " + beaten.bytes() / beaten.frames());
+            assertTrue(Herd.until(
+                            edges,
+                            MOST,
+                            h -> count(h, "in Beaten").frames()
+                                    >= from.get(h.id()).frames() + 24)
+                    >= 0);
+            final Tally.Count beaten = edges.stream()
+                    .map(h -> count(h, "in Beaten").less(from.get(h.id())))
+                    .reduce(new Tally.Count(0, 0), Tally.Count::plus);
+            assertTrue(
+                    beaten.bytes() / beaten.frames() < 250,
+                    "bytes of an answer to a beat: " + beaten.bytes() / beaten.frames());
             push(herd, edges);
         }
         assertFalse(Files.exists(dir.resolve("run")));
@@ -57,9 +73,10 @@
         final Hollow door = edges.get(0);
         final Tally.Count out = count(door, "out Learn");
         herd.waves().begin(key, herd.up().stream().map(Hollow::id).toList());
-        door.loop().post(() -> door.node().orders().purge(p, said -> { }));
+        door.loop().post(() -> door.node().orders().purge(p, said -> {}));
         assertTrue(Herd.until(List.of(door), MOST, h -> herd.waves().done() == 1) >= 0, "a purge everywhere");
-        assertTrue(Herd.until(List.of(door), MOST, h -> count(h, "out Learn").frames() - out.frames() == SIZE - 1) >= 0);
+        assertTrue(Herd.until(List.of(door), MOST, h -> count(h, "out Learn").frames() - out.frames() == SIZE - 1)
+                >= 0);
         assertEquals(0, count(door, "in Ok").frames());
     }
 
@@ -67,8 +84,9 @@
     void aScaleThatDoesNotFitIsRefusedWithTheFigure() {
         final Room room = new Room(32_000, 4096, 20_000, 100_000, 16);
         assertEquals(List.of(), room.lacks(430));
-        assertEquals(List.of("900 nodes need 41600 open files, there are 20000, allowed to this process"),
-            room.lacks(900).stream().filter(l -> l.contains("files")).toList());
+        assertEquals(
+                List.of("900 nodes need 41600 open files, there are 20000, allowed to this process"),
+                room.lacks(900).stream().filter(l -> l.contains("files")).toList());
         assertTrue(room.lacks(100_000).size() >= 4);
         assertEquals(List.of(), Scale.sizes("50,x"));
         assertEquals(List.of(), Scale.sizes("11"));
