Questions to voters name the epoch of the voting set

The set of voters was a constant of the process. An Electorate now holds the present set with its epoch and moves forward on a chosen VOTERS item; writer, frame sync, voter, key records and heartbeats ask it each time, and every question to a voter names the epoch it is meant for (one without means 0). With one epoch nothing behaves otherwise.

--- a/base/src/main/java/rv/base/ItemId.java
+++ b/base/src/main/java/rv/base/ItemId.java
@@ -6,6 +6,8 @@
 public record ItemId(Kind kind, String name) implements Comparable<ItemId> {
     public static final ItemId PLAN = new ItemId(Kind.PLAN, "plan");
     public static final ItemId TENURE = new ItemId(Kind.TENURE, "tenure");
+    /** Its version is the epoch of the voting set that it names. */
+    public static final ItemId VOTERS = new ItemId(Kind.VOTERS, "voters");
 
     @JsonCreator
     public static ItemId parse(final String text) {
--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -11,7 +11,8 @@
     PLAN,
     TENURE,
     SWEEP,
-    LIMIT;
+    LIMIT,
+    VOTERS;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -50,17 +50,20 @@
         public static final int CALM = 750;
     }
 
-    // electors
-    record Prepare(ItemId id, Ballot ballot) implements Msg {}
+    // voters: each question names the epoch of the voting set it is meant for; a message without one means epoch 0
+    /** A refusal: this voter goes by another epoch; {@code voters}: the chosen set of that epoch, none for the founding set. */
+    record OtherEpoch(long epoch, Chosen voters) implements Msg {}
+
+    record Prepare(long epoch, ItemId id, Ballot ballot) implements Msg {}
 
     record Promise(boolean ok, Ballot high, Ballot at, Item item) implements Msg {}
 
     /** {@code next}: the ballot that whoever accepts promises at the same time, or none. */
-    record Accept(Ballot ballot, Item item, Ballot next) implements Msg {}
+    record Accept(long epoch, Ballot ballot, Item item, Ballot next) implements Msg {}
 
     record Accepted(boolean ok, Ballot high) implements Msg {}
 
-    record Reread(String boot, boolean bar, boolean sole) implements Msg {}
+    record Reread(long epoch, String boot, boolean bar, boolean sole) implements Msg {}
 
     record Slot(Ballot promised, Ballot at, Item item) {}
 
@@ -73,11 +76,11 @@
 
     record Learn(List<Chosen> list) implements Msg {}
 
-    record Query(long hash) implements Msg {}
+    record Query(long epoch, long hash) implements Msg {}
 
     record Same(boolean same, List<Long> sums) implements Msg {}
 
-    record Vers(List<Integer> cells, Map<ItemId, Ver> vers) implements Msg {}
+    record Vers(long epoch, List<Integer> cells, Map<ItemId, Ver> vers) implements Msg {}
 
     record Give(List<Chosen> list, boolean all, List<ItemId> want) implements Msg {}
 
@@ -142,16 +145,16 @@
 
     record Outcome(int status, Map<String, String> heads, byte[] body, boolean done) {}
 
-    record KeepRead(int shard, Token token, String boot) implements Msg {}
+    record KeepRead(long epoch, int shard, Token token, String boot) implements Msg {}
 
     record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era) implements Msg {}
 
-    record KeepWrite(Note note, long era) implements Msg {}
+    record KeepWrite(long epoch, Note note, long era) implements Msg {}
 
     record KeepSeen(boolean ok, boolean lapse, boolean stale) implements Msg {}
 
     /** {@code after}: the last key of the page before; none for the first page, which ends the era where {@code bar} says so. */
-    record KeepAll(boolean bar, String after) implements Msg {}
+    record KeepAll(long epoch, boolean bar, String after) implements Msg {}
 
     /** {@code next}: what to ask the next page with, or none after the last. */
     record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars, String next) implements Msg {}
--- a/base/src/test/java/rv/base/WireTest.java
+++ b/base/src/test/java/rv/base/WireTest.java
@@ -37,7 +37,8 @@
                 "red",
                 "msg",
                 Map.of("t", "Query", "hash", 5, "depth", 9));
-        assertEquals(new Msg.Query(5), Wire.open(map.writeValueAsBytes(later)).msg());
+        assertEquals(
+                new Msg.Query(0, 5), Wire.open(map.writeValueAsBytes(later)).msg());
         final Map<String, Object> odd = Map.of("v", 1, "id", 1, "re", 0, "from", "st1", "msg", Map.of("t", "Sing"));
         assertThrows(WireTrouble.class, () -> Wire.open(map.writeValueAsBytes(odd)));
     }
--- a/control/src/main/java/rv/control/FrameSync.java
+++ b/control/src/main/java/rv/control/FrameSync.java
@@ -20,7 +20,7 @@
 /** Asks the electors whether this node holds all they have accepted, and takes what it lacks. */
 public final class FrameSync {
     private static final long NEVER = Long.MIN_VALUE / 2;
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final Loop loop;
     private final Net net;
     private final ItemStore held;
@@ -29,6 +29,8 @@
     private final Consumer<Msg.Chosen> take;
     private final Consumer<NodeId> alive;
     private final Map<NodeId, Long> good = new HashMap<>();
+    private Quorum quorum;
+    private long earlier = NEVER;
     private static final long EACH = 300;
     private static final long HASTE = 6000;
     private boolean was;
@@ -36,7 +38,7 @@
     private int ticks;
 
     public FrameSync(
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final ItemStore held,
@@ -46,12 +48,22 @@
             final Consumer<NodeId> alive) {
         this.alive = alive;
         this.take = take;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.loop = loop;
         this.net = net;
         this.held = held;
         this.timing = timing;
+        this.quorum = electorate.quorum();
         this.journal = journal;
+        electorate.onChange(this::moved);
+    }
+
+    /** What the earlier voters confirmed stays true for its moment; their answers don't count among those of the new set. */
+    private void moved() {
+        earlier = Math.max(earlier, confirmed());
+        good.clear();
+        quorum = electorate.quorum();
+        loop.post(this::round);
     }
 
     public void start() {
@@ -76,37 +88,37 @@
             was = now;
             journal.add(Event.of(now ? Code.FRAME_FRESH : Code.FRAME_STALE, "age", now ? age() : -1));
         }
-        for (final NodeId e : quorum.electors()) {
+        for (final NodeId e : quorum.voters()) {
+            final long epoch = quorum.epoch();
             final long sent = loop.now();
-            net.ask(
-                    e,
-                    new Msg.Query(held.digest().all()),
-                    700,
-                    r -> r.as(Msg.Same.class).ifPresent(s -> {
-                        alive.accept(e);
-                        if (s.same()) {
-                            confirm(e, sent);
-                        } else {
-                            fetch(e, sent, held.digest().apart(s.sums()));
-                        }
-                    }));
+            net.ask(e, new Msg.Query(epoch, held.digest().all()), 700, r -> {
+                electorate.refused(e, r);
+                r.as(Msg.Same.class).ifPresent(s -> {
+                    alive.accept(e);
+                    if (s.same()) {
+                        confirm(epoch, e, sent);
+                    } else {
+                        fetch(epoch, e, sent, held.digest().apart(s.sums()));
+                    }
+                });
+            });
         }
     }
 
     /** Cells that did not differ were equal after the question was sent, so its send time stands for all. */
-    private void fetch(final NodeId e, final long sent, final List<Integer> cells) {
+    private void fetch(final long epoch, final NodeId e, final long sent, final List<Integer> cells) {
         if (cells.isEmpty()) {
-            confirm(e, sent);
+            confirm(epoch, e, sent);
             return;
         }
         net.ask(
                 e,
-                new Msg.Vers(cells, held.vers(cells)),
+                new Msg.Vers(epoch, cells, held.vers(cells)),
                 1000,
                 r -> r.as(Msg.Give.class).ifPresent(g -> {
                     g.list().forEach(take);
                     if (g.all()) {
-                        confirm(e, sent);
+                        confirm(epoch, e, sent);
                     }
                     if (g.want() != null && !g.want().isEmpty()) {
                         net.ask(e, new Msg.Learn(held.chosen(g.want())), 500, x -> {});
@@ -114,12 +126,23 @@
                 }));
     }
 
-    private void confirm(final NodeId e, final long sent) {
-        good.merge(e, sent, Math::max);
+    private void confirm(final long epoch, final NodeId e, final long sent) {
+        if (epoch == quorum.epoch()) {
+            good.merge(e, sent, Math::max);
+        }
     }
 
     /** The newest instant for which a majority has confirmed this node's frame. */
     public long sure() {
+        return Math.max(earlier, confirmed());
+    }
+
+    /** Whether a majority of the present set has confirmed a frame of this node since it became the present one. */
+    public boolean settled() {
+        return confirmed() > NEVER;
+    }
+
+    private long confirmed() {
         if (good.size() < quorum.need()) {
             return NEVER;
         }
@@ -138,6 +161,7 @@
 
     public void drop() {
         good.clear();
+        earlier = NEVER;
     }
 
     /** Hears true once a majority has confirmed the frame for an instant not before {@code at}. */
--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -36,7 +36,7 @@
     private static final int FIT = 2 << 20;
     private static final int PAGE = 48 << 10;
     private static final long PATIENCE = 2000;
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final NodeId self;
     private final Net net;
     private final Loop loop;
@@ -62,14 +62,14 @@
     public KeyRecordStore(
             final NodeId self,
             final String boot,
-            final Quorum quorum,
+            final Electorate electorate,
             final Net net,
             final Loop loop,
             final LongSupplier wall,
             final MonitoredDisk disk,
             final BooleanSupplier lost) {
         this.self = self;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.net = net;
         this.era = Hash.mix(self + "/" + boot) >>> 1;
         this.loop = loop;
@@ -190,15 +190,15 @@
     private void gather() {
         final Set<NodeId> with = new HashSet<>();
         final Set<NodeId> bare = new HashSet<>();
-        quorum.electors().stream()
+        electorate.voters().stream()
                 .filter(e -> !e.equals(self))
                 .forEach(e -> net.ask(
                         e,
-                        new Msg.KeepAll(false, null),
+                        new Msg.KeepAll(electorate.epoch(), false, null),
                         450,
                         r -> r.as(Msg.KeptAll.class).ifPresent(k -> {
                             (k.ok() ? with : bare).add(e);
-                            if (!fetching && lapse() && (quorum.read(with) || sole(with, bare))) {
+                            if (!fetching && lapse() && (electorate.quorum().read(with) || sole(with, bare))) {
                                 fetching = true;
                                 final Map<NodeId, Msg.KeptAll> got = new HashMap<>();
                                 Set.copyOf(with)
@@ -219,7 +219,7 @@
             final List<Msg.Note> list,
             final Map<Integer, Token> tops,
             final Consumer<Msg.KeptAll> then) {
-        net.ask(from, new Msg.KeepAll(true, after), PATIENCE, r -> {
+        net.ask(from, new Msg.KeepAll(electorate.epoch(), true, after), PATIENCE, r -> {
             final Msg.KeptAll k =
                     r.as(Msg.KeptAll.class).filter(Msg.KeptAll::ok).orElse(null);
             if (k == null) {
@@ -238,8 +238,8 @@
 
     /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
     private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
-        return with.size() + bare.size() == quorum.electors().size() - 1
-                && quorum.stores().stream().anyMatch(with::contains);
+        return with.size() + bare.size() == electorate.voters().size() - 1
+                && electorate.quorum().stores().stream().anyMatch(with::contains);
     }
 
     private void rebuild(final Map<NodeId, Msg.KeptAll> got) {
--- a/control/src/main/java/rv/control/Membership.java
+++ b/control/src/main/java/rv/control/Membership.java
@@ -20,7 +20,7 @@
 import rv.base.Role;
 import rv.base.Timing;
 
-/** Who is there: every node beats to the seeds, the seeds tell all they have heard. */
+/** Who is there: every node sends heartbeats to the voters, the voters tell all they have heard. */
 public final class Membership {
     /** Shields beside the seeds that are beaten to as well, so that their silence is seen at first hand. */
     private static final int OTHERS = 3;
@@ -28,7 +28,7 @@
     private static final int FEW = 8;
     private static final long UNHEARD = 1000;
     private final Supplier<Member> self;
-    private final List<NodeId> seeds;
+    private final Supplier<List<NodeId>> voters;
     private final Loop loop;
     private final Net net;
     private final Timing timing;
@@ -46,7 +46,7 @@
 
     public Membership(
             final Supplier<Member> self,
-            final List<NodeId> seeds,
+            final Supplier<List<NodeId>> voters,
             final Loop loop,
             final Net net,
             final Timing timing,
@@ -58,7 +58,7 @@
         this.stores = stores;
         this.items = items;
         this.self = self;
-        this.seeds = List.copyOf(seeds);
+        this.voters = voters;
         this.loop = loop;
         this.net = net;
         this.timing = timing;
@@ -77,7 +77,7 @@
     private void round() {
         final Member me = self.get();
         note(me, loop.now());
-        seeds.stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
+        voters.get().stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
         others().stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
         members.gone(loop.now()).forEach(id -> journal.add(Event.of(Code.MEMBER_LOST, "node", id.text())));
     }
@@ -86,7 +86,7 @@
     private List<NodeId> others() {
         final List<NodeId> list = live(Role.SHIELD).stream()
                 .map(Member::id)
-                .filter(n -> !seeds.contains(n))
+                .filter(n -> !voters.get().contains(n))
                 .toList();
         if (list.size() <= FEW) {
             return list.stream().limit(OTHERS).toList();
@@ -112,7 +112,7 @@
                         .ifPresentOrElse(
                                 b -> {
                                     stores.alive(s);
-                                    answered = seeds.contains(s) ? loop.now() : answered;
+                                    answered = voters.get().contains(s) ? loop.now() : answered;
                                     drift.sample(s, sent, loop.now(), b.tick());
                                     if (b.list() != null) {
                                         view.take(b, this::hear);
--- a/control/src/main/java/rv/control/Quorum.java
+++ b/control/src/main/java/rv/control/Quorum.java
@@ -4,15 +4,23 @@
 import java.util.Set;
 import rv.base.NodeId;
 
-/** Who votes, and which of them are stores; where none is named, every elector has a disk. */
-public record Quorum(List<NodeId> electors, Set<NodeId> stores) {
+/**
+ * The voters of one epoch, and which of them are stores; where none is named, every voter has a disk. Answers that were
+ * given in different epochs never count together.
+ */
+public record Quorum(long epoch, List<NodeId> voters, Set<NodeId> stores) {
     public Quorum {
-        electors = List.copyOf(electors);
+        voters = List.copyOf(voters);
         stores = Set.copyOf(stores);
     }
 
+    /** The founding set. */
+    public Quorum(final List<NodeId> voters, final Set<NodeId> stores) {
+        this(0, voters, stores);
+    }
+
     public int need() {
-        return electors.size() / 2 + 1;
+        return voters.size() / 2 + 1;
     }
 
     public boolean read(final Set<NodeId> got) {
@@ -24,6 +32,6 @@
     }
 
     public boolean has(final NodeId id) {
-        return electors.contains(id);
+        return voters.contains(id);
     }
 }
--- a/control/src/main/java/rv/control/Voter.java
+++ b/control/src/main/java/rv/control/Voter.java
@@ -35,7 +35,7 @@
     private static final long CALM = 700;
     private static final long PATIENCE = 2500;
     private final NodeId self;
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final Loop loop;
     private final Net net;
     private final MonitoredDisk disk;
@@ -61,7 +61,7 @@
 
     public Voter(
             final NodeId self,
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final MonitoredDisk disk,
@@ -70,7 +70,7 @@
             final boolean first,
             final BooleanSupplier virgin) {
         this.self = self;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.loop = loop;
         this.net = net;
         this.disk = disk;
@@ -104,7 +104,7 @@
             digest = new Digest();
             fresh = true;
             journal.add(Event.of(Code.AMNESIA, "boot", boot));
-            if (first && quorum.stores().isEmpty()) {
+            if (first && electorate.quorum().stores().isEmpty()) {
                 disk.save(Map.of(FIRST, new byte[0]), ok -> {});
             }
             recall();
@@ -281,11 +281,11 @@
 
     private void gather(final boolean bar, final boolean sole, final long mine) {
         final Map<NodeId, Msg.Memory> got = new HashMap<>();
-        for (final NodeId id : quorum.electors()) {
+        for (final NodeId id : electorate.voters()) {
             if (!id.equals(self)) {
                 net.ask(
                         id,
-                        new Msg.Reread(boot, bar, sole),
+                        new Msg.Reread(electorate.epoch(), boot, bar, sole),
                         350,
                         r -> r.as(Msg.Memory.class).ifPresent(m -> {
                             if (!full && turn == mine) {
@@ -313,27 +313,27 @@
             all.values().removeIf(String::isEmpty);
             all.put(self, boot);
             found(all);
-        } else if ((quorum.read(with) || sole(got, with)) && loop.now() - born >= CALM) {
+        } else if ((electorate.quorum().read(with) || sole(got, with)) && loop.now() - born >= CALM) {
             if (bar) {
                 rebuild(got);
             } else {
                 turn = mine + 1;
-                gather(true, !quorum.read(with), turn);
+                gather(true, !electorate.quorum().read(with), turn);
             }
         }
     }
 
     /** Every other elector was asked, those without memory stand blank, and a store has its own: nothing accepted stands elsewhere. */
     private boolean sole(final Map<NodeId, Msg.Memory> got, final Set<NodeId> with) {
-        return got.size() == quorum.electors().size() - 1
-                && quorum.stores().stream().anyMatch(with::contains)
+        return got.size() == electorate.voters().size() - 1
+                && electorate.quorum().stores().stream().anyMatch(with::contains)
                 && loop.now() - born >= HUSH
                 && got.values().stream().filter(Msg.Memory::has).allMatch(m -> m.age() >= HUSH);
     }
 
     /** Every other elector has answered that it is willing too. */
     private boolean unanimous(final Map<NodeId, Msg.Memory> got) {
-        return got.size() == quorum.electors().size() - 1
+        return got.size() == electorate.voters().size() - 1
                 && got.values().stream().noneMatch(m -> m.boot().isEmpty());
     }
 
@@ -342,13 +342,13 @@
      * it need not wait for one that ended during the first start and came back without a note of it.
      */
     private boolean enough(final Map<NodeId, Msg.Memory> got) {
-        return quorum.stores().isEmpty()
+        return electorate.quorum().stores().isEmpty()
                 && loop.now() - born >= PATIENCE
                 && 1
                                 + got.values().stream()
                                         .filter(m -> !m.has() && !m.boot().isEmpty())
                                         .count()
-                        >= quorum.need();
+                        >= electorate.quorum().need();
     }
 
     private boolean early() {
@@ -394,7 +394,7 @@
 
     /** An operator vouches that one elector holds all: its copy is taken without a majority. */
     public void vouch(final NodeId from, final Consumer<Boolean> then) {
-        net.ask(from, new Msg.Reread(boot, true, true), 2000, r -> {
+        net.ask(from, new Msg.Reread(electorate.epoch(), boot, true, true), 2000, r -> {
             final Msg.Memory m = r.as(Msg.Memory.class).filter(Msg.Memory::has).orElse(null);
             if (m != null && !full) {
                 rebuild(Map.of(from, m));
--- /dev/null
+++ b/control/src/main/java/rv/control/VoterAddress.java
@@ -0,0 +1,23 @@
+package rv.control;
+
+import rv.base.NodeId;
+
+/** A voter and where it is reached, written {@code ID@IP:PORT}. */
+public record VoterAddress(NodeId id, String host, int port) {
+    public static VoterAddress parse(final String text) {
+        final int at = text.indexOf('@');
+        final int colon = text.lastIndexOf(':');
+        if (at < 1 || colon < at) {
+            throw new IllegalArgumentException("ID@IP:PORT is wanted, not " + text);
+        }
+        return new VoterAddress(
+                NodeId.of(text.substring(0, at)),
+                text.substring(at + 1, colon),
+                Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return id + "@" + host + ":" + port;
+    }
+}
--- a/control/src/main/java/rv/control/WriteRecovery.java
+++ b/control/src/main/java/rv/control/WriteRecovery.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Loop;
@@ -22,7 +23,7 @@
     private final Random dice;
     private static final long YOUNG = 4000;
     private static final long TURN = 250;
-    private final int rank;
+    private final IntSupplier rank;
     private final Map<ItemId, Long> seen = new HashMap<>();
     private final Set<ItemId> old = new HashSet<>();
     private long born;
@@ -34,7 +35,7 @@
             final Writer writer,
             final Loop loop,
             final Random dice,
-            final int rank) {
+            final IntSupplier rank) {
         this.rank = rank;
         this.elector = elector;
         this.held = held;
@@ -58,7 +59,7 @@
             } else {
                 final boolean kept = loop.now() - born < YOUNG && old.contains(e.getKey());
                 final long due = seen.computeIfAbsent(
-                        e.getKey(), k -> loop.now() + (kept ? rank * TURN : 150 + dice.nextInt(300)));
+                        e.getKey(), k -> loop.now() + (kept ? rank.getAsInt() * TURN : 150 + dice.nextInt(300)));
                 if (loop.now() >= due) {
                     seen.put(e.getKey(), loop.now() + (kept ? TURN + dice.nextInt(100) : 800));
                     writer.read(e.getKey(), 700, r -> {});
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -28,7 +28,7 @@
     private static final long WAIT = 400;
 
     private static final Set<ItemId> KEPT = Set.of(ItemId.TENURE, ItemId.PLAN);
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final Loop loop;
     private final Net net;
     private final Random dice;
@@ -65,7 +65,7 @@
     public Writer(
             final NodeId self,
             final String boot,
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final Random dice,
@@ -74,7 +74,7 @@
             final Supplier<List<NodeId>> all,
             final StoreHealth stores) {
         this.stores = stores;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.loop = loop;
         this.net = net;
         this.dice = dice;
@@ -82,6 +82,7 @@
         this.name = self.text() + "#" + boot;
         this.held = held;
         this.all = all;
+        electorate.onChange(warm::clear);
     }
 
     public void write(
@@ -112,6 +113,8 @@
         private final Set<NodeId> eager = new HashSet<>();
         private Ballot after;
         private int stage;
+        /** The voters whose answers count in this stage. */
+        private Quorum quorum = electorate.quorum();
 
         Try(final ItemId id, final String tag, final long cutoff, final Change change, final Consumer<Result> then) {
             this.id = id;
@@ -147,6 +150,7 @@
             if (done) {
                 return;
             }
+            quorum = electorate.quorum();
             final Warm ready = warm.remove(id);
             if (ready != null && tries == 0) {
                 ballot = ready.ballot();
@@ -163,23 +167,27 @@
             yes.clear();
             bad = 0;
             final int mine = ++stage;
-            for (final NodeId e : quorum.electors()) {
+            for (final NodeId e : quorum.voters()) {
                 net.ask(
                         e,
-                        new Msg.Prepare(id, ballot),
+                        new Msg.Prepare(quorum.epoch(), id, ballot),
                         Math.max(20, Math.min(600, cutoff - loop.now() - 20)),
-                        r -> promised(e, mine, r.as(Msg.Promise.class)));
+                        r -> promised(e, mine, r));
             }
         }
 
-        private void promised(final NodeId e, final int mine, final Optional<Msg.Promise> got) {
+        private void promised(final NodeId e, final int mine, final Reply r) {
+            if (moved(e, mine, r)) {
+                return;
+            }
+            final Optional<Msg.Promise> got = r.as(Msg.Promise.class);
             got.ifPresent(p -> top = Math.max(top, p.high().round()));
             if (stage != mine || done) {
                 return;
             }
             if (got.isEmpty() || !got.get().ok()) {
                 beaten |= got.isPresent();
-                if (++bad > quorum.electors().size() - quorum.need()) {
+                if (++bad > quorum.voters().size() - quorum.need()) {
                     again();
                 }
                 return;
@@ -194,6 +202,17 @@
             }
         }
 
+        /** A voter that goes by a later set ends the stage: it begins anew among the present voters. */
+        private boolean moved(final NodeId voter, final int mine, final Reply r) {
+            if (!electorate.refused(voter, r) || quorum.epoch() == electorate.epoch()) {
+                return false;
+            }
+            if (stage == mine && !done) {
+                again();
+            }
+            return true;
+        }
+
         private void decide() {
             if (!tag.isEmpty() && tag.equals(now.tag()) && now.ver().n() > 0) {
                 offer(now);
@@ -234,13 +253,20 @@
             final long from = loop.now();
             eager.clear();
             after = KEPT.contains(id) ? new Ballot(++top, name) : null;
-            for (final NodeId e : quorum.electors()) {
-                net.ask(e, new Msg.Accept(ballot, item, after), 600, r -> accepted(e, mine, from, item, r));
+            for (final NodeId e : quorum.voters()) {
+                net.ask(
+                        e,
+                        new Msg.Accept(quorum.epoch(), ballot, item, after),
+                        600,
+                        r -> accepted(e, mine, from, item, r));
             }
             loop.after(StoreHealth.HUSH, () -> settled(mine, from, item));
         }
 
         private void accepted(final NodeId e, final int mine, final long from, final Item item, final Reply r) {
+            if (moved(e, mine, r)) {
+                return;
+            }
             final Optional<Msg.Accepted> got = r.as(Msg.Accepted.class);
             got.ifPresent(a -> top = Math.max(top, a.high().round()));
             final boolean ok = got.isPresent() && got.get().ok();
@@ -254,8 +280,7 @@
             }
             if (!ok) {
                 beaten |= got.isPresent();
-                if (got.isPresent() && stores.has(e)
-                        || ++bad > quorum.electors().size() - quorum.need()) {
+                if (got.isPresent() && stores.has(e) || ++bad > quorum.voters().size() - quorum.need()) {
                     again();
                 } else {
                     settled(mine, from, item);
@@ -272,7 +297,7 @@
         private void settled(final int mine, final long from, final Item item) {
             if (stage == mine && !done && quorum.write(yes) && stores.enough(yes, loop.now() - from)) {
                 stage++;
-                if (quorum.read(eager)) {
+                if (quorum.read(eager) && quorum.epoch() == electorate.epoch()) {
                     warm.put(id, new Warm(after, item));
                 }
                 final Msg.Chosen won = new Msg.Chosen(ballot, item);
@@ -297,7 +322,7 @@
 
     private void tell(final Msg.Chosen won) {
         final List<NodeId> to = new ArrayList<>(all.get());
-        quorum.electors().stream().filter(e -> !to.contains(e)).forEach(to::add);
+        electorate.voters().stream().filter(e -> !to.contains(e)).forEach(to::add);
         net.tell(to, new Msg.Learn(List.of(won)));
     }
 }
--- a/control/src/test/java/rv/control/SyncTest.java
+++ b/control/src/test/java/rv/control/SyncTest.java
@@ -41,7 +41,7 @@
     @Test
     void aFramesAgeIsBoundedByWhatTheTimingSays() {
         final FrameSync quick = new FrameSync(
-                net.quorum,
+                net.electorate,
                 net.loop,
                 net,
                 net.held,
@@ -64,8 +64,8 @@
         assertFalse(even.write(Set.copyOf(four.subList(0, 2))));
         assertTrue(even.write(Set.copyOf(four.subList(1, 4))));
         assertTrue(even.read(Set.copyOf(four.subList(1, 4))));
-        assertEquals(2, net.quorum.need());
-        assertTrue(net.quorum.write(Set.of(NodeId.of("b"), NodeId.of("c"))));
+        assertEquals(2, net.electorate.quorum().need());
+        assertTrue(net.electorate.quorum().write(Set.of(NodeId.of("b"), NodeId.of("c"))));
         final Quorum stores = new Quorum(Voters.ALL, Set.of(NodeId.of("a")));
         assertFalse(stores.write(Set.of(NodeId.of("b"), NodeId.of("c"))));
     }
--- a/control/src/test/java/rv/control/Voters.java
+++ b/control/src/test/java/rv/control/Voters.java
@@ -29,20 +29,20 @@
     /** What the electors hold and this node does not. */
     final List<Msg.Chosen> news = new ArrayList<>();
 
-    final Quorum quorum = new Quorum(ALL, Set.of());
+    final Electorate electorate = Electorate.of(new Quorum(ALL, Set.of()));
     final FrameSync sync =
-            new FrameSync(quorum, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge, e -> {});
+            new FrameSync(electorate, loop, this, held, rv.base.Timing.DEFAULT, journal, held::merge, e -> {});
     final Writer writer = new Writer(
             NodeId.of("z"),
             "1",
-            quorum,
+            electorate,
             loop,
             this,
             new Random(1),
             journal,
             held,
             () -> List.of(),
-            new StoreHealth(quorum, loop, journal));
+            new StoreHealth(electorate.quorum(), loop, journal));
     private final Map<NodeId, Map<ItemId, Msg.Slot>> memory = new HashMap<>();
     private long tags;
 
--- a/data/src/main/java/rv/data/KeyedRequests.java
+++ b/data/src/main/java/rv/data/KeyedRequests.java
@@ -17,15 +17,15 @@
 import rv.base.NodeId;
 import rv.base.Reply;
 import rv.base.Token;
+import rv.control.Electorate;
 import rv.control.Holder;
-import rv.control.Quorum;
 import rv.control.StoreHealth;
 
 /** Keyed requests: the intent stands at a majority of keepers before a byte leaves for the origin. */
 public final class KeyedRequests {
     private static final int ROOM = 128;
     private static final long STAY = 150_000;
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final Loop loop;
     private final Net net;
     private final Holder holder;
@@ -72,7 +72,7 @@
     }
 
     public KeyedRequests(
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final Holder holder,
@@ -81,7 +81,7 @@
             final String boot) {
         this.boot = boot;
         this.turns = Hash.mix(boot) << 24;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.loop = loop;
         this.net = net;
         this.holder = holder;
@@ -134,9 +134,9 @@
         final Set<NodeId> good = new HashSet<>();
         final Set<NodeId> told = new HashSet<>();
         final Map<String, List<Msg.Note>> notes = new HashMap<>();
-        final int[] left = {quorum.electors().size()};
-        for (final NodeId k : quorum.electors()) {
-            net.ask(k, new Msg.KeepRead(shard, desk.token, boot), 700, r -> {
+        final int[] left = {electorate.voters().size()};
+        for (final NodeId k : electorate.voters()) {
+            net.ask(k, new Msg.KeepRead(electorate.epoch(), shard, desk.token, boot), 700, r -> {
                 left[0]--;
                 if (Msg.Nay.disk(r)) {
                     stores.failing(k);
@@ -167,13 +167,13 @@
             final Set<NodeId> told,
             final int left,
             final Map<String, List<Msg.Note>> notes) {
-        final boolean whole = quorum.read(good) && stores.enough(told, loop.now() - begun);
-        final boolean lack = good.size() + left < quorum.need() || left == 0;
+        final boolean whole = electorate.quorum().read(good) && stores.enough(told, loop.now() - begun);
+        final boolean lack = good.size() + left < electorate.quorum().need() || left == 0;
         if (!desk.asking || desk.from != from || !whole && !lack) {
             return;
         }
         desk.asking = false;
-        desk.ready = quorum.read(good);
+        desk.ready = electorate.quorum().read(good);
         if (desk.ready) {
             notes.values().forEach(l -> {
                 final Msg.Note n = Msg.Note.settle(l);
@@ -252,8 +252,10 @@
         e.busy = false;
         e.clear = true;
         final Msg.Note note = new Msg.Note(key, shard, desk.token, e.digest, e.turn, true, null);
-        quorum.electors()
-                .forEach(k -> net.ask(k, new Msg.KeepWrite(note, desk.eras.getOrDefault(k, 0L)), 700, r -> {}));
+        electorate
+                .voters()
+                .forEach(k -> net.ask(
+                        k, new Msg.KeepWrite(electorate.epoch(), note, desk.eras.getOrDefault(k, 0L)), 700, r -> {}));
         answer(e, f);
     }
 
@@ -279,8 +281,12 @@
     private void keep(
             final Desk desk, final Msg.Note note, final long span, final boolean again, final Consumer<Boolean> then) {
         final Round round = new Round(desk, note, span, again, then);
-        for (final NodeId k : quorum.electors()) {
-            net.ask(k, new Msg.KeepWrite(note, desk.eras.getOrDefault(k, 0L)), span, r -> round.heard(k, r));
+        for (final NodeId k : electorate.voters()) {
+            net.ask(
+                    k,
+                    new Msg.KeepWrite(electorate.epoch(), note, desk.eras.getOrDefault(k, 0L)),
+                    span,
+                    r -> round.heard(k, r));
         }
         loop.after(StoreHealth.HUSH, round::look);
     }
@@ -295,7 +301,7 @@
         private final long from = loop.now();
         private final Set<NodeId> good = new HashSet<>();
         private final Set<NodeId> synced = new HashSet<>();
-        private int left = quorum.electors().size();
+        private int left = electorate.voters().size();
         private boolean stale;
         private boolean barred;
         private boolean over;
@@ -336,10 +342,14 @@
             if (over) {
                 return;
             }
-            final boolean most = quorum.write(good);
+            final boolean most = electorate.quorum().write(good);
             if (most && !barred && stores.enough(synced, loop.now() - from)) {
                 end(true);
-            } else if (barred || stale && again || !most && (left == 0 || good.size() + left < quorum.need())) {
+            } else if (barred
+                    || stale && again
+                    || !most
+                            && (left == 0
+                                    || good.size() + left < electorate.quorum().need())) {
                 end(false);
             }
         }
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -11,6 +11,7 @@
 import rv.base.Disk;
 import rv.base.DiskTrouble;
 import rv.base.Event;
+import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Loop;
 import rv.base.Member;
@@ -22,6 +23,7 @@
 import rv.control.Compactor;
 import rv.control.ConfigView;
 import rv.control.Drift;
+import rv.control.Electorate;
 import rv.control.FrameSync;
 import rv.control.Holder;
 import rv.control.ItemService;
@@ -49,6 +51,7 @@
     private final Loop loop;
     private final LongSupplier wall;
     private final Journal journal;
+    private final Electorate electorate;
     private final ItemStore held;
     private final ConfigView view;
     private final FrameSync sync;
@@ -88,14 +91,21 @@
         final String boot = setup.self().boot();
         journal.add(Event.of(
                 Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
+        electorate = new Electorate(setup.quorum(), setup.seats());
+        electorate.connect(this::learn, (to, set) -> s.net().tell(List.of(to), new Msg.Learn(List.of(set))));
         held = new ItemStore(loop, journal);
+        held.watch(i -> {
+            if (i.id().equals(ItemId.VOTERS)) {
+                held.chosen(List.of(i.id())).forEach(electorate::adopt);
+            }
+        });
         view = new ConfigView(held);
         drift = new Drift(setup.timing());
         stores = new StoreHealth(setup.quorum(), loop, journal);
         final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
         roster = new Membership(
                 this::self,
-                setup.seeds(),
+                setup.votersMayChange() ? electorate::voters : setup::seeds,
                 loop,
                 s.net(),
                 setup.timing(),
@@ -104,20 +114,19 @@
                 drift,
                 () -> held.all().size(),
                 stores);
-        sync = new FrameSync(setup.quorum(), loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
-        writer = new Writer(self, boot, setup.quorum(), loop, s.net(), s.dice(), journal, held, roster::ids, stores);
+        sync = new FrameSync(electorate, loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
+        writer = new Writer(self, boot, electorate, loop, s.net(), s.dice(), journal, held, roster::ids, stores);
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
         orders = new Orders(held, sync, writer, tags);
         registry = new Registry(held, sync, writer, journal, tags);
         elector = setup.elector()
-                ? new Voter(
-                        self, setup.quorum(), loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
+                ? new Voter(self, electorate, loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
                 : null;
         keeper = elector == null
                 ? null
-                : new KeyRecordStore(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
+                : new KeyRecordStore(self, boot, electorate, s.net(), loop, wall, disk, elector::lapsed);
         settler = elector == null
                 ? null
                 : new WriteRecovery(
@@ -126,7 +135,7 @@
                         writer,
                         loop,
                         s.dice(),
-                        setup.quorum().electors().indexOf(self));
+                        () -> electorate.voters().indexOf(self));
         desk = elector == null ? null : new FrameSync.Desk(elector, held, loop);
         final boolean store = setup.arbitrates();
         authority = store
@@ -190,7 +199,7 @@
                         view,
                         holder,
                         sender,
-                        new KeyedRequests(setup.quorum(), loop, s.net(), holder, journal, stores, self + "#" + boot),
+                        new KeyedRequests(electorate, loop, s.net(), holder, journal, stores, self + "#" + boot),
                         sync::fresh,
                         sync::round,
                         setup,
@@ -247,10 +256,10 @@
 
     /** Too few electors are heard from to learn anything new. */
     private boolean alone() {
-        return setup.quorum().electors().stream()
+        return electorate.voters().stream()
                         .filter(e -> e.equals(setup.self().id()) || roster.silence(e) <= QUIET)
                         .count()
-                < setup.quorum().need();
+                < electorate.quorum().need();
     }
 
     private List<NodeId> peers() {
@@ -421,6 +430,10 @@
         return view.plan().parts().stream().noneMatch(p -> p.owner().equals(me)) || loop.now() - bare > HANDOVER;
     }
 
+    public Electorate electorate() {
+        return electorate;
+    }
+
     public Setup setup() {
         return setup;
     }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -27,6 +27,11 @@
         return quorum.has(self.id());
     }
 
+    /** Whether the voters are chosen by ballot; where stores are named, they stay the stated ones. */
+    public boolean votersMayChange() {
+        return quorum.stores().isEmpty();
+    }
+
     /** Stores arbitrate; where no elector is named a store, every elector has a disk and does. */
     public boolean arbitrates() {
         return is(Role.STORE) || quorum.stores().isEmpty() && elector();
--- a/prog/src/main/java/rv/prog/ProcessModule.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -112,7 +112,7 @@
         final Setup setup = Setup.of(self)
                 .seeds(
                         options.learns()
-                                ? options.quorum().electors()
+                                ? options.quorum().voters()
                                 : java.util.List.copyOf(options.seeds().keySet()))
                 .quorum(options.quorum())
                 .timing(options.timing())
--- a/prog/src/test/java/rv/prog/NamelessTest.java
+++ b/prog/src/test/java/rv/prog/NamelessTest.java
@@ -51,7 +51,7 @@
                 Set.of(NodeId.of("n10-0-0-1"), NodeId.of("n10-0-0-2"), NodeId.of("n10-0-0-3")),
                 o.seeds().keySet());
         assertEquals(new InetSocketAddress("10.0.0.1", 7000), o.seeds().get(NodeId.of("n10-0-0-1")));
-        assertEquals(List.copyOf(o.seeds().keySet()), o.quorum().electors());
+        assertEquals(List.copyOf(o.seeds().keySet()), o.quorum().voters());
         assertEquals(Set.of(), o.quorum().stores());
         assertTrue(o.learns() && o.first());
         assertEquals("n10-0-0-1@10.0.0.1:7000", o.seats().get(0));
--- a/prog/src/test/java/rv/prog/OptionsTest.java
+++ b/prog/src/test/java/rv/prog/OptionsTest.java
@@ -95,7 +95,7 @@
         assertEquals(1000, o.timing().m());
         assertEquals(
                 List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
-                o.quorum().electors());
+                o.quorum().voters());
         assertEquals(2, o.quorum().need());
     }
 }
--- a/prog/src/test/java/rv/prog/SeatingTest.java
+++ b/prog/src/test/java/rv/prog/SeatingTest.java
@@ -93,7 +93,7 @@
         assertEquals(FOUNDERS, later.seats(), "later seeds are others");
         assertEquals(
                 List.of("n10-0-0-1", "n10-0-0-2", "n10-0-0-3"),
-                later.quorum().electors().stream().map(NodeId::text).toList());
+                later.quorum().voters().stream().map(NodeId::text).toList());
     }
 
     @Test
--- a/prog/src/test/java/rv/prog/TcpNetTest.java
+++ b/prog/src/test/java/rv/prog/TcpNetTest.java
@@ -70,8 +70,8 @@
 
     @Test
     void anAskIsAnswered() throws Exception {
-        assertEquals(new Msg.Nay("heard one"), ask("two", new Msg.Query(4)).msg());
-        assertEquals(List.of(new Msg.Query(4)), got);
+        assertEquals(new Msg.Nay("heard one"), ask("two", new Msg.Query(0, 4)).msg());
+        assertEquals(List.of(new Msg.Query(0, 4)), got);
     }
 
     @Test
@@ -102,7 +102,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"long", "unknown", "version", "noise", "short"})
     void aBadFrameEndsItsCircuitAndHarmsNothingElse(final String kind) throws Exception {
-        assertEquals(Reply.Trouble.NONE, ask("two", new Msg.Query(1)).trouble());
+        assertEquals(Reply.Trouble.NONE, ask("two", new Msg.Query(0, 1)).trouble());
         final CompletableFuture<String> closed = new CompletableFuture<>();
         journal.fold(e -> {
             if (e.event().code() == Code.CIRCUIT_CLOSED) {
@@ -126,6 +126,6 @@
             assertTrue(closed.get(20, TimeUnit.SECONDS).startsWith("RV1101"));
             assertEquals(-1, s.getInputStream().read());
         }
-        assertEquals(Reply.Trouble.NONE, ask("two", new Msg.Query(2)).trouble());
+        assertEquals(Reply.Trouble.NONE, ask("two", new Msg.Query(0, 2)).trouble());
     }
 }
--- a/rig/src/main/java/rv/rig/scale/Herd.java
+++ b/rig/src/main/java/rv/rig/scale/Herd.java
@@ -106,7 +106,7 @@
     }
 
     List<NodeId> electors() {
-        return seat.quorum().electors();
+        return seat.quorum().voters();
     }
 
     Map<String, Machine> real() {
--- a/rig/src/test/java/rv/rig/DeskTest.java
+++ b/rig/src/test/java/rv/rig/DeskTest.java
@@ -23,6 +23,7 @@
 import rv.base.NodeId;
 import rv.base.Wire;
 import rv.control.Digest;
+import rv.control.Electorate;
 import rv.control.FrameSync;
 import rv.control.ItemStore;
 import rv.control.MonitoredDisk;
@@ -86,7 +87,7 @@
         final NodeId self = NodeId.of("e1");
         elector = new Voter(
                 self,
-                new Quorum(List.of(self), Set.of()),
+                Electorate.of(new Quorum(List.of(self), Set.of())),
                 clock,
                 (to, msg, wait, then) -> {},
                 new MonitoredDisk(kept, clock),
@@ -101,7 +102,7 @@
 
     private void ask(final ItemId... about) {
         desk.vers(
-                new Msg.Vers(java.util.Arrays.stream(about).map(Digest::cell).toList(), Map.of()),
+                new Msg.Vers(0, java.util.Arrays.stream(about).map(Digest::cell).toList(), Map.of()),
                 m -> said.add((Msg.Give) m));
     }
 
@@ -130,7 +131,7 @@
         ask(OPEN);
         assertTrue(said.get(0).all());
         ask(OPEN);
-        elector.accept(new Msg.Accept(new Ballot(2, "w"), FIRST.item().next("{}", "t2"), null), m -> {});
+        elector.accept(new Msg.Accept(0, new Ballot(2, "w"), FIRST.item().next("{}", "t2"), null), m -> {});
         assertTrue(said.get(1).all());
         ask(OPEN);
         assertEquals(2, said.size());
--- a/rig/src/test/java/rv/rig/KeeperTest.java
+++ b/rig/src/test/java/rv/rig/KeeperTest.java
@@ -51,7 +51,7 @@
         return new KeyRecordStore(
                 NodeId.of(name),
                 "b" + ++ver,
-                quorum,
+                rv.control.Electorate.of(quorum),
                 net,
                 loop,
                 world::now,
@@ -68,11 +68,12 @@
             final KeyRecordStore k = keeper(n, new Rows(), false, (to, msg, wait, then) -> {});
             k.start();
             final List<Msg> got = new ArrayList<>();
-            k.read(new Msg.KeepRead(3, new Token(1, 1), "b"), got::add);
+            k.read(new Msg.KeepRead(0, 3, new Token(1, 1), "b"), got::add);
             final long era = ((Msg.Kept) got.get(0)).era();
             for (int i = 0; i < 400; i++) {
                 k.write(
                         new Msg.KeepWrite(
+                                0,
                                 new Msg.Note(
                                         "k" + i,
                                         3,
@@ -115,8 +116,8 @@
 
     private long era(final KeyRecordStore k) {
         final List<Msg> got = new ArrayList<>();
-        k.read(new Msg.KeepRead(3, Token.ZERO, "b"), x -> {});
-        k.read(new Msg.KeepRead(9, new Token(9, 9), "b"), got::add);
+        k.read(new Msg.KeepRead(0, 3, Token.ZERO, "b"), x -> {});
+        k.read(new Msg.KeepRead(0, 9, new Token(9, 9), "b"), got::add);
         return ((Msg.Kept) got.get(0)).era();
     }
 
@@ -127,10 +128,10 @@
         final long before = era(k);
         final List<Msg> got = new ArrayList<>();
         final Msg.Note note = new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null);
-        k.all(new Msg.KeepAll(false, null), got::add);
-        k.write(new Msg.KeepWrite(note, before), got::add);
-        k.all(new Msg.KeepAll(true, null), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), before), got::add);
+        k.all(new Msg.KeepAll(0, false, null), got::add);
+        k.write(new Msg.KeepWrite(0, note, before), got::add);
+        k.all(new Msg.KeepAll(0, true, null), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), before), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(1));
         assertEquals(List.of(note), ((Msg.KeptAll) got.get(2)).notes());
         assertEquals(new Msg.KeepSeen(false, false, true), got.get(3));
@@ -143,10 +144,10 @@
         k.start();
         final List<Msg> got = new ArrayList<>();
         final long era = era(k);
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
-        k.read(new Msg.KeepRead(3, new Token(1, 2), "b"), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
-        k.read(new Msg.KeepRead(3, new Token(1, 1), "b"), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
+        k.read(new Msg.KeepRead(0, 3, new Token(1, 2), "b"), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
+        k.read(new Msg.KeepRead(0, 3, new Token(1, 1), "b"), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(0));
         assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(2));
@@ -154,7 +155,8 @@
         final KeyRecordStore again = keeper(disk, false);
         again.start();
         again.write(
-                new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)), got::add);
+                new Msg.KeepWrite(0, new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)),
+                got::add);
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(4), "the bar outlives a restart");
     }
 
@@ -164,7 +166,7 @@
         final KeyRecordStore k = keeper(disk, true);
         k.start();
         final List<Msg> got = new ArrayList<>();
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
         world.run(30_000);
         final KeyRecordStore again = keeper(disk, false);
         again.start();
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -199,7 +199,13 @@
         });
         final rv.control.Quorum quorum = new rv.control.Quorum(keepers, java.util.Set.of(BOSS, keepers.get(1)));
         return new rv.data.KeyedRequests(
-                quorum, loop, net, holder, journal, new rv.control.StoreHealth(quorum, loop, journal), "b");
+                rv.control.Electorate.of(quorum),
+                loop,
+                net,
+                holder,
+                journal,
+                new rv.control.StoreHealth(quorum, loop, journal),
+                "b");
     }
 
     private List<String> keyed(final int writers, final List<Msg.Note> known, final int times) {
--- a/rig/src/test/java/rv/rig/ShieldRunTest.java
+++ b/rig/src/test/java/rv/rig/ShieldRunTest.java
@@ -119,10 +119,11 @@
         for (int i = 0; i < 20; i++) {
             town.run(300);
             assertFalse(town.node(blank).node().elector().full());
-            final Msg p = told(town.node(blank), new Msg.Prepare(ROUTE, new Ballot(1_000_000, "z")));
+            final Msg p = told(town.node(blank), new Msg.Prepare(0, ROUTE, new Ballot(1_000_000, "z")));
             final Msg a = told(
                     town.node(blank),
-                    new Msg.Accept(new Ballot(1_000_000, "z"), Item.none(ROUTE).next("{}", "z"), null));
+                    new Msg.Accept(
+                            0, new Ballot(1_000_000, "z"), Item.none(ROUTE).next("{}", "z"), null));
             assertEquals(List.of(new Msg.Nay("amnesia"), new Msg.Nay("amnesia")), List.of(p, a));
         }
         assertFalse(said.contains(200), said.toString());
