The removal that takes nothing out names the renamed source file

Cause: RateLimiter was Pacer; RemovalsTest names its file by a literal, which the renaming left. Before: RemovalsTest 1 error of 3. The check itself is unchanged.

--- a/rig/src/test/java/rv/rig/RemovalsTest.java
+++ b/rig/src/test/java/rv/rig/RemovalsTest.java
@@ -49,7 +49,7 @@
         final Removals.Removal none = new Removals.Removal(
                 "none",
                 "1",
-                "data/src/main/java/rv/data/Pacer.java",
+                "data/src/main/java/rv/data/RateLimiter.java",
                 "1000.0 / (rate * share)",
                 "1000.0 / (share * rate)",
                 "LeaseTest#fourHoldersSharesAddUpToTheRateInEveryWindow");
