Voters change by agreement: sealed epochs, handover, planner

The voters were the first three seeds for ever, so a replacement and then a second loss left no majority. A change is now a version of the VOTERS register, chosen by ballot of the set that it ends; a voter that learns of it seals its epoch on disk and hands over; a new voter votes once it has read and synced a majority of the sealed set.

--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -71,6 +71,26 @@
             boolean has, String boot, Map<NodeId, String> founders, long floor, List<Slot> slots, long lives, long age)
             implements Msg {}
 
+    /**
+     * To a voter of the earlier set, from one of {@code voters}, the chosen later set: what stands in the registers of the
+     * cells from {@code from} on whose {@code sums} differ. Whoever is asked seals its epoch first.
+     */
+    record Handover(Chosen voters, List<Long> sums, int from) implements Msg {}
+
+    /** {@code epoch}: the last one the answering voter voted in; {@code next}: the first cell of the next page. */
+    record HandedOver(long epoch, long floor, long lives, Map<NodeId, String> founders, List<Slot> slots, int next)
+            implements Msg {
+        public static final int LAST = -1;
+    }
+
+    /** The same for records of keyed requests; answered by a page of {@link KeptAll}. */
+    record HandoverRecords(Chosen voters, String after) implements Msg {}
+
+    /** From the lease authority to a standby: get ready to vote in the set after this epoch. */
+    record CatchUp(long epoch) implements Msg {}
+
+    record CaughtUp(boolean ok) implements Msg {}
+
     // learning
     record Chosen(Ballot ballot, Item item) {}
 
@@ -216,7 +236,8 @@
     /** Who votes, asked of any node that may know; an empty answer means that it does not know either. */
     record Seats() implements Msg {}
 
-    record Seated(List<String> electors) implements Msg {}
+    /** {@code electors}: the founding voters; {@code voters}: the chosen set that votes now, none while those do. */
+    record Seated(List<String> electors, Chosen voters) implements Msg {}
 
     record Report(String what) implements Msg {}
 
--- a/control/src/main/java/rv/control/FrameSync.java
+++ b/control/src/main/java/rv/control/FrameSync.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import rv.base.Code;
 import rv.base.Event;
@@ -142,6 +143,11 @@
         return confirmed() > NEVER;
     }
 
+    /** Whether this voter has answered in the present epoch. */
+    public boolean confirmedBy(final NodeId voter) {
+        return good.containsKey(voter);
+    }
+
     private long confirmed() {
         if (good.size() < quorum.need()) {
             return NEVER;
@@ -195,16 +201,15 @@
 
         public void query(final Msg.Query ask, final Consumer<Msg> back) {
             final boolean same = ask.hash() == elector.digest().all();
-            back.accept(
-                    elector.full()
-                            ? new Msg.Same(
-                                    same, same ? List.of() : elector.digest().sums())
-                            : new Msg.Nay("amnesia"));
+            back.accept(elector.refusal(ask.epoch())
+                    .orElseGet(() -> new Msg.Same(
+                            same, same ? List.of() : elector.digest().sums())));
         }
 
         public void vers(final Msg.Vers ask, final Consumer<Msg> back) {
-            if (!elector.full()) {
-                back.accept(new Msg.Nay("amnesia"));
+            final Optional<Msg> refusal = elector.refusal(ask.epoch());
+            if (refusal.isPresent()) {
+                back.accept(refusal.get());
                 return;
             }
             final Map<ItemId, Ver> open = new HashMap<>();
@@ -238,7 +243,7 @@
         private void give(final Msg.Vers ask, final boolean whole, final Consumer<Msg> back) {
             final List<Msg.Chosen> list = new ArrayList<>();
             int size = 0;
-            boolean all = whole && elector.full();
+            boolean all = whole && elector.refusal(ask.epoch()).isEmpty();
             for (final Msg.Chosen c : held.all()) {
                 if (ask.cells().contains(Digest.cell(c.item().id()))
                         && c.item().ver().above(ask.vers().getOrDefault(c.item().id(), Ver.ZERO))) {
--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -26,7 +26,7 @@
  * the era in which its writer read this keeper: whoever rebuilds a lost memory from here ends the era, so that no
  * intent can stand on an answer given before the loss and one given after the rebuilding.
  */
-public final class KeyRecordStore {
+public final class KeyRecordStore implements RecordHandover {
     public static final long LAPSE = 60_000;
     private static final long STAY = 150_000;
     private static final String NOTE = "k/";
@@ -108,6 +108,7 @@
         loop.every(5000, this::sweep);
     }
 
+    @Override
     public boolean lapse() {
         return (kept || lost.getAsBoolean()) && wall.getAsLong() < until;
     }
@@ -180,7 +181,7 @@
 
     private void recall() {
         if (lapse()) {
-            if (!fetching) {
+            if (!fetching && electorate.has(self)) {
                 gather();
             }
             loop.after(500, this::recall);
@@ -243,26 +244,44 @@
     }
 
     private void rebuild(final Map<NodeId, Msg.KeptAll> got) {
-        final Map<String, byte[]> rows = new HashMap<>();
-        got.values().forEach(k -> {
-            k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
-            k.notes().forEach(n -> {
-                final Row old = notes.get(n.key());
-                notes.put(
-                        n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
-            });
-        });
-        bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(new Bar(t.term(), t.count(), readers.get(s)))));
-        notes.forEach((k, r) -> rows.put(NOTE + k, Wire.pack(r)));
-        rows.put(SHORT, null);
-        disk.save(rows, ok -> {
+        got.values().forEach(this::merge);
+        disk.save(rows(), ok -> {
             fetching = false;
             if (ok) {
-                until = Long.MIN_VALUE;
+                joined();
             }
         });
     }
 
+    @Override
+    public Msg.KeptAll give(final String after) {
+        return page(after == null ? "" : after, after == null ? Map.copyOf(bars) : Map.of());
+    }
+
+    @Override
+    public void merge(final Msg.KeptAll k) {
+        k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
+        k.notes().forEach(n -> {
+            final Row old = notes.get(n.key());
+            notes.put(n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
+        });
+    }
+
+    @Override
+    public Map<String, byte[]> rows() {
+        final Map<String, byte[]> rows = new HashMap<>();
+        bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(new Bar(t.term(), t.count(), readers.get(s)))));
+        notes.forEach((k, r) -> rows.put(NOTE + k, Wire.pack(r)));
+        rows.put(SHORT, null);
+        return rows;
+    }
+
+    @Override
+    public void joined() {
+        fetching = false;
+        until = Long.MIN_VALUE;
+    }
+
     /** What a writer must show: that it was the last to read this shard here, in this era. */
     private long era(final int shard) {
         return era ^ Hash.mix(readers.getOrDefault(shard, ""));
--- a/control/src/main/java/rv/control/Membership.java
+++ b/control/src/main/java/rv/control/Membership.java
@@ -74,6 +74,16 @@
         loop.post(this::round);
     }
 
+    /** Tells the voters of a change in this node at once. */
+    public void announce() {
+        round();
+    }
+
+    /** Whether a voter has answered a heartbeat of late. */
+    public boolean answered() {
+        return loop.now() - answered <= UNHEARD;
+    }
+
     private void round() {
         final Member me = self.get();
         note(me, loop.now());
@@ -91,7 +101,7 @@
         if (list.size() <= FEW) {
             return list.stream().limit(OTHERS).toList();
         }
-        return loop.now() - answered <= UNHEARD
+        return answered()
                 ? List.of()
                 : list.stream()
                         .sorted(Comparator.comparingLong(n -> Hash.mix(own().id() + "/" + n)))
--- a/control/src/main/java/rv/control/WriteRecovery.java
+++ b/control/src/main/java/rv/control/WriteRecovery.java
@@ -52,6 +52,9 @@
     }
 
     private void round() {
+        if (!elector.votes()) {
+            return;
+        }
         for (final Map.Entry<ItemId, Msg.Slot> e : elector.slots().entrySet()) {
             final Item item = e.getValue().item();
             if (!item.ver().above(held.get(e.getKey()).ver())) {
--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -31,13 +31,13 @@
     }
 
     void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
-        if (node.elector() != null && votes(msg, back)) {
+        if (node.elector() != null && votes(from, msg, back)) {
             return;
         }
         other(from, msg, back);
     }
 
-    private boolean votes(final Msg msg, final Consumer<Msg> back) {
+    private boolean votes(final NodeId from, final Msg msg, final Consumer<Msg> back) {
         if (msg instanceof Msg.Prepare m) {
             node.elector().prepare(m, back);
         } else if (msg instanceof Msg.Accept m) {
@@ -48,18 +48,30 @@
             desk.query(m, back);
         } else if (msg instanceof Msg.Vers m) {
             desk.vers(m, back);
-        } else if (msg instanceof Msg.KeepRead m && node.elector().full()) {
-            node.keeper().read(m, back);
-        } else if (msg instanceof Msg.KeepWrite m && node.elector().full()) {
-            node.keeper().write(m, back);
-        } else if (msg instanceof Msg.KeepAll m && node.elector().full()) {
-            node.keeper().all(m, back);
+        } else if (msg instanceof Msg.KeepRead m) {
+            present(m.epoch(), back, () -> node.keeper().read(m, back));
+        } else if (msg instanceof Msg.KeepWrite m) {
+            present(m.epoch(), back, () -> node.keeper().write(m, back));
+        } else if (msg instanceof Msg.KeepAll m) {
+            present(m.epoch(), back, () -> node.keeper().all(m, back));
+        } else if (msg instanceof Msg.Handover m) {
+            node.elector().handover(from, m, back);
+        } else if (msg instanceof Msg.HandoverRecords m) {
+            node.elector().handoverRecords(from, m, back);
+        } else if (msg instanceof Msg.CatchUp m) {
+            node.elector()
+                    .prepareToJoin(m.epoch(), node.sync().fresh() && node.sync().settled(), back);
         } else {
             return false;
         }
         return true;
     }
 
+    /** Records are kept in the present epoch only. */
+    private void present(final long epoch, final Consumer<Msg> back, final Runnable answer) {
+        node.elector().refusal(epoch).ifPresentOrElse(back, answer);
+    }
+
     private void other(final NodeId from, final Msg msg, final Consumer<Msg> back) {
         if (msg instanceof Msg.Learn m) {
             m.list().forEach(learn);
@@ -82,7 +94,8 @@
             sender.told(from, m);
             back.accept(new Msg.Ok());
         } else if (msg instanceof Msg.Seats) {
-            back.accept(new Msg.Seated(node.setup().seats()));
+            back.accept(new Msg.Seated(
+                    node.setup().seats(), node.electorate().chosen().orElse(null)));
         } else if (msg instanceof Msg.Report m) {
             back.accept(new Msg.Reported(new StatusReport(node).say(m.what())));
         } else {
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -1,11 +1,11 @@
 package rv.data;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import rv.base.Code;
 import rv.base.Condition;
 import rv.base.Disk;
@@ -36,20 +36,16 @@
 import rv.control.StoreHealth;
 import rv.control.Tenure;
 import rv.control.Voter;
+import rv.control.VoterAddress;
+import rv.control.VoterPlanner;
+import rv.control.VoterSearch;
 import rv.control.WriteRecovery;
 import rv.control.Writer;
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
-    private static final long QUIET = 1500;
-    private static final long LINGER = 100;
-    /** A leaving edge that still gets requests answers them: it ends once none has come for so long. */
-    private static final long CALM = 250;
-
-    private static final long HANDOVER = 2500;
     private final Setup setup;
     private final Loop loop;
-    private final LongSupplier wall;
     private final Journal journal;
     private final Electorate electorate;
     private final ItemStore held;
@@ -73,10 +69,10 @@
     private final Sender sender;
     private final Shield shield;
     private final Edge edge;
-    private boolean leaving;
-    private long bare;
-    private long last;
-    private long lag;
+    private final Departure departure;
+    private final ClockWatch clock;
+    private final VoterSearch search;
+    private final VoterPlanner planner;
 
     /** The outside of a node. {@code book} learns where members can be reached. */
     public record Seams(
@@ -85,13 +81,13 @@
     public Node(final Setup setup, final Seams s, final Journal journal) {
         this.setup = setup;
         this.loop = s.loop();
-        this.wall = s.wall();
         this.journal = journal;
         final NodeId self = setup.self().id();
         final String boot = setup.self().boot();
         journal.add(Event.of(
                 Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
         electorate = new Electorate(setup.quorum(), setup.seats());
+        electorate.onChange(() -> locate(s.book()));
         electorate.connect(this::learn, (to, set) -> s.net().tell(List.of(to), new Msg.Learn(List.of(set))));
         held = new ItemStore(loop, journal);
         held.watch(i -> {
@@ -105,7 +101,7 @@
         final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
         roster = new Membership(
                 this::self,
-                setup.votersMayChange() ? electorate::voters : setup::seeds,
+                this::heartbeats,
                 loop,
                 s.net(),
                 setup.timing(),
@@ -121,12 +117,12 @@
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
         orders = new Orders(held, sync, writer, tags);
         registry = new Registry(held, sync, writer, journal, tags);
-        elector = setup.elector()
+        elector = setup.mayVote()
                 ? new Voter(self, electorate, loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
                 : null;
         keeper = elector == null
                 ? null
-                : new KeyRecordStore(self, boot, electorate, s.net(), loop, wall, disk, elector::lapsed);
+                : new KeyRecordStore(self, boot, electorate, s.net(), loop, s.wall(), disk, elector::lapsed);
         settler = elector == null
                 ? null
                 : new WriteRecovery(
@@ -169,7 +165,7 @@
                         held,
                         setup.timing(),
                         journal,
-                        () -> sync.fresh() && !drift.beyond(),
+                        () -> sync.fresh() && !drift.beyond() && leads(),
                         authority::won,
                         () -> elector == null ? 0 : elector.lives())
                 : null;
@@ -188,7 +184,7 @@
                         holder,
                         new Sender.Ties(
                                 sync::fresh,
-                                this::alone,
+                                () -> NodeRouting.alone(setup, roster, electorate),
                                 fills ? this::peers : List::of,
                                 () -> Math.max(1, roster.known(Role.EDGE))),
                         journal)
@@ -214,52 +210,28 @@
                         setup.shards(),
                         journal,
                         setup.cacheBytes(),
-                        new EdgeRouting() {
-                            @Override
-                            public int places() {
-                                return setup.places().size();
-                            }
-
-                            @Override
-                            public int place() {
-                                return setup.place();
-                            }
-
-                            @Override
-                            public Sender direct() {
-                                return sender;
-                            }
-
-                            @Override
-                            public List<NodeId> near() {
-                                return Node.this.near();
-                            }
-
-                            @Override
-                            public boolean heard(final NodeId id) {
-                                return roster.silence(id) <= QUIET;
-                            }
-
-                            @Override
-                            public long silent(final NodeId id) {
-                                return roster.silence(id);
-                            }
-
-                            @Override
-                            public boolean alone() {
-                                return Node.this.alone();
-                            }
-                        })
+                        new NodeRouting(setup, roster, electorate, sender))
                 : null;
+        search = new VoterSearch(self, electorate, loop, s.net(), setup.seeds(), roster::ids, sync::fresh);
+        planner = store && setup.votersMayChange()
+                ? new VoterPlanner(
+                        self,
+                        electorate,
+                        roster,
+                        sync,
+                        writer,
+                        loop,
+                        s.net(),
+                        journal,
+                        setup.wantedLosses(),
+                        setup.silentMs())
+                : null;
+        departure = new Departure(this, edge, sender);
+        clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
         inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
-    }
-
-    /** Too few electors are heard from to learn anything new. */
-    private boolean alone() {
-        return electorate.voters().stream()
-                        .filter(e -> e.equals(setup.self().id()) || roster.silence(e) <= QUIET)
-                        .count()
-                < electorate.quorum().need();
+        if (setup.voters() != null) {
+            learn(setup.voters());
+        }
     }
 
     private List<NodeId> peers() {
@@ -269,20 +241,6 @@
                 .toList();
     }
 
-    /** Shields that are heard of: of the same zone first, then of the same region. */
-    private List<NodeId> near() {
-        final String cell = setup.self().cell();
-        final String region = cell.substring(0, cell.lastIndexOf('/') + 1);
-        final int turn = setup.self().id().hashCode();
-        return roster.live(Role.SHIELD).stream()
-                .filter(m -> m.condition() != Condition.LEAVING && roster.silence(m.id()) <= QUIET)
-                .sorted(Comparator.comparingInt((Member m) ->
-                                m.cell().equals(cell) ? 0 : m.cell().startsWith(region) ? 1 : 2)
-                        .thenComparingInt(m -> (m.id().hashCode() ^ turn) & 0xffff))
-                .map(Member::id)
-                .toList();
-    }
-
     private List<Msg.Wish> wishes() {
         return sender.wishes();
     }
@@ -294,6 +252,8 @@
     public void start() throws DiskTrouble {
         if (elector != null) {
             elector.onWhole(() -> held.all().forEach(elector::learn));
+            elector.prefill(held::all);
+            elector.records(keeper);
             elector.start();
             keeper.start();
             settler.start();
@@ -305,42 +265,26 @@
             tenure.start();
             new Compactor(loop, held, writer, tenure::acting).start();
             authority.start(tenure);
+            if (planner != null) {
+                planner.start(tenure);
+            }
         }
         if (holder != null) {
             holder.start();
         }
-        last = loop.now();
-        lag = wall.getAsLong() - last;
-        loop.every(100, this::watch);
-    }
-
-    /** A gap in this loop's own time, or a wall clock that ran on without it, is a freeze. */
-    private void watch() {
-        final long now = loop.now();
-        final long gone = now - last - 100;
-        final long shift = Math.abs(wall.getAsLong() - now - lag);
-        if (gone >= setup.timing().m() || shift >= setup.timing().m()) {
-            journal.add(Event.of(Code.WOKE, "gap", gone, "shift", shift));
-            sync.drop();
-            drift.clear();
-            if (holder != null) {
-                holder.drop();
-            }
-            if (tenure != null) {
-                tenure.drop();
-            }
+        clock.start();
+        if (setup.votersMayChange()) {
+            search.start();
         }
-        if (drift.beyond()) {
-            journal.add(Event.of(Code.DRIFT_HIGH, "bound", drift.worst()));
-            if (holder != null) {
-                holder.drop();
-            }
-            if (tenure != null) {
-                tenure.drop();
-            }
+    }
+
+    private void dropRights() {
+        if (holder != null) {
+            holder.drop();
+        }
+        if (tenure != null) {
+            tenure.drop();
         }
-        last = now;
-        lag = wall.getAsLong() - now;
     }
 
     private void learn(final Msg.Chosen c) {
@@ -350,12 +294,44 @@
         held.merge(c);
     }
 
+    /** A shield that does not vote is not the lease authority either. */
+    private boolean leads() {
+        return !setup.votersMayChange() || elector.votes();
+    }
+
+    /** Heartbeats go to the present voters, and to the seeds too while none of those answers. */
+    private List<NodeId> heartbeats() {
+        if (!setup.votersMayChange()) {
+            return setup.seeds();
+        }
+        if (electorate.epoch() == 0 || roster.answered()) {
+            return electorate.voters();
+        }
+        return Stream.concat(electorate.voters().stream(), search.seeds().stream())
+                .distinct()
+                .toList();
+    }
+
+    /** Seeds of changed settings are asked for the present voters from now on. */
+    public void seeds(final List<NodeId> list) {
+        search.seeds(list);
+    }
+
+    /** The voters' addresses come with the set that names them. */
+    private void locate(final Consumer<Member> book) {
+        electorate.addresses().stream().map(VoterAddress::parse).forEach(a -> {
+            if (roster.get(a.id()) == null) {
+                book.accept(new Member(a.id(), Role.SHIELD, "", a.host(), a.port(), "", Condition.PARTIAL, ""));
+            }
+        });
+    }
+
     private Member self() {
         return setup.self().with(condition());
     }
 
     public Condition condition() {
-        if (leaving) {
+        if (departure.begun()) {
             return Condition.LEAVING;
         }
         if (drift.beyond()) {
@@ -364,7 +340,9 @@
         if (!sync.fresh()) {
             return Condition.PARTIAL;
         }
-        final boolean whole = elector == null || elector.full();
+        final boolean whole = elector == null
+                || elector.votes()
+                || !electorate.has(setup.self().id());
         final boolean rights = holder == null || holder.count() > 0;
         final boolean ways = edge == null || !roster.live(Role.SHIELD).isEmpty();
         return whole && rights && ways ? Condition.READY : Condition.PARTIAL;
@@ -386,48 +364,10 @@
 
     /** Orderly: no new callers, shards handed over while the fence is confirmed, tenure given back. */
     public void leave(final long most, final Runnable then) {
-        leaving = true;
-        bare = loop.now();
-        journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
-        final long cutoff = loop.now() + most;
-        final Runnable rest = edge == null
-                ? () -> drain(cutoff, then)
-                : () -> loop.after(Math.min(setup.noticeMs(), most), () -> {
-                    edge.shut();
-                    drain(cutoff, then);
-                });
-        if (tenure != null) {
-            tenure.step(rest);
-        } else {
-            rest.run();
-        }
-    }
-
-    private void drain(final long cutoff, final Runnable then) {
-        final boolean idle = (edge == null || edge.busy() == 0 && edge.quiet(CALM))
-                && (sender == null || sender.busy() == 0)
-                && handed();
-        if (idle || loop.now() >= cutoff) {
-            loop.after(LINGER, () -> {
-                journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
-                then.run();
-            });
-        } else {
-            loop.after(50, () -> drain(cutoff, then));
-        }
-    }
-
-    /** A shield's stop is heard once the plan no longer names it; with nobody to hear, it does not wait for long. */
-    private boolean handed() {
-        if (holder == null) {
-            return true;
-        }
-        if (holder.count() > 0) {
-            bare = loop.now();
-            return false;
+        departure.begin(most, then);
+        if (electorate.has(setup.self().id())) {
+            roster.announce();
         }
-        final String me = setup.self().id().text();
-        return view.plan().parts().stream().noneMatch(p -> p.owner().equals(me)) || loop.now() - bare > HANDOVER;
     }
 
     public Electorate electorate() {
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.Set;
 import rv.base.Member;
+import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
+import rv.control.VoterPlanner;
 
 /** What a process is told about its place. */
 public record Setup(
@@ -21,7 +23,10 @@
         double slack,
         List<String> seats,
         long noticeMs,
-        List<String> places) {
+        List<String> places,
+        int wantedLosses,
+        long silentMs,
+        Msg.Chosen voters) {
 
     public boolean elector() {
         return quorum.has(self.id());
@@ -32,9 +37,14 @@
         return quorum.stores().isEmpty();
     }
 
-    /** Stores arbitrate; where no elector is named a store, every elector has a disk and does. */
+    /** Where voters change, every shield has a disk and may become one. */
+    public boolean mayVote() {
+        return elector() || votersMayChange() && is(Role.SHIELD);
+    }
+
+    /** Stores arbitrate; where no voter is named a store, every voter has a disk and does. */
     public boolean arbitrates() {
-        return is(Role.STORE) || quorum.stores().isEmpty() && elector();
+        return is(Role.STORE) || votersMayChange() && mayVote();
     }
 
     /** Which place a cell is in; the first where it is in none. */
@@ -72,6 +82,9 @@
         private List<String> seats = List.of();
         private long notice = 1000;
         private List<String> places = List.of("");
+        private int wantedLosses;
+        private long silentMs = VoterPlanner.SILENT;
+        private Msg.Chosen voters;
 
         private Builder(final Member self) {
             this.self = self;
@@ -126,6 +139,24 @@
             return this;
         }
 
+        /** How many voters may be lost at once; the set is made as large as that needs. */
+        public Builder wantedLosses(final int n) {
+            wantedLosses = n;
+            return this;
+        }
+
+        /** After what silence a voter is replaced by a standby. */
+        public Builder silentMs(final long ms) {
+            silentMs = ms;
+            return this;
+        }
+
+        /** The chosen set that votes now, where it is known; without it the founding set is taken. */
+        public Builder voters(final Msg.Chosen set) {
+            voters = set;
+            return this;
+        }
+
         /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
         public Builder extra(final double part, final double beside) {
             share = part;
@@ -135,7 +166,21 @@
 
         public Setup build() {
             return new Setup(
-                    self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice, places);
+                    self,
+                    seeds,
+                    quorum,
+                    timing,
+                    shards,
+                    cacheBytes,
+                    first,
+                    share,
+                    slack,
+                    seats,
+                    notice,
+                    places,
+                    wantedLosses,
+                    silentMs,
+                    voters);
         }
     }
 }
--- a/data/src/main/java/rv/data/StatusReport.java
+++ b/data/src/main/java/rv/data/StatusReport.java
@@ -1,13 +1,16 @@
 package rv.data;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Kind;
+import rv.base.Member;
 import rv.base.Msg;
 import rv.base.NodeId;
+import rv.base.Role;
 import rv.control.Json;
 import rv.control.Origin;
 import rv.control.Tenure;
@@ -34,6 +37,25 @@
         return Json.text(all());
     }
 
+    private String vote() {
+        if (!node.electorate().has(node.setup().self().id())) {
+            return "standby";
+        }
+        return node.elector().votes() ? "voting" : node.elector().full() ? "taking over" : "without memory";
+    }
+
+    /** Shields that may become voters, where voters change. */
+    private List<String> standbys() {
+        return !node.setup().votersMayChange()
+                ? List.of()
+                : node.roster().live(Role.SHIELD).stream()
+                        .map(Member::id)
+                        .filter(id -> !node.electorate().has(id))
+                        .map(NodeId::text)
+                        .sorted()
+                        .toList();
+    }
+
     public Map<String, Object> all() {
         final Map<String, Object> map = new LinkedHashMap<>();
         map.put("node", node.setup().self().id().text());
@@ -101,9 +123,12 @@
             map.put("acting", node.tenure().acting());
         }
         if (node.elector() != null) {
-            map.put("elector", node.elector().full() ? "voting" : "without memory");
+            map.put("elector", vote());
             map.put("keys", node.keeper().size());
         }
+        map.put("epoch", node.electorate().epoch());
+        map.put("voters", node.electorate().voters().stream().map(NodeId::text).toList());
+        map.put("standbys", standbys());
         return map;
     }
 }
--- a/prog/src/main/java/rv/prog/VoterDiscovery.java
+++ b/prog/src/main/java/rv/prog/VoterDiscovery.java
@@ -58,7 +58,7 @@
 
     /** Answers for a node that does not know yet. */
     static void blank(final NodeId from, final Msg msg, final Consumer<Msg> back) {
-        back.accept(msg instanceof Msg.Seats ? new Msg.Seated(List.of()) : new Msg.Nay("not seated yet"));
+        back.accept(msg instanceof Msg.Seats ? new Msg.Seated(List.of(), null) : new Msg.Nay("not seated yet"));
     }
 
     private List<String> ask() throws InterruptedException {
--- a/prog/src/test/java/rv/prog/SeatingTest.java
+++ b/prog/src/test/java/rv/prog/SeatingTest.java
@@ -118,7 +118,7 @@
         }));
         assertTrue(refused.await(20, TimeUnit.SECONDS));
         new Thread(seat).start();
-        other.serve((from, msg, back) -> back.accept(new Msg.Seated(FOUNDERS)));
+        other.serve((from, msg, back) -> back.accept(new Msg.Seated(FOUNDERS, null)));
         assertEquals(FOUNDERS, seat.get(20, TimeUnit.SECONDS).seats());
         assertEquals(1, rows.size());
         assertEquals(
--- a/rig/src/main/java/rv/rig/Place.java
+++ b/rig/src/main/java/rv/rig/Place.java
@@ -226,6 +226,26 @@
                 true);
     }
 
+    /** The same with more shields. */
+    public static Place larger(final Place p, final int shields) {
+        return new Place(
+                p.name(),
+                p.edges(),
+                shields,
+                p.cells(),
+                p.regionMs(),
+                p.syncMs(),
+                p.perSecond(),
+                p.kin(),
+                p.hasty(),
+                p.shieldRun());
+    }
+
+    /** How many shields may be lost at once where they vote. */
+    public int losses() {
+        return shieldRun ? (shields - 1) / 2 : 0;
+    }
+
     public static Place of(final String name) {
         return switch (name) {
             case "kilimanjaro" -> kilimanjaro();
--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -49,7 +49,7 @@
             final SimDisk disk = new SimDisk(world, place.disks().contains(m) ? place.syncMs() : 0);
             nodes.put(
                     m,
-                    new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS));
+                    new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS, place.losses()));
         }
         int at = 0;
         for (final Place.Kin k : place.kin()) {
--- a/rig/src/main/java/rv/rig/sim/SimNode.java
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -25,9 +25,10 @@
     private final NodeId id;
     private final Role role;
     private final String cell;
-    private final java.util.List<NodeId> seeds;
+    private java.util.List<NodeId> seeds;
     private final Quorum quorum;
     private final int shards;
+    private final int losses;
     private Node node;
     private long life;
     private boolean alive;
@@ -47,7 +48,8 @@
             final String cell,
             final java.util.List<NodeId> seeds,
             final Quorum quorum,
-            final int shards) {
+            final int shards,
+            final int losses) {
         this.world = world;
         this.net = net;
         this.disk = disk;
@@ -59,10 +61,16 @@
         this.seeds = seeds;
         this.quorum = quorum;
         this.shards = shards;
+        this.losses = losses;
         this.shift = world.dice().nextInt(100_000);
         net.join(this);
     }
 
+    /** Settings of its next start name these seeds. */
+    public void seeds(final java.util.List<NodeId> list) {
+        seeds = java.util.List.copyOf(list);
+    }
+
     public NodeId id() {
         return id;
     }
@@ -117,6 +125,7 @@
                 .seeds(seeds)
                 .quorum(quorum)
                 .shards(shards)
+                .wantedLosses(losses)
                 .first(life == 1 || !quorum.stores().isEmpty())
                 .build();
         node = new Node(
