--- a/base/src/main/java/rv/base/Ballot.java
+++ b/base/src/main/java/rv/base/Ballot.java
@@ -1,5 +1,6 @@
 package rv.base;
 
+/** A proposal number of one register: rounds rise, and the proposer's name breaks ties. */
 public record Ballot(long round, String node) implements Comparable<Ballot> {
     public static final Ballot ZERO = new Ballot(0, "");
 
--- a/base/src/main/java/rv/base/Condition.java
+++ b/base/src/main/java/rv/base/Condition.java
@@ -1,5 +1,6 @@
 package rv.base;
 
+/** How a member describes itself in its heartbeats. */
 public enum Condition {
     READY,
     PARTIAL,
--- a/base/src/main/java/rv/base/Event.java
+++ b/base/src/main/java/rv/base/Event.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+/** One log event: its numbered code and the facts that belong to it. */
 public record Event(Code code, Map<String, Object> facts) {
     public static Event of(final Code code, final Object... pairs) {
         final Map<String, Object> map = new TreeMap<>();
--- a/base/src/main/java/rv/base/Finding.java
+++ b/base/src/main/java/rv/base/Finding.java
@@ -1,5 +1,6 @@
 package rv.base;
 
+/** One fault of an input, with the place in the input where it stands. */
 public record Finding(String place, String text) {
     @Override
     public String toString() {
--- a/base/src/main/java/rv/base/Hash.java
+++ b/base/src/main/java/rv/base/Hash.java
@@ -5,6 +5,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
+/** Hash functions that give the same result in every process. */
 public final class Hash {
     private Hash() {}
 
--- a/base/src/main/java/rv/base/ItemId.java
+++ b/base/src/main/java/rv/base/ItemId.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 
+/** The identity of one register: its kind and its name. */
 public record ItemId(Kind kind, String name) implements Comparable<ItemId> {
     public static final ItemId PLAN = new ItemId(Kind.PLAN, "plan");
     public static final ItemId TENURE = new ItemId(Kind.TENURE, "tenure");
--- a/base/src/main/java/rv/base/Journal.java
+++ b/base/src/main/java/rv/base/Journal.java
@@ -13,6 +13,7 @@
     private final List<Consumer<Entry>> views = new CopyOnWriteArrayList<>();
     private long seq;
 
+    /** One event with its sequence number and its time on this node's clock. */
     public record Entry(long seq, long at, Event event) {}
 
     public Journal(final Loop loop, final int room) {
--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
+/** The kinds of replicated items. */
 public enum Kind {
     ROUTE,
     SERVICE,
--- a/base/src/main/java/rv/base/Net.java
+++ b/base/src/main/java/rv/base/Net.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.function.Consumer;
 
+/** The transport between processes: requests that are answered, and one-way messages. */
 public interface Net {
     void ask(NodeId to, Msg msg, long wait, Consumer<Reply> then);
 
@@ -15,6 +16,7 @@
         to.forEach(n -> tell(n, msg));
     }
 
+    /** Receives the messages that other nodes send to this one. */
     @FunctionalInterface
     interface Port {
         void take(NodeId from, Msg msg, Consumer<Msg> back);
--- a/base/src/main/java/rv/base/NodeId.java
+++ b/base/src/main/java/rv/base/NodeId.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 
+/** The name of one node. */
 public record NodeId(@JsonValue String text) implements Comparable<NodeId> {
     @JsonCreator
     public NodeId {
--- a/base/src/main/java/rv/base/Reply.java
+++ b/base/src/main/java/rv/base/Reply.java
@@ -2,7 +2,9 @@
 
 import java.util.Optional;
 
+/** The answer to a request between processes, or the reason why there is none. */
 public record Reply(Msg msg, Trouble trouble) {
+    /** Why there is no answer: {@code NOT_SENT} is a promise that no byte of the request has left. */
     public enum Trouble {
         NONE,
         NOT_SENT,
--- a/base/src/main/java/rv/base/Role.java
+++ b/base/src/main/java/rv/base/Role.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 
+/** What a process does in the network. */
 public enum Role {
     STORE,
     SHIELD,
--- a/base/src/main/java/rv/base/Token.java
+++ b/base/src/main/java/rv/base/Token.java
@@ -1,5 +1,6 @@
 package rv.base;
 
+/** A fencing token: the term of the authority that gave it, and a count within the plan. */
 public record Token(long term, long count) implements Comparable<Token> {
     public static final Token ZERO = new Token(0, 0);
 
--- a/base/src/main/java/rv/base/Ver.java
+++ b/base/src/main/java/rv/base/Ver.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 
+/** The version of one item. */
 public record Ver(@JsonValue long n) implements Comparable<Ver> {
     public static final Ver ZERO = new Ver(0);
 
--- a/base/src/main/java/rv/base/Wire.java
+++ b/base/src/main/java/rv/base/Wire.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
 
+/** Packs and unpacks the messages between processes as CBOR. */
 public final class Wire {
     public static final int VERSION = 1;
     public static final int LIMIT = 4 << 20;
@@ -15,6 +16,7 @@
 
     private Wire() {}
 
+    /** One frame: the format's version, the message's id, and the id of the message that it answers. */
     public record Envelope(int v, long id, long re, NodeId from, Msg msg) {}
 
     private static ObjectMapper make() {
--- a/control/src/main/java/rv/control/Holder.java
+++ b/control/src/main/java/rv/control/Holder.java
@@ -38,6 +38,7 @@
     private long asked;
     private long missed;
 
+    /** The states of a lease, as its holder sees them. */
     public enum State {
         HELD,
         UNCERTAIN,
@@ -45,6 +46,7 @@
         REVOKED
     }
 
+    /** One shard's lease with its fencing token and the end of its validity. */
     public static final class Lease {
         private Token token;
         private State state;
--- a/control/src/main/java/rv/control/Json.java
+++ b/control/src/main/java/rv/control/Json.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 
+/** Reads and writes the JSON bodies of items. */
 public final class Json {
     private static final JsonMapper MAP = JsonMapper.builder()
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
--- a/control/src/main/java/rv/control/Match.java
+++ b/control/src/main/java/rv/control/Match.java
@@ -28,6 +28,7 @@
     public static final String ONCE = "once";
     public static final String SINGLE = "single";
 
+    /** One service of a route that is split over several, with its weight. */
     public record Part(String service, int weight) {}
 
     public Match {
--- a/control/src/main/java/rv/control/Plan.java
+++ b/control/src/main/java/rv/control/Plan.java
@@ -15,6 +15,7 @@
     /** The whole of a store's rate, in the unit of weights. */
     public static final int WHOLE = 10_000;
 
+    /** One shard of the plan: its owner and the fencing token of that owner. */
     public record Part(String owner, long term, long count) {
         public Token token() {
             return new Token(term, count);
--- a/control/src/main/java/rv/control/Rule.java
+++ b/control/src/main/java/rv/control/Rule.java
@@ -17,6 +17,7 @@
     public static final int LONGEST = 400;
     private final CelRuntime.Program program;
 
+    /** What a condition says of one request; {@code UNSURE} where it cannot be evaluated. */
     public enum Verdict {
         HOLDS,
         FAILS,
--- a/prog/src/main/java/rv/prog/Diff.java
+++ b/prog/src/main/java/rv/prog/Diff.java
@@ -10,6 +10,7 @@
 
 /** Where two nodes' beliefs differ, which is newer, and whether that is lag or contradiction. */
 public final class Diff {
+    /** One difference between what two nodes hold. */
     public record Row(String what, String left, String right, String newer, String kind) {
         public String line() {
             return what + ": " + left + " | " + right + "  (" + kind + (newer.isEmpty() ? "" : ", newer: " + newer)
--- a/prog/src/main/java/rv/prog/ProcessComponent.java
+++ b/prog/src/main/java/rv/prog/ProcessComponent.java
@@ -7,6 +7,7 @@
 import rv.base.Journal;
 import rv.data.Node;
 
+/** The objects of one process, put together by Dagger. */
 @Singleton
 @Component(modules = ProcessModule.class)
 public interface ProcessComponent {
