SIGHUP has a process read its options again instead of ending it

Each program installs a handler before anything else. A thread of its own reads the file again after a signal, or once two looks, 2 s apart, found the same change. The options are checked whole. RV1007 tells faults with their places, and the earlier options hold; RV1006 names what now holds, RV1008 what waits for a start. Seeds, wanted losses, bounds and cells go over to the running node.

--- a/control/src/main/java/rv/control/FrameSync.java
+++ b/control/src/main/java/rv/control/FrameSync.java
@@ -24,7 +24,7 @@
     private final Loop loop;
     private final Net net;
     private final ItemStore held;
-    private final Timing timing;
+    private Timing timing;
     private final Journal journal;
     private final Consumer<Msg.Chosen> take;
     private final Consumer<NodeId> alive;
@@ -54,6 +54,11 @@
         this.journal = journal;
     }
 
+    /** From now on a frame counts for as long as these times say. */
+    public void timing(final Timing next) {
+        timing = next;
+    }
+
     public void start() {
         since = loop.now();
         loop.post(this::round);
--- a/control/src/main/java/rv/control/Membership.java
+++ b/control/src/main/java/rv/control/Membership.java
@@ -29,6 +29,9 @@
     private static final long UNHEARD = 1000;
     private final Supplier<Member> self;
     private final List<NodeId> seeds;
+    /** Seeds of changed settings; they are asked while none of the first ones answers. */
+    private List<NodeId> laterSeeds = List.of();
+
     private final Loop loop;
     private final Net net;
     private final Timing timing;
@@ -74,10 +77,20 @@
         loop.post(this::round);
     }
 
+    /** The seeds of changed settings, in place of those of an earlier change. */
+    public void laterSeeds(final List<NodeId> ids) {
+        laterSeeds = List.copyOf(ids);
+    }
+
     private void round() {
         final Member me = self.get();
         note(me, loop.now());
         seeds.stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
+        if (loop.now() - answered > UNHEARD) {
+            laterSeeds.stream()
+                    .filter(s -> !s.equals(me.id()) && !seeds.contains(s))
+                    .forEach(s -> ask(s, me));
+        }
         others().stream().filter(s -> !s.equals(me.id())).forEach(s -> ask(s, me));
         members.gone(loop.now()).forEach(id -> journal.add(Event.of(Code.MEMBER_LOST, "node", id.text())));
     }
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -1,7 +1,9 @@
 package rv.data;
 
+import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -421,6 +423,20 @@
         return view.plan().parts().stream().noneMatch(p -> p.owner().equals(me)) || loop.now() - bare > HANDOVER;
     }
 
+    /** Takes settings that changed while this node runs; in the core thread. */
+    public void reload(final LiveSettings next) {
+        setup.live().set(next);
+        sync.timing(next.timing());
+        if (sender != null) {
+            sender.reload();
+        }
+    }
+
+    /** The seeds of changed settings; whoever calls this has told the net their addresses. In the core thread. */
+    public void seeds(final Map<NodeId, InetSocketAddress> seeds) {
+        roster.laterSeeds(List.copyOf(seeds.keySet()));
+    }
+
     public Setup setup() {
         return setup;
     }
--- a/data/src/main/java/rv/data/RetryBudget.java
+++ b/data/src/main/java/rv/data/RetryBudget.java
@@ -8,15 +8,20 @@
  * so in any 10 s whatever, even when requests have just stopped, a fifth plus the small allowance is not passed.
  */
 public final class RetryBudget {
-    private final double share;
-    private final double saved;
+    private double share;
+    private double saved;
     private static final double WINDOW = 10_000;
     private final Map<String, Pot> pots = new HashMap<>();
 
     /** {@code ratio}: extra tries for each request; {@code slack}: beyond those, in any 10 s, over all senders. */
     public RetryBudget(final double ratio, final double slack) {
-        this.share = ratio * 0.9;
-        this.saved = slack * 0.4;
+        limits(ratio, slack);
+    }
+
+    /** From now on these hold; what was earned under the earlier ones is kept, up to the new bound. */
+    public void limits(final double ratio, final double slack) {
+        share = ratio * 0.9;
+        saved = slack * 0.4;
     }
 
     public RetryBudget() {
--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -72,13 +72,20 @@
         this.holder = holder;
         this.ties = ties;
         this.journal = journal;
-        final boolean edge = setup.is(rv.base.Role.EDGE);
-        this.allow = new RetryBudget(edge ? 0 : setup.share(), edge ? 0 : setup.slack());
+        this.allow = new RetryBudget(0, 0);
+        reload();
         this.pool = new OriginLoad(setup.self().cell());
         this.gossip = new LoadExchange(loop, net, pool, ties.peers());
         loop.every(LoadExchange.EACH, () -> view.serviceNames().forEach(this::drain));
     }
 
+    /** Takes the bounds on extra tries from the settings that hold now; an edge has none of its own. */
+    void reload() {
+        if (!setup.is(rv.base.Role.EDGE)) {
+            allow.limits(setup.share(), setup.slack());
+        }
+    }
+
     public void send(final OriginRequest order, final Consumer<Sent> then) {
         new Job(order, then).step();
     }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -2,26 +2,43 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import rv.base.Member;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
 
-/** What a process is told about its place. */
+/** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
         Member self,
         List<NodeId> seeds,
         Quorum quorum,
-        Timing timing,
         int shards,
         long cacheBytes,
         boolean first,
-        double share,
-        double slack,
         List<String> seats,
-        long noticeMs,
-        List<String> places) {
+        AtomicReference<LiveSettings> live) {
+
+    public Timing timing() {
+        return live.get().timing();
+    }
+
+    public double share() {
+        return live.get().extraRatio();
+    }
+
+    public double slack() {
+        return live.get().extraSlack();
+    }
+
+    public long noticeMs() {
+        return live.get().noticeMs();
+    }
+
+    public List<String> places() {
+        return live.get().places();
+    }
 
     public boolean elector() {
         return quorum.has(self.id());
@@ -34,6 +51,7 @@
 
     /** Which place a cell is in; the first where it is in none. */
     public int at(final String cell) {
+        final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
             if (cell.startsWith(places.get(i))) {
                 return i;
@@ -117,7 +135,7 @@
 
         /** Cells, or the beginnings of cells, that objects are filled for apart; the same on all nodes. */
         public Builder places(final List<String> list) {
-            places = list.isEmpty() ? List.of("") : List.copyOf(list);
+            places = list;
             return this;
         }
 
@@ -130,7 +148,14 @@
 
         public Setup build() {
             return new Setup(
-                    self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice, places);
+                    self,
+                    seeds,
+                    quorum,
+                    shards,
+                    cacheBytes,
+                    first,
+                    seats,
+                    new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places)));
         }
     }
 }
--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -18,6 +18,7 @@
     private Main() {}
 
     public static void main(final String[] args) throws InterruptedException, IOException {
+        HangupSignal.install();
         if (args.length == 0
                 || Arrays.stream(Role.values()).noneMatch(r -> r.word().equals(args[0]))) {
             System.err.println("usage: rwstore | rwshield | rwedge [options], see --help");
@@ -39,13 +40,14 @@
             return;
         }
         final List<Finding> faults = new ArrayList<>();
-        final Options o = Options.read(role, rest, faults);
+        final OptionSource source = new OptionSource(role, rest);
+        final Options o = source.read(faults);
         if (!faults.isEmpty()) {
             faults.forEach(f -> System.err.println(Code.BAD_OPTIONS.tag() + " " + f));
             System.exit(2);
         }
         try {
-            new Program(o).run();
+            new Program(source, o).run();
         } catch (final DiskTrouble | IOException e) {
             System.err.println(Code.BAD_OPTIONS.tag() + " " + e.getMessage());
             System.exit(2);
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -21,6 +21,7 @@
 import rv.control.JsonReader;
 import rv.control.JsonShape;
 import rv.control.Quorum;
+import rv.data.LiveSettings;
 
 /** A process's place: from a JSON file, from flags, flags first; all faults are found before any is told. */
 public record Options(
@@ -47,6 +48,7 @@
         List<String> cells,
         long noticeMs,
         List<String> places,
+        int wantedLosses,
         String shortage) {
 
     static final List<String> FLAGS = List.of(
@@ -153,6 +155,16 @@
         return check(role, all, faults);
     }
 
+    /** The file that the command line names; null where it names none. */
+    static Path file(final String... args) {
+        try {
+            final OptionSet set = parser().parse(args);
+            return set.has("options") ? Path.of((String) set.valueOf("options")) : null;
+        } catch (final OptionException e) {
+            return null;
+        }
+    }
+
     private static void file(final Path at, final Map<String, Object> all, final List<Finding> faults) {
         try {
             final List<Finding> own = new ArrayList<>();
@@ -317,6 +329,7 @@
                         cells,
                         notice,
                         places,
+                        wanted,
                         disks && wanted > most
                                 ? electors.size() + " electors bear the loss of " + most + ", not of " + wanted
                                 : "")
@@ -373,9 +386,16 @@
                 cells,
                 noticeMs,
                 places,
+                wantedLosses,
                 shortage);
     }
 
+    /** What a running node, whose lease times are {@code running}, takes over when they change. */
+    LiveSettings live(final Timing running) {
+        return new LiveSettings(
+                new Timing(running.d(), running.m(), timing.fresh()), extraRatio, extraSlack, noticeMs, places);
+    }
+
     /** Whether every elector has a disk, so that the set of them is kept and learned, not stated. */
     public boolean learns() {
         return quorum.stores().isEmpty();
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -20,6 +20,7 @@
 
 /** One process: the planes over their real seams, with what it shows to the outside. */
 public final class Program {
+    private final OptionSource source;
     private final Options options;
     private final Faces faces;
     private final StartupTimer stages;
@@ -63,11 +64,13 @@
         }
     }
 
-    public Program(final Options options) {
-        this(options, new Own(), new StartupTimer());
+    public Program(final OptionSource source, final Options options) {
+        this(source, options, new Own(), new StartupTimer());
     }
 
-    public Program(final Options options, final Faces faces, final StartupTimer stages) {
+    /** {@code options} were just read from {@code source}, which is read again when they may have changed. */
+    public Program(final OptionSource source, final Options options, final Faces faces, final StartupTimer stages) {
+        this.source = source;
         this.options = options;
         this.faces = faces;
         this.stages = stages;
@@ -84,6 +87,8 @@
         stages.end("disk");
         final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
         log.start(all.journal());
+        final SettingsWatcher settings = new SettingsWatcher(source, options, all.journal());
+        settings.start();
         if (!options.shortage().isEmpty()) {
             all.journal().add(Event.of(Code.SHORTAGE, "why", options.shortage()));
         }
@@ -95,7 +100,14 @@
         }
         all.loop().start();
         stages.end("wire");
-        final Options seated = new VoterDiscovery(options, all.loop(), all.net(), all.disk()).seat();
+        settings.listen(now -> reach(now, all.net()));
+        final Options seated = new VoterDiscovery(
+                        options,
+                        all.loop(),
+                        all.net(),
+                        all.disk(),
+                        () -> settings.current().seeds())
+                .seat();
         parts.seated(seated);
         seated.known().forEach(all.net()::learn);
         stages.end("seats");
@@ -108,6 +120,7 @@
         }
         stages.end("client");
         begin(all, node);
+        settings.listen(now -> all.loop().post(() -> reload(now, node)));
         stages.end("begin");
         final int warm = new Warmup(options, faces).run(all);
         stages.end("warmup");
@@ -127,7 +140,7 @@
         if (options.role() == Role.EDGE) {
             start(all.client());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(all, log), "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(all, log, settings), "stop"));
     }
 
     private static void start(final org.eclipse.jetty.client.HttpClient http) throws IOException {
@@ -183,11 +196,24 @@
         }
     }
 
-    private void leave(final ProcessComponent all, final EventLog log) {
+    private static void reach(final Options now, final TcpNet net) {
+        now.seeds().forEach(net::learn);
+        net.reach(now.reach());
+    }
+
+    private void reload(final Options now, final Node node) {
+        node.reload(now.live(options.timing()));
+        if (now != options) {
+            node.seeds(now.seeds());
+        }
+    }
+
+    private void leave(final ProcessComponent all, final EventLog log, final SettingsWatcher settings) {
         final CountDownLatch gone = new CountDownLatch(1);
-        all.loop().post(() -> all.node().leave(options.stopMs(), gone::countDown));
+        final long most = settings.current().stopMs();
+        all.loop().post(() -> all.node().leave(most, gone::countDown));
         try {
-            gone.await(options.stopMs() + 2000, TimeUnit.MILLISECONDS);
+            gone.await(most + 2000, TimeUnit.MILLISECONDS);
         } catch (final InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- /dev/null
+++ b/prog/src/main/java/rv/prog/SettingsWatcher.java
@@ -0,0 +1,108 @@
+package rv.prog;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Finding;
+import rv.base.Journal;
+
+/**
+ * Reads the options again after SIGHUP, or once their file has changed. They are checked whole; with a fault the
+ * earlier ones hold. One thread of its own does this, as reading a file may take its time.
+ */
+final class SettingsWatcher {
+    /** How often the file is looked at without a signal. */
+    private static final long LOOK_MS = 2000;
+
+    private final OptionSource source;
+    private final Journal journal;
+    private final List<SettingsListener> listeners = new CopyOnWriteArrayList<>();
+    private final Options started;
+    private volatile Options current;
+    private OptionSource.Stamp read;
+    private OptionSource.Stamp seen;
+
+    /** Hears of options that now hold; called in the watcher's thread, and once when it is added. */
+    @FunctionalInterface
+    interface SettingsListener {
+        void changed(Options now);
+    }
+
+    SettingsWatcher(final OptionSource source, final Options first, final Journal journal) {
+        this.source = source;
+        this.started = first;
+        this.current = first;
+        this.journal = journal;
+        this.read = source.stamp();
+        this.seen = read;
+    }
+
+    void start() {
+        final Thread thread = new Thread(this::run, "settings");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The options read last without a fault; only their live ones are in force before the next start. */
+    Options current() {
+        return current;
+    }
+
+    synchronized void listen(final SettingsListener listener) {
+        listeners.add(listener);
+        listener.changed(current);
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                if (HangupSignal.await(LOOK_MS)) {
+                    reload();
+                } else {
+                    look();
+                }
+            }
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A change counts once two looks found the same, so that no file is read while it is being written. */
+    void look() {
+        final OptionSource.Stamp now = source.stamp();
+        final boolean settled = now.equals(seen);
+        seen = now;
+        if (settled && !now.equals(read)) {
+            reload();
+        }
+    }
+
+    synchronized void reload() {
+        read = source.stamp();
+        final List<Finding> faults = new ArrayList<>();
+        final Options next = source.read(faults);
+        if (!faults.isEmpty()) {
+            journal.add(Event.of(
+                    Code.RELOAD_REJECTED,
+                    "faults",
+                    faults.stream().map(Finding::toString).collect(Collectors.joining("; "))));
+            return;
+        }
+        final List<String> needsStart = OptionChange.between(started, next).needsStart();
+        final List<String> taken = OptionChange.between(current, next).taken();
+        if (!needsStart.isEmpty()) {
+            journal.add(Event.of(Code.RELOAD_NEEDS_START, "options", String.join(", ", needsStart)));
+        }
+        journal.add(Event.of(Code.RELOADED, "changed", taken.isEmpty() ? "none" : String.join(", ", taken)));
+        if (taken.contains("wanted-losses") && !next.shortage().isEmpty()) {
+            journal.add(Event.of(Code.SHORTAGE, "why", next.shortage()));
+        }
+        current = next;
+        if (!taken.isEmpty()) {
+            listeners.forEach(l -> l.changed(next));
+        }
+    }
+}
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -31,7 +31,7 @@
     private final CoreLoop loop;
     private final Journal journal;
     private final Map<NodeId, InetSocketAddress> book = new ConcurrentHashMap<>();
-    private final Map<NodeId, InetSocketAddress> fixed;
+    private volatile Map<NodeId, InetSocketAddress> fixed;
     private final ArrayBlockingQueue<Runnable> ring = new ArrayBlockingQueue<>(8192);
     private final Map<NodeId, Circuit> out = new HashMap<>();
     private final Map<Long, Wait> waits = new HashMap<>();
@@ -110,6 +110,11 @@
         }
     }
 
+    /** Other ways to peers, in place of the earlier ones; connections that stand are kept. */
+    public void reach(final Map<NodeId, InetSocketAddress> ways) {
+        fixed = Map.copyOf(ways);
+    }
+
     public void stop() {
         on = false;
         selector.wakeup();
--- a/prog/src/main/java/rv/prog/VoterDiscovery.java
+++ b/prog/src/main/java/rv/prog/VoterDiscovery.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import rv.base.Disk;
 import rv.base.DiskTrouble;
 import rv.base.Msg;
@@ -27,10 +28,22 @@
     private final CoreLoop loop;
     private final TcpNet net;
     private final Disk disk;
+    private final Supplier<Map<NodeId, InetSocketAddress>> seeds;
 
     record Row(List<String> electors) {}
 
     VoterDiscovery(final Options options, final CoreLoop loop, final TcpNet net, final Disk disk) {
+        this(options, loop, net, disk, options::seeds);
+    }
+
+    /** With seeds that may change while they are asked. */
+    VoterDiscovery(
+            final Options options,
+            final CoreLoop loop,
+            final TcpNet net,
+            final Disk disk,
+            final Supplier<Map<NodeId, InetSocketAddress>> seeds) {
+        this.seeds = seeds;
         this.options = options;
         this.loop = loop;
         this.net = net;
@@ -64,7 +77,7 @@
     private List<String> ask() throws InterruptedException {
         final CompletableFuture<List<String>> got = new CompletableFuture<>();
         while (true) {
-            options.seeds().keySet().stream()
+            seeds.get().keySet().stream()
                     .filter(s -> !s.equals(options.id()))
                     .forEach(s -> loop.post(() -> net.ask(
                             s,
