--- a/control/src/main/java/rv/control/FrameSync.java
+++ b/control/src/main/java/rv/control/FrameSync.java
@@ -25,7 +25,7 @@
     private final Loop loop;
     private final Net net;
     private final ItemStore held;
-    private final Timing timing;
+    private Timing timing;
     private final Journal journal;
     private final Consumer<Msg.Chosen> take;
     private final Consumer<NodeId> alive;
@@ -67,6 +67,11 @@
         loop.post(this::round);
     }
 
+    /** From now on a frame counts for as long as these times say. */
+    public void timing(final Timing next) {
+        timing = next;
+    }
+
     public void start() {
         since = loop.now();
         loop.post(this::round);
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -1,6 +1,8 @@
 package rv.data;
 
+import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -223,8 +225,7 @@
                         loop,
                         s.net(),
                         journal,
-                        setup.wantedLosses(),
-                        setup.silentMs())
+                        () -> setup.live().get().wantedLosses())
                 : null;
         departure = new Departure(this, edge, sender);
         clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
@@ -312,9 +313,12 @@
                 .toList();
     }
 
-    /** Seeds of changed settings are asked for the present voters from now on. */
-    public void seeds(final List<NodeId> list) {
-        search.seeds(list);
+    /**
+     * Seeds of changed settings are asked for the present voters from now on; whoever calls this has told the net their
+     * addresses. In the core thread.
+     */
+    public void seeds(final Map<NodeId, InetSocketAddress> seeds) {
+        search.seeds(List.copyOf(seeds.keySet()));
     }
 
     /** The voters' addresses come with the set that names them. */
@@ -374,6 +378,15 @@
         return electorate;
     }
 
+    /** Takes settings that changed while this node runs; in the core thread. */
+    public void reload(final LiveSettings next) {
+        setup.live().set(next);
+        sync.timing(next.timing());
+        if (sender != null) {
+            sender.reload();
+        }
+    }
+
     public Setup setup() {
         return setup;
     }
