--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -33,6 +33,11 @@
     private long bytes;
 
     public SimCluster(final Place place, final long seed) {
+        this(place, seed, place.losses());
+    }
+
+    /** {@code losses}: how many voters may be lost at once. */
+    public SimCluster(final Place place, final long seed, final int losses) {
         this.place = place;
         world = new World(seed);
         net = new SimNet(world, this::delay);
@@ -61,7 +66,7 @@
                             seeds,
                             quorum,
                             SHARDS,
-                            place.losses()));
+                            losses));
         }
         int at = 0;
         for (final Place.Kin k : place.kin()) {
