Options split along their duties: flags, checks, addresses

OptionFlags holds the flags with their help and kinds, OptionChecks checks the whole, AddressParser reads IP:PORT and ID@IP:PORT; Options is what comes out. Names, defaults and the texts and order of faults are unchanged: OptionsTest (with its approved file), NamelessTest, SeatingTest and SettingsTest pass as before.

--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -36,7 +36,7 @@
         }
         if (List.of(rest).contains("--help")) {
             System.out.println("rw" + role.word() + " runs one " + role.word() + " of a rowanvalve network.\n");
-            Options.parser().printHelpOn(System.out);
+            OptionFlags.parser().printHelpOn(System.out);
             return;
         }
         final List<Finding> faults = new ArrayList<>();
--- a/prog/src/test/java/rv/prog/DocsTest.java
+++ b/prog/src/test/java/rv/prog/DocsTest.java
@@ -55,7 +55,7 @@
     @Test
     void everyOptionIsInTheReference() throws IOException {
         final String text = Files.readString(DOCS.resolve("CONFIG.md"));
-        Options.FLAGS.forEach(f -> assertTrue(text.contains("| `" + f + "` |"), f));
+        OptionFlags.names().forEach(f -> assertTrue(text.contains("| `" + f + "` |"), f));
     }
 
     @Test
--- a/prog/src/test/java/rv/prog/SettingsTest.java
+++ b/prog/src/test/java/rv/prog/SettingsTest.java
@@ -89,7 +89,7 @@
 
     @Test
     void everyOptionIsComparedOrForTheStartAlone() {
-        final List<String> rest = new ArrayList<>(Options.FLAGS);
+        final List<String> rest = new ArrayList<>(OptionFlags.names());
         rest.removeAll(OptionChange.names());
         assertEquals(List.of("seed-port", "first", "losses"), rest);
     }
