Attempts are counted for the request, at the edge that took it

Cause: a route's max attempts bounded what one shield did. An edge that asked a second shield after silence gave that one as many again, so a request of a route with 2 attempts ran on 3 and 4 origins. Beyond that, attempts were counted only when they left: two that waited for a slot or for their pace could pass the count, and one that waited was sent though another had been answered meanwhile. Now the edge keeps the count (RequestAttempts). One attempt goes with each request to a shield; each further one is asked for (MoreAttempts) and reserved for that shield. Attempts come back only where the request surely did not leave for the shield, or as far as the shield says that they were not used (Filled.unused). Where none is left no other shield is asked. A request is an extra one wherever an attempt of it was used before, also on its way back to a holder, and so counts in the retry budget. Sends of edges come out of the same count, and are made only where no attempt was used. The budget is divided by all shields ever heard of, so a shield that is cut off and goes on has its part. Ruled out: all that is left for the first shield (a silent one would leave nothing for the next); a part that lapses after a time (a frozen shield would use it after all).

--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -159,7 +159,9 @@
     // traffic
     /**
      * {@code id}: the caller's own name for this try; {@code pass}: to be passed through without the right to fill;
-     * {@code extra}: another way was asked before; {@code heads}: the caller's other headers.
+     * {@code extra}: another origin may have got this request before; {@code heads}: the caller's other headers;
+     * {@code attempts}: to how many origins the receiver may send it, each further one being asked for by
+     * {@link MoreAttempts}; a sender that states none leaves it to the route.
      */
     record Fill(
             long serial,
@@ -177,10 +179,20 @@
             String id,
             boolean pass,
             boolean extra,
-            Map<String, String> heads)
+            Map<String, String> heads,
+            Integer attempts)
             implements Msg {}
 
-    /** {@code service}: which one answered, where a route is split over several. */
+    /** Asked of the edge that sent the {@link Fill} of this serial: may one more origin get the request? */
+    record MoreAttempts(long serial) implements Msg {}
+
+    /** {@code count}: how many more origins may get it; they are reserved for the one that asked. */
+    record AttemptsGranted(int count) implements Msg {}
+
+    /**
+     * {@code service}: which one answered, where a route is split over several; {@code unused}: of the attempts given, how
+     * many were surely not made and never will be.
+     */
     record Filled(
             String fate,
             String why,
@@ -191,8 +203,27 @@
             long age,
             Mark mark,
             long retryMs,
-            String service)
+            String service,
+            int unused)
             implements Msg {
+        public Filled withUnused(final int count) {
+            return new Filled(fate, why, status, token, heads, body, age, mark, retryMs, service, count);
+        }
+
+        public Filled(
+                final String fate,
+                final String why,
+                final int status,
+                final Token token,
+                final Map<String, String> heads,
+                final byte[] body,
+                final long age,
+                final Mark mark,
+                final long retryMs,
+                final String service) {
+            this(fate, why, status, token, heads, body, age, mark, retryMs, service, 0);
+        }
+
         public Filled(
                 final String fate,
                 final String why,
@@ -203,7 +234,7 @@
                 final long age,
                 final Mark mark,
                 final long retryMs) {
-            this(fate, why, status, token, heads, body, age, mark, retryMs, null);
+            this(fate, why, status, token, heads, body, age, mark, retryMs, null, 0);
         }
     }
 
--- a/data/src/main/java/rv/data/Edge.java
+++ b/data/src/main/java/rv/data/Edge.java
@@ -9,7 +9,6 @@
 import java.util.function.Predicate;
 import rv.base.Journal;
 import rv.base.Loop;
-import rv.base.Mark;
 import rv.base.Net;
 import rv.base.NodeId;
 import rv.base.Token;
@@ -19,7 +18,6 @@
 
 /** A request's way at an edge: the steps compiled for its route, run one by one until one answers. */
 public final class Edge {
-    static final int QUEUE = 512;
     private static final int ROOM = 2048;
     private final Loop loop;
     private final Net net;
@@ -30,15 +28,13 @@
     private final EdgeRouting way;
     private final Cache cache;
     private final Map<Integer, Token> high = new HashMap<>();
-    private final Map<String, Flight> flights = new HashMap<>();
+    private final Map<String, CacheFlight> flights = new HashMap<>();
+    private final Map<Long, ShieldForwarding.Exchange> exchanges = new HashMap<>();
     private long serial;
     private int busy;
     private boolean shut;
     private long last = Long.MIN_VALUE / 2;
 
-    /** One pass to the holder for all who ask for an object under one mark. */
-    record Flight(Mark mark, List<EdgeRequest> queue) {}
-
     public Edge(
             final Loop loop,
             final Net net,
@@ -175,7 +171,23 @@
         return journal;
     }
 
-    Map<String, Flight> flights() {
+    /** The serial by which the shield may ask for further attempts until it has answered. */
+    long open(final ShieldForwarding.Exchange exchange) {
+        final long mine = next();
+        exchanges.put(mine, exchange);
+        return mine;
+    }
+
+    void closed(final long exchange) {
+        exchanges.remove(exchange);
+    }
+
+    /** How many more origins a shield may send the request of this serial to. */
+    public int moreAttempts(final NodeId from, final long exchange) {
+        return exchanges.containsKey(exchange) ? exchanges.get(exchange).more(from) : 0;
+    }
+
+    Map<String, CacheFlight> flights() {
         return flights;
     }
 
--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -77,7 +77,9 @@
         } else if (msg instanceof Msg.FenceAck m && node.holder() != null) {
             node.holder().ack(m, back);
         } else if (msg instanceof Msg.Fill m && shield != null) {
-            shield.take(m, back);
+            shield.take(from, m, back);
+        } else if (msg instanceof Msg.MoreAttempts m && node.edge() != null) {
+            back.accept(new Msg.AttemptsGranted(node.edge().moreAttempts(from, m.serial())));
         } else if (msg instanceof Msg.Busy m && sender != null) {
             sender.told(from, m);
             back.accept(new Msg.Ok());
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -181,12 +181,14 @@
                                 sync::fresh,
                                 this::alone,
                                 fills ? this::peers : List::of,
-                                () -> Math.max(1, roster.known(Role.EDGE))),
+                                () -> Math.max(1, roster.known(Role.EDGE)),
+                                () -> roster.known(Role.SHIELD)),
                         journal)
                 : null;
         shield = fills
                 ? new Shield(
                         loop,
+                        s.net(),
                         view,
                         holder,
                         sender,
--- /dev/null
+++ b/data/src/main/java/rv/data/RequestAttempts.java
@@ -0,0 +1,42 @@
+package rv.data;
+
+/**
+ * The origins that one request of a client may still be sent to, over all nodes. The edge that took the request keeps the
+ * count: an attempt is reserved before a shield hears of it and comes back only if it surely was not made.
+ */
+final class RequestAttempts {
+    private final int allowed;
+    private int left;
+
+    RequestAttempts(final int allowed) {
+        this.allowed = allowed;
+        this.left = allowed;
+    }
+
+    /** Reserves one; 0 where none is left. */
+    int reserve() {
+        if (left == 0) {
+            return 0;
+        }
+        left--;
+        return 1;
+    }
+
+    void giveBack(final int unused) {
+        left = Math.min(allowed, left + Math.max(0, unused));
+    }
+
+    boolean any() {
+        return left > 0;
+    }
+
+    /** Whether an origin may have got the request. */
+    boolean used() {
+        return left < allowed;
+    }
+
+    /** For sends of this node's own: each attempt comes out of the same count. */
+    AttemptAllowance here() {
+        return AttemptAllowance.of(0, answer -> answer.accept(reserve()));
+    }
+}
--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -12,6 +12,8 @@
 import rv.base.Loop;
 import rv.base.Mark;
 import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
 import rv.base.Token;
 import rv.control.ConfigView;
 import rv.control.Holder;
@@ -20,7 +22,11 @@
 /** Answers edges: from its cache, by one fill for many, straight through, or once only. */
 public final class Shield {
     private static final int ROOM = 512;
+    /** How long an edge has to say whether one more attempt may be made, in ms. */
+    private static final long GRANT_WAIT = 300;
+
     private final Loop loop;
+    private final Net net;
     private final ConfigView view;
     private final Holder holder;
     private final Sender sender;
@@ -33,7 +39,14 @@
 
     private record Flight(Mark mark, List<Waiter> queue) {}
 
-    private record Waiter(Msg.Fill fill, long cutoff, Consumer<Msg.Filled> back) {}
+    private record Waiter(Call call, long cutoff, Consumer<Msg.Filled> back) {
+        Msg.Fill fill() {
+            return call.fill();
+        }
+    }
+
+    /** A request as an edge asked it, with the attempts that this node may make for it. */
+    private record Call(Msg.Fill fill, AttemptAllowance attempts) {}
 
     /** Headers that concern one connection, or that say what another member says already. */
     private static final Set<String> HOPS = Set.of(
@@ -51,6 +64,7 @@
 
     public Shield(
             final Loop loop,
+            final Net net,
             final ConfigView view,
             final Holder holder,
             final Sender sender,
@@ -60,6 +74,7 @@
             final Setup setup,
             final long room) {
         this.loop = loop;
+        this.net = net;
         this.view = view;
         this.holder = holder;
         this.sender = sender;
@@ -80,11 +95,35 @@
         return KeyedRequests.say(Answer.REFUSED, status, why, holder.token(f.shard()), retry);
     }
 
-    public void take(final Msg.Fill f, final Consumer<Msg> back) {
-        take(f, loop.now() + f.span(), loop.now() + Math.min(400, f.span()), back::accept);
+    /** {@code from}: the edge that keeps count of the request's attempts. */
+    public void take(final NodeId from, final Msg.Fill f, final Consumer<Msg> back) {
+        final AttemptAllowance attempts = allowance(from, f);
+        take(
+                new Call(f, attempts),
+                loop.now() + f.span(),
+                loop.now() + Math.min(400, f.span()),
+                answer -> back.accept(f.attempts() == null ? answer : answer.withUnused(attempts.unused())));
+    }
+
+    /** An edge that states no attempts counts none, so the route alone bounds them here. */
+    private AttemptAllowance allowance(final NodeId from, final Msg.Fill f) {
+        if (f.attempts() == null) {
+            return AttemptAllowance.of(
+                    view.named(f.route()).map(r -> r.match().tries()).orElse(1));
+        }
+        return AttemptAllowance.of(
+                f.attempts(),
+                then -> net.ask(
+                        from,
+                        new Msg.MoreAttempts(f.serial()),
+                        GRANT_WAIT,
+                        r -> then.accept(r.as(Msg.AttemptsGranted.class)
+                                .map(Msg.AttemptsGranted::count)
+                                .orElse(0))));
     }
 
-    private void take(final Msg.Fill f, final long cutoff, final long patience, final Consumer<Msg.Filled> back) {
+    private void take(final Call call, final long cutoff, final long patience, final Consumer<Msg.Filled> back) {
+        final Msg.Fill f = call.fill();
         final ConfigView.Row row = view.named(f.route()).orElse(null);
         final Mark mark = row == null ? null : view.mark(row, f.path());
         if (row == null || f.mark() != null && !mark.covers(f.mark())) {
@@ -92,12 +131,12 @@
                 back.accept(reject(f, 503, "the holder's frame is behind", 1000));
             } else {
                 sync.run();
-                loop.after(50, () -> take(f, cutoff, patience, back));
+                loop.after(50, () -> take(call, cutoff, patience, back));
             }
             return;
         }
         if (f.pass()) {
-            loose(f, row, cutoff, back);
+            loose(call, row, cutoff, back);
         } else if (f.shard()
                 != EdgeRouting.shard(
                         row,
@@ -114,22 +153,23 @@
             back.accept(reject(f, 503, "the holder's frame is not confirmed", 1000));
         } else {
             switch (row.match().mode()) {
-                case Match.CACHED -> cached(f, row, mark, cutoff, back);
-                case Match.ONCE -> keyed(f, row, cutoff, back);
-                default -> through(f, row, cutoff, back);
+                case Match.CACHED -> cached(call, row, mark, cutoff, back);
+                case Match.ONCE -> keyed(call, row, cutoff, back);
+                default -> through(call, row, cutoff, back);
             }
         }
     }
 
     /** What needs no right to fill, or is passed through unkept while nobody has the right. */
-    private void loose(final Msg.Fill f, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+    private void loose(final Call call, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+        final Msg.Fill f = call.fill();
         if (!row.match().any() || row.match().is(Match.ONCE)) {
             back.accept(reject(f, 503, "this route needs the right to fill", 500));
             return;
         }
         final boolean once = row.match().is(Match.SINGLE);
         sender.send(
-                order(f, row, OriginRequest.NONE, once, cutoff),
+                order(call, row, OriginRequest.NONE, once, cutoff),
                 sent -> back.accept(sent.got().end() == Port.End.WHOLE ? whole(f, sent.got()) : fail(f, sent)));
     }
 
@@ -139,7 +179,8 @@
     }
 
     private OriginRequest order(
-            final Msg.Fill f, final ConfigView.Row row, final int shard, final boolean once, final long cutoff) {
+            final Call call, final ConfigView.Row row, final int shard, final boolean once, final long cutoff) {
+        final Msg.Fill f = call.fill();
         final String to =
                 row.match().pick(Hash.mix(f.id() == null || f.id().isEmpty() ? f.path() + f.serial() : f.id()));
         return new OriginRequest(
@@ -157,8 +198,8 @@
                 once,
                 cutoff,
                 row.match().rank(),
-                row.match().tries(),
-                f.extra());
+                call.attempts(),
+                f.extra() || call.attempts().used());
     }
 
     private boolean may(final Msg.Fill f, final Consumer<Msg.Filled> back) {
@@ -170,11 +211,12 @@
     }
 
     private void cached(
-            final Msg.Fill f,
+            final Call call,
             final ConfigView.Row row,
             final Mark mark,
             final long cutoff,
             final Consumer<Msg.Filled> back) {
+        final Msg.Fill f = call.fill();
         final String key = EdgeRouting.slot(row, f.path(), null);
         final CachedCopy c = holder.serves(f.shard()) ? copy(f, key, mark) : null;
         if (c != null && c.of(row.match())) {
@@ -186,16 +228,16 @@
             if (now.queue().size() >= ROOM) {
                 back.accept(reject(f, 503, "too many wait for this object", 1000));
             } else {
-                now.queue().add(new Waiter(f, cutoff, back));
+                now.queue().add(new Waiter(call, cutoff, back));
             }
             return;
         }
         if (!may(f, back)) {
             return;
         }
-        final Flight mine = new Flight(mark, new ArrayList<>(List.of(new Waiter(f, cutoff, back))));
+        final Flight mine = new Flight(mark, new ArrayList<>(List.of(new Waiter(call, cutoff, back))));
         flights.put(key, mine);
-        final OriginRequest order = order(f, row, f.shard(), false, cutoff);
+        final OriginRequest order = order(call, row, f.shard(), false, cutoff);
         sender.send(order, sent -> {
             flights.remove(key, mine);
             filled(key, row, mine, order.service(), sent);
@@ -243,7 +285,7 @@
             if (same) {
                 w.back().accept(give(w.fill(), copy));
             } else if (now != null && loop.now() + 200 < w.cutoff()) {
-                take(w.fill(), w.cutoff(), loop.now(), w.back());
+                take(w.call(), w.cutoff(), loop.now(), w.back());
             } else {
                 w.back().accept(reject(w.fill(), 503, "purged while it was filled", 500));
             }
@@ -271,15 +313,17 @@
     }
 
     private void through(
-            final Msg.Fill f, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+            final Call call, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+        final Msg.Fill f = call.fill();
         if (may(f, back)) {
             sender.send(
-                    order(f, row, f.shard(), row.match().is(Match.SINGLE), cutoff),
+                    order(call, row, f.shard(), row.match().is(Match.SINGLE), cutoff),
                     sent -> back.accept(sent.got().end() == Port.End.WHOLE ? whole(f, sent.got()) : fail(f, sent)));
         }
     }
 
-    private void keyed(final Msg.Fill f, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+    private void keyed(final Call call, final ConfigView.Row row, final long cutoff, final Consumer<Msg.Filled> back) {
+        final Msg.Fill f = call.fill();
         if (f.key() == null) {
             back.accept(reject(f, 400, "a keyed request lacks its key", 0));
         } else if (may(f, back)) {
@@ -291,7 +335,7 @@
                             : EdgeRouting.slot(row, f.path(), f.key()),
                     Hash.digest(
                             (f.path() + "\n" + Hash.digest(body)).getBytes(java.nio.charset.StandardCharsets.UTF_8)),
-                    then -> sender.send(order(f, row, f.shard(), true, cutoff), then),
+                    then -> sender.send(order(call, row, f.shard(), true, cutoff), then),
                     back);
         }
     }
