--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -11,7 +11,9 @@
     PLAN,
     TENURE,
     SWEEP,
-    LIMIT;
+    LIMIT,
+    /** Which number of each item was taken with which body; written by the order sequencer only. */
+    LEDGER;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -81,6 +81,13 @@
 
     record Give(List<Chosen> list, boolean all, List<ItemId> want) implements Msg {}
 
+    // orders
+    /** A checked call of an operator, in the product's own JSON, for the node that puts calls in order. */
+    record Order(byte[] call) implements Msg {}
+
+    /** What became of it; {@code item} and {@code version} name the conflict, where there is one. */
+    record Ordered(String verdict, ItemId item, long version, List<Finding> findings) implements Msg {}
+
     // leases
     record Claim(int shard, Token token, String state) {}
 
--- a/control/src/main/java/rv/control/ItemService.java
+++ b/control/src/main/java/rv/control/ItemService.java
@@ -30,7 +30,35 @@
     private final Journal journal;
     private final Supplier<String> tags;
 
-    public record ApiResult(int status, Map<String, Object> body) {}
+    /** A status and the members of the JSON body that goes with it. */
+    public record ApiResult(int status, Map<String, Object> body) {
+        /** {@code pairs}: further members of the body, name and value in turn. */
+        public static ApiResult done(final Object... pairs) {
+            final Map<String, Object> body = map("fate", "done");
+            body.putAll(map(pairs));
+            return new ApiResult(200, body);
+        }
+
+        /** Nothing can be said for certain; the same again is welcome after {@code retryMs}. */
+        public static ApiResult unavailable(final String reason, final long retryMs) {
+            return new ApiResult(503, map("fate", "refused", "reason", reason, "retryAfterMs", retryMs));
+        }
+
+        /** The number was taken with another body; {@code version} is the one that stands. */
+        public static ApiResult conflict(final ItemId item, final long version) {
+            return new ApiResult(
+                    409,
+                    map(
+                            "fate",
+                            "refused",
+                            "item",
+                            item.kind().word() + "/" + item.name(),
+                            "reason",
+                            "this version was taken with another body",
+                            "version",
+                            version));
+        }
+    }
 
     public ItemService(
             final Loop loop,
--- a/control/src/main/java/rv/control/Orders.java
+++ b/control/src/main/java/rv/control/Orders.java
@@ -13,72 +13,168 @@
 import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Kind;
+import rv.base.Loop;
 import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.control.OrderLedger.Judgement;
+import rv.control.OrderLedger.Verdict;
 
-/** Operators' orders under versions of their own: items set and dropped, objects purged, the whole read back. */
+/**
+ * Operators' orders under versions of their own: items set and dropped, objects purged, the whole read back. Every
+ * answer rests on a majority that was asked after the order came in; without one it is 503, with when to come back.
+ */
 public final class Orders {
+    /** Callers go on to another node after a second of silence, later where the body is large. */
+    static final long ANSWER = 780;
+
     private static final long SPAN = 2500;
-    private static final long AGAIN = 700;
+    private static final long CONTACT = 700;
+    private static final long FORWARD = 400;
+    private static final long RETRY = 500;
+    /** Bytes of a call for which its answer may come a millisecond later, and at most so much later. */
+    private static final int BYTES_PER_MS = 20;
+
+    private static final long LATEST = 2500;
+
+    private final Loop loop;
+    private final Net net;
     private final ItemStore held;
     private final FrameSync sync;
     private final Writer writer;
     private final Supplier<String> tags;
+    private final Supplier<Optional<NodeId>> preferred;
+    private final OrderSequencer sequencer;
 
-    public Orders(final ItemStore held, final FrameSync sync, final Writer writer, final Supplier<String> tags) {
+    /** {@code preferred}: the node that should put calls in order, where it is another one that is heard from. */
+    public Orders(
+            final Loop loop,
+            final Net net,
+            final ItemStore held,
+            final FrameSync sync,
+            final Writer writer,
+            final Supplier<String> tags,
+            final Supplier<Optional<NodeId>> preferred) {
+        this.loop = loop;
+        this.net = net;
         this.held = held;
         this.sync = sync;
         this.writer = writer;
         this.tags = tags;
+        this.preferred = preferred;
+        this.sequencer = new OrderSequencer(loop, held, writer, tags);
+    }
+
+    /** From now on calls that were taken and left half written are finished here; {@code rank} spreads several nodes. */
+    public void start(final int rank) {
+        sequencer.start(rank);
     }
 
     private static ItemService.ApiResult late(final String why) {
-        return new ItemService.ApiResult(503, ItemService.map("fate", "refused", "reason", why, "retryAfterMs", 500));
+        return ItemService.ApiResult.unavailable(why, RETRY);
     }
 
-    /** 200 once every item of the call stands at a majority, synced; repeating the call is harmless. */
+    /**
+     * 200 once every item of the call stands at a majority, synced; the same call again is 200 for as long as its numbers
+     * are known. 409 where a number was taken with another body: nothing of the call has taken force, or ever will.
+     */
     public void patch(final byte[] data, final Consumer<ItemService.ApiResult> back) {
         if (!sync.fresh()) {
             back.accept(late("this node's frame is not confirmed"));
             return;
         }
         final List<Finding> faults = new ArrayList<>();
-        final Patch patch = Patch.read(data, held, faults);
+        final Patch patch = Patch.read(data, faults);
         if (faults.isEmpty()) {
-            put(patch, back);
+            final long more = Math.min(LATEST, data.length / BYTES_PER_MS);
+            final Consumer<ItemService.ApiResult> once =
+                    AnswerDeadline.within(loop, ANSWER + more, () -> late("the call is still open"), back);
+            order(patch, data, FORWARD + more / 2, j -> decided(patch, j, once));
+        } else {
+            invalid(faults, back);
+        }
+    }
+
+    /** 422 after a majority has answered, so that a node that is cut off ends no order for good. */
+    public void invalid(final List<Finding> faults, final Consumer<ItemService.ApiResult> back) {
+        refuse(ItemService.faults(faults), back);
+    }
+
+    public void refuse(final int status, final String why, final Consumer<ItemService.ApiResult> back) {
+        refuse(new ItemService.ApiResult(status, ItemService.map("fate", "refused", "reason", why)), back);
+    }
+
+    /** Says no for good, but only in contact with a majority. */
+    private void refuse(final ItemService.ApiResult no, final Consumer<ItemService.ApiResult> back) {
+        if (sync.fresh()) {
+            sync.after(loop.now(), CONTACT, ok -> back.accept(ok ? no : late("no majority answered")));
         } else {
-            sync.after(held.now(), AGAIN, ok -> again(data, ok, back));
+            back.accept(late("this node's frame is not confirmed"));
+        }
+    }
+
+    private void order(final Patch patch, final byte[] data, final long wait, final Consumer<Judgement> then) {
+        final Optional<NodeId> other = preferred.get();
+        if (other.isEmpty()) {
+            sequencer.submit(patch, then);
+            return;
         }
+        net.ask(
+                other.get(),
+                new Msg.Order(data),
+                wait,
+                r -> r.as(Msg.Ordered.class)
+                        .map(Orders::judgement)
+                        .filter(j -> j.verdict() != Verdict.OPEN)
+                        .ifPresentOrElse(then, () -> sequencer.submit(patch, then)));
     }
 
-    /** What it names may have been stated at another node a moment ago: only a frame confirmed since may refuse it. */
-    private void again(final byte[] data, final boolean sure, final Consumer<ItemService.ApiResult> back) {
+    /** A call that another node took in. */
+    public void take(final Msg.Order ask, final Consumer<Msg> back) {
         final List<Finding> faults = new ArrayList<>();
-        final Patch patch = Patch.read(data, held, faults);
+        final Patch patch = Patch.read(ask.call(), faults);
         if (faults.isEmpty()) {
-            put(patch, back);
+            sequencer.submit(
+                    patch, j -> back.accept(new Msg.Ordered(j.verdict().name(), j.item(), j.version(), j.findings())));
         } else {
-            back.accept(sure ? ItemService.faults(faults) : late("no majority confirmed the frame"));
+            back.accept(new Msg.Nay("the call has faults here"));
         }
     }
 
-    private void put(final Patch patch, final Consumer<ItemService.ApiResult> back) {
-        final Map<String, Object> done = new TreeMap<>();
-        final int[] left = {patch.parts().size()};
-        final boolean[] whole = {true};
-        if (left[0] == 0) {
-            back.accept(new ItemService.ApiResult(200, ItemService.map("fate", "done", "items", done)));
-            return;
+    private static Judgement judgement(final Msg.Ordered said) {
+        return new Judgement(Verdict.valueOf(said.verdict()), said.item(), said.version(), said.findings());
+    }
+
+    private void decided(final Patch patch, final Judgement j, final Consumer<ItemService.ApiResult> back) {
+        switch (j.verdict()) {
+            case STANDS -> back.accept(ItemService.ApiResult.done("items", standing(patch)));
+            case CONFLICT -> back.accept(ItemService.ApiResult.conflict(j.item(), j.version()));
+            case UNFIT -> unfit(patch, back);
+            default -> back.accept(late("no majority confirmed every item"));
         }
-        patch.parts().forEach((id, p) -> {
-            final String tag = tags.get();
-            writer.write(id, tag, SPAN, now -> Optional.of(p.over(now, tag)), r -> {
-                whole[0] &= r.ok();
-                done.put(id.kind().word() + "/" + id.name(), r.item().ver().n());
-                if (--left[0] == 0) {
-                    back.accept(
-                            whole[0]
-                                    ? new ItemService.ApiResult(200, ItemService.map("fate", "done", "items", done))
-                                    : late("no majority confirmed every item"));
+    }
+
+    private Map<String, Object> standing(final Patch patch) {
+        final Map<String, Object> done = new TreeMap<>();
+        patch.parts()
+                .forEach((id, p) -> done.put(
+                        id.kind().word() + "/" + id.name(),
+                        Math.max(p.ver().n(), held.get(id).ver().n())));
+        return done;
+    }
+
+    /** What the call names may have been stated past the ledger, at another node: judged once more by a frame since. */
+    private void unfit(final Patch patch, final Consumer<ItemService.ApiResult> back) {
+        sync.after(loop.now(), CONTACT, ok -> {
+            if (!ok) {
+                back.accept(late("no majority answered"));
+                return;
+            }
+            sequencer.submit(patch, j -> {
+                if (j.verdict() == Verdict.UNFIT) {
+                    back.accept(ItemService.faults(j.findings()));
+                } else {
+                    decided(patch, j, back);
                 }
             });
         });
@@ -90,6 +186,8 @@
             back.accept(late("this node's frame is not confirmed"));
             return;
         }
+        final Consumer<ItemService.ApiResult> once =
+                AnswerDeadline.within(loop, ANSWER, () -> late("no majority confirmed the purge in time"), back);
         final String name = (what.tag() != null ? "t." : "h.")
                 + Long.toHexString(Hash.mix(what.tag() != null ? what.tag() : what.host() + "|" + what.path()));
         final ItemId id = new ItemId(Kind.PURGE, name);
@@ -103,23 +201,23 @@
                     final Item n = now.next(body, tag);
                     return Optional.of(new Item(id, held.rise(n), n.body(), false, tag));
                 },
-                r -> back.accept(
+                r -> once.accept(
                         r.ok()
-                                ? new ItemService.ApiResult(
-                                        200,
-                                        ItemService.map(
-                                                "fate",
-                                                "done",
-                                                "item",
-                                                "purge/" + name,
-                                                "version",
-                                                r.item().ver().n()))
+                                ? ItemService.ApiResult.done(
+                                        "item",
+                                        "purge/" + name,
+                                        "version",
+                                        r.item().ver().n())
                                 : late("no majority confirmed the purge")));
     }
 
     /** All that stands, as of a moment after the question: nothing accepted before is missing. */
+    public void whole(final Consumer<Optional<Map<Kind, Map<String, Item>>>> back) {
+        whole(ANSWER, back);
+    }
+
     public void whole(final long span, final Consumer<Optional<Map<Kind, Map<String, Item>>>> back) {
-        sync.after(held.now(), span, ok -> {
+        sync.after(loop.now(), span, ok -> {
             if (!ok) {
                 back.accept(Optional.empty());
                 return;
--- a/control/src/main/java/rv/control/Origin.java
+++ b/control/src/main/java/rv/control/Origin.java
@@ -35,6 +35,25 @@
         this(service, host, port, stamp, kind, load, ttlMs, leaving, beat, "", 0, 0);
     }
 
+    /** One that beats, of a service whose kind is open. */
+    public static Origin beating(
+            final String service,
+            final String host,
+            final int port,
+            final String stamp,
+            final boolean leaving,
+            final long beat,
+            final String cell,
+            final int slots,
+            final long coldMs) {
+        return new Origin(service, host, port, stamp, Service.OPEN, 0, 0, leaving, beat, cell, slots, coldMs);
+    }
+
+    /** The same origin once it has ended: no later beat passes this one. */
+    Origin left() {
+        return new Origin(service, host, port, stamp, kind, load, ttlMs, true, Long.MAX_VALUE, cell, slots, 0);
+    }
+
     /** Whether the other announcement is of the same process at the same address. */
     public boolean site(final Origin o) {
         return o != null && service.equals(o.service) && host.equals(o.host) && port == o.port && stamp.equals(o.stamp);
--- a/control/src/main/java/rv/control/Patch.java
+++ b/control/src/main/java/rv/control/Patch.java
@@ -1,25 +1,41 @@
 package rv.control;
 
-import java.util.ArrayList;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
 import rv.base.Finding;
+import rv.base.Hash;
 import rv.base.Item;
 import rv.base.ItemId;
 import rv.base.Kind;
 import rv.base.Ver;
 
 /**
- * A call that sets and drops items under versions of the operator's own: for each name the highest holds, an equal or a
- * lower one alters nothing. It is checked whole against what stands; nothing of a faulty call takes force.
+ * A call that sets and drops items under versions of the operator's own: for each name the highest holds, a lower one
+ * alters nothing. Reading finds every fault of the text; whether it fits what stands is judged by {@link OrderLedger}.
  */
 public final class Patch {
     private static final List<Kind> KINDS = List.of(Kind.SERVICE, Kind.ROUTE, Kind.LIMIT);
     private final Map<ItemId, Part> parts = new LinkedHashMap<>();
+    private final Map<ItemId, Set<String>> named = new TreeMap<>();
 
     /** {@code body}: null drops the item. */
     record Part(Ver ver, String body) {
+        private static final int DIGITS = 16;
+
+        /** What tells two bodies under one number apart. */
+        String digest() {
+            return body == null ? OrderLedger.DROPPED : digest(body);
+        }
+
+        static String digest(final String body) {
+            return Hash.digest(body.getBytes(StandardCharsets.UTF_8)).substring(0, DIGITS);
+        }
+
         /** What stands once this part has come to it. */
         Item over(final Item now, final String tag) {
             return now.ver().n() >= ver.n()
@@ -30,14 +46,13 @@
 
     private Patch() {}
 
-    public static Patch read(final byte[] data, final ItemStore held, final List<Finding> faults) {
+    public static Patch read(final byte[] data, final List<Finding> faults) {
         final Patch patch = new Patch();
         final Object o = JsonReader.read(data, faults);
         if (o == null && !faults.isEmpty()) {
             return patch;
         }
         final JsonShape all = new JsonShape(o, "", faults);
-        final Config after = Config.of(held);
         final Config said = new Config();
         final JsonShape set = new JsonShape(all.part("set"), "/set", faults);
         final JsonShape drop = new JsonShape(all.part("drop"), "/drop", faults);
@@ -54,14 +69,7 @@
         drop.end();
         all.end();
         said.bodies().forEach((id, body) -> patch.parts.computeIfPresent(id, (i, p) -> new Part(p.ver(), body)));
-        said.services().forEach((n, s) -> after.services().put(n, s));
-        final List<Finding> unfit = new ArrayList<>();
-        said.routes()
-                .forEach((n, m) -> m.named().stream()
-                        .filter(s -> !s.isEmpty() && !after.services().containsKey(s))
-                        .forEach(s ->
-                                unfit.add(new Finding("/set/routes/" + n + "/service", "no service is named " + s))));
-        faults.addAll(unfit);
+        said.routes().forEach((n, m) -> patch.named.put(new ItemId(Kind.ROUTE, n), Set.copyOf(m.named())));
         return patch;
     }
 
@@ -96,6 +104,28 @@
         return Ver.ZERO;
     }
 
+    /** The services that this part names and that are neither set by the same call nor {@code known}. */
+    List<Finding> unknown(final ItemId id, final Predicate<ItemId> known) {
+        return named.getOrDefault(id, Set.of()).stream()
+                .filter(s -> !s.isEmpty())
+                .map(s -> new ItemId(Kind.SERVICE, s))
+                .filter(s -> !sets(s) && !known.test(s))
+                .sorted()
+                .map(s -> new Finding("/set/routes/" + id.name() + "/service", "no service is named " + s.name()))
+                .toList();
+    }
+
+    /** What names a service that is neither set by the same call nor {@code known}. */
+    public List<Finding> unfit(final Predicate<ItemId> known) {
+        return parts.keySet().stream()
+                .flatMap(id -> unknown(id, known).stream())
+                .toList();
+    }
+
+    private boolean sets(final ItemId id) {
+        return parts.containsKey(id) && parts.get(id).body() != null;
+    }
+
     public Map<ItemId, Part> parts() {
         return parts;
     }
--- a/control/src/main/java/rv/control/Registry.java
+++ b/control/src/main/java/rv/control/Registry.java
@@ -11,10 +11,14 @@
 import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Kind;
+import rv.base.Loop;
 
 /** Origins that beat: an item is written only when something about one changes, the beats themselves stay here. */
 public final class Registry {
     private static final long SPAN = 900;
+    private static final long CONTACT = 700;
+    private static final long RETRY = 300;
+    private final Loop loop;
     private final ItemStore held;
     private final FrameSync sync;
     private final Writer writer;
@@ -23,11 +27,13 @@
     private final Map<ItemId, Long> heard = new HashMap<>();
 
     public Registry(
+            final Loop loop,
             final ItemStore held,
             final FrameSync sync,
             final Writer writer,
             final Journal journal,
             final Supplier<String> tags) {
+        this.loop = loop;
         this.held = held;
         this.sync = sync;
         this.writer = writer;
@@ -42,64 +48,65 @@
                 && old.cell().equals(said.cell());
     }
 
-    /** A beat; one that comes late, by its count, changes nothing, and one that has left does not come back. */
+    private static ItemService.ApiResult done(final String name) {
+        return ItemService.ApiResult.done("origin", name);
+    }
+
+    private static ItemService.ApiResult late(final String why) {
+        return ItemService.ApiResult.unavailable(why, RETRY);
+    }
+
+    private Optional<Origin> standing(final ItemId id) {
+        return Optional.of(held.get(id)).filter(Item::live).map(i -> Json.read(i.body(), Origin.class));
+    }
+
+    /**
+     * A beat; one that comes late, by its count, changes nothing, and one that has left does not come back. What tells
+     * news is written; the others are acknowledged by items known as chosen, which no later frame takes back.
+     */
     public void beat(final String name, final Origin said, final Consumer<ItemService.ApiResult> back) {
-        final ItemId id = new ItemId(Kind.ORIGIN, name);
-        final Item now = held.get(id);
-        final Origin old = now.live() ? Json.read(now.body(), Origin.class) : null;
         if (!sync.fresh()) {
-            back.accept(new ItemService.ApiResult(
-                    503,
-                    ItemService.map(
-                            "fate", "refused", "reason", "this node's frame is not confirmed", "retryAfterMs", 300)));
+            back.accept(late("this node's frame is not confirmed"));
             return;
         }
+        final ItemId id = new ItemId(Kind.ORIGIN, name);
+        final Origin old = standing(id).orElse(null);
         heard.put(id, held.now());
         if (old != null && (said.beat() <= old.beat() || old.leaving() || same(old, said))) {
-            back.accept(new ItemService.ApiResult(200, ItemService.map("fate", "done", "origin", name)));
-            return;
+            back.accept(done(name));
+        } else {
+            write(id, said, back);
         }
-        write(id, said, back);
     }
 
-    /** It has ended, or says so: the same as leaving, for good. */
+    /** It has ended, or says so: the same as leaving, for good. Said again, at any node, it is acknowledged again. */
     public void end(final String name, final Consumer<ItemService.ApiResult> back) {
         final ItemId id = new ItemId(Kind.ORIGIN, name);
-        final Item now = held.get(id);
         heard.remove(id);
         if (!sync.fresh()) {
-            back.accept(new ItemService.ApiResult(
-                    503,
-                    ItemService.map(
-                            "fate", "refused", "reason", "this node's frame is not confirmed", "retryAfterMs", 300)));
-        } else if (now.live()) {
-            final Origin o = Json.read(now.body(), Origin.class);
-            if (o.leaving()) {
-                back.accept(new ItemService.ApiResult(200, ItemService.map("fate", "done", "origin", name)));
-            } else {
-                write(
-                        id,
-                        new Origin(
-                                o.service(),
-                                o.host(),
-                                o.port(),
-                                o.stamp(),
-                                o.kind(),
-                                o.load(),
-                                o.ttlMs(),
-                                true,
-                                Long.MAX_VALUE,
-                                o.cell(),
-                                o.slots(),
-                                0),
-                        back);
-            }
+            back.accept(late("this node's frame is not confirmed"));
+        } else if (standing(id).isPresent()) {
+            leave(id, back);
         } else {
-            back.accept(new ItemService.ApiResult(200, ItemService.map("fate", "done", "origin", name)));
+            sync.after(loop.now(), CONTACT, ok -> {
+                if (ok) {
+                    leave(id, back);
+                } else {
+                    back.accept(late("no majority answered"));
+                }
+            });
         }
     }
 
+    private void leave(final ItemId id, final Consumer<ItemService.ApiResult> back) {
+        standing(id)
+                .filter(o -> !o.leaving())
+                .ifPresentOrElse(o -> write(id, o.left(), back), () -> back.accept(done(id.name())));
+    }
+
     private void write(final ItemId id, final Origin said, final Consumer<ItemService.ApiResult> back) {
+        final Consumer<ItemService.ApiResult> once =
+                AnswerDeadline.within(loop, Orders.ANSWER, () -> late("no majority confirmed it in time"), back);
         final String tag = tags.get();
         writer.write(
                 id,
@@ -124,19 +131,7 @@
                                 "ver",
                                 r.item().ver().n()));
                     }
-                    back.accept(
-                            r.ok()
-                                    ? new ItemService.ApiResult(
-                                            200, ItemService.map("fate", "done", "origin", id.name()))
-                                    : new ItemService.ApiResult(
-                                            503,
-                                            ItemService.map(
-                                                    "fate",
-                                                    "refused",
-                                                    "reason",
-                                                    "no majority confirmed it",
-                                                    "retryAfterMs",
-                                                    300)));
+                    once.accept(r.ok() ? done(id.name()) : late("no majority confirmed it"));
                 });
     }
 
--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -64,6 +64,8 @@
         if (msg instanceof Msg.Learn m) {
             m.list().forEach(learn);
             back.accept(new Msg.Ok());
+        } else if (msg instanceof Msg.Order m) {
+            node.orders().take(m, back);
         } else if (msg instanceof Msg.Beat m) {
             node.roster().beat(m, back);
         } else if (msg instanceof Msg.Hello m && authority != null) {
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -11,6 +12,7 @@
 import rv.base.Disk;
 import rv.base.DiskTrouble;
 import rv.base.Event;
+import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Loop;
 import rv.base.Member;
@@ -109,8 +111,8 @@
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
-        orders = new Orders(held, sync, writer, tags);
-        registry = new Registry(held, sync, writer, journal, tags);
+        orders = new Orders(loop, s.net(), held, sync, writer, tags, this::sequencer);
+        registry = new Registry(loop, held, sync, writer, journal, tags);
         elector = setup.elector()
                 ? new Voter(
                         self, setup.quorum(), loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
@@ -253,6 +255,16 @@
                 < setup.quorum().need();
     }
 
+    /** The lease authority puts operators' calls in order, so that several at once are one write of the ledger. */
+    private Optional<NodeId> sequencer() {
+        final Tenure.Body now = Tenure.Body.of(held.get(ItemId.TENURE));
+        if (now.holder().isEmpty() || now.free()) {
+            return Optional.empty();
+        }
+        final NodeId id = NodeId.of(now.holder());
+        return id.equals(setup.self().id()) || roster.silence(id) > QUIET ? Optional.empty() : Optional.of(id);
+    }
+
     private List<NodeId> peers() {
         return roster.live(Role.SHIELD).stream()
                 .map(Member::id)
@@ -288,6 +300,7 @@
             elector.start();
             keeper.start();
             settler.start();
+            orders.start(setup.quorum().electors().indexOf(setup.self().id()));
             loop.every(1000, () -> elector.sweep(held.sweep()));
         }
         roster.start();
