--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -13,7 +13,8 @@
     SWEEP,
     LIMIT,
     /** Which number of each item was taken with which body; written by the order sequencer only. */
-    LEDGER;
+    LEDGER,
+    VOTERS;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
