--- a/control/src/main/java/rv/control/ItemService.java
+++ b/control/src/main/java/rv/control/ItemService.java
@@ -23,6 +23,7 @@
 /** Takes what operators and origins state, at any node. */
 public final class ItemService {
     private static final long SPAN = 2500;
+    private static final long CONTACT = 700;
     private final Loop loop;
     private final ItemStore held;
     private final FrameSync sync;
@@ -98,8 +99,43 @@
     }
 
     private static ApiResult late() {
-        return new ApiResult(
-                503, map("fate", "refused", "reason", "this node's frame is not confirmed", "retryAfterMs", 1000));
+        return ApiResult.unavailable("this node's frame is not confirmed", 1000);
+    }
+
+    /** What a statement comes to before the items that are held: its faults, and the item's body where there are none. */
+    private record Checked(List<Finding> faults, String body) {}
+
+    /** Faults are told only as a majority sees them: what was stated elsewhere a moment ago may mend them. */
+    private void checked(
+            final Supplier<Checked> check, final Consumer<String> accepted, final Consumer<ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late());
+            return;
+        }
+        final Checked first = check.get();
+        if (first.faults().isEmpty()) {
+            accepted.accept(first.body());
+            return;
+        }
+        sync.after(loop.now(), CONTACT, ok -> {
+            final Checked again = check.get();
+            if (!ok) {
+                back.accept(late());
+            } else if (again.faults().isEmpty()) {
+                accepted.accept(again.body());
+            } else {
+                back.accept(faults(again.faults()));
+            }
+        });
+    }
+
+    /** Reads what is held, as of a moment after the question. */
+    public void inContact(final Supplier<ApiResult> read, final Consumer<ApiResult> back) {
+        if (sync.fresh()) {
+            sync.after(loop.now(), CONTACT, ok -> back.accept(ok ? read.get() : late()));
+        } else {
+            back.accept(late());
+        }
     }
 
     private static String path(final ItemId id) {
@@ -117,10 +153,10 @@
 
     public void put(
             final ItemId id, final byte[] data, final long expect, final String tag, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
+        checked(() -> checkPut(id, data), body -> write(id, expect, tag, now -> now.next(body, tag(tag)), back), back);
+    }
+
+    private Checked checkPut(final ItemId id, final byte[] data) {
         final List<Finding> faults = new ArrayList<>();
         final Object o = JsonReader.read(data, faults);
         final Config next = Config.of(held);
@@ -130,31 +166,21 @@
         if (o instanceof Map) {
             faults.addAll(added(Config.of(held), next));
         }
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
-        final String body = next.bodies().get(id);
-        write(id, expect, tag, now -> now.next(body, tag(tag)), back);
+        return new Checked(faults, faults.isEmpty() ? next.bodies().get(id) : null);
     }
 
     public void delete(final ItemId id, final long expect, final String tag, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
+        checked(() -> checkDelete(id), body -> write(id, expect, tag, now -> now.grave(tag(tag)), back), back);
+    }
+
+    private Checked checkDelete(final ItemId id) {
         final Config next = Config.of(held);
         switch (id.kind()) {
             case SERVICE -> next.services().remove(id.name());
             case ROUTE -> next.routes().remove(id.name());
             default -> next.purges().remove(id.name());
         }
-        final List<Finding> faults = added(Config.of(held), next);
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
-        write(id, expect, tag, now -> now.grave(tag(tag)), back);
+        return new Checked(added(Config.of(held), next), null);
     }
 
     private String tag(final String given) {
@@ -214,18 +240,7 @@
                                 "the item stands at another version",
                                 "version",
                                 r.item().ver().n()));
-            case REJECTED ->
-                new ApiResult(
-                        503,
-                        map(
-                                "fate",
-                                "refused",
-                                "item",
-                                name,
-                                "reason",
-                                "no majority of electors answered",
-                                "retryAfterMs",
-                                1000));
+            case REJECTED -> ApiResult.unavailable("no majority of electors answered", 1000);
             case UNKNOWN ->
                 new ApiResult(504, map("fate", "unknown", "item", name, "reason", "no majority confirmed in time"));
         };
@@ -233,16 +248,17 @@
 
     /** A whole declared configuration: checked whole first, then stated item by item. */
     public void apply(final byte[] data, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
-        final List<Finding> faults = new ArrayList<>();
-        final Config want = Config.read(data, faults);
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
+        checked(
+                () -> {
+                    final List<Finding> faults = new ArrayList<>();
+                    Config.read(data, faults);
+                    return new Checked(faults, null);
+                },
+                body -> stated(Config.read(data, new ArrayList<>()), back),
+                back);
+    }
+
+    private void stated(final Config want, final Consumer<ApiResult> back) {
         final Map<ItemId, String> now = Config.of(held).bodies();
         final Map<ItemId, String> next = want.bodies();
         final List<ItemId> work = new ArrayList<>();
@@ -288,10 +304,10 @@
     }
 
     public void announce(final String name, final byte[] data, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
+        checked(() -> checkOrigin(name, data), body -> announced(name, Json.read(body, Origin.class), back), back);
+    }
+
+    private Checked checkOrigin(final String name, final byte[] data) {
         final List<Finding> faults = new ArrayList<>();
         final Object o = JsonReader.read(data, faults);
         final JsonShape s = new JsonShape(o, "", faults);
@@ -317,10 +333,10 @@
         if (!name.matches("[a-z0-9][a-z0-9._-]{0,60}")) {
             faults.add(new Finding("/", "bad origin name"));
         }
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
+        return new Checked(faults, Json.text(said));
+    }
+
+    private void announced(final String name, final Origin said, final Consumer<ApiResult> back) {
         final ItemId id = new ItemId(Kind.ORIGIN, name);
         final String tag = tags.get();
         writer.write(
@@ -345,7 +361,7 @@
                                 "origin",
                                 name,
                                 "service",
-                                service,
+                                said.service(),
                                 "ver",
                                 r.item().ver().n()));
                     }
--- a/control/src/main/java/rv/control/OrderSequencer.java
+++ b/control/src/main/java/rv/control/OrderSequencer.java
@@ -63,6 +63,11 @@
         pump();
     }
 
+    /** Whether the ledger is known to hold all of a call. */
+    boolean taken(final Patch patch) {
+        return learned().judge(patch, held::get).verdict() == Verdict.STANDS;
+    }
+
     private void pump() {
         if (busy || waiting.isEmpty() && !tidy) {
             return;
--- a/control/src/main/java/rv/control/Orders.java
+++ b/control/src/main/java/rv/control/Orders.java
@@ -25,17 +25,12 @@
  * answer rests on a majority that was asked after the order came in; without one it is 503, with when to come back.
  */
 public final class Orders {
-    /** Callers go on to another node after a second of silence, later where the body is large. */
-    static final long ANSWER = 780;
-
     private static final long SPAN = 2500;
     private static final long CONTACT = 700;
-    private static final long FORWARD = 400;
-    private static final long RETRY = 500;
-    /** Bytes of a call for which its answer may come a millisecond later, and at most so much later. */
-    private static final int BYTES_PER_MS = 20;
+    /** After so long without an answer from the preferred node a call is taken here, unless it is known as taken. */
+    private static final long FORWARD = 500;
 
-    private static final long LATEST = 2500;
+    private static final long RETRY = 500;
 
     private final Loop loop;
     private final Net net;
@@ -86,10 +81,7 @@
         final List<Finding> faults = new ArrayList<>();
         final Patch patch = Patch.read(data, faults);
         if (faults.isEmpty()) {
-            final long more = Math.min(LATEST, data.length / BYTES_PER_MS);
-            final Consumer<ItemService.ApiResult> once =
-                    AnswerDeadline.within(loop, ANSWER + more, () -> late("the call is still open"), back);
-            order(patch, data, FORWARD + more / 2, j -> decided(patch, j, once));
+            order(patch, data, inContact(back));
         } else {
             invalid(faults, back);
         }
@@ -113,20 +105,39 @@
         }
     }
 
-    private void order(final Patch patch, final byte[] data, final long wait, final Consumer<Judgement> then) {
+    private Consumer<ItemService.ApiResult> inContact(final Consumer<ItemService.ApiResult> back) {
+        return AnswerDeadline.inContact(loop, sync, () -> late("no majority answered in time"), back);
+    }
+
+    /** At the preferred node, so that several calls are one write; where that one does not answer in time, here too. */
+    private void order(final Patch patch, final byte[] data, final Consumer<ItemService.ApiResult> back) {
+        final Consumer<Judgement> then = AnswerDeadline.once(j -> decided(patch, j, back));
+        final boolean[] here = {false};
+        final Runnable local = () -> {
+            if (!here[0]) {
+                here[0] = true;
+                sequencer.submit(patch, then);
+            }
+        };
         final Optional<NodeId> other = preferred.get();
         if (other.isEmpty()) {
-            sequencer.submit(patch, then);
+            local.run();
             return;
         }
+        loop.after(FORWARD, () -> {
+            if (!sequencer.taken(patch)) {
+                local.run();
+            }
+        });
+        loop.after(2 * FORWARD, local);
         net.ask(
                 other.get(),
                 new Msg.Order(data),
-                wait,
+                SPAN,
                 r -> r.as(Msg.Ordered.class)
                         .map(Orders::judgement)
                         .filter(j -> j.verdict() != Verdict.OPEN)
-                        .ifPresentOrElse(then, () -> sequencer.submit(patch, then)));
+                        .ifPresentOrElse(then, local));
     }
 
     /** A call that another node took in. */
@@ -186,8 +197,7 @@
             back.accept(late("this node's frame is not confirmed"));
             return;
         }
-        final Consumer<ItemService.ApiResult> once =
-                AnswerDeadline.within(loop, ANSWER, () -> late("no majority confirmed the purge in time"), back);
+        final Consumer<ItemService.ApiResult> once = inContact(back);
         final String name = (what.tag() != null ? "t." : "h.")
                 + Long.toHexString(Hash.mix(what.tag() != null ? what.tag() : what.host() + "|" + what.path()));
         final ItemId id = new ItemId(Kind.PURGE, name);
@@ -213,7 +223,7 @@
 
     /** All that stands, as of a moment after the question: nothing accepted before is missing. */
     public void whole(final Consumer<Optional<Map<Kind, Map<String, Item>>>> back) {
-        whole(ANSWER, back);
+        whole(AnswerDeadline.CONTACT, back);
     }
 
     public void whole(final long span, final Consumer<Optional<Map<Kind, Map<String, Item>>>> back) {
--- a/control/src/main/java/rv/control/Patch.java
+++ b/control/src/main/java/rv/control/Patch.java
@@ -25,7 +25,7 @@
 
     /** {@code body}: null drops the item. */
     record Part(Ver ver, String body) {
-        private static final int DIGITS = 16;
+        private static final int DIGITS = 12;
 
         /** What tells two bodies under one number apart. */
         String digest() {
--- a/control/src/main/java/rv/control/Registry.java
+++ b/control/src/main/java/rv/control/Registry.java
@@ -106,7 +106,7 @@
 
     private void write(final ItemId id, final Origin said, final Consumer<ItemService.ApiResult> back) {
         final Consumer<ItemService.ApiResult> once =
-                AnswerDeadline.within(loop, Orders.ANSWER, () -> late("no majority confirmed it in time"), back);
+                AnswerDeadline.inContact(loop, sync, () -> late("no majority confirmed it in time"), back);
         final String tag = tags.get();
         writer.write(
                 id,
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -239,7 +239,13 @@
                     id,
                     Math.max(200, cutoff - loop.now()),
                     r -> end(
-                            sent && r.item().ver().n() > standing.ver().n() ? Fate.UNKNOWN : Fate.CLASH,
+                            r.ok()
+                                    ? sent
+                                                    && r.item().ver().n()
+                                                            > standing.ver().n()
+                                            ? Fate.UNKNOWN
+                                            : Fate.CLASH
+                                    : sent ? Fate.UNKNOWN : Fate.REJECTED,
                             r.ok() ? r.item() : standing));
         }
 
--- a/prog/src/main/java/rv/prog/Api.java
+++ b/prog/src/main/java/rv/prog/Api.java
@@ -175,15 +175,17 @@
     private void config(final Call c, final Consumer<ItemService.ApiResult> back) {
         switch (c.method()) {
             case "PUT" -> node.clerk().apply(c.body(), back);
-            case "GET" -> {
-                final Config all = Config.of(node.held());
-                back.accept(new ItemService.ApiResult(
-                        200, Map.of("services", all.services(), "routes", all.routes(), "purges", all.purges())));
-            }
+            case "GET" -> node.clerk().inContact(this::all, back);
             default -> back.accept(wrong());
         }
     }
 
+    private ItemService.ApiResult all() {
+        final Config all = Config.of(node.held());
+        return new ItemService.ApiResult(
+                200, Map.of("services", all.services(), "routes", all.routes(), "purges", all.purges()));
+    }
+
     private static ItemService.ApiResult wrong() {
         return new ItemService.ApiResult(405, Map.of("fate", "refused", "reason", "this method is not taken here"));
     }
@@ -215,7 +217,7 @@
     private void origins(final Call c, final Consumer<ItemService.ApiResult> back) {
         if (c.method().equals("GET")) {
             if (c.at(2).isEmpty()) {
-                back.accept(node.clerk().list(Kind.ORIGIN));
+                node.clerk().inContact(() -> node.clerk().list(Kind.ORIGIN), back);
             } else {
                 force(new ItemId(Kind.ORIGIN, c.at(2)), back);
             }
@@ -231,7 +233,7 @@
         if (kind == null || c.path().size() > 3) {
             back.accept(none());
         } else if (c.at(2).isEmpty()) {
-            back.accept(c.method().equals("GET") ? node.clerk().list(kind) : wrong());
+            list(c, kind, back);
         } else {
             final ItemId id = new ItemId(kind, c.at(2));
             switch (c.method()) {
@@ -243,9 +245,26 @@
         }
     }
 
+    private void list(final Call c, final Kind kind, final Consumer<ItemService.ApiResult> back) {
+        if (c.method().equals("GET")) {
+            node.clerk().inContact(() -> node.clerk().list(kind), back);
+        } else {
+            back.accept(wrong());
+        }
+    }
+
     /** The stated version, and the version in force on every node that answers. */
     private void force(final ItemId id, final Consumer<ItemService.ApiResult> back) {
-        final ItemService.ApiResult base = node.clerk().get(id);
+        node.clerk().inContact(() -> node.clerk().get(id), base -> {
+            if (base.status() == 503) {
+                back.accept(base);
+            } else {
+                force(id, base, back);
+            }
+        });
+    }
+
+    private void force(final ItemId id, final ItemService.ApiResult base, final Consumer<ItemService.ApiResult> back) {
         final List<NodeId> all = node.roster().live().stream().map(Member::id).toList();
         final Map<String, Object> seen = new TreeMap<>();
         final int[] left = {all.size()};
