--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -2,26 +2,45 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import rv.base.Member;
+import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
 
-/** What a process is told about its place. */
+/** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
         Member self,
         List<NodeId> seeds,
         Quorum quorum,
-        Timing timing,
         int shards,
         long cacheBytes,
         boolean first,
-        double share,
-        double slack,
         List<String> seats,
-        long noticeMs,
-        List<String> places) {
+        AtomicReference<LiveSettings> live,
+        Msg.Chosen voters) {
+
+    public Timing timing() {
+        return live.get().timing();
+    }
+
+    public double share() {
+        return live.get().extraRatio();
+    }
+
+    public double slack() {
+        return live.get().extraSlack();
+    }
+
+    public long noticeMs() {
+        return live.get().noticeMs();
+    }
+
+    public List<String> places() {
+        return live.get().places();
+    }
 
     public boolean elector() {
         return quorum.has(self.id());
@@ -32,13 +51,19 @@
         return quorum.stores().isEmpty();
     }
 
-    /** Stores arbitrate; where no elector is named a store, every elector has a disk and does. */
+    /** Where voters change, every shield has a disk and may become one. */
+    public boolean mayVote() {
+        return elector() || votersMayChange() && is(Role.SHIELD);
+    }
+
+    /** Stores arbitrate; where no voter is named a store, every voter has a disk and does. */
     public boolean arbitrates() {
-        return is(Role.STORE) || quorum.stores().isEmpty() && elector();
+        return is(Role.STORE) || votersMayChange() && mayVote();
     }
 
     /** Which place a cell is in; the first where it is in none. */
     public int at(final String cell) {
+        final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
             if (cell.startsWith(places.get(i))) {
                 return i;
@@ -72,6 +97,8 @@
         private List<String> seats = List.of();
         private long notice = 1000;
         private List<String> places = List.of("");
+        private int wantedLosses;
+        private Msg.Chosen voters;
 
         private Builder(final Member self) {
             this.self = self;
@@ -122,7 +149,19 @@
 
         /** Cells, or the beginnings of cells, that objects are filled for apart; the same on all nodes. */
         public Builder places(final List<String> list) {
-            places = list.isEmpty() ? List.of("") : List.copyOf(list);
+            places = list;
+            return this;
+        }
+
+        /** How many voters may be lost at once; the set is made as large as that needs. */
+        public Builder wantedLosses(final int n) {
+            wantedLosses = n;
+            return this;
+        }
+
+        /** The chosen set that votes now, where it is known; without it the founding set is taken. */
+        public Builder voters(final Msg.Chosen set) {
+            voters = set;
             return this;
         }
 
@@ -135,7 +174,15 @@
 
         public Setup build() {
             return new Setup(
-                    self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice, places);
+                    self,
+                    seeds,
+                    quorum,
+                    shards,
+                    cacheBytes,
+                    first,
+                    seats,
+                    new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
+                    voters);
         }
     }
 }
