--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -47,6 +47,9 @@
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
+    /** One that has been silent for so long is not asked to put orders in order. */
+    private static final long QUIET = 1500;
+
     private final Setup setup;
     private final Loop loop;
     private final Journal journal;
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -149,6 +149,11 @@
                 .toList();
     }
 
+    /** The cell whose zone has this name; the name itself where there is none. */
+    public String cellOf(final String zone) {
+        return cells.stream().filter(c -> c.endsWith("/" + zone)).findFirst().orElse(zone);
+    }
+
     /** The seeds and electors with their addresses. */
     public Map<NodeId, InetSocketAddress> known() {
         final Map<NodeId, InetSocketAddress> map = new TreeMap<>(seeds);
