--- a/control/src/main/java/rv/control/ItemService.java
+++ b/control/src/main/java/rv/control/ItemService.java
@@ -6,12 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import rv.base.Code;
-import rv.base.Event;
 import rv.base.Finding;
 import rv.base.Item;
 import rv.base.ItemId;
@@ -28,7 +25,7 @@
     private final ItemStore held;
     private final FrameSync sync;
     private final Writer writer;
-    private final Journal journal;
+    private final OriginAnnouncements announcements;
     private final Supplier<String> tags;
 
     /** A status and the members of the JSON body that goes with it. */
@@ -72,7 +69,7 @@
         this.held = held;
         this.sync = sync;
         this.writer = writer;
-        this.journal = journal;
+        this.announcements = new OriginAnnouncements(held, writer, journal, tags);
         this.tags = tags;
     }
 
@@ -103,7 +100,7 @@
     }
 
     /** What a statement comes to before the items that are held: its faults, and the item's body where there are none. */
-    private record Checked(List<Finding> faults, String body) {}
+    record Checked(List<Finding> faults, String body) {}
 
     /** Faults are told only as a majority sees them: what was stated elsewhere a moment ago may mend them. */
     private void checked(
@@ -187,10 +184,6 @@
         return given == null || given.isEmpty() ? tags.get() : "w-" + given;
     }
 
-    private Item risen(final Item n) {
-        return new Item(n.id(), held.rise(n), n.body(), n.gone(), n.tag());
-    }
-
     private interface Step {
         Item next(Item now);
     }
@@ -304,69 +297,11 @@
     }
 
     public void announce(final String name, final byte[] data, final Consumer<ApiResult> back) {
-        checked(() -> checkOrigin(name, data), body -> announced(name, Json.read(body, Origin.class), back), back);
-    }
-
-    private Checked checkOrigin(final String name, final byte[] data) {
-        final List<Finding> faults = new ArrayList<>();
-        final Object o = JsonReader.read(data, faults);
-        final JsonShape s = new JsonShape(o, "", faults);
-        final String service = s.text("service", true, "");
-        final String kind = s.word("kind", Set.of(Service.CONTENT, Service.BOOKING, Service.OPEN));
-        final Origin said = new Origin(
-                service,
-                s.text("host", true, ""),
-                (int) s.whole("port", true, 1, 1, 65_535),
-                s.text("stamp", true, ""),
-                kind,
-                s.number("load", false, 0, 0, 1_000_000).doubleValue(),
-                s.whole("ttlMs", false, 10_000, 1000, 600_000),
-                s.flag("leaving", false),
-                s.whole("beat", false, 0, 0, Long.MAX_VALUE));
-        s.end();
-        final Service to = Config.of(held).services().get(service);
-        if (to == null) {
-            faults.add(new Finding("/service", "no configuration names this service"));
-        } else if (!to.kind().equals(kind)) {
-            faults.add(new Finding("/kind", "the service is of kind " + to.kind()));
-        }
-        if (!name.matches("[a-z0-9][a-z0-9._-]{0,60}")) {
-            faults.add(new Finding("/", "bad origin name"));
-        }
-        return new Checked(faults, Json.text(said));
-    }
-
-    private void announced(final String name, final Origin said, final Consumer<ApiResult> back) {
-        final ItemId id = new ItemId(Kind.ORIGIN, name);
-        final String tag = tags.get();
-        writer.write(
-                id,
-                tag,
-                SPAN,
-                now -> {
-                    final Origin old = now.live() ? Json.read(now.body(), Origin.class) : null;
-                    final boolean left =
-                            old != null && old.leaving() && old.stamp().equals(said.stamp());
-                    final boolean gone =
-                            said.leaving() && old != null && !old.stamp().equals(said.stamp());
-                    final boolean late = old != null && old.stamp().equals(said.stamp()) && said.beat() < old.beat();
-                    return left && !said.leaving() || gone || late
-                            ? Optional.empty()
-                            : Optional.of(risen(now.next(Json.text(said), tag)));
-                },
-                r -> {
-                    if (r.ok()) {
-                        journal.add(Event.of(
-                                said.leaving() ? Code.ORIGIN_LEFT : Code.ORIGIN_SEEN,
-                                "origin",
-                                name,
-                                "service",
-                                said.service(),
-                                "ver",
-                                r.item().ver().n()));
-                    }
-                    back.accept(said(id, r));
-                });
+        checked(
+                () -> announcements.check(name, data),
+                body -> announcements.write(
+                        name, Json.read(body, Origin.class), r -> back.accept(said(new ItemId(Kind.ORIGIN, name), r))),
+                back);
     }
 
     public ApiResult get(final ItemId id) {
