--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -13,6 +13,8 @@
     TENURE,
     SWEEP,
     LIMIT,
+    /** Which number of each item was taken with which body; written by the order sequencer only. */
+    LEDGER,
     VOTERS;
 
     public String word() {
