Edges alone reach origins again; connections that origins forget are not met by what must not run twice

Idle connections were used again for up to 8 s whatever an origin did with them before: a keyed request that met a forgotten one ended as unknown. Ruled out: a new connection for every request (new connections are priced and hold a slot for a moment); closing idle connections early for all (most origins keep them). Before: PathTest#anEdgeThatHearsNoShieldAsksOriginsItself 503 for 40 s after three shields were killed; ForgottenConnectionTest 2 of 3 red (LOST). After: both green, StayTest and RehearsalTest green. Touches OriginPort and ProcessModule of others.

--- a/prog/src/main/java/rv/prog/OriginPort.java
+++ b/prog/src/main/java/rv/prog/OriginPort.java
@@ -2,13 +2,10 @@
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
@@ -26,15 +23,11 @@
 /** Circuits to origins over Jetty's client. Core thread only, but for Jetty's call-backs, which post. */
 public final class OriginPort implements Port {
     private static final int BODY = 4 << 20;
-    private static final long IDLE = 8000;
-    private static final Pattern STAY = Pattern.compile("timeout=([0-9]{1,6})");
+    private static final Set<String> READS = Set.of("GET", "HEAD");
     private final Loop loop;
     private final HttpClient http;
     private final Dialect dialect;
-    private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
-
-    /** {@code most}: for how long the origin keeps it, in ms. */
-    private record Idle(Connection circuit, long at, long most) {}
+    private final IdleConnections idle = new IdleConnections();
 
     public record Who(String service, String stamp) {}
 
@@ -70,6 +63,8 @@
         private Connection circuit;
         private boolean over;
         private boolean sent;
+        private long sentAt;
+        private long rest;
 
         Trip(final Origin to, final Send what, final Gate gate, final Consumer<Got> then) {
             this.gate = gate;
@@ -84,14 +79,16 @@
             loop.after(
                     Math.max(50, what.span()),
                     () -> end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"), false));
-            final ArrayDeque<Idle> q = idle.computeIfAbsent(site, k -> new ArrayDeque<>());
-            for (Idle i = q.pollLast(); i != null; i = q.pollLast()) {
-                if (!i.circuit().isClosed() && loop.now() - i.at() < i.most()) {
-                    circuit = i.circuit();
-                    go();
-                    return;
-                }
-                i.circuit().close();
+            final IdleConnections.Rested used = idle.take(site, to.service(), repeatable(), loop.now());
+            if (used != null) {
+                circuit = used.connection();
+                rest = used.rest();
+                go();
+                return;
+            }
+            if (!http.isStarted()) {
+                loop.post(() -> end(Got.none(End.NOT_SENT, "the client is not started yet"), false));
+                return;
             }
             final Destination d = http.resolveDestination(ask("GET", "/"));
             d.newConnection(Promise.from(
@@ -99,6 +96,11 @@
                     e -> loop.post(() -> end(Got.none(End.NOT_SENT, "no circuit: " + e.getMessage()), false))));
         }
 
+        /** A read without a key may be sent again elsewhere; of all else it must be known whether it ran. */
+        private boolean repeatable() {
+            return what.key() == null && READS.contains(what.method());
+        }
+
         /** A target that is no URI by the letter goes out as it came. */
         private Request ask(final String method, final String path) {
             try {
@@ -162,6 +164,7 @@
                 return;
             }
             sent = true;
+            sentAt = loop.now();
             circuit.send(r, new BufferingResponseListener(BODY) {
                 @Override
                 public void onComplete(final Result res) {
@@ -169,11 +172,18 @@
                     final Got got = res.isSucceeded()
                             ? whole(res, body)
                             : Got.none(End.LOST, String.valueOf(res.getFailure().getMessage()));
-                    loop.post(() -> end(got, res.isSucceeded()));
+                    loop.post(() -> answered(got, res.isSucceeded()));
                 }
             });
         }
 
+        private void answered(final Got got, final boolean whole) {
+            if (!over && !whole) {
+                idle.lost(to.service(), rest, loop.now() - sentAt, loop.now());
+            }
+            end(got, whole);
+        }
+
         private Got whole(final Result res, final byte[] body) {
             final Map<String, String> heads = new TreeMap<>();
             for (final HttpField f : res.getResponse().getHeaders()) {
@@ -191,9 +201,7 @@
                 if (reuse
                         && !circuit.isClosed()
                         && !"close".equalsIgnoreCase(got.heads().get("connection"))) {
-                    idle.computeIfAbsent(site, k -> new ArrayDeque<>())
-                            .addLast(new Idle(
-                                    circuit, loop.now(), stay(got.heads().get("keep-alive"))));
+                    idle.put(site, circuit, got.heads().get("keep-alive"), loop.now());
                 } else {
                     circuit.close();
                 }
@@ -201,12 +209,6 @@
             then.accept(got);
         }
 
-        /** A second less than the origin says, so that no request meets its end. */
-        private long stay(final String told) {
-            final Matcher m = told == null ? null : STAY.matcher(told);
-            return m != null && m.find() ? Math.min(IDLE, Long.parseLong(m.group(1)) * 1000 - 1000) : IDLE;
-        }
-
         @Override
         public void cut() {
             if (!over) {
--- a/prog/src/main/java/rv/prog/ProcessModule.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -89,12 +89,12 @@
     @Provides
     @Singleton
     Port port(final CoreLoop loop, final Provider<HttpClient> http) {
-        return options.role() == Role.SHIELD
-                ? new OriginPort(loop, http.get(), dialect)
-                : (to, what, gate, then) -> {
-                    loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "only shields send to origins")));
+        return options.role() == Role.STORE
+                ? (to, what, gate, then) -> {
+                    loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "stores send nothing to origins")));
                     return () -> {};
-                };
+                }
+                : new OriginPort(loop, http.get(), dialect);
     }
 
     @Provides
