--- a/data/src/main/java/rv/data/OriginDispatch.java
+++ b/data/src/main/java/rv/data/OriginDispatch.java
@@ -30,6 +30,8 @@
     private boolean earned;
     private boolean mayHaveRun;
     private int unreachable;
+    /** Origins that may have got it. */
+    private int reached;
     /** Sends that are under way. */
     private int open;
     /** Attempts for which an origin is being looked for, or which wait for their turn. */
@@ -206,9 +208,10 @@
         if (!earned) {
             sender.first(order.service());
         }
-        final boolean first = !earned;
         earned = true;
-        new OriginAttempt(sender, this, id, to).send(!first);
+        final boolean extra = order.extra() || reached > 0;
+        reached++;
+        new OriginAttempt(sender, this, id, to).send(extra);
     }
 
     /** Not answered for long: what may run more than once is tried elsewhere too, and the first answer counts. */
@@ -249,6 +252,7 @@
     /** Nothing left: another origin may be asked at once if only this one may not. */
     private void barred(final Port.Got got) {
         pending++;
+        reached--;
         if (sender.right(order.shard(), order.service()) && loop().now() < order.cutoff()) {
             choose();
         } else {
@@ -259,6 +263,7 @@
     /** An origin that could not be reached got no request: its attempt is still to be made, and is no extra one. */
     private void unreached(final Port.Got got, final long at) {
         pending++;
+        reached--;
         if (loop().now() < order.cutoff() && ++unreachable < REACH) {
             choose();
             return;
--- a/data/src/main/java/rv/data/Sender.java
+++ b/data/src/main/java/rv/data/Sender.java
@@ -78,14 +78,21 @@
         this.holder = holder;
         this.ties = ties;
         this.journal = journal;
-        final boolean edge = setup.is(Role.EDGE);
-        this.budget = new RetryBudget(edge ? 0 : setup.share(), edge ? 0 : setup.slack());
+        this.budget = new RetryBudget(0, 0);
+        reload();
         this.ceiling = new CeilingShare(setup, ties.edges(), this::senders, this::share);
         this.load = new OriginLoad(setup.self().cell());
         this.loadExchange = new LoadExchange(loop, net, load, ties.peers());
         loop.every(LoadExchange.EACH, () -> view.serviceNames().forEach(this::drain));
     }
 
+    /** Takes the bounds on extra tries from the settings that hold now; an edge has none of its own. */
+    void reload() {
+        if (!setup.is(Role.EDGE)) {
+            budget.limits(setup.share(), setup.slack());
+        }
+    }
+
     public void send(final OriginRequest order, final Consumer<Sent> then) {
         new OriginDispatch(this, order, then).begin();
     }
