A disk's files and folder are synced before they are read, and a full one waited for

After a loss of power each name that was made without a sync of its folder may be lost by itself. SQLite syncs the folder when it makes the log, before the first row (system calls of a start on a blank folder: log written and synced, folder synced, then the table's and the first row's frames). What it does not do: a process killed between the two left a log whose name was never synced; the next process found it, made no new one, answered commits into it, and the name could go with the power. The same for frames that a killed process had written but not synced: they were read, and answers rested on them. Now all files and the folder are synced before SQLite reads them, and the folder again after it made or removed its own, also after a failed commit.

A disk that takes no writes at the start ended the process with 2; it is now told (RV1307 with its reason) and tried again every 250 ms.

--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -81,12 +81,12 @@
         final ProcessModule parts = new ProcessModule(options, boot, faces.dialect());
         final ProcessComponent all =
                 DaggerProcessComponent.builder().processModule(parts).build();
+        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
+        log.start(all.journal());
         if (all.disk() instanceof SqlDisk d) {
-            d.open();
+            d.open(why -> all.journal().add(Event.of(Code.DISK_SLOW, "why", why)));
         }
         stages.end("disk");
-        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
-        log.start(all.journal());
         final SettingsWatcher settings = new SettingsWatcher(source, options, all.journal());
         settings.start();
         if (!options.shortage().isEmpty()) {
--- a/prog/src/main/java/rv/prog/SqlDisk.java
+++ b/prog/src/main/java/rv/prog/SqlDisk.java
@@ -1,8 +1,11 @@
 package rv.prog;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.sql.Connection;
 import java.sql.DriverManager;
 import java.sql.PreparedStatement;
@@ -13,16 +16,32 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import rv.base.Disk;
 import rv.base.DiskTrouble;
 import rv.base.Loop;
 
-/** The disk duty: one thread, one SQLite file, one synced transaction for all that waits. */
+/**
+ * The disk duty: one thread, one SQLite file, one synced transaction for all that waits.
+ *
+ * <p>What a process finds at its start may be no safer than the memory of the machine: an earlier process that was
+ * killed may have written files, or made them, without a sync. A row that is read, or a commit into a write-ahead log
+ * whose name was never synced, would be lost with the power. So all files and the folder are synced before SQLite
+ * reads them, and the folder once more after SQLite has made or removed its own.
+ */
 public final class SqlDisk implements Disk {
+    private static final long AGAIN_MS = 250;
+    /** SQLite's primary result codes for a disk that may take writes again. */
+    private static final Set<Integer> PASSING = Set.of(5, 10, 13, 14);
+
+    private static final int PRIMARY = 0xff;
     private final Loop loop;
     private final Path home;
+    private final Syncer syncer;
     private final ArrayBlockingQueue<Job> ring = new ArrayBlockingQueue<>(4096);
     private final Thread thread = new Thread(this::run, "disk");
     private Connection sql;
@@ -31,26 +50,83 @@
 
     private record Job(Map<String, byte[]> rows, Consumer<Boolean> done) {}
 
+    /** Makes a file's contents, or a folder's names, last through a loss of power. */
+    @FunctionalInterface
+    interface Syncer {
+        void sync(Path path) throws IOException;
+    }
+
     public SqlDisk(final Loop loop, final Path home) {
+        this(loop, home, SqlDisk::force);
+    }
+
+    SqlDisk(final Loop loop, final Path home, final Syncer syncer) {
         this.loop = loop;
         this.home = home;
+        this.syncer = syncer;
+    }
+
+    private static void force(final Path path) throws IOException {
+        final OpenOption mode = Files.isDirectory(path) ? StandardOpenOption.READ : StandardOpenOption.WRITE;
+        try (FileChannel channel = FileChannel.open(path, mode)) {
+            channel.force(true);
+        }
+    }
+
+    public void open() throws DiskTrouble, InterruptedException {
+        open(why -> {});
+    }
+
+    /** Returns once the database is open; a disk that takes no writes now is told of and tried again. */
+    public void open(final Consumer<String> refused) throws DiskTrouble, InterruptedException {
+        prepare();
+        while (sql == null) {
+            try {
+                sql = connect();
+            } catch (final IOException e) {
+                refused.accept(e.toString());
+                TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
+            } catch (final SQLException e) {
+                if (!PASSING.contains(e.getErrorCode() & PRIMARY)) {
+                    throw unusable(e);
+                }
+                refused.accept(e.getMessage());
+                TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
+            }
+        }
+        thread.setDaemon(true);
+        thread.start();
     }
 
-    public void open() throws DiskTrouble {
+    private void prepare() throws DiskTrouble {
         try {
             Files.createDirectories(home);
-            if (!Files.isWritable(Path.of(System.getProperty("java.io.tmpdir")))) {
-                System.setProperty("org.sqlite.tmpdir", home.toString());
+        } catch (final IOException e) {
+            throw unusable(e);
+        }
+        if (!Files.isWritable(home)) {
+            throw unusable(new IOException("it cannot be written to"));
+        }
+        if (!Files.isWritable(Path.of(System.getProperty("java.io.tmpdir")))) {
+            System.setProperty("org.sqlite.tmpdir", home.toString());
+        }
+    }
+
+    private DiskTrouble unusable(final Exception e) {
+        return new DiskTrouble("data folder " + home + " is not usable: " + e.getMessage(), e);
+    }
+
+    private void syncAll() throws IOException {
+        try (Stream<Path> files = Files.list(home)) {
+            for (final Path file : files.filter(Files::isRegularFile).sorted().toList()) {
+                syncer.sync(file);
             }
-            sql = connect();
-            thread.setDaemon(true);
-            thread.start();
-        } catch (final IOException | SQLException e) {
-            throw new DiskTrouble("data folder " + home + " is not usable: " + e.getMessage(), e);
         }
+        syncer.sync(home);
     }
 
-    private Connection connect() throws SQLException {
+    private Connection connect() throws SQLException, IOException {
+        syncAll();
         final Connection c = DriverManager.getConnection("jdbc:sqlite:" + home.resolve("items.db"));
         try (Statement s = c.createStatement()) {
             s.execute("PRAGMA locking_mode=EXCLUSIVE");
@@ -58,8 +134,9 @@
             s.execute("PRAGMA synchronous=FULL");
             s.execute("CREATE TABLE IF NOT EXISTS rows (k TEXT PRIMARY KEY, v BLOB NOT NULL) WITHOUT ROWID");
             c.setAutoCommit(false);
+            syncer.sync(home);
             return c;
-        } catch (final SQLException e) {
+        } catch (final SQLException | IOException e) {
             c.close();
             throw e;
         }
@@ -74,7 +151,7 @@
             sql.close();
             sql = connect();
             broken = false;
-        } catch (final SQLException e) {
+        } catch (final SQLException | IOException e) {
             broken = true;
         }
         return !broken;
--- a/prog/src/test/java/rv/prog/FullDisk.java
+++ b/prog/src/test/java/rv/prog/FullDisk.java
@@ -1,6 +1,7 @@
 package rv.prog;
 
 import java.nio.file.Path;
+import java.sql.DriverManager;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -31,10 +32,46 @@
         return f.get(20, TimeUnit.SECONDS);
     }
 
-    public static void main(final String[] args) throws Exception {
+    private static void fullAtStart(final SqlDisk disk) throws Exception {
+        DriverManager.getConnection("jdbc:sqlite::memory:").close();
+        limit("1");
+        final int[] refusals = {0};
+        disk.open(why -> {
+            if (++refusals[0] == 3) {
+                System.out.println("full " + why);
+                lift();
+            }
+        });
+        System.out.println("after " + save(disk, "c", 9000));
+        System.out.println("rows " + new java.util.TreeSet<>(disk.load().keySet()));
+    }
+
+    private static void lift() {
+        try {
+            limit("unlimited");
+        } catch (final Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public static void main(final String[] args) {
+        try {
+            run(args);
+            System.exit(0);
+        } catch (final Exception e) {
+            e.printStackTrace();
+            System.exit(1);
+        }
+    }
+
+    private static void run(final String... args) throws Exception {
         final CoreLoop loop = new CoreLoop();
         loop.start();
         final SqlDisk disk = new SqlDisk(loop, Path.of(args[0]));
+        if (args.length > 1) {
+            fullAtStart(disk);
+            return;
+        }
         disk.open();
         System.out.println("before " + save(disk, "a", 100));
         limit("1");
@@ -45,6 +82,5 @@
         System.out.println("after " + save(disk, "c", 9000));
         System.out.println("again " + save(disk, "d", 100));
         System.out.println("rows " + new java.util.TreeSet<>(disk.load().keySet()));
-        System.exit(0);
     }
 }
--- a/prog/src/test/java/rv/prog/SqlDiskTest.java
+++ b/prog/src/test/java/rv/prog/SqlDiskTest.java
@@ -7,7 +7,9 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -54,24 +56,36 @@
         d.stop();
     }
 
+    private String[] run(final String... args) throws Exception {
+        final List<String> words = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                FullDisk.class.getName()));
+        words.addAll(List.of(args));
+        final Process p = new ProcessBuilder(words).redirectErrorStream(true).start();
+        final String text = new String(p.getInputStream().readAllBytes());
+        assertEquals(0, p.waitFor(), text);
+        return text.lines()
+                .filter(l -> l.matches("(before|full|after|again|rows) .*"))
+                .toArray(String[]::new);
+    }
+
+    /** No process ends because its disk is full when it starts. */
+    @Test
+    void aDiskThatIsFullAtTheStartIsWaitedFor() throws Exception {
+        final String[] lines = run(dir.resolve("data").toString(), "start");
+        assertEquals(3, lines.length, String.join("\n", lines));
+        assertTrue(lines[0].startsWith("full ["), lines[0]);
+        assertEquals("after true, rows [c]", lines[1] + ", " + lines[2]);
+    }
+
     /** A disk that was full takes rows again once there is room, and lost none of those it had said yes to. */
     @Test
     void aDiskThatWasFullGoesOn() throws Exception {
-        final Process p = new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-cp",
-                        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-                        FullDisk.class.getName(),
-                        dir.resolve("data").toString())
-                .redirectErrorStream(true)
-                .start();
-        final String text = new String(p.getInputStream().readAllBytes());
-        assertEquals(0, p.waitFor(), text);
         assertEquals(
                 "before true, full false, full false, full false, full false, full false, after true, again true, rows [a, c, d]",
-                text.lines()
-                        .filter(l -> l.matches("(before|full|after|again|rows) .*"))
-                        .collect(java.util.stream.Collectors.joining(", ")));
+                String.join(", ", run(dir.resolve("data").toString())));
     }
 
     @Test
