An address holds a bounded number of connections: the longest idle make room

Ruled out: a shorter idle time-out for all (callers may come back for up to four fifths of the stated one); accepting no more (they wait unread just as well). Before: ConnectionLimitTest 1 of 2 red (read timed out, nothing was closed). After: green.

--- a/prog/src/main/java/rv/prog/Addresses.java
+++ b/prog/src/main/java/rv/prog/Addresses.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -30,6 +31,7 @@
     private static final int ANSWERS = 64 << 10;
     private final Server server;
     private final Map<Connector, Handler> handlers = new ConcurrentHashMap<>();
+    private final Map<Connector, ConnectionLimit> limits = new ConcurrentHashMap<>();
 
     Addresses(final Server server) {
         this.server = server;
@@ -45,6 +47,11 @@
     }
 
     int open(final String what, final InetSocketAddress at, final Handler handler) throws IOException {
+        return open(what, at, handler, Integer.MAX_VALUE);
+    }
+
+    /** {@code most}: how many connections this address may hold at once. */
+    int open(final String what, final InetSocketAddress at, final Handler handler, final int most) throws IOException {
         final HttpConfiguration conf = new HttpConfiguration();
         conf.setSendServerVersion(false);
         conf.setSendDateHeader(false);
@@ -55,6 +62,9 @@
         link.setHost(at.getHostString());
         link.setPort(at.getPort());
         link.setAcceptQueueSize(512);
+        final ConnectionLimit limit = new ConnectionLimit(most);
+        limits.put(link, limit);
+        link.addBean(limit);
         try {
             handler.setServer(server);
             handler.start();
@@ -69,7 +79,13 @@
 
     @Override
     public boolean handle(final Request req, final Response res, final Callback done) throws Exception {
-        final Handler handler = handlers.get(req.getConnectionMetaData().getConnector());
+        final ConnectionMetaData meta = req.getConnectionMetaData();
+        final ConnectionLimit limit = limits.get(meta.getConnector());
+        if (limit != null) {
+            limit.busy(meta.getConnection());
+            Request.addCompletionListener(req, failure -> limit.rests(meta.getConnection()));
+        }
+        final Handler handler = handlers.get(meta.getConnector());
         return handler != null && handler.handle(req, res, done);
     }
 }
--- /dev/null
+++ b/prog/src/main/java/rv/prog/ConnectionLimit.java
@@ -0,0 +1,58 @@
+package rv.prog;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.eclipse.jetty.io.Connection;
+
+/**
+ * Bounds the connections that an address holds at once: beyond it the ones that have rested the longest are closed, so that
+ * whoever comes new is accepted at once instead of waiting for a descriptor. One with a request under way is never closed
+ * for this. Safe for use by several threads.
+ */
+final class ConnectionLimit implements Connection.Listener {
+    private final int most;
+    private final Set<Connection> open = new HashSet<>();
+    /** In the order in which they began to rest. */
+    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
+
+    ConnectionLimit(final int most) {
+        this.most = most;
+    }
+
+    @Override
+    public void onOpened(final Connection connection) {
+        final List<Connection> closing = new ArrayList<>();
+        synchronized (this) {
+            open.add(connection);
+            final Iterator<Connection> longest = idle.iterator();
+            while (open.size() - closing.size() > most && longest.hasNext()) {
+                closing.add(longest.next());
+                longest.remove();
+            }
+            idle.add(connection);
+        }
+        closing.forEach(Connection::close);
+    }
+
+    @Override
+    public synchronized void onClosed(final Connection connection) {
+        open.remove(connection);
+        idle.remove(connection);
+    }
+
+    /** A request has been read from it. */
+    synchronized void busy(final Connection connection) {
+        idle.remove(connection);
+    }
+
+    /** Its request has been answered. */
+    synchronized void rests(final Connection connection) {
+        if (open.contains(connection)) {
+            idle.add(connection);
+        }
+    }
+}
