The platform's limit of descriptors bounds the connections of callers at an edge

Where all of them have a request under way, a quarter more are accepted and the others closed unread, so that they turn elsewhere.

--- a/prog/src/main/java/rv/prog/ConnectionLimit.java
+++ b/prog/src/main/java/rv/prog/ConnectionLimit.java
@@ -11,9 +11,11 @@
 /**
  * Bounds the connections that an address holds at once: beyond it the ones that have rested the longest are closed, so that
  * whoever comes new is accepted at once instead of waiting for a descriptor. One with a request under way is never closed
- * for this. Safe for use by several threads.
+ * for this; where there are only such, a quarter more are accepted and the others closed unread, so that they turn elsewhere.
+ * Safe for use by several threads.
  */
 final class ConnectionLimit implements Connection.Listener {
+    private static final int BUSY_BEYOND = 4;
     private final int most;
     private final Set<Connection> open = new HashSet<>();
     /** In the order in which they began to rest. */
@@ -33,7 +35,11 @@
                 closing.add(longest.next());
                 longest.remove();
             }
-            idle.add(connection);
+            if (open.size() - closing.size() <= most + most / BUSY_BEYOND) {
+                idle.add(connection);
+            } else {
+                closing.add(connection);
+            }
         }
         closing.forEach(Connection::close);
     }
--- a/prog/src/main/java/rv/prog/OptionChange.java
+++ b/prog/src/main/java/rv/prog/OptionChange.java
@@ -38,6 +38,7 @@
             fixed("m", o -> o.timing().m()),
             fixed("shards", Options::shards),
             fixed("cache-bytes", Options::cacheBytes),
+            fixed("descriptors", Options::descriptors),
             fixed("log", Options::json));
 
     private static Rule live(final String name, final Function<Options, Object> value) {
--- a/prog/src/main/java/rv/prog/OptionChecks.java
+++ b/prog/src/main/java/rv/prog/OptionChecks.java
@@ -86,6 +86,7 @@
         }
         final Map<String, InetSocketAddress> faces = addresses.byName("faces", list("faces"));
         final boolean json = json();
+        final int descriptors = (int) shape.whole("descriptors", false, 0, 0, 1 << 30);
         shape.end();
         if (!faults.isEmpty()) {
             return null;
@@ -117,7 +118,8 @@
                 voters.wantedLosses(),
                 allHaveDisks && voters.wantedLosses() > voters.mostLosses()
                         ? voters.shortage(voters.wantedLosses())
-                        : "");
+                        : "",
+                descriptors);
     }
 
     private String id(final InetSocketAddress wire) {
--- a/prog/src/main/java/rv/prog/OptionFlags.java
+++ b/prog/src/main/java/rv/prog/OptionFlags.java
@@ -48,6 +48,7 @@
             new Flag("m", Kind.NUMBER, "", "margin in ms, at least max(1000, D/10)"),
             new Flag("shards", Kind.NUMBER, "", "shards of the key space, the same on every node"),
             new Flag("cache-bytes", Kind.NUMBER, "", "room for cached copies"),
+            new Flag("descriptors", Kind.NUMBER, "", "open files and sockets that the process may have, 0: any number"),
             new Flag("stop-ms", Kind.NUMBER, "", "how long an orderly stop may take"),
             new Flag("log", Kind.TEXT, "", "text or json"),
             new Flag("seed-port", Kind.NUMBER, "", "wire port of seeds that are given without a name"),
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -48,7 +48,13 @@
         long noticeMs,
         List<String> places,
         int wantedLosses,
-        String shortage) {
+        String shortage,
+        int descriptors) {
+    /** Descriptors that are left to files, and to sockets other than those of callers: to peers, origins, own addresses. */
+    private static final int FOR_FILES = 200;
+
+    private static final int FOR_PEERS = 36;
+    private static final int FEWEST_CONNECTIONS = 8;
 
     /** Null where there are faults. */
     public static Options read(final Role role, final String[] args, final List<Finding> faults) {
@@ -122,7 +128,13 @@
                 noticeMs,
                 places,
                 wantedLosses,
-                shortage);
+                shortage,
+                descriptors);
+    }
+
+    /** How many connections of callers may be open at once. */
+    int doorConnections() {
+        return descriptors == 0 ? Integer.MAX_VALUE : Math.max(FEWEST_CONNECTIONS, descriptors - FOR_FILES - FOR_PEERS);
     }
 
     /** What a running node, whose lease times are {@code running}, takes over when they change. */
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -178,7 +178,7 @@
         open(server, "http server");
         all.open("http address ", options.http(), new Api(ends.loop(), ends.node(), ends.net()));
         if (options.door() != null) {
-            all.open("door address ", options.door(), faces.door(ends));
+            all.open("door address ", options.door(), faces.door(ends), options.doorConnections());
         }
         final Map<String, Handler> more = faces.more(ends);
         for (final Map.Entry<String, InetSocketAddress> e : options.faces().entrySet()) {
--- a/prog/src/test/java/rv/prog/ConnectionLimitTest.java
+++ b/prog/src/test/java/rv/prog/ConnectionLimitTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -28,6 +29,7 @@
     private final Server server = Addresses.server("test");
     private final List<Socket> clients = new ArrayList<>();
     private final CompletableFuture<Runnable> held = new CompletableFuture<>();
+    private final Semaphore busy = new Semaphore(0);
     private int port;
 
     @BeforeEach
@@ -44,6 +46,8 @@
                     public boolean handle(final Request req, final Response res, final Callback done) {
                         if (req.getHttpURI().getPath().equals("/held")) {
                             held.complete(() -> res.write(true, ByteBuffer.allocate(0), done));
+                        } else if (req.getHttpURI().getPath().equals("/busy")) {
+                            busy.release();
                         } else {
                             res.write(true, ByteBuffer.allocate(0), done);
                         }
@@ -100,6 +104,17 @@
         assertEquals("200", answer(last), "the last ones are kept");
     }
 
+    @Test
+    void whereAllAreAtWorkTheNextIsClosedUnreadInsteadOfWaiting() throws Exception {
+        final Socket last = connect();
+        for (int i = 0; i < MOST + MOST / 4; i++) {
+            final Socket s = i == 0 ? last : connect();
+            ask(s, "/busy");
+            busy.acquire();
+        }
+        assertEquals("closed", answer(connect()));
+    }
+
     @Test
     void aConnectionWithARequestUnderWayIsNotEnded() throws Exception {
         final Socket first = connect();
