--- a/prog/src/main/java/rv/prog/ConnectionLimit.java
+++ b/prog/src/main/java/rv/prog/ConnectionLimit.java
@@ -35,7 +35,7 @@
                 closing.add(longest.next());
                 longest.remove();
             }
-            if (open.size() - closing.size() <= most + most / BUSY_BEYOND) {
+            if (open.size() - closing.size() <= most + (long) most / BUSY_BEYOND) {
                 idle.add(connection);
             } else {
                 closing.add(connection);
--- a/prog/src/test/java/rv/prog/ConnectionLimitTest.java
+++ b/prog/src/test/java/rv/prog/ConnectionLimitTest.java
@@ -27,6 +27,7 @@
 class ConnectionLimitTest {
     private static final int MOST = 4;
     private final Server server = Addresses.server("test");
+    private final Addresses all = new Addresses(server);
     private final List<Socket> clients = new ArrayList<>();
     private final CompletableFuture<Runnable> held = new CompletableFuture<>();
     private final Semaphore busy = new Semaphore(0);
@@ -35,26 +36,25 @@
     @BeforeEach
     void begin() throws Exception {
         Main.quiet();
-        final Addresses all = new Addresses(server);
         server.setHandler(all);
         Program.open(server, "server");
-        port = all.open(
-                "address ",
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                new Handler.Abstract() {
-                    @Override
-                    public boolean handle(final Request req, final Response res, final Callback done) {
-                        if (req.getHttpURI().getPath().equals("/held")) {
-                            held.complete(() -> res.write(true, ByteBuffer.allocate(0), done));
-                        } else if (req.getHttpURI().getPath().equals("/busy")) {
-                            busy.release();
-                        } else {
-                            res.write(true, ByteBuffer.allocate(0), done);
-                        }
-                        return true;
-                    }
-                },
-                MOST);
+        port = all.open("address ", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), handler(), MOST);
+    }
+
+    private Handler handler() {
+        return new Handler.Abstract() {
+            @Override
+            public boolean handle(final Request req, final Response res, final Callback done) {
+                if (req.getHttpURI().getPath().equals("/held")) {
+                    held.complete(() -> res.write(true, ByteBuffer.allocate(0), done));
+                } else if (req.getHttpURI().getPath().equals("/busy")) {
+                    busy.release();
+                } else {
+                    res.write(true, ByteBuffer.allocate(0), done);
+                }
+                return true;
+            }
+        };
     }
 
     @AfterEach
@@ -66,6 +66,10 @@
     }
 
     private Socket connect() throws IOException {
+        return connect(port);
+    }
+
+    private Socket connect(final int port) throws IOException {
         final Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
         s.setSoTimeout(20_000);
         clients.add(s);
@@ -104,6 +108,18 @@
         assertEquals("200", answer(last), "the last ones are kept");
     }
 
+    @Test
+    void anAddressWithoutALimitHoldsThemAll() throws Exception {
+        final int open = all.open("address ", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), handler());
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 3 * MOST; i++) {
+                final Socket s = round == 0 ? connect(open) : clients.get(i);
+                ask(s, "/");
+                assertEquals("200", answer(s), "client " + i);
+            }
+        }
+    }
+
     @Test
     void whereAllAreAtWorkTheNextIsClosedUnreadInsteadOfWaiting() throws Exception {
         final Socket last = connect();
