A service's first demand moves the parts of its rate after one second

While a service is wanted whose parts were never set, it looks each second; lowered parts are confirmed by all holders as before. Before: ShareStepTest#aServicesFirstDemandIsFollowedSoon red (nothing at 1000 ms). After: green, with partsAreLoweredAndConfirmedBeforeOthersAreRaised.

--- a/control/src/main/java/rv/control/Shares.java
+++ b/control/src/main/java/rv/control/Shares.java
@@ -17,6 +17,9 @@
  */
 final class Shares {
     private static final long ROUND = 4000;
+    /** The same while a service is wanted whose parts have never been set to its demand. */
+    private static final long FIRST_ROUND = 1000;
+
     private static final long REST = 1000;
     private static final double EVEN = 0.25;
     private static final double WORTH = 0.08;
@@ -48,7 +51,8 @@
         if (!goal.isEmpty()) {
             return raise(plan, now);
         }
-        if (now - looked < ROUND) {
+        final boolean known = plan.weights().keySet().containsAll(wishes.keySet());
+        if (now - looked < (known ? ROUND : FIRST_ROUND)) {
             return Optional.empty();
         }
         looked = now;
--- a/control/src/test/java/rv/control/ShareStepTest.java
+++ b/control/src/test/java/rv/control/ShareStepTest.java
@@ -36,4 +36,23 @@
         assertTrue(high.weight("s", 0) > 7000);
         assertTrue(high.weight("s", 0) + high.weight("s", 1) <= Plan.WHOLE);
     }
+
+    /** A service whose parts were never set to its demand is looked at soon, others at leisure. */
+    @Test
+    void aServicesFirstDemandIsFollowedSoon() {
+        final Plan even = new Plan(1, 1, List.of(new Plan.Part("sh1", 1, 1), new Plan.Part("sh2", 1, 1)));
+        shares.clear(0);
+        say(A, 0, 0, 90);
+        say(B, 0, 1, 10);
+        final Plan low = shares.next(even, 2, 1000).orElseThrow();
+        say(A, low.serial(), 0, 90);
+        say(B, low.serial(), 1, 10);
+        assertEquals(Optional.empty(), shares.next(low, 2, 1100));
+        final Plan high = shares.next(low, 2, 2100).orElseThrow();
+        assertTrue(high.weight("s", 0) > 7000);
+        say(A, high.serial(), 0, 10);
+        say(B, high.serial(), 1, 900);
+        assertEquals(Optional.empty(), shares.next(high, 2, 4000), "its parts have followed its demand before");
+        assertTrue(shares.next(high, 2, 5100).isPresent());
+    }
 }
