A rehearsal that never settles ends by its own clock

The loop of a rehearsal never rests while its clock leaps, and only real time ended it, which hardly moves where computing costs none.

--- a/prog/src/main/java/rv/prog/CoreLoop.java
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -19,6 +19,8 @@
     private long seq;
     private volatile boolean leaps;
     private volatile long leapt;
+    private long mostLeapt;
+    private Runnable spent = () -> {};
 
     private record Timer(long due, long seq, Runnable job) implements Comparable<Timer> {
         @Override
@@ -28,10 +30,15 @@
         }
     }
 
-    /** One whose clock jumps to the next timer whenever nothing else is to be done. */
-    static CoreLoop leaping() {
+    /**
+     * One whose clock jumps to the next timer whenever nothing else is to be done, by {@code most} ms in all: as long
+     * as it jumps it never rests, so a wait for what never comes must not go on for ever. Then {@code spent} is run.
+     */
+    static CoreLoop leaping(final long most, final Runnable spent) {
         final CoreLoop loop = new CoreLoop();
         loop.leaps = true;
+        loop.mostLeapt = most;
+        loop.spent = spent;
         return loop;
     }
 
@@ -104,7 +111,9 @@
                 final Timer top = timers.peek();
                 final long due = top == null ? 1000 : top.due() - now();
                 final boolean leap = leaps && top != null && due > 0 && ring.isEmpty();
-                leapt += leap ? due : 0;
+                if (leap) {
+                    leap(due);
+                }
                 final long rest = leap ? 0 : due;
                 final Runnable job = rest > 0 ? ring.poll(rest, TimeUnit.MILLISECONDS) : ring.poll();
                 if (job != null) {
@@ -123,6 +132,14 @@
         }
     }
 
+    private void leap(final long ms) {
+        leapt += ms;
+        if (leapt >= mostLeapt) {
+            leaps = false;
+            safe(spent);
+        }
+    }
+
     private static void safe(final Runnable job) {
         try {
             job.run();
--- a/prog/src/main/java/rv/prog/Rehearsal.java
+++ b/prog/src/main/java/rv/prog/Rehearsal.java
@@ -46,7 +46,12 @@
         "i":{"host":"rehearsal.invalid","prefix":"/i/","service":"s","mode":"status","timeoutMs":1000,"aimMs":100,"tries":2,"any":true,"version":1},
         "k":{"host":"rehearsal.invalid","prefix":"/k/","service":"s","mode":"once","timeoutMs":1000,"aimMs":100,"tries":2,"any":true,"version":1}}},"drop":{}}
         """;
-    private final CoreLoop loop = CoreLoop.leaping();
+    /** By its own clock a rehearsal is set up after 3 s or so; one that is not by then never will be. */
+    private static final long MOST_SETTING_UP = 20_000;
+
+    private final CountDownLatch over = new CountDownLatch(1);
+    private final CoreLoop loop = CoreLoop.leaping(MOST_SETTING_UP, over::countDown);
+    private volatile boolean settled;
     private final Options options;
     private final Dialect dialect;
     private final Port port;
@@ -142,7 +147,10 @@
 
     /** False where it was given up; then nothing but time is lost. */
     boolean prepare(final int originPort) throws InterruptedException {
-        final CountDownLatch set = new CountDownLatch(1);
+        return prepare(originPort, CONFIG);
+    }
+
+    boolean prepare(final int originPort, final String config) throws InterruptedException {
         loop.start();
         loop.post(() -> {
             try {
@@ -152,23 +160,23 @@
             } catch (final DiskTrouble e) {
                 return;
             }
-            loop.after(1500, () -> configure(originPort, set));
+            loop.after(1500, () -> configure(originPort, config));
         });
-        final boolean ok = set.await(Math.max(1, left()), TimeUnit.NANOSECONDS);
+        over.await(Math.max(1, left()), TimeUnit.NANOSECONDS);
         loop.still();
-        return ok;
+        return settled;
     }
 
-    private void configure(final int originPort, final CountDownLatch set) {
+    private void configure(final int originPort, final String config) {
         if (!shield.sync().fresh()
                 || shield.holder().count() == 0
                 || second.holder().count() == 0) {
-            loop.after(50, () -> configure(originPort, set));
+            loop.after(50, () -> configure(originPort, config));
             return;
         }
         shield.orders()
                 .patch(
-                        CONFIG.getBytes(StandardCharsets.UTF_8),
+                        config.getBytes(StandardCharsets.UTF_8),
                         r -> shield.registry()
                                 .beat(
                                         "o",
@@ -185,14 +193,17 @@
                                                 options.cell(),
                                                 8,
                                                 0),
-                                        q -> settle(set)));
+                                        q -> settle()));
     }
 
-    private void settle(final CountDownLatch set) {
+    /** The clock is stopped here, in the loop's own thread, before anybody is told: else it runs on meanwhile. */
+    private void settle() {
         if (edge.view().rows().size() == 3 && edge.edge().able() && edge.sync().fresh()) {
-            set.countDown();
+            loop.still();
+            settled = true;
+            over.countDown();
         } else {
-            loop.after(50, () -> settle(set));
+            loop.after(50, this::settle);
         }
     }
 
--- a/prog/src/test/java/rv/prog/RehearsalTest.java
+++ b/prog/src/test/java/rv/prog/RehearsalTest.java
@@ -1,6 +1,7 @@
 package rv.prog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -52,6 +53,28 @@
         assertEquals(java.util.Collections.nCopies(8, 200), got);
     }
 
+    /** On a machine whose clock stands still while it computes, real time would never end the wait. */
+    @Test
+    void oneThatNeverSettlesEndsByItsOwnClock() throws Exception {
+        final Rehearsal play = new Rehearsal(options(), new OwnDialect(), l -> null, 600_000);
+        final long from = System.nanoTime();
+        assertFalse(play.prepare(1, "no configuration"));
+        assertTrue(System.nanoTime() - from < 60_000_000_000L, "long before its real time is over");
+        play.end();
+    }
+
+    @Test
+    void theClockNoLongerLeapsOnceItIsSettled() throws Exception {
+        final Rehearsal play = new Rehearsal(options(), new OwnDialect(), l -> null, 20_000);
+        final long from = System.nanoTime();
+        assertTrue(play.prepare(1));
+        final long settled = play.loop().now();
+        assertTrue(settled < 20_000 + (System.nanoTime() - from) / 1_000_000);
+        play.loop().post(() -> {});
+        assertTrue(play.loop().now() - settled <= (System.nanoTime() - from) / 1_000_000);
+        play.end();
+    }
+
     @Test
     void withoutTimeItIsGivenUp() throws Exception {
         final Rehearsal play = new Rehearsal(options(), new OwnDialect(), l -> null, 0);
