What one job throws ends neither its thread nor the process

An error (a stack too deep, memory short for a moment, a broken rule) in the core's jobs ended the core thread, and a defect or a refused accept ended the wire's: the process then stood still without an end. Guard runs the jobs of the core, wire, disk, log and settings threads; a connection with a defect is closed alone, and after a failed accept (no descriptor free) nothing is accepted for 200 ms.

--- a/prog/src/main/java/rv/prog/CoreLoop.java
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -3,12 +3,10 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.jboss.logging.Logger;
 import rv.base.Loop;
 
 /** The core duty: one thread, timers of its own, and one bounded ring through which all else comes in. */
 public final class CoreLoop implements Loop {
-    private static final Logger LOG = Logger.getLogger(CoreLoop.class);
     private final ArrayBlockingQueue<Runnable> ring = new ArrayBlockingQueue<>(8192);
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final long zero = System.nanoTime();
@@ -117,11 +115,11 @@
                 final long rest = leap ? 0 : due;
                 final Runnable job = rest > 0 ? ring.poll(rest, TimeUnit.MILLISECONDS) : ring.poll();
                 if (job != null) {
-                    safe(job);
+                    Guard.run(job);
                 }
                 for (Timer t = timers.peek(); t != null && t.due() <= now(); t = timers.peek()) {
                     timers.poll();
-                    safe(t.job());
+                    Guard.run(t.job());
                     if (!ring.isEmpty()) {
                         break;
                     }
@@ -136,15 +134,7 @@
         leapt += ms;
         if (leapt >= mostLeapt) {
             leaps = false;
-            safe(spent);
-        }
-    }
-
-    private static void safe(final Runnable job) {
-        try {
-            job.run();
-        } catch (final RuntimeException e) {
-            LOG.error("RV1199 job failed", e);
+            Guard.run(spent);
         }
     }
 }
--- a/prog/src/main/java/rv/prog/EventLog.java
+++ b/prog/src/main/java/rv/prog/EventLog.java
@@ -14,14 +14,14 @@
 /** The log duty: events leave by a ring; as JSON lines on standard output or through the logger. */
 public final class EventLog {
     private static final Logger LOG = Logger.getLogger("rowanvalve");
-    private final ArrayBlockingQueue<WaitQueue> ring = new ArrayBlockingQueue<>(16_384);
+    private final ArrayBlockingQueue<Line> ring = new ArrayBlockingQueue<>(16_384);
     private final AtomicLong shed = new AtomicLong();
     private final PrintStream out;
     private final String node;
     private final boolean json;
     private final Thread thread = new Thread(this::run, "log");
 
-    private record WaitQueue(long wall, Journal.Entry entry) {}
+    private record Line(long wall, Journal.Entry entry) {}
 
     public EventLog(final String node, final boolean json, final PrintStream out) {
         this.node = node;
@@ -33,7 +33,7 @@
         thread.setDaemon(true);
         thread.start();
         journal.fold(e -> {
-            if (!ring.offer(new WaitQueue(System.currentTimeMillis(), e))) {
+            if (!ring.offer(new Line(System.currentTimeMillis(), e))) {
                 shed.incrementAndGet();
             }
         });
@@ -42,7 +42,8 @@
     private void run() {
         try {
             while (true) {
-                write(ring.take());
+                final Line next = ring.take();
+                Guard.run(() -> write(next));
             }
         } catch (final InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -50,13 +51,13 @@
     }
 
     public void flush() {
-        for (WaitQueue l = ring.poll(); l != null; l = ring.poll()) {
+        for (Line l = ring.poll(); l != null; l = ring.poll()) {
             write(l);
         }
         out.flush();
     }
 
-    private void write(final WaitQueue l) {
+    private void write(final Line l) {
         final Code code = l.entry().event().code();
         if (json) {
             final Map<String, Object> map = new LinkedHashMap<>();
--- a/prog/src/main/java/rv/prog/SettingsWatcher.java
+++ b/prog/src/main/java/rv/prog/SettingsWatcher.java
@@ -59,11 +59,8 @@
     private void run() {
         try {
             while (true) {
-                if (HangupSignal.await(LOOK_MS)) {
-                    reload();
-                } else {
-                    look();
-                }
+                final boolean asked = HangupSignal.await(LOOK_MS);
+                Guard.run(asked ? this::reload : this::look);
             }
         } catch (final InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/prog/src/main/java/rv/prog/SqlDisk.java
+++ b/prog/src/main/java/rv/prog/SqlDisk.java
@@ -221,6 +221,10 @@
         } catch (final SQLException e) {
             broken = true;
             return false;
+        } catch (final RuntimeException | Error e) {
+            Guard.failed(e);
+            broken = true;
+            return false;
         }
     }
 }
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -27,6 +27,7 @@
 
 /** The wire duty: one selector thread for all circuits. */
 public final class TcpNet implements Net {
+    private static final long ACCEPT_PAUSE_NS = 200_000_000;
     private final NodeId self;
     private final CoreLoop loop;
     private final Journal journal;
@@ -42,6 +43,8 @@
     private volatile Net.Port port;
     private long serial;
     private volatile boolean on = true;
+    private SelectionKey paused;
+    private long pausedUntil;
 
     private static final class Wait {
         private final Consumer<Reply> then;
@@ -222,15 +225,14 @@
             while (on) {
                 selector.select(1000);
                 for (Runnable r = ring.poll(); r != null; r = ring.poll()) {
-                    r.run();
+                    Guard.run(r);
                 }
+                acceptAgain();
                 final var keys = selector.selectedKeys().iterator();
                 while (keys.hasNext()) {
                     final SelectionKey k = keys.next();
                     keys.remove();
-                    if (k.isValid()) {
-                        serve(k);
-                    }
+                    turn(k);
                 }
             }
             for (final SelectionKey k : selector.keys()) {
@@ -242,8 +244,25 @@
         }
     }
 
-    private void serve(final SelectionKey k) throws IOException {
-        if (k.isAcceptable()) {
+    /** What goes wrong with one connection ends that one. */
+    private void turn(final SelectionKey k) {
+        try {
+            if (k.isValid() && k.isAcceptable()) {
+                accept(k);
+            } else if (k.isValid()) {
+                serve(k);
+            }
+        } catch (final RuntimeException | Error e) {
+            Guard.failed(e);
+            if (k.attachment() instanceof Circuit c) {
+                close(c);
+            }
+        }
+    }
+
+    /** Without a free descriptor nothing more is accepted for a while; those who wait are taken up then. */
+    private void accept(final SelectionKey listening) {
+        try {
             final SocketChannel ch = door.accept();
             if (ch != null) {
                 ch.configureBlocking(false);
@@ -251,8 +270,22 @@
                 final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
                 key.attach(new Circuit(ch, key));
             }
-            return;
+        } catch (final IOException e) {
+            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
+            listening.interestOps(0);
+            paused = listening;
+            pausedUntil = System.nanoTime() + ACCEPT_PAUSE_NS;
         }
+    }
+
+    private void acceptAgain() {
+        if (paused != null && System.nanoTime() - pausedUntil >= 0) {
+            paused.interestOps(SelectionKey.OP_ACCEPT);
+            paused = null;
+        }
+    }
+
+    private void serve(final SelectionKey k) {
         final Circuit c = (Circuit) k.attachment();
         try {
             if (k.isConnectable() && ((SocketChannel) k.channel()).finishConnect()) {
--- /dev/null
+++ b/prog/src/test/java/rv/prog/GuardTest.java
@@ -0,0 +1,129 @@
+package rv.prog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rv.base.Journal;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.base.Reply;
+
+/** What one job throws ends neither its thread nor the process. */
+class GuardTest {
+    private static final NodeId ONE = NodeId.of("one");
+    private static final NodeId TWO = NodeId.of("two");
+
+    @TempDir
+    private Path dir;
+
+    private final CoreLoop loop = new CoreLoop();
+    private final Journal journal = new Journal(loop, 100);
+
+    @BeforeEach
+    void begin() {
+        loop.start();
+    }
+
+    @AfterEach
+    void end() {
+        loop.stop();
+    }
+
+    private static int endless(final int n) {
+        return endless(n + 1) + 1;
+    }
+
+    @Test
+    void theCoreGoesOnAfterAnythingThatAJobThrows() throws Exception {
+        final List<Runnable> jobs = List.of(
+                () -> {
+                    throw new IllegalStateException("a defect");
+                },
+                () -> endless(0),
+                () -> {
+                    throw new OutOfMemoryError("for a moment");
+                },
+                () -> {
+                    throw new AssertionError("a broken rule");
+                });
+        for (final Runnable job : jobs) {
+            loop.post(job);
+            loop.after(0, job);
+            final CompletableFuture<Boolean> next = new CompletableFuture<>();
+            loop.post(() -> next.complete(true));
+            assertTrue(next.get(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Throws at the first frame that comes in. */
+    private static final class Failing implements Meter {
+        private final AtomicInteger frames = new AtomicInteger();
+
+        @Override
+        public void out(final Msg msg, final int bytes) {}
+
+        @Override
+        public void in(final Msg msg, final int bytes) {
+            if (frames.incrementAndGet() == 1) {
+                throw new IllegalStateException("a defect");
+            }
+        }
+    }
+
+    private TcpNet bound(final NodeId id, final Map<NodeId, InetSocketAddress> peers, final Meter meter)
+            throws IOException {
+        final TcpNet net = new TcpNet(id, loop, journal, peers, Map.of(), meter);
+        net.bind(new InetSocketAddress("127.0.0.1", 0), (from, msg, back) -> back.accept(new Msg.Ok()));
+        return net;
+    }
+
+    private static Reply ask(final TcpNet net) throws Exception {
+        final CompletableFuture<Reply> reply = new CompletableFuture<>();
+        net.ask(TWO, new Msg.Seats(), 10_000, reply::complete);
+        return reply.get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void theWireGoesOnAndOnlyTheCircuitOfTheDefectIsClosed() throws Exception {
+        final Failing meter = new Failing();
+        final TcpNet two = bound(TWO, Map.of(), meter);
+        final TcpNet one = bound(ONE, Map.of(TWO, new InetSocketAddress("127.0.0.1", two.bound())), Meter.NONE);
+        assertTrue(ask(one).as(Msg.Ok.class).isEmpty(), "its circuit was closed");
+        assertTrue(ask(one).as(Msg.Ok.class).isPresent());
+        assertEquals(2, meter.frames.get());
+        one.stop();
+        two.stop();
+    }
+
+    @Test
+    void theDiskGoesOnAfterRowsThatCannotBeStored() throws Exception {
+        final SqlDisk disk = new SqlDisk(loop, dir.resolve("data"));
+        disk.open();
+        final Map<String, byte[]> nameless = new HashMap<>();
+        nameless.put(null, new byte[1]);
+        assertFalse(save(disk, nameless));
+        assertTrue(save(disk, Map.of("a", new byte[1])));
+        assertEquals(1, disk.load().size());
+        disk.stop();
+    }
+
+    private static boolean save(final SqlDisk disk, final Map<String, byte[]> rows) throws Exception {
+        final CompletableFuture<Boolean> done = new CompletableFuture<>();
+        disk.save(rows, done::complete);
+        return done.get(20, TimeUnit.SECONDS);
+    }
+}
