Each answer of an origin is its request's own and whole, or none; a connection with a byte too many is closed

Cause: the HTTP client drops bytes that follow an answer in the same read and uses the connection again, so that what comes of them later stands in the next answer's place. An answer of another request was told from ours by its id, but its connection went back among the idle ones, one answer behind for good. A chunked answer that is cut in its last chunk's trailer, and one whose end only the connection states, looked whole. The client answered 401 on its own account and could have asked for encodings. Ruled out: that the client sends again by itself (a request on a connection that is reset as it is used again is seen once, and is LOST): requests go out on single connections, not through its queue. OriginAnswersTest was red before for surplus bytes, cut trailers, ends by connection, foreign ids' connections and 401.

--- /dev/null
+++ b/prog/src/main/java/rv/prog/OriginHttpClient.java
@@ -0,0 +1,34 @@
+package rv.prog;
+
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+
+/**
+ * The HTTP client for origins: it sends what it is given, once, and gives back what came. It follows nothing, answers no
+ * challenge, asks for no encoding and takes none off, and keeps no cookie.
+ */
+public final class OriginHttpClient extends HttpClient {
+    public OriginHttpClient(final ClientConnector connector) {
+        super(new ClosingTransport(connector));
+        setFollowRedirects(false);
+        setUserAgentField(null);
+        setHttpCookieStore(new HttpCookieStore.Empty());
+        setMaxConnectionsPerDestination(512);
+        setMaxRequestHeadersSize(Heads.MOST);
+        setMaxResponseHeadersSize(Heads.MOST);
+    }
+
+    @Override
+    protected void doStart() throws Exception {
+        super.doStart();
+        getContentDecoderFactories().clear();
+        getProtocolHandlers().clear();
+        getProtocolHandlers().put(new ContinueProtocolHandler());
+        getProtocolHandlers().put(new ProcessingProtocolHandler());
+        getProtocolHandlers().put(new EarlyHintsProtocolHandler());
+    }
+}
--- a/prog/src/main/java/rv/prog/OriginPort.java
+++ b/prog/src/main/java/rv/prog/OriginPort.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.Promise;
 import rv.base.Loop;
 import rv.control.Json;
@@ -181,15 +182,22 @@
             if (!over && !whole) {
                 idle.lost(to.service(), rest, loop.now() - sentAt, loop.now());
             }
-            end(got, whole);
+            end(got, whole && got.end() != End.BAD);
         }
 
+        /** What cannot be told to be this request's whole answer is none, and its connection is not used again. */
         private Got whole(final Result res, final byte[] body) {
             final Map<String, String> heads = new TreeMap<>();
             for (final HttpField f : res.getResponse().getHeaders()) {
                 heads.put(f.getLowerCaseName(), f.getValue());
             }
-            return dialect.read(to, what, res.getResponse().getStatus(), heads, body);
+            final int status = res.getResponse().getStatus();
+            if (status < HttpStatus.OK_200) {
+                return Got.none(End.BAD, "status " + status + " as the last answer");
+            }
+            final Got got = dialect.read(to, what, status, heads, body);
+            final String fault = got.end() == End.WHOLE ? dialect.fault(to, what, got) : "";
+            return fault.isEmpty() ? got : Got.none(End.BAD, fault);
         }
 
         private void end(final Got got, final boolean reuse) {
--- a/prog/src/main/java/rv/prog/ProcessModule.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -6,8 +6,6 @@
 import javax.inject.Provider;
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import rv.base.Condition;
 import rv.base.Disk;
@@ -75,14 +73,8 @@
         link.setSelectors(1);
         link.setExecutor(pool);
         link.setConnectTimeout(java.time.Duration.ofMillis(500));
-        final HttpClient http = new HttpClient(new HttpClientTransportOverHTTP(link));
+        final HttpClient http = new OriginHttpClient(link);
         http.setExecutor(pool);
-        http.setFollowRedirects(false);
-        http.setUserAgentField(null);
-        http.setHttpCookieStore(new HttpCookieStore.Empty());
-        http.setMaxConnectionsPerDestination(512);
-        http.setMaxRequestHeadersSize(Heads.MOST);
-        http.setMaxResponseHeadersSize(Heads.MOST);
         return http;
     }
 
--- /dev/null
+++ b/prog/src/test/java/rv/prog/OriginAnswersTest.java
@@ -0,0 +1,338 @@
+package rv.prog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.UnaryOperator;
+import org.eclipse.jetty.io.ClientConnector;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import rv.control.Origin;
+import rv.data.Port;
+
+/**
+ * The real pool and HTTP client against a bare socket that delays, doubles, splits, cuts and resets at every byte: each
+ * request gets its own whole answer or none, and leaves once.
+ */
+class OriginAnswersTest {
+    private static final Dialect BY_ID = new Dialect() {
+        @Override
+        public boolean introduces() {
+            return false;
+        }
+
+        @Override
+        public void heads(final Origin to, final Port.Send what, final BiConsumer<String, String> put) {
+            put.accept("Id", what.id());
+        }
+
+        @Override
+        public Port.Got read(
+                final Origin to,
+                final Port.Send what,
+                final int status,
+                final Map<String, String> heads,
+                final byte[] body) {
+            return new Port.Got(Port.End.WHOLE, status, heads, body, "");
+        }
+
+        @Override
+        public Map<String, String> rehearsed(final UnaryOperator<String> heads) {
+            return Map.of();
+        }
+
+        @Override
+        public String fault(final Origin to, final Port.Send what, final Port.Got got) {
+            return what.id().equals(got.heads().get("id")) ? "" : "another request's answer";
+        }
+    };
+    private final CoreLoop loop = new CoreLoop();
+    private final OriginHttpClient http = new OriginHttpClient(new ClientConnector());
+    private OriginPort port;
+
+    @BeforeEach
+    void begin() throws Exception {
+        Main.quiet();
+        loop.start();
+        http.start();
+        port = new OriginPort(loop, http, BY_ID);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        http.stop();
+        loop.stop();
+    }
+
+    private CompletableFuture<Port.Got> send(final RawPeer peer, final String method, final String id, final long ms) {
+        final Origin to = new Origin("s", "127.0.0.1", peer.port(), "a", "open", 0, 0, false, 1);
+        final CompletableFuture<Port.Got> answer = new CompletableFuture<>();
+        final byte[] body = method.equals("POST") ? ("for " + id).getBytes(StandardCharsets.US_ASCII) : null;
+        loop.post(() -> port.send(
+                to, new Port.Send("s", method, "/" + id, id, null, body, null, ms), () -> true, answer::complete));
+        return answer;
+    }
+
+    private Port.Got ask(final RawPeer peer, final String method, final String id) throws Exception {
+        return send(peer, method, id, 20_000).get(30, TimeUnit.SECONDS);
+    }
+
+    private static byte[] bytes(final String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String body(final String id) {
+        return "body of " + id;
+    }
+
+    private static String whole(final String id, final boolean chunked) {
+        final String text = body(id);
+        final String head = "HTTP/1.1 200 OK\r\nId: " + id + "\r\n";
+        return chunked
+                ? head + "Transfer-Encoding: chunked\r\n\r\n4\r\n" + text.substring(0, 4) + "\r\n"
+                        + Integer.toHexString(text.length() - 4) + "\r\n" + text.substring(4) + "\r\n0\r\n\r\n"
+                : head + "Content-Length: " + text.length() + "\r\n\r\n" + text;
+    }
+
+    private static boolean write(final Socket to, final String text) throws IOException {
+        to.getOutputStream().write(bytes(text));
+        return true;
+    }
+
+    private static String shown(final Port.Got got) {
+        return got.end() + " " + got.status() + " " + new String(got.body(), StandardCharsets.ISO_8859_1);
+    }
+
+    /** A whole answer is shown whole; cut after any byte, by an end or a reset, it is no answer. */
+    @Test
+    void anAnswerThatEndsEarlyNeverLooksComplete() throws Exception {
+        for (final boolean chunked : List.of(false, true)) {
+            for (final boolean reset : List.of(false, true)) {
+                final int length = whole("i000", chunked).length();
+                try (RawPeer peer = new RawPeer((asked, to) -> {
+                    final String id = asked.heads().get("id");
+                    write(to, whole(id, chunked).substring(0, Integer.parseInt(id.substring(1))));
+                    return reset && RawPeer.reset(to);
+                })) {
+                    for (int cut = 0; cut < length; cut++) {
+                        final Port.Got got = ask(peer, "GET", String.format("i%03d", cut));
+                        assertEquals(Port.End.LOST, got.end(), "cut at " + cut + ", chunked " + chunked);
+                    }
+                    assertEquals(length, peer.asked().size(), "each was sent once");
+                }
+            }
+        }
+    }
+
+    @Test
+    void whatDoesNotStateItsEndIsNoAnswer() throws Exception {
+        for (final String head : List.of("", "Connection: close\r\n")) {
+            try (RawPeer peer = new RawPeer((asked, to) -> {
+                write(to, "HTTP/1.1 200 OK\r\nId: a\r\n" + head + "\r\npart of a bo");
+                return false;
+            })) {
+                assertEquals(Port.End.LOST, ask(peer, "GET", "a").end());
+            }
+        }
+    }
+
+    /** After a byte too many, also one that comes apart from the answer, no other request is sent on the connection. */
+    @Test
+    void aConnectionWithAByteTooManyGivesNothingToTheNextRequest() throws Exception {
+        for (final String surplus : List.of("x", "\r\nx", "HTTP/1.1 200 OK\r\n", whole("b", false), whole("a", true))) {
+            for (final boolean chunked : List.of(false, true)) {
+                try (RawPeer peer = new RawPeer((asked, to) -> {
+                    final String id = asked.heads().get("id");
+                    return write(to, whole(id, chunked) + (id.equals("a") ? surplus : ""));
+                })) {
+                    assertEquals("WHOLE 200 body of a", shown(ask(peer, "GET", "a")), surplus);
+                    assertEquals("WHOLE 200 body of b", shown(ask(peer, "POST", "b")), surplus);
+                    assertEquals(
+                            List.of(0, 1),
+                            peer.asked().stream().map(RawPeer.Asked::connection).toList(),
+                            surplus);
+                }
+            }
+        }
+    }
+
+    @Test
+    void anotherRequestsAnswerIsNotShownAndItsConnectionIsClosed() throws Exception {
+        try (RawPeer peer = new RawPeer((asked, to) -> {
+            final String id = asked.heads().get("id");
+            return write(to, whole(id.equals("a") ? "earlier" : id, false));
+        })) {
+            final Port.Got got = ask(peer, "POST", "a");
+            assertEquals("BAD another request's answer", got.end() + " " + got.why());
+            assertEquals("WHOLE 200 body of b", shown(ask(peer, "POST", "b")));
+            assertEquals(1, peer.asked().get(1).connection());
+        }
+    }
+
+    @Test
+    void interimAnswersGoBeforeTheAnswerAndStatusesWithoutABodyHaveNone() throws Exception {
+        final Map<String, String> says = new HashMap<>();
+        says.put("a", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + whole("a", false));
+        says.put("b", "HTTP/1.1 102 Processing\r\n\r\n" + whole("b", true));
+        says.put("c", "HTTP/1.1 204 No Content\r\nId: c\r\n\r\n");
+        says.put("d", "HTTP/1.1 304 Not Modified\r\nId: d\r\nContent-Length: 99\r\n\r\n");
+        says.put("e", "HTTP/1.1 401 Unauthorized\r\nId: e\r\nContent-Length: 2\r\n\r\nno");
+        says.put("f", "HTTP/1.1 302 Found\r\nId: f\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n");
+        says.put("g", whole("g", false));
+        try (RawPeer peer =
+                new RawPeer((asked, to) -> write(to, says.get(asked.heads().get("id"))))) {
+            assertEquals("WHOLE 200 body of a", shown(ask(peer, "GET", "a")));
+            assertEquals("WHOLE 200 body of b", shown(ask(peer, "GET", "b")));
+            assertEquals("WHOLE 204 ", shown(ask(peer, "GET", "c")));
+            assertEquals("WHOLE 304 ", shown(ask(peer, "GET", "d")));
+            assertEquals("WHOLE 401 no", shown(ask(peer, "GET", "e")));
+            assertEquals("WHOLE 302 ", shown(ask(peer, "GET", "f")));
+            assertEquals("WHOLE 200 body of g", shown(ask(peer, "GET", "g")));
+            assertEquals(7, peer.asked().size(), "each was sent once");
+            assertEquals(0, peer.asked().get(6).connection(), "on one connection");
+        }
+    }
+
+    @Test
+    void noAnswerButTheLastIsTheAnswer() throws Exception {
+        try (RawPeer peer = new RawPeer((asked, to) -> write(
+                to,
+                "HTTP/1.1 101 Switching Protocols\r\nId: a\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+                        + whole("a", false)))) {
+            assertNotEquals(Port.End.WHOLE, ask(peer, "GET", "a").end());
+        }
+    }
+
+    /** The client adds nothing of its own that an origin could take for the caller's wish. */
+    @Test
+    void aRequestGoesOutAsItIsGiven() throws Exception {
+        try (RawPeer peer = new RawPeer((asked, to) -> write(to, whole("a", false)))) {
+            ask(peer, "POST", "a");
+            final RawPeer.Asked one = peer.asked().get(0);
+            assertEquals("POST /a HTTP/1.1", one.line());
+            assertEquals("for a", new String(one.body(), StandardCharsets.US_ASCII));
+            assertEquals(
+                    List.of("content-length", "content-type", "host", "id"),
+                    one.heads().keySet().stream().sorted().toList());
+        }
+    }
+
+    /** Connections that an origin resets the moment they are used again: the request leaves no second time by itself. */
+    @Test
+    void aRequestThatMeetsAResetOfItsConnectionIsNotSentAgain() throws Exception {
+        try (RawPeer peer = new RawPeer((asked, to) -> {
+            if (asked.turn() == 1) {
+                return RawPeer.reset(to);
+            }
+            return write(to, whole(asked.heads().get("id"), false));
+        })) {
+            for (int i = 0; i < 20; i += 2) {
+                assertEquals(Port.End.WHOLE, ask(peer, "POST", "r" + i).end());
+                assertEquals(Port.End.LOST, ask(peer, "POST", "r" + (i + 1)).end());
+            }
+            assertEquals(20, peer.asked().size(), "each was sent once");
+        }
+    }
+
+    /** Drawn answers: whole, in pieces, doubled, late, cut, another's, reset; each request's end against what was written. */
+    @Test
+    void eachRequestGetsItsOwnWholeAnswerOrNone() throws Exception {
+        int whole = 0;
+        int other = 0;
+        for (int seed = 0; seed < 12; seed++) {
+            final Random dice = new Random(seed);
+            final List<String> earlier = new ArrayList<>();
+            try (RawPeer peer = new RawPeer((asked, to) -> drawn(asked, to, dice, earlier))) {
+                final Map<String, CompletableFuture<Port.Got>> asked = new HashMap<>();
+                for (int i = 0; i < 60; i++) {
+                    final String id = "s" + seed + "r" + i;
+                    final CompletableFuture<Port.Got> answer = send(peer, i % 2 == 0 ? "GET" : "POST", id, 1500);
+                    asked.put(id, answer);
+                    if (i % 3 != 0) {
+                        answer.get(30, TimeUnit.SECONDS);
+                    }
+                }
+                for (final Map.Entry<String, CompletableFuture<Port.Got>> e : asked.entrySet()) {
+                    final Port.Got got = e.getValue().get(30, TimeUnit.SECONDS);
+                    if (got.end() == Port.End.WHOLE) {
+                        assertEquals("WHOLE 200 " + body(e.getKey()), shown(got), "seed " + seed);
+                        whole++;
+                    } else {
+                        assertTrue(
+                                got.end() == Port.End.LOST || got.end() == Port.End.BAD,
+                                "seed " + seed + ": " + got.end() + " " + got.why());
+                        other++;
+                    }
+                }
+                final List<String> ids =
+                        peer.asked().stream().map(a -> a.heads().get("id")).toList();
+                assertEquals(ids.stream().distinct().count(), ids.size(), "each was sent once, seed " + seed);
+                peer.asked()
+                        .forEach(a ->
+                                assertEquals("/" + a.heads().get("id"), a.line().split(" ")[1]));
+            }
+        }
+        assertTrue(whole > 150 && other > 100, whole + " whole, " + other + " not");
+    }
+
+    private static boolean drawn(
+            final RawPeer.Asked asked, final Socket to, final Random shared, final List<String> earlier)
+            throws IOException {
+        final Random dice;
+        final String last;
+        final String id = asked.heads().get("id");
+        synchronized (shared) {
+            dice = new Random(shared.nextLong());
+            last = earlier.isEmpty() ? "none" : earlier.get(dice.nextInt(earlier.size()));
+            earlier.add(id);
+        }
+        final byte[] answer = bytes(whole(id, dice.nextBoolean()));
+        final OutputStream out = to.getOutputStream();
+        final int cut = dice.nextInt(answer.length);
+        return switch (dice.nextInt(10)) {
+            case 0, 1, 2 -> pieces(out, answer, dice);
+            case 3 -> {
+                out.write(Arrays.copyOf(answer, cut));
+                yield false;
+            }
+            case 4 -> {
+                out.write(Arrays.copyOf(answer, cut));
+                yield RawPeer.reset(to);
+            }
+            case 5 -> pieces(out, bytes(whole(last, dice.nextBoolean())), dice) && pieces(out, answer, dice);
+            case 6 -> pieces(out, answer, dice) && pieces(out, bytes(whole(last, dice.nextBoolean())), dice);
+            case 7 -> {
+                final byte[] second = bytes(whole(last, dice.nextBoolean()));
+                yield pieces(out, answer, dice)
+                        && pieces(out, Arrays.copyOf(second, dice.nextInt(second.length)), dice);
+            }
+            case 8 -> pieces(out, bytes("no answer at all \r\n\r\n"), dice);
+            default -> RawPeer.reset(to);
+        };
+    }
+
+    private static boolean pieces(final OutputStream out, final byte[] data, final Random dice) throws IOException {
+        for (int at = 0; at < data.length; ) {
+            final int next = Math.min(data.length, at + 1 + dice.nextInt(data.length));
+            out.write(data, at, next - at);
+            out.flush();
+            at = next;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/prog/src/test/java/rv/prog/RawPeer.java
@@ -0,0 +1,125 @@
+package rv.prog;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A server on a bare socket: what it writes for each request, and when it resets, is the test's. */
+final class RawPeer implements AutoCloseable {
+    private final ServerSocket door;
+    private final Script script;
+    private final List<Asked> asked = Collections.synchronizedList(new ArrayList<>());
+
+    /** One request as it came in, on which connection, and as which of that connection's. */
+    record Asked(String line, Map<String, String> heads, byte[] body, int connection, int turn) {}
+
+    /** Writes to the connection; false ends it. */
+    @FunctionalInterface
+    interface Script {
+        boolean answer(Asked asked, Socket connection) throws IOException;
+    }
+
+    RawPeer(final Script script) throws IOException {
+        this.script = script;
+        this.door = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+        start("door", this::accept);
+    }
+
+    private static void start(final String name, final Runnable job) {
+        final Thread thread = new Thread(job, "raw-peer-" + name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int port() {
+        return door.getLocalPort();
+    }
+
+    List<Asked> asked() {
+        synchronized (asked) {
+            return List.copyOf(asked);
+        }
+    }
+
+    private void accept() {
+        for (int n = 0; ; n++) {
+            try {
+                final Socket connection = door.accept();
+                connection.setTcpNoDelay(true);
+                final int number = n;
+                start("connection", () -> serve(connection, number));
+            } catch (final IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(final Socket connection, final int number) {
+        try (connection) {
+            final InputStream in = connection.getInputStream();
+            for (int turn = 0; ; turn++) {
+                final Asked one = read(in, number, turn);
+                if (one == null) {
+                    return;
+                }
+                asked.add(one);
+                if (!script.answer(one, connection)) {
+                    return;
+                }
+            }
+        } catch (final IOException e) {
+            return;
+        }
+    }
+
+    private static Asked read(final InputStream in, final int number, final int turn) throws IOException {
+        final String head = head(in);
+        if (head.isEmpty()) {
+            return null;
+        }
+        final String[] lines = head.split("\r\n");
+        final Map<String, String> heads = new TreeMap<>();
+        for (int i = 1; i < lines.length; i++) {
+            final int colon = lines[i].indexOf(':');
+            heads.put(
+                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+                    lines[i].substring(colon + 1).trim());
+        }
+        final byte[] body = in.readNBytes(Integer.parseInt(heads.getOrDefault("content-length", "0")));
+        return new Asked(lines[0], heads, body, number, turn);
+    }
+
+    private static String head(final InputStream in) throws IOException {
+        final ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            final int b = in.read();
+            if (b < 0) {
+                return "";
+            }
+            head.write(b);
+        }
+        return head.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** The peer sees a reset, not an end. */
+    static boolean reset(final Socket connection) throws IOException {
+        connection.setSoLinger(true, 0);
+        connection.close();
+        return false;
+    }
+
+    @Override
+    public void close() throws IOException {
+        door.close();
+    }
+}
