Two places in the row of a ceiling at least

Where a shield's part of a ceiling is a few requests a second, the shortest row had one place, and each lull between two requests was lost.

--- a/data/src/main/java/rv/data/CeilingShare.java
+++ b/data/src/main/java/rv/data/CeilingShare.java
@@ -53,11 +53,11 @@
                         Math.min(LONGEST_WAIT, order.cutoff() - now));
     }
 
-    /** One place in the row at least, whatever the rank. */
+    /** Two places in the row where that is not too long, whatever the rank: with one, each lull would be lost. */
     private long longestWait(final Service service, final OriginRequest order, final long now) {
         final double gap = 1000 / (service.ceiling() * part(order.service()));
-        final double longest = Math.max(gap, LONGEST_WAIT / (1.0 + order.rank()));
-        return (long) Math.min(longest, order.cutoff() - now);
+        final double longest = Math.max(2 * gap, LONGEST_WAIT / (1.0 + order.rank()));
+        return (long) Math.min(Math.min(LONGEST_WAIT, longest), order.cutoff() - now);
     }
 
     /** What this node's fills leave over is for what it passes through, and the other way round. */
