--- a/control/src/main/java/rv/control/Registry.java
+++ b/control/src/main/java/rv/control/Registry.java
@@ -62,7 +62,7 @@
 
     /**
      * A beat; one that comes late, by its count, changes nothing, and one that has left does not come back. What tells
-     * news is written; the others are acknowledged by items known as chosen, which no later frame takes back.
+     * news is written; a leave that tells none is acknowledged in contact with a majority.
      */
     public void beat(final String name, final Origin said, final Consumer<ItemService.ApiResult> back) {
         if (!sync.fresh()) {
@@ -72,10 +72,12 @@
         final ItemId id = new ItemId(Kind.ORIGIN, name);
         final Origin old = standing(id).orElse(null);
         heard.put(id, held.now());
-        if (old != null && (said.beat() <= old.beat() || old.leaving() || same(old, said))) {
-            back.accept(done(name));
-        } else {
+        if (old == null || said.beat() > old.beat() && !old.leaving() && !same(old, said)) {
             write(id, said, back);
+        } else if (said.leaving()) {
+            confirmed(() -> back.accept(done(name)), back);
+        } else {
+            back.accept(done(name));
         }
     }
 
@@ -83,19 +85,26 @@
     public void end(final String name, final Consumer<ItemService.ApiResult> back) {
         final ItemId id = new ItemId(Kind.ORIGIN, name);
         heard.remove(id);
-        if (!sync.fresh()) {
-            back.accept(late("this node's frame is not confirmed"));
-        } else if (standing(id).isPresent()) {
+        if (standing(id).filter(o -> !o.leaving()).isPresent() && sync.fresh()) {
             leave(id, back);
         } else {
-            sync.after(loop.now(), CONTACT, ok -> {
-                if (ok) {
-                    leave(id, back);
-                } else {
-                    back.accept(late("no majority answered"));
-                }
-            });
+            confirmed(() -> leave(id, back), back);
+        }
+    }
+
+    /** Goes on once a majority has confirmed this node's frame for a moment after now. */
+    private void confirmed(final Runnable then, final Consumer<ItemService.ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late("this node's frame is not confirmed"));
+            return;
         }
+        sync.after(loop.now(), CONTACT, ok -> {
+            if (ok) {
+                then.run();
+            } else {
+                back.accept(late("no majority answered"));
+            }
+        });
     }
 
     private void leave(final ItemId id, final Consumer<ItemService.ApiResult> back) {
--- a/control/src/test/java/rv/control/OrderContactTest.java
+++ b/control/src/test/java/rv/control/OrderContactTest.java
@@ -25,6 +25,7 @@
 class OrderContactTest {
     private static final long CUT = 20_000;
     private static final long STEP = 250;
+    private static final int KINDS = 10;
     private static final NodeId OTHER = OrderCluster.IDS.get(2);
     private static final ItemId ORIGIN = new ItemId(Kind.ORIGIN, "i1");
 
@@ -85,6 +86,7 @@
 
     /** Every kind of question at once; each checks its own answer against what the other side has. */
     private void ask(final NodeId at) {
+        leaveAgain(at);
         final Orders orders = net.orders(at);
         final long stood = version;
         orders.whole(expectWhole(stood));
@@ -110,6 +112,16 @@
         }));
     }
 
+    /** An origin that has left before the cut says so again, in both ways. */
+    private void leaveAgain(final NodeId at) {
+        net.registry(at).end("i0", expect("the same leave", r -> must(r.status() == 200, "leave", r.status())));
+        net.registry(at)
+                .beat(
+                        "i0",
+                        Origin.beating("s1", "10.0.0.1", 80, "i0", true, 5, "z", 4, 0),
+                        expect("the same last beat", r -> must(r.status() == 200, "beat", r.status())));
+    }
+
     private boolean left(final String name) {
         final Item item = net.item(OTHER, new ItemId(Kind.ORIGIN, name));
         return item.live() && Json.read(item.body(), Origin.class).leaving();
@@ -153,6 +165,10 @@
     @MethodSource("nodes")
     void forAllOfTwentySecondsAndTheFirstSecondAfter(final NodeId lost) {
         on(OTHER, OrderCluster.call(1, "v1", "moving", "s1"));
+        net.registry(OTHER).beat("i0", origin("i0"), r -> {});
+        net.loop.run(500);
+        net.registry(OTHER).end("i0", r -> {});
+        net.loop.run(500);
         ask(lost);
         net.loop.run(2);
         net.cut(lost);
@@ -165,7 +181,7 @@
         assertEquals(List.of(), wrong);
         assertEquals(0, contacts, "answered out of contact");
         final int during = answers;
-        assertTrue(during > 8 * (CUT / STEP) / 2, "only " + during);
+        assertTrue(during > KINDS * (CUT / STEP) / 2, "only " + during);
         ask(lost);
         net.heal();
         for (int i = 0; i < 20; i++) {
@@ -174,7 +190,7 @@
         }
         net.loop.run(2000);
         assertEquals(List.of(), wrong);
-        assertEquals(during + 21 * 8, answers);
+        assertEquals(during + 21 * KINDS, answers);
         assertTrue(contacts > 100, "only " + contacts + " answered in contact again");
     }
 
