Keyed-request records: light paged reads, one reading a shard, a copy that resumes

Cause: after a second lost disk every holder read all notes of a shard with their bodies from every keeper, gave up after 700 ms, and read everything again for each request.

Now a read names keys, tokens, turns and that there is an outcome, in pages of 24 KB; the body is fetched from a keeper when a repeat comes. One reading for each shard and token, each keeper asked for itself with growing patience and pause; requests that wait are refused when their patience is over and the reading goes on. A stale keeper alone is read again, and a write is repeated only where too few others are left. A keeper that lost its memory compares sums of 1024 cells and copies pages of 48 KB of those that differ, each verified by a sum, from one keeper after the other; what has come stays on disk, so that a restart goes on where it was; the others' era ends once for each such life.

How long records stand follows from the key window (60 s), two longest lives and 15 s for clocks, in place of 150 s, and a copy keeps the age of its original. A lapse is noted on disk when the voter's memory is back, not only with the next write: a restart between the two took an empty memory for whole. It lasts for the retention where it was 60 s, since a request may be sent up to its life after its intent; KeeperTest says so, as strictly.

Of two processes with one token the later one's intent is no longer written over when keepers are read anew.

--- a/base/src/main/java/rv/base/Code.java
+++ b/base/src/main/java/rv/base/Code.java
@@ -41,7 +41,9 @@
     ORIGIN_SEND(1703, "request sent to origin"),
     KEEP_SHORT(1704, "keepers short of a majority"),
     ORIGIN_SEEN(1705, "origin announced"),
-    ORIGIN_LEFT(1706, "origin leaving");
+    ORIGIN_LEFT(1706, "origin leaving"),
+    RECORDS_COPIED(1707, "keyed records copied from other keepers"),
+    RECORDS_BAD(1708, "page of keyed records with a wrong sum, asked again");
 
     private final int num;
     private final String text;
--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -110,6 +110,13 @@
             return new Note(key, shard, token, digest, turn, clear, null);
         }
 
+        /** The same without the body of its outcome; that there is one is still said. */
+        public Note light() {
+            return outcome == null
+                    ? this
+                    : new Note(key, shard, token, digest, turn, clear, Outcome.elsewhere(outcome.status()));
+        }
+
         /** What stands at one keeper once this note has come to it. */
         public Note over(final Note old) {
             if (old == null || outcome != null) {
@@ -140,21 +147,50 @@
         }
     }
 
-    record Outcome(int status, Map<String, String> heads, byte[] body, boolean done) {}
+    /** {@code done}: heads and body are here; where it is false they have to be fetched from a keeper. */
+    record Outcome(int status, Map<String, String> heads, byte[] body, boolean done) {
+        /** An outcome whose heads and body stand elsewhere. */
+        public static Outcome elsewhere(final int status) {
+            return new Outcome(status, Map.of(), new byte[0], false);
+        }
+    }
 
-    record KeepRead(int shard, Token token, String boot) implements Msg {}
+    /**
+     * A holder reads a shard's records. {@code paged}: without bodies, in pages; else all in one answer, without outcomes.
+     * {@code after}, {@code era}: the last key of the page before and the era it was given in; no key for the first page.
+     */
+    record KeepRead(int shard, Token token, String boot, boolean paged, String after, long era) implements Msg {}
 
-    record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era) implements Msg {}
+    /**
+     * {@code high}: the highest token this keeper was read with, above the asker's where that is barred; {@code next}: what
+     * to ask the next page with, or none after the last. A keeper in a lapse gives no notes.
+     */
+    record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era, String next) implements Msg {}
 
     record KeepWrite(Note note, long era) implements Msg {}
 
     record KeepSeen(boolean ok, boolean lapse, boolean stale) implements Msg {}
 
-    /** {@code after}: the last key of the page before; none for the first page, which ends the era where {@code bar} says so. */
-    record KeepAll(boolean bar, String after) implements Msg {}
+    /** Fetches the outcome of one key, with its body. */
+    record KeepOutcome(String key) implements Msg {}
+
+    /** {@code note}: with its outcome, or none where this keeper has no outcome of the key. */
+    record KeptOutcome(Note note) implements Msg {}
+
+    /** A keeper asks another for the sums of its cells; with {@code bar} that one's era ends once for each {@code asker}. */
+    record KeepSums(String asker, boolean bar) implements Msg {}
+
+    /** {@code ok}: this keeper has its memory; {@code bars}: by shard the highest token it was read with. */
+    record KeptSums(boolean ok, List<Long> sums, Map<Integer, Token> bars) implements Msg {}
+
+    /** Records of the named cells, in order of cell and key, from behind the key {@code after} of the first cell. */
+    record KeepCells(List<Integer> cells, String after) implements Msg {}
+
+    /** A record with its age, and how long it stands in all, so that a copy ends no later than the original. */
+    record AgedNote(Note note, long age, long stay) {}
 
-    /** {@code next}: what to ask the next page with, or none after the last. */
-    record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars, String next) implements Msg {}
+    /** {@code sum}: over the records of this page; {@code next}: the last key given, or none after the last page. */
+    record KeptCells(boolean ok, List<AgedNote> notes, long sum, String next) implements Msg {}
 
     // traffic
     /**
--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -1,18 +1,15 @@
 package rv.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import rv.base.DiskTrouble;
 import rv.base.Hash;
+import rv.base.Journal;
 import rv.base.Loop;
 import rv.base.Msg;
 import rv.base.Net;
@@ -27,33 +24,40 @@
  * intent can stand on an answer given before the loss and one given after the rebuilding.
  */
 public final class KeyRecordStore {
-    public static final long LAPSE = 60_000;
-    private static final long STAY = 150_000;
     private static final String NOTE = "k/";
     private static final String BAR = "b/";
-    private static final String SHORT = "lapse";
+    private static final String LAPSE = "lapse";
     private static final String ERA = "era";
-    private static final int FIT = 2 << 20;
-    private static final int PAGE = 48 << 10;
-    private static final long PATIENCE = 2000;
+    private static final long SWEEP_PERIOD = 1000;
+    private static final long LOOK_PERIOD = 250;
+    private static final int ASKERS = 64;
     private final Quorum quorum;
     private final NodeId self;
+    private final String boot;
     private final Net net;
     private final Loop loop;
     private final LongSupplier wall;
     private final MonitoredDisk disk;
-    private final BooleanSupplier lost;
-    private final TreeMap<String, Row> notes = new TreeMap<>();
+    private final Journal journal;
+    private final RecordRetention retention;
+    private final KeyRecordTable table = new KeyRecordTable();
     private final Map<Integer, Token> bars = new HashMap<>();
     private final Map<Integer, String> readers = new HashMap<>();
-    private long until = Long.MIN_VALUE;
-    private boolean kept;
-    private boolean fetching;
-    private long era;
+    private final Map<Integer, Bar> synced = new HashMap<>();
+    /** For whom this era was ended already; a repeated question does not end another. */
+    private final Set<String> askers = java.util.Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(final Map.Entry<String, Boolean> eldest) {
+            return size() > ASKERS;
+        }
+    });
 
-    record Row(Msg.Note note, long at) {}
+    private long since = Long.MIN_VALUE;
+    private boolean lacking;
+    private RecordCopy copy;
+    private long era;
 
-    record Lapse(long until) {}
+    record Lapse(long since) {}
 
     record Bar(long term, long count, String boot) {}
 
@@ -67,200 +71,121 @@
             final Loop loop,
             final LongSupplier wall,
             final MonitoredDisk disk,
-            final BooleanSupplier lost) {
+            final Journal journal,
+            final RecordRetention retention) {
         this.self = self;
+        this.boot = boot;
         this.quorum = quorum;
         this.net = net;
         this.era = Hash.mix(self + "/" + boot) >>> 1;
         this.loop = loop;
         this.wall = wall;
         this.disk = disk;
-        this.lost = lost;
+        this.journal = journal;
+        this.retention = retention;
     }
 
     public void start() throws DiskTrouble {
         final long now = wall.getAsLong();
         try {
             for (final Map.Entry<String, byte[]> e : disk.load().entrySet()) {
-                if (e.getKey().startsWith(NOTE)) {
-                    final Row row = Wire.unpack(e.getValue(), Row.class);
-                    notes.put(row.note().key(), new Row(row.note(), Math.min(row.at(), now)));
-                } else if (e.getKey().startsWith(BAR)) {
-                    final Bar bar = Wire.unpack(e.getValue(), Bar.class);
-                    bars.put(Integer.parseInt(e.getKey().substring(BAR.length())), new Token(bar.term(), bar.count()));
-                    readers.put(
-                            Integer.parseInt(e.getKey().substring(BAR.length())), bar.boot() == null ? "" : bar.boot());
-                } else if (e.getKey().equals(SHORT)) {
-                    until = Math.min(
-                            now + LAPSE, Wire.unpack(e.getValue(), Lapse.class).until());
-                    kept = true;
-                } else if (e.getKey().equals(ERA)) {
-                    era = Wire.unpack(e.getValue(), Era.class).n();
-                }
+                load(e.getKey(), e.getValue(), now);
             }
         } catch (final WireTrouble e) {
             throw new DiskTrouble("keeper rows cannot be read", e);
         }
-        if (lost.getAsBoolean()) {
-            until = now + LAPSE;
-        }
         recall();
-        loop.every(5000, this::sweep);
+        loop.every(SWEEP_PERIOD, this::sweep);
     }
 
-    public boolean lapse() {
-        return (kept || lost.getAsBoolean()) && wall.getAsLong() < until;
+    private void load(final String key, final byte[] row, final long now) throws WireTrouble {
+        if (key.startsWith(NOTE)) {
+            final KeyRecordTable.Row r = Wire.unpack(row, KeyRecordTable.Row.class);
+            final long stay = r.stay() > 0 ? r.stay() : retention.ms();
+            table.put(new KeyRecordTable.Row(r.note(), Math.min(r.at(), now), stay));
+        } else if (key.startsWith(BAR)) {
+            final int shard = Integer.parseInt(key.substring(BAR.length()));
+            final Bar bar = Wire.unpack(row, Bar.class);
+            bars.put(shard, new Token(bar.term(), bar.count()));
+            readers.put(shard, bar.boot() == null ? "" : bar.boot());
+            synced.put(shard, bar);
+        } else if (key.equals(LAPSE)) {
+            since = Math.min(now, Wire.unpack(row, Lapse.class).since());
+            lacking = true;
+        } else if (key.equals(ERA)) {
+            era = Wire.unpack(row, Era.class).n();
+        }
     }
 
-    public void read(final Msg.KeepRead ask, final Consumer<Msg> back) {
-        final Token bar = bars.getOrDefault(ask.shard(), Token.ZERO);
-        if (disk.stuck()) {
-            back.accept(new Msg.Nay(Msg.Nay.DISK));
-            return;
-        }
-        if (ask.token().below(bar)) {
-            back.accept(new Msg.Kept(false, lapse(), bar, List.of(), 0));
-            return;
-        }
-        bars.put(ask.shard(), ask.token());
-        final String reader = ask.boot() == null ? "" : ask.boot();
-        readers.put(ask.shard(), reader);
-        save(BAR + ask.shard(), new Bar(ask.token().term(), ask.token().count(), reader), ok -> {
-            if (ok) {
-                back.accept(
-                        new Msg.Kept(true, lapse(), ask.token(), fit(n -> n.shard() == ask.shard()), era(ask.shard())));
-            }
-        });
+    /** Whether this keeper lacks records that it may once have held, and that may still matter. */
+    public boolean lapse() {
+        return lacking && wall.getAsLong() < since + retention.ms();
     }
 
-    /** What would not go into one frame goes without its outcome: it is then answered "unknown". */
-    private List<Msg.Note> fit(final Predicate<Msg.Note> wanted) {
-        final List<Msg.Note> list = new ArrayList<>();
-        int size = 0;
-        for (final Row r : notes.values()) {
-            final Msg.Note n = r.note();
-            if (wanted.test(n)) {
-                size += n.outcome() == null ? 0 : n.outcome().body().length + 300;
-                list.add(size <= FIT || n.outcome() == null ? n : n.bare());
-            }
-        }
-        return list;
+    /** The voter's memory was lost and is back: these records lack what they held before, also after a restart. */
+    public void forgotten() {
+        lacking = true;
+        since = wall.getAsLong();
+        saveAll(Map.of(), ok -> {});
+        recall();
     }
 
-    /** One that lost its memory asks for all, page by page; with {@code bar} this era ends before the first. */
-    public void all(final Msg.KeepAll ask, final Consumer<Msg> back) {
-        if (lapse() || !ask.bar() && ask.after() == null) {
-            back.accept(new Msg.KeptAll(!lapse(), List.of(), Map.of(), null));
-        } else if (ask.after() != null) {
-            back.accept(page(ask.after(), Map.of()));
-        } else {
-            era++;
-            save(ERA, new Era(era), ok -> {
-                if (ok) {
-                    back.accept(page("", Map.copyOf(bars)));
-                }
-            });
-        }
+    private Map<String, byte[]> lapseRows() {
+        return lapse() ? Map.of(LAPSE, Wire.pack(new Lapse(since))) : Map.of();
     }
 
-    /** Small enough not to keep other frames of the same circuit waiting. */
-    private Msg.KeptAll page(final String after, final Map<Integer, Token> first) {
-        final List<Msg.Note> list = new ArrayList<>();
-        int size = 0;
-        for (final Map.Entry<String, Row> e : notes.tailMap(after, false).entrySet()) {
-            final Msg.Note n = e.getValue().note();
-            list.add(n);
-            size += 200 + (n.outcome() == null ? 0 : n.outcome().body().length + 300);
-            if (size >= PAGE) {
-                return new Msg.KeptAll(true, list, first, e.getKey());
-            }
-        }
-        return new Msg.KeptAll(true, list, first, null);
+    public int size() {
+        return table.size();
     }
 
-    private void recall() {
-        if (lapse()) {
-            if (!fetching) {
-                gather();
-            }
-            loop.after(500, this::recall);
+    /** A holder reads a shard's records; whoever reads last is the only one to write from then on. */
+    public void read(final Msg.KeepRead ask, final Consumer<Msg> back) {
+        final Token bar = bars.getOrDefault(ask.shard(), Token.ZERO);
+        if (disk.stuck()) {
+            back.accept(new Msg.Nay(Msg.Nay.DISK));
+        } else if (ask.token().below(bar)) {
+            back.accept(rejected(bar));
+        } else if (ask.after() == null) {
+            begin(ask, back);
+        } else if (ask.era() != era(ask.shard()) || !ask.token().equals(bar)) {
+            back.accept(rejected(bar));
+        } else {
+            back.accept(page(ask));
         }
     }
 
-    private void gather() {
-        final Set<NodeId> with = new HashSet<>();
-        final Set<NodeId> bare = new HashSet<>();
-        quorum.electors().stream()
-                .filter(e -> !e.equals(self))
-                .forEach(e -> net.ask(
-                        e,
-                        new Msg.KeepAll(false, null),
-                        450,
-                        r -> r.as(Msg.KeptAll.class).ifPresent(k -> {
-                            (k.ok() ? with : bare).add(e);
-                            if (!fetching && lapse() && (quorum.read(with) || sole(with, bare))) {
-                                fetching = true;
-                                final Map<NodeId, Msg.KeptAll> got = new HashMap<>();
-                                Set.copyOf(with)
-                                        .forEach(w -> fetch(w, null, new ArrayList<>(), new HashMap<>(), whole -> {
-                                            got.put(w, whole);
-                                            if (got.keySet().containsAll(with) && lapse()) {
-                                                rebuild(got);
-                                            }
-                                        }));
-                            }
-                        })));
+    private Msg.Kept rejected(final Token bar) {
+        return new Msg.Kept(false, lapse(), bar, List.of(), 0, null);
     }
 
-    /** A page that does not come ends the attempt; the next one begins anew. */
-    private void fetch(
-            final NodeId from,
-            final String after,
-            final List<Msg.Note> list,
-            final Map<Integer, Token> tops,
-            final Consumer<Msg.KeptAll> then) {
-        net.ask(from, new Msg.KeepAll(true, after), PATIENCE, r -> {
-            final Msg.KeptAll k =
-                    r.as(Msg.KeptAll.class).filter(Msg.KeptAll::ok).orElse(null);
-            if (k == null) {
-                fetching = false;
-                return;
-            }
-            list.addAll(k.notes());
-            tops.putAll(k.bars());
-            if (k.next() == null) {
-                then.accept(new Msg.KeptAll(true, list, tops, null));
-            } else {
-                fetch(from, k.next(), list, tops, then);
+    private void begin(final Msg.KeepRead ask, final Consumer<Msg> back) {
+        final String reader = ask.boot() == null ? "" : ask.boot();
+        final Bar bar = new Bar(ask.token().term(), ask.token().count(), reader);
+        bars.put(ask.shard(), ask.token());
+        readers.put(ask.shard(), reader);
+        if (bar.equals(synced.get(ask.shard()))) {
+            back.accept(page(ask));
+            return;
+        }
+        synced.remove(ask.shard());
+        save(BAR + ask.shard(), bar, ok -> {
+            if (ok && reader.equals(readers.get(ask.shard())) && ask.token().equals(bars.get(ask.shard()))) {
+                synced.put(ask.shard(), bar);
+                back.accept(page(ask));
             }
         });
     }
 
-    /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
-    private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
-        return with.size() + bare.size() == quorum.electors().size() - 1
-                && quorum.stores().stream().anyMatch(with::contains);
-    }
-
-    private void rebuild(final Map<NodeId, Msg.KeptAll> got) {
-        final Map<String, byte[]> rows = new HashMap<>();
-        got.values().forEach(k -> {
-            k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
-            k.notes().forEach(n -> {
-                final Row old = notes.get(n.key());
-                notes.put(
-                        n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
-            });
-        });
-        bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(new Bar(t.term(), t.count(), readers.get(s)))));
-        notes.forEach((k, r) -> rows.put(NOTE + k, Wire.pack(r)));
-        rows.put(SHORT, null);
-        disk.save(rows, ok -> {
-            fetching = false;
-            if (ok) {
-                until = Long.MIN_VALUE;
-            }
-        });
+    /** What this keeper holds in a lapse counts for nothing and is not sent. */
+    private Msg.Kept page(final Msg.KeepRead ask) {
+        final int bytes = ask.paged() ? KeyRecordTable.LIGHT_PAGE_BYTES : Integer.MAX_VALUE;
+        final KeyRecordTable.Page page =
+                lapse() ? new KeyRecordTable.Page(List.of(), null) : table.light(ask.shard(), ask.after(), bytes);
+        final List<Msg.Note> notes = page.rows().stream()
+                .map(KeyRecordTable.Row::note)
+                .map(ask.paged() ? Msg.Note::light : Msg.Note::bare)
+                .toList();
+        return new Msg.Kept(true, lapse(), ask.token(), notes, era(ask.shard()), page.next());
     }
 
     /** What a writer must show: that it was the last to read this shard here, in this era. */
@@ -282,10 +207,10 @@
             back.accept(new Msg.KeepSeen(false, lapse(), false));
             return;
         }
-        final Row old = notes.get(n.key());
+        final KeyRecordTable.Row old = table.get(n.key());
         final Msg.Note now = n.over(old == null ? null : old.note());
-        final Row row = now == n ? new Row(n, wall.getAsLong()) : old;
-        notes.put(n.key(), row);
+        final KeyRecordTable.Row row = now == n ? new KeyRecordTable.Row(n, wall.getAsLong(), retention.ms()) : old;
+        table.put(row);
         save(NOTE + n.key(), row, ok -> {
             if (ok) {
                 back.accept(new Msg.KeepSeen(true, lapse(), false));
@@ -293,31 +218,154 @@
         });
     }
 
-    /** While memory is short of what it once held, every row saved says so too. */
-    private void save(final String key, final Object row, final Consumer<Boolean> then) {
-        final Map<String, byte[]> rows = new HashMap<>();
-        rows.put(key, Wire.pack(row));
+    /** An outcome is a fact, whoever asks for it and when. */
+    public void outcome(final Msg.KeepOutcome ask, final Consumer<Msg> back) {
+        final KeyRecordTable.Row row = table.get(ask.key());
+        back.accept(new Msg.KeptOutcome(row == null || row.note().outcome() == null ? null : row.note()));
+    }
+
+    /** Another keeper that lost its memory begins to copy this one's; with a bar this era ends before the first answer. */
+    public void sums(final Msg.KeepSums ask, final Consumer<Msg> back) {
         if (lapse()) {
-            rows.put(SHORT, Wire.pack(new Lapse(until)));
+            back.accept(new Msg.KeptSums(false, List.of(), Map.of()));
+        } else if (!ask.bar()) {
+            back.accept(summed());
+        } else {
+            if (askers.add(ask.asker())) {
+                era++;
+            }
+            save(ERA, new Era(era), ok -> {
+                if (ok) {
+                    back.accept(summed());
+                }
+            });
         }
-        disk.save(rows, then);
     }
 
-    private void sweep() {
+    private Msg.KeptSums summed() {
+        return new Msg.KeptSums(true, table.sums(), Map.copyOf(bars));
+    }
+
+    public void cells(final Msg.KeepCells ask, final Consumer<Msg> back) {
+        if (lapse()) {
+            back.accept(new Msg.KeptCells(false, List.of(), 0, null));
+            return;
+        }
         final long now = wall.getAsLong();
-        final Map<String, byte[]> dead = new HashMap<>();
-        notes.forEach((k, r) -> {
-            if (now - r.at() > STAY) {
-                dead.put(NOTE + k, null);
+        final KeyRecordTable.Page page = table.whole(ask.cells(), ask.after());
+        final List<Msg.AgedNote> notes = page.rows().stream()
+                .map(r -> new Msg.AgedNote(r.note(), Math.max(0, now - r.at()), r.stay()))
+                .toList();
+        final long sum = KeyRecordTable.sum(
+                page.rows().stream().map(KeyRecordTable.Row::note).toList());
+        back.accept(new Msg.KeptCells(true, notes, sum, page.next()));
+    }
+
+    /** While records are lacking, one copy of the others' is under way. */
+    private void recall() {
+        if (!lapse()) {
+            if (copy != null) {
+                copy.stop();
+                copy = null;
             }
-        });
-        dead.keySet().forEach(k -> notes.remove(k.substring(NOTE.length())));
-        if (!dead.isEmpty()) {
-            disk.save(dead, ok -> {});
+            return;
         }
+        if (copy == null) {
+            copy = new RecordCopy(
+                    loop,
+                    net,
+                    journal,
+                    table,
+                    new Msg.KeepSums(self + "/" + boot, true),
+                    (copied, bare) -> quorum.read(copied) || sole(copied, bare),
+                    new Rebuilding());
+            copy.start(quorum.electors().stream().filter(e -> !e.equals(self)).toList());
+        }
+        loop.after(LOOK_PERIOD, this::recall);
     }
 
-    public int size() {
-        return notes.size();
+    /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
+    private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
+        return with.size() + bare.size() == quorum.electors().size() - 1
+                && quorum.stores().stream().anyMatch(with::contains);
+    }
+
+    /** Takes the others' records and bars; the lapse ends once all are synced. */
+    private final class Rebuilding implements RecordCopy.Sink {
+        @Override
+        public void bars(final Map<Integer, Token> theirs) {
+            final Map<String, byte[]> rows = new HashMap<>();
+            theirs.forEach((shard, token) -> {
+                if (bars.getOrDefault(shard, Token.ZERO).below(token)) {
+                    bars.put(shard, token);
+                    readers.remove(shard);
+                    synced.remove(shard);
+                    rows.put(BAR + shard, Wire.pack(new Bar(token.term(), token.count(), "")));
+                }
+            });
+            saveAll(rows, ok -> {});
+        }
+
+        @Override
+        public void notes(final List<Msg.AgedNote> notes) {
+            final Map<String, byte[]> rows = new HashMap<>();
+            notes.forEach(n -> {
+                final KeyRecordTable.Row row = merged(n);
+                table.put(row);
+                rows.put(NOTE + row.note().key(), Wire.pack(row));
+            });
+            saveAll(rows, ok -> {});
+        }
+
+        @Override
+        public void done() {
+            final Map<String, byte[]> rows = new HashMap<>();
+            rows.put(LAPSE, null);
+            disk.save(rows, ok -> {
+                lacking = !ok;
+                copy = ok ? copy : null;
+            });
+        }
+    }
+
+    private KeyRecordTable.Row merged(final Msg.AgedNote other) {
+        final long at = wall.getAsLong() - other.age();
+        final KeyRecordTable.Row old = table.get(other.note().key());
+        return old == null
+                ? new KeyRecordTable.Row(other.note(), at, other.stay())
+                : new KeyRecordTable.Row(
+                        Msg.Note.settle(List.of(old.note(), other.note())),
+                        Math.max(old.at(), at),
+                        Math.max(old.stay(), other.stay()));
+    }
+
+    private void save(final String key, final Object row, final Consumer<Boolean> then) {
+        saveAll(Map.of(key, Wire.pack(row)), then);
+    }
+
+    /** While memory is short of what it once held, every row saved says so too. */
+    private void saveAll(final Map<String, byte[]> some, final Consumer<Boolean> then) {
+        final Map<String, byte[]> rows = new HashMap<>(some);
+        rows.putAll(lapseRows());
+        if (!rows.isEmpty()) {
+            disk.save(rows, then);
+        }
+    }
+
+    private void sweep() {
+        final long now = wall.getAsLong();
+        final long stay = retention.ms();
+        final List<String> dead = table.all().stream()
+                .filter(r -> r.over(now, stay))
+                .map(r -> r.note().key())
+                .toList();
+        final Map<String, byte[]> rows = new HashMap<>();
+        dead.forEach(key -> {
+            table.remove(key);
+            rows.put(NOTE + key, null);
+        });
+        if (!rows.isEmpty()) {
+            disk.save(rows, ok -> {});
+        }
     }
 }
--- /dev/null
+++ b/control/src/main/java/rv/control/RecordCopy.java
@@ -0,0 +1,236 @@
+package rv.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Journal;
+import rv.base.Loop;
+import rv.base.Msg;
+import rv.base.Net;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Token;
+
+/**
+ * Copies the records that other keepers hold and this one lacks: the sums of all cells first, then pages of those cells
+ * that differ, from one keeper after the other. A page that is late or whose sum is wrong is asked again, and that one
+ * alone; a keeper that is slow waits behind the others. What has been taken is not asked for again.
+ */
+final class RecordCopy {
+    private static final long FIRST_WAIT = 1000;
+    private static final long LONGEST_WAIT = 8000;
+    private static final long PAUSE = 250;
+    private static final long BARE_PAUSE = 1000;
+    private static final int FAILURES_IN_TURN = 3;
+    private final Loop loop;
+    private final Net net;
+    private final Journal journal;
+    private final KeyRecordTable table;
+    private final Msg.KeepSums greeting;
+    private final BiPredicate<Set<NodeId>, Set<NodeId>> enough;
+    private final Sink sink;
+    private final Map<NodeId, Source> sources = new LinkedHashMap<>();
+    private final Deque<Source> queue = new ArrayDeque<>();
+    private final Set<NodeId> copied = new HashSet<>();
+    private final Set<NodeId> bare = new HashSet<>();
+    private final long begun;
+    private Source active;
+    private boolean over;
+    private int pages;
+    private int records;
+
+    /** Where the copied goes. */
+    interface Sink {
+        void bars(Map<Integer, Token> bars);
+
+        void notes(List<Msg.AgedNote> notes);
+
+        /** Every keeper that counts has been copied. */
+        void done();
+    }
+
+    private static final class Source {
+        private final NodeId id;
+        private List<Long> sums = List.of();
+        private List<Integer> cells = List.of();
+        private String after;
+        private int failures;
+
+        Source(final NodeId id) {
+            this.id = id;
+        }
+
+        long patience() {
+            return Math.min(LONGEST_WAIT, FIRST_WAIT << Math.min(failures, 3));
+        }
+
+        long pause() {
+            return PAUSE << Math.min(failures, 2);
+        }
+    }
+
+    /** {@code enough}: whether those that were copied, and those that said they have no memory, will do. */
+    RecordCopy(
+            final Loop loop,
+            final Net net,
+            final Journal journal,
+            final KeyRecordTable table,
+            final Msg.KeepSums greeting,
+            final BiPredicate<Set<NodeId>, Set<NodeId>> enough,
+            final Sink sink) {
+        this.loop = loop;
+        this.net = net;
+        this.journal = journal;
+        this.table = table;
+        this.greeting = greeting;
+        this.enough = enough;
+        this.sink = sink;
+        this.begun = loop.now();
+    }
+
+    void start(final List<NodeId> from) {
+        from.forEach(id -> sources.put(id, new Source(id)));
+        sources.values().forEach(this::greet);
+    }
+
+    void stop() {
+        over = true;
+    }
+
+    private void greet(final Source s) {
+        if (over) {
+            return;
+        }
+        net.ask(s.id, greeting, s.patience(), r -> greeted(s, r));
+    }
+
+    private void greeted(final Source s, final Reply r) {
+        if (over) {
+            return;
+        }
+        final Msg.KeptSums answer = r.as(Msg.KeptSums.class).orElse(null);
+        if (answer == null || answer.ok() && answer.sums().size() != KeyRecordTable.CELLS) {
+            s.failures++;
+            loop.after(s.pause(), () -> greet(s));
+        } else if (!answer.ok()) {
+            bare.add(s.id);
+            loop.after(BARE_PAUSE, () -> greet(s));
+            check();
+        } else {
+            bare.remove(s.id);
+            s.failures = 0;
+            s.sums = answer.sums();
+            sink.bars(answer.bars());
+            queue.add(s);
+            pump();
+        }
+    }
+
+    /** One keeper at a time: what the first has given need not be asked of the next. */
+    private void pump() {
+        if (over || active != null || queue.isEmpty()) {
+            return;
+        }
+        active = queue.poll();
+        active.cells = open(active);
+        page(active);
+    }
+
+    /** The cells still to be copied: those that differ, and the one in the midst of which the last page ended. */
+    private List<Integer> open(final Source s) {
+        final List<Integer> differing = table.differing(s.sums);
+        if (s.after == null) {
+            return differing;
+        }
+        final int begun = KeyRecordTable.cell(s.after);
+        return s.cells.stream().filter(c -> c == begun || differing.contains(c)).toList();
+    }
+
+    private void page(final Source s) {
+        if (over) {
+            return;
+        }
+        if (s.cells.isEmpty()) {
+            active = null;
+            copied.add(s.id);
+            check();
+            pump();
+            return;
+        }
+        net.ask(s.id, new Msg.KeepCells(s.cells, s.after), s.patience(), r -> paged(s, r));
+    }
+
+    private void paged(final Source s, final Reply r) {
+        if (over) {
+            return;
+        }
+        final Msg.KeptCells answer = r.as(Msg.KeptCells.class).orElse(null);
+        if (answer == null || answer.ok() && !sound(s, answer)) {
+            failed(s);
+        } else if (!answer.ok()) {
+            active = null;
+            s.after = null;
+            greet(s);
+            pump();
+        } else {
+            take(s, answer);
+        }
+    }
+
+    private boolean sound(final Source s, final Msg.KeptCells answer) {
+        final List<Msg.Note> notes =
+                answer.notes().stream().map(Msg.AgedNote::note).toList();
+        final boolean same = answer.sum() == KeyRecordTable.sum(notes)
+                && (answer.next() == null || s.cells.contains(KeyRecordTable.cell(answer.next())));
+        if (!same) {
+            journal.add(Event.of(
+                    Code.RECORDS_BAD,
+                    "from",
+                    s.id.text(),
+                    "records",
+                    answer.notes().size()));
+        }
+        return same;
+    }
+
+    private void failed(final Source s) {
+        s.failures++;
+        if (s.failures % FAILURES_IN_TURN == 0 && !queue.isEmpty()) {
+            active = null;
+            queue.add(s);
+            pump();
+        } else {
+            loop.after(s.pause(), () -> page(s));
+        }
+    }
+
+    private void take(final Source s, final Msg.KeptCells answer) {
+        pages++;
+        records += answer.notes().size();
+        s.failures = 0;
+        sink.notes(answer.notes());
+        s.after = answer.next();
+        s.cells = answer.next() == null ? List.of() : rest(s.cells, KeyRecordTable.cell(answer.next()));
+        page(s);
+    }
+
+    private static List<Integer> rest(final List<Integer> cells, final int from) {
+        return new ArrayList<>(cells.subList(cells.indexOf(from), cells.size()));
+    }
+
+    private void check() {
+        if (!over && enough.test(copied, bare)) {
+            over = true;
+            journal.add(Event.of(Code.RECORDS_COPIED, "records", records, "pages", pages, "ms", loop.now() - begun));
+            sink.done();
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/rv/control/RecordRetention.java
@@ -0,0 +1,32 @@
+package rv.control;
+
+import java.util.function.LongSupplier;
+
+/**
+ * How long the record of a keyed request stands. A record is written before its request is sent; the send follows within
+ * the request's longest life. A repeat sent within the key window after that may itself wait for its own longest life
+ * before it is looked up. So window plus two lives, and a slack for clocks that are stepped or run fast meanwhile.
+ */
+public final class RecordRetention {
+    public static final long DEFAULT_WINDOW = 60_000;
+    /** Two steps of a wall clock by 4 s each, and a clock that runs a tenth too fast for a minute. */
+    static final long CLOCK_SLACK = 15_000;
+    /** No life is taken as shorter: requests may be in flight whose route has just been restated or deleted. */
+    static final long SHORTEST_LIFE = 5_000;
+
+    private final long window;
+    private final LongSupplier life;
+    private long longest = SHORTEST_LIFE;
+
+    /** {@code life}: the longest time that the present configuration lets a keyed request take, in ms. */
+    public RecordRetention(final long window, final LongSupplier life) {
+        this.window = window;
+        this.life = life;
+    }
+
+    /** The longest life seen so far counts, since requests of an earlier configuration may still be under way. */
+    public long ms() {
+        longest = Math.max(longest, life.getAsLong());
+        return window + 2 * longest + CLOCK_SLACK;
+    }
+}
--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -48,12 +48,23 @@
             desk.query(m, back);
         } else if (msg instanceof Msg.Vers m) {
             desk.vers(m, back);
-        } else if (msg instanceof Msg.KeepRead m && node.elector().full()) {
+        } else {
+            return node.elector().full() && keeps(msg, back);
+        }
+        return true;
+    }
+
+    private boolean keeps(final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.KeepRead m) {
             node.keeper().read(m, back);
-        } else if (msg instanceof Msg.KeepWrite m && node.elector().full()) {
+        } else if (msg instanceof Msg.KeepWrite m) {
             node.keeper().write(m, back);
-        } else if (msg instanceof Msg.KeepAll m && node.elector().full()) {
-            node.keeper().all(m, back);
+        } else if (msg instanceof Msg.KeepOutcome m) {
+            node.keeper().outcome(m, back);
+        } else if (msg instanceof Msg.KeepSums m) {
+            node.keeper().sums(m, back);
+        } else if (msg instanceof Msg.KeepCells m) {
+            node.keeper().cells(m, back);
         } else {
             return false;
         }
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -27,9 +27,11 @@
 import rv.control.ItemService;
 import rv.control.ItemStore;
 import rv.control.KeyRecordStore;
+import rv.control.Match;
 import rv.control.Membership;
 import rv.control.MonitoredDisk;
 import rv.control.Orders;
+import rv.control.RecordRetention;
 import rv.control.Registry;
 import rv.control.StoreHealth;
 import rv.control.Tenure;
@@ -117,7 +119,16 @@
                 : null;
         keeper = elector == null
                 ? null
-                : new KeyRecordStore(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
+                : new KeyRecordStore(
+                        self,
+                        boot,
+                        setup.quorum(),
+                        s.net(),
+                        loop,
+                        wall,
+                        disk,
+                        journal,
+                        new RecordRetention(setup.keyWindowMs(), this::longestKeyed));
         settler = elector == null
                 ? null
                 : new WriteRecovery(
@@ -190,7 +201,15 @@
                         view,
                         holder,
                         sender,
-                        new KeyedRequests(setup.quorum(), loop, s.net(), holder, journal, stores, self + "#" + boot),
+                        new KeyedRequests(
+                                setup.quorum(),
+                                loop,
+                                s.net(),
+                                holder,
+                                journal,
+                                stores,
+                                self + "#" + boot,
+                                new RecordRetention(setup.keyWindowMs(), this::longestKeyed)),
                         sync::fresh,
                         sync::round,
                         setup,
@@ -245,6 +264,15 @@
         inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
     }
 
+    /** How long a keyed request may take at most, by the present configuration. */
+    private long longestKeyed() {
+        return view.rows().stream()
+                .filter(r -> r.match().is(Match.ONCE) && r.service() != null)
+                .mapToLong(ConfigView.Row::timeoutMs)
+                .max()
+                .orElse(0);
+    }
+
     /** Too few electors are heard from to learn anything new. */
     private boolean alone() {
         return setup.quorum().electors().stream()
@@ -284,7 +312,10 @@
 
     public void start() throws DiskTrouble {
         if (elector != null) {
-            elector.onWhole(() -> held.all().forEach(elector::learn));
+            elector.onWhole(() -> {
+                held.all().forEach(elector::learn);
+                keeper.forgotten();
+            });
             elector.start();
             keeper.start();
             settler.start();
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -7,6 +7,7 @@
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
 
 /** What a process is told about its place. */
 public record Setup(
@@ -21,7 +22,8 @@
         double slack,
         List<String> seats,
         long noticeMs,
-        List<String> places) {
+        List<String> places,
+        long keyWindowMs) {
 
     public boolean elector() {
         return quorum.has(self.id());
@@ -67,6 +69,7 @@
         private List<String> seats = List.of();
         private long notice = 1000;
         private List<String> places = List.of("");
+        private long keyWindow = RecordRetention.DEFAULT_WINDOW;
 
         private Builder(final Member self) {
             this.self = self;
@@ -121,6 +124,12 @@
             return this;
         }
 
+        /** How long after a keyed request was sent its key must not run again. */
+        public Builder keyWindow(final long ms) {
+            keyWindow = ms;
+            return this;
+        }
+
         /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
         public Builder extra(final double part, final double beside) {
             share = part;
@@ -130,7 +139,19 @@
 
         public Setup build() {
             return new Setup(
-                    self, seeds, quorum, timing, shards, cacheBytes, first, share, slack, seats, notice, places);
+                    self,
+                    seeds,
+                    quorum,
+                    timing,
+                    shards,
+                    cacheBytes,
+                    first,
+                    share,
+                    slack,
+                    seats,
+                    notice,
+                    places,
+                    keyWindow);
         }
     }
 }
--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -20,6 +20,9 @@
 /** Answers edges: from its cache, by one fill for many, straight through, or once only. */
 public final class Shield {
     private static final int ROOM = 512;
+    /** How long a keyed request waits at most for the keepers to be read. */
+    private static final long KEYED_PATIENCE = 1500;
+
     private final Loop loop;
     private final ConfigView view;
     private final Holder holder;
@@ -291,6 +294,7 @@
                             : EdgeRouting.slot(row, f.path(), f.key()),
                     Hash.digest(
                             (f.path() + "\n" + Hash.digest(body)).getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                    Math.min(KEYED_PATIENCE, Math.max(0, cutoff - loop.now()) / 2),
                     then -> sender.send(order(f, row, f.shard(), true, cutoff), then),
                     back);
         }
--- a/rig/src/test/java/rv/rig/KeeperTest.java
+++ b/rig/src/test/java/rv/rig/KeeperTest.java
@@ -21,6 +21,7 @@
 
 /** The keepers of intents and outcomes. */
 class KeeperTest {
+    private static final rv.control.RecordRetention RETENTION = new rv.control.RecordRetention(60_000, () -> 0);
     private final World world = new World(1);
     private final Loop loop = world.loop();
     private long ver;
@@ -40,15 +41,16 @@
         }
     }
 
-    private KeyRecordStore keeper(final Disk disk, final boolean lost) {
+    private KeyRecordStore keeper(final Disk disk, final boolean lost) throws Exception {
         return keeper("st1", disk, lost, (to, msg, wait, then) -> {});
     }
 
-    private KeyRecordStore keeper(final String name, final Disk disk, final boolean lost, final rv.base.Net net) {
+    private KeyRecordStore keeper(final String name, final Disk disk, final boolean lost, final rv.base.Net net)
+            throws Exception {
         final rv.control.Quorum quorum = new rv.control.Quorum(
                 List.of(NodeId.of("st1"), NodeId.of("st2"), NodeId.of("sh1")),
                 java.util.Set.of(NodeId.of("st1"), NodeId.of("st2")));
-        return new KeyRecordStore(
+        final KeyRecordStore k = new KeyRecordStore(
                 NodeId.of(name),
                 "b" + ++ver,
                 quorum,
@@ -56,7 +58,13 @@
                 loop,
                 world::now,
                 new rv.control.MonitoredDisk(disk, loop),
-                () -> lost);
+                new rv.base.Journal(loop, 50),
+                RETENTION);
+        k.start();
+        if (lost) {
+            k.forgotten();
+        }
+        return k;
     }
 
     /** Over a slow way, 600 KB at 0.9 MB a second, a whole minute's notes do not come in one frame's time. */
@@ -66,9 +74,8 @@
         final Map<NodeId, Integer> ends = new TreeMap<>();
         for (final String n : List.of("st2", "sh1")) {
             final KeyRecordStore k = keeper(n, new Rows(), false, (to, msg, wait, then) -> {});
-            k.start();
             final List<Msg> got = new ArrayList<>();
-            k.read(new Msg.KeepRead(3, new Token(1, 1), "b"), got::add);
+            k.read(ask(3, new Token(1, 1)), got::add);
             final long era = ((Msg.Kept) got.get(0)).era();
             for (int i = 0; i < 400; i++) {
                 k.write(
@@ -92,8 +99,8 @@
                 new Rows(),
                 true,
                 (to, msg, wait, then) -> world.in(35, () -> {
-                    ends.merge(to, msg instanceof Msg.KeepAll a && a.bar() && a.after() == null ? 1 : 0, Integer::sum);
-                    others.get(to).all((Msg.KeepAll) msg, m -> {
+                    ends.merge(to, msg instanceof Msg.KeepSums a && a.bar() ? 1 : 0, Integer::sum);
+                    answer(others.get(to), msg, m -> {
                         final int size = rv.base.Wire.pack(new rv.base.Wire.Envelope(1, 1, 0, to, m)).length;
                         largest[0] = Math.max(largest[0], size);
                         final long took = 70 + size / 900;
@@ -105,7 +112,6 @@
                                                 : rv.base.Reply.lost(rv.base.Reply.Trouble.NO_ANSWER)));
                     });
                 }));
-        lost.start();
         world.run(4000);
         assertFalse(lost.lapse());
         assertEquals(400, lost.size());
@@ -113,26 +119,37 @@
         assertTrue(largest[0] < 100_000, "largest frame " + largest[0]);
     }
 
+    private static void answer(final KeyRecordStore k, final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.KeepSums m) {
+            k.sums(m, back);
+        } else {
+            k.cells((Msg.KeepCells) msg, back);
+        }
+    }
+
+    private static Msg.KeepRead ask(final int shard, final Token token) {
+        return new Msg.KeepRead(shard, token, "b", true, null, 0);
+    }
+
     private long era(final KeyRecordStore k) {
         final List<Msg> got = new ArrayList<>();
-        k.read(new Msg.KeepRead(3, Token.ZERO, "b"), x -> {});
-        k.read(new Msg.KeepRead(9, new Token(9, 9), "b"), got::add);
+        k.read(ask(3, Token.ZERO), x -> {});
+        k.read(ask(9, new Token(9, 9)), got::add);
         return ((Msg.Kept) got.get(0)).era();
     }
 
     @Test
     void anIntentOfAnEndedEraIsRejected() throws Exception {
         final KeyRecordStore k = keeper(new Rows(), false);
-        k.start();
         final long before = era(k);
         final List<Msg> got = new ArrayList<>();
         final Msg.Note note = new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null);
-        k.all(new Msg.KeepAll(false, null), got::add);
+        k.sums(new Msg.KeepSums("st2/b", false), got::add);
         k.write(new Msg.KeepWrite(note, before), got::add);
-        k.all(new Msg.KeepAll(true, null), got::add);
+        k.sums(new Msg.KeepSums("st2/b", true), got::add);
         k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), before), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(1));
-        assertEquals(List.of(note), ((Msg.KeptAll) got.get(2)).notes());
+        assertTrue(((Msg.KeptSums) got.get(2)).ok());
         assertEquals(new Msg.KeepSeen(false, false, true), got.get(3));
     }
 
@@ -140,36 +157,34 @@
     void aKeeperBarsTokensBelowTheHighestItWasReadWith() throws Exception {
         final Rows disk = new Rows();
         final KeyRecordStore k = keeper(disk, false);
-        k.start();
         final List<Msg> got = new ArrayList<>();
         final long era = era(k);
         k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
-        k.read(new Msg.KeepRead(3, new Token(1, 2), "b"), got::add);
+        k.read(ask(3, new Token(1, 2)), got::add);
         k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
-        k.read(new Msg.KeepRead(3, new Token(1, 1), "b"), got::add);
+        k.read(ask(3, new Token(1, 1)), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(0));
         assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(2));
         assertFalse(((Msg.Kept) got.get(3)).ok());
         final KeyRecordStore again = keeper(disk, false);
-        again.start();
         again.write(
                 new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)), got::add);
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(4), "the bar outlives a restart");
     }
 
     @Test
-    void aKeeperThatLostItsMemorySaysSoForAMinuteEvenAcrossARestart() throws Exception {
+    void aKeeperThatLostItsMemorySaysSoForTheRetentionEvenAcrossARestart() throws Exception {
         final Rows disk = new Rows();
         final KeyRecordStore k = keeper(disk, true);
-        k.start();
         final List<Msg> got = new ArrayList<>();
         k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
         world.run(30_000);
         final KeyRecordStore again = keeper(disk, false);
-        again.start();
         assertTrue(again.lapse());
-        world.run(60_001);
+        world.run(RETENTION.ms() - 1);
+        assertTrue(again.lapse());
+        world.run(RETENTION.ms() + 1);
         assertFalse(again.lapse());
         assertEquals(new Msg.KeepSeen(true, true, false), got.get(0));
     }
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -188,7 +188,7 @@
         final List<NodeId> keepers = List.of(BOSS, NodeId.of("st2"), NodeId.of("sh1"));
         final Net net = (to, msg, wait, then) -> world.in(1, () -> {
             if (msg instanceof Msg.KeepRead r) {
-                then.accept(Reply.of(new Msg.Kept(true, false, r.token(), known, 7)));
+                then.accept(Reply.of(new Msg.Kept(true, false, r.token(), known, 7, null)));
             } else if (msg instanceof Msg.KeepWrite w) {
                 final boolean now = w.era() == 7;
                 then.accept(
@@ -199,7 +199,14 @@
         });
         final rv.control.Quorum quorum = new rv.control.Quorum(keepers, java.util.Set.of(BOSS, keepers.get(1)));
         return new rv.data.KeyedRequests(
-                quorum, loop, net, holder, journal, new rv.control.StoreHealth(quorum, loop, journal), "b");
+                quorum,
+                loop,
+                net,
+                holder,
+                journal,
+                new rv.control.StoreHealth(quorum, loop, journal),
+                "b",
+                new rv.control.RecordRetention(60_000, () -> 0));
     }
 
     private List<String> keyed(final int writers, final List<Msg.Note> known, final int times) {
@@ -211,6 +218,7 @@
                     3,
                     "k",
                     "d",
+                    1000,
                     then -> {
                         seen.add("sent");
                         then.accept(new rv.data.Sender.Sent(
--- a/rig/src/test/java/rv/rig/VersionsTest.java
+++ b/rig/src/test/java/rv/rig/VersionsTest.java
@@ -31,7 +31,7 @@
             "Reread",
             List.of("sole"),
             "KeepRead",
-            List.of("boot"),
+            List.of("boot", "paged", "after", "era"),
             "Accept",
             List.of("next"));
     private static final Set<String> OLD = Set.of("st2", "sh3", "sh4", "ed1", "ed2", "ed3", "ed4");
