Merge the voting sets of h-voters: records are read, written and handed over within one epoch

A holder reads its shards again, light, when the epoch changes; a write on its way is written again in the new one, and acknowledgements of two epochs are never counted together. The lapse is saved with the rebuilt memory. A standby is warm before it says that it caught up. Option key-window, from the platform's bounds.

--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
+/** The kinds of replicated items. */
 public enum Kind {
     ROUTE,
     SERVICE,
@@ -11,7 +12,8 @@
     PLAN,
     TENURE,
     SWEEP,
-    LIMIT;
+    LIMIT,
+    VOTERS;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -1,13 +1,18 @@
 package rv.control;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import rv.base.Code;
 import rv.base.DiskTrouble;
+import rv.base.Event;
 import rv.base.Hash;
 import rv.base.Journal;
 import rv.base.Loop;
@@ -23,7 +28,7 @@
  * the era in which its writer read this keeper: whoever rebuilds a lost memory from here ends the era, so that no
  * intent can stand on an answer given before the loss and one given after the rebuilding.
  */
-public final class KeyRecordStore {
+public final class KeyRecordStore implements RecordHandover {
     private static final String NOTE = "k/";
     private static final String BAR = "b/";
     private static final String LAPSE = "lapse";
@@ -31,9 +36,15 @@
     private static final long SWEEP_PERIOD = 1000;
     private static final long LOOK_PERIOD = 250;
     private static final int ASKERS = 64;
-    private final Quorum quorum;
+    /** For how long a standby counts as warm once it has copied what a voter holds. */
+    private static final long WARM = 3000;
+
+    private static final long WARM_WAIT = 500;
+    private final Electorate electorate;
     private final NodeId self;
-    private final String boot;
+    /** This life of this voter. */
+    private final String name;
+
     private final Net net;
     private final Loop loop;
     private final LongSupplier wall;
@@ -45,7 +56,7 @@
     private final Map<Integer, String> readers = new HashMap<>();
     private final Map<Integer, Bar> synced = new HashMap<>();
     /** For whom this era was ended already; a repeated question does not end another. */
-    private final Set<String> askers = java.util.Collections.newSetFromMap(new LinkedHashMap<>() {
+    private final Set<String> askers = Collections.newSetFromMap(new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(final Map.Entry<String, Boolean> eldest) {
             return size() > ASKERS;
@@ -54,7 +65,11 @@
 
     private long since = Long.MIN_VALUE;
     private boolean lacking;
+    private boolean recalling;
     private RecordCopy copy;
+    private RecordCopy warming;
+    private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+    private long warmed = Long.MIN_VALUE;
     private long era;
 
     record Lapse(long since) {}
@@ -66,7 +81,7 @@
     public KeyRecordStore(
             final NodeId self,
             final String boot,
-            final Quorum quorum,
+            final Electorate electorate,
             final Net net,
             final Loop loop,
             final LongSupplier wall,
@@ -74,10 +89,10 @@
             final Journal journal,
             final RecordRetention retention) {
         this.self = self;
-        this.boot = boot;
-        this.quorum = quorum;
+        this.name = self + "/" + boot;
+        this.electorate = electorate;
         this.net = net;
-        this.era = Hash.mix(self + "/" + boot) >>> 1;
+        this.era = Hash.mix(name) >>> 1;
         this.loop = loop;
         this.wall = wall;
         this.disk = disk;
@@ -94,6 +109,7 @@
         } catch (final WireTrouble e) {
             throw new DiskTrouble("keeper rows cannot be read", e);
         }
+        electorate.onChange(this::moved);
         recall();
         loop.every(SWEEP_PERIOD, this::sweep);
     }
@@ -118,16 +134,33 @@
     }
 
     /** Whether this keeper lacks records that it may once have held, and that may still matter. */
+    @Override
     public boolean lapse() {
         return lacking && wall.getAsLong() < since + retention.ms();
     }
 
-    /** The voter's memory was lost and is back: these records lack what they held before, also after a restart. */
-    public void forgotten() {
+    /** These records lack what they held before, also after a restart; the others' are copied from now on. */
+    @Override
+    public Map<String, byte[]> forgotten() {
         lacking = true;
         since = wall.getAsLong();
-        saveAll(Map.of(), ok -> {});
-        recall();
+        loop.post(this::recall);
+        return lapseRows();
+    }
+
+    /** Another set votes: what was begun with the one before is given up. */
+    private void moved() {
+        stop(copy);
+        copy = null;
+        stop(warming);
+        warming = null;
+        warmed = Long.MIN_VALUE;
+    }
+
+    private static void stop(final RecordCopy some) {
+        if (some != null) {
+            some.stop();
+        }
     }
 
     private Map<String, byte[]> lapseRows() {
@@ -228,18 +261,22 @@
     public void sums(final Msg.KeepSums ask, final Consumer<Msg> back) {
         if (lapse()) {
             back.accept(new Msg.KeptSums(false, List.of(), Map.of()));
-        } else if (!ask.bar()) {
-            back.accept(summed());
+        } else if (ask.bar()) {
+            endEra(ask.asker(), () -> back.accept(summed()));
         } else {
-            if (askers.add(ask.asker())) {
-                era++;
-            }
-            save(ERA, new Era(era), ok -> {
-                if (ok) {
-                    back.accept(summed());
-                }
-            });
+            back.accept(summed());
+        }
+    }
+
+    private void endEra(final String asker, final Runnable then) {
+        if (askers.add(asker)) {
+            era++;
         }
+        save(ERA, new Era(era), ok -> {
+            if (ok) {
+                then.run();
+            }
+        });
     }
 
     private Msg.KeptSums summed() {
@@ -251,83 +288,191 @@
             back.accept(new Msg.KeptCells(false, List.of(), 0, null));
             return;
         }
+        back.accept(kept(table.whole(ask.cells(), ask.after())));
+    }
+
+    private Msg.KeptCells kept(final KeyRecordTable.Page page) {
         final long now = wall.getAsLong();
-        final KeyRecordTable.Page page = table.whole(ask.cells(), ask.after());
         final List<Msg.AgedNote> notes = page.rows().stream()
                 .map(r -> new Msg.AgedNote(r.note(), Math.max(0, now - r.at()), r.stay()))
                 .toList();
-        final long sum = KeyRecordTable.sum(
-                page.rows().stream().map(KeyRecordTable.Row::note).toList());
-        back.accept(new Msg.KeptCells(true, notes, sum, page.next()));
+        return new Msg.KeptCells(true, notes, KeyRecordTable.sumOf(notes), page.next());
     }
 
     /** While records are lacking, one copy of the others' is under way. */
     private void recall() {
         if (!lapse()) {
-            if (copy != null) {
-                copy.stop();
+            stop(copy);
+            copy = null;
+            recalling = false;
+            return;
+        }
+        if (copy == null && electorate.has(self)) {
+            copy = copy(true, (copied, bare) -> electorate.quorum().read(copied) || sole(copied, bare), this::recalled);
+        }
+        if (!recalling) {
+            recalling = true;
+            loop.after(LOOK_PERIOD, this::recallAgain);
+        }
+    }
+
+    private void recallAgain() {
+        recalling = false;
+        recall();
+    }
+
+    private RecordCopy copy(
+            final boolean bar, final BiPredicate<Set<NodeId>, Set<NodeId>> enough, final Runnable done) {
+        final Net taught = (to, msg, wait, then) -> net.ask(to, msg, wait, r -> {
+            electorate.refused(to, r);
+            then.accept(r);
+        });
+        final List<NodeId> others = new ArrayList<>(electorate.voters());
+        others.remove(self);
+        Collections.rotate(others, Math.floorMod(self.hashCode(), Math.max(1, others.size())));
+        final RecordCopy started =
+                new RecordCopy(loop, taught, journal, table, electorate.epoch(), name, bar, enough, new Copied(done));
+        started.start(others);
+        return started;
+    }
+
+    /** Every voter that counts has been copied: the lapse ends once all is synced. */
+    private void recalled() {
+        final RecordCopy mine = copy;
+        final Map<String, byte[]> rows = new HashMap<>();
+        rows.put(LAPSE, null);
+        disk.save(rows, ok -> {
+            if (copy == mine) {
+                lacking = !ok;
                 copy = null;
             }
+        });
+    }
+
+    /** A standby copies what some voter holds, so that little is left to hand over once it is to vote itself. */
+    public void warm(final Consumer<Boolean> then) {
+        if (electorate.has(self) || warmed != Long.MIN_VALUE && loop.now() - warmed < WARM) {
+            then.accept(true);
             return;
         }
-        if (copy == null) {
-            copy = new RecordCopy(
-                    loop,
-                    net,
-                    journal,
-                    table,
-                    new Msg.KeepSums(self + "/" + boot, true),
-                    (copied, bare) -> quorum.read(copied) || sole(copied, bare),
-                    new Rebuilding());
-            copy.start(quorum.electors().stream().filter(e -> !e.equals(self)).toList());
+        waiting.add(then);
+        if (warming == null) {
+            warming = copy(
+                    false,
+                    (copied, bare) -> !copied.isEmpty() || electorate.quorum().read(bare),
+                    this::warmed);
         }
-        loop.after(LOOK_PERIOD, this::recall);
+        loop.after(WARM_WAIT, () -> {
+            if (waiting.remove(then)) {
+                then.accept(false);
+            }
+        });
+    }
+
+    private void warmed() {
+        warming = null;
+        warmed = loop.now();
+        final List<Consumer<Boolean>> list = List.copyOf(waiting);
+        waiting.clear();
+        list.forEach(w -> w.accept(true));
     }
 
     /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
     private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
-        return with.size() + bare.size() == quorum.electors().size() - 1
-                && quorum.stores().stream().anyMatch(with::contains);
+        return with.size() + bare.size() == electorate.voters().size() - 1
+                && electorate.quorum().stores().stream().anyMatch(with::contains);
     }
 
-    /** Takes the others' records and bars; the lapse ends once all are synced. */
-    private final class Rebuilding implements RecordCopy.Sink {
+    /** Takes the others' records and bars. */
+    private final class Copied implements RecordCopy.Sink {
+        private final Runnable done;
+
+        Copied(final Runnable done) {
+            this.done = done;
+        }
+
         @Override
         public void bars(final Map<Integer, Token> theirs) {
-            final Map<String, byte[]> rows = new HashMap<>();
-            theirs.forEach((shard, token) -> {
-                if (bars.getOrDefault(shard, Token.ZERO).below(token)) {
-                    bars.put(shard, token);
-                    readers.remove(shard);
-                    synced.remove(shard);
-                    rows.put(BAR + shard, Wire.pack(new Bar(token.term(), token.count(), "")));
-                }
-            });
-            saveAll(rows, ok -> {});
+            raise(theirs);
         }
 
         @Override
         public void notes(final List<Msg.AgedNote> notes) {
-            final Map<String, byte[]> rows = new HashMap<>();
-            notes.forEach(n -> {
-                final KeyRecordTable.Row row = merged(n);
-                table.put(row);
-                rows.put(NOTE + row.note().key(), Wire.pack(row));
-            });
-            saveAll(rows, ok -> {});
+            mergeAll(notes);
         }
 
         @Override
         public void done() {
-            final Map<String, byte[]> rows = new HashMap<>();
-            rows.put(LAPSE, null);
-            disk.save(rows, ok -> {
-                lacking = !ok;
-                copy = ok ? copy : null;
-            });
+            done.run();
         }
     }
 
+    private void raise(final Map<Integer, Token> theirs) {
+        final Map<String, byte[]> rows = new HashMap<>();
+        theirs.forEach((shard, token) -> {
+            if (bars.getOrDefault(shard, Token.ZERO).below(token)) {
+                bars.put(shard, token);
+                readers.remove(shard);
+                synced.remove(shard);
+                rows.put(BAR + shard, Wire.pack(new Bar(token.term(), token.count(), "")));
+            }
+        });
+        saveAll(rows, ok -> {});
+    }
+
+    private void mergeAll(final List<Msg.AgedNote> notes) {
+        final Map<String, byte[]> rows = new HashMap<>();
+        notes.forEach(n -> {
+            final KeyRecordTable.Row row = merged(n);
+            table.put(row);
+            rows.put(NOTE + row.note().key(), Wire.pack(row));
+        });
+        saveAll(rows, ok -> {});
+    }
+
+    @Override
+    public List<Long> sums() {
+        return table.sums();
+    }
+
+    @Override
+    public Msg.HandedRecords give(final List<Long> theirs, final String after) {
+        final List<Integer> cells = table.differing(theirs).stream()
+                .filter(c -> after == null || c >= KeyRecordTable.cell(after))
+                .toList();
+        final String from =
+                after == null || cells.isEmpty() || cells.get(0) != KeyRecordTable.cell(after) ? null : after;
+        return new Msg.HandedRecords(Map.copyOf(bars), kept(table.whole(cells, from)));
+    }
+
+    @Override
+    public boolean merge(final Msg.HandedRecords handed) {
+        if (!KeyRecordTable.sound(handed.page())) {
+            journal.add(
+                    Event.of(Code.RECORDS_BAD, "records", handed.page().notes().size()));
+            return false;
+        }
+        raise(handed.bars());
+        mergeAll(handed.page().notes());
+        return true;
+    }
+
+    /** Nobody has read these shards in the epoch that begins: every holder reads them anew. */
+    @Override
+    public Map<String, byte[]> rows() {
+        final Map<String, byte[]> rows = new HashMap<>();
+        bars.forEach((shard, token) -> rows.put(BAR + shard, Wire.pack(new Bar(token.term(), token.count(), ""))));
+        rows.put(LAPSE, null);
+        return rows;
+    }
+
+    @Override
+    public void joined() {
+        readers.clear();
+        synced.clear();
+        lacking = false;
+    }
+
     private KeyRecordTable.Row merged(final Msg.AgedNote other) {
         final long at = wall.getAsLong() - other.age();
         final KeyRecordTable.Row old = table.get(other.note().key());
--- a/control/src/main/java/rv/control/KeyRecordTable.java
+++ b/control/src/main/java/rv/control/KeyRecordTable.java
@@ -45,8 +45,13 @@
         return Hash.mix(n.key() + '\n' + n.token() + '\n' + n.turn() + '\n' + n.clear() + '\n' + (n.outcome() != null));
     }
 
-    static long sum(final Collection<Msg.Note> notes) {
-        return notes.stream().mapToLong(KeyRecordTable::mix).reduce(0, (a, b) -> a ^ b);
+    static long sumOf(final Collection<Msg.AgedNote> notes) {
+        return notes.stream().mapToLong(n -> mix(n.note())).reduce(0, (a, b) -> a ^ b);
+    }
+
+    /** Whether a page holds what its sender put into it. */
+    static boolean sound(final Msg.KeptCells page) {
+        return page.sum() == sumOf(page.notes());
     }
 
     Row get(final String key) {
@@ -95,7 +100,7 @@
     List<Integer> differing(final List<Long> other) {
         final List<Integer> list = new ArrayList<>();
         for (int c = 0; c < CELLS; c++) {
-            if (sums[c] != other.get(c)) {
+            if (other.size() != CELLS || sums[c] != other.get(c)) {
                 list.add(c);
             }
         }
--- a/control/src/main/java/rv/control/RecordCopy.java
+++ b/control/src/main/java/rv/control/RecordCopy.java
@@ -34,6 +34,7 @@
     private final Net net;
     private final Journal journal;
     private final KeyRecordTable table;
+    private final long epoch;
     private final Msg.KeepSums greeting;
     private final BiPredicate<Set<NodeId>, Set<NodeId>> enough;
     private final Sink sink;
@@ -77,20 +78,26 @@
         }
     }
 
-    /** {@code enough}: whether those that were copied, and those that said they have no memory, will do. */
+    /**
+     * {@code asker}: this life of this voter; {@code bar}: whether the others' eras end for it; {@code enough}: whether those
+     * that were copied, and those that said they have no memory, will do.
+     */
     RecordCopy(
             final Loop loop,
             final Net net,
             final Journal journal,
             final KeyRecordTable table,
-            final Msg.KeepSums greeting,
+            final long epoch,
+            final String asker,
+            final boolean bar,
             final BiPredicate<Set<NodeId>, Set<NodeId>> enough,
             final Sink sink) {
         this.loop = loop;
         this.net = net;
         this.journal = journal;
         this.table = table;
-        this.greeting = greeting;
+        this.epoch = epoch;
+        this.greeting = new Msg.KeepSums(epoch, asker, bar);
         this.enough = enough;
         this.sink = sink;
         this.begun = loop.now();
@@ -165,7 +172,7 @@
             pump();
             return;
         }
-        net.ask(s.id, new Msg.KeepCells(s.cells, s.after), s.patience(), r -> paged(s, r));
+        net.ask(s.id, new Msg.KeepCells(epoch, s.cells, s.after), s.patience(), r -> paged(s, r));
     }
 
     private void paged(final Source s, final Reply r) {
@@ -186,9 +193,7 @@
     }
 
     private boolean sound(final Source s, final Msg.KeptCells answer) {
-        final List<Msg.Note> notes =
-                answer.notes().stream().map(Msg.AgedNote::note).toList();
-        final boolean same = answer.sum() == KeyRecordTable.sum(notes)
+        final boolean same = KeyRecordTable.sound(answer)
                 && (answer.next() == null || s.cells.contains(KeyRecordTable.cell(answer.next())));
         if (!same) {
             journal.add(Event.of(
--- a/control/src/test/java/rv/control/KeyRecordStoreTest.java
+++ b/control/src/test/java/rv/control/KeyRecordStoreTest.java
@@ -103,7 +103,7 @@
         final KeyRecordStore k = new KeyRecordStore(
                 id,
                 "b" + keepers.size(),
-                quorum,
+                Electorate.of(quorum),
                 net,
                 loop,
                 loop::now,
@@ -113,7 +113,7 @@
         keepers.put(id, k);
         k.start();
         if (lost) {
-            k.forgotten();
+            disk.save(k.forgotten(), ok -> {});
         }
         return k;
     }
@@ -124,7 +124,7 @@
     }
 
     private static Msg.KeepRead first(final Token token, final String boot) {
-        return new Msg.KeepRead(3, token, boot, true, null, 0);
+        return new Msg.KeepRead(0, 3, token, boot, true, null, 0);
     }
 
     private static Msg.Kept read(final KeyRecordStore k, final Msg.KeepRead ask) {
@@ -136,7 +136,7 @@
     private static void fill(final KeyRecordStore k, final int from, final int to, final int body) {
         final long era = read(k, first(TOKEN, "w")).era();
         for (int i = from; i < to; i++) {
-            k.write(new Msg.KeepWrite(note("route|service|key-" + i, body), era), m -> {});
+            k.write(new Msg.KeepWrite(0, note("route|service|key-" + i, body), era), m -> {});
         }
     }
 
@@ -151,7 +151,7 @@
         all.addAll(page.notes());
         while (page.next() != null) {
             assertTrue(Wire.pack(page).length <= 26_000, "page of " + Wire.pack(page).length);
-            page = read(k, new Msg.KeepRead(3, TOKEN, "w", true, page.next(), era));
+            page = read(k, new Msg.KeepRead(0, 3, TOKEN, "w", true, page.next(), era));
             assertEquals(era, page.era());
             all.addAll(page.notes());
             pages++;
@@ -171,19 +171,19 @@
         final KeyRecordStore k = keeper(A, new Rows(), false);
         fill(k, 0, 500, -1);
         final Msg.Kept page = read(k, first(TOKEN, "w"));
-        final Msg.KeepRead second = new Msg.KeepRead(3, TOKEN, "w", true, page.next(), page.era());
+        final Msg.KeepRead second = new Msg.KeepRead(0, 3, TOKEN, "w", true, page.next(), page.era());
         assertTrue(read(k, second).ok());
-        k.sums(new Msg.KeepSums("b/1", true), m -> {});
+        k.sums(new Msg.KeepSums(0, "b/1", true), m -> {});
         assertFalse(read(k, second).ok(), "the era has ended");
         final Msg.Kept other = read(k, first(TOKEN, "w"));
         read(k, first(TOKEN, "x"));
         assertFalse(
-                read(k, new Msg.KeepRead(3, TOKEN, "w", true, other.next(), other.era()))
+                read(k, new Msg.KeepRead(0, 3, TOKEN, "w", true, other.next(), other.era()))
                         .ok(),
                 "another reads");
         read(k, first(new Token(2, 1), "w"));
         assertFalse(
-                read(k, new Msg.KeepRead(3, TOKEN, "w", true, other.next(), other.era()))
+                read(k, new Msg.KeepRead(0, 3, TOKEN, "w", true, other.next(), other.era()))
                         .ok(),
                 "barred");
     }
@@ -193,7 +193,7 @@
     void aReaderThatKnowsNoPagesGetsAllAtOnceWithoutOutcomes() throws Exception {
         final KeyRecordStore k = keeper(A, new Rows(), false);
         fill(k, 0, 500, 10);
-        final Msg.Kept all = read(k, new Msg.KeepRead(3, TOKEN, "w", false, null, 0));
+        final Msg.Kept all = read(k, new Msg.KeepRead(0, 3, TOKEN, "w", false, null, 0));
         assertEquals(500, all.notes().size());
         assertNull(all.next());
         assertTrue(all.notes().stream().allMatch(n -> n.outcome() == null));
@@ -363,7 +363,9 @@
                 forging,
                 journal,
                 table,
-                new Msg.KeepSums("a/1", true),
+                0,
+                "a/1",
+                true,
                 (copied, bare) -> copied.size() == 2,
                 new RecordCopy.Sink() {
                     @Override
--- a/data/src/main/java/rv/data/KeyedRequests.java
+++ b/data/src/main/java/rv/data/KeyedRequests.java
@@ -15,8 +15,8 @@
 import rv.base.Net;
 import rv.base.NodeId;
 import rv.base.Token;
+import rv.control.Electorate;
 import rv.control.Holder;
-import rv.control.Quorum;
 import rv.control.RecordRetention;
 import rv.control.StoreHealth;
 
@@ -26,7 +26,7 @@
     private static final long SWEEP_PERIOD = 10_000;
     private static final long INTENT_WAIT = 1000;
     private static final long OUTCOME_WAIT = 700;
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final Loop loop;
     private final Net net;
     private final Holder holder;
@@ -45,7 +45,7 @@
     }
 
     public KeyedRequests(
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final Holder holder,
@@ -55,7 +55,7 @@
             final RecordRetention retention) {
         this.boot = boot;
         this.turns = Hash.mix(boot) << TURN_BITS;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.loop = loop;
         this.net = net;
         this.holder = holder;
@@ -63,6 +63,7 @@
         this.stores = stores;
         this.retention = retention;
         loop.every(SWEEP_PERIOD, this::sweep);
+        electorate.onChange(() -> List.copyOf(shards.values()).forEach(KeyedShard::moved));
     }
 
     private void sweep() {
@@ -100,7 +101,7 @@
                 loop,
                 turn -> turn >> TURN_BITS == turns >> TURN_BITS,
                 listener -> new RecordReader(
-                        quorum,
+                        electorate,
                         loop,
                         net,
                         stores,
@@ -156,7 +157,7 @@
             return;
         }
         e.fetching = true;
-        final List<NodeId> keepers = new ArrayList<>(quorum.electors());
+        final List<NodeId> keepers = new ArrayList<>(electorate.voters());
         Collections.rotate(keepers, (int) (serial % keepers.size()));
         new OutcomeFetch(loop, net, keepers, key, outcome -> {
                     e.fetching = false;
@@ -214,9 +215,11 @@
         e.busy = false;
         e.clear = true;
         final Msg.Note note = note(shard, key, e, true);
-        quorum.electors()
-                .forEach(k ->
-                        net.ask(k, new Msg.KeepWrite(note, shard.reader().era(k).orElse(0)), OUTCOME_WAIT, r -> {}));
+        final long epoch = electorate.epoch();
+        electorate
+                .voters()
+                .forEach(k -> net.ask(
+                        k, new Msg.KeepWrite(epoch, note, shard.reader().era(k).orElse(0)), OUTCOME_WAIT, r -> {}));
         e.answer(f);
     }
 
@@ -240,6 +243,6 @@
     }
 
     private void keep(final KeyedShard shard, final Msg.Note note, final long span, final Consumer<Boolean> then) {
-        new RecordWrite(quorum, loop, net, stores, shard, note, span, true, then).start();
+        new RecordWrite(electorate, loop, net, stores, shard, note, span, true, then).start();
     }
 }
--- a/data/src/main/java/rv/data/KeyedShard.java
+++ b/data/src/main/java/rv/data/KeyedShard.java
@@ -23,7 +23,8 @@
     private final Map<String, List<Msg.Note>> heard = new HashMap<>();
 
     private final List<Waiter> waiting = new ArrayList<>();
-    private final RecordReader reader;
+    private final Function<RecordReader.Listener, RecordReader> readers;
+    private RecordReader reader;
     private boolean ready;
     private boolean closed;
     private boolean reported;
@@ -36,14 +37,15 @@
             final Token token,
             final Loop loop,
             final LongPredicate own,
-            final Function<RecordReader.Listener, RecordReader> reader,
+            final Function<RecordReader.Listener, RecordReader> readers,
             final Runnable report) {
         this.shard = shard;
         this.token = token;
         this.loop = loop;
         this.own = own;
         this.report = report;
-        this.reader = reader.apply(this);
+        this.readers = readers;
+        this.reader = readers.apply(this);
     }
 
     int shard() {
@@ -91,6 +93,17 @@
         }
     }
 
+    /** Another set of keepers counts from now on: it is read anew, whoever waits or not. */
+    void moved() {
+        if (!closed) {
+            reader.stop();
+            reader = readers.apply(this);
+            ready = false;
+            heard.clear();
+            reader.start();
+        }
+    }
+
     /** The right has moved on: nothing is read any more, and nobody waits. */
     void close() {
         closed = true;
--- a/data/src/main/java/rv/data/RecordReader.java
+++ b/data/src/main/java/rv/data/RecordReader.java
@@ -14,11 +14,12 @@
 import rv.base.NodeId;
 import rv.base.Reply;
 import rv.base.Token;
+import rv.control.Electorate;
 import rv.control.Quorum;
 import rv.control.StoreHealth;
 
 /**
- * Reads one shard's records from the keepers, once for a token and for each keeper's era. Each keeper is asked for
+ * Reads one shard's records from the keepers of one epoch, once for a token and for each keeper's era. Each keeper is asked for
  * itself, page by page, again after a growing pause, with growing patience: one that is late holds up no other, and
  * what another has answered counts on. However many requests wait, one question to each keeper is open at most.
  */
@@ -27,6 +28,7 @@
     private static final int WAIT_DOUBLINGS = 3;
     private static final long FIRST_PAUSE = 100;
     private static final long LONGEST_PAUSE = 1000;
+    private final Electorate electorate;
     private final Quorum quorum;
     private final Loop loop;
     private final Net net;
@@ -81,7 +83,7 @@
 
     /** {@code wanted}: whether the right to the shard is still had under this token. */
     RecordReader(
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final StoreHealth stores,
@@ -90,7 +92,8 @@
             final String boot,
             final BooleanSupplier wanted,
             final Listener listener) {
-        this.quorum = quorum;
+        this.electorate = electorate;
+        this.quorum = electorate.quorum();
         this.loop = loop;
         this.net = net;
         this.stores = stores;
@@ -99,7 +102,7 @@
         this.boot = boot;
         this.wanted = wanted;
         this.listener = listener;
-        quorum.electors().forEach(k -> reads.put(k, new KeeperRead()));
+        quorum.voters().forEach(k -> reads.put(k, new KeeperRead()));
         begun = loop.now();
     }
 
@@ -161,9 +164,10 @@
             return;
         }
         read.asking = true;
-        final Msg.KeepRead question = new Msg.KeepRead(shard, token, boot, true, read.after, read.era);
+        final Msg.KeepRead question = new Msg.KeepRead(quorum.epoch(), shard, token, boot, true, read.after, read.era);
         net.ask(keeper, question, read.patience(), r -> {
             read.asking = false;
+            electorate.refused(keeper, r);
             if (!stopped) {
                 answered(keeper, read, r);
             }
@@ -198,7 +202,6 @@
         read.era = page.era();
         read.notes.addAll(page.notes());
         if (page.next() != null) {
-            read.failures = 0;
             read.after = page.next();
             ask(keeper, read);
         } else if (page.lapse()) {
--- a/data/src/main/java/rv/data/RecordWrite.java
+++ b/data/src/main/java/rv/data/RecordWrite.java
@@ -10,6 +10,7 @@
 import rv.base.Net;
 import rv.base.NodeId;
 import rv.base.Reply;
+import rv.control.Electorate;
 import rv.control.Quorum;
 import rv.control.StoreHealth;
 
@@ -19,6 +20,9 @@
  * written once more when enough of them are.
  */
 final class RecordWrite {
+    private static final long MOVED_PATIENCE = 1500;
+    private static final long LOOK_PERIOD = 100;
+    private final Electorate electorate;
     private final Quorum quorum;
     private final Loop loop;
     private final Net net;
@@ -38,7 +42,7 @@
 
     /** {@code again}: whether it is written once more after keepers have been read anew. */
     RecordWrite(
-            final Quorum quorum,
+            final Electorate electorate,
             final Loop loop,
             final Net net,
             final StoreHealth stores,
@@ -47,7 +51,8 @@
             final long span,
             final boolean again,
             final Consumer<Boolean> then) {
-        this.quorum = quorum;
+        this.electorate = electorate;
+        this.quorum = electorate.quorum();
         this.loop = loop;
         this.net = net;
         this.stores = stores;
@@ -57,26 +62,36 @@
         this.again = again;
         this.then = then;
         this.begun = loop.now();
-        this.left = quorum.electors().size();
+        this.left = quorum.voters().size();
     }
 
     void start() {
-        final List<NodeId> keepers = quorum.electors();
+        final List<NodeId> keepers = quorum.voters();
         keepers.forEach(k -> {
             final OptionalLong era = shard.reader().era(k);
             if (era.isPresent()) {
-                net.ask(k, new Msg.KeepWrite(note, era.getAsLong()), span, r -> heard(k, r));
+                net.ask(k, new Msg.KeepWrite(quorum.epoch(), note, era.getAsLong()), span, r -> heard(k, r));
             } else {
                 left--;
                 stale.add(k);
             }
         });
         loop.after(StoreHealth.HUSH, this::look);
+        lookOn();
+    }
+
+    private void lookOn() {
         look();
+        if (!over) {
+            loop.after(LOOK_PERIOD, this::lookOn);
+        }
     }
 
     private void heard(final NodeId keeper, final Reply r) {
         left--;
+        if (electorate.refused(keeper, r)) {
+            stale.add(keeper);
+        }
         if (Msg.Nay.disk(r)) {
             stores.failing(keeper);
         }
@@ -103,6 +118,10 @@
         if (over) {
             return;
         }
+        if (electorate.epoch() != quorum.epoch()) {
+            moved();
+            return;
+        }
         final boolean most = quorum.write(good);
         if (most && !barred && stores.enough(synced, loop.now() - begun)) {
             end(true);
@@ -111,21 +130,27 @@
         }
     }
 
+    /** Another set of keepers counts now: what this one has acknowledged is handed over, and the new one is asked. */
+    private void moved() {
+        over = true;
+        shard.whenReady(MOVED_PATIENCE, () -> repeat(again), () -> then.accept(false));
+    }
+
     private void end(final boolean ok) {
         over = true;
         if (ok || barred || stale.isEmpty() || !again) {
             then.accept(ok);
             return;
         }
-        shard.whenReady(span, this::repeat, () -> then.accept(false));
+        shard.whenReady(span, () -> repeat(false), () -> then.accept(false));
     }
 
     /** Not over another process's intent that came to light when the keepers were read anew. */
-    private void repeat() {
+    private void repeat(final boolean more) {
         if (note.outcome() == null && shard.keys().get(note.key()).foreign != null) {
             then.accept(false);
         } else {
-            new RecordWrite(quorum, loop, net, stores, shard, note, span, false, then).start();
+            new RecordWrite(electorate, loop, net, stores, shard, note, span, more, then).start();
         }
     }
 }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -2,40 +2,70 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import rv.base.Member;
+import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
 import rv.control.RecordRetention;
 
-/** What a process is told about its place. */
+/** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
         Member self,
         List<NodeId> seeds,
         Quorum quorum,
-        Timing timing,
         int shards,
         long cacheBytes,
         boolean first,
-        double share,
-        double slack,
         List<String> seats,
-        long noticeMs,
-        List<String> places,
+        AtomicReference<LiveSettings> live,
+        Msg.Chosen voters,
         long keyWindowMs) {
 
+    public Timing timing() {
+        return live.get().timing();
+    }
+
+    public double share() {
+        return live.get().extraRatio();
+    }
+
+    public double slack() {
+        return live.get().extraSlack();
+    }
+
+    public long noticeMs() {
+        return live.get().noticeMs();
+    }
+
+    public List<String> places() {
+        return live.get().places();
+    }
+
     public boolean elector() {
         return quorum.has(self.id());
     }
 
-    /** Stores arbitrate; where no elector is named a store, every elector has a disk and does. */
+    /** Whether the voters are chosen by ballot; where stores are named, they stay the stated ones. */
+    public boolean votersMayChange() {
+        return quorum.stores().isEmpty();
+    }
+
+    /** Where voters change, every shield has a disk and may become one. */
+    public boolean mayVote() {
+        return elector() || votersMayChange() && is(Role.SHIELD);
+    }
+
+    /** Stores arbitrate; where no voter is named a store, every voter has a disk and does. */
     public boolean arbitrates() {
-        return is(Role.STORE) || quorum.stores().isEmpty() && elector();
+        return is(Role.STORE) || votersMayChange() && mayVote();
     }
 
     /** Which place a cell is in; the first where it is in none. */
     public int at(final String cell) {
+        final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
             if (cell.startsWith(places.get(i))) {
                 return i;
@@ -69,6 +99,8 @@
         private List<String> seats = List.of();
         private long notice = 1000;
         private List<String> places = List.of("");
+        private int wantedLosses;
+        private Msg.Chosen voters;
         private long keyWindow = RecordRetention.DEFAULT_WINDOW;
 
         private Builder(final Member self) {
@@ -120,7 +152,19 @@
 
         /** Cells, or the beginnings of cells, that objects are filled for apart; the same on all nodes. */
         public Builder places(final List<String> list) {
-            places = list.isEmpty() ? List.of("") : List.copyOf(list);
+            places = list;
+            return this;
+        }
+
+        /** How many voters may be lost at once; the set is made as large as that needs. */
+        public Builder wantedLosses(final int n) {
+            wantedLosses = n;
+            return this;
+        }
+
+        /** The chosen set that votes now, where it is known; without it the founding set is taken. */
+        public Builder voters(final Msg.Chosen set) {
+            voters = set;
             return this;
         }
 
@@ -142,15 +186,12 @@
                     self,
                     seeds,
                     quorum,
-                    timing,
                     shards,
                     cacheBytes,
                     first,
-                    share,
-                    slack,
                     seats,
-                    notice,
-                    places,
+                    new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
+                    voters,
                     keyWindow);
         }
     }
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -21,6 +21,8 @@
 import rv.control.JsonReader;
 import rv.control.JsonShape;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
+import rv.data.LiveSettings;
 
 /** A process's place: from a JSON file, from flags, flags first; all faults are found before any is told. */
 public record Options(
@@ -47,6 +49,8 @@
         List<String> cells,
         long noticeMs,
         List<String> places,
+        int wantedLosses,
+        long keyWindowMs,
         String shortage) {
 
     static final List<String> FLAGS = List.of(
@@ -79,6 +83,7 @@
             "faces",
             "cells",
             "notice-ms",
+            "key-window",
             "spread");
 
     public static OptionParser parser() {
@@ -128,6 +133,7 @@
         p.accepts("spread", "what objects are filled for apart: region, zone or none")
                 .withRequiredArg();
         p.accepts("notice-ms", "how long a leaving edge still takes requests").withRequiredArg();
+        p.accepts("key-window", "seconds in which a key runs once").withRequiredArg();
         p.accepts("faces", "further addresses for an adapter: NAME@IP:PORT,...").withRequiredArg();
         return p;
     }
@@ -153,6 +159,16 @@
         return check(role, all, faults);
     }
 
+    /** The file that the command line names; null where it names none. */
+    static Path file(final String... args) {
+        try {
+            final OptionSet set = parser().parse(args);
+            return set.has("options") ? Path.of((String) set.valueOf("options")) : null;
+        } catch (final OptionException e) {
+            return null;
+        }
+    }
+
     private static void file(final Path at, final Map<String, Object> all, final List<Finding> faults) {
         try {
             final List<Finding> own = new ArrayList<>();
@@ -187,7 +203,8 @@
                                 "apply-ms",
                                 "drain-ms",
                                 "grace-s",
-                                "notice-ms")
+                                "notice-ms",
+                                "key-window")
                         .contains(name)
                 && text.matches("-?[0-9]{1,15}([.][0-9]{1,6})?")) {
             return new java.math.BigDecimal(text);
@@ -278,6 +295,7 @@
                         .distinct()
                         .sorted()
                         .toList();
+        final long keyWindow = 1000 * s.whole("key-window", false, RecordRetention.DEFAULT_WINDOW / 1000, 1, 86_400);
         final long notice = s.whole("notice-ms", false, Math.min(1000, stop), 0, 600_000);
         if (!cells.isEmpty() && !cells.contains(cell)) {
             s.fault("cell", cell + " is not among the cells");
@@ -317,6 +335,8 @@
                         cells,
                         notice,
                         places,
+                        wanted,
+                        keyWindow,
                         disks && wanted > most
                                 ? electors.size() + " electors bear the loss of " + most + ", not of " + wanted
                                 : "")
@@ -373,9 +393,22 @@
                 cells,
                 noticeMs,
                 places,
+                wantedLosses,
+                keyWindowMs,
                 shortage);
     }
 
+    /** What a running node, whose lease times are {@code running}, takes over when they change. */
+    LiveSettings live(final Timing running) {
+        return new LiveSettings(
+                new Timing(running.d(), running.m(), timing.fresh()),
+                extraRatio,
+                extraSlack,
+                noticeMs,
+                places,
+                wantedLosses);
+    }
+
     /** Whether every elector has a disk, so that the set of them is kept and learned, not stated. */
     public boolean learns() {
         return quorum.stores().isEmpty();
--- a/prog/src/main/java/rv/prog/ProcessModule.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -13,6 +13,7 @@
 import rv.base.Disk;
 import rv.base.Journal;
 import rv.base.Member;
+import rv.base.Msg;
 import rv.base.Role;
 import rv.data.Node;
 import rv.data.Port;
@@ -24,6 +25,7 @@
     private final String boot;
     private final Dialect dialect;
     private Options options;
+    private Msg.Chosen voters;
 
     public ProcessModule(final Options options, final String boot, final Dialect dialect) {
         this.options = options;
@@ -31,9 +33,10 @@
         this.dialect = dialect;
     }
 
-    /** Before the node is put together. */
-    public void seated(final Options o) {
+    /** Before the node is put together. {@code present}: the chosen set that votes now, or null where none is known. */
+    public void seated(final Options o, final Msg.Chosen present) {
         options = o;
+        voters = present;
     }
 
     @Provides
@@ -112,7 +115,7 @@
         final Setup setup = Setup.of(self)
                 .seeds(
                         options.learns()
-                                ? options.quorum().electors()
+                                ? options.quorum().voters()
                                 : java.util.List.copyOf(options.seeds().keySet()))
                 .quorum(options.quorum())
                 .timing(options.timing())
@@ -123,6 +126,9 @@
                 .seats(options.seats())
                 .notice(options.noticeMs())
                 .places(options.places())
+                .wantedLosses(options.wantedLosses())
+                .keyWindow(options.keyWindowMs())
+                .voters(voters)
                 .build();
         return new Node(
                 setup,
--- a/prog/src/test/java/rv/prog/SeatingTest.java
+++ b/prog/src/test/java/rv/prog/SeatingTest.java
@@ -93,7 +93,7 @@
         assertEquals(FOUNDERS, later.seats(), "later seeds are others");
         assertEquals(
                 List.of("n10-0-0-1", "n10-0-0-2", "n10-0-0-3"),
-                later.quorum().electors().stream().map(NodeId::text).toList());
+                later.quorum().voters().stream().map(NodeId::text).toList());
     }
 
     @Test
@@ -118,7 +118,7 @@
         }));
         assertTrue(refused.await(20, TimeUnit.SECONDS));
         new Thread(seat).start();
-        other.serve((from, msg, back) -> back.accept(new Msg.Seated(FOUNDERS)));
+        other.serve((from, msg, back) -> back.accept(new Msg.Seated(FOUNDERS, null)));
         assertEquals(FOUNDERS, seat.get(20, TimeUnit.SECONDS).seats());
         assertEquals(1, rows.size());
         assertEquals(
--- a/rig/src/test/java/rv/rig/KeeperTest.java
+++ b/rig/src/test/java/rv/rig/KeeperTest.java
@@ -53,7 +53,7 @@
         final KeyRecordStore k = new KeyRecordStore(
                 NodeId.of(name),
                 "b" + ++ver,
-                quorum,
+                rv.control.Electorate.of(quorum),
                 net,
                 loop,
                 world::now,
@@ -62,7 +62,7 @@
                 RETENTION);
         k.start();
         if (lost) {
-            k.forgotten();
+            disk.save(k.forgotten(), ok -> {});
         }
         return k;
     }
@@ -80,6 +80,7 @@
             for (int i = 0; i < 400; i++) {
                 k.write(
                         new Msg.KeepWrite(
+                                0,
                                 new Msg.Note(
                                         "k" + i,
                                         3,
@@ -128,7 +129,7 @@
     }
 
     private static Msg.KeepRead ask(final int shard, final Token token) {
-        return new Msg.KeepRead(shard, token, "b", true, null, 0);
+        return new Msg.KeepRead(0, shard, token, "b", true, null, 0);
     }
 
     private long era(final KeyRecordStore k) {
@@ -144,10 +145,10 @@
         final long before = era(k);
         final List<Msg> got = new ArrayList<>();
         final Msg.Note note = new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null);
-        k.sums(new Msg.KeepSums("st2/b", false), got::add);
-        k.write(new Msg.KeepWrite(note, before), got::add);
-        k.sums(new Msg.KeepSums("st2/b", true), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), before), got::add);
+        k.sums(new Msg.KeepSums(0, "st2/b", false), got::add);
+        k.write(new Msg.KeepWrite(0, note, before), got::add);
+        k.sums(new Msg.KeepSums(0, "st2/b", true), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), before), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(1));
         assertTrue(((Msg.KeptSums) got.get(2)).ok());
         assertEquals(new Msg.KeepSeen(false, false, true), got.get(3));
@@ -159,9 +160,9 @@
         final KeyRecordStore k = keeper(disk, false);
         final List<Msg> got = new ArrayList<>();
         final long era = era(k);
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
         k.read(ask(3, new Token(1, 2)), got::add);
-        k.write(new Msg.KeepWrite(new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k2", 3, new Token(1, 1), "d", 1, false, null), era), got::add);
         k.read(ask(3, new Token(1, 1)), got::add);
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(0));
         assertEquals(1, ((Msg.Kept) got.get(1)).notes().size());
@@ -169,7 +170,8 @@
         assertFalse(((Msg.Kept) got.get(3)).ok());
         final KeyRecordStore again = keeper(disk, false);
         again.write(
-                new Msg.KeepWrite(new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)), got::add);
+                new Msg.KeepWrite(0, new Msg.Note("k3", 3, new Token(1, 1), "d", 1, false, null), era(again)),
+                got::add);
         assertEquals(new Msg.KeepSeen(false, false, false), got.get(4), "the bar outlives a restart");
     }
 
@@ -178,7 +180,7 @@
         final Rows disk = new Rows();
         final KeyRecordStore k = keeper(disk, true);
         final List<Msg> got = new ArrayList<>();
-        k.write(new Msg.KeepWrite(new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
+        k.write(new Msg.KeepWrite(0, new Msg.Note("k1", 3, new Token(1, 1), "d", 1, false, null), era(k)), got::add);
         world.run(30_000);
         final KeyRecordStore again = keeper(disk, false);
         assertTrue(again.lapse());
--- a/rig/src/test/java/rv/rig/LeaseTest.java
+++ b/rig/src/test/java/rv/rig/LeaseTest.java
@@ -199,7 +199,7 @@
         });
         final rv.control.Quorum quorum = new rv.control.Quorum(keepers, java.util.Set.of(BOSS, keepers.get(1)));
         return new rv.data.KeyedRequests(
-                quorum,
+                rv.control.Electorate.of(quorum),
                 loop,
                 net,
                 holder,
