--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -1,13 +1,11 @@
 package rv.control;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import rv.base.Code;
@@ -28,30 +26,20 @@
  * the era in which its writer read this keeper: whoever rebuilds a lost memory from here ends the era, so that no
  * intent can stand on an answer given before the loss and one given after the rebuilding.
  */
-public final class KeyRecordStore implements RecordHandover {
+public final class KeyRecordStore implements RecordHandover, RecordRecovery.Records {
     private static final String NOTE = "k/";
     private static final String BAR = "b/";
     private static final String LAPSE = "lapse";
     private static final String ERA = "era";
     private static final long SWEEP_PERIOD = 1000;
-    private static final long LOOK_PERIOD = 250;
     private static final int ASKERS = 64;
-    /** For how long a standby counts as warm once it has copied what a voter holds. */
-    private static final long WARM = 3000;
-
-    private static final long WARM_WAIT = 500;
-    private final Electorate electorate;
-    private final NodeId self;
-    /** This life of this voter. */
-    private final String name;
-
-    private final Net net;
     private final Loop loop;
     private final LongSupplier wall;
     private final MonitoredDisk disk;
     private final Journal journal;
     private final RecordRetention retention;
     private final KeyRecordTable table = new KeyRecordTable();
+    private final RecordRecovery recovery;
     private final Map<Integer, Token> bars = new HashMap<>();
     private final Map<Integer, String> readers = new HashMap<>();
     private final Map<Integer, Bar> synced = new HashMap<>();
@@ -65,11 +53,6 @@
 
     private long since = Long.MIN_VALUE;
     private boolean lacking;
-    private boolean recalling;
-    private RecordCopy copy;
-    private RecordCopy warming;
-    private final List<Consumer<Boolean>> waiting = new ArrayList<>();
-    private long warmed = Long.MIN_VALUE;
     private long era;
 
     record Lapse(long since) {}
@@ -88,16 +71,14 @@
             final MonitoredDisk disk,
             final Journal journal,
             final RecordRetention retention) {
-        this.self = self;
-        this.name = self + "/" + boot;
-        this.electorate = electorate;
-        this.net = net;
+        final String name = self + "/" + boot;
         this.era = Hash.mix(name) >>> 1;
         this.loop = loop;
         this.wall = wall;
         this.disk = disk;
         this.journal = journal;
         this.retention = retention;
+        this.recovery = new RecordRecovery(self, name, electorate, net, loop, journal, table, this);
     }
 
     public void start() throws DiskTrouble {
@@ -109,8 +90,7 @@
         } catch (final WireTrouble e) {
             throw new DiskTrouble("keeper rows cannot be read", e);
         }
-        electorate.onChange(this::moved);
-        recall();
+        recovery.start();
         loop.every(SWEEP_PERIOD, this::sweep);
     }
 
@@ -144,25 +124,10 @@
     public Map<String, byte[]> forgotten() {
         lacking = true;
         since = wall.getAsLong();
-        loop.post(this::recall);
+        loop.post(recovery::recall);
         return lapseRows();
     }
 
-    /** Another set votes: what was begun with the one before is given up. */
-    private void moved() {
-        stop(copy);
-        copy = null;
-        stop(warming);
-        warming = null;
-        warmed = Long.MIN_VALUE;
-    }
-
-    private static void stop(final RecordCopy some) {
-        if (some != null) {
-            some.stop();
-        }
-    }
-
     private Map<String, byte[]> lapseRows() {
         return lapse() ? Map.of(LAPSE, Wire.pack(new Lapse(since))) : Map.of();
     }
@@ -299,115 +264,24 @@
         return new Msg.KeptCells(true, notes, KeyRecordTable.sumOf(notes), page.next());
     }
 
-    /** While records are lacking, one copy of the others' is under way. */
-    private void recall() {
-        if (!lapse()) {
-            stop(copy);
-            copy = null;
-            recalling = false;
-            return;
-        }
-        if (copy == null && electorate.has(self)) {
-            copy = copy(true, (copied, bare) -> electorate.quorum().read(copied) || sole(copied, bare), this::recalled);
-        }
-        if (!recalling) {
-            recalling = true;
-            loop.after(LOOK_PERIOD, this::recallAgain);
-        }
-    }
-
-    private void recallAgain() {
-        recalling = false;
-        recall();
-    }
-
-    private RecordCopy copy(
-            final boolean bar, final BiPredicate<Set<NodeId>, Set<NodeId>> enough, final Runnable done) {
-        final Net taught = (to, msg, wait, then) -> net.ask(to, msg, wait, r -> {
-            electorate.refused(to, r);
-            then.accept(r);
-        });
-        final List<NodeId> others = new ArrayList<>(electorate.voters());
-        others.remove(self);
-        Collections.rotate(others, Math.floorMod(self.hashCode(), Math.max(1, others.size())));
-        final RecordCopy started =
-                new RecordCopy(loop, taught, journal, table, electorate.epoch(), name, bar, enough, new Copied(done));
-        started.start(others);
-        return started;
+    /** A standby gets ready to vote: {@code then} hears whether it holds what some voter held a moment ago. */
+    public void warm(final Consumer<Boolean> then) {
+        recovery.warm(then);
     }
 
     /** Every voter that counts has been copied: the lapse ends once all is synced. */
-    private void recalled() {
-        final RecordCopy mine = copy;
+    @Override
+    public void recalled(final Consumer<Boolean> then) {
         final Map<String, byte[]> rows = new HashMap<>();
         rows.put(LAPSE, null);
         disk.save(rows, ok -> {
-            if (copy == mine) {
-                lacking = !ok;
-                copy = null;
-            }
-        });
-    }
-
-    /** A standby copies what some voter holds, so that little is left to hand over once it is to vote itself. */
-    public void warm(final Consumer<Boolean> then) {
-        if (electorate.has(self) || warmed != Long.MIN_VALUE && loop.now() - warmed < WARM) {
-            then.accept(true);
-            return;
-        }
-        waiting.add(then);
-        if (warming == null) {
-            warming = copy(
-                    false,
-                    (copied, bare) -> !copied.isEmpty() || electorate.quorum().read(bare),
-                    this::warmed);
-        }
-        loop.after(WARM_WAIT, () -> {
-            if (waiting.remove(then)) {
-                then.accept(false);
-            }
+            lacking &= !ok;
+            then.accept(ok);
         });
     }
 
-    private void warmed() {
-        warming = null;
-        warmed = loop.now();
-        final List<Consumer<Boolean>> list = List.copyOf(waiting);
-        waiting.clear();
-        list.forEach(w -> w.accept(true));
-    }
-
-    /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
-    private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
-        return with.size() + bare.size() == electorate.voters().size() - 1
-                && electorate.quorum().stores().stream().anyMatch(with::contains);
-    }
-
-    /** Takes the others' records and bars. */
-    private final class Copied implements RecordCopy.Sink {
-        private final Runnable done;
-
-        Copied(final Runnable done) {
-            this.done = done;
-        }
-
-        @Override
-        public void bars(final Map<Integer, Token> theirs) {
-            raise(theirs);
-        }
-
-        @Override
-        public void notes(final List<Msg.AgedNote> notes) {
-            mergeAll(notes);
-        }
-
-        @Override
-        public void done() {
-            done.run();
-        }
-    }
-
-    private void raise(final Map<Integer, Token> theirs) {
+    @Override
+    public void raise(final Map<Integer, Token> theirs) {
         final Map<String, byte[]> rows = new HashMap<>();
         theirs.forEach((shard, token) -> {
             if (bars.getOrDefault(shard, Token.ZERO).below(token)) {
@@ -420,7 +294,8 @@
         saveAll(rows, ok -> {});
     }
 
-    private void mergeAll(final List<Msg.AgedNote> notes) {
+    @Override
+    public void mergeAll(final List<Msg.AgedNote> notes) {
         final Map<String, byte[]> rows = new HashMap<>();
         notes.forEach(n -> {
             final KeyRecordTable.Row row = merged(n);
--- a/control/src/main/java/rv/control/RecordCopy.java
+++ b/control/src/main/java/rv/control/RecordCopy.java
@@ -30,6 +30,9 @@
     private static final long PAUSE = 250;
     private static final long BARE_PAUSE = 1000;
     private static final int FAILURES_IN_TURN = 3;
+    /** Pages under way at once; more would hold up the other frames of a circuit. */
+    private static final int LANES = 2;
+
     private final Loop loop;
     private final Net net;
     private final Journal journal;
@@ -60,9 +63,8 @@
 
     private static final class Source {
         private final NodeId id;
+        private final List<Lane> lanes = new ArrayList<>();
         private List<Long> sums = List.of();
-        private List<Integer> cells = List.of();
-        private String after;
         private int failures;
 
         Source(final NodeId id) {
@@ -78,6 +80,17 @@
         }
     }
 
+    /** Cells that are copied one page after the other; {@code after}: the last key taken of the first of them, or null. */
+    private static final class Lane {
+        private List<Integer> cells;
+        private String after;
+        private boolean asking;
+
+        Lane(final List<Integer> cells) {
+            this.cells = cells;
+        }
+    }
+
     /**
      * {@code asker}: this life of this voter; {@code bar}: whether the others' eras end for it; {@code enough}: whether those
      * that were copied, and those that said they have no memory, will do.
@@ -146,55 +159,82 @@
         if (over || active != null || queue.isEmpty()) {
             return;
         }
-        active = queue.poll();
-        active.cells = open(active);
-        page(active);
+        final Source s = queue.poll();
+        active = s;
+        if (s.lanes.isEmpty()) {
+            open(s);
+        } else {
+            narrow(s);
+        }
+        goOn(s);
     }
 
-    /** The cells still to be copied: those that differ, and the one in the midst of which the last page ended. */
-    private List<Integer> open(final Source s) {
+    /** The cells that differ, shared out so that a page is on its way while the next is asked for. */
+    private void open(final Source s) {
         final List<Integer> differing = table.differing(s.sums);
-        if (s.after == null) {
-            return differing;
+        final int share = (differing.size() + LANES - 1) / LANES;
+        for (int from = 0; from < differing.size(); from += share) {
+            s.lanes.add(new Lane(differing.subList(from, Math.min(differing.size(), from + share))));
         }
-        final int begun = KeyRecordTable.cell(s.after);
-        return s.cells.stream().filter(c -> c == begun || differing.contains(c)).toList();
     }
 
-    private void page(final Source s) {
-        if (over) {
-            return;
-        }
-        if (s.cells.isEmpty()) {
+    /** Another keeper has given something meanwhile; a cell in the midst of which the last page ended is kept. */
+    private void narrow(final Source s) {
+        final Set<Integer> differing = new HashSet<>(table.differing(s.sums));
+        s.lanes.forEach(lane -> lane.cells = lane.cells.stream()
+                .filter(c -> differing.contains(c) || lane.after != null && c == KeyRecordTable.cell(lane.after))
+                .toList());
+    }
+
+    private void goOn(final Source s) {
+        s.lanes.removeIf(lane -> lane.cells.isEmpty() && !lane.asking);
+        if (s.lanes.isEmpty()) {
             active = null;
             copied.add(s.id);
             check();
             pump();
-            return;
+        } else {
+            List.copyOf(s.lanes).forEach(lane -> page(s, lane));
         }
-        net.ask(s.id, new Msg.KeepCells(epoch, s.cells, s.after), s.patience(), r -> paged(s, r));
     }
 
-    private void paged(final Source s, final Reply r) {
-        if (over) {
+    private void page(final Source s, final Lane lane) {
+        if (over || active != s || lane.asking || lane.cells.isEmpty()) {
             return;
         }
+        lane.asking = true;
+        net.ask(s.id, new Msg.KeepCells(epoch, lane.cells, lane.after), s.patience(), r -> {
+            lane.asking = false;
+            if (!over) {
+                paged(s, lane, r);
+            }
+        });
+    }
+
+    private void paged(final Source s, final Lane lane, final Reply r) {
         final Msg.KeptCells answer = r.as(Msg.KeptCells.class).orElse(null);
-        if (answer == null || answer.ok() && !sound(s, answer)) {
-            failed(s);
+        if (answer == null || answer.ok() && !sound(s, lane, answer)) {
+            failed(s, lane);
         } else if (!answer.ok()) {
+            forgotten(s);
+        } else {
+            take(s, lane, answer);
+        }
+    }
+
+    /** It has lost its own memory: it begins anew once it has it again. */
+    private void forgotten(final Source s) {
+        s.lanes.clear();
+        if (active == s) {
             active = null;
-            s.after = null;
             greet(s);
             pump();
-        } else {
-            take(s, answer);
         }
     }
 
-    private boolean sound(final Source s, final Msg.KeptCells answer) {
+    private boolean sound(final Source s, final Lane lane, final Msg.KeptCells answer) {
         final boolean same = KeyRecordTable.sound(answer)
-                && (answer.next() == null || s.cells.contains(KeyRecordTable.cell(answer.next())));
+                && (answer.next() == null || lane.cells.contains(KeyRecordTable.cell(answer.next())));
         if (!same) {
             journal.add(Event.of(
                     Code.RECORDS_BAD,
@@ -206,25 +246,27 @@
         return same;
     }
 
-    private void failed(final Source s) {
+    private void failed(final Source s, final Lane lane) {
         s.failures++;
-        if (s.failures % FAILURES_IN_TURN == 0 && !queue.isEmpty()) {
+        if (active == s && s.failures % FAILURES_IN_TURN == 0 && !queue.isEmpty()) {
             active = null;
             queue.add(s);
             pump();
         } else {
-            loop.after(s.pause(), () -> page(s));
+            loop.after(s.pause(), () -> page(s, lane));
         }
     }
 
-    private void take(final Source s, final Msg.KeptCells answer) {
+    private void take(final Source s, final Lane lane, final Msg.KeptCells answer) {
         pages++;
         records += answer.notes().size();
         s.failures = 0;
         sink.notes(answer.notes());
-        s.after = answer.next();
-        s.cells = answer.next() == null ? List.of() : rest(s.cells, KeyRecordTable.cell(answer.next()));
-        page(s);
+        lane.after = answer.next();
+        lane.cells = answer.next() == null ? List.of() : rest(lane.cells, KeyRecordTable.cell(answer.next()));
+        if (active == s) {
+            goOn(s);
+        }
     }
 
     private static List<Integer> rest(final List<Integer> cells, final int from) {
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -48,6 +49,9 @@
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
+    /** One that has been silent for so long is not asked to put orders in order. */
+    private static final long QUIET = 1500;
+
     private final Setup setup;
     private final Loop loop;
     private final Journal journal;
@@ -119,8 +123,8 @@
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
-        orders = new Orders(held, sync, writer, tags);
-        registry = new Registry(held, sync, writer, journal, tags);
+        orders = new Orders(loop, s.net(), held, sync, writer, tags, this::sequencer);
+        registry = new Registry(loop, held, sync, writer, journal, tags);
         elector = setup.mayVote()
                 ? new Voter(self, electorate, loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
                 : null;
@@ -199,12 +203,14 @@
                                 sync::fresh,
                                 () -> NodeRouting.alone(setup, roster, electorate),
                                 fills ? this::peers : List::of,
-                                () -> Math.max(1, roster.known(Role.EDGE))),
+                                () -> Math.max(1, roster.known(Role.EDGE)),
+                                () -> roster.known(Role.SHIELD)),
                         journal)
                 : null;
         shield = fills
                 ? new Shield(
                         loop,
+                        s.net(),
                         view,
                         holder,
                         sender,
@@ -254,6 +260,16 @@
         }
     }
 
+    /** The lease authority puts operators' calls in order, so that several at once are one write of the ledger. */
+    private Optional<NodeId> sequencer() {
+        final Tenure.Body now = Tenure.Body.of(held.get(ItemId.TENURE));
+        if (now.holder().isEmpty() || now.free()) {
+            return Optional.empty();
+        }
+        final NodeId id = NodeId.of(now.holder());
+        return id.equals(setup.self().id()) || roster.silence(id) > QUIET ? Optional.empty() : Optional.of(id);
+    }
+
     private List<NodeId> peers() {
         return roster.live(Role.SHIELD).stream()
                 .map(Member::id)
@@ -286,6 +302,7 @@
             keeper.start();
             elector.start();
             settler.start();
+            orders.start(Math.max(0, electorate.voters().indexOf(setup.self().id())));
             loop.every(1000, () -> elector.sweep(held.sweep()));
         }
         roster.start();
--- a/prog/src/main/java/rv/prog/OptionChange.java
+++ b/prog/src/main/java/rv/prog/OptionChange.java
@@ -39,6 +39,7 @@
             fixed("shards", Options::shards),
             fixed("cache-bytes", Options::cacheBytes),
             fixed("key-window", Options::keyWindowMs),
+            fixed("descriptors", Options::descriptors),
             fixed("log", Options::json));
 
     private static Rule live(final String name, final Function<Options, Object> value) {
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -81,12 +81,12 @@
         final ProcessModule parts = new ProcessModule(options, boot, faces.dialect());
         final ProcessComponent all =
                 DaggerProcessComponent.builder().processModule(parts).build();
+        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
+        log.start(all.journal());
         if (all.disk() instanceof SqlDisk d) {
-            d.open();
+            d.open(why -> all.journal().add(Event.of(Code.DISK_SLOW, "why", why)));
         }
         stages.end("disk");
-        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
-        log.start(all.journal());
         final SettingsWatcher settings = new SettingsWatcher(source, options, all.journal());
         settings.start();
         if (!options.shortage().isEmpty()) {
@@ -178,7 +178,7 @@
         open(server, "http server");
         all.open("http address ", options.http(), new Api(ends.loop(), ends.node(), ends.net()));
         if (options.door() != null) {
-            all.open("door address ", options.door(), faces.door(ends));
+            all.open("door address ", options.door(), faces.door(ends), options.doorConnections());
         }
         final Map<String, Handler> more = faces.more(ends);
         for (final Map.Entry<String, InetSocketAddress> e : options.faces().entrySet()) {
