--- a/control/src/main/java/rv/control/MemoryRecovery.java
+++ b/control/src/main/java/rv/control/MemoryRecovery.java
@@ -34,6 +34,7 @@
     private final BooleanSupplier virgin;
     private final BooleanSupplier votes;
     private final Runnable done;
+    private RecordHandover records = RecordHandover.NONE;
     private boolean settling;
     private long turn;
     private long born;
@@ -64,6 +65,10 @@
         this.done = done;
     }
 
+    void records(final RecordHandover store) {
+        records = store;
+    }
+
     void start() {
         born = loop.now();
     }
@@ -198,7 +203,7 @@
         final long epoch = electorate.epoch();
         memory.saveAll(
                 epoch,
-                Map.of(),
+                records.forgotten(),
                 () -> {
                     memory.activate(epoch);
                     done.run();
--- a/control/src/main/java/rv/control/Voter.java
+++ b/control/src/main/java/rv/control/Voter.java
@@ -35,8 +35,6 @@
     private final VoterHandover handover;
     private Runnable whole = () -> {};
     private Runnable prefill = () -> {};
-    private boolean fresh;
-    private boolean joined;
 
     public Voter(
             final NodeId self,
@@ -64,7 +62,6 @@
         recovery.start();
         final Msg.Chosen set = memory.load();
         if (!memory.full()) {
-            fresh = true;
             if (electorate.has(self)) {
                 journal.add(Event.of(Code.AMNESIA, "boot", boot));
             }
@@ -118,7 +115,6 @@
     }
 
     private void joined() {
-        joined = true;
         whole.run();
     }
 
@@ -134,6 +130,7 @@
 
     public void records(final RecordHandover store) {
         handover.records(store);
+        recovery.records(store);
     }
 
     public boolean full() {
@@ -153,13 +150,6 @@
         return votes() ? Optional.empty() : Optional.of(new Msg.Nay(memory.full() ? "not voting" : "amnesia"));
     }
 
-    /** True when this process began without memory, and neither was part of the founding nor had it handed over. */
-    public boolean lapsed() {
-        final boolean founder = memory.full() && memory.first() && !first
-                || boot.equals(memory.founders().get(self));
-        return fresh && !joined && !founder;
-    }
-
     /** How often this memory, or the one it was rebuilt from, was the only one left. */
     public long lives() {
         return memory.lives();
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -32,9 +32,11 @@
 import rv.control.ItemService;
 import rv.control.ItemStore;
 import rv.control.KeyRecordStore;
+import rv.control.Match;
 import rv.control.Membership;
 import rv.control.MonitoredDisk;
 import rv.control.Orders;
+import rv.control.RecordRetention;
 import rv.control.Registry;
 import rv.control.StoreHealth;
 import rv.control.Tenure;
@@ -128,7 +130,16 @@
                 : null;
         keeper = elector == null
                 ? null
-                : new KeyRecordStore(self, boot, electorate, s.net(), loop, s.wall(), disk, elector::lapsed);
+                : new KeyRecordStore(
+                        self,
+                        boot,
+                        electorate,
+                        s.net(),
+                        loop,
+                        s.wall(),
+                        disk,
+                        journal,
+                        new RecordRetention(setup.keyWindowMs(), this::longestKeyed));
         settler = elector == null
                 ? null
                 : new WriteRecovery(
@@ -203,7 +214,15 @@
                         view,
                         holder,
                         sender,
-                        new KeyedRequests(electorate, loop, s.net(), holder, journal, stores, self + "#" + boot),
+                        new KeyedRequests(
+                                electorate,
+                                loop,
+                                s.net(),
+                                holder,
+                                journal,
+                                stores,
+                                self + "#" + boot,
+                                new RecordRetention(setup.keyWindowMs(), this::longestKeyed)),
                         sync::fresh,
                         sync::round,
                         setup,
@@ -266,13 +285,22 @@
         sender.stop(shard, grace, done);
     }
 
+    /** How long a keyed request may take at most, by the present configuration. */
+    private long longestKeyed() {
+        return view.rows().stream()
+                .filter(r -> r.match().is(Match.ONCE) && r.service() != null)
+                .mapToLong(ConfigView.Row::timeoutMs)
+                .max()
+                .orElse(0);
+    }
+
     public void start() throws DiskTrouble {
         if (elector != null) {
             elector.onWhole(() -> held.all().forEach(elector::learn));
             elector.prefill(held::all);
             elector.records(keeper);
-            elector.start();
             keeper.start();
+            elector.start();
             settler.start();
             orders.start(Math.max(0, electorate.voters().indexOf(setup.self().id())));
             loop.every(1000, () -> elector.sweep(held.sweep()));
--- /dev/null
+++ b/data/src/test/java/rv/data/KeyedRequestsTest.java
@@ -0,0 +1,344 @@
+package rv.data;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rv.base.Ballot;
+import rv.base.Code;
+import rv.base.Item;
+import rv.base.ItemId;
+import rv.base.Journal;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Timing;
+import rv.base.Token;
+import rv.base.Ver;
+import rv.control.Holder;
+import rv.control.ItemStore;
+import rv.control.Json;
+import rv.control.StoreHealth;
+import rv.control.Tenure;
+import rv.control.VoterAddress;
+import rv.control.VoterSet;
+
+/** How a holder reads and writes the records of its shards, against real record stores on virtual time. */
+class KeyedRequestsTest {
+    private static final NodeId BOSS = NodeId.of("boss");
+    private static final int SHARD = 3;
+    private static final Token TOKEN = new Token(1, 1);
+    private static final NodeId A = NodeId.of("a");
+    private static final NodeId B = NodeId.of("b");
+    private static final NodeId C = NodeId.of("c");
+    private final Keepers keepers = new Keepers();
+    private final Holder holder = holder();
+    private final List<String> answers = new ArrayList<>();
+    private final List<Msg.Filled> filled = new ArrayList<>();
+    private int sent;
+
+    /** One that holds the shard, by an authority that answers every renewal. */
+    private Holder holder() {
+        final Journal journal = keepers.journal;
+        final ItemStore held = new ItemStore(keepers.loop, journal);
+        final Holder h = new Holder(
+                keepers.loop,
+                (to, msg, wait, then) -> {
+                    if (msg instanceof Msg.Renew) {
+                        keepers.loop.after(
+                                1,
+                                () -> then.accept(Reply.of(new Msg.Renewed(
+                                        1, true, List.of(new Msg.Claim(SHARD, TOKEN, "GRANTED")), List.of()))));
+                    }
+                },
+                held,
+                Timing.DEFAULT,
+                journal,
+                () -> true,
+                List::of,
+                (shard, grace, done) -> done.accept(true));
+        h.start();
+        held.merge(new Msg.Chosen(
+                new Ballot(1, "x"),
+                Item.none(ItemId.TENURE).next(Json.text(new Tenure.Body("boss", "b", 1, 1, false, 0, 0, 0)), "t")));
+        keepers.loop.run(100);
+        h.place(BOSS, new Msg.Place(1, 1, List.of(new Msg.Claim(SHARD, TOKEN, "GRANTED"))), m -> {});
+        return h;
+    }
+
+    private KeyedRequests desk(final String boot) {
+        return new KeyedRequests(
+                keepers.electorate,
+                keepers.loop,
+                keepers,
+                holder,
+                keepers.journal,
+                new StoreHealth(keepers.electorate.quorum(), keepers.loop, keepers.journal),
+                boot,
+                Keepers.RETENTION);
+    }
+
+    private void take(final KeyedRequests desk, final String key, final long patience) {
+        desk.take(
+                SHARD,
+                key,
+                "d".repeat(64),
+                patience,
+                then -> {
+                    sent++;
+                    final Port.Got got = new Port.Got(Port.End.WHOLE, 201, Map.of(), new byte[] {7}, "");
+                    keepers.loop.after(5, () -> then.accept(new Sender.Sent(got, true, 0, 0)));
+                },
+                f -> {
+                    answers.add(f.fate());
+                    filled.add(f);
+                });
+    }
+
+    private long shortages() {
+        return keepers.journal.tail().stream()
+                .filter(e -> e.event().code() == Code.KEEP_SHORT)
+                .count();
+    }
+
+    @Test
+    void aReadingIsOneForAllWhoWaitAndHasNoBodies() {
+        keepers.fill(SHARD, 110, 1500);
+        keepers.bytes.clear();
+        final KeyedRequests desk = desk("w");
+        for (int i = 0; i < 60; i++) {
+            take(desk, "new-" + i, 1000);
+        }
+        keepers.loop.run(500);
+        assertEquals(60, answers.stream().filter(Answer.DONE::equals).count(), answers.toString());
+        assertTrue(keepers.asked.get("KeepRead") <= 6, "questions " + keepers.asked);
+        assertTrue(keepers.bytes.get("Kept") < 3 * 110 * 300, "bytes " + keepers.bytes);
+    }
+
+    /** Bytes of a reading grow with the records that stand, and with nothing else. */
+    @Test
+    void bytesOfAReadingAreBoundedByTheRecords() {
+        final Map<Integer, Long> cost = new HashMap<>();
+        for (final int records : List.of(100, 1000)) {
+            final Keepers some = new Keepers();
+            some.fill(SHARD, records, 1500);
+            some.bytes.clear();
+            read(some, 5000);
+            cost.put(records, some.bytes.get("Kept"));
+            assertTrue(some.bytes.get("Kept") <= 3L * records * 290 + 3 * 300, records + ": " + some.bytes);
+        }
+        final double growth = (double) cost.get(1000) / cost.get(100);
+        assertTrue(growth > 9 && growth < 10.5, "ten times the records: " + growth);
+    }
+
+    private static boolean read(final Keepers some, final long ms) {
+        final boolean[] ready = {false};
+        final KeyedShard[] shard = new KeyedShard[1];
+        shard[0] = new KeyedShard(
+                SHARD,
+                TOKEN,
+                some.loop,
+                turn -> false,
+                listener -> new RecordReader(
+                        some.electorate,
+                        some.loop,
+                        some,
+                        new StoreHealth(some.electorate.quorum(), some.loop, some.journal),
+                        SHARD,
+                        TOKEN,
+                        "w",
+                        () -> true,
+                        listener),
+                () -> {});
+        shard[0].whenReady(ms, () -> ready[0] = true, () -> {});
+        some.loop.run(ms);
+        return ready[0];
+    }
+
+    /** The case of the incident: no answer comes within 700 ms, at first none within a second. */
+    @Test
+    void lateAnswersEndAReadingInTheEndAndRequestsDoNotMultiplyIt() {
+        keepers.fill(SHARD, 110, 1500);
+        keepers.bytes.clear();
+        keepers.delay = (id, m) -> m instanceof Msg.KeepRead ? 1600L : 1L;
+        final KeyedRequests desk = desk("w");
+        for (int i = 0; i < 160; i++) {
+            take(desk, "new-" + i, 300);
+            keepers.loop.run(50);
+        }
+        assertTrue(answers.contains(Answer.REFUSED), "those that waited were refused: " + answers);
+        assertTrue(answers.contains(Answer.DONE), "and later ones are served: " + answers);
+        assertFalse(answers.subList(100, 160).contains(Answer.REFUSED), answers.toString());
+        assertTrue(keepers.asked.get("KeepRead") <= 12, "questions " + keepers.asked);
+        assertTrue(keepers.bytes.get("Kept") <= 6 * 110 * 300, "bytes " + keepers.bytes);
+        assertEquals(1, shortages(), "told once");
+    }
+
+    /** What one keeper has answered counts on while another is late; only its late page is asked again. */
+    @Test
+    void lostPagesAreAskedAgainAlone() {
+        keepers.fill(SHARD, 1000, 10);
+        keepers.bytes.clear();
+        final int[] n = {0};
+        keepers.delay = (id, m) -> ++n[0] % 4 == 0 ? -1L : 35L;
+        assertTrue(read(keepers, 20_000));
+        assertTrue(keepers.bytes.get("Kept") <= 3 * 1000 * 290 * 5 / 3, "bytes " + keepers.bytes);
+    }
+
+    /** Half a read must not count: a majority of whole ones is needed. */
+    @Test
+    void aReadingThatLacksAPageIsNotReady() {
+        keepers.fill(SHARD, 300, 10);
+        final int[] n = {0};
+        keepers.delay = (id, m) -> m instanceof Msg.KeepRead r && r.after() != null && !id.equals(A) ? -1L : 5L;
+        assertFalse(read(keepers, 10_000));
+    }
+
+    @Test
+    void aKeeperInALapseDoesNotCount() {
+        keepers.fill(SHARD, 10, 10);
+        keepers.delay = (id, m) -> m instanceof Msg.KeepSums ? -1L : 1L;
+        keepers.stores.get(A).forgotten();
+        keepers.stores.get(B).forgotten();
+        final KeyedRequests desk = desk("w");
+        take(desk, "new", 1000);
+        keepers.loop.run(20_000);
+        assertEquals(List.of(Answer.REFUSED), answers);
+        assertTrue(keepers.asked.get("KeepRead") <= 60, "questions " + keepers.asked);
+        assertTrue(keepers.bytes.get("Kept") <= 60 * 300 + 3 * 300 * 10, "bytes " + keepers.bytes);
+    }
+
+    /** A repeat at a later holder gets the body that the earlier one's keepers have. */
+    @Test
+    void anOutcomeIsFetchedWhenARepeatComes() {
+        keepers.fill(SHARD, 3, 900);
+        final KeyedRequests desk = desk("w");
+        keepers.delay = (id, m) -> m instanceof Msg.KeepOutcome && id.equals(A) ? -1L : 20L;
+        take(desk, Keepers.key(SHARD, 1), 1000);
+        take(desk, Keepers.key(SHARD, 1), 1000);
+        keepers.loop.run(2500);
+        assertEquals(List.of(Answer.DONE, Answer.DONE), answers);
+        assertEquals(900, filled.get(0).body().length);
+        assertEquals(201, filled.get(0).status());
+        assertTrue(keepers.asked.get("KeepOutcome") <= 2, "fetched once for both " + keepers.asked);
+        take(desk, Keepers.key(SHARD, 1), 1000);
+        keepers.loop.run(100);
+        assertEquals(3, answers.size(), "then it is here");
+        assertEquals(0, sent);
+    }
+
+    @Test
+    void anOutcomeThatCannotBeFetchedIsUnknownAndNeverRuns() {
+        keepers.fill(SHARD, 3, 900);
+        keepers.delay = (id, m) -> m instanceof Msg.KeepOutcome ? -1L : 1L;
+        final KeyedRequests desk = desk("w");
+        take(desk, Keepers.key(SHARD, 1), 1000);
+        keepers.loop.run(6000);
+        assertEquals(List.of(Answer.UNKNOWN), answers);
+        assertEquals(0, sent);
+    }
+
+    /** One whose era ended is read again alone, and the write stands at the others meanwhile. */
+    @Test
+    void aKeeperWhoseEraEndedIsReadAgainAlone() {
+        keepers.fill(SHARD, 110, 10);
+        final KeyedRequests desk = desk("w");
+        take(desk, "k1", 1000);
+        keepers.loop.run(200);
+        final int before = keepers.asked.get("KeepRead");
+        keepers.stores.get(A).sums(new Msg.KeepSums(0, "x/1", true), m -> {});
+        take(desk, "k2", 1000);
+        keepers.loop.run(200);
+        assertEquals(List.of(Answer.DONE, Answer.DONE), answers);
+        assertEquals(before + 2, keepers.asked.get("KeepRead"), "both pages of that one");
+        keepers.stores.get(B).sums(new Msg.KeepSums(0, "x/1", true), m -> {});
+        keepers.stores.get(C).sums(new Msg.KeepSums(0, "x/1", true), m -> {});
+        take(desk, "k3", 1000);
+        keepers.loop.run(500);
+        assertEquals(3, answers.stream().filter(Answer.DONE::equals).count(), "written again once they are read");
+        assertEquals(3, sent);
+    }
+
+    /** Another process with the same token read and wrote meanwhile: its intent is found and nothing is sent. */
+    @Test
+    void anIntentOfATwinProcessIsNotWrittenOver() {
+        final KeyedRequests first = desk("first");
+        take(first, "k1", 1000);
+        keepers.loop.run(100);
+        final KeyedRequests second = desk("second");
+        take(second, "k2", 1000);
+        take(second, "shared", 1000);
+        keepers.loop.run(100);
+        assertEquals(3, sent);
+        take(first, "shared", 1000);
+        keepers.loop.run(2000);
+        assertEquals(3, sent, "the key ran once");
+        assertEquals(Answer.UNKNOWN, answers.get(3));
+    }
+
+    private void nextEpoch() {
+        final List<String> all = Keepers.ALL.stream()
+                .map(id -> new VoterAddress(id, "127.0.0.1", 1).toString())
+                .toList();
+        final String body = Json.text(new VoterSet(all, all));
+        keepers.stores.values().forEach(rv.control.KeyRecordStore::joined);
+        keepers.electorate.adopt(new Msg.Chosen(
+                new Ballot(9, "x"), new Item(ItemId.VOTERS, new Ver(keepers.electorate.epoch() + 1), body, false, "")));
+    }
+
+    /** After a change of epoch nothing counts that was read before it; the reading is light and one. */
+    @Test
+    void aChangeOfEpochMakesAHolderReadAgain() {
+        keepers.fill(SHARD, 110, 1500);
+        final KeyedRequests desk = desk("w");
+        take(desk, "k1", 1000);
+        keepers.loop.run(100);
+        keepers.asked.clear();
+        keepers.bytes.clear();
+        keepers.stores.values().forEach(k -> k.write(new Msg.KeepWrite(0, Keepers.note(SHARD, 500, -1), 1), m -> {}));
+        nextEpoch();
+        take(desk, "k2", 1000);
+        keepers.loop.run(200);
+        assertEquals(List.of(Answer.DONE, Answer.DONE), answers);
+        assertEquals(6, keepers.asked.get("KeepRead"), "two pages of each");
+        assertTrue(keepers.bytes.get("Kept") < 3 * 111 * 300, "bytes " + keepers.bytes);
+    }
+
+    /** A write on its way when the epoch changes is written again in the new one; one acknowledgement of each is none. */
+    @Test
+    void aWriteCountsWithinOneEpochOnly() {
+        final KeyedRequests desk = desk("w");
+        take(desk, "k1", 1000);
+        keepers.loop.run(100);
+        assertEquals(1, sent);
+        keepers.delay = (id, m) -> m instanceof Msg.KeepWrite ? id.equals(A) ? 1L : 400L : 1L;
+        take(desk, "k2", 1000);
+        keepers.loop.run(50);
+        nextEpoch();
+        keepers.delay = (id, m) -> m instanceof Msg.KeepWrite ? id.equals(A) ? 1L : -1L : 1L;
+        keepers.loop.run(3000);
+        assertEquals(1, sent, "one in the epoch before and one in this are no majority");
+        assertEquals(Answer.REFUSED, answers.get(1));
+        keepers.delay = (id, m) -> 1L;
+        take(desk, "k3", 1000);
+        keepers.loop.run(3000);
+        assertEquals(2, sent);
+    }
+
+    /** Voters that have gone over to a later epoch answer nothing in this one. */
+    @Test
+    void refusalsOfALaterEpochAreNoAnswers() {
+        final KeyedRequests desk = desk("w");
+        keepers.ahead.addAll(List.of(A, B));
+        take(desk, "k1", 1000);
+        keepers.loop.run(5000);
+        assertEquals(List.of(Answer.REFUSED), answers);
+        assertEquals(0, sent);
+        assertTrue(keepers.asked.get("KeepRead") < 30, "questions " + keepers.asked);
+    }
+}
--- a/prog/src/main/java/rv/prog/OptionFlags.java
+++ b/prog/src/main/java/rv/prog/OptionFlags.java
@@ -72,6 +72,7 @@
             new Flag("faces", Kind.LIST, "", "further addresses for an adapter: NAME@IP:PORT,..."),
             new Flag("cells", Kind.LIST, "", "all zones, as REGION/ZONE,..."),
             new Flag("notice-ms", Kind.NUMBER, "", "how long a leaving edge still takes requests"),
+            new Flag("key-window", Kind.NUMBER, "", "seconds in which a key runs once"),
             new Flag("spread", Kind.TEXT, "", "what objects are filled for apart: region, zone or none"));
 
     private static final Map<String, Flag> BY_NAME = ALL.stream().collect(Collectors.toMap(Flag::name, f -> f));
--- a/prog/src/main/java/rv/prog/ProcessModule.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -119,6 +119,7 @@
                 .notice(options.noticeMs())
                 .places(options.places())
                 .wantedLosses(options.wantedLosses())
+                .keyWindow(options.keyWindowMs())
                 .voters(voters)
                 .build();
         return new Node(
