Simulator along its duties: operators, orders, origins and rights apart, with standard names

Patcher is now OrderOperator (what operators do when), OrderDraft (what they state), OrderClient (sending and repeating), Order, OrderItem and ConfigReader; SimCluster gave its origins to SimOrigins and the comparison of rights to RightsWatch. Staff is ItemOperator, Play ScriptRunner, Words OriginAnnouncements; SimCluster.patcher() and staff() are orderOperator() and itemOperator(). No behaviour is meant to change.

--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -16,7 +16,7 @@
 import rv.rig.fleet.Fleet;
 import rv.rig.judge.Judge;
 import rv.rig.scale.Scale;
-import rv.rig.sim.Play;
+import rv.rig.sim.ScriptRunner;
 
 /** The rig's command line: 0 all rules kept, 1 a rule broken or a trouble missed, 2 usage. */
 public final class Rig {
@@ -117,7 +117,7 @@
                 .parallel()
                 .mapToInt(seed -> {
                     try {
-                        final Play play = new Play(script(what, seed, set, new ArrayList<>()), seed);
+                        final ScriptRunner play = new ScriptRunner(script(what, seed, set, new ArrayList<>()), seed);
                         return show("seed " + seed, play.run(), play.missed(), set);
                     } catch (final IOException e) {
                         return 1;
@@ -141,7 +141,8 @@
                 .toList()
                 .parallelStream()
                 .filter(e -> {
-                    final Play play = new Play(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
+                    final ScriptRunner play =
+                            new ScriptRunner(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
                     final Judge j = new Judge(play.run());
                     j.verdicts()
                             .forEach(v -> checked.computeIfAbsent(
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/ConfigReader.java
@@ -0,0 +1,51 @@
+package rv.rig.sim;
+
+import java.util.Map;
+import java.util.TreeMap;
+import rv.base.Kind;
+import rv.base.Role;
+import rv.control.Json;
+import rv.rig.Log;
+
+/** Reads the whole configuration back from every shield that is up. */
+final class ConfigReader {
+    private static final long SPAN_MS = 1000;
+    private final SimCluster cluster;
+
+    ConfigReader(final SimCluster cluster) {
+        this.cluster = cluster;
+    }
+
+    /** What each shield says stands. */
+    void readAll() {
+        cluster.nodes().values().stream()
+                .filter(n -> n.role() == Role.SHIELD && n.alive())
+                .forEach(this::read);
+    }
+
+    private void read(final SimNode n) {
+        n.post(() -> n.node().orders().whole(SPAN_MS, all -> {
+            final Map<String, Object> items = new TreeMap<>();
+            all.ifPresent(m -> m.forEach((kind, some) -> {
+                if (kind != Kind.PURGE) {
+                    some.forEach((name, item) -> items.put(
+                            kind.name() + "/" + name,
+                            item.ver().n() + " "
+                                    + Json.read(item.body(), Map.class).get("note")));
+                }
+            }));
+            cluster.log()
+                    .add(Log.row(
+                            "log",
+                            "read",
+                            "t",
+                            cluster.world().now(),
+                            "node",
+                            n.id().text(),
+                            "whole",
+                            all.isPresent(),
+                            "items",
+                            items));
+        }));
+    }
+}
--- a/rig/src/main/java/rv/rig/sim/Staff.java
+++ b/rig/src/main/java/rv/rig/sim/ItemOperator.java
@@ -14,14 +14,14 @@
 import rv.rig.Place;
 
 /** Operators, and the back ends' own changes: objects change, some are purged, routes are restated, two race. */
-public final class Staff implements Operators {
+public final class ItemOperator implements Operators {
     private final SimCluster town;
     private final Map<String, Long> known = new TreeMap<>();
     private boolean on;
     private long serial;
     private boolean shown;
 
-    Staff(final SimCluster town) {
+    ItemOperator(final SimCluster town) {
         this.town = town;
     }
 
@@ -47,7 +47,7 @@
 
     void apply(final String text) {
         final long t = town.world().now();
-        final SimNode at = town.any();
+        final SimNode at = town.anyNode();
         at.post(() -> at.node().clerk().apply(text.getBytes(StandardCharsets.UTF_8), s -> {
             for (final Place.Kin k : town.place().kin()) {
                 town.log()
@@ -151,7 +151,7 @@
 
     @Override
     public void invalid(final IntConsumer then) {
-        final SimNode at = town.any();
+        final SimNode at = town.anyNode();
         if (at == null) {
             then.accept(0);
             return;
@@ -237,7 +237,7 @@
             final String body,
             final Map<String, Object> more,
             final Consumer<ItemService.ApiResult> then) {
-        final SimNode at = town.any();
+        final SimNode at = town.anyNode();
         if (at == null) {
             return;
         }
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/Order.java
@@ -0,0 +1,30 @@
+package rv.rig.sim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import rv.control.Json;
+
+/** One call of an operator: items that are set and items that are dropped. */
+record Order(List<OrderItem> items) {
+    static Order of(final OrderItem... items) {
+        return new Order(List.of(items));
+    }
+
+    byte[] text() {
+        final Map<String, Map<String, Object>> set = new TreeMap<>();
+        final Map<String, Map<String, Object>> drop = new TreeMap<>();
+        for (final OrderItem item : items) {
+            final String section = item.kind().word() + "s";
+            if (item.drops()) {
+                drop.computeIfAbsent(section, k -> new TreeMap<>()).put(item.name(), item.version());
+            } else {
+                final Map<String, Object> body = new TreeMap<>(item.body());
+                body.put("version", item.version());
+                set.computeIfAbsent(section, k -> new TreeMap<>()).put(item.name(), body);
+            }
+        }
+        return Json.text(Map.of("set", set, "drop", drop)).getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/OrderItem.java
@@ -0,0 +1,40 @@
+package rv.rig.sim;
+
+import java.util.Map;
+import rv.base.Kind;
+import rv.rig.Log;
+
+/** One item of an operator's order; a {@code body} of null drops it. {@code facts} go into the log beside it. */
+record OrderItem(Kind kind, String name, long version, Map<String, Object> body, Map<String, Object> facts) {
+    String id() {
+        return kind.name() + "/" + name;
+    }
+
+    boolean drops() {
+        return body == null;
+    }
+
+    Map<String, Object> row(final String what, final long t, final long end, final int status) {
+        final Map<String, Object> row = Log.row(
+                "log",
+                "op",
+                "t",
+                t,
+                "end",
+                end,
+                "what",
+                what,
+                "item",
+                id(),
+                "version",
+                version,
+                "gone",
+                drops(),
+                "note",
+                drops() ? null : body.get("note"),
+                "status",
+                status);
+        row.putAll(facts);
+        return row;
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/OrderOperator.java
@@ -0,0 +1,204 @@
+package rv.rig.sim;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.IntConsumer;
+import rv.base.Kind;
+import rv.base.Role;
+import rv.control.Purge;
+import rv.data.ClientRequest;
+import rv.rig.Log;
+import rv.rig.Place;
+import rv.rig.Stock;
+
+/** Operators who state items under versions of their own, at any shield, and repeat a call until its answer is clear. */
+public final class OrderOperator implements Operators {
+    private static final String BLINK = "blink";
+    private final SimCluster cluster;
+    private final OrderDraft draft;
+    private final OrderClient client;
+    private boolean on;
+    private boolean shown;
+
+    OrderOperator(final SimCluster cluster) {
+        this.cluster = cluster;
+        draft = new OrderDraft(cluster.place(), cluster.world().dice());
+        client = new OrderClient(cluster);
+    }
+
+    private Random random() {
+        return cluster.world().dice();
+    }
+
+    private long now() {
+        return cluster.world().now();
+    }
+
+    private void send(final Order order) {
+        client.send(order, s -> {});
+    }
+
+    @Override
+    public void open() {
+        send(draft.first());
+    }
+
+    @Override
+    public void start() {
+        on = true;
+        change();
+        restate();
+        blink();
+        probe();
+    }
+
+    @Override
+    public void stop() {
+        on = false;
+    }
+
+    @Override
+    public void state(final IntConsumer then) {
+        client.send(
+                Order.of(random().nextInt(3) == 0 ? draft.service(draft.anyService()) : draft.route(draft.anyRoute())),
+                then);
+    }
+
+    /** Two operators, one version, two bodies, two nodes. */
+    public void race() {
+        final Place.EdgeRouting w = draft.anyRoute();
+        final long version = draft.nextVersion(Kind.ROUTE, w.route());
+        for (int i = 0; i < 2; i++) {
+            send(Order.of(draft.route(w, version)));
+        }
+    }
+
+    /** Every few seconds: a race, an older call once more, a route that is added or dropped, or something restated. */
+    private void restate() {
+        if (!on) {
+            return;
+        }
+        switch (random().nextInt(4)) {
+            case 0 -> race();
+            case 1 ->
+                send(client.answered().get(random().nextInt(client.answered().size())));
+            case 2 -> extra();
+            default -> state(s -> {});
+        }
+        cluster.world().in(1500 + random().nextInt(2000), this::restate);
+    }
+
+    private void extra() {
+        final String name = "extra" + random().nextInt(4);
+        final Place.EdgeRouting model = draft.anyRoute();
+        final Place.EdgeRouting w = new Place.EdgeRouting(
+                name, "/" + name + "/", model.mode(), model.lifetimeMs(), true, 0, 1, model.host(), model.split());
+        final OrderItem set = draft.route(w);
+        final OrderItem drop = new OrderItem(Kind.ROUTE, name, set.version(), null, Map.of());
+        send(Order.of(random().nextBoolean() ? set : drop));
+    }
+
+    /** A route that is stated and dropped in turn; the older statement comes again, late. */
+    private void blink() {
+        if (!on) {
+            return;
+        }
+        shown = !shown;
+        final Place.EdgeRouting w = cluster.place().ways().get(0);
+        final OrderItem set =
+                draft.route(new Place.EdgeRouting(BLINK, "/blink/", "cached", 500, true, 0, 1, w.host(), w.split()));
+        final Map<String, Object> facts = new TreeMap<>(set.facts());
+        facts.put("shown", shown);
+        send(Order.of(new OrderItem(Kind.ROUTE, BLINK, set.version(), shown ? set.body() : null, facts)));
+        if (!shown) {
+            final OrderItem old = new OrderItem(Kind.ROUTE, BLINK, set.version() - 1, set.body(), set.facts());
+            cluster.world().in(1500, () -> send(Order.of(old)));
+        }
+        cluster.world().in(6000 + random().nextInt(2000), this::blink);
+    }
+
+    private void probe() {
+        if (!on) {
+            return;
+        }
+        cluster.nodes().values().stream()
+                .filter(n -> n.role() == Role.EDGE && n.alive())
+                .forEach(this::probe);
+        cluster.world().in(500, this::probe);
+    }
+
+    private void probe(final SimNode n) {
+        final long t = now();
+        final String host = cluster.place().ways().get(0).host();
+        n.post(() -> {
+            final ClientRequest request = new ClientRequest(
+                    "GET", host, "/blink/1", null, new byte[0], "", "p-" + draft.nextNumber(), 1000, null, Map.of());
+            n.node()
+                    .edge()
+                    .take(
+                            request,
+                            a -> cluster.log()
+                                    .add(Log.row(
+                                            "log",
+                                            "probe",
+                                            "t",
+                                            t,
+                                            "end",
+                                            now(),
+                                            "node",
+                                            n.id().text(),
+                                            "status",
+                                            a.status())));
+        });
+    }
+
+    private List<Place.EdgeRouting> cachedRoutes() {
+        return cluster.place().ways().stream()
+                .filter(w -> w.mode().equals("cached"))
+                .toList();
+    }
+
+    /** An object changes at its back end; in a third of the cases it is purged a little later, by its path or by a tag. */
+    private void change() {
+        if (!on) {
+            return;
+        }
+        final List<Place.EdgeRouting> ways = cachedRoutes();
+        final Place.EdgeRouting w = ways.get(random().nextInt(ways.size()));
+        final double roll = random().nextDouble();
+        final String path = w.prefix() + (int) (w.objects() * roll * roll * roll);
+        final String service = cluster.place().kin().stream()
+                .filter(k -> k.ways().contains(w))
+                .findFirst()
+                .orElseThrow()
+                .service();
+        final long rev = cluster.stock(service).change(path);
+        cluster.log().add(Log.row("log", "change", "t", now(), "path", path, "rev", rev, "tag", Stock.tag(path)));
+        if (random().nextInt(3) == 0) {
+            final boolean wide = random().nextInt(4) == 0;
+            cluster.world().in(50, () -> purge(w, path, wide));
+        }
+        cluster.world().in(100 + random().nextInt(200), this::change);
+    }
+
+    @Override
+    public void purge() {
+        final List<Place.EdgeRouting> ways = cachedRoutes();
+        final Place.EdgeRouting w = ways.get(random().nextInt(ways.size()));
+        purge(w, w.prefix() + random().nextInt(w.objects()), random().nextInt(4) == 0);
+    }
+
+    private void purge(final Place.EdgeRouting w, final String path, final boolean wide) {
+        final Purge what =
+                wide ? new Purge(null, null, null, null, Stock.tag(path)) : new Purge(null, path, null, w.host(), null);
+        client.purge(what, Log.row("path", wide ? null : path, "tag", wide ? what.tag() : null));
+    }
+
+    /** One item of the order is faulty; the other must not take force either. */
+    @Override
+    public void invalid(final IntConsumer then) {
+        client.sendOnce(draft::invalid, "invalid", then);
+    }
+}
--- a/rig/src/main/java/rv/rig/sim/Words.java
+++ b/rig/src/main/java/rv/rig/sim/OriginAnnouncements.java
@@ -8,8 +8,8 @@
 import rv.rig.Log;
 
 /** The two ways in which origins tell of themselves. */
-final class Words {
-    private Words() {}
+final class OriginAnnouncements {
+    private OriginAnnouncements() {}
 
     /** By the product's own contract: named, with a time to live. */
     record Announced() implements SimOrigin.Word {
--- a/rig/src/main/java/rv/rig/sim/Play.java
+++ b/rig/src/main/java/rv/rig/sim/ScriptRunner.java
@@ -7,12 +7,12 @@
 import rv.rig.Script;
 
 /** Brings a script's troubles about in the simulator. A trouble that could not be brought about fails the run. */
-public final class Play {
+public final class ScriptRunner {
     private final SimCluster town;
     private final Script script;
     private final List<String> missed = new ArrayList<>();
 
-    public Play(final Script script, final long seed) {
+    public ScriptRunner(final Script script, final long seed) {
         this.script = script;
         this.town = new SimCluster(script.place(), seed);
     }
@@ -59,7 +59,7 @@
                 town.world().in(s.ms(), () -> town.trouble("returned", "", 0));
             }
             case "halves" -> town.cut(half(), s.ms());
-            case "race" -> stream(s, () -> town.patcher().race());
+            case "race" -> stream(s, () -> town.orderOperator().race());
             case "release" -> release(s);
             case "freeze" -> who(s).forEach(w -> town.freeze(w, s.ms()));
             case "stall" -> who(s).forEach(w -> town.stall(w, s.ms()));
@@ -109,7 +109,7 @@
                 .toList();
         for (int i = 0; i < all.size(); i++) {
             final String o = all.get(i);
-            town.world().in(i * s.ms() / all.size(), () -> town.replace(o, 2000));
+            town.world().in(i * s.ms() / all.size(), () -> town.origins().replace(o, 2000));
         }
     }
 
@@ -157,11 +157,11 @@
 
     private void origin(final Script.Step s, final String name) {
         if (s.trouble().equals("origin-replace")) {
-            town.replace(name, s.ms());
+            town.origins().replace(name, s.ms());
             return;
         }
         if (s.trouble().equals("origin-reuse")) {
-            town.reuse(name, s.ms());
+            town.origins().reuse(name, s.ms());
             return;
         }
         final SimOrigin o = town.origins().get(name);
@@ -175,7 +175,7 @@
             case "origin-lose" -> fault(o, "lose", o.make().ms(), s.ms());
             case "origin-wrong" -> fault(o, "wrong", o.make().ms(), s.ms());
             case "origin-surplus" -> fault(o, "surplus", o.make().ms(), s.ms());
-            case "origin-swap" -> swap(o, s.ms());
+            case "origin-swap" -> town.origins().swap(name, s.ms());
             default -> {
                 o.leave();
                 town.world().in(s.ms(), () -> {
@@ -190,25 +190,4 @@
         o.fault(kind, slow);
         town.world().in(ms, o::heal);
     }
-
-    /** The origin dies without a word and its address answers as another service. */
-    private void swap(final SimOrigin o, final long ms) {
-        o.kill();
-        final SimOrigin other = new SimOrigin(
-                town.world(),
-                town.log(),
-                "stranger",
-                SimOrigin.Make.plain("content"),
-                new rv.rig.Stock("stranger"),
-                o.host(),
-                () -> null,
-                new Words.Announced());
-        other.start();
-        town.yard().move(o.host(), other);
-        town.world().in(ms, () -> {
-            other.kill();
-            town.yard().move(o.host(), o);
-            o.start();
-        });
-    }
 }
--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -20,14 +20,11 @@
     private final Log log = new Log();
     private final SimNet net;
     private final Map<String, SimNode> nodes = new TreeMap<>();
-    private final Map<String, SimOrigin> origins = new TreeMap<>();
-    private final Map<String, Stock> stocks = new TreeMap<>();
-    private final SimPort.Yard yard;
+    private final SimOrigins origins;
     private final SimClients crowd;
-    private final Staff staff;
-    private final Patcher patcher;
-    private final SimOrigin.Word word;
-    private long looks;
+    private final ItemOperator itemOperator;
+    private final OrderOperator orderOperator;
+    private final RightsWatch rights;
     private long opened;
     private long sent;
     private long bytes;
@@ -36,11 +33,10 @@
         this.place = place;
         world = new World(seed);
         net = new SimNet(world, this::delay);
-        yard = new SimPort.Yard(world, net, log);
+        final SimPort.Yard yard = new SimPort.Yard(world, net, log);
         final List<NodeId> seeds = place.electors().stream().map(NodeId::of).toList();
         final Quorum quorum =
                 new Quorum(seeds, place.shieldRun() ? Set.of() : Set.of(NodeId.of("st1"), NodeId.of("st2")));
-        word = place.shieldRun() ? new Words.Beating() : new Words.Announced();
         if (place.shieldRun()) {
             log.add(Log.row("log", "place", "t", 0, "name", place.name(), "electors", place.electors()));
         }
@@ -51,48 +47,17 @@
                     m,
                     new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS));
         }
-        int at = 0;
-        for (final Place.Kin k : place.kin()) {
-            final Stock stock = stock(k);
-            stocks.put(k.service(), stock);
-            for (int i = 1; i <= k.origins(); i++) {
-                final String host = "127.1.0." + ++at;
-                final SimOrigin o =
-                        new SimOrigin(world, log, k.service() + i, make(k, i), stock, host, this::ear, word);
-                origins.put(o.name(), o);
-                yard.move(host, o);
-            }
-        }
-        staff = place.shieldRun() ? null : new Staff(this);
-        patcher = place.shieldRun() ? new Patcher(this) : null;
+        origins = new SimOrigins(this, yard);
+        itemOperator = place.shieldRun() ? null : new ItemOperator(this);
+        orderOperator = place.shieldRun() ? new OrderOperator(this) : null;
         crowd = new SimClients(this);
-    }
-
-    /** A service that gets a part of another's objects has the same. */
-    private Stock stock(final Place.Kin kin) {
-        return place.kin().stream()
-                .filter(k -> !k.equals(kin)
-                        && kin.ways().isEmpty()
-                        && k.ways().stream().anyMatch(w -> w.split().containsKey(kin.service())))
-                .findFirst()
-                .map(k -> stocks.get(k.service()).twin(kin.service()))
-                .orElseGet(() -> new Stock(kin.service()));
-    }
-
-    private SimOrigin.Make make(final Place.Kin kin, final int i) {
-        return !place.shieldRun()
-                ? SimOrigin.Make.plain(kin.kind())
-                : new SimOrigin.Make(
-                        kin.kind(),
-                        kin.rate() > 0 ? 32 : 4,
-                        kin.rate() > 0 ? 30 : 60,
-                        place.cells().get(i % place.cells().size()));
+        rights = new RightsWatch(this);
     }
 
     /** Who hears origins and operators: any node, or the shields where they serve control. */
-    SimNode ear() {
+    SimNode controlNode() {
         if (!place.shieldRun()) {
-            return any();
+            return anyNode();
         }
         final List<SimNode> list = nodes.values().stream()
                 .filter(n -> n.role() == Role.SHIELD && n.alive())
@@ -101,7 +66,7 @@
     }
 
     Operators operators() {
-        return place.shieldRun() ? patcher : staff;
+        return place.shieldRun() ? orderOperator : itemOperator;
     }
 
     private long delay(final String a, final String b) {
@@ -116,43 +81,14 @@
         world.run(7000);
         crowd.start();
         operators().start();
-        watch();
+        rights.start();
         opened = world.now();
         sent = net.sent();
         bytes = net.bytes();
         return this;
     }
 
-    /** On true time and by each shield's own clock: no two may hold one shard, frozen or not. */
-    private void watch() {
-        final Map<Integer, String> holders = new TreeMap<>();
-        for (final SimNode n : nodes.values()) {
-            if (n.alive() && n.role() == Role.SHIELD && n.node() != null) {
-                n.node().holder().leases().keySet().stream()
-                        .filter(n.node().holder()::may)
-                        .forEach(s -> {
-                            looks++;
-                            final String other = holders.put(s, n.id().text());
-                            if (other != null) {
-                                log.add(Log.row(
-                                        "log",
-                                        "rights",
-                                        "t",
-                                        world.now(),
-                                        "shard",
-                                        s,
-                                        "first",
-                                        other,
-                                        "second",
-                                        n.id().text()));
-                            }
-                        });
-            }
-        }
-        world.in(20, this::watch);
-    }
-
-    SimNode any() {
+    SimNode anyNode() {
         final List<SimNode> list = new ArrayList<>(
                 nodes.values().stream().filter(n -> n.alive() && !n.frozen()).toList());
         return list.isEmpty() ? null : list.get(world.dice().nextInt(list.size()));
@@ -184,9 +120,9 @@
                 "kinds",
                 new TreeMap<>(net.kinds())));
         run(6000);
-        log.add(Log.row("log", "rights", "t", world.now(), "looks", looks));
-        if (patcher != null) {
-            patcher.readBack();
+        rights.end();
+        if (orderOperator != null) {
+            new ConfigReader(this).readAll();
             run(1500);
         }
         nodes.values().stream().filter(SimNode::alive).forEach(n -> {
@@ -302,47 +238,6 @@
         world.in(back + 500, () -> trouble("returned", "", 0));
     }
 
-    /** A new machine takes an origin's place: it announces itself at another address, then the old one leaves. */
-    public void replace(final String name, final long ms) {
-        final SimOrigin old = origins.get(name);
-        final String host = "127.1.1." + (1 + world.serial() % 250);
-        final SimOrigin next = old.heir(host);
-        trouble("origin-replace", name, ms);
-        yard.move(host, next);
-        next.start();
-        origins.put(name, next);
-        world.in(ms / 2, old::leave);
-        world.in(ms / 2 + 3000, old::quit);
-    }
-
-    /** It ends in order, and its address goes to a new origin of another service. */
-    public void reuse(final String name, final long ms) {
-        final SimOrigin old = origins.get(name);
-        final SimOrigin model = origins.values().stream()
-                .filter(o -> !o.stock().service().equals(old.stock().service())
-                        && o.make().slots() == old.make().slots())
-                .findFirst()
-                .orElseThrow();
-        trouble("origin-reuse", name, ms);
-        old.leave();
-        world.in(ms / 2, old::quit);
-        world.in(ms / 2 + 2000, () -> {
-            final SimOrigin next = model.heir(old.host());
-            yard.move(old.host(), next);
-            next.start();
-            world.in(ms, () -> {
-                next.leave();
-                world.in(3000, () -> {
-                    next.quit();
-                    world.in(2000, () -> {
-                        yard.move(old.host(), old);
-                        old.start();
-                    });
-                });
-            });
-        });
-    }
-
     public SimNode node(final String name) {
         return nodes.get(name);
     }
@@ -351,33 +246,12 @@
         return nodes;
     }
 
-    public Map<String, SimOrigin> origins() {
+    public SimOrigins origins() {
         return origins;
     }
 
-    /** One more origin, of a service of its own. */
-    public void origin(final String name, final String service, final String kind) {
-        final String host = "127.1.2." + (1 + world.serial() % 250);
-        final SimOrigin o = new SimOrigin(
-                world,
-                log,
-                name,
-                SimOrigin.Make.plain(kind),
-                stocks.computeIfAbsent(service, Stock::new),
-                host,
-                this::ear,
-                word);
-        origins.put(name, o);
-        yard.move(host, o);
-        o.start();
-    }
-
     public Stock stock(final String service) {
-        return stocks.get(service);
-    }
-
-    public SimPort.Yard yard() {
-        return yard;
+        return origins.stock(service);
     }
 
     public World world() {
@@ -396,12 +270,12 @@
         return place;
     }
 
-    public Staff staff() {
-        return staff;
+    public ItemOperator itemOperator() {
+        return itemOperator;
     }
 
-    public Patcher patcher() {
-        return patcher;
+    public OrderOperator orderOperator() {
+        return orderOperator;
     }
 
     public SimClients crowd() {
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/SimOrigins.java
@@ -0,0 +1,147 @@
+package rv.rig.sim;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import rv.rig.Place;
+import rv.rig.Stock;
+
+/** A deployment's origins, and what happens to them as a group: addresses change hands, machines are replaced. */
+public final class SimOrigins {
+    private final SimCluster cluster;
+    private final SimPort.Yard yard;
+    private final SimOrigin.Word word;
+    private final Map<String, SimOrigin> origins = new TreeMap<>();
+    private final Map<String, Stock> stocks = new TreeMap<>();
+
+    SimOrigins(final SimCluster cluster, final SimPort.Yard yard) {
+        this.cluster = cluster;
+        this.yard = yard;
+        final Place place = cluster.place();
+        word = place.shieldRun() ? new OriginAnnouncements.Beating() : new OriginAnnouncements.Announced();
+        int at = 0;
+        for (final Place.Kin k : place.kin()) {
+            final Stock stock = stockOf(k);
+            stocks.put(k.service(), stock);
+            for (int i = 1; i <= k.origins(); i++) {
+                add(make(k.service() + i, profile(k, i), stock, "127.1.0." + ++at));
+            }
+        }
+    }
+
+    private SimOrigin make(final String name, final SimOrigin.Make profile, final Stock stock, final String host) {
+        return new SimOrigin(cluster.world(), cluster.log(), name, profile, stock, host, cluster::controlNode, word);
+    }
+
+    private void add(final SimOrigin o) {
+        origins.put(o.name(), o);
+        yard.move(o.host(), o);
+    }
+
+    /** A service that gets a part of another's objects has the same. */
+    private Stock stockOf(final Place.Kin kin) {
+        return cluster.place().kin().stream()
+                .filter(k -> !k.equals(kin)
+                        && kin.ways().isEmpty()
+                        && k.ways().stream().anyMatch(w -> w.split().containsKey(kin.service())))
+                .findFirst()
+                .map(k -> stocks.get(k.service()).twin(kin.service()))
+                .orElseGet(() -> new Stock(kin.service()));
+    }
+
+    private SimOrigin.Make profile(final Place.Kin kin, final int i) {
+        final Place place = cluster.place();
+        return !place.shieldRun()
+                ? SimOrigin.Make.plain(kin.kind())
+                : new SimOrigin.Make(
+                        kin.kind(),
+                        kin.rate() > 0 ? 32 : 4,
+                        kin.rate() > 0 ? 30 : 60,
+                        place.cells().get(i % place.cells().size()));
+    }
+
+    public Collection<SimOrigin> values() {
+        return origins.values();
+    }
+
+    public SimOrigin get(final String name) {
+        return origins.get(name);
+    }
+
+    public Stock stock(final String service) {
+        return stocks.get(service);
+    }
+
+    /** One more origin, of a service of its own. */
+    public void start(final String name, final String service, final String kind) {
+        final String host = "127.1.2." + (1 + cluster.world().serial() % 250);
+        final SimOrigin o = make(name, SimOrigin.Make.plain(kind), stocks.computeIfAbsent(service, Stock::new), host);
+        add(o);
+        o.start();
+    }
+
+    /** A new machine takes an origin's place: it announces itself at another address, then the old one leaves. */
+    public void replace(final String name, final long ms) {
+        final SimOrigin old = origins.get(name);
+        final String host = "127.1.1." + (1 + cluster.world().serial() % 250);
+        final SimOrigin next = old.heir(host);
+        cluster.trouble("origin-replace", name, ms);
+        yard.move(host, next);
+        next.start();
+        origins.put(name, next);
+        cluster.world().in(ms / 2, old::leave);
+        cluster.world().in(ms / 2 + 3000, old::quit);
+    }
+
+    /** It ends in order, and its address goes to a new origin of another service. */
+    public void reuse(final String name, final long ms) {
+        final SimOrigin old = origins.get(name);
+        final SimOrigin model = origins.values().stream()
+                .filter(o -> !o.stock().service().equals(old.stock().service())
+                        && o.make().slots() == old.make().slots())
+                .findFirst()
+                .orElseThrow();
+        cluster.trouble("origin-reuse", name, ms);
+        old.leave();
+        cluster.world().in(ms / 2, old::quit);
+        cluster.world().in(ms / 2 + 2000, () -> lend(old, model.heir(old.host()), ms));
+    }
+
+    private void lend(final SimOrigin owner, final SimOrigin other, final long ms) {
+        yard.move(owner.host(), other);
+        other.start();
+        cluster.world().in(ms, () -> {
+            other.leave();
+            cluster.world().in(3000, () -> {
+                other.quit();
+                cluster.world().in(2000, () -> takeBack(owner));
+            });
+        });
+    }
+
+    private void takeBack(final SimOrigin owner) {
+        yard.move(owner.host(), owner);
+        owner.start();
+    }
+
+    /** The origin dies without a word and its address answers as another service. */
+    public void swap(final String name, final long ms) {
+        final SimOrigin o = origins.get(name);
+        o.kill();
+        final SimOrigin other = new SimOrigin(
+                cluster.world(),
+                cluster.log(),
+                "stranger",
+                SimOrigin.Make.plain("content"),
+                new Stock("stranger"),
+                o.host(),
+                () -> null,
+                new OriginAnnouncements.Announced());
+        other.start();
+        yard.move(o.host(), other);
+        cluster.world().in(ms, () -> {
+            other.kill();
+            takeBack(o);
+        });
+    }
+}
--- a/rig/src/test/java/rv/rig/DayTest.java
+++ b/rig/src/test/java/rv/rig/DayTest.java
@@ -17,7 +17,7 @@
 import rv.control.Json;
 import rv.rig.judge.Judge;
 import rv.rig.judge.Verdict;
-import rv.rig.sim.Play;
+import rv.rig.sim.ScriptRunner;
 
 /** Whole days of troubles in the simulator, from fixed seeds. */
 class DayTest {
@@ -27,7 +27,7 @@
     @ParameterizedTest
     @CsvSource({"kilimanjaro,1", "kilimanjaro,2", "kilimanjaro,3", "coastline,1", "coastline,2", "coastline,3"})
     void aDayKeepsEveryRule(final String place, final long seed) {
-        final Play play = new Play(Script.day(Place.of(place), seed, COUNT, 3500), seed);
+        final ScriptRunner play = new ScriptRunner(Script.day(Place.of(place), seed, COUNT, 3500), seed);
         final Judge judge = new Judge(play.run());
         assertTrue(judge.clean(), judge.text(3));
         assertEquals(List.of(), play.missed());
@@ -60,7 +60,8 @@
 
     private static String digest(final long seed) {
         final StringBuilder all = new StringBuilder();
-        for (final Map<String, Object> row : new Play(Script.day(Place.coastline(), seed, 2, 1500), seed).run()) {
+        for (final Map<String, Object> row :
+                new ScriptRunner(Script.day(Place.coastline(), seed, 2, 1500), seed).run()) {
             all.append(Json.text(row)).append('\n');
         }
         return Hash.digest(all.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
--- a/rig/src/test/java/rv/rig/DiffTest.java
+++ b/rig/src/test/java/rv/rig/DiffTest.java
@@ -28,7 +28,7 @@
     void nodesThatAgreeDifferInNothing() {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
         town.crowd().factor(0.01);
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(5000);
         final List<Diff.Row> rows = diff(town, "st1", "ed4").stream()
                 .filter(r -> !r.what().startsWith("item origin") && !r.what().startsWith("item tenure"))
--- a/rig/src/test/java/rv/rig/FaultTest.java
+++ b/rig/src/test/java/rv/rig/FaultTest.java
@@ -292,7 +292,7 @@
     @Test
     void aNodeCutOffStopsServingWhatCanBePurgedButNotTheRest() {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 6).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         final SimNode ed = town.node("ed3");
         ed.post(() ->
                 ed.node().edge().take(new rv.data.ClientRequest("GET", "/terms/0", null, new byte[0], ""), a -> {}));
--- a/rig/src/test/java/rv/rig/GrowthTest.java
+++ b/rig/src/test/java/rv/rig/GrowthTest.java
@@ -44,7 +44,7 @@
     void oldPurgesAreDroppedEverywhereAndTheirNamesPurgeAgain(final long seed) {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         town.crowd().factor(0.02);
-        town.staff().stop();
+        town.itemOperator().stop();
         final List<ItemService.ApiResult> said = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
             purge(town, "p" + i, "/stock/" + i, said);
@@ -91,9 +91,9 @@
     void originsLongGoneAreDropped() {
         final SimCluster town = new SimCluster(Place.coastline(), 3).open();
         town.crowd().factor(0.02);
-        town.staff().stop();
+        town.itemOperator().stop();
         for (int i = 0; i < 40; i++) {
-            town.replace("listing1", 1000);
+            town.origins().replace("listing1", 1000);
             town.run(2500);
         }
         town.run(100_000);
@@ -131,7 +131,7 @@
         final SimNode ed = town.node("ed3");
         ed.post(() -> ed.node().edge().take(new ClientRequest("GET", "/campus/0", null, new byte[0], ""), a -> {}));
         town.run(1000);
-        town.staff().stop();
+        town.itemOperator().stop();
         town.cut(side, LONG);
         for (int i = 0; i < 8; i++) {
             town.run(6000);
--- a/rig/src/test/java/rv/rig/PairsTest.java
+++ b/rig/src/test/java/rv/rig/PairsTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import rv.rig.judge.Judge;
-import rv.rig.sim.Play;
+import rv.rig.sim.ScriptRunner;
 
 /** Troubles on top of each other; {@code rwrig pairs} plays all of them. */
 class PairsTest {
@@ -26,7 +26,7 @@
         for (final Place place : List.of(Place.kilimanjaro(), Place.coastline())) {
             final List<String> two = List.of(first, second);
             assertTrue(Script.pairs(place).contains(two));
-            final Play play = new Play(Script.pair(place, two, 1), 1);
+            final ScriptRunner play = new ScriptRunner(Script.pair(place, two, 1), 1);
             final Judge judge = new Judge(play.run());
             assertTrue(judge.clean(), place.name() + " " + judge.text(3));
             assertEquals(List.of(), play.missed());
--- a/rig/src/test/java/rv/rig/RebuildTest.java
+++ b/rig/src/test/java/rv/rig/RebuildTest.java
@@ -21,7 +21,7 @@
         final Place place = seed % 2 == 0 ? Place.coastline() : Place.kilimanjaro();
         final SimCluster town = new SimCluster(place, seed).open();
         town.crowd().factor(1e-6);
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(1000);
         town.loseDisk("st1", 200);
         town.world().in(700 + seed * 60, () -> town.stall("st1", 4000));
--- a/rig/src/test/java/rv/rig/ResumeTest.java
+++ b/rig/src/test/java/rv/rig/ResumeTest.java
@@ -160,7 +160,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void aStoppingAuthorityIsFollowedAtOnce(final long before) {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 2).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(3000);
         final String boss = town.boss();
         final long last = town.log().rows().stream()
@@ -225,7 +225,7 @@
     @Test
     void aStalledStoreHoldsUpAnswersForItsStatedTimeAndIsToldOf() {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(2000);
         town.stall("st2", 5000);
         final List<Long> took = new ArrayList<>();
--- a/rig/src/test/java/rv/rig/SharesTest.java
+++ b/rig/src/test/java/rv/rig/SharesTest.java
@@ -25,7 +25,7 @@
     void sharesFollowDemandAndTheCeilingHolds(final long seed) {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), seed).open();
         town.crowd().factor(0.02);
-        town.staff().stop();
+        town.itemOperator().stop();
         final byte[] service = "{\"kind\":\"content\",\"rate\":12}".getBytes();
         final byte[] route = Json.text(Log.row("prefix", "/hot/", "service", "hot", "mode", "cached", "lifetimeMs", 1))
                 .getBytes();
@@ -61,8 +61,8 @@
         town.run(500);
         town.node("ed1")
                 .post(() -> town.node("ed1").node().clerk().put(new ItemId(Kind.ROUTE, "hot"), route, 0, "r", s -> {}));
-        town.origin("hot1", "hot", "content");
-        town.origin("hot2", "hot", "content");
+        town.origins().start("hot1", "hot", "content");
+        town.origins().start("hot2", "hot", "content");
         town.run(3000);
         final long[] done = new long[4];
         for (int phase = 0; phase < 2; phase++) {
--- a/rig/src/test/java/rv/rig/ShieldDayTest.java
+++ b/rig/src/test/java/rv/rig/ShieldDayTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import rv.rig.judge.Judge;
 import rv.rig.judge.Verdict;
-import rv.rig.sim.Play;
+import rv.rig.sim.ScriptRunner;
 
 /** Whole days of troubles of the places whose shields vote, from fixed seeds. */
 class ShieldDayTest {
@@ -35,7 +35,7 @@
         "coastline-shields,3"
     })
     void aDayKeepsEveryRule(final String place, final long seed) {
-        final Play play = new Play(Script.day(Place.of(place), seed, COUNT, 3000), seed);
+        final ScriptRunner play = new ScriptRunner(Script.day(Place.of(place), seed, COUNT, 3000), seed);
         final Judge judge = new Judge(play.run());
         assertTrue(judge.clean(), judge.text(3));
         assertEquals(List.of(), play.missed());
--- a/rig/src/test/java/rv/rig/StopTest.java
+++ b/rig/src/test/java/rv/rig/StopTest.java
@@ -16,7 +16,7 @@
     void aLeavingEdgeEndsOnlyOnceNoRequestHasComeForAWhile() {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 1).open();
         town.crowd().factor(1e-6);
-        town.staff().stop();
+        town.itemOperator().stop();
         final SimNode ed = town.node("ed1");
         final long from = town.world().now();
         final List<Long> over = new ArrayList<>();
--- a/rig/src/test/java/rv/rig/StormTest.java
+++ b/rig/src/test/java/rv/rig/StormTest.java
@@ -16,7 +16,7 @@
     void framesStayConfirmedUnderAStreamOfWrites() {
         final SimCluster town = new SimCluster(Place.coastline(), 1).open();
         town.crowd().factor(0.02);
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(1000);
         final List<ItemService.ApiResult> said = new ArrayList<>();
         int stale = 0;
--- a/rig/src/test/java/rv/rig/WorstTest.java
+++ b/rig/src/test/java/rv/rig/WorstTest.java
@@ -193,7 +193,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void aNodeThatMissedThePushLearnsInTime(final long seed) {
         final SimCluster town = new SimCluster(Place.coastline(), seed).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         final long[] end = {0};
         for (final String n : List.of("ed5", "sh3", "ed9")) {
             town.net().cut("ed1", n);
@@ -229,7 +229,7 @@
     @Test
     void aWriteWithoutAMajorityIsRefusedWhenItIsGivenUp() {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         town.node("st1").kill();
         town.node("sh1").kill();
         final long from = town.world().now();
