An item's hash is the same in every process

ItemId's hash held its enum's, which a JVM makes up anew, and with it the order of hash maps by item.

--- a/base/src/main/java/rv/base/ItemId.java
+++ b/base/src/main/java/rv/base/ItemId.java
@@ -18,6 +18,12 @@
         return kind.name() + "/" + name;
     }
 
+    /** The same in every process: an enum's own differs from run to run, and with it the order of hashed collections. */
+    @Override
+    public int hashCode() {
+        return 31 * kind.ordinal() + name.hashCode();
+    }
+
     @Override
     public int compareTo(final ItemId o) {
         return text().compareTo(o.text());
