--- a/rig/src/main/java/rv/rig/Place.java
+++ b/rig/src/main/java/rv/rig/Place.java
@@ -7,7 +7,10 @@
 import java.util.TreeMap;
 import rv.control.Json;
 
-/** One deployment: its machines, its origins, its configuration and its mix of requests. */
+/**
+ * One deployment: its machines, its origins, its configuration and its mix of requests; {@code losses} shields may be
+ * lost at once, and one that is back counts as lost for {@code catchUpMs} more.
+ */
 public record Place(
         String name,
         int edges,
@@ -18,9 +21,12 @@
         int perSecond,
         List<Kin> kin,
         boolean hasty,
-        boolean shieldRun) {
+        boolean shieldRun,
+        int losses,
+        long catchUpMs) {
     public static final Set<String> NAMES =
             Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields");
+    private static final long CATCH_UP_MS = 4000;
     private static final String HOST = "shop.example";
 
     /** A service, its origins, and the routes to it; {@code share} of requests each route gets. */
@@ -102,7 +108,9 @@
                                 2,
                                 List.of(new EdgeRouting("collect", "/collect/", "status", 0, true, 0.103, 200)))),
                 false,
-                false);
+                false,
+                Integer.MAX_VALUE,
+                0);
     }
 
     public static Place coastline() {
@@ -142,7 +150,9 @@
                                 2,
                                 List.of(new EdgeRouting("status", "/status/", "status", 0, true, 0.15, 300)))),
                 true,
-                false);
+                false,
+                Integer.MAX_VALUE,
+                0);
     }
 
     /** No stores: three of four shields vote, each with a disk; rates hold for all origins of a service together. */
@@ -177,7 +187,9 @@
                                         EdgeRouting.at("hold", "single", 0, 0.07, 50, Map.of("till", 50, "desk", 50)))),
                         new Kin("desk", "open", 0, 3, List.of())),
                 false,
-                true);
+                true,
+                1,
+                CATCH_UP_MS);
     }
 
     public static Place coastlineShields() {
@@ -223,7 +235,9 @@
                                                 Map.of("registrar", 50, "clerk", 50)))),
                         new Kin("clerk", "open", 0, 3, List.of())),
                 true,
-                true);
+                true,
+                1,
+                CATCH_UP_MS);
     }
 
     public static Place of(final String name) {
@@ -273,6 +287,19 @@
         return cells.get((n - 1) % cells.size());
     }
 
+    /** The name of the machine that takes this one's place in its zone. */
+    public String successor(final String node) {
+        return node.substring(0, 2) + (Integer.parseInt(node.substring(2)) + cells.size());
+    }
+
+    public List<String> shieldNames() {
+        return machines().stream().filter(m -> m.startsWith("sh")).toList();
+    }
+
+    public List<String> edgeNames() {
+        return machines().stream().filter(m -> m.startsWith("ed")).toList();
+    }
+
     /** Regions are the first and the second half of the cells. */
     public boolean apart(final String a, final String b) {
         return regionMs > 0 && half(a) != half(b);
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -90,7 +90,7 @@
             final int n = (Integer) set.valueOf("troubles");
             return n == 0
                     ? new Script("quiet", Place.of(what), (Long) set.valueOf("seconds"), List.of())
-                    : Script.day(Place.of(what), seed, n, 4000);
+                    : DayDraw.day(Place.of(what), seed, n, 4000);
         }
         if (!Files.isReadable(Path.of(what))) {
             faults.add(new Finding(what, "cannot be read"));
@@ -137,12 +137,12 @@
                 new java.util.concurrent.ConcurrentSkipListMap<>();
         final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]))
                 .boxed()
-                .flatMap(seed -> Script.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two)))
+                .flatMap(seed -> DayDraw.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two)))
                 .toList()
                 .parallelStream()
                 .filter(e -> {
                     final ScriptRunner play =
-                            new ScriptRunner(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
+                            new ScriptRunner(DayDraw.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
                     final Judge j = new Judge(play.run());
                     j.verdicts()
                             .forEach(v -> checked.computeIfAbsent(
@@ -157,7 +157,7 @@
                 })
                 .count();
         System.out.println(place + ": " + bad + " not clean of "
-                + Script.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
+                + DayDraw.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
         return bad == 0 ? 0 : 1;
     }
 
--- /dev/null
+++ b/rig/src/main/java/rv/rig/TroubleDraw.java
@@ -0,0 +1,188 @@
+package rv.rig;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import rv.rig.Script.Step;
+
+/** One trouble from chance: whom it strikes, for how long, in which variant. */
+final class TroubleDraw {
+    private static final long CLOSING_MS = 3000;
+
+    private TroubleDraw() {}
+
+    static String disk(final Place place, final Random random) {
+        return place.shieldRun()
+                ? place.disks().get(random.nextInt(place.disks().size()))
+                : random.nextBoolean() ? "st1" : "st2";
+    }
+
+    static Step draw(final Place place, final Random random, final String what, final long at) {
+        final List<String> from = Script.ORIGINS.contains(what) ? place.origins() : place.machines();
+        final String one = Script.DISKS.contains(what) ? disk(place, random) : from.get(random.nextInt(from.size()));
+        return switch (what) {
+            case "kill", "restart", "power", "ack-kill" ->
+                new Step(
+                        at,
+                        what,
+                        List.of(random.nextInt(3) == 0 ? "authority" : one),
+                        1000 + random.nextInt(9000),
+                        0,
+                        calls(place, random, what));
+            case "ack-lost" ->
+                new Step(at, what, List.of(), 4000 + random.nextInt(6000), 0.7 + random.nextInt(21) / 100.0);
+            case "clock-step" ->
+                new Step(
+                        at,
+                        what,
+                        some(place.machines(), random, 0.3),
+                        2000 + random.nextInt(6000),
+                        500 + random.nextInt(3500),
+                        Set.of(random.nextBoolean() ? "back" : "ahead"));
+            case "disk-slow" -> new Step(at, what, List.of(one), 3000 + random.nextInt(5000), 30);
+            case "reset-conns" -> new Step(at, what, some(place.machines(), random, 0.2), 0, 0.5);
+            case "core-cut" ->
+                new Step(
+                        at,
+                        what,
+                        counted(place, random),
+                        random.nextInt(3) == 0 ? 20_000 : 2000 + random.nextInt(8000),
+                        0,
+                        variants(random, "one-way", "both", "seeds", "meet", "race", "hard"));
+            case "after-ack-kill" ->
+                new Step(
+                        at,
+                        what,
+                        acker(random),
+                        1000 + random.nextInt(5000),
+                        1 + random.nextInt(place.losses()),
+                        moment(random, "kill"));
+            case "after-ack-wipe" ->
+                new Step(
+                        at,
+                        what,
+                        acker(random),
+                        500 + random.nextInt(3000),
+                        1 + random.nextInt(place.losses()),
+                        moment(random));
+            case "roll" ->
+                new Step(
+                        at,
+                        what,
+                        List.of(random.nextInt(3) == 0 ? "all" : random.nextBoolean() ? "shields" : "edges"),
+                        1000 + random.nextInt(1500),
+                        1,
+                        variants(random, "busy"));
+            case "replace-core" ->
+                new Step(
+                        at,
+                        what,
+                        List.of(random.nextInt(3) == 0 ? "authority" : random.nextInt(3) == 0 ? "seed" : one),
+                        300 + random.nextInt(3000),
+                        0,
+                        variants(random, "planned"));
+            case "seed-turnover" -> new Step(at, what, List.of(), 0, 0);
+            case "herd" -> new Step(at, what, List.of(), 500 + random.nextInt(1000), 0);
+            case "halves" -> new Step(at, what, List.of(), 1000 + random.nextInt(9000), 0);
+            case "race" -> new Step(at, what, List.of(), 3000, 8);
+            case "release" -> new Step(at, what, List.of(one), 8000, 0);
+            case "lose-disk", "ack-lose" ->
+                new Step(
+                        at,
+                        what,
+                        List.of(place.shieldRun() && random.nextInt(3) == 0 ? "authority" : one),
+                        500 + random.nextInt(3000),
+                        0);
+            case "blackout" -> new Step(at, what, List.of(one), 1000 + random.nextInt(3000), 0);
+            case "drift" ->
+                new Step(at, what, List.of(one), 12_000 + random.nextInt(8000), random.nextBoolean() ? 0.8 : 1.25);
+            case "freeze" ->
+                new Step(at, what, List.of(one), 300 + random.nextInt(9000), 0, calls(place, random, what));
+            case "cut" ->
+                new Step(
+                        at,
+                        what,
+                        random.nextBoolean() ? List.of(one) : bearable(place, random),
+                        1000 + random.nextInt(9000),
+                        0,
+                        calls(place, random, what));
+            case "slow" -> new Step(at, what, List.of(), 4000, 30 + random.nextInt(150));
+            case "loss" -> new Step(at, what, List.of(), 4000, 0.02 + random.nextInt(8) / 100.0);
+            case "surge" -> new Step(at, what, List.of(), 5000, 2 + random.nextInt(2));
+            case "purges", "storm" -> new Step(at, what, List.of(), 3000, 30);
+            case "origin-slow" -> new Step(at, what, List.of(one), 4000, 200 + random.nextInt(3000));
+            default -> new Step(at, what, List.of(one), 3000 + random.nextInt(4000), 0);
+        };
+    }
+
+    /** About a share of them, one at least. */
+    private static List<String> some(final List<String> all, final Random random, final double share) {
+        final List<String> drawn =
+                all.stream().filter(m -> random.nextDouble() < share).toList();
+        return drawn.isEmpty() ? List.of(all.get(random.nextInt(all.size()))) : drawn;
+    }
+
+    /** As many counted machines as may be lost at once, or fewer. */
+    private static List<String> counted(final Place place, final Random random) {
+        final List<String> all = new ArrayList<>(place.disks());
+        java.util.Collections.shuffle(all, random);
+        return List.copyOf(all.subList(0, 1 + random.nextInt(place.losses())));
+    }
+
+    /** A third of all machines, with no more counted ones than may be lost at once. */
+    private static List<String> bearable(final Place place, final Random random) {
+        final List<String> drawn = new ArrayList<>(
+                place.machines().stream().filter(m -> random.nextInt(3) == 0).toList());
+        if (place.shieldRun()) {
+            final List<String> shields =
+                    drawn.stream().filter(m -> m.startsWith("sh")).toList();
+            drawn.removeAll(shields.subList(Math.min(place.losses(), shields.size()), shields.size()));
+        }
+        return drawn;
+    }
+
+    private static Set<String> variants(final Random random, final String... names) {
+        final Set<String> drawn = new TreeSet<>();
+        for (final String name : names) {
+            if (random.nextInt(2) == 0) {
+                drawn.add(name);
+            }
+        }
+        return drawn;
+    }
+
+    private static Set<String> calls(final Place place, final Random random, final String what) {
+        return Script.ways(place, what).contains("meet") && random.nextInt(3) == 0
+                ? variants(random, "meet", "race", "hard")
+                : Set.of();
+    }
+
+    private static List<String> acker(final Random random) {
+        return random.nextInt(4) == 0 ? List.of("shields") : List.of("acker");
+    }
+
+    private static Set<String> moment(final Random random, final String... more) {
+        final Set<String> drawn = new TreeSet<>(variants(random, more));
+        switch (random.nextInt(3)) {
+            case 0 -> drawn.add("timed");
+            case 1 -> drawn.add("taken");
+            default -> {}
+        }
+        return drawn;
+    }
+
+    /** Right after an order was acknowledged: all power, all processes, or as many disks as may be lost, alone or not. */
+    static List<Step> closing(final Place place, final Random random, final long seed) {
+        final List<String> disks = new ArrayList<>(place.disks());
+        java.util.Collections.shuffle(disks, random);
+        final List<String> lost = List.copyOf(disks.subList(0, place.losses()));
+        return switch ((int) (seed % 4)) {
+            case 0 -> List.of(new Step(0, "power", List.of("all"), CLOSING_MS, 0));
+            case 1 -> List.of(new Step(0, "blackout", lost, CLOSING_MS, 0));
+            case 2 -> List.of(new Step(0, "kill", List.of("all"), CLOSING_MS, 0));
+            default -> List.of(new Step(0, "lose-disk", lost, CLOSING_MS, 0));
+        };
+    }
+}
--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The logs of one run, sorted by time and by kind. */
 public final class Facts {
@@ -15,7 +16,12 @@
     private static final long REST = 2500;
 
     private static final Set<String> DOWN = Set.of("kill", "lose-disk", "restart");
-    private static final Set<String> APART = Set.of("cut", "freeze", "drift");
+    private static final Set<String> APART = Set.of("cut", "core-cut", "freeze", "drift");
+    private static final Set<String> CUTS = Set.of("cut", "core-cut");
+    /** What troubles shields without taking one away. */
+    private static final Set<String> LINKS = Set.of(
+            "slow", "loss", "stall", "full", "disk-slow", "clock-step", "reset-conns", "seed-turnover", "replace-core");
+
     private final Map<String, List<Row>> kinds = new HashMap<>();
     private final Map<String, List<long[]>> bad = new TreeMap<>();
 
@@ -54,20 +60,26 @@
                         .add(r));
         for (final Row r : of("rig")) {
             final String what = r.text("what");
-            if (DOWN.contains(what) || APART.contains(what)) {
+            if (what.equals("added")) {
+                bad.computeIfAbsent(r.text("node"), k -> new ArrayList<>()).add(new long[] {0, back(r) + REST});
+            } else if (what.equals("retired")) {
+                bad.computeIfAbsent(r.text("node"), k -> new ArrayList<>()).add(new long[] {r.t(), Long.MAX_VALUE});
+            } else if (DOWN.contains(what) || APART.contains(what)) {
                 final long until = DOWN.contains(what) ? back(r) : r.t() + r.num("ms");
                 bad.computeIfAbsent(r.text("node"), k -> new ArrayList<>()).add(new long[] {r.t(), until + REST});
             }
         }
     }
 
-    /** The process that came after, by its own word. */
+    /** The process that came after, by its own word, or the machine's removal. */
     private long back(final Row gone) {
-        return of("node").stream()
-                .filter(r -> r.text("name").equals("STARTED")
-                        && r.text("node").equals(gone.text("node"))
-                        && r.t() > gone.t())
+        final boolean added = gone.text("what").equals("added");
+        return Stream.concat(
+                        of("node").stream().filter(r -> r.text("name").equals("STARTED")),
+                        of("rig").stream().filter(r -> r.text("what").equals("retired")))
+                .filter(r -> r.text("node").equals(gone.text("node")))
                 .mapToLong(Row::t)
+                .filter(t -> added ? t >= gone.t() : t > gone.t())
                 .min()
                 .orElse(Long.MAX_VALUE / 4);
     }
@@ -115,8 +127,7 @@
 
     /** More than half of the electors had no trouble; always so where the log does not name them. */
     public boolean settled(final long from, final long to) {
-        final List<?> electors =
-                shieldRun() && of("place").get(0).map().get("electors") instanceof List<?> l ? l : List.of();
+        final List<?> electors = voters();
         return electors.stream()
                                         .filter(e -> healthy(String.valueOf(e), from, to))
                                         .count()
@@ -125,6 +136,48 @@
                 || electors.isEmpty();
     }
 
+    /** Whether a shield could reach no majority of the voters from the one moment to the other, by cuts alone. */
+    boolean withoutMajority(final String node, final long from, final long to) {
+        return of("rig").stream()
+                .filter(r -> CUTS.contains(r.text("what"))
+                        && r.text("node").equals(node)
+                        && r.t() < from
+                        && r.t() + r.num("ms") > to)
+                .anyMatch(r -> {
+                    final Set<String> side = of("rig").stream()
+                            .filter(o -> o.t() == r.t() && o.text("what").equals(r.text("what")))
+                            .map(o -> o.text("node"))
+                            .collect(Collectors.toSet());
+                    final List<?> voters = voters();
+                    return !voters.isEmpty()
+                            && voters.stream()
+                                                    .filter(x -> side.contains(String.valueOf(x)))
+                                                    .count()
+                                            * 2
+                                    < voters.size();
+                });
+    }
+
+    private List<?> voters() {
+        return shieldRun() && of("place").get(0).map().get("electors") instanceof List<?> l ? l : List.of();
+    }
+
+    /** Moments at which shields or links between them are in trouble, or were up to {@code rest} ago, in order. */
+    List<long[]> coreTroubles(final long rest) {
+        final List<long[]> all = new ArrayList<>();
+        for (final Row r : of("rig")) {
+            final String what = r.text("what");
+            final boolean shield = r.text("node").startsWith("sh");
+            if (LINKS.contains(what) || shield && (APART.contains(what) || what.equals("retired"))) {
+                all.add(new long[] {r.t(), r.t() + r.num("ms") + rest});
+            } else if (shield && (DOWN.contains(what) || what.equals("added"))) {
+                all.add(new long[] {r.t(), back(r) + rest});
+            }
+        }
+        all.sort(Comparator.comparingLong(b -> b[0]));
+        return all;
+    }
+
     /** The next moment at which no machine is up. */
     long dark(final long from) {
         final List<Row> turns = new ArrayList<>(nodes("STARTED"));
--- a/rig/src/main/java/rv/rig/judge/Judge.java
+++ b/rig/src/main/java/rv/rig/judge/Judge.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Rules on a run from its logs alone: the brief's twelve, and five more where shields vote and operators state versions. */
+/** Rules on a run from its logs alone: the brief's twelve, and nine more where shields vote and operators state versions. */
 public final class Judge {
     private final List<Verdict> verdicts = new ArrayList<>();
 
@@ -28,6 +28,11 @@
             verdicts.add(Stated.refused(f, new Verdict(15, "a refused try never runs, none runs twice")));
             verdicts.add(Totals.ceiling(f, new Verdict(16, "a service's ceiling over all origins, 5 s")));
             verdicts.add(Totals.budget(f, new Verdict(17, "arrivals beyond the first of each try, 10 s")));
+            verdicts.add(ControlAnswers.contact(f, new Verdict(18, "control answers rest on a majority")));
+            verdicts.add(
+                    ControlAnswers.oneBody(f, new Verdict(19, "one version, one body; nothing of a refused order")));
+            verdicts.add(ControlAnswers.repeated(f, new Verdict(20, "an order that was taken is never refused")));
+            verdicts.add(ControlAnswers.acknowledged(f, new Verdict(21, "orders acknowledged, read back at the end")));
         }
     }
 
--- a/rig/src/main/java/rv/rig/judge/Stated.java
+++ b/rig/src/main/java/rv/rig/judge/Stated.java
@@ -14,7 +14,9 @@
     private Stated() {}
 
     private static List<Facts.Row> reads(final Facts f) {
-        return f.of("read").stream().filter(r -> r.yes("whole")).toList();
+        return f.of("read").stream()
+                .filter(r -> r.yes("whole") && !Boolean.FALSE.equals(r.map().get("last")))
+                .toList();
     }
 
     private static String said(final Facts.Row read, final String item) {
--- a/rig/src/main/java/rv/rig/sim/ConfigReader.java
+++ b/rig/src/main/java/rv/rig/sim/ConfigReader.java
@@ -20,10 +20,12 @@
     void readAll() {
         cluster.nodes().values().stream()
                 .filter(n -> n.role() == Role.SHIELD && n.alive())
-                .forEach(this::read);
+                .forEach(n -> read(n, true));
     }
 
-    private void read(final SimNode n) {
+    /** {@code last}: at the end of a day, when all that was acknowledged is asked for. */
+    void read(final SimNode n, final boolean last) {
+        final long t = cluster.world().now();
         n.post(() -> n.node().orders().whole(SPAN_MS, all -> {
             final Map<String, Object> items = new TreeMap<>();
             all.ifPresent(m -> m.forEach((kind, some) -> {
@@ -39,7 +41,11 @@
                             "log",
                             "read",
                             "t",
+                            t,
+                            "end",
                             cluster.world().now(),
+                            "last",
+                            last,
                             "node",
                             n.id().text(),
                             "whole",
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/CoreTroubles.java
@@ -0,0 +1,295 @@
+package rv.rig.sim;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import rv.base.Role;
+import rv.rig.Script;
+
+/** Troubles of the machines that count, in places whose shields vote: cuts among them, replacements, losses at answers. */
+final class CoreTroubles {
+    private static final long WAIT_MS = 100;
+    private static final long LOOK_MS = 1;
+    private static final long BUSY_AT_MOST_MS = 3000;
+    private static final long LEAVE_AT_MOST_MS = 10_000;
+    private static final long RESTART_MS = 700;
+    private static final long EARLIEST_MS = 5;
+    private static final int TIMED_SPAN_MS = 396;
+    private static final int SEEDS = 3;
+    private final SimCluster cluster;
+
+    CoreTroubles(final SimCluster cluster) {
+        this.cluster = cluster;
+    }
+
+    private World world() {
+        return cluster.world();
+    }
+
+    private Random random() {
+        return cluster.world().dice();
+    }
+
+    private List<String> up(final Role role) {
+        return cluster.nodes().values().stream()
+                .filter(n -> n.role() == role && n.alive())
+                .map(n -> n.id().text())
+                .toList();
+    }
+
+    private List<String> shields() {
+        return cluster.nodes().keySet().stream().filter(n -> n.startsWith("sh")).toList();
+    }
+
+    private void whenBearable(final List<String> more, final Runnable strike) {
+        if (cluster.losses().bears(more)) {
+            strike.run();
+        } else {
+            world().in(WAIT_MS, () -> whenBearable(more, strike));
+        }
+    }
+
+    /** The group hears nothing of the other shields, or with {@code one-way} is not heard by them. */
+    void coreCut(final List<String> group, final Script.Step s) {
+        final List<String> others =
+                shields().stream().filter(n -> !group.contains(n)).toList();
+        group.forEach(n -> cluster.trouble("core-cut", n, s.ms()));
+        group.forEach(n -> cluster.losses().lostFor(n, s.ms()));
+        final boolean deaf = random().nextBoolean();
+        if (!s.how("one-way") || deaf) {
+            cluster.sever(others, group, s.ms());
+        }
+        if (!s.how("one-way") || !deaf) {
+            cluster.sever(group, others, s.ms());
+        }
+        if (s.how("seeds")) {
+            world().in(s.ms() / 4, () -> beginWith(group));
+        }
+        if (s.how("both")) {
+            final List<String> order = new ArrayList<>(group);
+            order.addAll(others);
+            world().in(s.ms() / 4, () -> restartInTurn(order));
+        }
+    }
+
+    /** New seeds that begin with the ones that are cut off; some other machines are restarted with them. */
+    private void beginWith(final List<String> group) {
+        final List<String> list = new ArrayList<>(group);
+        shields().stream().filter(n -> !list.contains(n)).forEach(list::add);
+        turnSeeds(list.subList(0, Math.min(SEEDS, list.size())));
+        up(Role.EDGE).stream().filter(n -> random().nextInt(3) == 0).forEach(n -> cluster.kill(n, RESTART_MS));
+    }
+
+    private void restartInTurn(final List<String> order) {
+        if (order.isEmpty()) {
+            return;
+        }
+        final String first = order.get(0);
+        if (cluster.nodes().containsKey(first) && cluster.node(first).alive()) {
+            cluster.restart(first, RESTART_MS);
+        }
+        world().in(2 * RESTART_MS, () -> restartInTurn(order.subList(1, order.size())));
+    }
+
+    /** The settings of all machines name other seeds, and all processes are told. */
+    void turnSeeds(final List<String> names) {
+        cluster.trouble("seed-turnover", String.join(",", names), 0);
+        cluster.seeds(names);
+    }
+
+    List<String> otherSeeds() {
+        final List<String> all = new ArrayList<>(shields());
+        Collections.shuffle(all, random());
+        return all.subList(0, Math.min(SEEDS, all.size()));
+    }
+
+    /** Gone for good, and an empty one comes at another address; planned: that one first, then an orderly stop. */
+    void replace(final String old, final Script.Step s, final Runnable done) {
+        cluster.trouble("replace-core", old, s.ms());
+        if (s.how("planned")) {
+            cluster.add(old);
+            world().in(s.ms(), () -> leave(old, done));
+        } else {
+            cluster.retire(old);
+            world().in(s.ms(), () -> {
+                cluster.add(old);
+                done.run();
+            });
+        }
+    }
+
+    /** An orderly stop for good; the machine is switched off if it takes too long. */
+    private void leave(final String name, final Runnable done) {
+        final Runnable off = () -> {
+            if (cluster.nodes().containsKey(name)) {
+                cluster.retire(name);
+                done.run();
+            }
+        };
+        cluster.stop(name, off);
+        world().in(LEAVE_AT_MOST_MS, off);
+    }
+
+    /** Each in turn gets an orderly stop, and starts again or is gone for good. */
+    void roll(final List<String> names, final Script.Step s, final Runnable done) {
+        final List<String> left = names.stream()
+                .filter(n -> cluster.nodes().containsKey(n) && cluster.node(n).alive())
+                .toList();
+        if (left.isEmpty()) {
+            done.run();
+            return;
+        }
+        final String first = left.get(0);
+        whenBearable(List.of(first), () -> {
+            if (s.how("busy")) {
+                whenBusy(first, world().now() + BUSY_AT_MOST_MS, () -> stopOne(first, s));
+            } else {
+                stopOne(first, s);
+            }
+            world().in(s.ms(), () -> roll(left.subList(1, left.size()), s, done));
+        });
+    }
+
+    private void stopOne(final String name, final Script.Step s) {
+        if (!cluster.nodes().containsKey(name) || !cluster.node(name).alive()) {
+            return;
+        }
+        if (s.how("remove")) {
+            cluster.trouble("restart", name, 0);
+            leave(name, () -> {});
+        } else {
+            cluster.restart(name, RESTART_MS);
+        }
+    }
+
+    /** While it answers a request, or at the latest by then. */
+    private void whenBusy(final String name, final long latest, final Runnable then) {
+        final SimNode n = cluster.node(name);
+        if (!n.alive() || n.busy() || world().now() >= latest) {
+            then.run();
+        } else {
+            world().in(LOOK_MS, () -> whenBusy(name, latest, then));
+        }
+    }
+
+    /** Right after an order was acknowledged, soon after one was sent, or right after a keyed request was accepted. */
+    void afterAck(final Script.Step s, final Runnable done) {
+        final Loss loss = new Loss(s, done);
+        if (s.how("taken")) {
+            cluster.crowd().onceAccepted(loss::strike);
+        } else if (s.how("timed")) {
+            cluster.orderOperator().change(loss::strikeSoon, (at, status) -> loss.missed());
+        } else {
+            cluster.orderOperator().change(at -> {}, (at, status) -> {
+                if (status == 200) {
+                    loss.strike(at.id().text());
+                } else {
+                    loss.missed();
+                }
+            });
+        }
+    }
+
+    /** Some machines lose power, their disk too, at a moment that one order or request gives. */
+    private final class Loss {
+        private final Script.Step step;
+        private final Runnable done;
+        private boolean decided;
+
+        Loss(final Script.Step step, final Runnable done) {
+            this.step = step;
+            this.done = done;
+        }
+
+        void strikeSoon(final SimNode at) {
+            if (!decided) {
+                decided = true;
+                world().in(
+                                EARLIEST_MS + random().nextInt(TIMED_SPAN_MS),
+                                () -> hit(at.id().text()));
+            }
+        }
+
+        void strike(final String first) {
+            if (!decided) {
+                decided = true;
+                hit(first);
+            }
+        }
+
+        /** That order or request gave no moment; the next one may. */
+        void missed() {
+            if (!decided) {
+                decided = true;
+                world().in(WAIT_MS, () -> afterAck(step, done));
+            }
+        }
+
+        /** {@code first}: the machine that answered; others by lot, as many as the step says. */
+        private void hit(final String first) {
+            final List<String> victims = victims(first);
+            if (cluster.losses().bears(victims)) {
+                victims.forEach(this::lose);
+                done.run();
+            } else {
+                world().in(WAIT_MS, () -> afterAck(step, done));
+            }
+        }
+
+        private List<String> victims(final String first) {
+            final List<String> all = new ArrayList<>(shields());
+            Collections.shuffle(all, random());
+            if (step.who().contains("acker") && all.remove(first)) {
+                all.add(0, first);
+            }
+            return all.subList(0, Math.max(1, Math.min((int) step.size(), all.size())));
+        }
+
+        private void lose(final String name) {
+            if (step.trouble().equals("after-ack-wipe")) {
+                cluster.loseDisk(name, step.ms());
+            } else if (step.how("kill")) {
+                cluster.kill(name, step.ms());
+            } else {
+                cluster.power(name, step.ms());
+            }
+        }
+    }
+
+    /** A share of the named machines' circuits is reset, to each other and to origins. */
+    void resetCircuits(final List<String> names, final double share) {
+        names.forEach(n -> {
+            cluster.trouble("reset-conns", n, 0);
+            cluster.nodes().keySet().stream()
+                    .filter(other -> !other.equals(n) && random().nextDouble() < share)
+                    .forEach(other -> cluster.net().resetCircuit(n, other));
+            if (cluster.node(n).alive()) {
+                cluster.node(n).resetOriginCircuits(share);
+            }
+        });
+    }
+
+    /** During a cut of the named machines, and as they return, changes are sent to them. */
+    void callDuring(final List<String> names, final long ms, final Set<String> how) {
+        for (final long at : new long[] {1, 300, 900, ms / 2, ms - 200}) {
+            if (at > 0 && at < ms) {
+                world().in(at, () -> names.forEach(n -> call(n, how)));
+            }
+        }
+    }
+
+    void callAtReturn(final List<String> names, final long ms, final Set<String> how) {
+        for (final long at : new long[] {1, 50, 250, 800}) {
+            world().in(ms + at, () -> names.forEach(n -> call(n, how)));
+        }
+    }
+
+    private void call(final String name, final Set<String> how) {
+        final SimNode n = cluster.nodes().get(name);
+        if (n != null && n.alive()) {
+            cluster.orderOperator().callAt(n, how);
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/LossLimit.java
@@ -0,0 +1,66 @@
+package rv.rig.sim;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * How many counted machines may be lost at once, and which are: a machine counts as lost while it is down, frozen or cut
+ * off, and until its time to catch up is over after its return.
+ */
+public final class LossLimit {
+    private static final long FOR_GOOD = Long.MAX_VALUE;
+    private final World world;
+    private final Predicate<String> counted;
+    private final int bearable;
+    private final long catchUpMs;
+    private final Map<String, Long> lostUntil = new TreeMap<>();
+
+    LossLimit(final World world, final Predicate<String> counted, final int bearable, final long catchUpMs) {
+        this.world = world;
+        this.counted = counted;
+        this.bearable = bearable;
+        this.catchUpMs = catchUpMs;
+    }
+
+    private Set<String> lost() {
+        lostUntil.values().removeIf(until -> until <= world.now());
+        return lostUntil.keySet();
+    }
+
+    /** Whether these machines may be lost beside those that are. */
+    public boolean bears(final Collection<String> more) {
+        final Set<String> all = new HashSet<>(lost());
+        final int before = all.size();
+        more.stream().filter(counted).forEach(all::add);
+        return all.size() == before || all.size() <= bearable;
+    }
+
+    /** Whether no machine counts as lost. */
+    public boolean clear() {
+        return lost().isEmpty();
+    }
+
+    /** It is down until it is said to be back. */
+    void gone(final String machine) {
+        if (counted.test(machine)) {
+            lostUntil.put(machine, FOR_GOOD);
+        }
+    }
+
+    void lostFor(final String machine, final long ms) {
+        if (counted.test(machine)) {
+            lostUntil.merge(machine, world.now() + ms + catchUpMs, Math::max);
+        }
+    }
+
+    /** It, or the one that takes its place, has started. */
+    void back(final String machine) {
+        if (counted.test(machine)) {
+            lostUntil.put(machine, world.now() + catchUpMs);
+        }
+    }
+}
--- a/rig/src/main/java/rv/rig/sim/Order.java
+++ b/rig/src/main/java/rv/rig/sim/Order.java
@@ -6,12 +6,8 @@
 import java.util.TreeMap;
 import rv.control.Json;
 
-/** One call of an operator: items that are set and items that are dropped. */
-record Order(List<OrderItem> items) {
-    static Order of(final OrderItem... items) {
-        return new Order(List.of(items));
-    }
-
+/** One call of an operator: items that are set and items that are dropped. Sent again, it keeps its {@code id}. */
+record Order(long id, List<OrderItem> items) {
     byte[] text() {
         final Map<String, Map<String, Object>> set = new TreeMap<>();
         final Map<String, Map<String, Object>> drop = new TreeMap<>();
--- a/rig/src/main/java/rv/rig/sim/OrderClient.java
+++ b/rig/src/main/java/rv/rig/sim/OrderClient.java
@@ -1,22 +1,31 @@
 package rv.rig.sim;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
+import rv.base.Role;
+import rv.control.ItemService;
 import rv.control.Purge;
 import rv.rig.Log;
 
-/** Sends orders and purges to any shield, and repeats them at another one until the answer is clear. */
+/** Sends orders and purges to any shield, and repeats them at other ones until the answer is clear. */
 final class OrderClient {
     private static final int ORDER_TRIES = 12;
+    private static final int HARD_TRIES = 60;
     private static final int PURGE_TRIES = 4;
     private static final long PAUSE_MS = 100;
+    private static final long HARD_PAUSE_MS = 250;
     private static final long NOBODY_UP_MS = 500;
     private static final long SILENCE_MS = 1000;
     private final SimCluster cluster;
     private final List<Order> answered = new ArrayList<>();
+    private double lostShare;
+    private String lastAcknowledger = "";
 
     OrderClient(final SimCluster cluster) {
         this.cluster = cluster;
@@ -27,53 +36,181 @@
         return answered;
     }
 
+    String lastAcknowledger() {
+        return lastAcknowledger;
+    }
+
+    /** A share of the answers is lost on the way from now on. */
+    void loseAnswers(final double share) {
+        lostShare = share;
+    }
+
     private World world() {
         return cluster.world();
     }
 
-    /** {@code then} hears the clear status, or 0 where none came. */
-    void send(final Order order, final IntConsumer then) {
-        final long now = world().now();
-        order.items().forEach(item -> cluster.log().add(item.row("sent", now, now, 0)));
-        send(order, now, ORDER_TRIES, then);
+    /** How sending an order ended: the machine whose clear answer came, and its status; nobody and 0 where none came. */
+    interface Ending {
+        void ended(SimNode at, int status);
     }
 
-    /** To another node after a failure or a second of silence, with a pause that grows. */
-    private void send(final Order order, final long from, final int left, final IntConsumer then) {
-        final SimNode at = cluster.controlNode();
-        final boolean[] over = {false};
-        final Runnable again = () -> {
-            if (over[0]) {
+    /** One order on its way: until an answer is clear, or the tries are used up. */
+    private final class Sending {
+        private final Order order;
+        private final long from = world().now();
+        private final Set<String> asked = new HashSet<>();
+        private final Consumer<SimNode> sent;
+        private final Ending ending;
+        private int tries;
+        private boolean clear;
+
+        Sending(final Order order, final Consumer<SimNode> sent, final Ending ending) {
+            this.order = order;
+            this.sent = sent;
+            this.ending = ending;
+            order.items().forEach(item -> cluster.log().add(item.row("sent", from, from, 0)));
+            cluster.log()
+                    .add(Log.row(
+                            "log",
+                            "order",
+                            "t",
+                            from,
+                            "id",
+                            order.id(),
+                            "items",
+                            order.items().stream().map(OrderItem::mark).toList()));
+        }
+
+        /** At other nodes first, after a failure or a second of silence, with a pause that grows. */
+        void next() {
+            if (clear) {
                 return;
             }
-            over[0] = true;
-            if (left == 0) {
-                then.accept(0);
+            if (tries++ >= ORDER_TRIES) {
+                ending.ended(null, 0);
+                return;
+            }
+            final SimNode at = notAsked();
+            if (at == null) {
+                world().in(NOBODY_UP_MS, this::next);
             } else {
-                world().in(PAUSE_MS * (ORDER_TRIES + 1 - left), () -> send(order, from, left - 1, then));
+                tryAt(at, () -> world().in(PAUSE_MS * tries, this::next));
             }
-        };
-        if (at == null) {
-            world().in(NOBODY_UP_MS, again);
-            return;
         }
-        final long life = at.life();
-        world().in(1, () -> {
-            if (at.alive() && at.life() == life) {
-                at.post(() -> at.node().orders().patch(order.text(), s -> {
-                    if (over[0] || s.status() / 100 == 5) {
-                        again.run();
-                        return;
-                    }
+
+        private SimNode notAsked() {
+            final List<SimNode> fresh = cluster.nodes().values().stream()
+                    .filter(n -> n.role() == Role.SHIELD && n.alive() && !asked.contains(n.id().text()))
+                    .toList();
+            return fresh.isEmpty()
+                    ? cluster.controlNode()
+                    : fresh.get(world().dice().nextInt(fresh.size()));
+        }
+
+        /** {@code again} runs once, where no clear answer came in a second. */
+        void tryAt(final SimNode at, final Runnable again) {
+            asked.add(at.id().text());
+            final boolean[] over = {false};
+            final Runnable once = () -> {
+                if (!over[0] && !clear) {
                     over[0] = true;
-                    final long end = world().now();
-                    order.items().forEach(item -> cluster.log().add(item.row("put", from, end, s.status())));
-                    answered.add(order);
-                    then.accept(s.status());
-                }));
+                    again.run();
+                }
+            };
+            final long life = at.life();
+            final long t = world().now();
+            sent.accept(at);
+            world().in(1, () -> {
+                if (at.alive() && at.life() == life) {
+                    at.post(() -> at.node().orders().patch(order.text(), s -> {
+                        final boolean lost = world().dice().nextDouble() < lostShare;
+                        note("order", t, at, order.id(), s, lost);
+                        if (!lost) {
+                            answer(at, s, once);
+                        }
+                    }));
+                }
+            });
+            world().in(SILENCE_MS, once);
+        }
+
+        private void answer(final SimNode at, final ItemService.ApiResult s, final Runnable again) {
+            if (clear) {
+                return;
             }
-        });
-        world().in(SILENCE_MS, again);
+            if (s.status() / 100 == 5) {
+                again.run();
+                return;
+            }
+            clear = true;
+            final long end = world().now();
+            order.items().forEach(item -> cluster.log().add(item.row("put", from, end, s.status())));
+            answered.add(order);
+            if (s.status() == 200) {
+                lastAcknowledger = at.id().text();
+            }
+            ending.ended(at, s.status());
+        }
+
+        /** Again and again at one machine, until it answers clearly. */
+        void insist(final SimNode at) {
+            if (tries++ < HARD_TRIES && !clear) {
+                tryAt(at, () -> world().in(HARD_PAUSE_MS, () -> insist(at)));
+            }
+        }
+    }
+
+    private void note(
+            final String kind,
+            final long t,
+            final SimNode at,
+            final Long order,
+            final ItemService.ApiResult s,
+            final boolean lost) {
+        cluster.log()
+                .add(Log.row(
+                        "log",
+                        "try",
+                        "kind",
+                        kind,
+                        "t",
+                        t,
+                        "end",
+                        world().now(),
+                        "node",
+                        at.id().text(),
+                        "order",
+                        order,
+                        "status",
+                        s.status(),
+                        "lost",
+                        lost));
+    }
+
+    /** {@code sent} hears each machine that it is sent to. */
+    void send(final Order order, final Consumer<SimNode> sent, final Ending ending) {
+        new Sending(order, sent, ending).next();
+    }
+
+    /** To this machine first, then as any other. */
+    void sendFirstTo(final Order order, final SimNode at) {
+        final Sending sending = new Sending(order, n -> {}, (n, status) -> {});
+        sending.tryAt(at, () -> world().in(PAUSE_MS, sending::next));
+    }
+
+    void sendUntilAnswered(final Order order, final SimNode at) {
+        new Sending(order, n -> {}, (n, status) -> {}).insist(at);
+    }
+
+    /** Something that must not be taken, once. */
+    void tryInvalid(final Order order, final SimNode at) {
+        final long t = world().now();
+        at.post(() -> at.node().orders().patch(order.text(), s -> note("invalid", t, at, null, s, false)));
+    }
+
+    void tryPurge(final Purge what, final SimNode at) {
+        final long t = world().now();
+        at.post(() -> at.node().orders().purge(what, s -> note("purge", t, at, null, s, false)));
     }
 
     void purge(final Purge what, final Map<String, Object> facts) {
@@ -95,7 +232,9 @@
         if (at == null) {
             return;
         }
+        final long t = world().now();
         at.post(() -> at.node().orders().purge(what, s -> {
+            note("purge", t, at, null, s, false);
             if (over[0] || s.status() != 200) {
                 again.run();
                 return;
@@ -122,17 +261,19 @@
         }));
     }
 
-    /** Once, to any node; where nobody is up, later. */
-    void sendOnce(final Supplier<Order> draft, final String what, final IntConsumer then) {
+    /** Something that must not be taken, to any node; where nobody is up, later. */
+    void sendInvalid(final Supplier<Order> draft, final IntConsumer then) {
         final SimNode at = cluster.controlNode();
         if (at == null) {
-            world().in(NOBODY_UP_MS, () -> sendOnce(draft, what, then));
+            world().in(NOBODY_UP_MS, () -> sendInvalid(draft, then));
             return;
         }
         final Order order = draft.get();
         final long t = world().now();
         at.post(() -> at.node().orders().patch(order.text(), s -> {
-            cluster.log().add(Log.row("log", "op", "t", t, "end", world().now(), "what", what, "status", s.status()));
+            note("invalid", t, at, null, s, false);
+            cluster.log()
+                    .add(Log.row("log", "op", "t", t, "end", world().now(), "what", "invalid", "status", s.status()));
             then.accept(s.status());
         }));
     }
--- a/rig/src/main/java/rv/rig/sim/OrderDraft.java
+++ b/rig/src/main/java/rv/rig/sim/OrderDraft.java
@@ -16,12 +16,17 @@
     private final Random random;
     private final Map<String, Long> versions = new TreeMap<>();
     private long notes;
+    private long orders;
 
     OrderDraft(final Place place, final Random random) {
         this.place = place;
         this.random = random;
     }
 
+    Order order(final OrderItem... items) {
+        return new Order(++orders, List.of(items));
+    }
+
     /** The next version of an item. */
     long nextVersion(final Kind kind, final String name) {
         return versions.merge(kind + name, FIRST_VERSION, (a, b) -> a + 1 + random.nextInt(5));
@@ -51,7 +56,7 @@
         place.kin().forEach(k -> all.add(service(k)));
         place.ways().forEach(w -> all.add(route(w)));
         all.add(limits());
-        return new Order(all);
+        return order(all.toArray(OrderItem[]::new));
     }
 
     OrderItem service(final Place.Kin k) {
@@ -147,6 +152,6 @@
         final Map<String, Object> body =
                 new TreeMap<>(route(place.ways().get(0)).body());
         body.put("split", List.of(Map.of("service", "nobody", "weight", 1)));
-        return Order.of(good, new OrderItem(Kind.ROUTE, "faulty", 9, body, Map.of()));
+        return order(good, new OrderItem(Kind.ROUTE, "faulty", 9, body, Map.of()));
     }
 }
--- a/rig/src/main/java/rv/rig/sim/OrderItem.java
+++ b/rig/src/main/java/rv/rig/sim/OrderItem.java
@@ -14,6 +14,11 @@
         return body == null;
     }
 
+    /** How the judge names it: item, version and what its body is known by. */
+    String mark() {
+        return id() + "|" + version + "|" + (drops() ? "gone" : body.get("note"));
+    }
+
     Map<String, Object> row(final String what, final long t, final long end, final int status) {
         final Map<String, Object> row = Log.row(
                 "log",
--- a/rig/src/main/java/rv/rig/sim/OrderOperator.java
+++ b/rig/src/main/java/rv/rig/sim/OrderOperator.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import rv.base.Kind;
 import rv.base.Role;
@@ -19,6 +21,7 @@
     private final SimCluster cluster;
     private final OrderDraft draft;
     private final OrderClient client;
+    private final ConfigReader reader;
     private boolean on;
     private boolean shown;
 
@@ -26,6 +29,7 @@
         this.cluster = cluster;
         draft = new OrderDraft(cluster.place(), cluster.world().dice());
         client = new OrderClient(cluster);
+        reader = new ConfigReader(cluster);
     }
 
     private Random random() {
@@ -37,7 +41,7 @@
     }
 
     private void send(final Order order) {
-        client.send(order, s -> {});
+        client.send(order, sent -> {}, (at, status) -> {});
     }
 
     @Override
@@ -62,8 +66,10 @@
     @Override
     public void state(final IntConsumer then) {
         client.send(
-                Order.of(random().nextInt(3) == 0 ? draft.service(draft.anyService()) : draft.route(draft.anyRoute())),
-                then);
+                draft.order(
+                        random().nextInt(3) == 0 ? draft.service(draft.anyService()) : draft.route(draft.anyRoute())),
+                sent -> {},
+                (at, status) -> then.accept(status));
     }
 
     /** Two operators, one version, two bodies, two nodes. */
@@ -71,17 +77,62 @@
         final Place.EdgeRouting w = draft.anyRoute();
         final long version = draft.nextVersion(Kind.ROUTE, w.route());
         for (int i = 0; i < 2; i++) {
-            send(Order.of(draft.route(w, version)));
+            send(draft.order(draft.route(w, version)));
         }
     }
 
+    /** Two calls that share one item under one version, and have one each of their own, in opposite order. */
+    private void overlappingRace() {
+        final Place.EdgeRouting w = draft.anyRoute();
+        final long version = draft.nextVersion(Kind.ROUTE, w.route());
+        final OrderItem left = extraRoute("left");
+        final OrderItem right = extraRoute("right");
+        send(draft.order(left, draft.route(w, version)));
+        send(draft.order(draft.route(w, version), right));
+    }
+
+    /** The same calls as everybody's, at one machine first; what it answers while cut off is for the judge. */
+    void callAt(final SimNode at, final Set<String> how) {
+        final Place.EdgeRouting w = draft.anyRoute();
+        final long version = draft.nextVersion(Kind.ROUTE, w.route());
+        final Order order = draft.order(draft.route(w, version));
+        if (how.contains("hard")) {
+            client.sendUntilAnswered(order, at);
+        } else {
+            client.sendFirstTo(order, at);
+        }
+        if (how.contains("race")) {
+            send(draft.order(draft.route(w, version)));
+        }
+        client.tryInvalid(draft.invalid(), at);
+        client.tryPurge(new Purge(null, w.prefix() + "0", null, w.host(), null), at);
+        reader.read(at, false);
+    }
+
+    /** A share of the answers to the operator is lost from now on. */
+    void loseAnswers(final double share) {
+        client.loseAnswers(share);
+    }
+
+    /** The machine that acknowledged an order last; empty before the first. */
+    String lastAcknowledger() {
+        return client.lastAcknowledger();
+    }
+
+    /** {@code sent} hears each machine that a change is sent to, {@code ending} how that ended. */
+    void change(final Consumer<SimNode> sent, final OrderClient.Ending ending) {
+        client.send(draft.order(draft.route(draft.anyRoute())), sent, ending);
+    }
+
     /** Every few seconds: a race, an older call once more, a route that is added or dropped, or something restated. */
     private void restate() {
         if (!on) {
             return;
         }
-        switch (random().nextInt(4)) {
+        switch (random().nextInt(6)) {
             case 0 -> race();
+            case 4 -> overlappingRace();
+            case 5 -> readSome();
             case 1 ->
                 send(client.answered().get(random().nextInt(client.answered().size())));
             case 2 -> extra();
@@ -90,14 +141,30 @@
         cluster.world().in(1500 + random().nextInt(2000), this::restate);
     }
 
+    private void sendAgain() {
+        if (!client.answered().isEmpty()) {
+            send(client.answered().get(random().nextInt(client.answered().size())));
+        }
+    }
+
+    private void readSome() {
+        final SimNode at = cluster.controlNode();
+        if (at != null) {
+            reader.read(at, false);
+        }
+    }
+
+    private OrderItem extraRoute(final String name) {
+        final Place.EdgeRouting model = draft.anyRoute();
+        return draft.route(new Place.EdgeRouting(
+                name, "/" + name + "/", model.mode(), model.lifetimeMs(), true, 0, 1, model.host(), model.split()));
+    }
+
     private void extra() {
         final String name = "extra" + random().nextInt(4);
-        final Place.EdgeRouting model = draft.anyRoute();
-        final Place.EdgeRouting w = new Place.EdgeRouting(
-                name, "/" + name + "/", model.mode(), model.lifetimeMs(), true, 0, 1, model.host(), model.split());
-        final OrderItem set = draft.route(w);
+        final OrderItem set = extraRoute(name);
         final OrderItem drop = new OrderItem(Kind.ROUTE, name, set.version(), null, Map.of());
-        send(Order.of(random().nextBoolean() ? set : drop));
+        send(draft.order(random().nextBoolean() ? set : drop));
     }
 
     /** A route that is stated and dropped in turn; the older statement comes again, late. */
@@ -111,10 +178,10 @@
                 draft.route(new Place.EdgeRouting(BLINK, "/blink/", "cached", 500, true, 0, 1, w.host(), w.split()));
         final Map<String, Object> facts = new TreeMap<>(set.facts());
         facts.put("shown", shown);
-        send(Order.of(new OrderItem(Kind.ROUTE, BLINK, set.version(), shown ? set.body() : null, facts)));
+        send(draft.order(new OrderItem(Kind.ROUTE, BLINK, set.version(), shown ? set.body() : null, facts)));
         if (!shown) {
             final OrderItem old = new OrderItem(Kind.ROUTE, BLINK, set.version() - 1, set.body(), set.facts());
-            cluster.world().in(1500, () -> send(Order.of(old)));
+            cluster.world().in(1500, () -> send(draft.order(old)));
         }
         cluster.world().in(6000 + random().nextInt(2000), this::blink);
     }
@@ -199,6 +266,6 @@
     /** One item of the order is faulty; the other must not take force either. */
     @Override
     public void invalid(final IntConsumer then) {
-        client.sendOnce(draft::invalid, "invalid", then);
+        client.sendInvalid(draft::invalid, then);
     }
 }
--- a/rig/src/main/java/rv/rig/sim/ScriptRunner.java
+++ b/rig/src/main/java/rv/rig/sim/ScriptRunner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import rv.rig.Place;
 import rv.rig.Script;
 
@@ -10,11 +11,26 @@
 public final class ScriptRunner {
     private final SimCluster town;
     private final Script script;
+    private static final long LOOK_MS = 100;
+    private static final long AFTER_MS = 26_000;
+    private static final long LONGEST_MS = 900_000;
+    /** Troubles that lose the machines they name. */
+    private static final Set<String> LOSING =
+            Set.of("kill", "power", "restart", "lose-disk", "freeze", "cut", "drift", "core-cut", "replace-core");
+    /** Troubles that lose more than a place bears by what they are; they wait until nothing else is lost. */
+    private static final Set<String> ALONE = Set.of("halves", "blackout");
+    /** Troubles that take their own time to come about. */
+    private static final Set<String> PHASED = Set.of("replace-core", "roll", "after-ack-kill", "after-ack-wipe");
+
+    private final CoreTroubles core;
     private final List<String> missed = new ArrayList<>();
+    private int open;
+    private long over;
 
     public ScriptRunner(final Script script, final long seed) {
         this.script = script;
         this.town = new SimCluster(script.place(), seed);
+        this.core = new CoreTroubles(town);
     }
 
     public SimCluster town() {
@@ -25,26 +41,79 @@
         return missed;
     }
 
+    /** A script with a closing fault goes on until all its troubles are over, then for {@link #AFTER_MS} more. */
     public List<Map<String, Object>> run() {
         town.open();
         final long zero = town.world().now();
-        script.steps().forEach(s -> town.world().at(zero + s.at(), () -> bring(s)));
+        open = script.steps().size();
+        script.steps().forEach(s -> town.world().at(zero + s.at(), () -> whenBearable(s)));
         town.run(script.seconds() * 1000);
+        if (!script.closing().isEmpty()) {
+            final long latest = zero + LONGEST_MS;
+            while (town.world().now() < latest
+                    && (open > 0 || town.world().now() < over || !town.losses().clear())) {
+                town.run(LOOK_MS);
+            }
+            town.operators().state(status -> script.closing().forEach(this::bring));
+            town.run(AFTER_MS);
+        }
+        if (open > 0) {
+            missed.add(open + " troubles still waited for their turn at the end");
+        }
         return town.close();
     }
 
     private List<String> who(final Script.Step s) {
         final List<String> list = new ArrayList<>();
         for (final String w : s.who()) {
-            if (w.equals("all")) {
-                list.addAll(town.nodes().keySet());
-            } else if (w.equals("authority")) {
-                list.add(town.boss().isEmpty() ? town.place().electors().get(0) : town.boss());
-            } else {
-                list.add(w);
+            switch (w) {
+                case "all" -> list.addAll(town.nodes().keySet());
+                case "shields", "edges" ->
+                    town.nodes().keySet().stream()
+                            .filter(n -> n.startsWith(w.substring(0, 2)))
+                            .forEach(list::add);
+                case "authority" -> list.add(town.boss().isEmpty() ? anyOf("sh") : town.boss());
+                case "acker" -> list.add(town.orderOperator().lastAcknowledger());
+                case "seed" -> list.addAll(town.seeds().subList(0, 1));
+                default -> list.add(w);
             }
         }
-        return list;
+        return Script.ORIGINS.contains(s.trouble())
+                ? list
+                : list.stream().map(this::present).distinct().toList();
+    }
+
+    /** The machine in that one's place; another of its kind where none came. */
+    private String present(final String name) {
+        return town.present(name)
+                .filter(town.nodes()::containsKey)
+                .orElseGet(() -> anyOf(name.isEmpty() ? "sh" : name.substring(0, 2)));
+    }
+
+    private String anyOf(final String kind) {
+        if (!town.place().shieldRun()) {
+            return town.place().electors().get(0);
+        }
+        return town.nodes().keySet().stream()
+                .filter(n -> n.startsWith(kind))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** A trouble that would lose more counted machines at once than the place bears waits its turn. */
+    private void whenBearable(final Script.Step s) {
+        final boolean alone = ALONE.contains(s.trouble());
+        if (alone
+                ? !town.losses().clear()
+                : LOSING.contains(s.trouble()) && !town.losses().bears(who(s))) {
+            town.world().in(LOOK_MS, () -> whenBearable(s));
+            return;
+        }
+        over = Math.max(over, town.world().now() + s.ms());
+        if (!PHASED.contains(s.trouble())) {
+            open--;
+        }
+        bring(s);
     }
 
     private void bring(final Script.Step s) {
@@ -52,19 +121,25 @@
             case "kill", "power" -> down(who(s), s);
             case "restart" -> who(s).stream().filter(w -> town.node(w).alive()).forEach(w -> town.restart(w, s.ms()));
             case "lose-disk" -> who(s).forEach(w -> town.loseDisk(w, s.ms()));
-            case "blackout" -> who(s).forEach(w -> town.blackout(w, s.ms()));
+            case "blackout" -> town.blackout(who(s), s.ms());
             case "ack-lose", "ack-kill" -> lose(s);
             case "herd" -> {
-                down(town.place().disks(), s);
+                down(shields(), s);
                 town.world().in(s.ms(), () -> town.trouble("returned", "", 0));
             }
             case "halves" -> town.cut(half(), s.ms());
             case "race" -> stream(s, () -> town.orderOperator().race());
             case "release" -> release(s);
-            case "freeze" -> who(s).forEach(w -> town.freeze(w, s.ms()));
-            case "stall" -> who(s).forEach(w -> town.stall(w, s.ms()));
-            case "full" -> who(s).forEach(w -> town.full(w, s.ms()));
-            case "cut" -> town.cut(who(s), s.ms());
+            case "freeze" -> {
+                final List<String> who = who(s);
+                who.forEach(w -> town.freeze(w, s.ms()));
+                calls(s, who);
+            }
+            case "cut" -> {
+                final List<String> who = who(s);
+                town.cut(who, s.ms());
+                calls(s, who);
+            }
             case "drift" -> who(s).forEach(w -> town.drift(w, s.size(), s.ms()));
             case "slow" ->
                 span(s, () -> town.net().slow((long) s.size()), () -> town.net().slow(0));
@@ -75,10 +150,58 @@
             case "purges" -> stream(s, town.operators()::purge);
             case "storm" -> stream(s, () -> town.operators().state(r -> {}));
             case "invalid" -> invalid();
+            case "stall", "full", "disk-slow" -> who(s).forEach(w -> disk(s, w));
+            case "clock-step" -> who(s).forEach(w -> town.stepClock(w, s.how("back") ? -s.size() : s.size(), s.ms()));
+            case "ack-lost" ->
+                span(
+                        s,
+                        () -> town.orderOperator().loseAnswers(s.size()),
+                        () -> town.orderOperator().loseAnswers(0));
+            case "reset-conns" -> core.resetCircuits(who(s), s.size());
+            case "seed-turnover" -> core.turnSeeds(s.who().isEmpty() ? core.otherSeeds() : who(s));
+            case "core-cut" -> {
+                final List<String> who = who(s);
+                core.coreCut(who, s);
+                calls(s, who);
+            }
+            case "replace-core" -> core.replace(who(s).get(0), s, this::done);
+            case "roll" -> core.roll(who(s), s, this::done);
+            case "after-ack-kill", "after-ack-wipe" -> core.afterAck(s, this::done);
             default -> s.who().forEach(w -> origin(s, w));
         }
     }
 
+    private void done() {
+        open--;
+        over = Math.max(over, town.world().now());
+    }
+
+    private void disk(final Script.Step s, final String name) {
+        switch (s.trouble()) {
+            case "stall" -> town.stall(name, s.ms());
+            case "full" -> town.full(name, s.ms());
+            default -> town.slowDisk(name, s.size(), s.ms());
+        }
+    }
+
+    /** Changes that are sent to the machines in trouble: while they are cut off, and as they return. */
+    private void calls(final Script.Step s, final List<String> who) {
+        if (s.how().stream().anyMatch(Script.CALLS::contains)) {
+            final List<String> shields =
+                    who.stream().filter(w -> w.startsWith("sh")).toList();
+            if (s.trouble().endsWith("cut")) {
+                core.callDuring(shields, s.ms(), s.how());
+            }
+            core.callAtReturn(shields, s.ms(), s.how());
+        }
+    }
+
+    private List<String> shields() {
+        return town.nodes().keySet().stream()
+                .filter(n -> n.startsWith("sh") || n.startsWith("st"))
+                .toList();
+    }
+
     private void down(final List<String> who, final Script.Step s) {
         final long ms = s.ms();
         who.forEach(w -> {
@@ -88,6 +211,7 @@
                 town.kill(w, ms);
             }
         });
+        calls(s, who);
         if (who.size() > 4) {
             town.world().in(ms, () -> town.trouble("returned", "", 0));
         }
@@ -96,7 +220,7 @@
     /** The machines of the first half of the zones. */
     private List<String> half() {
         final Place p = town.place();
-        return p.machines().stream()
+        return town.nodes().keySet().stream()
                 .filter(m -> p.cells().indexOf(p.cell(m)) < p.cells().size() / 2)
                 .toList();
     }
@@ -130,7 +254,7 @@
     private void lose(final Script.Step s) {
         final boolean[] hit = {false};
         town.operators().state(r -> {
-            if (r == 200 && !hit[0]) {
+            if (r == 200 && !hit[0] && town.losses().bears(who(s))) {
                 hit[0] = true;
                 who(s).forEach(w -> {
                     if (s.trouble().equals("ack-lose")) {
--- a/rig/src/main/java/rv/rig/sim/SimClients.java
+++ b/rig/src/main/java/rv/rig/sim/SimClients.java
@@ -1,6 +1,7 @@
 package rv.rig.sim;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
     private long serial;
     private long keys;
     private double factor = 1;
+    private final List<Consumer<String>> whenAccepted = new ArrayList<>();
 
     SimClients(final SimCluster town) {
         this.town = town;
@@ -28,6 +30,17 @@
         factor = f;
     }
 
+    /** The shield that sent it hears of the next keyed request that is accepted, in the instant its caller does. */
+    void onceAccepted(final Consumer<String> shield) {
+        whenAccepted.add(shield);
+    }
+
+    private void tellAccepted(final Answer a) {
+        final List<Consumer<String>> all = List.copyOf(whenAccepted);
+        whenAccepted.clear();
+        all.forEach(c -> c.accept(town.sender(String.valueOf(a.heads().get("rv-request")))));
+    }
+
     void start() {
         on = true;
         next();
@@ -104,6 +117,9 @@
             if (!over[0]) {
                 over[0] = true;
                 note(w, path, key, turn, at, t, id, a);
+                if (a != null && key != null && a.fate().equals(Answer.DONE)) {
+                    tellAccepted(a);
+                }
             }
         };
         if (at == null) {
--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.control.Quorum;
@@ -15,16 +17,24 @@
 /** A whole deployment in the simulator. */
 public final class SimCluster {
     private static final int SHARDS = 32;
+    private static final long LEAVE_MS = 8000;
     private final World world;
     private final Place place;
     private final Log log = new Log();
     private final SimNet net;
     private final Map<String, SimNode> nodes = new TreeMap<>();
+    private final Map<String, SimNode> gone = new TreeMap<>();
+    private final Map<String, String> successors = new TreeMap<>();
+    private final Set<String> retired = new TreeSet<>();
+    private final SimPort.Yard yard;
+    private final LossLimit losses;
+    private final Quorum quorum;
     private final SimOrigins origins;
     private final SimClients crowd;
     private final ItemOperator itemOperator;
     private final OrderOperator orderOperator;
     private final RightsWatch rights;
+    private List<NodeId> seeds;
     private long opened;
     private long sent;
     private long bytes;
@@ -33,20 +43,14 @@
         this.place = place;
         world = new World(seed);
         net = new SimNet(world, this::delay);
-        final SimPort.Yard yard = new SimPort.Yard(world, net, log);
-        final List<NodeId> seeds = place.electors().stream().map(NodeId::of).toList();
-        final Quorum quorum =
-                new Quorum(seeds, place.shieldRun() ? Set.of() : Set.of(NodeId.of("st1"), NodeId.of("st2")));
+        yard = new SimPort.Yard(world, net, log);
+        seeds = place.electors().stream().map(NodeId::of).toList();
+        losses = new LossLimit(world, m -> m.startsWith("sh"), place.losses(), place.catchUpMs());
+        quorum = new Quorum(seeds, place.shieldRun() ? Set.of() : Set.of(NodeId.of("st1"), NodeId.of("st2")));
         if (place.shieldRun()) {
             log.add(Log.row("log", "place", "t", 0, "name", place.name(), "electors", place.electors()));
         }
-        for (final String m : place.machines()) {
-            final Role role = m.startsWith("st") ? Role.STORE : m.startsWith("sh") ? Role.SHIELD : Role.EDGE;
-            final SimDisk disk = new SimDisk(world, place.disks().contains(m) ? place.syncMs() : 0);
-            nodes.put(
-                    m,
-                    new SimNode(world, net, disk, yard, log, NodeId.of(m), role, place.cell(m), seeds, quorum, SHARDS));
-        }
+        place.machines().forEach(m -> nodes.put(m, machine(m)));
         origins = new SimOrigins(this, yard);
         itemOperator = place.shieldRun() ? null : new ItemOperator(this);
         orderOperator = place.shieldRun() ? new OrderOperator(this) : null;
@@ -54,6 +58,13 @@
         rights = new RightsWatch(this);
     }
 
+    private SimNode machine(final String name) {
+        final Role role = name.startsWith("st") ? Role.STORE : name.startsWith("sh") ? Role.SHIELD : Role.EDGE;
+        final boolean keeps = role == Role.STORE || role == Role.SHIELD && place.shieldRun();
+        final SimDisk disk = new SimDisk(world, keeps ? place.syncMs() : 0);
+        return new SimNode(world, net, disk, yard, log, NodeId.of(name), role, place.cell(name), seeds, quorum, SHARDS);
+    }
+
     /** Who hears origins and operators: any node, or the shields where they serve control. */
     SimNode controlNode() {
         if (!place.shieldRun()) {
@@ -102,47 +113,14 @@
     public List<Map<String, Object>> close() {
         crowd.stop();
         operators().stop();
-        log.add(Log.row(
-                "log",
-                "cost",
-                "t",
-                world.now(),
-                "seconds",
-                (world.now() - opened) / 1000,
-                "messages",
-                net.sent() - sent,
-                "bytes",
-                net.bytes() - bytes,
-                "items",
-                nodes.get("ed1").alive() ? nodes.get("ed1").node().held().all().size() : 0,
-                "syncs",
-                nodes.get(place.disks().get(0)).disk().syncs(),
-                "kinds",
-                new TreeMap<>(net.kinds())));
+        new RunSummary(this).costs((world.now() - opened) / 1000, net.sent() - sent, net.bytes() - bytes);
         run(6000);
         rights.end();
         if (orderOperator != null) {
             new ConfigReader(this).readAll();
             run(1500);
         }
-        nodes.values().stream().filter(SimNode::alive).forEach(n -> {
-            final Map<String, Object> items = new TreeMap<>();
-            n.node()
-                    .held()
-                    .all()
-                    .forEach(c -> items.put(c.item().id().text(), c.item().ver().n()));
-            log.add(Log.row(
-                    "log",
-                    "end",
-                    "t",
-                    world.now(),
-                    "node",
-                    n.id().text(),
-                    "items",
-                    items,
-                    "fresh",
-                    n.node().sync().fresh()));
-        });
+        new RunSummary(this).held();
         return log.rows();
     }
 
@@ -161,6 +139,7 @@
     /** The machine, which says nothing any more. */
     public void power(final String name, final long back) {
         trouble("kill", name, back);
+        losses.gone(name);
         node(name).kill();
         if (back > 0) {
             world.in(back, () -> start(name));
@@ -170,25 +149,89 @@
     /** An orderly stop, then a start after {@code back}. */
     public void restart(final String name, final long back) {
         trouble("restart", name, back);
+        stop(name, () -> world.in(back, () -> start(name)));
+    }
+
+    /** It counts as lost; one that was replaced does so only until its successor has caught up. */
+    private void down(final String name) {
+        if (!successors.containsKey(name)) {
+            losses.gone(name);
+        }
+    }
+
+    /** An orderly stop. */
+    void stop(final String name, final Runnable then) {
+        down(name);
         final SimNode n = node(name);
         final long life = n.life();
-        n.post(() -> n.node().leave(8000, () -> {
+        n.post(() -> n.node().leave(LEAVE_MS, () -> {
             if (n.life() == life) {
                 n.kill();
-                world.in(back, () -> start(name));
+                then.run();
             }
         }));
     }
 
     public void start(final String name) {
-        if (!node(name).alive()) {
+        if (!retired.contains(name) && !node(name).alive()) {
             trouble("start", name, 0);
+            losses.back(name);
             node(name).start();
         }
     }
 
+    /** An empty machine at another address takes the place of {@code old}, which may still be up. */
+    String add(final String old) {
+        final String name = place.successor(old);
+        trouble("added", name, 0);
+        successors.put(old, name);
+        nodes.put(name, machine(name).joining());
+        losses.back(old);
+        nodes.get(name).start();
+        return name;
+    }
+
+    /** It never comes back. */
+    void retire(final String name) {
+        trouble("retired", name, 0);
+        retired.add(name);
+        down(name);
+        gone.put(name, node(name));
+        node(name).kill();
+        nodes.remove(name);
+    }
+
+    /** The machine in the place of the named one, after all that were replaced; empty where it left for good. */
+    Optional<String> present(final String name) {
+        String at = name;
+        while (successors.containsKey(at)) {
+            at = successors.get(at);
+        }
+        return retired.contains(at) ? Optional.empty() : Optional.of(at);
+    }
+
+    /** The settings of all machines name other seeds. */
+    void seeds(final List<String> names) {
+        seeds = names.stream().map(NodeId::of).toList();
+        nodes.values().forEach(n -> n.seeds(seeds));
+    }
+
+    List<String> seeds() {
+        return seeds.stream().map(NodeId::text).toList();
+    }
+
+    /** The shield that sent a request to an origin; empty where none did. */
+    String sender(final String request) {
+        return yard.sender(request);
+    }
+
+    public LossLimit losses() {
+        return losses;
+    }
+
     public void loseDisk(final String name, final long back) {
         trouble("lose-disk", name, back);
+        losses.gone(name);
         node(name).kill();
         node(name).disk().lose();
         world.in(back, () -> start(name));
@@ -196,6 +239,7 @@
 
     public void freeze(final String name, final long ms) {
         trouble("freeze", name, ms);
+        losses.lostFor(name, ms);
         node(name).freeze(ms);
     }
 
@@ -213,33 +257,57 @@
     /** The named machines are cut from all others, both ways. */
     public void cut(final List<String> side, final long ms) {
         final long votes = side.stream().filter(place.electors()::contains).count();
-        nodes.keySet().stream().filter(n -> side.contains(n) == votes < 2).forEach(n -> trouble("cut", n, ms));
-        for (final String a : side) {
-            for (final String b : nodes.keySet()) {
-                if (!side.contains(b)) {
-                    net.cut(a, b);
-                    net.cut(b, a);
-                }
-            }
-        }
-        world.in(ms, net::heal);
+        final List<String> weaker = nodes.keySet().stream()
+                .filter(n -> side.contains(n) == votes < 2)
+                .toList();
+        weaker.forEach(n -> trouble("cut", n, ms));
+        weaker.forEach(n -> losses.lostFor(n, ms));
+        final List<String> others =
+                nodes.keySet().stream().filter(n -> !side.contains(n)).toList();
+        sever(side, others, ms);
+        sever(others, side, ms);
+    }
+
+    /** Nothing gets from any of the first to any of the second. */
+    void sever(final List<String> from, final List<String> to, final long ms) {
+        from.forEach(a -> to.forEach(b -> {
+            net.cut(a, b);
+            world.in(ms, () -> net.heal(a, b));
+        }));
+    }
+
+    /** The time of day of a machine jumps, and back after a while. */
+    public void stepClock(final String name, final double by, final long ms) {
+        trouble("clock-step", name, ms);
+        final SimNode n = node(name);
+        n.stepClock((long) by);
+        world.in(ms, () -> n.stepClock(-(long) by));
+    }
+
+    public void slowDisk(final String name, final double times, final long ms) {
+        trouble("disk-slow", name, ms);
+        final SimNode n = node(name);
+        n.disk().slow(times);
+        world.in(ms, () -> n.disk().slow(1));
     }
 
     public void drift(final String name, final double pace, final long ms) {
         trouble("drift", name, ms);
+        losses.lostFor(name, ms);
         node(name).drift(pace);
         world.in(ms, () -> node(name).drift(1));
     }
 
-    /** All power and one disk at once. */
-    public void blackout(final String store, final long back) {
+    /** All power and some disks at once. */
+    public void blackout(final List<String> disks, final long back) {
         List.copyOf(nodes.keySet()).forEach(n -> power(n, back + world.dice().nextInt(500)));
-        node(store).disk().lose();
+        disks.forEach(n -> node(n).disk().lose());
         world.in(back + 500, () -> trouble("returned", "", 0));
     }
 
+    /** The machine, also one that left for good. */
     public SimNode node(final String name) {
-        return nodes.get(name);
+        return nodes.getOrDefault(name, gone.get(name));
     }
 
     public Map<String, SimNode> nodes() {
--- a/rig/src/main/java/rv/rig/sim/SimDisk.java
+++ b/rig/src/main/java/rv/rig/sim/SimDisk.java
@@ -15,6 +15,7 @@
     private final Map<String, byte[]> rows = new TreeMap<>();
     private long stalled;
     private boolean full;
+    private double factor = 1;
     private long syncs;
 
     public SimDisk(final World world, final long sync) {
@@ -26,6 +27,11 @@
         stalled = until;
     }
 
+    /** Each sync takes {@code x} times as long. */
+    public void slow(final double x) {
+        factor = x;
+    }
+
     public void full(final boolean on) {
         full = on;
     }
@@ -90,7 +96,7 @@
             busy = true;
             final List<Runnable> batch = new ArrayList<>(wait);
             wait.clear();
-            world.at(Math.max(world.now(), stalled) + sync, () -> {
+            world.at(Math.max(world.now(), stalled) + Math.round(sync * factor), () -> {
                 if (node.life() == life && node.alive()) {
                     syncs++;
                     batch.forEach(Runnable::run);
--- a/rig/src/main/java/rv/rig/sim/SimNet.java
+++ b/rig/src/main/java/rv/rig/sim/SimNet.java
@@ -1,8 +1,8 @@
 package rv.rig.sim;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -20,10 +20,11 @@
     private final World world;
     private final BiFunction<String, String, Long> base;
     private final Map<NodeId, SimNode> nodes = new TreeMap<>();
-    private final Set<String> cuts = new HashSet<>();
+    private final Map<String, Integer> cuts = new HashMap<>();
     private final Map<String, Long> last = new HashMap<>();
     private final Map<String, Long> kinds = new TreeMap<>();
     private final Map<NodeId, Set<Runnable>> begun = new HashMap<>();
+    private final Map<String, Set<Runnable>> underWay = new HashMap<>();
     private double loss;
     private long slow;
     private long sent;
@@ -48,16 +49,17 @@
         slow = ms;
     }
 
+    /** One direction of a link; what is cut twice is open once both cuts are healed. */
     public void cut(final String from, final String to) {
-        cuts.add(from + ">" + to);
+        cuts.merge(from + ">" + to, 1, Integer::sum);
     }
 
-    public void heal() {
-        cuts.clear();
+    public void heal(final String from, final String to) {
+        cuts.computeIfPresent(from + ">" + to, (link, times) -> times == 1 ? null : times - 1);
     }
 
     public boolean open(final String from, final String to) {
-        return !cuts.contains(from + ">" + to);
+        return !cuts.containsKey(from + ">" + to);
     }
 
     /** A process ended while its machine stayed up: whoever waits for an answer of its hears so at once. */
@@ -68,6 +70,15 @@
         }
     }
 
+    /** A circuit is reset: what is under way on it, in either direction, is lost, and the one who asked hears so. */
+    public void resetCircuit(final String a, final String b) {
+        final Set<Runnable> both = new LinkedHashSet<>();
+        for (final String link : List.of(a + ">" + b, b + ">" + a)) {
+            both.addAll(underWay.getOrDefault(link, Set.of()));
+        }
+        both.forEach(Runnable::run);
+    }
+
     /** What a node says, as another version of it would. */
     public void word(final BiFunction<NodeId, byte[], byte[]> say) {
         word = say;
@@ -126,47 +137,92 @@
     }
 
     private void ask(final SimNode self, final NodeId to, final Msg msg, final long wait, final Consumer<Reply> then) {
-        final boolean[] over = {false};
-        final Runnable[] broken = new Runnable[1];
-        final Consumer<Reply> once = r -> {
-            if (!over[0]) {
-                over[0] = true;
-                begun.computeIfPresent(to, (k, all) -> all.remove(broken[0]) && all.isEmpty() ? null : all);
-                then.accept(r);
-            }
-        };
-        self.after(wait, () -> once.accept(Reply.lost(Reply.Trouble.NO_ANSWER)));
+        final Question question = new Question(self, to, then);
+        self.after(wait, () -> question.answered(Reply.lost(Reply.Trouble.NO_ANSWER)));
         if (to.equals(self.id())) {
-            self.post(() -> self.node().take(self.id(), msg, m -> self.post(() -> once.accept(Reply.of(m)))));
+            self.post(() -> self.node().take(self.id(), msg, m -> question.hear(Reply.of(m))));
             return;
         }
         final byte[] data =
                 word.apply(self.id(), Wire.pack(new Wire.Envelope(Wire.VERSION, ++sent, 0, self.id(), msg)));
         weigh(msg, data.length);
-        final String a = self.id().text();
-        final String b = to.text();
-        carry(a, b, () -> {
-            final SimNode peer = nodes.get(to);
-            if (peer == null || !peer.alive()) {
-                carry(b, a, () -> self.post(() -> once.accept(Reply.lost(Reply.Trouble.NOT_SENT))));
-                return;
+        question.begin();
+        carry(self.id().text(), to.text(), () -> arrive(question, msg, data));
+    }
+
+    private void arrive(final Question question, final Msg msg, final byte[] data) {
+        final SimNode peer = nodes.get(question.to);
+        if (question.reset) {
+            return;
+        }
+        if (peer == null || !peer.alive()) {
+            question.carryBack(Reply.lost(Reply.Trouble.NOT_SENT));
+            return;
+        }
+        final long life = peer.life();
+        tap.accept(question.to, msg);
+        question.arrived();
+        peer.post(() -> peer.node().take(question.self.id(), open(data).msg(), m -> {
+            final byte[] back =
+                    word.apply(question.to, Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, question.to, m)));
+            weigh(m, back.length);
+            if (peer.life() == life && peer.alive()) {
+                question.carryBack(Reply.of(open(back).msg()));
             }
-            final long life = peer.life();
-            tap.accept(to, msg);
-            broken[0] = () -> carry(b, a, () -> self.post(() -> once.accept(Reply.lost(Reply.Trouble.NO_ANSWER))));
-            begun.computeIfAbsent(to, k -> new LinkedHashSet<>()).add(broken[0]);
-            peer.post(() -> peer.node().take(self.id(), open(data).msg(), m -> {
-                final byte[] back = word.apply(to, Wire.pack(new Wire.Envelope(Wire.VERSION, 0, 1, to, m)));
-                weigh(m, back.length);
-                if (peer.life() == life && peer.alive()) {
-                    carry(
-                            b,
-                            a,
-                            () -> self.post(
-                                    () -> once.accept(Reply.of(open(back).msg()))));
-                }
-            }));
-        });
+        }));
+    }
+
+    /** One question from a process to another: what is said of it is heard only once, and only by the life that asked. */
+    private final class Question {
+        private final SimNode self;
+        private final NodeId to;
+        private final Consumer<Reply> then;
+        private final long life;
+        private final String link;
+        private final Runnable peerEnded = () -> carryBack(Reply.lost(Reply.Trouble.NO_ANSWER));
+        private final Runnable circuitReset = this::reset;
+        private boolean over;
+        private boolean reset;
+
+        Question(final SimNode self, final NodeId to, final Consumer<Reply> then) {
+            this.self = self;
+            this.to = to;
+            this.then = then;
+            this.life = self.life();
+            this.link = self.id().text() + ">" + to.text();
+        }
+
+        void begin() {
+            underWay.computeIfAbsent(link, k -> new LinkedHashSet<>()).add(circuitReset);
+        }
+
+        void arrived() {
+            begun.computeIfAbsent(to, k -> new LinkedHashSet<>()).add(peerEnded);
+        }
+
+        private void reset() {
+            reset = true;
+            hear(Reply.lost(Reply.Trouble.NO_ANSWER));
+        }
+
+        void carryBack(final Reply r) {
+            carry(to.text(), self.id().text(), () -> hear(r));
+        }
+
+        void hear(final Reply r) {
+            if (self.life() == life) {
+                self.post(() -> answered(r));
+            }
+        }
+
+        void answered(final Reply r) {
+            if (!over) {
+                over = true;
+                begun.computeIfPresent(to, (k, all) -> all.remove(peerEnded) && all.isEmpty() ? null : all);
+                underWay.computeIfPresent(link, (k, all) -> all.remove(circuitReset) && all.isEmpty() ? null : all);
+                then.accept(r);
+            }
+        }
     }
 
     private static Wire.Envelope open(final byte[] data) {
--- a/rig/src/main/java/rv/rig/sim/SimNode.java
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -25,16 +25,19 @@
     private final NodeId id;
     private final Role role;
     private final String cell;
-    private final java.util.List<NodeId> seeds;
+    private java.util.List<NodeId> seeds;
     private final Quorum quorum;
     private final int shards;
     private Node node;
+    private SimPort port;
     private long life;
     private boolean alive;
     private long frozen;
     private double rate = 1;
     private long shift;
     private long hop;
+    private long wallStep;
+    private boolean founding = true;
 
     public SimNode(
             final World world,
@@ -117,17 +120,18 @@
                 .seeds(seeds)
                 .quorum(quorum)
                 .shards(shards)
-                .first(life == 1 || !quorum.stores().isEmpty())
+                .first(founding && life == 1 || !quorum.stores().isEmpty())
                 .build();
+        port = yard.port(this);
         node = new Node(
                 setup,
                 new Node.Seams(
                         this,
                         net.of(this),
                         disk.open(this),
-                        yard.port(this),
+                        port,
                         new Random(world.dice().nextLong()),
-                        () -> 1_700_000_000_000L + world.now(),
+                        () -> 1_700_000_000_000L + world.now() + wallStep,
                         m -> {}),
                 journal);
         post(() -> {
@@ -152,10 +156,36 @@
         }
     }
 
+    /** It joins a network that was founded before. */
+    SimNode joining() {
+        founding = false;
+        return this;
+    }
+
+    /** What its settings name from now on; a running process is told. */
+    void seeds(final java.util.List<NodeId> list) {
+        seeds = java.util.List.copyOf(list);
+    }
+
+    /** Its time of day jumps; the clock that its timers run on does not. */
+    public void stepClock(final long ms) {
+        wallStep += ms;
+    }
+
     public void freeze(final long ms) {
         frozen = Math.max(frozen, world.now() + ms);
     }
 
+    /** Whether a request is under way in it. */
+    boolean busy() {
+        return role == Role.EDGE ? node.edge().busy() > 0 : port.busy();
+    }
+
+    /** A share of its circuits to origins is reset. */
+    void resetOriginCircuits(final double share) {
+        port.resetCircuits(world.dice()::nextDouble, share);
+    }
+
     /** From now on this clock runs at {@code pace} of true time. */
     public void drift(final double pace) {
         shift = now();
--- a/rig/src/main/java/rv/rig/sim/SimOrigin.java
+++ b/rig/src/main/java/rv/rig/sim/SimOrigin.java
@@ -181,7 +181,7 @@
         if (at != null) {
             final long t = world.now();
             final String mark = stamp;
-            at.post(() -> word.end(at, name, mark, s -> note(t, "leave", mark, s)));
+            at.post(() -> word.end(at, name, mark, s -> note(t, "leave", mark, at, s)));
         }
         kill();
     }
@@ -196,7 +196,8 @@
         }
     }
 
-    private void note(final long t, final String what, final String mark, final ItemService.ApiResult s) {
+    private void note(
+            final long t, final String what, final String mark, final SimNode at, final ItemService.ApiResult s) {
         log.add(Log.row(
                 "log",
                 "op",
@@ -212,6 +213,8 @@
                 stock.service(),
                 "stamp",
                 mark,
+                "at",
+                at.id().text(),
                 "status",
                 s.status()));
     }
@@ -228,7 +231,7 @@
             if (at.alive()) {
                 at.post(() -> word.say(at, this, mark, out, n, s -> {
                     if (out || n == 1) {
-                        note(t, out ? "leave" : "announce", mark, s);
+                        note(t, out ? "leave" : "announce", mark, at, s);
                     }
                     then.accept(s);
                 }));
--- a/rig/src/main/java/rv/rig/sim/SimPort.java
+++ b/rig/src/main/java/rv/rig/sim/SimPort.java
@@ -2,10 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import rv.base.Hash;
 import rv.control.Origin;
 import rv.data.AnswerCheck;
@@ -18,6 +21,7 @@
     private final Yard yard;
     private final SimNode self;
     private final Map<String, Long> open = new HashMap<>();
+    private final Set<Trip> trips = new LinkedHashSet<>();
 
     /** Who answers at which address. */
     public static final class Yard {
@@ -25,6 +29,7 @@
         private final SimNet net;
         private final Log log;
         private final Map<String, SimOrigin> sites = new TreeMap<>();
+        private final Map<String, String> senders = new HashMap<>();
 
         public Yard(final World world, final SimNet net, final Log log) {
             this.world = world;
@@ -36,7 +41,12 @@
             sites.put(host, who);
         }
 
-        Port port(final SimNode self) {
+        /** The shield whose request reached an origin; empty where none did. */
+        String sender(final String request) {
+            return senders.getOrDefault(request, "");
+        }
+
+        SimPort port(final SimNode self) {
             return new SimPort(this, self);
         }
     }
@@ -49,11 +59,26 @@
     @Override
     public Rope send(final Origin to, final Send what, final Gate gate, final Consumer<Got> then) {
         final Trip trip = new Trip(to, what, gate, then);
+        trips.add(trip);
         self.after(Math.max(20, what.span()), trip::late);
         trip.begin();
         return trip;
     }
 
+    boolean busy() {
+        return !trips.isEmpty();
+    }
+
+    /** A share of the circuits to origins is reset: requests on them are lost, later ones connect anew. */
+    void resetCircuits(final DoubleSupplier roll, final double share) {
+        for (final Trip trip : List.copyOf(trips)) {
+            if (roll.getAsDouble() < share) {
+                open.remove(trip.site());
+                trip.broken();
+            }
+        }
+    }
+
     private final class Trip implements Rope {
         private final Origin to;
         private final Send what;
@@ -69,6 +94,14 @@
             this.then = then;
         }
 
+        String site() {
+            return to.host() + "|" + to.service() + "|" + to.stamp();
+        }
+
+        void broken() {
+            end(Got.none(sent ? End.LOST : End.NOT_SENT, "circuit reset"));
+        }
+
         void late() {
             end(Got.none(sent ? End.LOST : End.NOT_SENT, "no answer in time"));
         }
@@ -85,7 +118,7 @@
 
         void begin() {
             final SimOrigin at = yard.sites.get(to.host());
-            final String site = to.host() + "|" + to.service() + "|" + to.stamp();
+            final String site = site();
             if (at != null && at.alive() && open.getOrDefault(site, -1L) == at.life()) {
                 go(at, at.life());
                 return;
@@ -135,6 +168,7 @@
                 hop(() -> self.post(() -> end(Got.none(End.TURNED, "every slot is taken"))));
                 return;
             }
+            yard.senders.put(what.id(), self.id().text());
             yard.log.add(Log.row(
                     "log",
                     "org",
@@ -198,6 +232,7 @@
         }
 
         private void end(final Got got) {
+            trips.remove(this);
             if (!over) {
                 over = true;
                 then.accept(got);
@@ -206,6 +241,7 @@
 
         @Override
         public void cut() {
+            trips.remove(this);
             over = true;
         }
     }
--- a/rig/src/test/java/rv/rig/DayTest.java
+++ b/rig/src/test/java/rv/rig/DayTest.java
@@ -27,7 +27,7 @@
     @ParameterizedTest
     @CsvSource({"kilimanjaro,1", "kilimanjaro,2", "kilimanjaro,3", "coastline,1", "coastline,2", "coastline,3"})
     void aDayKeepsEveryRule(final String place, final long seed) {
-        final ScriptRunner play = new ScriptRunner(Script.day(Place.of(place), seed, COUNT, 3500), seed);
+        final ScriptRunner play = new ScriptRunner(DayDraw.day(Place.of(place), seed, COUNT, 3500), seed);
         final Judge judge = new Judge(play.run());
         assertTrue(judge.clean(), judge.text(3));
         assertEquals(List.of(), play.missed());
@@ -52,7 +52,7 @@
         for (final Place place : List.of(Place.kilimanjaro(), Place.coastline())) {
             final Set<String> seen = new TreeSet<>();
             for (final long seed : List.of(1L, 2L, 3L)) {
-                Script.day(place, seed, COUNT, 3500).steps().forEach(s -> seen.add(s.trouble()));
+                DayDraw.day(place, seed, COUNT, 3500).steps().forEach(s -> seen.add(s.trouble()));
             }
             assertEquals(new TreeSet<>(Script.TROUBLES), seen, place.name());
         }
@@ -61,7 +61,7 @@
     private static String digest(final long seed) {
         final StringBuilder all = new StringBuilder();
         for (final Map<String, Object> row :
-                new ScriptRunner(Script.day(Place.coastline(), seed, 2, 1500), seed).run()) {
+                new ScriptRunner(DayDraw.day(Place.coastline(), seed, 2, 1500), seed).run()) {
             all.append(Json.text(row)).append('\n');
         }
         return Hash.digest(all.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8));
--- a/rig/src/test/java/rv/rig/JudgeShieldsTest.java
+++ b/rig/src/test/java/rv/rig/JudgeShieldsTest.java
@@ -16,8 +16,7 @@
     private static final Map<String, Object> PLACE =
             Log.row("log", "place", "t", 0, "electors", List.of("sh1", "sh2", "sh3"));
 
-    private static void rule(
-            final int n, final List<Map<String, Object>> clean, final List<List<Map<String, Object>>> worse) {
+    static void rule(final int n, final List<Map<String, Object>> clean, final List<List<Map<String, Object>>> worse) {
         final List<Map<String, Object>> all = new ArrayList<>(List.of(PLACE));
         all.addAll(clean);
         final Judge good = new Judge(all);
--- a/rig/src/test/java/rv/rig/PairsTest.java
+++ b/rig/src/test/java/rv/rig/PairsTest.java
@@ -25,8 +25,8 @@
     void everyRuleIsKeptThroughBoth(final String first, final String second) {
         for (final Place place : List.of(Place.kilimanjaro(), Place.coastline())) {
             final List<String> two = List.of(first, second);
-            assertTrue(Script.pairs(place).contains(two));
-            final ScriptRunner play = new ScriptRunner(Script.pair(place, two, 1), 1);
+            assertTrue(DayDraw.pairs(place).contains(two));
+            final ScriptRunner play = new ScriptRunner(DayDraw.pair(place, two, 1), 1);
             final Judge judge = new Judge(play.run());
             assertTrue(judge.clean(), place.name() + " " + judge.text(3));
             assertEquals(List.of(), play.missed());
--- a/rig/src/test/java/rv/rig/ResumeTest.java
+++ b/rig/src/test/java/rv/rig/ResumeTest.java
@@ -277,7 +277,7 @@
         town.run(5000);
         assertEquals(List.of(200), said);
         assertTrue(town.node(poor).disk().has("e/" + ROUTE.text()));
-        town.blackout(poor.equals("st1") ? "st2" : "st1", 1000);
+        town.blackout(List.of(poor.equals("st1") ? "st2" : "st1"), 1000);
         town.run(15_000);
         town.nodes().keySet().forEach(n -> assertEquals(1, ver(town, n, ROUTE), n));
     }
--- a/rig/src/test/java/rv/rig/ShieldDayTest.java
+++ b/rig/src/test/java/rv/rig/ShieldDayTest.java
@@ -35,7 +35,7 @@
         "coastline-shields,3"
     })
     void aDayKeepsEveryRule(final String place, final long seed) {
-        final ScriptRunner play = new ScriptRunner(Script.day(Place.of(place), seed, COUNT, 3000), seed);
+        final ScriptRunner play = new ScriptRunner(DayDraw.day(Place.of(place), seed, COUNT, 3000), seed);
         final Judge judge = new Judge(play.run());
         assertTrue(judge.clean(), judge.text(3));
         assertEquals(List.of(), play.missed());
@@ -60,7 +60,7 @@
     void theseDaysHoldEveryTrouble() {
         for (final Place place : List.of(Place.kilimanjaroShields(), Place.coastlineShields())) {
             final Set<String> seen = new TreeSet<>();
-            SEEDS.forEach(s -> Script.day(place, s, COUNT, 3000).steps().forEach(x -> seen.add(x.trouble())));
+            SEEDS.forEach(s -> DayDraw.day(place, s, COUNT, 3000).steps().forEach(x -> seen.add(x.trouble())));
             assertEquals(new TreeSet<>(Script.SHIELDS), seen, place.name());
         }
     }
--- /dev/null
+++ b/rig/src/test/java/rv/rig/sim/CircuitsTest.java
@@ -0,0 +1,116 @@
+package rv.rig.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import rv.base.ItemId;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.rig.Place;
+
+/** What the simulator's links do to messages under way. */
+class CircuitsTest {
+    private final SimCluster cluster = new SimCluster(Place.kilimanjaroShields(), 1).open();
+    private final List<Reply> replies = new ArrayList<>();
+    private final List<Msg> arrived = new ArrayList<>();
+
+    private void ask(final long wait) {
+        cluster.net().tap((to, msg) -> {
+            if (msg instanceof Msg.Learn l && l.list().isEmpty()) {
+                arrived.add(msg);
+            }
+        });
+        cluster.net().of(cluster.node("sh1")).ask(NodeId.of("sh2"), new Msg.Learn(List.of()), wait, replies::add);
+    }
+
+    @Test
+    void whatIsCutTwiceIsOpenOnceBothAreHealed() {
+        final SimNet net = cluster.net();
+        net.cut("sh1", "sh2");
+        net.cut("sh1", "sh2");
+        assertTrue(net.open("sh2", "sh1"), "one way only");
+        net.heal("sh1", "sh2");
+        assertFalse(net.open("sh1", "sh2"));
+        net.heal("sh1", "sh2");
+        net.heal("sh1", "sh2");
+        assertTrue(net.open("sh1", "sh2"));
+    }
+
+    @Test
+    void aResetLosesWhatIsUnderWayAndTheAskerHearsSoAtOnce() {
+        cluster.net().slow(400);
+        ask(5000);
+        cluster.net().resetCircuit("sh2", "sh1");
+        cluster.run(5);
+        assertEquals(List.of(Reply.lost(Reply.Trouble.NO_ANSWER)), replies);
+        cluster.run(3000);
+        assertEquals(List.of(), arrived, "the question was on that circuit");
+        assertEquals(1, replies.size());
+    }
+
+    @Test
+    void anotherCircuitsResetDisturbsNothing() {
+        ask(5000);
+        cluster.net().resetCircuit("sh1", "sh3");
+        cluster.run(300);
+        assertEquals(1, arrived.size());
+        assertEquals(1, replies.size());
+        assertTrue(replies.get(0).msg() != null);
+    }
+
+    @Test
+    void anAnswerIsHeardOnlyByTheLifeThatAsked() {
+        cluster.net().slow(400);
+        ask(5000);
+        cluster.kill("sh1", 1);
+        cluster.run(3000);
+        assertEquals(1, arrived.size());
+        assertEquals(List.of(), replies);
+    }
+
+    @Test
+    void aStepOfTheTimeOfDayLeavesTimersAsTheyAre() {
+        final SimNode n = cluster.node("sh4");
+        final long before = n.now();
+        cluster.stepClock("sh4", 4000, 500);
+        assertEquals(before, n.now());
+        cluster.run(3000);
+        assertTrue(cluster.log().rows().stream()
+                .anyMatch(r -> "WOKE".equals(r.get("name")) && "sh4".equals(r.get("node"))));
+        assertTrue(n.node().sync().fresh());
+    }
+
+    @Test
+    void aSlowDiskTakesSoManyTimesAsLong() {
+        cluster.orderOperator().stop();
+        final long[] took = new long[2];
+        for (int i = 0; i < 2; i++) {
+            final int turn = i;
+            final long from = cluster.world().now();
+            cluster.orderOperator().state(s -> took[turn] = cluster.world().now() - from);
+            cluster.run(3000);
+            cluster.nodes().keySet().stream()
+                    .filter(n -> n.startsWith("sh"))
+                    .forEach(n -> cluster.slowDisk(n, 30, 9000));
+        }
+        assertTrue(took[0] > 0 && took[1] > took[0] + 25, took[0] + " and " + took[1] + " ms");
+    }
+
+    @Test
+    void aReplacedMachineIsEmptyAndItsSuccessorStandsForIt() {
+        final String next = cluster.add("sh2");
+        cluster.retire("sh2");
+        assertEquals("sh6", next);
+        assertEquals("sh6", cluster.present("sh2").orElseThrow());
+        assertEquals(Place.kilimanjaroShields().cell("sh2"), cluster.node(next).cell());
+        cluster.start("sh2");
+        assertFalse(cluster.node("sh2").alive(), "it is gone for good");
+        assertFalse(cluster.nodes().containsKey("sh2"));
+        assertFalse(cluster.node(next).disk().has("e/" + ItemId.TENURE.text()));
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/rv/rig/sim/LossLimitTest.java
@@ -0,0 +1,53 @@
+package rv.rig.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** How many counted machines are lost, and until when. */
+class LossLimitTest {
+    private final World world = new World(1);
+    private final LossLimit losses = new LossLimit(world, m -> m.startsWith("sh"), 1, 4000);
+
+    @Test
+    void oneThatIsBackCountsUntilItHasCaughtUp() {
+        losses.gone("sh1");
+        world.run(9000);
+        assertFalse(losses.bears(List.of("sh2")));
+        losses.back("sh1");
+        world.run(12_999);
+        assertFalse(losses.bears(List.of("sh2")));
+        assertFalse(losses.clear());
+        world.run(13_000);
+        assertTrue(losses.bears(List.of("sh2")));
+        assertTrue(losses.clear());
+    }
+
+    @Test
+    void theSameOneMayBeStruckAgainAndOthersThatDoNotCountAtAnyTime() {
+        losses.lostFor("sh1", 1000);
+        assertTrue(losses.bears(List.of("sh1")));
+        assertTrue(losses.bears(List.of("ed1", "ed2")));
+        assertFalse(losses.bears(List.of("ed1", "sh3")));
+        assertFalse(losses.bears(List.of("sh1", "sh3")));
+        losses.gone("ed1");
+        world.run(5000);
+        assertTrue(losses.clear());
+        assertFalse(losses.bears(List.of("sh1", "sh2")), "two at once");
+    }
+
+    @Test
+    void theLongerOfTwoTroublesOfOneMachineCounts() {
+        losses.lostFor("sh1", 8000);
+        losses.lostFor("sh1", 100);
+        world.run(11_000);
+        assertEquals(false, losses.clear());
+        losses.gone("sh1");
+        losses.lostFor("sh1", 10);
+        world.run(90_000);
+        assertFalse(losses.clear());
+    }
+}
