--- a/base/src/main/java/rv/base/Msg.java
+++ b/base/src/main/java/rv/base/Msg.java
@@ -50,17 +50,20 @@
         public static final int CALM = 750;
     }
 
-    // electors
-    record Prepare(ItemId id, Ballot ballot) implements Msg {}
+    // voters: each question names the epoch of the voting set it is meant for; a message without one means epoch 0
+    /** A refusal: this voter goes by another epoch; {@code voters}: the chosen set of that epoch, none for the founding set. */
+    record OtherEpoch(long epoch, Chosen voters) implements Msg {}
+
+    record Prepare(long epoch, ItemId id, Ballot ballot) implements Msg {}
 
     record Promise(boolean ok, Ballot high, Ballot at, Item item) implements Msg {}
 
     /** {@code next}: the ballot that whoever accepts promises at the same time, or none. */
-    record Accept(Ballot ballot, Item item, Ballot next) implements Msg {}
+    record Accept(long epoch, Ballot ballot, Item item, Ballot next) implements Msg {}
 
     record Accepted(boolean ok, Ballot high) implements Msg {}
 
-    record Reread(String boot, boolean bar, boolean sole) implements Msg {}
+    record Reread(long epoch, String boot, boolean bar, boolean sole) implements Msg {}
 
     record Slot(Ballot promised, Ballot at, Item item) {}
 
@@ -68,16 +71,36 @@
             boolean has, String boot, Map<NodeId, String> founders, long floor, List<Slot> slots, long lives, long age)
             implements Msg {}
 
+    /**
+     * To a voter of the earlier set, from one of {@code voters}, the chosen later set: what stands in the registers of the
+     * cells from {@code from} on whose {@code sums} differ. Whoever is asked seals its epoch first.
+     */
+    record Handover(Chosen voters, List<Long> sums, int from) implements Msg {}
+
+    /** {@code epoch}: the last one the answering voter voted in; {@code next}: the first cell of the next page. */
+    record HandedOver(long epoch, long floor, long lives, Map<NodeId, String> founders, List<Slot> slots, int next)
+            implements Msg {
+        public static final int LAST = -1;
+    }
+
+    /** The same for records of keyed requests; answered by a page of {@link KeptAll}. */
+    record HandoverRecords(Chosen voters, String after) implements Msg {}
+
+    /** From the lease authority to a standby: get ready to vote in the set after this epoch. */
+    record CatchUp(long epoch) implements Msg {}
+
+    record CaughtUp(boolean ok) implements Msg {}
+
     // learning
     record Chosen(Ballot ballot, Item item) {}
 
     record Learn(List<Chosen> list) implements Msg {}
 
-    record Query(long hash) implements Msg {}
+    record Query(long epoch, long hash) implements Msg {}
 
     record Same(boolean same, List<Long> sums) implements Msg {}
 
-    record Vers(List<Integer> cells, Map<ItemId, Ver> vers) implements Msg {}
+    record Vers(long epoch, List<Integer> cells, Map<ItemId, Ver> vers) implements Msg {}
 
     record Give(List<Chosen> list, boolean all, List<ItemId> want) implements Msg {}
 
@@ -142,16 +165,16 @@
 
     record Outcome(int status, Map<String, String> heads, byte[] body, boolean done) {}
 
-    record KeepRead(int shard, Token token, String boot) implements Msg {}
+    record KeepRead(long epoch, int shard, Token token, String boot) implements Msg {}
 
     record Kept(boolean ok, boolean lapse, Token high, List<Note> notes, long era) implements Msg {}
 
-    record KeepWrite(Note note, long era) implements Msg {}
+    record KeepWrite(long epoch, Note note, long era) implements Msg {}
 
     record KeepSeen(boolean ok, boolean lapse, boolean stale) implements Msg {}
 
     /** {@code after}: the last key of the page before; none for the first page, which ends the era where {@code bar} says so. */
-    record KeepAll(boolean bar, String after) implements Msg {}
+    record KeepAll(long epoch, boolean bar, String after) implements Msg {}
 
     /** {@code next}: what to ask the next page with, or none after the last. */
     record KeptAll(boolean ok, List<Note> notes, Map<Integer, Token> bars, String next) implements Msg {}
@@ -213,7 +236,8 @@
     /** Who votes, asked of any node that may know; an empty answer means that it does not know either. */
     record Seats() implements Msg {}
 
-    record Seated(List<String> electors) implements Msg {}
+    /** {@code electors}: the founding voters; {@code voters}: the chosen set that votes now, none while those do. */
+    record Seated(List<String> electors, Chosen voters) implements Msg {}
 
     record Report(String what) implements Msg {}
 
--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -26,7 +26,7 @@
  * the era in which its writer read this keeper: whoever rebuilds a lost memory from here ends the era, so that no
  * intent can stand on an answer given before the loss and one given after the rebuilding.
  */
-public final class KeyRecordStore {
+public final class KeyRecordStore implements RecordHandover {
     public static final long LAPSE = 60_000;
     private static final long STAY = 150_000;
     private static final String NOTE = "k/";
@@ -36,7 +36,7 @@
     private static final int FIT = 2 << 20;
     private static final int PAGE = 48 << 10;
     private static final long PATIENCE = 2000;
-    private final Quorum quorum;
+    private final Electorate electorate;
     private final NodeId self;
     private final Net net;
     private final Loop loop;
@@ -62,14 +62,14 @@
     public KeyRecordStore(
             final NodeId self,
             final String boot,
-            final Quorum quorum,
+            final Electorate electorate,
             final Net net,
             final Loop loop,
             final LongSupplier wall,
             final MonitoredDisk disk,
             final BooleanSupplier lost) {
         this.self = self;
-        this.quorum = quorum;
+        this.electorate = electorate;
         this.net = net;
         this.era = Hash.mix(self + "/" + boot) >>> 1;
         this.loop = loop;
@@ -108,6 +108,7 @@
         loop.every(5000, this::sweep);
     }
 
+    @Override
     public boolean lapse() {
         return (kept || lost.getAsBoolean()) && wall.getAsLong() < until;
     }
@@ -180,7 +181,7 @@
 
     private void recall() {
         if (lapse()) {
-            if (!fetching) {
+            if (!fetching && electorate.has(self)) {
                 gather();
             }
             loop.after(500, this::recall);
@@ -190,15 +191,15 @@
     private void gather() {
         final Set<NodeId> with = new HashSet<>();
         final Set<NodeId> bare = new HashSet<>();
-        quorum.electors().stream()
+        electorate.voters().stream()
                 .filter(e -> !e.equals(self))
                 .forEach(e -> net.ask(
                         e,
-                        new Msg.KeepAll(false, null),
+                        new Msg.KeepAll(electorate.epoch(), false, null),
                         450,
                         r -> r.as(Msg.KeptAll.class).ifPresent(k -> {
                             (k.ok() ? with : bare).add(e);
-                            if (!fetching && lapse() && (quorum.read(with) || sole(with, bare))) {
+                            if (!fetching && lapse() && (electorate.quorum().read(with) || sole(with, bare))) {
                                 fetching = true;
                                 final Map<NodeId, Msg.KeptAll> got = new HashMap<>();
                                 Set.copyOf(with)
@@ -219,7 +220,7 @@
             final List<Msg.Note> list,
             final Map<Integer, Token> tops,
             final Consumer<Msg.KeptAll> then) {
-        net.ask(from, new Msg.KeepAll(true, after), PATIENCE, r -> {
+        net.ask(from, new Msg.KeepAll(electorate.epoch(), true, after), PATIENCE, r -> {
             final Msg.KeptAll k =
                     r.as(Msg.KeptAll.class).filter(Msg.KeptAll::ok).orElse(null);
             if (k == null) {
@@ -238,31 +239,49 @@
 
     /** All others were asked, those without memory said so, and a store has its own: every note stands there. */
     private boolean sole(final Set<NodeId> with, final Set<NodeId> bare) {
-        return with.size() + bare.size() == quorum.electors().size() - 1
-                && quorum.stores().stream().anyMatch(with::contains);
+        return with.size() + bare.size() == electorate.voters().size() - 1
+                && electorate.quorum().stores().stream().anyMatch(with::contains);
     }
 
     private void rebuild(final Map<NodeId, Msg.KeptAll> got) {
-        final Map<String, byte[]> rows = new HashMap<>();
-        got.values().forEach(k -> {
-            k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
-            k.notes().forEach(n -> {
-                final Row old = notes.get(n.key());
-                notes.put(
-                        n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
-            });
-        });
-        bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(new Bar(t.term(), t.count(), readers.get(s)))));
-        notes.forEach((k, r) -> rows.put(NOTE + k, Wire.pack(r)));
-        rows.put(SHORT, null);
-        disk.save(rows, ok -> {
+        got.values().forEach(this::merge);
+        disk.save(rows(), ok -> {
             fetching = false;
             if (ok) {
-                until = Long.MIN_VALUE;
+                joined();
             }
         });
     }
 
+    @Override
+    public Msg.KeptAll give(final String after) {
+        return page(after == null ? "" : after, after == null ? Map.copyOf(bars) : Map.of());
+    }
+
+    @Override
+    public void merge(final Msg.KeptAll k) {
+        k.bars().forEach((s, t) -> bars.merge(s, t, (a, b) -> a.below(b) ? b : a));
+        k.notes().forEach(n -> {
+            final Row old = notes.get(n.key());
+            notes.put(n.key(), new Row(old == null ? n : Msg.Note.settle(List.of(old.note(), n)), wall.getAsLong()));
+        });
+    }
+
+    @Override
+    public Map<String, byte[]> rows() {
+        final Map<String, byte[]> rows = new HashMap<>();
+        bars.forEach((s, t) -> rows.put(BAR + s, Wire.pack(new Bar(t.term(), t.count(), readers.get(s)))));
+        notes.forEach((k, r) -> rows.put(NOTE + k, Wire.pack(r)));
+        rows.put(SHORT, null);
+        return rows;
+    }
+
+    @Override
+    public void joined() {
+        fetching = false;
+        until = Long.MIN_VALUE;
+    }
+
     /** What a writer must show: that it was the last to read this shard here, in this era. */
     private long era(final int shard) {
         return era ^ Hash.mix(readers.getOrDefault(shard, ""));
--- a/rig/src/main/java/rv/rig/Place.java
+++ b/rig/src/main/java/rv/rig/Place.java
@@ -25,7 +25,7 @@
         int losses,
         long catchUpMs) {
     public static final Set<String> NAMES =
-            Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields");
+            Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields", "coastline-six");
     private static final long CATCH_UP_MS = 4000;
     private static final String HOST = "shop.example";
 
@@ -240,12 +240,54 @@
                 CATCH_UP_MS);
     }
 
+    /** Six shields in six zones of two regions: five of them vote, and two may be lost at once. */
+    public static Place coastlineSix() {
+        final Place p = coastlineShields();
+        return new Place(
+                "coastline-six",
+                p.edges(),
+                6,
+                List.of(
+                        "coast/burnaby",
+                        "coast/surrey",
+                        "coast/richmond",
+                        "interior/kelowna",
+                        "interior/kamloops",
+                        "interior/vernon"),
+                p.regionMs(),
+                p.syncMs(),
+                p.perSecond(),
+                p.kin(),
+                p.hasty(),
+                p.shieldRun(),
+                2,
+                6000);
+    }
+
+    /** The same with more shields. */
+    public static Place larger(final Place p, final int shields) {
+        return new Place(
+                p.name(),
+                p.edges(),
+                shields,
+                p.cells(),
+                p.regionMs(),
+                p.syncMs(),
+                p.perSecond(),
+                p.kin(),
+                p.hasty(),
+                p.shieldRun(),
+                (shields - 1) / 2,
+                p.catchUpMs());
+    }
+
     public static Place of(final String name) {
         return switch (name) {
             case "kilimanjaro" -> kilimanjaro();
             case "coastline" -> coastline();
             case "kilimanjaro-shields" -> kilimanjaroShields();
             case "coastline-shields" -> coastlineShields();
+            case "coastline-six" -> coastlineSix();
             default -> throw new IllegalArgumentException("no deployment is named " + name);
         };
     }
--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -17,6 +18,9 @@
 
     private static final Set<String> DOWN = Set.of("kill", "lose-disk", "restart");
     private static final Set<String> APART = Set.of("cut", "core-cut", "freeze", "drift");
+    /** A change may have been chosen so long before a node says that it goes by it. */
+    private static final long CHANGE_MS = 1000;
+
     private static final Set<String> CUTS = Set.of("cut", "core-cut");
     /** What troubles shields without taking one away. */
     private static final Set<String> LINKS = Set.of(
@@ -24,6 +28,7 @@
 
     private final Map<String, List<Row>> kinds = new HashMap<>();
     private final Map<String, List<long[]>> bad = new TreeMap<>();
+    private final TreeMap<Long, List<String>> votingSets = new TreeMap<>();
 
     /** One log line. */
     public record Row(Map<String, Object> map) {
@@ -58,6 +63,7 @@
                 .sorted(Comparator.comparingLong(Row::t))
                 .forEach(r -> kinds.computeIfAbsent(r.text("log"), k -> new ArrayList<>())
                         .add(r));
+        readVotingSets();
         for (final Row r : of("rig")) {
             final String what = r.text("what");
             if (what.equals("added")) {
@@ -125,15 +131,37 @@
                         && t <= r.t() + r.num("ms") + REST);
     }
 
-    /** More than half of the electors had no trouble; always so where the log does not name them. */
+    /** More than half of the voters had no trouble; always so where the log does not name them. */
     public boolean settled(final long from, final long to) {
-        final List<?> electors = voters();
-        return electors.stream()
-                                        .filter(e -> healthy(String.valueOf(e), from, to))
-                                        .count()
-                                * 2
-                        > electors.size()
-                || electors.isEmpty();
+        return voters(from, to).stream().allMatch(set -> majority(set, v -> healthy(v, from, to)));
+    }
+
+    private static boolean majority(final List<String> set, final Predicate<String> good) {
+        return set.stream().filter(good).count() * 2 > set.size();
+    }
+
+    /** The voting sets that were in force at some time between the two moments. */
+    private List<List<String>> voters(final long from, final long to) {
+        final Map.Entry<Long, List<String>> first = votingSets.floorEntry(from);
+        return List.copyOf(votingSets
+                .subMap(first == null ? from : first.getKey(), true, to + CHANGE_MS, true)
+                .values());
+    }
+
+    /** Each voting set by the time from which some node went by it. */
+    private void readVotingSets() {
+        of("place").forEach(r -> votingSets.put(r.t(), names(r.map().get("electors"))));
+        long epoch = 0;
+        for (final Row r : nodes("VOTERS_SET")) {
+            if (r.num("epoch") > epoch) {
+                epoch = r.num("epoch");
+                votingSets.put(r.t(), names(r.map().get("voters")));
+            }
+        }
+    }
+
+    private static List<String> names(final Object list) {
+        return list instanceof List<?> l ? l.stream().map(String::valueOf).toList() : List.of();
     }
 
     /** Whether a shield could reach no majority of the voters from the one moment to the other, by cuts alone. */
@@ -148,20 +176,12 @@
                             .filter(o -> o.t() == r.t() && o.text("what").equals(r.text("what")))
                             .map(o -> o.text("node"))
                             .collect(Collectors.toSet());
-                    final List<?> voters = voters();
-                    return !voters.isEmpty()
-                            && voters.stream()
-                                                    .filter(x -> side.contains(String.valueOf(x)))
-                                                    .count()
-                                            * 2
-                                    < voters.size();
+                    return !votingSets.isEmpty()
+                            && voters(r.t(), to).stream()
+                                    .noneMatch(set -> majority(set, side::contains));
                 });
     }
 
-    private List<?> voters() {
-        return shieldRun() && of("place").get(0).map().get("electors") instanceof List<?> l ? l : List.of();
-    }
-
     /** Moments at which shields or links between them are in trouble, or were up to {@code rest} ago, in order. */
     List<long[]> coreTroubles(final long rest) {
         final List<long[]> all = new ArrayList<>();
--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -1,6 +1,7 @@
 package rv.rig.sim;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import java.util.TreeSet;
 import rv.base.NodeId;
 import rv.base.Role;
+import rv.control.Electorate;
 import rv.control.Quorum;
 import rv.rig.Log;
 import rv.rig.Place;
@@ -62,7 +64,7 @@
         final Role role = name.startsWith("st") ? Role.STORE : name.startsWith("sh") ? Role.SHIELD : Role.EDGE;
         final boolean keeps = role == Role.STORE || role == Role.SHIELD && place.shieldRun();
         final SimDisk disk = new SimDisk(world, keeps ? place.syncMs() : 0);
-        return new SimNode(world, net, disk, yard, log, NodeId.of(name), role, place.cell(name), seeds, quorum, SHARDS);
+        return new SimNode(world, net, disk, yard, log, NodeId.of(name), role, place.cell(name), seeds, quorum, SHARDS, place.losses());
     }
 
     /** Who hears origins and operators: any node, or the shields where they serve control. */
@@ -254,11 +256,22 @@
         world.in(ms, () -> node(name).disk().full(false));
     }
 
+    /** The latest voting set that a living node goes by. */
+    List<String> voters() {
+        return nodes.values().stream()
+                .filter(SimNode::alive)
+                .map(n -> n.node().electorate())
+                .max(Comparator.comparingLong(Electorate::epoch))
+                .map(e -> e.voters().stream().map(NodeId::text).toList())
+                .orElse(place.electors());
+    }
+
     /** The named machines are cut from all others, both ways. */
     public void cut(final List<String> side, final long ms) {
-        final long votes = side.stream().filter(place.electors()::contains).count();
+        final List<String> voters = voters();
+        final long votes = side.stream().filter(voters::contains).count();
         final List<String> weaker = nodes.keySet().stream()
-                .filter(n -> side.contains(n) == votes < 2)
+                .filter(n -> side.contains(n) == votes * 2 < voters.size())
                 .toList();
         weaker.forEach(n -> trouble("cut", n, ms));
         weaker.forEach(n -> losses.lostFor(n, ms));
--- a/rig/src/main/java/rv/rig/sim/SimNode.java
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -28,6 +28,7 @@
     private java.util.List<NodeId> seeds;
     private final Quorum quorum;
     private final int shards;
+    private final int losses;
     private Node node;
     private SimPort port;
     private long life;
@@ -50,7 +51,8 @@
             final String cell,
             final java.util.List<NodeId> seeds,
             final Quorum quorum,
-            final int shards) {
+            final int shards,
+            final int losses) {
         this.world = world;
         this.net = net;
         this.disk = disk;
@@ -62,6 +64,7 @@
         this.seeds = seeds;
         this.quorum = quorum;
         this.shards = shards;
+        this.losses = losses;
         this.shift = world.dice().nextInt(100_000);
         net.join(this);
     }
@@ -120,6 +123,7 @@
                 .seeds(seeds)
                 .quorum(quorum)
                 .shards(shards)
+                .wantedLosses(losses)
                 .first(founding && life == 1 || !quorum.stores().isEmpty())
                 .build();
         port = yard.port(this);
@@ -163,8 +167,11 @@
     }
 
     /** What its settings name from now on; a running process is told. */
-    void seeds(final java.util.List<NodeId> list) {
+    public void seeds(final java.util.List<NodeId> list) {
         seeds = java.util.List.copyOf(list);
+        if (alive) {
+            post(() -> node.seeds(seeds));
+        }
     }
 
     /** Its time of day jumps; the clock that its timers run on does not. */
