--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.Optional;
 
+/** The kinds of replicated items. */
 public enum Kind {
     ROUTE,
     SERVICE,
@@ -12,6 +13,8 @@
     TENURE,
     SWEEP,
     LIMIT,
+    /** Which number of each item was taken with which body; written by the order sequencer only. */
+    LEDGER,
     VOTERS;
 
     public String word() {
--- a/control/src/main/java/rv/control/VoterPlanner.java
+++ b/control/src/main/java/rv/control/VoterPlanner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import rv.base.Code;
 import rv.base.Condition;
 import rv.base.Event;
@@ -43,8 +44,7 @@
     private final Loop loop;
     private final Net net;
     private final Journal journal;
-    private final int losses;
-    private final long silent;
+    private final IntSupplier losses;
     private final Comparator<Member> spread;
     private Tenure tenure;
     private long term = -1;
@@ -55,7 +55,7 @@
     /** What to do next: {@code out} and {@code in} may be null. */
     record Change(NodeId out, NodeId in, String why) {}
 
-    /** {@code losses}: how many voters may be lost at once; 0 keeps the size; {@code silent}: after what silence a voter is replaced. */
+    /** {@code losses}: how many voters may be lost at once; 0 keeps the size of the set. */
     public VoterPlanner(
             final NodeId self,
             final Electorate electorate,
@@ -65,8 +65,7 @@
             final Loop loop,
             final Net net,
             final Journal journal,
-            final int losses,
-            final long silent) {
+            final IntSupplier losses) {
         this.self = self;
         this.electorate = electorate;
         this.members = members;
@@ -76,7 +75,6 @@
         this.net = net;
         this.journal = journal;
         this.losses = losses;
-        this.silent = silent;
         this.spread = Comparator.comparingLong((Member m) -> voters(m, Member::cell))
                 .thenComparingLong(m -> voters(m, VoterPlanner::region))
                 .thenComparing(Member::id);
@@ -146,7 +144,7 @@
     private int wanted(final int standbys) {
         final int most = electorate.voters().size() + standbys;
         final int odd = most % 2 == 0 ? most - 1 : most;
-        return losses == 0 ? 0 : Math.min(2 * losses + 1, odd);
+        return losses.getAsInt() == 0 ? 0 : Math.min(2 * losses.getAsInt() + 1, odd);
     }
 
     /** Whether every voter that is here has answered in the present epoch. */
@@ -166,7 +164,7 @@
             return false;
         }
         final long silence = members.silence(id);
-        return Math.min(silence, members.get(id) == null ? loop.now() - won : silence) >= silent;
+        return Math.min(silence, members.get(id) == null ? loop.now() - won : silence) >= SILENT;
     }
 
     private List<NodeId> standbys() {
--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -76,6 +76,8 @@
         if (msg instanceof Msg.Learn m) {
             m.list().forEach(learn);
             back.accept(new Msg.Ok());
+        } else if (msg instanceof Msg.Order m) {
+            node.orders().take(m, back);
         } else if (msg instanceof Msg.Beat m) {
             node.roster().beat(m, back);
         } else if (msg instanceof Msg.Hello m && authority != null) {
@@ -89,7 +91,9 @@
         } else if (msg instanceof Msg.FenceAck m && node.holder() != null) {
             node.holder().ack(m, back);
         } else if (msg instanceof Msg.Fill m && shield != null) {
-            shield.take(m, back);
+            shield.take(from, m, back);
+        } else if (msg instanceof Msg.MoreAttempts m && node.edge() != null) {
+            back.accept(new Msg.AttemptsGranted(node.edge().moreAttempts(from, m.serial())));
         } else if (msg instanceof Msg.Busy m && sender != null) {
             sender.told(from, m);
             back.accept(new Msg.Ok());
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -1,6 +1,9 @@
 package rv.data;
 
+import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -44,6 +47,9 @@
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
+    /** One that has been silent for so long is not asked to put orders in order. */
+    private static final long QUIET = 1500;
+
     private final Setup setup;
     private final Loop loop;
     private final Journal journal;
@@ -115,8 +121,8 @@
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
-        orders = new Orders(held, sync, writer, tags);
-        registry = new Registry(held, sync, writer, journal, tags);
+        orders = new Orders(loop, s.net(), held, sync, writer, tags, this::sequencer);
+        registry = new Registry(loop, held, sync, writer, journal, tags);
         elector = setup.mayVote()
                 ? new Voter(self, electorate, loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
                 : null;
@@ -186,12 +192,14 @@
                                 sync::fresh,
                                 () -> NodeRouting.alone(setup, roster, electorate),
                                 fills ? this::peers : List::of,
-                                () -> Math.max(1, roster.known(Role.EDGE))),
+                                () -> Math.max(1, roster.known(Role.EDGE)),
+                                () -> roster.known(Role.SHIELD)),
                         journal)
                 : null;
         shield = fills
                 ? new Shield(
                         loop,
+                        s.net(),
                         view,
                         holder,
                         sender,
@@ -223,8 +231,7 @@
                         loop,
                         s.net(),
                         journal,
-                        setup.wantedLosses(),
-                        setup.silentMs())
+                        () -> setup.live().get().wantedLosses())
                 : null;
         departure = new Departure(this, edge, sender);
         clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
@@ -234,6 +241,16 @@
         }
     }
 
+    /** The lease authority puts operators' calls in order, so that several at once are one write of the ledger. */
+    private Optional<NodeId> sequencer() {
+        final Tenure.Body now = Tenure.Body.of(held.get(ItemId.TENURE));
+        if (now.holder().isEmpty() || now.free()) {
+            return Optional.empty();
+        }
+        final NodeId id = NodeId.of(now.holder());
+        return id.equals(setup.self().id()) || roster.silence(id) > QUIET ? Optional.empty() : Optional.of(id);
+    }
+
     private List<NodeId> peers() {
         return roster.live(Role.SHIELD).stream()
                 .map(Member::id)
@@ -257,6 +274,7 @@
             elector.start();
             keeper.start();
             settler.start();
+            orders.start(Math.max(0, electorate.voters().indexOf(setup.self().id())));
             loop.every(1000, () -> elector.sweep(held.sweep()));
         }
         roster.start();
@@ -312,9 +330,12 @@
                 .toList();
     }
 
-    /** Seeds of changed settings are asked for the present voters from now on. */
-    public void seeds(final List<NodeId> list) {
-        search.seeds(list);
+    /**
+     * Seeds of changed settings are asked for the present voters from now on; whoever calls this has told the net their
+     * addresses. In the core thread.
+     */
+    public void seeds(final Map<NodeId, InetSocketAddress> seeds) {
+        search.seeds(List.copyOf(seeds.keySet()));
     }
 
     /** The voters' addresses come with the set that names them. */
@@ -374,6 +395,15 @@
         return electorate;
     }
 
+    /** Takes settings that changed while this node runs; in the core thread. */
+    public void reload(final LiveSettings next) {
+        setup.live().set(next);
+        sync.timing(next.timing());
+        if (sender != null) {
+            sender.reload();
+        }
+    }
+
     public Setup setup() {
         return setup;
     }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -2,32 +2,46 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import rv.base.Member;
 import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
-import rv.control.VoterPlanner;
 
-/** What a process is told about its place. */
+/** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
         Member self,
         List<NodeId> seeds,
         Quorum quorum,
-        Timing timing,
         int shards,
         long cacheBytes,
         boolean first,
-        double share,
-        double slack,
         List<String> seats,
-        long noticeMs,
-        List<String> places,
-        int wantedLosses,
-        long silentMs,
+        AtomicReference<LiveSettings> live,
         Msg.Chosen voters) {
 
+    public Timing timing() {
+        return live.get().timing();
+    }
+
+    public double share() {
+        return live.get().extraRatio();
+    }
+
+    public double slack() {
+        return live.get().extraSlack();
+    }
+
+    public long noticeMs() {
+        return live.get().noticeMs();
+    }
+
+    public List<String> places() {
+        return live.get().places();
+    }
+
     public boolean elector() {
         return quorum.has(self.id());
     }
@@ -49,6 +63,7 @@
 
     /** Which place a cell is in; the first where it is in none. */
     public int at(final String cell) {
+        final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
             if (cell.startsWith(places.get(i))) {
                 return i;
@@ -83,7 +98,6 @@
         private long notice = 1000;
         private List<String> places = List.of("");
         private int wantedLosses;
-        private long silentMs = VoterPlanner.SILENT;
         private Msg.Chosen voters;
 
         private Builder(final Member self) {
@@ -135,7 +149,7 @@
 
         /** Cells, or the beginnings of cells, that objects are filled for apart; the same on all nodes. */
         public Builder places(final List<String> list) {
-            places = list.isEmpty() ? List.of("") : List.copyOf(list);
+            places = list;
             return this;
         }
 
@@ -145,12 +159,6 @@
             return this;
         }
 
-        /** After what silence a voter is replaced by a standby. */
-        public Builder silentMs(final long ms) {
-            silentMs = ms;
-            return this;
-        }
-
         /** The chosen set that votes now, where it is known; without it the founding set is taken. */
         public Builder voters(final Msg.Chosen set) {
             voters = set;
@@ -169,17 +177,11 @@
                     self,
                     seeds,
                     quorum,
-                    timing,
                     shards,
                     cacheBytes,
                     first,
-                    share,
-                    slack,
                     seats,
-                    notice,
-                    places,
-                    wantedLosses,
-                    silentMs,
+                    new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
                     voters);
         }
     }
--- a/rig/src/main/java/rv/rig/judge/Judge.java
+++ b/rig/src/main/java/rv/rig/judge/Judge.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Rules on a run from its logs alone: the brief's twelve, and nine more where shields vote and operators state versions. */
+/** Rules on a run from its logs alone: the brief's twelve, and ten more where shields vote and operators state versions. */
 public final class Judge {
     private final List<Verdict> verdicts = new ArrayList<>();
 
@@ -33,6 +33,7 @@
                     ControlAnswers.oneBody(f, new Verdict(19, "one version, one body; nothing of a refused order")));
             verdicts.add(ControlAnswers.repeated(f, new Verdict(20, "an order that was taken is never refused")));
             verdicts.add(ControlAnswers.acknowledged(f, new Verdict(21, "orders acknowledged, read back at the end")));
+            verdicts.add(Totals.attempts(f, new Verdict(22, "a try reaches as many origins as it may")));
         }
     }
 
--- a/rig/src/main/java/rv/rig/judge/Totals.java
+++ b/rig/src/main/java/rv/rig/judge/Totals.java
@@ -12,6 +12,10 @@
 /** Rules on sums over all machines, counted at the origins. */
 final class Totals {
     private static final long SPAN = 10_000;
+    /** So many requests of a run may reach more origins than they should. */
+    private static final int FEW = 3;
+    /** An origin that crashes within so long of an arrival may have taken it along. */
+    private static final long CRASH_MS = 3000;
 
     private Totals() {}
 
@@ -87,6 +91,40 @@
         return v;
     }
 
+    /** One try of a caller reaches no more origins than its route's number of attempts, but for a few in a run. */
+    static Verdict attempts(final Facts f, final Verdict v) {
+        final List<Long> ends = new ArrayList<>();
+        final Map<String, List<Long>> crashes = new HashMap<>();
+        f.of("rig").stream()
+                .filter(r -> r.text("what").equals("origin-crash"))
+                .forEach(r -> crashes.computeIfAbsent(r.text("node"), k -> new ArrayList<>())
+                        .add(r.t()));
+        Facts.group(f.of("org"), "request").forEach((request, arrivals) -> {
+            v.check();
+            final Set<String> reached = new HashSet<>();
+            arrivals.stream()
+                    .filter(r -> crashes.getOrDefault(r.text("origin"), List.of()).stream()
+                            .noneMatch(t -> t >= arrivals.get(0).t() && t <= r.t() + CRASH_MS))
+                    .forEach(r -> reached.add(r.text("origin")));
+            if (reached.size() > attemptsOf(f, arrivals.get(0))) {
+                ends.add(arrivals.get(arrivals.size() - 1).t());
+                if (ends.size() > FEW) {
+                    v.breach(request + " reached the origins " + reached + ", the " + ends.size() + "th such request, at "
+                            + arrivals.get(arrivals.size() - 1).t());
+                }
+            }
+        });
+        return v;
+    }
+
+    private static long attemptsOf(final Facts f, final Facts.Row arrival) {
+        return f.of("op").stream()
+                .filter(r -> r.has("attempts") && arrival.text("path").startsWith(r.text("prefix")))
+                .mapToLong(r -> r.num("attempts"))
+                .max()
+                .orElse(Long.MAX_VALUE);
+    }
+
     private static long count(final long[] sorted, final long from, final long to) {
         return at(sorted, to) - at(sorted, from);
     }
--- a/rig/src/main/java/rv/rig/sim/OrderDraft.java
+++ b/rig/src/main/java/rv/rig/sim/OrderDraft.java
@@ -12,6 +12,7 @@
 /** Writes the items of orders: bodies drawn around the place's own, versions that rise in steps of unequal size. */
 final class OrderDraft {
     private static final long FIRST_VERSION = 7;
+    private static final int ATTEMPTS = 2;
     private final Place place;
     private final Random random;
     private final Map<String, Long> versions = new TreeMap<>();
@@ -109,7 +110,7 @@
                         "rank",
                         1,
                         "tries",
-                        2,
+                        ATTEMPTS,
                         "any",
                         true,
                         "note",
@@ -118,7 +119,9 @@
                         "prefix",
                         w.prefix(),
                         "services",
-                        new ArrayList<>(w.split().keySet())));
+                        new ArrayList<>(w.split().keySet()),
+                        "attempts",
+                        ATTEMPTS));
     }
 
     private OrderItem limits() {
