--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -177,8 +177,7 @@
                             .map(o -> o.text("node"))
                             .collect(Collectors.toSet());
                     return !votingSets.isEmpty()
-                            && voters(r.t(), to).stream()
-                                    .noneMatch(set -> majority(set, side::contains));
+                            && voters(r.t(), to).stream().noneMatch(set -> majority(set, side::contains));
                 });
     }
 
--- a/rig/src/main/java/rv/rig/judge/Totals.java
+++ b/rig/src/main/java/rv/rig/judge/Totals.java
@@ -109,7 +109,8 @@
             if (reached.size() > attemptsOf(f, arrivals.get(0))) {
                 ends.add(arrivals.get(arrivals.size() - 1).t());
                 if (ends.size() > FEW) {
-                    v.breach(request + " reached the origins " + reached + ", the " + ends.size() + "th such request, at "
+                    v.breach(request + " reached the origins " + reached + ", the " + ends.size()
+                            + "th such request, at "
                             + arrivals.get(arrivals.size() - 1).t());
                 }
             }
--- a/rig/src/main/java/rv/rig/sim/CoreTroubles.java
+++ b/rig/src/main/java/rv/rig/sim/CoreTroubles.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import rv.base.NodeId;
 import rv.base.Role;
 import rv.rig.Script;
 
@@ -18,6 +19,9 @@
     private static final long EARLIEST_MS = 5;
     private static final int TIMED_SPAN_MS = 396;
     private static final int SEEDS = 3;
+    /** So long the list of seeds lags behind. */
+    private static final long SEED_LAG_MS = 3000;
+
     private static final int FEWEST_EDGES = 3;
     private final SimCluster cluster;
 
@@ -114,6 +118,7 @@
             world().in(s.ms(), () -> leave(old, done));
         } else {
             cluster.retire(old);
+            nameOtherSeeds(old);
             world().in(s.ms(), () -> {
                 cluster.add(old);
                 done.run();
@@ -121,12 +126,22 @@
         }
     }
 
+    /** The settings that are written from then on name another seed, and all processes are told of it some time later. */
+    private void nameOtherSeeds(final String gone) {
+        world().in(SEED_LAG_MS, () -> {
+            if (cluster.seeds().contains(gone)) {
+                turnSeeds(cluster.presentSeeds().stream().map(NodeId::text).toList());
+            }
+        });
+    }
+
     /** An orderly stop for good; the machine is switched off if it takes too long. */
     private void leave(final String name, final Runnable done) {
         final Runnable off = () -> {
             if (cluster.nodes().containsKey(name)) {
                 cluster.retire(name);
                 cluster.losses().back(name);
+                nameOtherSeeds(name);
                 done.run();
             }
         };
--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.control.Electorate;
@@ -64,7 +65,19 @@
         final Role role = name.startsWith("st") ? Role.STORE : name.startsWith("sh") ? Role.SHIELD : Role.EDGE;
         final boolean keeps = role == Role.STORE || role == Role.SHIELD && place.shieldRun();
         final SimDisk disk = new SimDisk(world, keeps ? place.syncMs() : 0);
-        return new SimNode(world, net, disk, yard, log, NodeId.of(name), role, place.cell(name), seeds, quorum, SHARDS, place.losses());
+        return new SimNode(
+                world,
+                net,
+                disk,
+                yard,
+                log,
+                NodeId.of(name),
+                role,
+                place.cell(name),
+                seeds,
+                quorum,
+                SHARDS,
+                place.losses());
     }
 
     /** Who hears origins and operators: any node, or the shields where they serve control. */
@@ -188,6 +201,7 @@
         trouble("added", name, 0);
         successors.put(old, name);
         nodes.put(name, machine(name).joining());
+        nodes.get(name).seeds(presentSeeds());
         losses.back(old);
         nodes.get(name).start();
         return name;
@@ -218,6 +232,18 @@
         nodes.values().forEach(n -> n.seeds(seeds));
     }
 
+    /** The seeds that are still there, and other shields in the place of those that are not. */
+    List<NodeId> presentSeeds() {
+        return Stream.concat(
+                        seeds.stream().filter(s -> nodes.containsKey(s.text())),
+                        nodes.values().stream()
+                                .filter(n -> n.role() == Role.SHIELD && n.alive())
+                                .map(SimNode::id))
+                .distinct()
+                .limit(seeds.size())
+                .toList();
+    }
+
     List<String> seeds() {
         return seeds.stream().map(NodeId::text).toList();
     }
--- a/rig/src/test/java/rv/rig/JudgeShieldsTest.java
+++ b/rig/src/test/java/rv/rig/JudgeShieldsTest.java
@@ -202,7 +202,21 @@
     @Test
     void rule22ATryReachesMoreOriginsThanItsRouteAllows() {
         final List<Map<String, Object>> some = new ArrayList<>(List.of(Log.row(
-                "log", "op", "t", 1, "end", 2, "what", "put", "item", "ROUTE/r", "prefix", "/s/", "attempts", 2, "status",
+                "log",
+                "op",
+                "t",
+                1,
+                "end",
+                2,
+                "what",
+                "put",
+                "item",
+                "ROUTE/r",
+                "prefix",
+                "/s/",
+                "attempts",
+                2,
+                "status",
                 200)));
         for (int i = 0; i < 3; i++) {
             for (final String origin : List.of("s1", "s2", "s3")) {
--- a/rig/src/test/java/rv/rig/ShieldDayTest.java
+++ b/rig/src/test/java/rv/rig/ShieldDayTest.java
@@ -18,7 +18,7 @@
 
 /** Whole days of troubles of the places whose shields vote, from fixed seeds. */
 class ShieldDayTest {
-    private static final int COUNT = 11;
+    private static final int COUNT = 14;
     private static final List<Long> SEEDS = List.of(1L, 2L, 3L);
     /** Rates there hold for all origins of a service together: rule 16 in the place of rule 9. */
     private static final int NO_RULE = 9;
@@ -32,7 +32,10 @@
         "kilimanjaro-shields,3",
         "coastline-shields,1",
         "coastline-shields,2",
-        "coastline-shields,3"
+        "coastline-shields,3",
+        "coastline-six,1",
+        "coastline-six,2",
+        "coastline-six,3"
     })
     void aDayKeepsEveryRule(final String place, final long seed) {
         final ScriptRunner play = new ScriptRunner(DayDraw.day(Place.of(place), seed, COUNT, 3000), seed);
@@ -58,7 +61,7 @@
 
     @Test
     void theseDaysHoldEveryTrouble() {
-        for (final Place place : List.of(Place.kilimanjaroShields(), Place.coastlineShields())) {
+        for (final Place place : List.of(Place.kilimanjaroShields(), Place.coastlineShields(), Place.coastlineSix())) {
             final Set<String> seen = new TreeSet<>();
             SEEDS.forEach(s -> DayDraw.day(place, s, COUNT, 3000).steps().forEach(x -> seen.add(x.trouble())));
             assertEquals(new TreeSet<>(Script.SHIELDS), seen, place.name());
--- a/rig/src/test/java/rv/rig/TroubleKindsTest.java
+++ b/rig/src/test/java/rv/rig/TroubleKindsTest.java
@@ -67,9 +67,11 @@
 
     @Test
     void aTroubleThatWouldLoseTooManyWaitsItsTurn() {
-        final List<Map<String, Object>> kills = rig(
-                play(16, step(500, "kill", "sh1", 2000, "", 0), step(600, "power", "sh2", 1000, "", 0)), "kill");
-        assertEquals(List.of("sh1", "sh2"), kills.stream().map(TroubleKindsTest::node).toList());
+        final List<Map<String, Object>> kills =
+                rig(play(16, step(500, "kill", "sh1", 2000, "", 0), step(600, "power", "sh2", 1000, "", 0)), "kill");
+        assertEquals(
+                List.of("sh1", "sh2"),
+                kills.stream().map(TroubleKindsTest::node).toList());
         assertTrue(t(kills.get(1)) >= t(kills.get(0)) + 2000 + 4000, kills.toString());
         assertTrue(t(kills.get(1)) <= t(kills.get(0)) + 6200, kills.toString());
     }
@@ -89,6 +91,9 @@
         assertEquals(TRAFFIC + 1500, t(rig(rows, "added").get(0)));
         assertEquals("sh6", node(rig(rows, "added").get(0)));
         assertEquals(List.of(), rig(rows, "start"));
+        final Map<String, Object> turn = rig(rows, "seed-turnover").get(0);
+        assertEquals(TRAFFIC + 3500, t(turn));
+        assertEquals("sh1,sh3,sh4", node(turn));
     }
 
     @Test
@@ -210,8 +215,12 @@
     @Test
     void oneThatIsRemovedLeavesForGoodAndAPlaceKeepsEnoughToVote() {
         final List<Map<String, Object>> rows = play(40, step(500, "roll", "sh1,sh2", 1000, "remove", 1));
-        assertEquals(List.of("sh1"), rig(rows, "retired").stream().map(TroubleKindsTest::node).toList());
-        assertEquals(List.of("sh2"), rig(rows, "start").stream().map(TroubleKindsTest::node).toList());
+        assertEquals(
+                List.of("sh1"),
+                rig(rows, "retired").stream().map(TroubleKindsTest::node).toList());
+        assertEquals(
+                List.of("sh2"),
+                rig(rows, "start").stream().map(TroubleKindsTest::node).toList());
     }
 
     @Test
