--- a/control/src/main/java/rv/control/Plan.java
+++ b/control/src/main/java/rv/control/Plan.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import rv.base.Hash;
 import rv.base.Item;
 import rv.base.NodeId;
@@ -28,7 +30,7 @@
 
     public Plan {
         parts = List.copyOf(parts);
-        weights = weights == null ? Map.of() : Map.copyOf(weights);
+        weights = weights == null ? Map.of() : Collections.unmodifiableMap(new TreeMap<>(weights));
     }
 
     public Plan(final long epoch, final long term, final List<Part> parts) {
--- a/control/src/main/java/rv/control/VoterSearch.java
+++ b/control/src/main/java/rv/control/VoterSearch.java
@@ -35,7 +35,7 @@
         this.electorate = electorate;
         this.loop = loop;
         this.net = net;
-        this.seeds = Set.copyOf(seeds);
+        this.seeds = new LinkedHashSet<>(seeds);
         this.members = members;
         this.fresh = fresh;
     }
@@ -50,7 +50,7 @@
 
     /** From now on these seeds are asked. */
     public void seeds(final List<NodeId> list) {
-        seeds = Set.copyOf(list);
+        seeds = new LinkedHashSet<>(list);
     }
 
     public Set<NodeId> seeds() {
