Answers between processes count on the connection of their question only

Cause: any peer could end any question by its number, on whatever connection. A question whose time ran out while the wire's ring was full never ended. An answer larger than a frame was dropped, and its question waited to its end. A connection that could not be accepted (no file descriptor) ended the wire of the whole process. Now an answer on another connection ends that connection; time-outs and answers are offered until they are taken; an answer that is too large is told at once; accepting pauses for 100 ms after a failure. Looked through and kept: a question is said to be unsent only if its whole frame was never written, and a peer takes up whole frames only. TcpFramesTest holds both at every byte; the removals answers-from-anywhere and closed-means-unsent are caught. Not shown by a test: the full ring, and the failing accept.

--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -27,6 +27,11 @@
 
 /** The wire duty: one selector thread for all circuits. */
 public final class TcpNet implements Net {
+    /** How long to wait before a full ring is tried again. */
+    private static final long RING_FULL_MS = 10;
+    /** How long the next connections wait after one that could not be accepted. */
+    private static final long ACCEPT_AGAIN_MS = 100;
+
     private final NodeId self;
     private final CoreLoop loop;
     private final Journal journal;
@@ -134,10 +139,16 @@
             return;
         }
         selector.wakeup();
-        loop.after(wait, () -> {
-            ring.offer(() -> late(id));
+        loop.after(wait, () -> timeOut(id));
+    }
+
+    /** Without it an ask might never end, so it is offered until it is taken. */
+    private void timeOut(final long id) {
+        if (ring.offer(() -> late(id))) {
             selector.wakeup();
-        });
+        } else {
+            loop.after(RING_FULL_MS, () -> timeOut(id));
+        }
     }
 
     @Override
@@ -244,13 +255,7 @@
 
     private void serve(final SelectionKey k) throws IOException {
         if (k.isAcceptable()) {
-            final SocketChannel ch = door.accept();
-            if (ch != null) {
-                ch.configureBlocking(false);
-                ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
-                key.attach(new Circuit(ch, key));
-            }
+            accept(k);
             return;
         }
         final Circuit c = (Circuit) k.attachment();
@@ -274,6 +279,23 @@
         }
     }
 
+    /** A connection that cannot be taken up, for want of file descriptors or since it is gone again, harms no other. */
+    private void accept(final SelectionKey listening) {
+        try {
+            final SocketChannel ch = door.accept();
+            if (ch != null) {
+                ch.configureBlocking(false);
+                ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
+                key.attach(new Circuit(ch, key));
+            }
+        } catch (final IOException e) {
+            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
+            listening.interestOps(0);
+            loop.after(ACCEPT_AGAIN_MS, () -> ring.offer(() -> listening.interestOps(SelectionKey.OP_ACCEPT)));
+        }
+    }
+
     private void bad(final Circuit c, final String why) {
         journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", why));
         close(c);
@@ -299,17 +321,38 @@
         }
         meter.in(e.msg(), 4 + data.length);
         if (e.re() != 0) {
-            end(e.re(), Reply.of(e.msg()));
+            answered(c, e);
         } else {
             loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> {} : m -> back(c, e.id(), m)));
         }
     }
 
+    /** An answer counts only on the connection that its question went out on; one that comes late is for nobody. */
+    private void answered(final Circuit c, final Wire.Envelope e) {
+        final Wait w = waits.get(e.re());
+        if (w != null && w.circuit != c) {
+            bad(c, "answer to a question that was asked elsewhere");
+        } else {
+            end(e.re(), Reply.of(e.msg()));
+        }
+    }
+
+    /** Who asked is told at once where the answer is larger than a frame may be. */
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        if (data.length > Wire.LIMIT) {
+            back(c, re, new Msg.Nay("the answer is larger than a frame"));
+            return;
+        }
         meter.out(m, 4 + data.length);
-        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
+        backWhenTaken(c, data);
+    }
+
+    private void backWhenTaken(final Circuit c, final byte[] data) {
+        if (ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
             selector.wakeup();
+        } else {
+            loop.after(RING_FULL_MS, () -> backWhenTaken(c, data));
         }
     }
 }
