--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -27,7 +27,11 @@
 
 /** The wire duty: one selector thread for all circuits. */
 public final class TcpNet implements Net {
+    /** How long to wait before a full ring is tried again. */
+    private static final long RING_FULL_MS = 10;
+    /** How long the next connections wait after one that could not be accepted. */
     private static final long ACCEPT_PAUSE_NS = 200_000_000;
+
     private final NodeId self;
     private final CoreLoop loop;
     private final Journal journal;
@@ -137,10 +141,16 @@
             return;
         }
         selector.wakeup();
-        loop.after(wait, () -> {
-            ring.offer(() -> late(id));
+        loop.after(wait, () -> timeOut(id));
+    }
+
+    /** Without it an ask might never end, so it is offered until it is taken. */
+    private void timeOut(final long id) {
+        if (ring.offer(() -> late(id))) {
             selector.wakeup();
-        });
+        } else {
+            loop.after(RING_FULL_MS, () -> timeOut(id));
+        }
     }
 
     @Override
@@ -332,17 +342,38 @@
         }
         meter.in(e.msg(), 4 + data.length);
         if (e.re() != 0) {
-            end(e.re(), Reply.of(e.msg()));
+            answered(c, e);
         } else {
             loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> {} : m -> back(c, e.id(), m)));
         }
     }
 
+    /** An answer counts only on the connection that its question went out on; one that comes late is for nobody. */
+    private void answered(final Circuit c, final Wire.Envelope e) {
+        final Wait w = waits.get(e.re());
+        if (w != null && w.circuit != c) {
+            bad(c, "answer to a question that was asked elsewhere");
+        } else {
+            end(e.re(), Reply.of(e.msg()));
+        }
+    }
+
+    /** Who asked is told at once where the answer is larger than a frame may be. */
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        if (data.length > Wire.LIMIT) {
+            back(c, re, new Msg.Nay("the answer is larger than a frame"));
+            return;
+        }
         meter.out(m, 4 + data.length);
-        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
+        backWhenTaken(c, data);
+    }
+
+    private void backWhenTaken(final Circuit c, final byte[] data) {
+        if (ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
             selector.wakeup();
+        } else {
+            loop.after(RING_FULL_MS, () -> backWhenTaken(c, data));
         }
     }
 }
