A silent connection is left for another one, a connect that hangs is given up

Cause: connections between processes had no bound. After a cut TCP sends again only at its next backoff, a SYN only after 1, 3 and 7 s. Ruled out: closing the silent connection. A request that is slow at its origin is silent too; so the earlier connection stays open for the answers that are awaited on it, and only what is sent next takes another one. Tests: SilentPeerTest, 2 of 3 red before (never hung), all green after; TcpNetTest green.

--- a/prog/src/main/java/rv/prog/Circuit.java
+++ b/prog/src/main/java/rv/prog/Circuit.java
@@ -10,12 +10,21 @@
 
 /** One TCP circuit between processes: frames are a length and a CBOR envelope. Wire thread only. */
 final class Circuit {
+    /** How long a connect may take before another one is worth more than TCP's own repeats, which come after 1, 3 and 7 s. */
+    static final long CONNECT_MS = 300;
+    /** How long an ask may meet no byte at all from the peer before the next one takes another connection. */
+    static final long SILENT_MS = 1000;
+
+    private static final long NONE = -1;
     private static final int ROOM = 16 << 20;
     private final SocketChannel channel;
     private final SelectionKey key;
     private final ArrayDeque<Out> queue = new ArrayDeque<>();
+    private final long dialed;
     private ByteBuffer in = ByteBuffer.allocate(16 << 10);
     private long size;
+    private long unanswered = NONE;
+    private boolean retired;
 
     static final class Out {
         private final ByteBuffer data;
@@ -32,9 +41,33 @@
         }
     }
 
-    Circuit(final SocketChannel channel, final SelectionKey key) {
+    Circuit(final SocketChannel channel, final SelectionKey key, final long now) {
         this.channel = channel;
         this.key = key;
+        this.dialed = now;
+    }
+
+    /** An ask is sent that the peer is expected to answer. */
+    void asked(final long now) {
+        unanswered = unanswered == NONE ? now : unanswered;
+    }
+
+    /** Whether the peer has left a connect, or an ask, without a sign for too long: what follows goes elsewhere. */
+    boolean hung(final long now) {
+        return channel.isConnected() ? unanswered != NONE && now - unanswered >= SILENT_MS : now - dialed >= CONNECT_MS;
+    }
+
+    boolean connected() {
+        return channel.isConnected();
+    }
+
+    /** No new frames; it stays open for the answers that are still awaited on it. */
+    void retire() {
+        retired = true;
+    }
+
+    boolean retired() {
+        return retired;
     }
 
     boolean send(final Out out) {
@@ -81,6 +114,7 @@
         if (channel.read(in) < 0) {
             throw new IOException("closed by peer");
         }
+        unanswered = NONE;
         in.flip();
         while (in.remaining() >= 4) {
             final int len = in.getInt(in.position());
@@ -107,6 +141,7 @@
     }
 
     void close() {
+        retired = false;
         key.cancel();
         try {
             channel.close();
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import rv.base.Code;
 import rv.base.Event;
 import rv.base.Journal;
@@ -37,6 +38,7 @@
     private final Map<Long, Wait> waits = new HashMap<>();
     private final Thread thread = new Thread(this::run, "wire");
     private final Meter meter;
+    private final LongSupplier clock;
     private Selector selector;
     private ServerSocketChannel door;
     private volatile Net.Port port;
@@ -70,6 +72,19 @@
             final Map<NodeId, InetSocketAddress> seeds,
             final Map<NodeId, InetSocketAddress> fixed,
             final Meter meter) {
+        this(self, loop, journal, seeds, fixed, meter, () -> System.nanoTime() / 1_000_000);
+    }
+
+    /** With a steady clock of one's own, in ms, by which silent peers are judged. */
+    TcpNet(
+            final NodeId self,
+            final CoreLoop loop,
+            final Journal journal,
+            final Map<NodeId, InetSocketAddress> seeds,
+            final Map<NodeId, InetSocketAddress> fixed,
+            final Meter meter,
+            final LongSupplier clock) {
+        this.clock = clock;
         this.meter = meter;
         this.self = self;
         this.loop = loop;
@@ -163,23 +178,50 @@
     }
 
     private void send(final NodeId to, final byte[] data) {
-        final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
+        final Circuit c = circuit(to);
         if (c != null) {
             c.send(new Circuit.Out(data, () -> {}, () -> {}));
         }
     }
 
+    /**
+     * The connection for what is sent now. One on which the peer has been silent for too long is left to the answers
+     * that may still come on it: after a cut or a loss of power TCP itself would send again only seconds later.
+     */
+    private Circuit circuit(final NodeId to) {
+        final Circuit c = out.get(to);
+        if (c == null) {
+            return dial(to);
+        }
+        if (!c.hung(clock.getAsLong())) {
+            return c;
+        }
+        out.remove(to);
+        if (c.connected()) {
+            c.retire();
+            closeIfDone(c);
+        } else {
+            close(c);
+        }
+        return dial(to);
+    }
+
+    private void closeIfDone(final Circuit c) {
+        if (c != null && c.retired() && waits.values().stream().noneMatch(w -> w.circuit == c)) {
+            close(c);
+        }
+    }
+
     private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
         final Wait w = new Wait(then);
         waits.put(id, w);
-        w.circuit = out.get(to);
-        if (w.circuit == null) {
-            w.circuit = dial(to);
-        }
+        w.circuit = circuit(to);
         w.frame = new Circuit.Out(data, () -> w.begun = true, () -> end(id, Reply.lost(Reply.Trouble.NOT_SENT)));
         if (w.circuit == null || !w.circuit.send(w.frame)) {
             end(id, Reply.lost(Reply.Trouble.NOT_SENT));
+            return;
         }
+        w.circuit.asked(clock.getAsLong());
     }
 
     private void late(final long id) {
@@ -194,6 +236,7 @@
         final Wait w = waits.remove(id);
         if (w != null) {
             loop.post(() -> w.then.accept(r));
+            closeIfDone(w.circuit);
         }
     }
 
@@ -208,7 +251,7 @@
             ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
             final boolean open = ch.connect(at);
             final SelectionKey key = ch.register(selector, open ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
-            final Circuit c = new Circuit(ch, key);
+            final Circuit c = new Circuit(ch, key, clock.getAsLong());
             key.attach(c);
             out.put(to, c);
             return c;
@@ -249,7 +292,7 @@
                 ch.configureBlocking(false);
                 ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
-                key.attach(new Circuit(ch, key));
+                key.attach(new Circuit(ch, key, clock.getAsLong()));
             }
             return;
         }
--- /dev/null
+++ b/prog/src/test/java/rv/prog/SilentPeerTest.java
@@ -0,0 +1,161 @@
+package rv.prog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import rv.base.Journal;
+import rv.base.Msg;
+import rv.base.NodeId;
+import rv.base.Reply;
+import rv.base.Wire;
+
+/** After a cut or a loss of power TCP sends again only seconds later, so what is sent next takes another connection. */
+@Timeout(60)
+class SilentPeerTest {
+    private static final NodeId PEER = NodeId.of("peer");
+    private static final long PATIENT = 10_000;
+    private static final long LONGER = 100_000;
+    private final CoreLoop loop = new CoreLoop();
+    private final AtomicLong now = new AtomicLong(1000);
+    private ServerSocket peer;
+    private TcpNet net;
+
+    @BeforeEach
+    void begin() throws IOException {
+        loop.start();
+        peer = new ServerSocket();
+        peer.bind(new InetSocketAddress("127.0.0.1", 0), 1);
+        peer.setSoTimeout((int) PATIENT);
+        net = new TcpNet(
+                NodeId.of("one"),
+                loop,
+                new Journal(loop, 100),
+                Map.of(PEER, new InetSocketAddress("127.0.0.1", peer.getLocalPort())),
+                Map.of(),
+                Meter.NONE,
+                now::get);
+        net.bind(new InetSocketAddress("127.0.0.1", 0), (from, msg, back) -> back.accept(new Msg.Ok()));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        net.stop();
+        loop.stop();
+        peer.close();
+    }
+
+    private CompletableFuture<Reply> ask(final int number) {
+        final CompletableFuture<Reply> got = new CompletableFuture<>();
+        loop.post(() -> net.ask(PEER, new Msg.Query(number), LONGER, got::complete));
+        return got;
+    }
+
+    private static Wire.Envelope read(final Socket s) throws Exception {
+        final DataInputStream in = new DataInputStream(s.getInputStream());
+        final byte[] data = new byte[in.readInt()];
+        in.readFully(data);
+        return Wire.open(data);
+    }
+
+    private static void answer(final Socket s, final Wire.Envelope asked) throws IOException {
+        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, asked.id(), PEER, new Msg.Ok()));
+        final DataOutputStream out = new DataOutputStream(s.getOutputStream());
+        out.writeInt(data.length);
+        out.write(data);
+        out.flush();
+    }
+
+    private static Reply of(final CompletableFuture<Reply> f) throws Exception {
+        return f.get(PATIENT, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void whatFollowsALongSilenceTakesAnotherConnection() throws Exception {
+        final CompletableFuture<Reply> first = ask(1);
+        try (Socket silent = peer.accept()) {
+            final Wire.Envelope early = read(silent);
+            now.addAndGet(Circuit.SILENT_MS);
+            final CompletableFuture<Reply> second = ask(2);
+            try (Socket fresh = peer.accept()) {
+                final Wire.Envelope late = read(fresh);
+                assertEquals(new Msg.Query(2), late.msg());
+                answer(fresh, late);
+                assertEquals(new Msg.Ok(), of(second).msg());
+                answer(silent, early);
+                assertEquals(new Msg.Ok(), of(first).msg(), "an answer on the earlier connection still counts");
+                assertEquals(-1, silent.getInputStream().read(), "which ends once nothing is awaited on it");
+            }
+        }
+    }
+
+    @Test
+    void aPeerThatIsHeardKeepsItsConnection() throws Exception {
+        final CompletableFuture<Reply> first = ask(1);
+        try (Socket s = peer.accept()) {
+            final Wire.Envelope early = read(s);
+            final CompletableFuture<Reply> second = ask(2);
+            answer(s, read(s));
+            assertEquals(new Msg.Ok(), of(second).msg());
+            now.addAndGet(Circuit.SILENT_MS);
+            final CompletableFuture<Reply> third = ask(3);
+            final Wire.Envelope late = read(s);
+            assertEquals(new Msg.Query(3), late.msg());
+            answer(s, late);
+            answer(s, early);
+            assertEquals(new Msg.Ok(), of(third).msg());
+            assertEquals(new Msg.Ok(), of(first).msg());
+        }
+    }
+
+    @Test
+    void aConnectThatHangsIsGivenUpForTheNextAskAndItsOwnWasNotSent() throws Exception {
+        final List<Socket> crowd = new ArrayList<>();
+        try {
+            fill(crowd);
+            final CompletableFuture<Reply> first = ask(1);
+            of(ofLoop());
+            now.addAndGet(Circuit.CONNECT_MS);
+            ask(2);
+            assertEquals(Reply.Trouble.NOT_SENT, of(first).trouble());
+        } finally {
+            for (final Socket s : crowd) {
+                s.close();
+            }
+        }
+    }
+
+    /** Connections that nobody accepts, until no more fit: the next one hangs. */
+    private void fill(final List<Socket> crowd) throws IOException {
+        while (true) {
+            final Socket s = new Socket();
+            crowd.add(s);
+            try {
+                s.connect(peer.getLocalSocketAddress(), 200);
+            } catch (final java.net.SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
+
+    /** Once all asks so far are with the wire. */
+    private CompletableFuture<Reply> ofLoop() {
+        final CompletableFuture<Reply> got = new CompletableFuture<>();
+        loop.post(() -> net.ask(NodeId.of("nobody"), new Msg.Ok(), PATIENT, got::complete));
+        return got;
+    }
+}
