--- a/prog/src/test/java/rv/prog/SilentPeerTest.java
+++ b/prog/src/test/java/rv/prog/SilentPeerTest.java
@@ -61,7 +61,7 @@
 
     private CompletableFuture<Reply> ask(final int number) {
         final CompletableFuture<Reply> got = new CompletableFuture<>();
-        loop.post(() -> net.ask(PEER, new Msg.Query(number), LONGER, got::complete));
+        loop.post(() -> net.ask(PEER, new Msg.Query(0, number), LONGER, got::complete));
         return got;
     }
 
@@ -93,7 +93,7 @@
             final CompletableFuture<Reply> second = ask(2);
             try (Socket fresh = peer.accept()) {
                 final Wire.Envelope late = read(fresh);
-                assertEquals(new Msg.Query(2), late.msg());
+                assertEquals(new Msg.Query(0, 2), late.msg());
                 answer(fresh, late);
                 assertEquals(new Msg.Ok(), of(second).msg());
                 answer(silent, early);
@@ -114,7 +114,7 @@
             now.addAndGet(Circuit.SILENT_MS);
             final CompletableFuture<Reply> third = ask(3);
             final Wire.Envelope late = read(s);
-            assertEquals(new Msg.Query(3), late.msg());
+            assertEquals(new Msg.Query(0, 3), late.msg());
             answer(s, late);
             answer(s, early);
             assertEquals(new Msg.Ok(), of(third).msg());
--- a/prog/src/test/java/rv/prog/TcpFramesTest.java
+++ b/prog/src/test/java/rv/prog/TcpFramesTest.java
@@ -116,7 +116,7 @@
 
     @Test
     void anAnswerThatIsCutAfterAnyByteIsNone() throws Exception {
-        final int length = frame(100, answer(new Wire.Envelope(1, 100, 0, ONE, new Msg.Query(100)))).length;
+        final int length = frame(100, answer(new Wire.Envelope(1, 100, 0, ONE, new Msg.Query(0, 100)))).length;
         final NodeId to = peer("p", (connection, in) -> {
             final Wire.Envelope asked = read(in);
             final byte[] whole = frame(asked.id(), answer(asked));
@@ -129,7 +129,7 @@
         for (int cut = 0; cut < length; cut++) {
             assertEquals(
                     Reply.Trouble.NO_ANSWER,
-                    end(ask(to, new Msg.Query(100 + cut), 20_000)).trouble(),
+                    end(ask(to, new Msg.Query(0, 100 + cut), 20_000)).trouble(),
                     "at " + cut);
         }
     }
@@ -173,7 +173,7 @@
             taken.add(msg);
             back.accept(new Msg.Ok());
         });
-        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 7, 0, NodeId.of("peer"), new Msg.Query(9)));
+        final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 7, 0, NodeId.of("peer"), new Msg.Query(0, 9)));
         final byte[] whole = ByteBuffer.allocate(4 + data.length)
                 .putInt(data.length)
                 .put(data)
@@ -193,7 +193,7 @@
             final Wire.Envelope e = read(new DataInputStream(s.getInputStream()));
             assertEquals(7, e.re());
         }
-        assertEquals(List.of(new Msg.Query(9)), taken);
+        assertEquals(List.of(new Msg.Query(0, 9)), taken);
     }
 
     /** An answer on a connection that the question did not go out on ends that connection and not the question. */
@@ -213,9 +213,9 @@
             connection.getOutputStream().write(frame(asked.join(), new Msg.Nay("forged")));
             forged.complete(in.read() < 0);
         });
-        final CompletableFuture<Reply> first = ask(slow, new Msg.Query(1), 20_000);
+        final CompletableFuture<Reply> first = ask(slow, new Msg.Query(0, 1), 20_000);
         asked.get(30, TimeUnit.SECONDS);
-        final CompletableFuture<Reply> second = ask(liar, new Msg.Query(2), 20_000);
+        final CompletableFuture<Reply> second = ask(liar, new Msg.Query(0, 2), 20_000);
         assertTrue(forged.get(30, TimeUnit.SECONDS), "its connection is closed");
         assertEquals(Reply.Trouble.NO_ANSWER, end(second).trouble());
         assertEquals(new Msg.Nay("for 1"), end(first).msg());
@@ -225,7 +225,8 @@
     void anAnswerLargerThanAFrameIsToldAtOnce() throws Exception {
         net.serve((from, msg, back) -> back.accept(new Msg.Reported("x".repeat(Wire.LIMIT))));
         try (Socket s = new Socket("127.0.0.1", net.bound())) {
-            final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 7, 0, NodeId.of("peer"), new Msg.Query(9)));
+            final byte[] data =
+                    Wire.pack(new Wire.Envelope(Wire.VERSION, 7, 0, NodeId.of("peer"), new Msg.Query(0, 9)));
             s.getOutputStream()
                     .write(ByteBuffer.allocate(4 + data.length)
                             .putInt(data.length)
@@ -254,7 +255,7 @@
         int answered = 0;
         int none = 0;
         for (long n = 1; n <= 600; n++) {
-            answers.put(n, ask(to, new Msg.Query(n), 1500));
+            answers.put(n, ask(to, new Msg.Query(0, n), 1500));
             if (n % 4 == 0) {
                 end(answers.get(n));
             }
