--- a/control/src/main/java/rv/control/Shares.java
+++ b/control/src/main/java/rv/control/Shares.java
@@ -28,7 +28,7 @@
     private final Map<NodeId, Long> said = new HashMap<>();
     private Map<String, List<Integer>> goal = Map.of();
     /** Who held the shards when parts were lowered: with others the goal no longer fits. */
-    private List<String> owners = List.of();
+    private List<String> ownersWhenLowered = List.of();
 
     private long looked;
     private long calm = -1;
@@ -82,7 +82,7 @@
         calm = -1;
         final Map<String, List<Integer>> low = new TreeMap<>();
         want.forEach((service, list) -> low.put(service, lowered(plan, service, list)));
-        owners = owners(plan);
+        ownersWhenLowered = owners(plan);
         return Optional.of(plan.weighed(low));
     }
 
@@ -117,7 +117,7 @@
     }
 
     private Optional<Plan> raise(final Plan plan, final long now) {
-        if (!owners(plan).equals(owners)) {
+        if (!owners(plan).equals(ownersWhenLowered)) {
             goal = Map.of();
             return Optional.empty();
         }
