--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -81,12 +81,12 @@
         final ProcessModule parts = new ProcessModule(options, boot, faces.dialect());
         final ProcessComponent all =
                 DaggerProcessComponent.builder().processModule(parts).build();
+        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
+        log.start(all.journal());
         if (all.disk() instanceof SqlDisk d) {
-            d.open();
+            d.open(why -> all.journal().add(Event.of(Code.DISK_SLOW, "why", why)));
         }
         stages.end("disk");
-        final EventLog log = new EventLog(options.id().text(), options.json(), System.out);
-        log.start(all.journal());
         final SettingsWatcher settings = new SettingsWatcher(source, options, all.journal());
         settings.start();
         if (!options.shortage().isEmpty()) {
@@ -101,14 +101,14 @@
         all.loop().start();
         stages.end("wire");
         settings.listen(now -> reach(now, all.net()));
-        final Options seated = new VoterDiscovery(
-                        options,
-                        all.loop(),
-                        all.net(),
-                        all.disk(),
-                        () -> settings.current().seeds())
-                .seat();
-        parts.seated(seated);
+        final VoterDiscovery discovery = new VoterDiscovery(
+                options,
+                all.loop(),
+                all.net(),
+                all.disk(),
+                () -> settings.current().seeds());
+        final Options seated = discovery.seat();
+        parts.seated(seated, discovery.voters());
         seated.known().forEach(all.net()::learn);
         stages.end("seats");
         final Node node = all.node();
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import rv.base.Code;
 import rv.base.Event;
 import rv.base.Journal;
@@ -30,7 +31,7 @@
     /** How long to wait before a full ring is tried again. */
     private static final long RING_FULL_MS = 10;
     /** How long the next connections wait after one that could not be accepted. */
-    private static final long ACCEPT_AGAIN_MS = 100;
+    private static final long ACCEPT_PAUSE_NS = 200_000_000;
 
     private final NodeId self;
     private final CoreLoop loop;
@@ -42,11 +43,14 @@
     private final Map<Long, Wait> waits = new HashMap<>();
     private final Thread thread = new Thread(this::run, "wire");
     private final Meter meter;
+    private final LongSupplier clock;
     private Selector selector;
     private ServerSocketChannel door;
     private volatile Net.Port port;
     private long serial;
     private volatile boolean on = true;
+    private SelectionKey paused;
+    private long pausedUntil;
 
     private static final class Wait {
         private final Consumer<Reply> then;
@@ -75,6 +79,19 @@
             final Map<NodeId, InetSocketAddress> seeds,
             final Map<NodeId, InetSocketAddress> fixed,
             final Meter meter) {
+        this(self, loop, journal, seeds, fixed, meter, () -> System.nanoTime() / 1_000_000);
+    }
+
+    /** With a steady clock of one's own, in ms, by which silent peers are judged. */
+    TcpNet(
+            final NodeId self,
+            final CoreLoop loop,
+            final Journal journal,
+            final Map<NodeId, InetSocketAddress> seeds,
+            final Map<NodeId, InetSocketAddress> fixed,
+            final Meter meter,
+            final LongSupplier clock) {
+        this.clock = clock;
         this.meter = meter;
         this.self = self;
         this.loop = loop;
@@ -174,23 +191,50 @@
     }
 
     private void send(final NodeId to, final byte[] data) {
-        final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
+        final Circuit c = circuit(to);
         if (c != null) {
             c.send(new Circuit.Out(data, () -> {}, () -> {}));
         }
     }
 
+    /**
+     * The connection for what is sent now. One on which the peer has been silent for too long is left to the answers
+     * that may still come on it: after a cut or a loss of power TCP itself would send again only seconds later.
+     */
+    private Circuit circuit(final NodeId to) {
+        final Circuit c = out.get(to);
+        if (c == null) {
+            return dial(to);
+        }
+        if (!c.hung(clock.getAsLong())) {
+            return c;
+        }
+        out.remove(to);
+        if (c.connected()) {
+            c.retire();
+            closeIfDone(c);
+        } else {
+            close(c);
+        }
+        return dial(to);
+    }
+
+    private void closeIfDone(final Circuit c) {
+        if (c != null && c.retired() && waits.values().stream().noneMatch(w -> w.circuit == c)) {
+            close(c);
+        }
+    }
+
     private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
         final Wait w = new Wait(then);
         waits.put(id, w);
-        w.circuit = out.get(to);
-        if (w.circuit == null) {
-            w.circuit = dial(to);
-        }
+        w.circuit = circuit(to);
         w.frame = new Circuit.Out(data, () -> w.begun = true, () -> end(id, Reply.lost(Reply.Trouble.NOT_SENT)));
         if (w.circuit == null || !w.circuit.send(w.frame)) {
             end(id, Reply.lost(Reply.Trouble.NOT_SENT));
+            return;
         }
+        w.circuit.asked(clock.getAsLong());
     }
 
     private void late(final long id) {
@@ -205,6 +249,7 @@
         final Wait w = waits.remove(id);
         if (w != null) {
             loop.post(() -> w.then.accept(r));
+            closeIfDone(w.circuit);
         }
     }
 
@@ -219,7 +264,7 @@
             ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
             final boolean open = ch.connect(at);
             final SelectionKey key = ch.register(selector, open ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
-            final Circuit c = new Circuit(ch, key);
+            final Circuit c = new Circuit(ch, key, clock.getAsLong());
             key.attach(c);
             out.put(to, c);
             return c;
@@ -233,15 +278,14 @@
             while (on) {
                 selector.select(1000);
                 for (Runnable r = ring.poll(); r != null; r = ring.poll()) {
-                    r.run();
+                    Guard.run(r);
                 }
+                acceptAgain();
                 final var keys = selector.selectedKeys().iterator();
                 while (keys.hasNext()) {
                     final SelectionKey k = keys.next();
                     keys.remove();
-                    if (k.isValid()) {
-                        serve(k);
-                    }
+                    turn(k);
                 }
             }
             for (final SelectionKey k : selector.keys()) {
@@ -253,11 +297,48 @@
         }
     }
 
-    private void serve(final SelectionKey k) throws IOException {
-        if (k.isAcceptable()) {
-            accept(k);
-            return;
+    /** What goes wrong with one connection ends that one. */
+    private void turn(final SelectionKey k) {
+        try {
+            if (k.isValid() && k.isAcceptable()) {
+                accept(k);
+            } else if (k.isValid()) {
+                serve(k);
+            }
+        } catch (final RuntimeException | Error e) {
+            Guard.failed(e);
+            if (k.attachment() instanceof Circuit c) {
+                close(c);
+            }
+        }
+    }
+
+    /** Without a free descriptor nothing more is accepted for a while; those who wait are taken up then. */
+    private void accept(final SelectionKey listening) {
+        try {
+            final SocketChannel ch = door.accept();
+            if (ch != null) {
+                ch.configureBlocking(false);
+                ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
+                key.attach(new Circuit(ch, key, clock.getAsLong()));
+            }
+        } catch (final IOException e) {
+            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
+            listening.interestOps(0);
+            paused = listening;
+            pausedUntil = System.nanoTime() + ACCEPT_PAUSE_NS;
         }
+    }
+
+    private void acceptAgain() {
+        if (paused != null && System.nanoTime() - pausedUntil >= 0) {
+            paused.interestOps(SelectionKey.OP_ACCEPT);
+            paused = null;
+        }
+    }
+
+    private void serve(final SelectionKey k) {
         final Circuit c = (Circuit) k.attachment();
         try {
             if (k.isConnectable() && ((SocketChannel) k.channel()).finishConnect()) {
@@ -279,23 +360,6 @@
         }
     }
 
-    /** A connection that cannot be taken up, for want of file descriptors or since it is gone again, harms no other. */
-    private void accept(final SelectionKey listening) {
-        try {
-            final SocketChannel ch = door.accept();
-            if (ch != null) {
-                ch.configureBlocking(false);
-                ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
-                key.attach(new Circuit(ch, key));
-            }
-        } catch (final IOException e) {
-            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
-            listening.interestOps(0);
-            loop.after(ACCEPT_AGAIN_MS, () -> ring.offer(() -> listening.interestOps(SelectionKey.OP_ACCEPT)));
-        }
-    }
-
     private void bad(final Circuit c, final String why) {
         journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", why));
         close(c);
--- /dev/null
+++ b/rig/src/main/java/rv/rig/sim/OrderClient.java
@@ -0,0 +1,298 @@
+package rv.rig.sim;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+import java.util.function.Supplier;
+import rv.base.Role;
+import rv.control.ItemService;
+import rv.control.Purge;
+import rv.rig.Log;
+
+/** Sends orders and purges to any shield, and repeats them at other ones until the answer is clear. */
+final class OrderClient {
+    private static final int ORDER_TRIES = 100;
+    private static final int LONGEST_PAUSE = 10;
+    private static final int HARD_TRIES = 20;
+    private static final int PURGE_TRIES = 4;
+    private static final long PAUSE_MS = 100;
+    private static final long HARD_PAUSE_MS = 250;
+    private static final long NOBODY_UP_MS = 500;
+    private static final long SILENCE_MS = 1000;
+    private final SimCluster cluster;
+    private final List<Order> answered = new ArrayList<>();
+    private double lostShare;
+    private String lastAcknowledger = "";
+
+    OrderClient(final SimCluster cluster) {
+        this.cluster = cluster;
+    }
+
+    /** Orders that were answered clearly. */
+    List<Order> answered() {
+        return answered;
+    }
+
+    String lastAcknowledger() {
+        return lastAcknowledger;
+    }
+
+    /** A share of the answers is lost on the way from now on. */
+    void loseAnswers(final double share) {
+        lostShare = share;
+    }
+
+    private World world() {
+        return cluster.world();
+    }
+
+    /** How sending an order ended: the machine whose clear answer came, and its status; nobody and 0 where none came. */
+    interface Ending {
+        void ended(SimNode at, int status);
+    }
+
+    /** One order on its way: until an answer is clear, or the tries are used up. */
+    private final class Sending {
+        private final Order order;
+        private final long from = world().now();
+        private final Set<String> asked = new HashSet<>();
+        private final Consumer<SimNode> sent;
+        private final Ending ending;
+        private String last = "";
+        private int tries;
+        private boolean clear;
+
+        Sending(final Order order, final Consumer<SimNode> sent, final Ending ending) {
+            this.order = order;
+            this.sent = sent;
+            this.ending = ending;
+            order.items().forEach(item -> cluster.log().add(item.row("sent", from, from, 0)));
+            cluster.log()
+                    .add(Log.row(
+                            "log",
+                            "order",
+                            "t",
+                            from,
+                            "id",
+                            order.id(),
+                            "items",
+                            order.items().stream().map(OrderItem::mark).toList()));
+        }
+
+        /** At other nodes first, after a failure or a second of silence, with a pause that grows. */
+        void next() {
+            if (clear) {
+                return;
+            }
+            if (tries++ >= ORDER_TRIES) {
+                ending.ended(null, 0);
+                return;
+            }
+            final SimNode at = notAsked();
+            if (at == null) {
+                world().in(NOBODY_UP_MS, this::next);
+            } else {
+                tryAt(at, () -> world().in(PAUSE_MS * Math.min(tries, LONGEST_PAUSE), this::next));
+            }
+        }
+
+        /** One that was not asked yet; where all were, any but the last. */
+        private SimNode notAsked() {
+            final List<SimNode> up = cluster.nodes().values().stream()
+                    .filter(n -> n.role() == Role.SHIELD && n.alive())
+                    .toList();
+            final List<SimNode> fresh =
+                    up.stream().filter(n -> !asked.contains(n.id().text())).toList();
+            if (!fresh.isEmpty()) {
+                return any(fresh);
+            }
+            final List<SimNode> others =
+                    up.stream().filter(n -> !n.id().text().equals(last)).toList();
+            return any(others.isEmpty() ? up : others);
+        }
+
+        private SimNode any(final List<SimNode> some) {
+            return some.isEmpty() ? null : some.get(world().dice().nextInt(some.size()));
+        }
+
+        /** {@code again} runs once, where no clear answer came in a second. */
+        void tryAt(final SimNode at, final Runnable again) {
+            last = at.id().text();
+            asked.add(last);
+            final boolean[] over = {false};
+            final Runnable once = () -> {
+                if (!over[0] && !clear) {
+                    over[0] = true;
+                    again.run();
+                }
+            };
+            final long life = at.life();
+            final long t = world().now();
+            sent.accept(at);
+            world().in(1, () -> {
+                if (at.alive() && at.life() == life) {
+                    at.post(() -> at.node().orders().patch(order.text(), s -> {
+                        final boolean lost = world().dice().nextDouble() < lostShare;
+                        note("order", t, at, order.id(), s, lost);
+                        if (!lost) {
+                            answer(at, s, once);
+                        }
+                    }));
+                }
+            });
+            world().in(SILENCE_MS, once);
+        }
+
+        private void answer(final SimNode at, final ItemService.ApiResult s, final Runnable again) {
+            if (clear) {
+                return;
+            }
+            if (s.status() / 100 == 5) {
+                again.run();
+                return;
+            }
+            clear = true;
+            final long end = world().now();
+            order.items().forEach(item -> cluster.log().add(item.row("put", from, end, s.status())));
+            answered.add(order);
+            if (s.status() == 200) {
+                lastAcknowledger = at.id().text();
+            }
+            ending.ended(at, s.status());
+        }
+
+        /** Again and again at one machine, until it answers clearly; at any other where it does not for long. */
+        void insist(final SimNode at) {
+            if (clear) {
+                return;
+            }
+            if (tries++ < HARD_TRIES && at.alive()) {
+                tryAt(at, () -> world().in(HARD_PAUSE_MS, () -> insist(at)));
+            } else {
+                next();
+            }
+        }
+    }
+
+    private void note(
+            final String kind,
+            final long t,
+            final SimNode at,
+            final Long order,
+            final ItemService.ApiResult s,
+            final boolean lost) {
+        cluster.log()
+                .add(Log.row(
+                        "log",
+                        "try",
+                        "kind",
+                        kind,
+                        "t",
+                        t,
+                        "end",
+                        world().now(),
+                        "node",
+                        at.id().text(),
+                        "order",
+                        order,
+                        "status",
+                        s.status(),
+                        "lost",
+                        lost));
+    }
+
+    /** {@code sent} hears each machine that it is sent to. */
+    void send(final Order order, final Consumer<SimNode> sent, final Ending ending) {
+        new Sending(order, sent, ending).next();
+    }
+
+    /** To this machine first, then as any other. */
+    void sendFirstTo(final Order order, final SimNode at) {
+        final Sending sending = new Sending(order, n -> {}, (n, status) -> {});
+        sending.tryAt(at, () -> world().in(PAUSE_MS, sending::next));
+    }
+
+    void sendUntilAnswered(final Order order, final SimNode at) {
+        new Sending(order, n -> {}, (n, status) -> {}).insist(at);
+    }
+
+    /** Something that must not be taken, once. */
+    void tryInvalid(final Order order, final SimNode at) {
+        final long t = world().now();
+        at.post(() -> at.node().orders().patch(order.text(), s -> note("invalid", t, at, null, s, false)));
+    }
+
+    void tryPurge(final Purge what, final SimNode at) {
+        final long t = world().now();
+        at.post(() -> at.node().orders().purge(what, s -> note("purge", t, at, null, s, false)));
+    }
+
+    void purge(final Purge what, final Map<String, Object> facts) {
+        purge(what, facts, world().now(), PURGE_TRIES);
+    }
+
+    private void purge(final Purge what, final Map<String, Object> facts, final long from, final int left) {
+        final SimNode at = cluster.controlNode();
+        final boolean[] over = {false};
+        final Runnable again = () -> {
+            if (!over[0]) {
+                over[0] = true;
+                if (left > 0) {
+                    world().in(PAUSE_MS, () -> purge(what, facts, from, left - 1));
+                }
+            }
+        };
+        world().in(SILENCE_MS, again);
+        if (at == null) {
+            return;
+        }
+        final long t = world().now();
+        at.post(() -> at.node().orders().purge(what, s -> {
+            note("purge", t, at, null, s, false);
+            if (over[0] || s.status() != 200) {
+                again.run();
+                return;
+            }
+            over[0] = true;
+            final String item = String.valueOf(s.body().get("item")).replace("purge/", "PURGE/");
+            final Map<String, Object> row = Log.row(
+                    "log",
+                    "op",
+                    "t",
+                    from,
+                    "end",
+                    world().now(),
+                    "what",
+                    "purge",
+                    "item",
+                    item,
+                    "status",
+                    200,
+                    "version",
+                    s.body().get("version"));
+            row.putAll(facts);
+            cluster.log().add(row);
+        }));
+    }
+
+    /** Something that must not be taken, to any node; where nobody is up, later. */
+    void sendInvalid(final Supplier<Order> draft, final IntConsumer then) {
+        final SimNode at = cluster.controlNode();
+        if (at == null) {
+            world().in(NOBODY_UP_MS, () -> sendInvalid(draft, then));
+            return;
+        }
+        final Order order = draft.get();
+        final long t = world().now();
+        at.post(() -> at.node().orders().patch(order.text(), s -> {
+            note("invalid", t, at, null, s, false);
+            cluster.log()
+                    .add(Log.row("log", "op", "t", t, "end", world().now(), "what", "invalid", "status", s.status()));
+            then.accept(s.status());
+        }));
+    }
+}
--- a/rig/src/test/java/rv/rig/ResumeTest.java
+++ b/rig/src/test/java/rv/rig/ResumeTest.java
@@ -160,7 +160,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void aStoppingAuthorityIsFollowedAtOnce(final long before) {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 2).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(3000);
         final String boss = town.boss();
         final long last = town.log().rows().stream()
@@ -225,7 +225,7 @@
     @Test
     void aStalledStoreHoldsUpAnswersForItsStatedTimeAndIsToldOf() {
         final SimCluster town = new SimCluster(Place.kilimanjaro(), 3).open();
-        town.staff().stop();
+        town.itemOperator().stop();
         town.run(2000);
         town.stall("st2", 5000);
         final List<Long> took = new ArrayList<>();
@@ -277,7 +277,7 @@
         town.run(5000);
         assertEquals(List.of(200), said);
         assertTrue(town.node(poor).disk().has("e/" + ROUTE.text()));
-        town.blackout(poor.equals("st1") ? "st2" : "st1", 1000);
+        town.blackout(List.of(poor.equals("st1") ? "st2" : "st1"), 1000);
         town.run(15_000);
         town.nodes().keySet().forEach(n -> assertEquals(1, ver(town, n, ROUTE), n));
     }
