--- a/base/src/main/java/rv/base/ItemId.java
+++ b/base/src/main/java/rv/base/ItemId.java
@@ -7,6 +7,8 @@
 public record ItemId(Kind kind, String name) implements Comparable<ItemId> {
     public static final ItemId PLAN = new ItemId(Kind.PLAN, "plan");
     public static final ItemId TENURE = new ItemId(Kind.TENURE, "tenure");
+    /** Its version is the epoch of the voting set that it names. */
+    public static final ItemId VOTERS = new ItemId(Kind.VOTERS, "voters");
 
     @JsonCreator
     public static ItemId parse(final String text) {
@@ -19,6 +21,12 @@
         return kind.name() + "/" + name;
     }
 
+    /** The same in every process: an enum's own differs from run to run, and with it the order of hashed collections. */
+    @Override
+    public int hashCode() {
+        return 31 * kind.ordinal() + name.hashCode();
+    }
+
     @Override
     public int compareTo(final ItemId o) {
         return text().compareTo(o.text());
--- a/base/src/main/java/rv/base/Kind.java
+++ b/base/src/main/java/rv/base/Kind.java
@@ -12,7 +12,10 @@
     PLAN,
     TENURE,
     SWEEP,
-    LIMIT;
+    LIMIT,
+    /** Which number of each item was taken with which body; written by the order sequencer only. */
+    LEDGER,
+    VOTERS;
 
     public String word() {
         return name().toLowerCase(Locale.ROOT);
--- a/data/src/main/java/rv/data/LiveSettings.java
+++ b/data/src/main/java/rv/data/LiveSettings.java
@@ -11,8 +11,10 @@
  * @param extraSlack extra tries beside those, in any 10 s over all nodes
  * @param noticeMs how long a leaving edge still takes requests
  * @param places cells, or the beginnings of cells, that objects are filled for apart; never empty
+ * @param wantedLosses how many voters may be lost at once; the voting set is made as large as that needs
  */
-public record LiveSettings(Timing timing, double extraRatio, double extraSlack, long noticeMs, List<String> places) {
+public record LiveSettings(
+        Timing timing, double extraRatio, double extraSlack, long noticeMs, List<String> places, int wantedLosses) {
     private static final List<String> ONE_PLACE = List.of("");
 
     public LiveSettings {
--- a/data/src/main/java/rv/data/OriginDispatch.java
+++ b/data/src/main/java/rv/data/OriginDispatch.java
@@ -22,6 +22,10 @@
     private static final int REACH = 6;
 
     private static final long COME_BACK = 1000;
+    /** Refusals that no other node would spare: the reasons that edges see. */
+    static final String BUSY = "every origin is busy";
+
+    static final String RATE_SPENT = "the rate of the service is spent";
     private final Sender sender;
     private final OriginRequest order;
     private final Consumer<Sender.Sent> then;
@@ -30,6 +34,8 @@
     private boolean earned;
     private boolean mayHaveRun;
     private int unreachable;
+    /** Origins that may have got it. */
+    private int reached;
     /** Sends that are under way. */
     private int open;
     /** Attempts for which an origin is being looked for, or which wait for their turn. */
@@ -53,6 +59,11 @@
         return sender.loop();
     }
 
+    /** Whether a refusal for this reason holds for all nodes, so that asking another one is of no use. */
+    static boolean noNodeCanSend(final String why) {
+        return why.equals(BUSY) || why.equals(RATE_SPENT);
+    }
+
     void begin() {
         attempt(order.extra());
     }
@@ -148,7 +159,7 @@
             }
             soonest = Math.min(soonest, sender.ceiling().wait(id, now));
         }
-        abandon("the rate of the service is spent", Math.max(COME_BACK, soonest));
+        abandon(RATE_SPENT, Math.max(COME_BACK, soonest));
     }
 
     /** No origin has a free slot: waits its turn, or is refused at once where the turn would come too late. */
@@ -160,13 +171,13 @@
                 (line.ahead(order.service(), order.rank()) + 1) * mean * sender.senders() / Math.max(1, slots);
         final long most = order.cutoff() - now - (long) mean;
         if (expected > most || line.full(order.service())) {
-            abandon("every origin is busy", (long) Math.max(250, Math.min(COME_BACK, expected)));
+            abandon(BUSY, (long) Math.max(250, Math.min(COME_BACK, expected)));
             return;
         }
         final WaitQueue.Place mine = line.add(order.service(), order.rank(), this::fits, this::choose);
         loop().after(most, () -> {
             if (line.drop(order.service(), mine)) {
-                abandon("every origin is busy", 250);
+                abandon(BUSY, 250);
             }
         });
     }
@@ -206,9 +217,10 @@
         if (!earned) {
             sender.first(order.service());
         }
-        final boolean first = !earned;
         earned = true;
-        new OriginAttempt(sender, this, id, to).send(!first);
+        final boolean extra = order.extra() || reached > 0;
+        reached++;
+        new OriginAttempt(sender, this, id, to).send(extra);
     }
 
     /** Not answered for long: what may run more than once is tried elsewhere too, and the first answer counts. */
@@ -249,6 +261,7 @@
     /** Nothing left: another origin may be asked at once if only this one may not. */
     private void barred(final Port.Got got) {
         pending++;
+        reached--;
         if (sender.right(order.shard(), order.service()) && loop().now() < order.cutoff()) {
             choose();
         } else {
@@ -259,6 +272,7 @@
     /** An origin that could not be reached got no request: its attempt is still to be made, and is no extra one. */
     private void unreached(final Port.Got got, final long at) {
         pending++;
+        reached--;
         if (loop().now() < order.cutoff() && ++unreachable < REACH) {
             choose();
             return;
--- a/prog/src/main/java/rv/prog/ProcessModule.java
+++ b/prog/src/main/java/rv/prog/ProcessModule.java
@@ -6,13 +6,12 @@
 import javax.inject.Provider;
 import javax.inject.Singleton;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import rv.base.Condition;
 import rv.base.Disk;
 import rv.base.Journal;
 import rv.base.Member;
+import rv.base.Msg;
 import rv.base.Role;
 import rv.data.Node;
 import rv.data.Port;
@@ -24,6 +23,7 @@
     private final String boot;
     private final Dialect dialect;
     private Options options;
+    private Msg.Chosen voters;
 
     public ProcessModule(final Options options, final String boot, final Dialect dialect) {
         this.options = options;
@@ -31,9 +31,10 @@
         this.dialect = dialect;
     }
 
-    /** Before the node is put together. */
-    public void seated(final Options o) {
+    /** Before the node is put together. {@code present}: the chosen set that votes now, or null where none is known. */
+    public void seated(final Options o, final Msg.Chosen present) {
         options = o;
+        voters = present;
     }
 
     @Provides
@@ -75,26 +76,20 @@
         link.setSelectors(1);
         link.setExecutor(pool);
         link.setConnectTimeout(java.time.Duration.ofMillis(500));
-        final HttpClient http = new HttpClient(new HttpClientTransportOverHTTP(link));
+        final HttpClient http = new OriginHttpClient(link);
         http.setExecutor(pool);
-        http.setFollowRedirects(false);
-        http.setUserAgentField(null);
-        http.setHttpCookieStore(new HttpCookieStore.Empty());
-        http.setMaxConnectionsPerDestination(512);
-        http.setMaxRequestHeadersSize(Heads.MOST);
-        http.setMaxResponseHeadersSize(Heads.MOST);
         return http;
     }
 
     @Provides
     @Singleton
     Port port(final CoreLoop loop, final Provider<HttpClient> http) {
-        return options.role() == Role.SHIELD
-                ? new OriginPort(loop, http.get(), dialect)
-                : (to, what, gate, then) -> {
-                    loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "only shields send to origins")));
+        return options.role() == Role.STORE
+                ? (to, what, gate, then) -> {
+                    loop.post(() -> then.accept(Port.Got.none(Port.End.NOT_SENT, "stores send nothing to origins")));
                     return () -> {};
-                };
+                }
+                : new OriginPort(loop, http.get(), dialect);
     }
 
     @Provides
@@ -112,7 +107,7 @@
         final Setup setup = Setup.of(self)
                 .seeds(
                         options.learns()
-                                ? options.quorum().electors()
+                                ? options.quorum().voters()
                                 : java.util.List.copyOf(options.seeds().keySet()))
                 .quorum(options.quorum())
                 .timing(options.timing())
@@ -123,6 +118,9 @@
                 .seats(options.seats())
                 .notice(options.noticeMs())
                 .places(options.places())
+                .wantedLosses(options.wantedLosses())
+                .keyWindow(options.keyWindowMs())
+                .voters(voters)
                 .build();
         return new Node(
                 setup,
--- a/prog/src/main/java/rv/prog/Program.java
+++ b/prog/src/main/java/rv/prog/Program.java
@@ -101,14 +101,14 @@
         all.loop().start();
         stages.end("wire");
         settings.listen(now -> reach(now, all.net()));
-        final Options seated = new VoterDiscovery(
-                        options,
-                        all.loop(),
-                        all.net(),
-                        all.disk(),
-                        () -> settings.current().seeds())
-                .seat();
-        parts.seated(seated);
+        final VoterDiscovery discovery = new VoterDiscovery(
+                options,
+                all.loop(),
+                all.net(),
+                all.disk(),
+                () -> settings.current().seeds());
+        final Options seated = discovery.seat();
+        parts.seated(seated, discovery.voters());
         seated.known().forEach(all.net()::learn);
         stages.end("seats");
         final Node node = all.node();
@@ -178,7 +178,7 @@
         open(server, "http server");
         all.open("http address ", options.http(), new Api(ends.loop(), ends.node(), ends.net()));
         if (options.door() != null) {
-            all.open("door address ", options.door(), faces.door(ends));
+            all.open("door address ", options.door(), faces.door(ends), options.doorConnections());
         }
         final Map<String, Handler> more = faces.more(ends);
         for (final Map.Entry<String, InetSocketAddress> e : options.faces().entrySet()) {
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import rv.base.Code;
 import rv.base.Event;
 import rv.base.Journal;
@@ -27,7 +28,11 @@
 
 /** The wire duty: one selector thread for all circuits. */
 public final class TcpNet implements Net {
+    /** How long to wait before a full ring is tried again. */
+    private static final long RING_FULL_MS = 10;
+    /** How long the next connections wait after one that could not be accepted. */
     private static final long ACCEPT_PAUSE_NS = 200_000_000;
+
     private final NodeId self;
     private final CoreLoop loop;
     private final Journal journal;
@@ -38,6 +43,7 @@
     private final Map<Long, Wait> waits = new HashMap<>();
     private final Thread thread = new Thread(this::run, "wire");
     private final Meter meter;
+    private final LongSupplier clock;
     private Selector selector;
     private ServerSocketChannel door;
     private volatile Net.Port port;
@@ -73,6 +79,19 @@
             final Map<NodeId, InetSocketAddress> seeds,
             final Map<NodeId, InetSocketAddress> fixed,
             final Meter meter) {
+        this(self, loop, journal, seeds, fixed, meter, () -> System.nanoTime() / 1_000_000);
+    }
+
+    /** With a steady clock of one's own, in ms, by which silent peers are judged. */
+    TcpNet(
+            final NodeId self,
+            final CoreLoop loop,
+            final Journal journal,
+            final Map<NodeId, InetSocketAddress> seeds,
+            final Map<NodeId, InetSocketAddress> fixed,
+            final Meter meter,
+            final LongSupplier clock) {
+        this.clock = clock;
         this.meter = meter;
         this.self = self;
         this.loop = loop;
@@ -137,10 +156,16 @@
             return;
         }
         selector.wakeup();
-        loop.after(wait, () -> {
-            ring.offer(() -> late(id));
+        loop.after(wait, () -> timeOut(id));
+    }
+
+    /** Without it an ask might never end, so it is offered until it is taken. */
+    private void timeOut(final long id) {
+        if (ring.offer(() -> late(id))) {
             selector.wakeup();
-        });
+        } else {
+            loop.after(RING_FULL_MS, () -> timeOut(id));
+        }
     }
 
     @Override
@@ -166,23 +191,50 @@
     }
 
     private void send(final NodeId to, final byte[] data) {
-        final Circuit c = out.containsKey(to) ? out.get(to) : dial(to);
+        final Circuit c = circuit(to);
         if (c != null) {
             c.send(new Circuit.Out(data, () -> {}, () -> {}));
         }
     }
 
+    /**
+     * The connection for what is sent now. One on which the peer has been silent for too long is left to the answers
+     * that may still come on it: after a cut or a loss of power TCP itself would send again only seconds later.
+     */
+    private Circuit circuit(final NodeId to) {
+        final Circuit c = out.get(to);
+        if (c == null) {
+            return dial(to);
+        }
+        if (!c.hung(clock.getAsLong())) {
+            return c;
+        }
+        out.remove(to);
+        if (c.connected()) {
+            c.retire();
+            closeIfDone(c);
+        } else {
+            close(c);
+        }
+        return dial(to);
+    }
+
+    private void closeIfDone(final Circuit c) {
+        if (c != null && c.retired() && waits.values().stream().noneMatch(w -> w.circuit == c)) {
+            close(c);
+        }
+    }
+
     private void push(final NodeId to, final long id, final byte[] data, final long wait, final Consumer<Reply> then) {
         final Wait w = new Wait(then);
         waits.put(id, w);
-        w.circuit = out.get(to);
-        if (w.circuit == null) {
-            w.circuit = dial(to);
-        }
+        w.circuit = circuit(to);
         w.frame = new Circuit.Out(data, () -> w.begun = true, () -> end(id, Reply.lost(Reply.Trouble.NOT_SENT)));
         if (w.circuit == null || !w.circuit.send(w.frame)) {
             end(id, Reply.lost(Reply.Trouble.NOT_SENT));
+            return;
         }
+        w.circuit.asked(clock.getAsLong());
     }
 
     private void late(final long id) {
@@ -197,6 +249,7 @@
         final Wait w = waits.remove(id);
         if (w != null) {
             loop.post(() -> w.then.accept(r));
+            closeIfDone(w.circuit);
         }
     }
 
@@ -211,7 +264,7 @@
             ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
             final boolean open = ch.connect(at);
             final SelectionKey key = ch.register(selector, open ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
-            final Circuit c = new Circuit(ch, key);
+            final Circuit c = new Circuit(ch, key, clock.getAsLong());
             key.attach(c);
             out.put(to, c);
             return c;
@@ -268,7 +321,7 @@
                 ch.configureBlocking(false);
                 ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
-                key.attach(new Circuit(ch, key));
+                key.attach(new Circuit(ch, key, clock.getAsLong()));
             }
         } catch (final IOException e) {
             journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
@@ -332,17 +385,38 @@
         }
         meter.in(e.msg(), 4 + data.length);
         if (e.re() != 0) {
-            end(e.re(), Reply.of(e.msg()));
+            answered(c, e);
         } else {
             loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> {} : m -> back(c, e.id(), m)));
         }
     }
 
+    /** An answer counts only on the connection that its question went out on; one that comes late is for nobody. */
+    private void answered(final Circuit c, final Wire.Envelope e) {
+        final Wait w = waits.get(e.re());
+        if (w != null && w.circuit != c) {
+            bad(c, "answer to a question that was asked elsewhere");
+        } else {
+            end(e.re(), Reply.of(e.msg()));
+        }
+    }
+
+    /** Who asked is told at once where the answer is larger than a frame may be. */
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        if (data.length > Wire.LIMIT) {
+            back(c, re, new Msg.Nay("the answer is larger than a frame"));
+            return;
+        }
         meter.out(m, 4 + data.length);
-        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
+        backWhenTaken(c, data);
+    }
+
+    private void backWhenTaken(final Circuit c, final byte[] data) {
+        if (ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
             selector.wakeup();
+        } else {
+            loop.after(RING_FULL_MS, () -> backWhenTaken(c, data));
         }
     }
 }
--- a/prog/src/main/java/rv/prog/VoterDiscovery.java
+++ b/prog/src/main/java/rv/prog/VoterDiscovery.java
@@ -16,6 +16,7 @@
 import rv.base.NodeId;
 import rv.base.Wire;
 import rv.base.WireTrouble;
+import rv.control.VoterAddress;
 
 /**
  * Who votes: the seeds, when the network is started for the first time; later what this node's disk says, or what any
@@ -30,6 +31,8 @@
     private final Disk disk;
     private final Supplier<Map<NodeId, InetSocketAddress>> seeds;
 
+    private Msg.Chosen voters;
+
     record Row(List<String> electors) {}
 
     VoterDiscovery(final Options options, final CoreLoop loop, final TcpNet net, final Disk disk) {
@@ -64,18 +67,23 @@
         if (!kept.isEmpty()) {
             return options.seated(sites(kept));
         }
-        final Options o = options.first() ? options : options.seated(sites(ask()));
+        final Options o = options.first() ? options : options.seated(sites(ask().electors()));
         disk.save(Map.of(ROW, Wire.pack(new Row(o.seats()))), ok -> {});
         return o;
     }
 
+    /** The chosen set that votes now, where another node was asked and named one; else null. */
+    Msg.Chosen voters() {
+        return voters;
+    }
+
     /** Answers for a node that does not know yet. */
     static void blank(final NodeId from, final Msg msg, final Consumer<Msg> back) {
-        back.accept(msg instanceof Msg.Seats ? new Msg.Seated(List.of()) : new Msg.Nay("not seated yet"));
+        back.accept(msg instanceof Msg.Seats ? new Msg.Seated(List.of(), null) : new Msg.Nay("not seated yet"));
     }
 
-    private List<String> ask() throws InterruptedException {
-        final CompletableFuture<List<String>> got = new CompletableFuture<>();
+    private Msg.Seated ask() throws InterruptedException {
+        final CompletableFuture<Msg.Seated> got = new CompletableFuture<>();
         while (true) {
             seeds.get().keySet().stream()
                     .filter(s -> !s.equals(options.id()))
@@ -85,9 +93,11 @@
                             1000,
                             r -> r.as(Msg.Seated.class)
                                     .filter(m -> !m.electors().isEmpty())
-                                    .ifPresent(m -> got.complete(m.electors())))));
+                                    .ifPresent(got::complete))));
             try {
-                return got.get(AGAIN, TimeUnit.MILLISECONDS);
+                final Msg.Seated answer = got.get(AGAIN, TimeUnit.MILLISECONDS);
+                voters = answer.voters();
+                return answer;
             } catch (final TimeoutException | ExecutionException e) {
                 continue;
             }
@@ -96,13 +106,7 @@
 
     private static Map<NodeId, InetSocketAddress> sites(final List<String> list) {
         final Map<NodeId, InetSocketAddress> map = new LinkedHashMap<>();
-        list.forEach(t -> {
-            final int at = t.indexOf('@');
-            final int cut = t.lastIndexOf(':');
-            map.put(
-                    NodeId.of(t.substring(0, at)),
-                    new InetSocketAddress(t.substring(at + 1, cut), Integer.parseInt(t.substring(cut + 1))));
-        });
+        list.stream().map(VoterAddress::parse).forEach(a -> map.put(a.id(), new InetSocketAddress(a.host(), a.port())));
         return map;
     }
 }
--- a/rig/src/test/java/rv/rig/JudgeShieldsTest.java
+++ b/rig/src/test/java/rv/rig/JudgeShieldsTest.java
@@ -16,8 +16,7 @@
     private static final Map<String, Object> PLACE =
             Log.row("log", "place", "t", 0, "electors", List.of("sh1", "sh2", "sh3"));
 
-    private static void rule(
-            final int n, final List<Map<String, Object>> clean, final List<List<Map<String, Object>>> worse) {
+    static void rule(final int n, final List<Map<String, Object>> clean, final List<List<Map<String, Object>>> worse) {
         final List<Map<String, Object>> all = new ArrayList<>(List.of(PLACE));
         all.addAll(clean);
         final Judge good = new Judge(all);
@@ -200,6 +199,40 @@
         rule(17, some, List.of(List.of(org(1300, "get", "a-1", "s3", "sh2"))));
     }
 
+    @Test
+    void rule22ATryReachesMoreOriginsThanItsRouteAllows() {
+        final List<Map<String, Object>> some = new ArrayList<>(List.of(Log.row(
+                "log",
+                "op",
+                "t",
+                1,
+                "end",
+                2,
+                "what",
+                "put",
+                "item",
+                "ROUTE/r",
+                "prefix",
+                "/s/",
+                "attempts",
+                2,
+                "status",
+                200)));
+        for (int i = 0; i < 3; i++) {
+            for (final String origin : List.of("s1", "s2", "s3")) {
+                some.add(org(1000 + i, "get", "a-" + i, origin, "sh1"));
+            }
+        }
+        some.add(org(2000, "get", "b-1", "s1", "sh1"));
+        some.add(org(2010, "get", "b-1", "s2", "sh2"));
+        some.add(org(2020, "get", "b-1", "s2", "sh2"));
+        final Map<String, Object> third = org(2030, "get", "b-1", "s3", "sh3");
+        rule(22, some, List.of(List.of(third)));
+        some.add(Log.row("log", "rig", "t", 2015, "what", "origin-crash", "node", "s2", "ms", 3000));
+        some.add(third);
+        rule(22, some, List.of());
+    }
+
     /** A frame that a majority could not confirm excuses; a settled core and a healthy node do not. */
     @Test
     void rule8ALeavingOriginIsExcusedOnlyWithoutASettledCore() {
