--- a/data/src/main/java/rv/data/Departure.java
+++ b/data/src/main/java/rv/data/Departure.java
@@ -104,7 +104,8 @@
         final Electorate electorate = node.electorate();
         final FrameSync sync = node.sync();
         final boolean out = !electorate.has(self) && sync.settled();
-        final boolean over = out || !standby(electorate, node.roster()) || loop.now() - since >= VOTE;
+        final boolean alone = electorate.has(self) && !standby(electorate, node.roster());
+        final boolean over = out || alone || loop.now() - since >= VOTE;
         if (over && !told) {
             told = true;
             journal.add(Event.of(out ? Code.VOTE_HANDED : Code.VOTE_KEPT, "epoch", electorate.epoch()));
