--- a/control/src/main/java/rv/control/OrderLedger.java
+++ b/control/src/main/java/rv/control/OrderLedger.java
@@ -24,9 +24,12 @@
     static final ItemId ID = new ItemId(Kind.LEDGER, "orders");
     /** In place of a digest where a number drops its item. */
     static final String DROPPED = "-";
-    /** So many numbers are remembered for each item, the highest ones. */
+    /** So many numbers are remembered for each item, the highest ones, and never fewer where there were more. */
     static final int HISTORY = 8;
 
+    /** So many more are remembered for all items together; those with the most give way first. */
+    static final int SPARE = 256;
+
     static final OrderLedger EMPTY = new OrderLedger(Map.of(), List.of());
 
     /** A number that was taken, with the digest of its body; as text {@code NUMBER:DIGEST}. */
@@ -94,7 +97,7 @@
 
     private static boolean recorded(final List<Taken> history, final long number) {
         return at(history, number).isPresent()
-                || history.size() >= HISTORY && history.get(HISTORY - 1).number() > number;
+                || history.size() >= HISTORY && history.get(history.size() - 1).number() > number;
     }
 
     /** What the call comes to; {@code held}: items known as chosen. */
@@ -142,7 +145,6 @@
                                         history.stream(),
                                         Stream.of(new Taken(part.ver().n(), part.digest())))
                                 .sorted(Comparator.comparingLong(Taken::number).reversed())
-                                .limit(HISTORY)
                                 .toList());
             }
         });
@@ -150,9 +152,23 @@
         if (!force.isEmpty()) {
             calls.add(force);
         }
+        trim(next);
         return new OrderLedger(next, calls);
     }
 
+    private static void trim(final Map<ItemId, List<Taken>> all) {
+        int more = all.values().stream()
+                        .mapToInt(l -> Math.max(0, l.size() - HISTORY))
+                        .sum()
+                - SPARE;
+        for (; more > 0; more--) {
+            final Map.Entry<ItemId, List<Taken>> longest = all.entrySet().stream()
+                    .max(Comparator.comparingInt(e -> e.getValue().size()))
+                    .orElseThrow();
+            longest.setValue(longest.getValue().subList(0, longest.getValue().size() - 1));
+        }
+    }
+
     /** Without the calls whose every item is known as chosen, in their version or a higher one. */
     OrderLedger cleaned(final Function<ItemId, Item> held) {
         final List<Map<ItemId, Patch.Part>> left = open.stream()
