--- a/rig/src/main/java/rv/rig/sim/CoreTroubles.java
+++ b/rig/src/main/java/rv/rig/sim/CoreTroubles.java
@@ -283,6 +283,21 @@
         }
     }
 
+    /** The time of day of a machine jumps, and back after a while. */
+    void stepClock(final String name, final double by, final long ms) {
+        cluster.trouble("clock-step", name, ms);
+        final SimNode n = cluster.node(name);
+        n.stepClock((long) by);
+        world().in(ms, () -> n.stepClock(-(long) by));
+    }
+
+    void slowDisk(final String name, final double times, final long ms) {
+        cluster.trouble("disk-slow", name, ms);
+        final SimNode n = cluster.node(name);
+        n.disk().slow(times);
+        world().in(ms, () -> n.disk().slow(1));
+    }
+
     /** A share of the named machines' circuits is reset, to each other and to origins. */
     void resetCircuits(final List<String> names, final double share) {
         names.forEach(n -> {
--- a/rig/src/main/java/rv/rig/sim/ScriptRunner.java
+++ b/rig/src/main/java/rv/rig/sim/ScriptRunner.java
@@ -151,7 +151,7 @@
             case "storm" -> stream(s, () -> town.operators().state(r -> {}));
             case "invalid" -> invalid();
             case "stall", "full", "disk-slow" -> who(s).forEach(w -> disk(s, w));
-            case "clock-step" -> who(s).forEach(w -> town.stepClock(w, s.how("back") ? -s.size() : s.size(), s.ms()));
+            case "clock-step" -> who(s).forEach(w -> core.stepClock(w, s.how("back") ? -s.size() : s.size(), s.ms()));
             case "ack-lost" ->
                 span(
                         s,
@@ -180,7 +180,7 @@
         switch (s.trouble()) {
             case "stall" -> town.stall(name, s.ms());
             case "full" -> town.full(name, s.ms());
-            default -> town.slowDisk(name, s.size(), s.ms());
+            default -> core.slowDisk(name, s.size(), s.ms());
         }
     }
 
--- a/rig/src/main/java/rv/rig/sim/SimCluster.java
+++ b/rig/src/main/java/rv/rig/sim/SimCluster.java
@@ -326,21 +326,6 @@
         }));
     }
 
-    /** The time of day of a machine jumps, and back after a while. */
-    public void stepClock(final String name, final double by, final long ms) {
-        trouble("clock-step", name, ms);
-        final SimNode n = node(name);
-        n.stepClock((long) by);
-        world.in(ms, () -> n.stepClock(-(long) by));
-    }
-
-    public void slowDisk(final String name, final double times, final long ms) {
-        trouble("disk-slow", name, ms);
-        final SimNode n = node(name);
-        n.disk().slow(times);
-        world.in(ms, () -> n.disk().slow(1));
-    }
-
     public void drift(final String name, final double pace, final long ms) {
         trouble("drift", name, ms);
         losses.lostFor(name, ms);
--- a/rig/src/test/java/rv/rig/KeyedDayTest.java
+++ b/rig/src/test/java/rv/rig/KeyedDayTest.java
@@ -117,7 +117,7 @@
             final String other = i % 2 == 0 ? "sh2" : "sh3";
             town.world().in(1300 + i * 500L, () -> {
                 town.net().cut("sh1", other);
-                town.world().in(400, town.net()::heal);
+                town.world().in(400, () -> town.net().heal("sh1", other));
             });
         }
         town.run(9000);
--- a/rig/src/test/java/rv/rig/sim/CircuitsTest.java
+++ b/rig/src/test/java/rv/rig/sim/CircuitsTest.java
@@ -77,7 +77,7 @@
     void aStepOfTheTimeOfDayLeavesTimersAsTheyAre() {
         final SimNode n = cluster.node("sh4");
         final long before = n.now();
-        cluster.stepClock("sh4", 4000, 500);
+        new CoreTroubles(cluster).stepClock("sh4", 4000, 500);
         assertEquals(before, n.now());
         cluster.run(3000);
         assertTrue(cluster.log().rows().stream()
@@ -96,7 +96,7 @@
             cluster.run(3000);
             cluster.nodes().keySet().stream()
                     .filter(n -> n.startsWith("sh"))
-                    .forEach(n -> cluster.slowDisk(n, 30, 9000));
+                    .forEach(n -> new CoreTroubles(cluster).slowDisk(n, 30, 9000));
         }
         assertTrue(took[0] > 0 && took[1] > took[0] + 25, took[0] + " and " + took[1] + " ms");
     }
