--- a/control/src/main/java/rv/control/Authority.java
+++ b/control/src/main/java/rv/control/Authority.java
@@ -35,7 +35,7 @@
     private final Journal journal;
     private final int shards;
     private final Predicate<NodeId> sound;
-    private final Places places;
+    private final OwnerChoice choice;
     private final Shares shares = new Shares();
     private final Map<Integer, Row> rows = new TreeMap<>();
     private final Map<NodeId, Set<Integer>> acks = new HashMap<>();
@@ -50,7 +50,7 @@
     private boolean busy;
     private boolean wary;
 
-    /** Shards belong to places in turn; a place's shields hold its shards while there are any. */
+    /** The places that shards belong to. */
     public interface Places {
         int at(String cell);
 
@@ -75,7 +75,7 @@
             final int shards,
             final Predicate<NodeId> sound,
             final Places places) {
-        this.places = places;
+        this.choice = new OwnerChoice(places, roster);
         this.loop = loop;
         this.net = net;
         this.writer = writer;
@@ -192,8 +192,7 @@
         final Row row = rows.get(s);
         final Plan.Part part = s < plan.parts().size() ? plan.parts().get(s) : null;
         final NodeId now = part == null ? null : part.node();
-        final NodeId want = Plan.assign(
-                s, local(s, now == null || !able.contains(now) || calm.contains(now) ? calm : with(calm, now)));
+        final NodeId want = choice.owner(s, now, able, calm);
         if (part == null || row.free) {
             moves.put(s, want);
             return;
@@ -218,22 +217,6 @@
         }
     }
 
-    /** An owner that is back counts, though it has not been heard of for long: it holds the shard already. */
-    private static List<NodeId> with(final List<NodeId> calm, final NodeId owner) {
-        final List<NodeId> list = new ArrayList<>(calm);
-        list.add(owner);
-        return list;
-    }
-
-    private List<NodeId> local(final int s, final List<NodeId> calm) {
-        final List<NodeId> near = places.count() < 2
-                ? calm
-                : calm.stream()
-                        .filter(n -> places.at(roster.get(n).cell()) == s % places.count())
-                        .toList();
-        return near.isEmpty() ? calm : near;
-    }
-
     private void ask(final int s, final Row row, final Plan.Part part, final Map<NodeId, List<Msg.Claim>> revokes) {
         if (!row.asked) {
             row.asked = true;
--- a/control/src/main/java/rv/control/Electorate.java
+++ b/control/src/main/java/rv/control/Electorate.java
@@ -38,6 +38,15 @@
         teach = teachSet;
     }
 
+    /** Goes by the latest set that this node has learned. */
+    public void follow(final ItemStore items) {
+        items.watch(item -> {
+            if (item.id().equals(ItemId.VOTERS)) {
+                items.chosen(List.of(item.id())).forEach(this::adopt);
+            }
+        });
+    }
+
     public Quorum quorum() {
         return quorum;
     }
--- a/control/src/main/java/rv/control/VoterHandover.java
+++ b/control/src/main/java/rv/control/VoterHandover.java
@@ -92,7 +92,6 @@
     private boolean gives() {
         final long present = electorate.epoch();
         return memory.full()
-                && memory.sealed() >= present
                 && !records.lapse()
                 && (memory.epoch() == present
                         || memory.epoch() == present - 1
@@ -197,7 +196,8 @@
 
         /** This voter's own memory of the earlier epoch counts like one that was read, once it is sealed. */
         void countSelf() {
-            if (stands() && earlier.contains(self) && memory.epoch() == epoch - 1 && gives()) {
+            final boolean sealed = memory.sealed() >= epoch && memory.epoch() == epoch - 1;
+            if (stands() && sealed && earlier.contains(self) && gives()) {
                 count(self, memory.epoch());
             }
         }
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 import rv.base.Code;
 import rv.base.Condition;
 import rv.base.Disk;
@@ -38,7 +37,6 @@
 import rv.control.StoreHealth;
 import rv.control.Tenure;
 import rv.control.Voter;
-import rv.control.VoterAddress;
 import rv.control.VoterPlanner;
 import rv.control.VoterSearch;
 import rv.control.WriteRecovery;
@@ -74,6 +72,8 @@
     private final Departure departure;
     private final ClockWatch clock;
     private final VoterSearch search;
+    private final VoterLinks links;
+    private final NodeCondition condition;
     private final VoterPlanner planner;
 
     /** The outside of a node. {@code book} learns where members can be reached. */
@@ -89,21 +89,17 @@
         journal.add(Event.of(
                 Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
         electorate = new Electorate(setup.quorum(), setup.seats());
-        electorate.onChange(() -> locate(s.book()));
+        electorate.onChange(() -> links().locate(s.book()));
         electorate.connect(this::learn, (to, set) -> s.net().tell(List.of(to), new Msg.Learn(List.of(set))));
         held = new ItemStore(loop, journal);
-        held.watch(i -> {
-            if (i.id().equals(ItemId.VOTERS)) {
-                held.chosen(List.of(i.id())).forEach(electorate::adopt);
-            }
-        });
+        electorate.follow(held);
         view = new ConfigView(held);
         drift = new Drift(setup.timing());
         stores = new StoreHealth(setup.quorum(), loop, journal);
         final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
         roster = new Membership(
                 this::self,
-                this::heartbeats,
+                () -> links().heartbeats(),
                 loop,
                 s.net(),
                 setup.timing(),
@@ -113,6 +109,8 @@
                 () -> held.all().size(),
                 stores);
         sync = new FrameSync(electorate, loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
+        search = new VoterSearch(self, electorate, loop, s.net(), setup.seeds(), roster::ids, sync::fresh);
+        links = new VoterLinks(setup, electorate, roster, search);
         writer = new Writer(self, boot, electorate, loop, s.net(), s.dice(), journal, held, roster::ids, stores);
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
@@ -146,17 +144,7 @@
                         journal,
                         setup.shards(),
                         roster::sound,
-                        new Authority.Places() {
-                            @Override
-                            public int at(final String cell) {
-                                return setup.at(cell);
-                            }
-
-                            @Override
-                            public int count() {
-                                return setup.places().size();
-                            }
-                        })
+                        setup)
                 : null;
         tenure = store
                 ? new Tenure(
@@ -167,7 +155,7 @@
                         held,
                         setup.timing(),
                         journal,
-                        () -> sync.fresh() && !drift.beyond() && leads(),
+                        () -> sync.fresh() && !drift.beyond() && links.mayLead(elector),
                         authority::won,
                         () -> elector == null ? 0 : elector.lives())
                 : null;
@@ -187,7 +175,7 @@
                         new Sender.Ties(
                                 sync::fresh,
                                 () -> NodeRouting.alone(setup, roster, electorate),
-                                fills ? this::peers : List::of,
+                                fills ? links::peers : List::of,
                                 () -> Math.max(1, roster.known(Role.EDGE)),
                                 () -> roster.known(Role.SHIELD)),
                         journal)
@@ -216,7 +204,6 @@
                         setup.cacheBytes(),
                         new NodeRouting(setup, roster, electorate, sender))
                 : null;
-        search = new VoterSearch(self, electorate, loop, s.net(), setup.seeds(), roster::ids, sync::fresh);
         planner = store && setup.votersMayChange()
                 ? new VoterPlanner(
                         self,
@@ -229,6 +216,7 @@
                         journal,
                         () -> setup.live().get().wantedLosses())
                 : null;
+        condition = new NodeCondition(this, sender, () -> departure().begun());
         departure = new Departure(this, edge, sender);
         clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
         inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
@@ -237,11 +225,12 @@
         }
     }
 
-    private List<NodeId> peers() {
-        return roster.live(Role.SHIELD).stream()
-                .map(Member::id)
-                .filter(n -> !n.equals(setup.self().id()))
-                .toList();
+    private VoterLinks links() {
+        return links;
+    }
+
+    private Departure departure() {
+        return departure;
     }
 
     private List<Msg.Wish> wishes() {
@@ -297,24 +286,6 @@
         held.merge(c);
     }
 
-    /** A shield that does not vote is not the lease authority either. */
-    private boolean leads() {
-        return !setup.votersMayChange() || elector.votes();
-    }
-
-    /** Heartbeats go to the present voters, and to the seeds too while none of those answers. */
-    private List<NodeId> heartbeats() {
-        if (!setup.votersMayChange()) {
-            return setup.seeds();
-        }
-        if (electorate.epoch() == 0 || roster.answered()) {
-            return electorate.voters();
-        }
-        return Stream.concat(electorate.voters().stream(), search.seeds().stream())
-                .distinct()
-                .toList();
-    }
-
     /**
      * Seeds of changed settings are asked for the present voters from now on; whoever calls this has told the net their
      * addresses. In the core thread.
@@ -323,45 +294,17 @@
         search.seeds(List.copyOf(seeds.keySet()));
     }
 
-    /** The voters' addresses come with the set that names them. */
-    private void locate(final Consumer<Member> book) {
-        electorate.addresses().stream().map(VoterAddress::parse).forEach(a -> {
-            if (roster.get(a.id()) == null) {
-                book.accept(new Member(a.id(), Role.SHIELD, "", a.host(), a.port(), "", Condition.PARTIAL, ""));
-            }
-        });
-    }
-
     private Member self() {
         return setup.self().with(condition());
     }
 
     public Condition condition() {
-        if (departure.begun()) {
-            return Condition.LEAVING;
-        }
-        if (drift.beyond()) {
-            return Condition.UNREADY;
-        }
-        if (!sync.fresh()) {
-            return Condition.PARTIAL;
-        }
-        final boolean whole = elector == null
-                || elector.votes()
-                || !electorate.has(setup.self().id());
-        final boolean rights = holder == null || holder.count() > 0;
-        final boolean ways = edge == null || !roster.live(Role.SHIELD).isEmpty();
-        return whole && rights && ways ? Condition.READY : Condition.PARTIAL;
+        return condition.now();
     }
 
     /** How ready, from 0 to 100, so that a platform can pick by it. */
     public int grade() {
-        return switch (condition()) {
-            case READY ->
-                100 - Math.min(50, (edge == null ? 0 : edge.busy() / 40) + (holder == null ? 0 : sender.busy() / 10));
-            case PARTIAL -> view.rows().isEmpty() ? 0 : 20;
-            default -> 0;
-        };
+        return condition.grade();
     }
 
     public void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -8,6 +8,7 @@
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
+import rv.control.Authority;
 import rv.control.Quorum;
 
 /** What a process is told about its place; {@code live} is what may change while it runs. */
@@ -20,7 +21,8 @@
         boolean first,
         List<String> seats,
         AtomicReference<LiveSettings> live,
-        Msg.Chosen voters) {
+        Msg.Chosen voters)
+        implements Authority.Places {
 
     public Timing timing() {
         return live.get().timing();
@@ -62,6 +64,7 @@
     }
 
     /** Which place a cell is in; the first where it is in none. */
+    @Override
     public int at(final String cell) {
         final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
@@ -72,6 +75,11 @@
         return 0;
     }
 
+    @Override
+    public int count() {
+        return places().size();
+    }
+
     public int place() {
         return at(self.cell());
     }
--- /dev/null
+++ b/data/src/main/java/rv/data/VoterLinks.java
@@ -0,0 +1,63 @@
+package rv.data;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import rv.base.Condition;
+import rv.base.Member;
+import rv.base.NodeId;
+import rv.base.Role;
+import rv.control.Electorate;
+import rv.control.Membership;
+import rv.control.Voter;
+import rv.control.VoterAddress;
+import rv.control.VoterSearch;
+
+/** What the present voting set means for a node's links: where heartbeats go, and where the voters are reached. */
+final class VoterLinks {
+    private final Setup setup;
+    private final Electorate electorate;
+    private final Membership members;
+    private final VoterSearch search;
+
+    VoterLinks(final Setup setup, final Electorate electorate, final Membership members, final VoterSearch search) {
+        this.setup = setup;
+        this.electorate = electorate;
+        this.members = members;
+        this.search = search;
+    }
+
+    /** Heartbeats go to the present voters, and to the seeds too while none of those answers. */
+    List<NodeId> heartbeats() {
+        if (!setup.votersMayChange()) {
+            return setup.seeds();
+        }
+        return members.answered()
+                ? electorate.voters()
+                : Stream.concat(electorate.voters().stream(), search.seeds().stream())
+                        .distinct()
+                        .toList();
+    }
+
+    /** The voters' addresses come with the set that names them. */
+    void locate(final Consumer<Member> book) {
+        electorate.addresses().stream().map(VoterAddress::parse).forEach(a -> {
+            if (members.get(a.id()) == null) {
+                book.accept(new Member(a.id(), Role.SHIELD, "", a.host(), a.port(), "", Condition.PARTIAL, ""));
+            }
+        });
+    }
+
+    /** The other shields that are heard of. */
+    List<NodeId> peers() {
+        return members.live(Role.SHIELD).stream()
+                .map(Member::id)
+                .filter(n -> !n.equals(setup.self().id()))
+                .toList();
+    }
+
+    /** A shield that does not vote is not the lease authority either. */
+    boolean mayLead(final Voter voter) {
+        return !setup.votersMayChange() || voter.votes();
+    }
+}
