--- a/control/src/main/java/rv/control/VoterHandover.java
+++ b/control/src/main/java/rv/control/VoterHandover.java
@@ -123,7 +123,7 @@
     }
 
     void giveRecords(final NodeId from, final Msg.HandoverRecords ask, final Consumer<Msg> back) {
-        whenSealed(from, ask.voters(), back, () -> back.accept(records.give(ask.after())));
+        whenSealed(from, ask.voters(), back, () -> back.accept(records.give(ask.sums(), ask.after())));
     }
 
     /** Whole cells that differ, in their order. */
@@ -224,25 +224,22 @@
                 memory.adopt(got.founders(), got.floor(), got.lives());
                 got.slots().forEach(memory::merge);
                 if (got.next() == Msg.HandedOver.LAST) {
-                    records(source, got.epoch(), null);
+                    records(source, got.epoch(), records.sums(), null);
                 } else {
                     registers(source, sums, got.next());
                 }
             });
         }
 
-        private void records(final NodeId source, final long of, final String after) {
-            net.ask(source, new Msg.HandoverRecords(set, after), PATIENCE, r -> {
-                final Msg.KeptAll got = r.as(Msg.KeptAll.class).orElse(null);
-                if (got == null || !stands()) {
+        private void records(final NodeId source, final long of, final List<Long> sums, final String after) {
+            net.ask(source, new Msg.HandoverRecords(set, sums, after), PATIENCE, r -> {
+                final Msg.HandedRecords got = r.as(Msg.HandedRecords.class).orElse(null);
+                if (got == null || !stands() || !records.merge(got)) {
                     failed(source, r);
-                    return;
-                }
-                records.merge(got);
-                if (got.next() == null) {
+                } else if (got.page().next() == null) {
                     count(source, of);
                 } else {
-                    records(source, of, got.next());
+                    records(source, of, sums, got.page().next());
                 }
             });
         }
--- a/control/src/main/java/rv/control/Writer.java
+++ b/control/src/main/java/rv/control/Writer.java
@@ -27,7 +27,7 @@
     /** Two that keep overtaking each other must draw from more than a round takes, at most so long. */
     private static final long WAIT = 400;
 
-    private static final Set<ItemId> KEPT = Set.of(ItemId.TENURE, ItemId.PLAN);
+    private static final Set<ItemId> KEPT = Set.of(ItemId.TENURE, ItemId.PLAN, OrderLedger.ID);
     private final Electorate electorate;
     private final Loop loop;
     private final Net net;
@@ -239,7 +239,13 @@
                     id,
                     Math.max(200, cutoff - loop.now()),
                     r -> end(
-                            sent && r.item().ver().n() > standing.ver().n() ? Fate.UNKNOWN : Fate.CLASH,
+                            r.ok()
+                                    ? sent
+                                                    && r.item().ver().n()
+                                                            > standing.ver().n()
+                                            ? Fate.UNKNOWN
+                                            : Fate.CLASH
+                                    : sent ? Fate.UNKNOWN : Fate.REJECTED,
                             r.ok() ? r.item() : standing));
         }
 
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -31,20 +31,21 @@
 import rv.control.ItemStore;
 import rv.control.KeyRecordStore;
 import rv.control.Membership;
-import rv.control.MonitoredDisk;
 import rv.control.Orders;
+import rv.control.RecordRetention;
 import rv.control.Registry;
 import rv.control.StoreHealth;
 import rv.control.Tenure;
 import rv.control.Voter;
 import rv.control.VoterPlanner;
 import rv.control.VoterSearch;
-import rv.control.WriteRecovery;
 import rv.control.Writer;
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
+    /** One that has been silent for so long is not asked to put orders in order. */
     private final Setup setup;
+
     private final Loop loop;
     private final Journal journal;
     private final Electorate electorate;
@@ -56,10 +57,7 @@
     private final Membership roster;
     private final Writer writer;
     private final ItemService clerk;
-    private final Voter elector;
-    private final KeyRecordStore keeper;
-    private final WriteRecovery settler;
-    private final FrameSync.Desk desk;
+    private final VoterParts parts;
     private final MessageRouter inbox;
     private final Orders orders;
     private final Registry registry;
@@ -96,7 +94,6 @@
         view = new ConfigView(held);
         drift = new Drift(setup.timing());
         stores = new StoreHealth(setup.quorum(), loop, journal);
-        final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
         roster = new Membership(
                 this::self,
                 () -> links().heartbeats(),
@@ -115,36 +112,13 @@
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
-        orders = new Orders(held, sync, writer, tags);
-        registry = new Registry(held, sync, writer, journal, tags);
-        elector = setup.mayVote()
-                ? new Voter(self, electorate, loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
-                : null;
-        keeper = elector == null
-                ? null
-                : new KeyRecordStore(self, boot, electorate, s.net(), loop, s.wall(), disk, elector::lapsed);
-        settler = elector == null
-                ? null
-                : new WriteRecovery(
-                        elector,
-                        held,
-                        writer,
-                        loop,
-                        s.dice(),
-                        () -> electorate.voters().indexOf(self));
-        desk = elector == null ? null : new FrameSync.Desk(elector, held, loop);
+        orders = new Orders(loop, s.net(), held, sync, writer, tags, () -> links.sequencer(held.get(ItemId.TENURE)));
+        registry = new Registry(loop, held, sync, writer, journal, tags);
+        parts = setup.mayVote() ? new VoterParts(setup, s, electorate, held, view, roster, writer, journal) : null;
         final boolean store = setup.arbitrates();
         authority = store
                 ? new Authority(
-                        loop,
-                        s.net(),
-                        writer,
-                        roster,
-                        setup.timing(),
-                        journal,
-                        setup.shards(),
-                        roster::sound,
-                        setup)
+                        loop, s.net(), writer, roster, setup.timing(), journal, setup.shards(), roster::sound, setup)
                 : null;
         tenure = store
                 ? new Tenure(
@@ -155,9 +129,9 @@
                         held,
                         setup.timing(),
                         journal,
-                        () -> sync.fresh() && !drift.beyond() && links.mayLead(elector),
+                        () -> sync.fresh() && !drift.beyond() && links.mayLead(elector()),
                         authority::won,
-                        () -> elector == null ? 0 : elector.lives())
+                        () -> parts == null ? 0 : elector().lives())
                 : null;
         final boolean fills = setup.is(Role.SHIELD);
         holder = fills
@@ -187,7 +161,15 @@
                         view,
                         holder,
                         sender,
-                        new KeyedRequests(electorate, loop, s.net(), holder, journal, stores, self + "#" + boot),
+                        new KeyedRequests(
+                                electorate,
+                                loop,
+                                s.net(),
+                                holder,
+                                journal,
+                                stores,
+                                self + "#" + boot,
+                                new RecordRetention(setup.keyWindowMs(), view::longestKeyed)),
                         sync::fresh,
                         sync::round,
                         setup,
@@ -219,7 +201,7 @@
         condition = new NodeCondition(this, sender, () -> departure().begun());
         departure = new Departure(this, edge, sender);
         clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
-        inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
+        inbox = new MessageRouter(this, parts == null ? null : parts.desk(), authority, sender, shield, this::learn);
         if (setup.voters() != null) {
             learn(setup.voters());
         }
@@ -242,14 +224,9 @@
     }
 
     public void start() throws DiskTrouble {
-        if (elector != null) {
-            elector.onWhole(() -> held.all().forEach(elector::learn));
-            elector.prefill(held::all);
-            elector.records(keeper);
-            elector.start();
-            keeper.start();
-            settler.start();
-            loop.every(1000, () -> elector.sweep(held.sweep()));
+        if (parts != null) {
+            parts.start();
+            orders.start(Math.max(0, electorate.voters().indexOf(setup.self().id())));
         }
         roster.start();
         sync.start();
@@ -280,8 +257,8 @@
     }
 
     private void learn(final Msg.Chosen c) {
-        if (elector != null && !held.sweep().drops(c.item().id(), c.item().ver().n())) {
-            elector.learn(c);
+        if (parts != null && !held.sweep().drops(c.item().id(), c.item().ver().n())) {
+            elector().learn(c);
         }
         held.merge(c);
     }
@@ -381,11 +358,11 @@
     }
 
     public Voter elector() {
-        return elector;
+        return parts == null ? null : parts.voter();
     }
 
     public KeyRecordStore keeper() {
-        return keeper;
+        return parts == null ? null : parts.records();
     }
 
     public Drift drift() {
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -10,6 +10,7 @@
 import rv.base.Timing;
 import rv.control.Authority;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
 
 /** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
@@ -21,7 +22,8 @@
         boolean first,
         List<String> seats,
         AtomicReference<LiveSettings> live,
-        Msg.Chosen voters)
+        Msg.Chosen voters,
+        long keyWindowMs)
         implements Authority.Places {
 
     public Timing timing() {
@@ -107,6 +109,7 @@
         private List<String> places = List.of("");
         private int wantedLosses;
         private Msg.Chosen voters;
+        private long keyWindow = RecordRetention.DEFAULT_WINDOW;
 
         private Builder(final Member self) {
             this.self = self;
@@ -173,6 +176,12 @@
             return this;
         }
 
+        /** How long after a keyed request was sent its key must not run again. */
+        public Builder keyWindow(final long ms) {
+            keyWindow = ms;
+            return this;
+        }
+
         /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
         public Builder extra(final double part, final double beside) {
             share = part;
@@ -190,7 +199,8 @@
                     first,
                     seats,
                     new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
-                    voters);
+                    voters,
+                    keyWindow);
         }
     }
 }
--- a/data/src/main/java/rv/data/VoterLinks.java
+++ b/data/src/main/java/rv/data/VoterLinks.java
@@ -1,20 +1,24 @@
 package rv.data;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import rv.base.Condition;
+import rv.base.Item;
 import rv.base.Member;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.control.Electorate;
 import rv.control.Membership;
+import rv.control.Tenure;
 import rv.control.Voter;
 import rv.control.VoterAddress;
 import rv.control.VoterSearch;
 
 /** What the present voting set means for a node's links: where heartbeats go, and where the voters are reached. */
 final class VoterLinks {
+    private static final long QUIET = 1500;
     private final Setup setup;
     private final Electorate electorate;
     private final Membership members;
@@ -56,6 +60,16 @@
                 .toList();
     }
 
+    /** The lease authority puts operators' calls in order, so that several at once are one write of the ledger. */
+    Optional<NodeId> sequencer(final Item tenure) {
+        final Tenure.Body now = Tenure.Body.of(tenure);
+        if (now.holder().isEmpty() || now.free()) {
+            return Optional.empty();
+        }
+        final NodeId id = NodeId.of(now.holder());
+        return id.equals(setup.self().id()) || members.silence(id) > QUIET ? Optional.empty() : Optional.of(id);
+    }
+
     /** A shield that does not vote is not the lease authority either. */
     boolean mayLead(final Voter voter) {
         return !setup.votersMayChange() || voter.votes();
--- a/prog/src/main/java/rv/prog/CoreLoop.java
+++ b/prog/src/main/java/rv/prog/CoreLoop.java
@@ -3,12 +3,10 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.jboss.logging.Logger;
 import rv.base.Loop;
 
 /** The core duty: one thread, timers of its own, and one bounded ring through which all else comes in. */
 public final class CoreLoop implements Loop {
-    private static final Logger LOG = Logger.getLogger(CoreLoop.class);
     private final ArrayBlockingQueue<Runnable> ring = new ArrayBlockingQueue<>(8192);
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final long zero = System.nanoTime();
@@ -19,6 +17,8 @@
     private long seq;
     private volatile boolean leaps;
     private volatile long leapt;
+    private long mostLeapt;
+    private Runnable spent = () -> {};
 
     private record Timer(long due, long seq, Runnable job) implements Comparable<Timer> {
         @Override
@@ -28,10 +28,15 @@
         }
     }
 
-    /** One whose clock jumps to the next timer whenever nothing else is to be done. */
-    static CoreLoop leaping() {
+    /**
+     * One whose clock jumps to the next timer whenever nothing else is to be done, by {@code most} ms in all: as long
+     * as it jumps it never rests, so a wait for what never comes must not go on for ever. Then {@code spent} is run.
+     */
+    static CoreLoop leaping(final long most, final Runnable spent) {
         final CoreLoop loop = new CoreLoop();
         loop.leaps = true;
+        loop.mostLeapt = most;
+        loop.spent = spent;
         return loop;
     }
 
@@ -104,15 +109,17 @@
                 final Timer top = timers.peek();
                 final long due = top == null ? 1000 : top.due() - now();
                 final boolean leap = leaps && top != null && due > 0 && ring.isEmpty();
-                leapt += leap ? due : 0;
+                if (leap) {
+                    leap(due);
+                }
                 final long rest = leap ? 0 : due;
                 final Runnable job = rest > 0 ? ring.poll(rest, TimeUnit.MILLISECONDS) : ring.poll();
                 if (job != null) {
-                    safe(job);
+                    Guard.run(job);
                 }
                 for (Timer t = timers.peek(); t != null && t.due() <= now(); t = timers.peek()) {
                     timers.poll();
-                    safe(t.job());
+                    Guard.run(t.job());
                     if (!ring.isEmpty()) {
                         break;
                     }
@@ -123,11 +130,11 @@
         }
     }
 
-    private static void safe(final Runnable job) {
-        try {
-            job.run();
-        } catch (final RuntimeException e) {
-            LOG.error("RV1199 job failed", e);
+    private void leap(final long ms) {
+        leapt += ms;
+        if (leapt >= mostLeapt) {
+            leaps = false;
+            Guard.run(spent);
         }
     }
 }
--- a/prog/src/main/java/rv/prog/OptionFlags.java
+++ b/prog/src/main/java/rv/prog/OptionFlags.java
@@ -48,6 +48,7 @@
             new Flag("m", Kind.NUMBER, "", "margin in ms, at least max(1000, D/10)"),
             new Flag("shards", Kind.NUMBER, "", "shards of the key space, the same on every node"),
             new Flag("cache-bytes", Kind.NUMBER, "", "room for cached copies"),
+            new Flag("descriptors", Kind.NUMBER, "", "open files and sockets that the process may have, 0: any number"),
             new Flag("stop-ms", Kind.NUMBER, "", "how long an orderly stop may take"),
             new Flag("log", Kind.TEXT, "", "text or json"),
             new Flag("seed-port", Kind.NUMBER, "", "wire port of seeds that are given without a name"),
@@ -71,6 +72,7 @@
             new Flag("faces", Kind.LIST, "", "further addresses for an adapter: NAME@IP:PORT,..."),
             new Flag("cells", Kind.LIST, "", "all zones, as REGION/ZONE,..."),
             new Flag("notice-ms", Kind.NUMBER, "", "how long a leaving edge still takes requests"),
+            new Flag("key-window", Kind.NUMBER, "", "seconds in which a key runs once"),
             new Flag("spread", Kind.TEXT, "", "what objects are filled for apart: region, zone or none"));
 
     private static final Map<String, Flag> BY_NAME = ALL.stream().collect(Collectors.toMap(Flag::name, f -> f));
--- a/rig/src/main/java/rv/rig/Rig.java
+++ b/rig/src/main/java/rv/rig/Rig.java
@@ -16,13 +16,13 @@
 import rv.rig.fleet.Fleet;
 import rv.rig.judge.Judge;
 import rv.rig.scale.Scale;
-import rv.rig.sim.Play;
+import rv.rig.sim.ScriptRunner;
 
 /** The rig's command line: 0 all rules kept, 1 a rule broken or a trouble missed, 2 usage. */
 public final class Rig {
     private static final String USAGE = """
         rwrig COMMAND
-          sim WHAT         WHAT: kilimanjaro, coastline, either with -shields (a day from the seed) or a scenario file
+          sim WHAT         WHAT: kilimanjaro, coastline, either with -shields, coastline-six (a day from the seed), or a scenario file
           pairs PLACE      every two troubles on top of each other, for each seed
           fleet WHAT       the same on processes; without --troubles a quiet day
           judge FILE...    rules on logs
@@ -90,7 +90,7 @@
             final int n = (Integer) set.valueOf("troubles");
             return n == 0
                     ? new Script("quiet", Place.of(what), (Long) set.valueOf("seconds"), List.of())
-                    : Script.day(Place.of(what), seed, n, 4000);
+                    : DayDraw.day(Place.of(what), seed, n, 4000);
         }
         if (!Files.isReadable(Path.of(what))) {
             faults.add(new Finding(what, "cannot be read"));
@@ -117,7 +117,7 @@
                 .parallel()
                 .mapToInt(seed -> {
                     try {
-                        final Play play = new Play(script(what, seed, set, new ArrayList<>()), seed);
+                        final ScriptRunner play = new ScriptRunner(script(what, seed, set, new ArrayList<>()), seed);
                         return show("seed " + seed, play.run(), play.missed(), set);
                     } catch (final IOException e) {
                         return 1;
@@ -137,11 +137,12 @@
                 new java.util.concurrent.ConcurrentSkipListMap<>();
         final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]))
                 .boxed()
-                .flatMap(seed -> Script.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two)))
+                .flatMap(seed -> DayDraw.pairs(Place.of(place)).stream().map(two -> Map.entry(seed, two)))
                 .toList()
                 .parallelStream()
                 .filter(e -> {
-                    final Play play = new Play(Script.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
+                    final ScriptRunner play =
+                            new ScriptRunner(DayDraw.pair(Place.of(place), e.getValue(), e.getKey()), e.getKey());
                     final Judge j = new Judge(play.run());
                     j.verdicts()
                             .forEach(v -> checked.computeIfAbsent(
@@ -156,7 +157,7 @@
                 })
                 .count();
         System.out.println(place + ": " + bad + " not clean of "
-                + Script.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
+                + DayDraw.pairs(Place.of(place)).size() + " pairs a seed; checked by rule " + checked);
         return bad == 0 ? 0 : 1;
     }
 
