--- a/control/src/main/java/rv/control/ConfigView.java
+++ b/control/src/main/java/rv/control/ConfigView.java
@@ -236,6 +236,15 @@
         return map;
     }
 
+    /** How long a keyed request may take at most. */
+    public long longestKeyed() {
+        return rows().stream()
+                .filter(r -> r.match().is(Match.ONCE) && r.service() != null)
+                .mapToLong(Row::timeoutMs)
+                .max()
+                .orElse(0);
+    }
+
     public Item item(final ItemId id) {
         return held.get(id);
     }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -8,6 +8,7 @@
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
+import rv.control.Authority;
 import rv.control.Quorum;
 import rv.control.RecordRetention;
 
@@ -22,7 +23,8 @@
         List<String> seats,
         AtomicReference<LiveSettings> live,
         Msg.Chosen voters,
-        long keyWindowMs) {
+        long keyWindowMs)
+        implements Authority.Places {
 
     public Timing timing() {
         return live.get().timing();
@@ -64,6 +66,7 @@
     }
 
     /** Which place a cell is in; the first where it is in none. */
+    @Override
     public int at(final String cell) {
         final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
@@ -74,6 +77,11 @@
         return 0;
     }
 
+    @Override
+    public int count() {
+        return places().size();
+    }
+
     public int place() {
         return at(self.cell());
     }
