--- a/prog/src/main/java/rv/prog/Main.java
+++ b/prog/src/main/java/rv/prog/Main.java
@@ -18,6 +18,7 @@
     private Main() {}
 
     public static void main(final String[] args) throws InterruptedException, IOException {
+        HangupSignal.install();
         if (args.length == 0
                 || Arrays.stream(Role.values()).noneMatch(r -> r.word().equals(args[0]))) {
             System.err.println("usage: rwstore | rwshield | rwedge [options], see --help");
@@ -35,17 +36,18 @@
         }
         if (List.of(rest).contains("--help")) {
             System.out.println("rw" + role.word() + " runs one " + role.word() + " of a rowanvalve network.\n");
-            Options.parser().printHelpOn(System.out);
+            OptionFlags.parser().printHelpOn(System.out);
             return;
         }
         final List<Finding> faults = new ArrayList<>();
-        final Options o = Options.read(role, rest, faults);
+        final OptionSource source = new OptionSource(role, rest);
+        final Options o = source.read(faults);
         if (!faults.isEmpty()) {
             faults.forEach(f -> System.err.println(Code.BAD_OPTIONS.tag() + " " + f));
             System.exit(2);
         }
         try {
-            new Program(o).run();
+            new Program(source, o).run();
         } catch (final DiskTrouble | IOException e) {
             System.err.println(Code.BAD_OPTIONS.tag() + " " + e.getMessage());
             System.exit(2);
