--- a/control/src/main/java/rv/control/ItemService.java
+++ b/control/src/main/java/rv/control/ItemService.java
@@ -6,12 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import rv.base.Code;
-import rv.base.Event;
 import rv.base.Finding;
 import rv.base.Item;
 import rv.base.ItemId;
@@ -23,14 +20,43 @@
 /** Takes what operators and origins state, at any node. */
 public final class ItemService {
     private static final long SPAN = 2500;
+    private static final long CONTACT = 700;
     private final Loop loop;
     private final ItemStore held;
     private final FrameSync sync;
     private final Writer writer;
-    private final Journal journal;
+    private final OriginAnnouncements announcements;
     private final Supplier<String> tags;
 
-    public record ApiResult(int status, Map<String, Object> body) {}
+    /** A status and the members of the JSON body that goes with it. */
+    public record ApiResult(int status, Map<String, Object> body) {
+        /** {@code pairs}: further members of the body, name and value in turn. */
+        public static ApiResult done(final Object... pairs) {
+            final Map<String, Object> body = map("fate", "done");
+            body.putAll(map(pairs));
+            return new ApiResult(200, body);
+        }
+
+        /** Nothing can be said for certain; the same again is welcome after {@code retryMs}. */
+        public static ApiResult unavailable(final String reason, final long retryMs) {
+            return new ApiResult(503, map("fate", "refused", "reason", reason, "retryAfterMs", retryMs));
+        }
+
+        /** The number was taken with another body; {@code version} is the one that stands. */
+        public static ApiResult conflict(final ItemId item, final long version) {
+            return new ApiResult(
+                    409,
+                    map(
+                            "fate",
+                            "refused",
+                            "item",
+                            item.kind().word() + "/" + item.name(),
+                            "reason",
+                            "this version was taken with another body",
+                            "version",
+                            version));
+        }
+    }
 
     public ItemService(
             final Loop loop,
@@ -43,7 +69,7 @@
         this.held = held;
         this.sync = sync;
         this.writer = writer;
-        this.journal = journal;
+        this.announcements = new OriginAnnouncements(held, writer, journal, tags);
         this.tags = tags;
     }
 
@@ -70,8 +96,43 @@
     }
 
     private static ApiResult late() {
-        return new ApiResult(
-                503, map("fate", "refused", "reason", "this node's frame is not confirmed", "retryAfterMs", 1000));
+        return ApiResult.unavailable("this node's frame is not confirmed", 1000);
+    }
+
+    /** What a statement comes to before the items that are held: its faults, and the item's body where there are none. */
+    record Checked(List<Finding> faults, String body) {}
+
+    /** Faults are told only as a majority sees them: what was stated elsewhere a moment ago may mend them. */
+    private void checked(
+            final Supplier<Checked> check, final Consumer<String> accepted, final Consumer<ApiResult> back) {
+        if (!sync.fresh()) {
+            back.accept(late());
+            return;
+        }
+        final Checked first = check.get();
+        if (first.faults().isEmpty()) {
+            accepted.accept(first.body());
+            return;
+        }
+        sync.after(loop.now(), CONTACT, ok -> {
+            final Checked again = check.get();
+            if (!ok) {
+                back.accept(late());
+            } else if (again.faults().isEmpty()) {
+                accepted.accept(again.body());
+            } else {
+                back.accept(faults(again.faults()));
+            }
+        });
+    }
+
+    /** Reads what is held, as of a moment after the question. */
+    public void inContact(final Supplier<ApiResult> read, final Consumer<ApiResult> back) {
+        if (sync.fresh()) {
+            sync.after(loop.now(), CONTACT, ok -> back.accept(ok ? read.get() : late()));
+        } else {
+            back.accept(late());
+        }
     }
 
     private static String path(final ItemId id) {
@@ -89,10 +150,10 @@
 
     public void put(
             final ItemId id, final byte[] data, final long expect, final String tag, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
+        checked(() -> checkPut(id, data), body -> write(id, expect, tag, now -> now.next(body, tag(tag)), back), back);
+    }
+
+    private Checked checkPut(final ItemId id, final byte[] data) {
         final List<Finding> faults = new ArrayList<>();
         final Object o = JsonReader.read(data, faults);
         final Config next = Config.of(held);
@@ -102,41 +163,27 @@
         if (o instanceof Map) {
             faults.addAll(added(Config.of(held), next));
         }
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
-        final String body = next.bodies().get(id);
-        write(id, expect, tag, now -> now.next(body, tag(tag)), back);
+        return new Checked(faults, faults.isEmpty() ? next.bodies().get(id) : null);
     }
 
     public void delete(final ItemId id, final long expect, final String tag, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
+        checked(() -> checkDelete(id), body -> write(id, expect, tag, now -> now.grave(tag(tag)), back), back);
+    }
+
+    private Checked checkDelete(final ItemId id) {
         final Config next = Config.of(held);
         switch (id.kind()) {
             case SERVICE -> next.services().remove(id.name());
             case ROUTE -> next.routes().remove(id.name());
             default -> next.purges().remove(id.name());
         }
-        final List<Finding> faults = added(Config.of(held), next);
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
-        write(id, expect, tag, now -> now.grave(tag(tag)), back);
+        return new Checked(added(Config.of(held), next), null);
     }
 
     private String tag(final String given) {
         return given == null || given.isEmpty() ? tags.get() : "w-" + given;
     }
 
-    private Item risen(final Item n) {
-        return new Item(n.id(), held.rise(n), n.body(), n.gone(), n.tag());
-    }
-
     private interface Step {
         Item next(Item now);
     }
@@ -186,18 +233,7 @@
                                 "the item stands at another version",
                                 "version",
                                 r.item().ver().n()));
-            case REJECTED ->
-                new ApiResult(
-                        503,
-                        map(
-                                "fate",
-                                "refused",
-                                "item",
-                                name,
-                                "reason",
-                                "no majority of electors answered",
-                                "retryAfterMs",
-                                1000));
+            case REJECTED -> ApiResult.unavailable("no majority of electors answered", 1000);
             case UNKNOWN ->
                 new ApiResult(504, map("fate", "unknown", "item", name, "reason", "no majority confirmed in time"));
         };
@@ -205,16 +241,17 @@
 
     /** A whole declared configuration: checked whole first, then stated item by item. */
     public void apply(final byte[] data, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
-        final List<Finding> faults = new ArrayList<>();
-        final Config want = Config.read(data, faults);
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
+        checked(
+                () -> {
+                    final List<Finding> faults = new ArrayList<>();
+                    Config.read(data, faults);
+                    return new Checked(faults, null);
+                },
+                body -> stated(Config.read(data, new ArrayList<>()), back),
+                back);
+    }
+
+    private void stated(final Config want, final Consumer<ApiResult> back) {
         final Map<ItemId, String> now = Config.of(held).bodies();
         final Map<ItemId, String> next = want.bodies();
         final List<ItemId> work = new ArrayList<>();
@@ -260,69 +297,11 @@
     }
 
     public void announce(final String name, final byte[] data, final Consumer<ApiResult> back) {
-        if (!sync.fresh()) {
-            back.accept(late());
-            return;
-        }
-        final List<Finding> faults = new ArrayList<>();
-        final Object o = JsonReader.read(data, faults);
-        final JsonShape s = new JsonShape(o, "", faults);
-        final String service = s.text("service", true, "");
-        final String kind = s.word("kind", Set.of(Service.CONTENT, Service.BOOKING, Service.OPEN));
-        final Origin said = new Origin(
-                service,
-                s.text("host", true, ""),
-                (int) s.whole("port", true, 1, 1, 65_535),
-                s.text("stamp", true, ""),
-                kind,
-                s.number("load", false, 0, 0, 1_000_000).doubleValue(),
-                s.whole("ttlMs", false, 10_000, 1000, 600_000),
-                s.flag("leaving", false),
-                s.whole("beat", false, 0, 0, Long.MAX_VALUE));
-        s.end();
-        final Service to = Config.of(held).services().get(service);
-        if (to == null) {
-            faults.add(new Finding("/service", "no configuration names this service"));
-        } else if (!to.kind().equals(kind)) {
-            faults.add(new Finding("/kind", "the service is of kind " + to.kind()));
-        }
-        if (!name.matches("[a-z0-9][a-z0-9._-]{0,60}")) {
-            faults.add(new Finding("/", "bad origin name"));
-        }
-        if (!faults.isEmpty()) {
-            back.accept(faults(faults));
-            return;
-        }
-        final ItemId id = new ItemId(Kind.ORIGIN, name);
-        final String tag = tags.get();
-        writer.write(
-                id,
-                tag,
-                SPAN,
-                now -> {
-                    final Origin old = now.live() ? Json.read(now.body(), Origin.class) : null;
-                    final boolean left =
-                            old != null && old.leaving() && old.stamp().equals(said.stamp());
-                    final boolean gone =
-                            said.leaving() && old != null && !old.stamp().equals(said.stamp());
-                    final boolean late = old != null && old.stamp().equals(said.stamp()) && said.beat() < old.beat();
-                    return left && !said.leaving() || gone || late
-                            ? Optional.empty()
-                            : Optional.of(risen(now.next(Json.text(said), tag)));
-                },
-                r -> {
-                    if (r.ok()) {
-                        journal.add(Event.of(
-                                said.leaving() ? Code.ORIGIN_LEFT : Code.ORIGIN_SEEN,
-                                "origin",
-                                name,
-                                "service",
-                                service,
-                                "ver",
-                                r.item().ver().n()));
-                    }
-                    back.accept(said(id, r));
-                });
+        checked(
+                () -> announcements.check(name, data),
+                body -> announcements.write(
+                        name, Json.read(body, Origin.class), r -> back.accept(said(new ItemId(Kind.ORIGIN, name), r))),
+                back);
     }
 
     public ApiResult get(final ItemId id) {
