--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -48,19 +48,35 @@
             desk.query(m, back);
         } else if (msg instanceof Msg.Vers m) {
             desk.vers(m, back);
-        } else if (msg instanceof Msg.KeepRead m) {
-            present(m.epoch(), back, () -> node.keeper().read(m, back));
-        } else if (msg instanceof Msg.KeepWrite m) {
-            present(m.epoch(), back, () -> node.keeper().write(m, back));
-        } else if (msg instanceof Msg.KeepAll m) {
-            present(m.epoch(), back, () -> node.keeper().all(m, back));
         } else if (msg instanceof Msg.Handover m) {
             node.elector().handover(from, m, back);
         } else if (msg instanceof Msg.HandoverRecords m) {
             node.elector().handoverRecords(from, m, back);
         } else if (msg instanceof Msg.CatchUp m) {
-            node.elector()
-                    .prepareToJoin(m.epoch(), node.sync().fresh() && node.sync().settled(), back);
+            node.keeper()
+                    .warm(warm -> node.elector()
+                            .prepareToJoin(
+                                    m.epoch(),
+                                    warm && node.sync().fresh() && node.sync().settled(),
+                                    back));
+        } else {
+            return keeps(msg, back);
+        }
+        return true;
+    }
+
+    /** What concerns the records of keyed requests. An outcome is a fact in any epoch. */
+    private boolean keeps(final Msg msg, final Consumer<Msg> back) {
+        if (msg instanceof Msg.KeepRead m) {
+            present(m.epoch(), back, () -> node.keeper().read(m, back));
+        } else if (msg instanceof Msg.KeepWrite m) {
+            present(m.epoch(), back, () -> node.keeper().write(m, back));
+        } else if (msg instanceof Msg.KeepSums m) {
+            present(m.epoch(), back, () -> node.keeper().sums(m, back));
+        } else if (msg instanceof Msg.KeepCells m) {
+            present(m.epoch(), back, () -> node.keeper().cells(m, back));
+        } else if (msg instanceof Msg.KeepOutcome m) {
+            node.keeper().outcome(m, back);
         } else {
             return false;
         }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -9,6 +9,7 @@
 import rv.base.Role;
 import rv.base.Timing;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
 
 /** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
@@ -20,7 +21,8 @@
         boolean first,
         List<String> seats,
         AtomicReference<LiveSettings> live,
-        Msg.Chosen voters) {
+        Msg.Chosen voters,
+        long keyWindowMs) {
 
     public Timing timing() {
         return live.get().timing();
@@ -99,6 +101,7 @@
         private List<String> places = List.of("");
         private int wantedLosses;
         private Msg.Chosen voters;
+        private long keyWindow = RecordRetention.DEFAULT_WINDOW;
 
         private Builder(final Member self) {
             this.self = self;
@@ -165,6 +168,12 @@
             return this;
         }
 
+        /** How long after a keyed request was sent its key must not run again. */
+        public Builder keyWindow(final long ms) {
+            keyWindow = ms;
+            return this;
+        }
+
         /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
         public Builder extra(final double part, final double beside) {
             share = part;
@@ -182,7 +191,8 @@
                     first,
                     seats,
                     new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
-                    voters);
+                    voters,
+                    keyWindow);
         }
     }
 }
--- a/prog/src/main/java/rv/prog/OptionChecks.java
+++ b/prog/src/main/java/rv/prog/OptionChecks.java
@@ -12,6 +12,7 @@
 import rv.base.Timing;
 import rv.control.JsonShape;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
 
 /** Checks the members of the options' file and the flags as one whole; all faults are found before any is told. */
 final class OptionChecks {
@@ -86,6 +87,8 @@
         }
         final Map<String, InetSocketAddress> faces = addresses.byName("faces", list("faces"));
         final boolean json = json();
+        final long keyWindowMs =
+                1000 * shape.whole("key-window", false, RecordRetention.DEFAULT_WINDOW / 1000, 1, 86_400);
         final int descriptors = (int) shape.whole("descriptors", false, 0, 0, 1 << 30);
         shape.end();
         if (!faults.isEmpty()) {
@@ -119,7 +122,8 @@
                 allHaveDisks && voters.wantedLosses() > voters.mostLosses()
                         ? voters.shortage(voters.wantedLosses())
                         : "",
-                descriptors);
+                descriptors,
+                keyWindowMs);
     }
 
     private String id(final InetSocketAddress wire) {
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -28,6 +28,11 @@
 
 /** The wire duty: one selector thread for all circuits. */
 public final class TcpNet implements Net {
+    /** How long to wait before a full ring is tried again. */
+    private static final long RING_FULL_MS = 10;
+    /** How long the next connections wait after one that could not be accepted. */
+    private static final long ACCEPT_PAUSE_NS = 200_000_000;
+
     private final NodeId self;
     private final CoreLoop loop;
     private final Journal journal;
@@ -44,6 +49,8 @@
     private volatile Net.Port port;
     private long serial;
     private volatile boolean on = true;
+    private SelectionKey paused;
+    private long pausedUntil;
 
     private static final class Wait {
         private final Consumer<Reply> then;
@@ -149,10 +156,16 @@
             return;
         }
         selector.wakeup();
-        loop.after(wait, () -> {
-            ring.offer(() -> late(id));
+        loop.after(wait, () -> timeOut(id));
+    }
+
+    /** Without it an ask might never end, so it is offered until it is taken. */
+    private void timeOut(final long id) {
+        if (ring.offer(() -> late(id))) {
             selector.wakeup();
-        });
+        } else {
+            loop.after(RING_FULL_MS, () -> timeOut(id));
+        }
     }
 
     @Override
@@ -265,15 +278,14 @@
             while (on) {
                 selector.select(1000);
                 for (Runnable r = ring.poll(); r != null; r = ring.poll()) {
-                    r.run();
+                    Guard.run(r);
                 }
+                acceptAgain();
                 final var keys = selector.selectedKeys().iterator();
                 while (keys.hasNext()) {
                     final SelectionKey k = keys.next();
                     keys.remove();
-                    if (k.isValid()) {
-                        serve(k);
-                    }
+                    turn(k);
                 }
             }
             for (final SelectionKey k : selector.keys()) {
@@ -285,8 +297,25 @@
         }
     }
 
-    private void serve(final SelectionKey k) throws IOException {
-        if (k.isAcceptable()) {
+    /** What goes wrong with one connection ends that one. */
+    private void turn(final SelectionKey k) {
+        try {
+            if (k.isValid() && k.isAcceptable()) {
+                accept(k);
+            } else if (k.isValid()) {
+                serve(k);
+            }
+        } catch (final RuntimeException | Error e) {
+            Guard.failed(e);
+            if (k.attachment() instanceof Circuit c) {
+                close(c);
+            }
+        }
+    }
+
+    /** Without a free descriptor nothing more is accepted for a while; those who wait are taken up then. */
+    private void accept(final SelectionKey listening) {
+        try {
             final SocketChannel ch = door.accept();
             if (ch != null) {
                 ch.configureBlocking(false);
@@ -294,8 +323,22 @@
                 final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
                 key.attach(new Circuit(ch, key, clock.getAsLong()));
             }
-            return;
+        } catch (final IOException e) {
+            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
+            listening.interestOps(0);
+            paused = listening;
+            pausedUntil = System.nanoTime() + ACCEPT_PAUSE_NS;
         }
+    }
+
+    private void acceptAgain() {
+        if (paused != null && System.nanoTime() - pausedUntil >= 0) {
+            paused.interestOps(SelectionKey.OP_ACCEPT);
+            paused = null;
+        }
+    }
+
+    private void serve(final SelectionKey k) {
         final Circuit c = (Circuit) k.attachment();
         try {
             if (k.isConnectable() && ((SocketChannel) k.channel()).finishConnect()) {
@@ -342,17 +385,38 @@
         }
         meter.in(e.msg(), 4 + data.length);
         if (e.re() != 0) {
-            end(e.re(), Reply.of(e.msg()));
+            answered(c, e);
         } else {
             loop.post(() -> port.take(e.from(), e.msg(), e.id() == 0 ? m -> {} : m -> back(c, e.id(), m)));
         }
     }
 
+    /** An answer counts only on the connection that its question went out on; one that comes late is for nobody. */
+    private void answered(final Circuit c, final Wire.Envelope e) {
+        final Wait w = waits.get(e.re());
+        if (w != null && w.circuit != c) {
+            bad(c, "answer to a question that was asked elsewhere");
+        } else {
+            end(e.re(), Reply.of(e.msg()));
+        }
+    }
+
+    /** Who asked is told at once where the answer is larger than a frame may be. */
     private void back(final Circuit c, final long re, final Msg m) {
         final byte[] data = Wire.pack(new Wire.Envelope(Wire.VERSION, 0, re, self, m));
+        if (data.length > Wire.LIMIT) {
+            back(c, re, new Msg.Nay("the answer is larger than a frame"));
+            return;
+        }
         meter.out(m, 4 + data.length);
-        if (data.length <= Wire.LIMIT && ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
+        backWhenTaken(c, data);
+    }
+
+    private void backWhenTaken(final Circuit c, final byte[] data) {
+        if (ring.offer(() -> c.send(new Circuit.Out(data, () -> {}, () -> {})))) {
             selector.wakeup();
+        } else {
+            loop.after(RING_FULL_MS, () -> backWhenTaken(c, data));
         }
     }
 }
