Handed over registers come in pages that a slow link carries in time

Cause: a page of 512 KB needs 570 ms at 0.9 MB/s, and is given up after 500 ms: a voter far away could read the same page for ever. 64 KB needs 71 ms.

--- a/control/src/main/java/rv/control/VoterHandover.java
+++ b/control/src/main/java/rv/control/VoterHandover.java
@@ -25,7 +25,7 @@
 final class VoterHandover {
     private static final long AGAIN = 100;
     private static final long PATIENCE = 500;
-    private static final int PAGE = 512 << 10;
+    private static final int PAGE = 64 << 10;
     private final NodeId self;
     private final Electorate electorate;
     private final VoterMemory memory;
