REQUESTS: what holds for a request, what may have left and who may send again; edge's tests split, reads' waiting tested

Cause: the waiting of reads for holders that may not fill was mended with the counting of attempts, and had no test of its own; a shield that lacked the edge's news held a read for 400 ms whatever its aim. Now for a quarter of its aim.

--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -25,6 +25,8 @@
     /** How long an edge has to say whether one more attempt may be made, in ms. */
     private static final long GRANT_WAIT = 300;
 
+    private static final long LONGEST_PATIENCE = 400;
+
     private final Loop loop;
     private final Net net;
     private final ConfigView view;
@@ -101,10 +103,19 @@
         take(
                 new Call(f, attempts),
                 loop.now() + f.span(),
-                loop.now() + Math.min(400, f.span()),
+                loop.now() + patience(f),
                 answer -> back.accept(f.attempts() == null ? answer : answer.withUnused(attempts.unused())));
     }
 
+    /** For how long a request waits until this node knows what its edge knows; a read for a quarter of its aim at most. */
+    private long patience(final Msg.Fill f) {
+        final long aim = view.named(f.route())
+                .filter(r -> r.match().is(Match.CACHED))
+                .map(r -> r.match().aimMs())
+                .orElse(0L);
+        return Math.min(aim > 0 ? aim / 4 : LONGEST_PATIENCE, Math.min(LONGEST_PATIENCE, f.span()));
+    }
+
     /** An edge that states no attempts counts none, so the route alone bounds them here. */
     private AttemptAllowance allowance(final NodeId from, final Msg.Fill f) {
         if (f.attempts() == null) {
--- /dev/null
+++ b/data/src/test/java/rv/data/EdgeReadsTest.java
@@ -0,0 +1,126 @@
+package rv.data;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rv.base.ItemId;
+import rv.base.Kind;
+import rv.base.Mark;
+import rv.control.Match;
+import rv.control.Purge;
+
+/** Reads that may be kept, at an edge: one pass for all who wait, and what goes on where no holder may fill. */
+class EdgeReadsTest extends EdgeFixture {
+    @Test
+    void readsGoOnWithoutAHolderUnkept() {
+        near.remove(N1);
+        ask(Match.CACHED);
+        assertTrue(at(0).fill().pass());
+        back(0, good("x"));
+        assertEquals(200, status());
+        ask(Match.CACHED);
+        assertEquals(2, asked.size(), "not kept");
+    }
+
+    @Test
+    void readsGoOnWhereTheHolderFallsSilent() {
+        ask(Match.CACHED);
+        assertFalse(at(0).fill().pass());
+        silence.put(N1, 1000L);
+        loop.run(350);
+        assertTrue(at(1).fill().pass());
+        back(1, good("x"));
+        back(0, good("late"));
+        assertEquals(200, status());
+    }
+
+    private Mark mark() {
+        return view.mark(view.route("h", "/cached/1").orElseThrow(), "/cached/1");
+    }
+
+    @Test
+    void aCopyServesAllWhoWaitAndWhoComesLaterAlsoInParts() {
+        ask(Match.CACHED);
+        ask(Match.CACHED, "bytes=1-2", Map.of());
+        assertEquals(1, asked.size());
+        back(0, filled(Answer.DONE, 200, "abcd", 0, mark()));
+        assertEquals(List.of(200, 206), said.stream().map(Answer::status).toList());
+        ask(Match.CACHED, "bytes=9-", Map.of());
+        ask(Match.CACHED);
+        assertEquals(
+                List.of(200, 206, 416, 200), said.stream().map(Answer::status).toList());
+        assertEquals(1, asked.size());
+        assertEquals("bc", new String(said.get(1).body()));
+    }
+
+    @Test
+    void whatWasPurgedWhileItWasFilledIsFilledAnew() {
+        ask(Match.CACHED);
+        put(new ItemId(Kind.PURGE, "h.1"), 4, new Purge(null, "/cached/1", null, "h", null));
+        back(0, filled(Answer.DONE, 200, "old", 0, new Mark(Map.of())));
+        loop.run(70);
+        assertEquals(Map.of("p/h.1", 4L), at(1).fill().mark().vers());
+        put(new ItemId(Kind.PURGE, "t.1"), 5, new Purge(null, null, null, null, "t1"));
+        final Map<String, Long> tagged = new HashMap<>(mark().vers());
+        tagged.put("t/t1", 0L);
+        back(1, filled(Answer.DONE, 200, "old", 0, new Mark(tagged)));
+        loop.run(130);
+        tagged.put("t/t1", 5L);
+        back(2, filled(Answer.DONE, 200, "new", 0, new Mark(tagged)));
+        assertEquals("new", new String(said.get(0).body()));
+        assertEquals(1, said.size());
+        put(new ItemId(Kind.PURGE, "t.1"), 6, new Purge(null, null, null, null, "t1"));
+        ask(Match.CACHED);
+        assertEquals(4, asked.size(), "the kept copy has that tag");
+    }
+
+    /** What one caller has already is no answer for another who waits for the same fill. */
+    @Test
+    void oneCallersConditionsDoNotGoWithAFillForMany() {
+        ask(Match.CACHED, null, Map.of("If-None-Match", "\"v1\"", "Accept-Language", "sw"));
+        ask(Match.CACHED);
+        assertEquals(Map.of("Accept-Language", "sw"), at(0).fill().heads());
+        ask(Match.STATUS, null, Map.of("If-None-Match", "\"v1\""));
+        assertEquals(Map.of("If-None-Match", "\"v1\""), at(1).fill().heads());
+    }
+
+    /** It answers, and may not fill: a read is worth less with each moment, so it goes on without the right. */
+    @Test
+    void aReadWaitsForAHolderThatMayNotFillForAQuarterOfItsAimAtMost() {
+        aim(Match.CACHED, 400);
+        final long begun = loop.now();
+        ask(Match.CACHED);
+        back(0, refused(500));
+        loop.run(70);
+        assertFalse(at(1).fill().pass(), "it may have got the right meanwhile");
+        back(1, refused(500));
+        loop.run(30);
+        assertTrue(at(2).fill().pass());
+        assertFalse(at(2).fill().extra(), "nothing was sent");
+        assertTrue(loop.now() - begun <= 110, "a quarter of 400");
+        back(2, good("x"));
+        assertEquals(200, status());
+        said.clear();
+        asked.clear();
+        ask(Match.CACHED);
+        back(0, refused(1000));
+        assertTrue(at(1).fill().pass(), "at once where the holder needs longer");
+    }
+
+    @Test
+    void aReadThatNobodyMayFillIsRefusedAtOnceWithWhenToComeBack() {
+        aim(Match.CACHED, 400);
+        ask(Match.CACHED);
+        near.clear();
+        final long begun = loop.now();
+        back(0, refused(1000));
+        assertEquals(503, status());
+        assertEquals(begun, loop.now());
+        assertEquals(1000, said.get(0).retryMs());
+    }
+}
--- a/data/src/test/java/rv/data/EdgeTest.java
+++ b/data/src/test/java/rv/data/EdgeTest.java
@@ -6,171 +6,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import rv.base.Ballot;
 import rv.base.Condition;
-import rv.base.Item;
 import rv.base.ItemId;
-import rv.base.Journal;
 import rv.base.Kind;
-import rv.base.Mark;
 import rv.base.Member;
-import rv.base.Msg;
-import rv.base.Net;
 import rv.base.NodeId;
-import rv.base.Reply;
 import rv.base.Role;
-import rv.base.Token;
-import rv.base.Ver;
-import rv.control.ConfigView;
-import rv.control.ItemStore;
-import rv.control.Json;
 import rv.control.Match;
 import rv.control.Origin;
 import rv.control.Plan;
-import rv.control.Purge;
-import rv.control.Service;
 
 /** A request's way through an edge, on routes whose uncached requests may go through any shield. */
-class EdgeTest {
-    private static final NodeId N1 = NodeId.of("n1");
-    private static final NodeId N2 = NodeId.of("n2");
-    private final Ticks loop = new Ticks();
-    private final Journal journal = new Journal(loop, 1000);
-    private final ItemStore held = new ItemStore(loop, journal);
-    private final ConfigView view = new ConfigView(held);
-    private final List<Asked> asked = new ArrayList<>();
-    private final List<Answer> said = new ArrayList<>();
-    private final Map<NodeId, Long> silence = new HashMap<>();
-    private final List<NodeId> near = new ArrayList<>(List.of(N1, N2, NodeId.of("n3"), NodeId.of("n4")));
-    private boolean fresh = true;
-    private boolean alone;
-    private long heard;
-    private Sender direct;
-    private final Net net = (to, msg, wait, then) -> asked.add(new Asked(to, (Msg.Fill) msg, then));
-    private final Edge edge = new Edge(loop, net, view, () -> fresh, 1, journal, 1 << 20, new EdgeRouting() {
-        @Override
-        public List<NodeId> near() {
-            return near;
-        }
-
-        @Override
-        public boolean heard(final NodeId id) {
-            return near.contains(id);
-        }
-
-        @Override
-        public long silent(final NodeId id) {
-            return silence.getOrDefault(id, 0L);
-        }
-
-        @Override
-        public boolean alone() {
-            return alone;
-        }
-
-        @Override
-        public int places() {
-            return 1;
-        }
-
-        @Override
-        public int place() {
-            return 0;
-        }
-
-        @Override
-        public Sender direct() {
-            return direct;
-        }
-    });
-
-    private record Asked(NodeId to, Msg.Fill fill, Consumer<Reply> then) {}
-
-    private void put(final ItemId id, final long ver, final Object body) {
-        held.merge(new Msg.Chosen(Ballot.ZERO, new Item(id, new Ver(ver), Json.text(body), false, "")));
-    }
-
-    @BeforeEach
-    void begin() {
-        put(new ItemId(Kind.SERVICE, "s"), 1, new Service("open", 0, 1000, 5000, 0, 0, ""));
-        for (final String m : List.of(Match.CACHED, Match.STATUS, Match.ONCE, Match.SINGLE)) {
-            put(
-                    new ItemId(Kind.ROUTE, m),
-                    1,
-                    new Match("/" + m + "/", "s", m, 1000, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
-        }
-        put(ItemId.PLAN, 1, new Plan(1, 1, List.of(new Plan.Part("n1", 1, 1))));
-    }
-
-    private void ask(final String mode, final String range, final Map<String, String> heads) {
-        edge.take(
-                new ClientRequest(
-                        mode.equals(Match.ONCE) || mode.equals(Match.SINGLE) ? "POST" : "GET",
-                        "h",
-                        "/" + mode + "/1",
-                        mode.equals(Match.ONCE) ? "k" : null,
-                        new byte[0],
-                        null,
-                        "id",
-                        1200,
-                        range,
-                        heads),
-                a -> {
-                    said.add(a);
-                    heard = loop.now();
-                });
-        loop.run(1);
-    }
-
-    private void ask(final String mode) {
-        ask(mode, null, Map.of());
-    }
-
-    private Asked at(final int i) {
-        return asked.get(i);
-    }
-
-    private void back(final int i, final Reply r) {
-        at(i).then().accept(r);
-    }
-
-    private static Reply filled(
-            final String fate, final int status, final String why, final long retry, final Mark mark) {
-        return Reply.of(
-                new Msg.Filled(fate, why, status, new Token(1, 1), Map.of(), why.getBytes(), 0, mark, retry, "s"));
-    }
-
-    private static Reply good(final String body) {
-        return filled(Answer.DONE, 200, body, 0, null);
-    }
-
-    /** A refusal says that the attempt given with the request was not used. */
-    private static Reply refused(final long retry) {
-        return Reply.of(filled(Answer.REFUSED, 503, "no", retry, null)
-                .as(Msg.Filled.class)
-                .orElseThrow()
-                .withUnused(1));
-    }
-
-    private static Reply silent() {
-        return Reply.lost(Reply.Trouble.NO_ANSWER);
-    }
-
-    private static Reply unsent() {
-        return Reply.lost(Reply.Trouble.NOT_SENT);
-    }
-
-    private int status() {
-        assertEquals(1, said.size(), "answered once");
-        return said.get(0).status();
-    }
-
+class EdgeTest extends EdgeFixture {
     @Test
     void whatNeedsNoRightGoesThroughTheNearestShield() {
         ask(Match.STATUS);
@@ -289,79 +139,6 @@
         assertEquals(504, status());
     }
 
-    @Test
-    void readsGoOnWithoutAHolderUnkept() {
-        near.remove(N1);
-        ask(Match.CACHED);
-        assertTrue(at(0).fill().pass());
-        back(0, good("x"));
-        assertEquals(200, status());
-        ask(Match.CACHED);
-        assertEquals(2, asked.size(), "not kept");
-    }
-
-    @Test
-    void readsGoOnWhereTheHolderFallsSilent() {
-        ask(Match.CACHED);
-        assertFalse(at(0).fill().pass());
-        silence.put(N1, 1000L);
-        loop.run(350);
-        assertTrue(at(1).fill().pass());
-        back(1, good("x"));
-        back(0, good("late"));
-        assertEquals(200, status());
-    }
-
-    private Mark mark() {
-        return view.mark(view.route("h", "/cached/1").orElseThrow(), "/cached/1");
-    }
-
-    @Test
-    void aCopyServesAllWhoWaitAndWhoComesLaterAlsoInParts() {
-        ask(Match.CACHED);
-        ask(Match.CACHED, "bytes=1-2", Map.of());
-        assertEquals(1, asked.size());
-        back(0, filled(Answer.DONE, 200, "abcd", 0, mark()));
-        assertEquals(List.of(200, 206), said.stream().map(Answer::status).toList());
-        ask(Match.CACHED, "bytes=9-", Map.of());
-        ask(Match.CACHED);
-        assertEquals(
-                List.of(200, 206, 416, 200), said.stream().map(Answer::status).toList());
-        assertEquals(1, asked.size());
-        assertEquals("bc", new String(said.get(1).body()));
-    }
-
-    @Test
-    void whatWasPurgedWhileItWasFilledIsFilledAnew() {
-        ask(Match.CACHED);
-        put(new ItemId(Kind.PURGE, "h.1"), 4, new Purge(null, "/cached/1", null, "h", null));
-        back(0, filled(Answer.DONE, 200, "old", 0, new Mark(Map.of())));
-        loop.run(70);
-        assertEquals(Map.of("p/h.1", 4L), at(1).fill().mark().vers());
-        put(new ItemId(Kind.PURGE, "t.1"), 5, new Purge(null, null, null, null, "t1"));
-        final Map<String, Long> tagged = new HashMap<>(mark().vers());
-        tagged.put("t/t1", 0L);
-        back(1, filled(Answer.DONE, 200, "old", 0, new Mark(tagged)));
-        loop.run(130);
-        tagged.put("t/t1", 5L);
-        back(2, filled(Answer.DONE, 200, "new", 0, new Mark(tagged)));
-        assertEquals("new", new String(said.get(0).body()));
-        assertEquals(1, said.size());
-        put(new ItemId(Kind.PURGE, "t.1"), 6, new Purge(null, null, null, null, "t1"));
-        ask(Match.CACHED);
-        assertEquals(4, asked.size(), "the kept copy has that tag");
-    }
-
-    /** What one caller has already is no answer for another who waits for the same fill. */
-    @Test
-    void oneCallersConditionsDoNotGoWithAFillForMany() {
-        ask(Match.CACHED, null, Map.of("If-None-Match", "\"v1\"", "Accept-Language", "sw"));
-        ask(Match.CACHED);
-        assertEquals(Map.of("Accept-Language", "sw"), at(0).fill().heads());
-        ask(Match.STATUS, null, Map.of("If-None-Match", "\"v1\""));
-        assertEquals(Map.of("If-None-Match", "\"v1\""), at(1).fill().heads());
-    }
-
     @Test
     void withAStaleFrameOnlyWhatNeedsNoRightGoesOnAndOnlyWhereNobodyCanBeHeard() {
         fresh = false;
