--- a/data/src/test/java/rv/data/EdgeReadsTest.java
+++ b/data/src/test/java/rv/data/EdgeReadsTest.java
@@ -11,6 +11,8 @@
 import rv.base.ItemId;
 import rv.base.Kind;
 import rv.base.Mark;
+import rv.base.Msg;
+import rv.base.Reply;
 import rv.control.Match;
 import rv.control.Purge;
 
