--- a/rig/src/test/java/rv/rig/OrderDayTest.java
+++ b/rig/src/test/java/rv/rig/OrderDayTest.java
@@ -30,7 +30,7 @@
     private static SimCluster quiet(final long seed) {
         final SimCluster town =
                 new SimCluster(seed % 2 == 0 ? Place.coastlineShields() : Place.kilimanjaroShields(), seed).open();
-        town.patcher().stop();
+        town.orderOperator().stop();
         town.run(1000);
         return town;
     }
