--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -3,12 +3,10 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Stream;
 import rv.base.Code;
 import rv.base.Condition;
 import rv.base.Disk;
@@ -32,27 +30,22 @@
 import rv.control.ItemService;
 import rv.control.ItemStore;
 import rv.control.KeyRecordStore;
-import rv.control.Match;
 import rv.control.Membership;
-import rv.control.MonitoredDisk;
 import rv.control.Orders;
 import rv.control.RecordRetention;
 import rv.control.Registry;
 import rv.control.StoreHealth;
 import rv.control.Tenure;
 import rv.control.Voter;
-import rv.control.VoterAddress;
 import rv.control.VoterPlanner;
 import rv.control.VoterSearch;
-import rv.control.WriteRecovery;
 import rv.control.Writer;
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
     /** One that has been silent for so long is not asked to put orders in order. */
-    private static final long QUIET = 1500;
-
     private final Setup setup;
+
     private final Loop loop;
     private final Journal journal;
     private final Electorate electorate;
@@ -64,10 +57,7 @@
     private final Membership roster;
     private final Writer writer;
     private final ItemService clerk;
-    private final Voter elector;
-    private final KeyRecordStore keeper;
-    private final WriteRecovery settler;
-    private final FrameSync.Desk desk;
+    private final VoterParts parts;
     private final MessageRouter inbox;
     private final Orders orders;
     private final Registry registry;
@@ -80,6 +70,8 @@
     private final Departure departure;
     private final ClockWatch clock;
     private final VoterSearch search;
+    private final VoterLinks links;
+    private final NodeCondition condition;
     private final VoterPlanner planner;
 
     /** The outside of a node. {@code book} learns where members can be reached. */
@@ -95,21 +87,16 @@
         journal.add(Event.of(
                 Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
         electorate = new Electorate(setup.quorum(), setup.seats());
-        electorate.onChange(() -> locate(s.book()));
+        electorate.onChange(() -> links().locate(s.book()));
         electorate.connect(this::learn, (to, set) -> s.net().tell(List.of(to), new Msg.Learn(List.of(set))));
         held = new ItemStore(loop, journal);
-        held.watch(i -> {
-            if (i.id().equals(ItemId.VOTERS)) {
-                held.chosen(List.of(i.id())).forEach(electorate::adopt);
-            }
-        });
+        electorate.follow(held);
         view = new ConfigView(held);
         drift = new Drift(setup.timing());
         stores = new StoreHealth(setup.quorum(), loop, journal);
-        final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
         roster = new Membership(
                 this::self,
-                this::heartbeats,
+                () -> links().heartbeats(),
                 loop,
                 s.net(),
                 setup.timing(),
@@ -119,59 +106,19 @@
                 () -> held.all().size(),
                 stores);
         sync = new FrameSync(electorate, loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
+        search = new VoterSearch(self, electorate, loop, s.net(), setup.seeds(), roster::ids, sync::fresh);
+        links = new VoterLinks(setup, electorate, roster, search);
         writer = new Writer(self, boot, electorate, loop, s.net(), s.dice(), journal, held, roster::ids, stores);
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
-        orders = new Orders(loop, s.net(), held, sync, writer, tags, this::sequencer);
+        orders = new Orders(loop, s.net(), held, sync, writer, tags, () -> links.sequencer(held.get(ItemId.TENURE)));
         registry = new Registry(loop, held, sync, writer, journal, tags);
-        elector = setup.mayVote()
-                ? new Voter(self, electorate, loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
-                : null;
-        keeper = elector == null
-                ? null
-                : new KeyRecordStore(
-                        self,
-                        boot,
-                        electorate,
-                        s.net(),
-                        loop,
-                        s.wall(),
-                        disk,
-                        journal,
-                        new RecordRetention(setup.keyWindowMs(), this::longestKeyed));
-        settler = elector == null
-                ? null
-                : new WriteRecovery(
-                        elector,
-                        held,
-                        writer,
-                        loop,
-                        s.dice(),
-                        () -> electorate.voters().indexOf(self));
-        desk = elector == null ? null : new FrameSync.Desk(elector, held, loop);
+        parts = setup.mayVote() ? new VoterParts(setup, s, electorate, held, view, roster, writer, journal) : null;
         final boolean store = setup.arbitrates();
         authority = store
                 ? new Authority(
-                        loop,
-                        s.net(),
-                        writer,
-                        roster,
-                        setup.timing(),
-                        journal,
-                        setup.shards(),
-                        roster::sound,
-                        new Authority.Places() {
-                            @Override
-                            public int at(final String cell) {
-                                return setup.at(cell);
-                            }
-
-                            @Override
-                            public int count() {
-                                return setup.places().size();
-                            }
-                        })
+                        loop, s.net(), writer, roster, setup.timing(), journal, setup.shards(), roster::sound, setup)
                 : null;
         tenure = store
                 ? new Tenure(
@@ -182,9 +129,9 @@
                         held,
                         setup.timing(),
                         journal,
-                        () -> sync.fresh() && !drift.beyond() && leads(),
+                        () -> sync.fresh() && !drift.beyond() && links.mayLead(elector()),
                         authority::won,
-                        () -> elector == null ? 0 : elector.lives())
+                        () -> parts == null ? 0 : elector().lives())
                 : null;
         final boolean fills = setup.is(Role.SHIELD);
         holder = fills
@@ -202,7 +149,7 @@
                         new Sender.Ties(
                                 sync::fresh,
                                 () -> NodeRouting.alone(setup, roster, electorate),
-                                fills ? this::peers : List::of,
+                                fills ? links::peers : List::of,
                                 () -> Math.max(1, roster.known(Role.EDGE)),
                                 () -> roster.known(Role.SHIELD)),
                         journal)
@@ -222,7 +169,7 @@
                                 journal,
                                 stores,
                                 self + "#" + boot,
-                                new RecordRetention(setup.keyWindowMs(), this::longestKeyed)),
+                                new RecordRetention(setup.keyWindowMs(), view::longestKeyed)),
                         sync::fresh,
                         sync::round,
                         setup,
@@ -239,7 +186,6 @@
                         setup.cacheBytes(),
                         new NodeRouting(setup, roster, electorate, sender))
                 : null;
-        search = new VoterSearch(self, electorate, loop, s.net(), setup.seeds(), roster::ids, sync::fresh);
         planner = store && setup.votersMayChange()
                 ? new VoterPlanner(
                         self,
@@ -252,29 +198,21 @@
                         journal,
                         () -> setup.live().get().wantedLosses())
                 : null;
+        condition = new NodeCondition(this, sender, () -> departure().begun());
         departure = new Departure(this, edge, sender);
         clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
-        inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
+        inbox = new MessageRouter(this, parts == null ? null : parts.desk(), authority, sender, shield, this::learn);
         if (setup.voters() != null) {
             learn(setup.voters());
         }
     }
 
-    /** The lease authority puts operators' calls in order, so that several at once are one write of the ledger. */
-    private Optional<NodeId> sequencer() {
-        final Tenure.Body now = Tenure.Body.of(held.get(ItemId.TENURE));
-        if (now.holder().isEmpty() || now.free()) {
-            return Optional.empty();
-        }
-        final NodeId id = NodeId.of(now.holder());
-        return id.equals(setup.self().id()) || roster.silence(id) > QUIET ? Optional.empty() : Optional.of(id);
+    private VoterLinks links() {
+        return links;
     }
 
-    private List<NodeId> peers() {
-        return roster.live(Role.SHIELD).stream()
-                .map(Member::id)
-                .filter(n -> !n.equals(setup.self().id()))
-                .toList();
+    private Departure departure() {
+        return departure;
     }
 
     private List<Msg.Wish> wishes() {
@@ -285,25 +223,10 @@
         sender.stop(shard, grace, done);
     }
 
-    /** How long a keyed request may take at most, by the present configuration. */
-    private long longestKeyed() {
-        return view.rows().stream()
-                .filter(r -> r.match().is(Match.ONCE) && r.service() != null)
-                .mapToLong(ConfigView.Row::timeoutMs)
-                .max()
-                .orElse(0);
-    }
-
     public void start() throws DiskTrouble {
-        if (elector != null) {
-            elector.onWhole(() -> held.all().forEach(elector::learn));
-            elector.prefill(held::all);
-            elector.records(keeper);
-            keeper.start();
-            elector.start();
-            settler.start();
+        if (parts != null) {
+            parts.start();
             orders.start(Math.max(0, electorate.voters().indexOf(setup.self().id())));
-            loop.every(1000, () -> elector.sweep(held.sweep()));
         }
         roster.start();
         sync.start();
@@ -334,30 +257,12 @@
     }
 
     private void learn(final Msg.Chosen c) {
-        if (elector != null && !held.sweep().drops(c.item().id(), c.item().ver().n())) {
-            elector.learn(c);
+        if (parts != null && !held.sweep().drops(c.item().id(), c.item().ver().n())) {
+            elector().learn(c);
         }
         held.merge(c);
     }
 
-    /** A shield that does not vote is not the lease authority either. */
-    private boolean leads() {
-        return !setup.votersMayChange() || elector.votes();
-    }
-
-    /** Heartbeats go to the present voters, and to the seeds too while none of those answers. */
-    private List<NodeId> heartbeats() {
-        if (!setup.votersMayChange()) {
-            return setup.seeds();
-        }
-        if (electorate.epoch() == 0 || roster.answered()) {
-            return electorate.voters();
-        }
-        return Stream.concat(electorate.voters().stream(), search.seeds().stream())
-                .distinct()
-                .toList();
-    }
-
     /**
      * Seeds of changed settings are asked for the present voters from now on; whoever calls this has told the net their
      * addresses. In the core thread.
@@ -366,45 +271,17 @@
         search.seeds(List.copyOf(seeds.keySet()));
     }
 
-    /** The voters' addresses come with the set that names them. */
-    private void locate(final Consumer<Member> book) {
-        electorate.addresses().stream().map(VoterAddress::parse).forEach(a -> {
-            if (roster.get(a.id()) == null) {
-                book.accept(new Member(a.id(), Role.SHIELD, "", a.host(), a.port(), "", Condition.PARTIAL, ""));
-            }
-        });
-    }
-
     private Member self() {
         return setup.self().with(condition());
     }
 
     public Condition condition() {
-        if (departure.begun()) {
-            return Condition.LEAVING;
-        }
-        if (drift.beyond()) {
-            return Condition.UNREADY;
-        }
-        if (!sync.fresh()) {
-            return Condition.PARTIAL;
-        }
-        final boolean whole = elector == null
-                || elector.votes()
-                || !electorate.has(setup.self().id());
-        final boolean rights = holder == null || holder.count() > 0;
-        final boolean ways = edge == null || !roster.live(Role.SHIELD).isEmpty();
-        return whole && rights && ways ? Condition.READY : Condition.PARTIAL;
+        return condition.now();
     }
 
     /** How ready, from 0 to 100, so that a platform can pick by it. */
     public int grade() {
-        return switch (condition()) {
-            case READY ->
-                100 - Math.min(50, (edge == null ? 0 : edge.busy() / 40) + (holder == null ? 0 : sender.busy() / 10));
-            case PARTIAL -> view.rows().isEmpty() ? 0 : 20;
-            default -> 0;
-        };
+        return condition.grade();
     }
 
     public void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
@@ -481,11 +358,11 @@
     }
 
     public Voter elector() {
-        return elector;
+        return parts == null ? null : parts.voter();
     }
 
     public KeyRecordStore keeper() {
-        return keeper;
+        return parts == null ? null : parts.records();
     }
 
     public Drift drift() {
