--- a/prog/src/main/java/rv/prog/Acceptor.java
+++ b/prog/src/main/java/rv/prog/Listener.java
@@ -7,19 +7,27 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
+import rv.base.Code;
+import rv.base.Event;
+import rv.base.Journal;
 
-/** The listening address of the wire; one thread uses it. */
-final class Acceptor {
-    /** How long the next connections wait after one that could not be accepted, as without a free descriptor. */
+/** Takes up the connections that peers open; one that cannot be accepted never ends the wire. Wire thread only. */
+final class Listener {
+    /** How long the next connections wait after one that could not be accepted. */
     private static final long PAUSE_NS = 200_000_000;
 
     private static final int BACKLOG = 256;
+    private final Selector selector;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
+    private final Journal journal;
     private boolean paused;
     private long pausedUntil;
 
-    Acceptor(final Selector selector, final InetSocketAddress at) throws IOException {
+    Listener(final Selector selector, final InetSocketAddress at, final Journal journal) throws IOException {
+        this.selector = selector;
+        this.journal = journal;
         channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, BACKLOG);
@@ -31,25 +39,26 @@
         return ((InetSocketAddress) channel.getLocalAddress()).getPort();
     }
 
-    /** The next connection, ready for the selector; null where there is none. A failure makes the others wait. */
-    SocketChannel accept() throws IOException {
+    /** Without a free descriptor nothing more is accepted for a while; those who wait are taken up then. */
+    Optional<SelectionKey> accept() {
         try {
-            final SocketChannel connection = channel.accept();
-            if (connection != null) {
-                connection.configureBlocking(false);
-                connection.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            final SocketChannel accepted = channel.accept();
+            if (accepted == null) {
+                return Optional.empty();
             }
-            return connection;
+            accepted.configureBlocking(false);
+            accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            return Optional.of(accepted.register(selector, SelectionKey.OP_READ));
         } catch (final IOException e) {
+            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
             key.interestOps(0);
             paused = true;
             pausedUntil = System.nanoTime() + PAUSE_NS;
-            throw e;
+            return Optional.empty();
         }
     }
 
-    /** Called at each turn of the selector: takes up those who wait once the pause is over. */
-    void resume() {
+    void acceptAgain() {
         if (paused && System.nanoTime() - pausedUntil >= 0) {
             key.interestOps(SelectionKey.OP_ACCEPT);
             paused = false;
--- a/prog/src/main/java/rv/prog/TcpNet.java
+++ b/prog/src/main/java/rv/prog/TcpNet.java
@@ -42,7 +42,7 @@
     private final Meter meter;
     private final LongSupplier clock;
     private Selector selector;
-    private Acceptor acceptor;
+    private Listener listener;
     private volatile Net.Port port;
     private long serial;
     private volatile boolean on = true;
@@ -98,7 +98,7 @@
     public void bind(final InetSocketAddress at, final Net.Port to) throws IOException {
         port = to;
         selector = Selector.open();
-        acceptor = new Acceptor(selector, at);
+        listener = new Listener(selector, at, journal);
         thread.start();
     }
 
@@ -108,7 +108,7 @@
     }
 
     public int bound() throws IOException {
-        return acceptor.port();
+        return listener.port();
     }
 
     public void learn(final Member m) {
@@ -244,6 +244,10 @@
         }
     }
 
+    private Circuit circuit(final SelectionKey key) {
+        return new Circuit((SocketChannel) key.channel(), key, clock.getAsLong());
+    }
+
     private Circuit dial(final NodeId to) {
         final InetSocketAddress at = fixed.getOrDefault(to, book.get(to));
         if (at == null) {
@@ -255,7 +259,7 @@
             ch.setOption(StandardSocketOptions.TCP_NODELAY, true);
             final boolean open = ch.connect(at);
             final SelectionKey key = ch.register(selector, open ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
-            final Circuit c = new Circuit(ch, key, clock.getAsLong());
+            final Circuit c = circuit(key);
             key.attach(c);
             out.put(to, c);
             return c;
@@ -271,7 +275,7 @@
                 for (Runnable r = ring.poll(); r != null; r = ring.poll()) {
                     Guard.run(r);
                 }
-                acceptor.resume();
+                listener.acceptAgain();
                 final var keys = selector.selectedKeys().iterator();
                 while (keys.hasNext()) {
                     final SelectionKey k = keys.next();
@@ -292,7 +296,7 @@
     private void turn(final SelectionKey k) {
         try {
             if (k.isValid() && k.isAcceptable()) {
-                accept();
+                listener.accept().ifPresent(key -> key.attach(circuit(key)));
             } else if (k.isValid()) {
                 serve(k);
             }
@@ -304,18 +308,6 @@
         }
     }
 
-    private void accept() {
-        try {
-            final SocketChannel ch = acceptor.accept();
-            if (ch != null) {
-                final SelectionKey key = ch.register(selector, SelectionKey.OP_READ);
-                key.attach(new Circuit(ch, key, clock.getAsLong()));
-            }
-        } catch (final IOException e) {
-            journal.add(Event.of(Code.CIRCUIT_CLOSED, "why", "not accepted: " + e.getMessage()));
-        }
-    }
-
     private void serve(final SelectionKey k) {
         final Circuit c = (Circuit) k.attachment();
         try {
