--- a/control/src/test/java/rv/control/OrdersTest.java
+++ b/control/src/test/java/rv/control/OrdersTest.java
@@ -110,6 +110,21 @@
         assertEquals(2, service().ver().n());
     }
 
+    /** What this node knows is not enough for a verdict, not even that a call was taken or not. */
+    @Test
+    void withoutVotesThereIsNoVerdictThoughTheFrameIsConfirmed() {
+        net.confirm();
+        assertEquals(200, patch(SET.formatted("one", 12), 100));
+        net.mute.addAll(List.of(NodeId.of("a"), NodeId.of("b")));
+        for (final String call : List.of(SET.formatted("one", 12), SET.formatted("other", 12))) {
+            assertEquals(0, patch(call, 1000), "no verdict yet");
+            net.loop.run(3000);
+            assertEquals(503, said.get(0).status());
+        }
+        net.mute.clear();
+        assertEquals(409, patch(SET.formatted("other", 12), 1000));
+    }
+
     @Test
     void eachPurgeIsAVersionOfItsOwn() {
         net.confirm();
--- a/control/src/test/java/rv/control/Voters.java
+++ b/control/src/test/java/rv/control/Voters.java
@@ -25,6 +25,9 @@
     final ItemStore held = new ItemStore(loop, journal);
     final ConfigView view = new ConfigView(held);
     final Set<NodeId> deaf = new HashSet<>();
+    /** These confirm frames, but do not vote. */
+    final Set<NodeId> mute = new HashSet<>();
+
     final List<Item> written = new ArrayList<>();
     /** What the electors hold and this node does not. */
     final List<Msg.Chosen> news = new ArrayList<>();
@@ -62,7 +65,8 @@
 
     @Override
     public void ask(final NodeId to, final Msg msg, final long wait, final Consumer<Reply> then) {
-        if (deaf.contains(to)) {
+        final boolean vote = msg instanceof Msg.Prepare || msg instanceof Msg.Accept;
+        if (deaf.contains(to) || vote && mute.contains(to)) {
             loop.after(wait, () -> then.accept(Reply.lost(Reply.Trouble.NO_ANSWER)));
         } else {
             loop.after(1, () -> then.accept(Reply.of(answer(to, msg))));
