--- a/control/src/main/java/rv/control/RecordHandover.java
+++ b/control/src/main/java/rv/control/RecordHandover.java
@@ -1,23 +1,30 @@
 package rv.control;
 
+import java.util.List;
 import java.util.Map;
 import rv.base.Msg;
 
-/** What a voter's records of keyed requests do at a change of the voting set. */
+/** What a voter's records of keyed requests do when its memory is rebuilt, and at a change of the voting set. */
 public interface RecordHandover {
     /** Whether records that were once kept here may be missing: such a memory is no source for others. */
     boolean lapse();
 
-    /** One page of all records; the bars come with the first page. {@code after}: the last key of the page before, or null. */
-    Msg.KeptAll give(String after);
+    /** The voter's memory was lost and is rebuilt: rows to be saved in one transaction with it. */
+    Map<String, byte[]> forgotten();
 
-    /** Takes a page of another voter into memory. */
-    void merge(Msg.KeptAll page);
+    /** Sums over the records of each cell. */
+    List<Long> sums();
 
-    /** All rows as they stand, to be saved in one transaction with the voter's own. */
+    /** A page of the records in whose cells the sums differ, with all bars. {@code after}: the last key before it, or null. */
+    Msg.HandedRecords give(List<Long> theirs, String after);
+
+    /** Takes a page of another voter; false where its sum is wrong and nothing was taken. */
+    boolean merge(Msg.HandedRecords page);
+
+    /** What has to be saved in one transaction with the voter's own rows; all that was merged is on its way to the disk. */
     Map<String, byte[]> rows();
 
-    /** The rows are synced: nothing is missing any more. */
+    /** The rows are synced: nothing is missing any more, and nobody has read here in the new epoch. */
     void joined();
 
     /** For voters that keep no records. */
@@ -28,12 +35,24 @@
         }
 
         @Override
-        public Msg.KeptAll give(final String after) {
-            return new Msg.KeptAll(true, java.util.List.of(), Map.of(), null);
+        public Map<String, byte[]> forgotten() {
+            return Map.of();
+        }
+
+        @Override
+        public List<Long> sums() {
+            return List.of();
         }
 
         @Override
-        public void merge(final Msg.KeptAll page) {}
+        public Msg.HandedRecords give(final List<Long> theirs, final String after) {
+            return new Msg.HandedRecords(Map.of(), new Msg.KeptCells(true, List.of(), 0, null));
+        }
+
+        @Override
+        public boolean merge(final Msg.HandedRecords page) {
+            return true;
+        }
 
         @Override
         public Map<String, byte[]> rows() {
--- a/control/src/main/java/rv/control/VoterHandover.java
+++ b/control/src/main/java/rv/control/VoterHandover.java
@@ -25,7 +25,7 @@
 final class VoterHandover {
     private static final long AGAIN = 100;
     private static final long PATIENCE = 500;
-    private static final int PAGE = 512 << 10;
+    private static final int PAGE = 64 << 10;
     private final NodeId self;
     private final Electorate electorate;
     private final VoterMemory memory;
@@ -92,7 +92,6 @@
     private boolean gives() {
         final long present = electorate.epoch();
         return memory.full()
-                && memory.sealed() >= present
                 && !records.lapse()
                 && (memory.epoch() == present
                         || memory.epoch() == present - 1
@@ -124,7 +123,7 @@
     }
 
     void giveRecords(final NodeId from, final Msg.HandoverRecords ask, final Consumer<Msg> back) {
-        whenSealed(from, ask.voters(), back, () -> back.accept(records.give(ask.after())));
+        whenSealed(from, ask.voters(), back, () -> back.accept(records.give(ask.sums(), ask.after())));
     }
 
     /** Whole cells that differ, in their order. */
@@ -197,7 +196,8 @@
 
         /** This voter's own memory of the earlier epoch counts like one that was read, once it is sealed. */
         void countSelf() {
-            if (stands() && earlier.contains(self) && memory.epoch() == epoch - 1 && gives()) {
+            final boolean sealed = memory.sealed() >= epoch && memory.epoch() == epoch - 1;
+            if (stands() && sealed && earlier.contains(self) && gives()) {
                 count(self, memory.epoch());
             }
         }
@@ -224,25 +224,22 @@
                 memory.adopt(got.founders(), got.floor(), got.lives());
                 got.slots().forEach(memory::merge);
                 if (got.next() == Msg.HandedOver.LAST) {
-                    records(source, got.epoch(), null);
+                    records(source, got.epoch(), records.sums(), null);
                 } else {
                     registers(source, sums, got.next());
                 }
             });
         }
 
-        private void records(final NodeId source, final long of, final String after) {
-            net.ask(source, new Msg.HandoverRecords(set, after), PATIENCE, r -> {
-                final Msg.KeptAll got = r.as(Msg.KeptAll.class).orElse(null);
-                if (got == null || !stands()) {
+        private void records(final NodeId source, final long of, final List<Long> sums, final String after) {
+            net.ask(source, new Msg.HandoverRecords(set, sums, after), PATIENCE, r -> {
+                final Msg.HandedRecords got = r.as(Msg.HandedRecords.class).orElse(null);
+                if (got == null || !stands() || !records.merge(got)) {
                     failed(source, r);
-                    return;
-                }
-                records.merge(got);
-                if (got.next() == null) {
+                } else if (got.page().next() == null) {
                     count(source, of);
                 } else {
-                    records(source, of, got.next());
+                    records(source, of, sums, got.page().next());
                 }
             });
         }
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -8,7 +8,9 @@
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
+import rv.control.Authority;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
 
 /** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
@@ -20,7 +22,9 @@
         boolean first,
         List<String> seats,
         AtomicReference<LiveSettings> live,
-        Msg.Chosen voters) {
+        Msg.Chosen voters,
+        long keyWindowMs)
+        implements Authority.Places {
 
     public Timing timing() {
         return live.get().timing();
@@ -62,6 +66,7 @@
     }
 
     /** Which place a cell is in; the first where it is in none. */
+    @Override
     public int at(final String cell) {
         final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
@@ -72,6 +77,11 @@
         return 0;
     }
 
+    @Override
+    public int count() {
+        return places().size();
+    }
+
     public int place() {
         return at(self.cell());
     }
@@ -99,6 +109,7 @@
         private List<String> places = List.of("");
         private int wantedLosses;
         private Msg.Chosen voters;
+        private long keyWindow = RecordRetention.DEFAULT_WINDOW;
 
         private Builder(final Member self) {
             this.self = self;
@@ -165,6 +176,12 @@
             return this;
         }
 
+        /** How long after a keyed request was sent its key must not run again. */
+        public Builder keyWindow(final long ms) {
+            keyWindow = ms;
+            return this;
+        }
+
         /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
         public Builder extra(final double part, final double beside) {
             share = part;
@@ -182,7 +199,8 @@
                     first,
                     seats,
                     new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
-                    voters);
+                    voters,
+                    keyWindow);
         }
     }
 }
--- a/data/src/main/java/rv/data/Shield.java
+++ b/data/src/main/java/rv/data/Shield.java
@@ -22,9 +22,13 @@
 /** Answers edges: from its cache, by one fill for many, straight through, or once only. */
 public final class Shield {
     private static final int ROOM = 512;
+    /** How long a keyed request waits at most for the keepers to be read. */
+    private static final long KEYED_PATIENCE = 1500;
     /** How long an edge has to say whether one more attempt may be made, in ms. */
     private static final long GRANT_WAIT = 300;
 
+    private static final long LONGEST_PATIENCE = 400;
+
     private final Loop loop;
     private final Net net;
     private final ConfigView view;
@@ -101,10 +105,19 @@
         take(
                 new Call(f, attempts),
                 loop.now() + f.span(),
-                loop.now() + Math.min(400, f.span()),
+                loop.now() + patience(f),
                 answer -> back.accept(f.attempts() == null ? answer : answer.withUnused(attempts.unused())));
     }
 
+    /** For how long a request waits until this node knows what its edge knows; a read for a quarter of its aim at most. */
+    private long patience(final Msg.Fill f) {
+        final long aim = view.named(f.route())
+                .filter(r -> r.match().is(Match.CACHED))
+                .map(r -> r.match().aimMs())
+                .orElse(0L);
+        return Math.min(aim > 0 ? aim / 4 : LONGEST_PATIENCE, Math.min(LONGEST_PATIENCE, f.span()));
+    }
+
     /** An edge that states no attempts counts none, so the route alone bounds them here. */
     private AttemptAllowance allowance(final NodeId from, final Msg.Fill f) {
         if (f.attempts() == null) {
@@ -335,6 +348,7 @@
                             : EdgeRouting.slot(row, f.path(), f.key()),
                     Hash.digest(
                             (f.path() + "\n" + Hash.digest(body)).getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                    Math.min(KEYED_PATIENCE, Math.max(0, cutoff - loop.now()) / 2),
                     then -> sender.send(order(call, row, f.shard(), true, cutoff), then),
                     back);
         }
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -49,7 +49,8 @@
         List<String> places,
         int wantedLosses,
         String shortage,
-        int descriptors) {
+        int descriptors,
+        long keyWindowMs) {
     /** Descriptors that are left to files, and to sockets other than those of callers: to peers, origins, own addresses. */
     private static final int FOR_FILES = 200;
 
@@ -129,7 +130,8 @@
                 places,
                 wantedLosses,
                 shortage,
-                descriptors);
+                descriptors,
+                keyWindowMs);
     }
 
     /** How many connections of callers may be open at once. */
--- a/rig/src/main/java/rv/rig/Place.java
+++ b/rig/src/main/java/rv/rig/Place.java
@@ -7,7 +7,10 @@
 import java.util.TreeMap;
 import rv.control.Json;
 
-/** One deployment: its machines, its origins, its configuration and its mix of requests. */
+/**
+ * One deployment: its machines, its origins, its configuration and its mix of requests; {@code losses} shields may be
+ * lost at once, and one that is back counts as lost for {@code catchUpMs} more.
+ */
 public record Place(
         String name,
         int edges,
@@ -18,9 +21,12 @@
         int perSecond,
         List<Kin> kin,
         boolean hasty,
-        boolean shieldRun) {
+        boolean shieldRun,
+        int losses,
+        long catchUpMs) {
     public static final Set<String> NAMES =
-            Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields");
+            Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields", "coastline-six");
+    private static final long CATCH_UP_MS = 4000;
     private static final String HOST = "shop.example";
 
     /** A service, its origins, and the routes to it; {@code share} of requests each route gets. */
@@ -102,7 +108,9 @@
                                 2,
                                 List.of(new EdgeRouting("collect", "/collect/", "status", 0, true, 0.103, 200)))),
                 false,
-                false);
+                false,
+                0,
+                0);
     }
 
     public static Place coastline() {
@@ -142,7 +150,9 @@
                                 2,
                                 List.of(new EdgeRouting("status", "/status/", "status", 0, true, 0.15, 300)))),
                 true,
-                false);
+                false,
+                0,
+                0);
     }
 
     /** No stores: three of four shields vote, each with a disk; rates hold for all origins of a service together. */
@@ -177,7 +187,9 @@
                                         EdgeRouting.at("hold", "single", 0, 0.07, 50, Map.of("till", 50, "desk", 50)))),
                         new Kin("desk", "open", 0, 3, List.of())),
                 false,
-                true);
+                true,
+                1,
+                CATCH_UP_MS);
     }
 
     public static Place coastlineShields() {
@@ -223,7 +235,33 @@
                                                 Map.of("registrar", 50, "clerk", 50)))),
                         new Kin("clerk", "open", 0, 3, List.of())),
                 true,
-                true);
+                true,
+                1,
+                CATCH_UP_MS);
+    }
+
+    /** Six shields in six zones of two regions: five of them vote, and two may be lost at once. */
+    public static Place coastlineSix() {
+        final Place p = coastlineShields();
+        return new Place(
+                "coastline-six",
+                p.edges(),
+                6,
+                List.of(
+                        "coast/burnaby",
+                        "coast/surrey",
+                        "coast/richmond",
+                        "interior/kelowna",
+                        "interior/kamloops",
+                        "interior/vernon"),
+                p.regionMs(),
+                p.syncMs(),
+                p.perSecond(),
+                p.kin(),
+                p.hasty(),
+                p.shieldRun(),
+                2,
+                6000);
     }
 
     /** The same with more shields. */
@@ -238,12 +276,9 @@
                 p.perSecond(),
                 p.kin(),
                 p.hasty(),
-                p.shieldRun());
-    }
-
-    /** How many shields may be lost at once where they vote. */
-    public int losses() {
-        return !shieldRun ? 0 : shields < 6 ? 1 : 2;
+                p.shieldRun(),
+                shields < 6 ? 1 : 2,
+                p.catchUpMs());
     }
 
     public static Place of(final String name) {
@@ -252,6 +287,7 @@
             case "coastline" -> coastline();
             case "kilimanjaro-shields" -> kilimanjaroShields();
             case "coastline-shields" -> coastlineShields();
+            case "coastline-six" -> coastlineSix();
             default -> throw new IllegalArgumentException("no deployment is named " + name);
         };
     }
@@ -293,6 +329,19 @@
         return cells.get((n - 1) % cells.size());
     }
 
+    /** The name of the machine that takes this one's place in its zone. */
+    public String successor(final String node) {
+        return node.substring(0, 2) + (Integer.parseInt(node.substring(2)) + cells.size());
+    }
+
+    public List<String> shieldNames() {
+        return machines().stream().filter(m -> m.startsWith("sh")).toList();
+    }
+
+    public List<String> edgeNames() {
+        return machines().stream().filter(m -> m.startsWith("ed")).toList();
+    }
+
     /** Regions are the first and the second half of the cells. */
     public boolean apart(final String a, final String b) {
         return regionMs > 0 && half(a) != half(b);
--- a/rig/src/main/java/rv/rig/sim/SimNode.java
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -1,5 +1,6 @@
 package rv.rig.sim;
 
+import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
@@ -30,12 +31,15 @@
     private final int shards;
     private final int losses;
     private Node node;
+    private SimPort port;
     private long life;
     private boolean alive;
     private long frozen;
     private double rate = 1;
     private long shift;
     private long hop;
+    private long wallStep;
+    private boolean founding = true;
 
     public SimNode(
             final World world,
@@ -66,11 +70,6 @@
         net.join(this);
     }
 
-    /** Settings of its next start name these seeds. */
-    public void seeds(final java.util.List<NodeId> list) {
-        seeds = java.util.List.copyOf(list);
-    }
-
     public NodeId id() {
         return id;
     }
@@ -126,17 +125,18 @@
                 .quorum(quorum)
                 .shards(shards)
                 .wantedLosses(losses)
-                .first(life == 1 || !quorum.stores().isEmpty())
+                .first(founding && life == 1 || !quorum.stores().isEmpty())
                 .build();
+        port = yard.port(this);
         node = new Node(
                 setup,
                 new Node.Seams(
                         this,
                         net.of(this),
                         disk.open(this),
-                        yard.port(this),
+                        port,
                         new Random(world.dice().nextLong()),
-                        () -> 1_700_000_000_000L + world.now(),
+                        () -> 1_700_000_000_000L + world.now() + wallStep,
                         m -> {}),
                 journal);
         post(() -> {
@@ -161,10 +161,41 @@
         }
     }
 
+    /** It joins a network that was founded before. */
+    SimNode joining() {
+        founding = false;
+        return this;
+    }
+
+    /** What its settings name from now on; a running process is told. */
+    public void seeds(final java.util.List<NodeId> list) {
+        seeds = java.util.List.copyOf(list);
+        if (alive) {
+            final Map<NodeId, InetSocketAddress> addresses = new LinkedHashMap<>();
+            seeds.forEach(s -> addresses.put(s, InetSocketAddress.createUnresolved(s.text(), 1)));
+            post(() -> node.seeds(addresses));
+        }
+    }
+
+    /** Its time of day jumps; the clock that its timers run on does not. */
+    public void stepClock(final long ms) {
+        wallStep += ms;
+    }
+
     public void freeze(final long ms) {
         frozen = Math.max(frozen, world.now() + ms);
     }
 
+    /** Whether a request is under way in it. */
+    boolean busy() {
+        return role == Role.EDGE ? node.edge().busy() > 0 : port.busy();
+    }
+
+    /** A share of its circuits to origins is reset. */
+    void resetOriginCircuits(final double share) {
+        port.resetCircuits(world.dice()::nextDouble, share);
+    }
+
     /** From now on this clock runs at {@code pace} of true time. */
     public void drift(final double pace) {
         shift = now();
