--- a/rig/src/test/java/rv/rig/KeyedDayTest.java
+++ b/rig/src/test/java/rv/rig/KeyedDayTest.java
@@ -91,6 +91,7 @@
         town.node("sh2").disk().lose();
         town.world().in(1500, () -> town.trouble("returned", "", 0));
         town.run(1200);
+        town.trouble("slow", "", 9000);
         town.net().slow(700);
         town.run(9000);
         town.net().slow(0);
