--- a/rig/src/main/java/rv/rig/judge/Facts.java
+++ b/rig/src/main/java/rv/rig/judge/Facts.java
@@ -201,7 +201,11 @@
     long dark(final long from) {
         final List<Row> turns = new ArrayList<>(nodes("STARTED"));
         final Set<String> up = turns.stream().map(r -> r.text("node")).collect(Collectors.toSet());
-        of("rig").stream().filter(r -> r.text("what").equals("kill")).forEach(turns::add);
+        final Set<String> ends = Set.of("kill", "retired");
+        of("rig").stream().filter(r -> ends.contains(r.text("what"))).forEach(turns::add);
+        turns.stream()
+                .filter(r -> r.text("what").equals("retired") && r.t() <= from)
+                .forEach(r -> up.remove(r.text("node")));
         turns.removeIf(r -> r.t() <= from);
         turns.sort(Comparator.comparingLong(Row::t));
         for (final Row r : turns) {
--- a/rig/src/test/java/rv/rig/JudgeControlTest.java
+++ b/rig/src/test/java/rv/rig/JudgeControlTest.java
@@ -117,4 +117,42 @@
                         List.of(order(1500, 2, "ROUTE/r|8|b"), attempt("order", 14_000, "sh1", 2, 200)),
                         List.of(read(30_000, "sh2", true, false, Map.of()))));
     }
+
+    private static Map<String, Object> rig(final long t, final String what, final String node) {
+        return Log.row("log", "rig", "t", t, "what", what, "node", node, "ms", 3000);
+    }
+
+    private static Map<String, Object> started(final long t, final String node) {
+        return Log.row("log", "node", "t", t, "name", "STARTED", "node", node, "boot", "b" + t);
+    }
+
+    private static Map<String, Object> request(final long t, final String fate) {
+        return Log.row("log", "req", "t", t, "end", t + 10, "id", t, "node", "ed1", "path", "/s/1", "fate", fate);
+    }
+
+    /** A machine that left for good is not up: once all others are down, what the earlier return brought is not asked. */
+    @Test
+    void rule11AReturnIsAskedUntilAllThatAreLeftAreDown() {
+        final List<Map<String, Object>> day = List.of(
+                started(10, "sh1"),
+                started(10, "sh2"),
+                started(10, "sh3"),
+                rig(15_000, "retired", "sh3"),
+                rig(20_000, "returned", ""),
+                rig(25_000, "retired", "sh2"),
+                request(35_500, "done"),
+                rig(36_000, "kill", "sh1"),
+                request(36_500, "none"),
+                request(36_600, "none"),
+                request(36_700, "none"),
+                request(36_800, "none"));
+        JudgeShieldsTest.rule(
+                11,
+                day,
+                List.of(List.of(
+                        request(35_600, "none"),
+                        request(35_700, "none"),
+                        request(35_800, "none"),
+                        request(35_900, "none"))));
+    }
 }
