The end of a record store's lapse does not come back with a restart

Cause: every row saved during a lapse carries the lapse along. A keyed write saved while the row that ends the lapse was on its way to the disk wrote the lapse behind it; the running process went on, but after a restart the store said again that it had no memory.

--- a/control/src/main/java/rv/control/KeyRecordStore.java
+++ b/control/src/main/java/rv/control/KeyRecordStore.java
@@ -53,6 +53,9 @@
 
     private long since = Long.MIN_VALUE;
     private boolean lacking;
+    /** The end of the lapse is on its way to the disk: what is saved behind it must not bring it back there. */
+    private boolean ending;
+
     private long era;
 
     record Lapse(long since) {}
@@ -129,7 +132,7 @@
     }
 
     private Map<String, byte[]> lapseRows() {
-        return lapse() ? Map.of(LAPSE, Wire.pack(new Lapse(since))) : Map.of();
+        return lapse() && !ending ? Map.of(LAPSE, Wire.pack(new Lapse(since))) : Map.of();
     }
 
     public int size() {
@@ -274,7 +277,9 @@
     public void recalled(final Consumer<Boolean> then) {
         final Map<String, byte[]> rows = new HashMap<>();
         rows.put(LAPSE, null);
+        ending = true;
         disk.save(rows, ok -> {
+            ending = false;
             lacking &= !ok;
             then.accept(ok);
         });
--- a/control/src/test/java/rv/control/KeyRecordStoreTest.java
+++ b/control/src/test/java/rv/control/KeyRecordStoreTest.java
@@ -18,6 +18,7 @@
 import rv.base.Code;
 import rv.base.Disk;
 import rv.base.Journal;
+import rv.base.Loop;
 import rv.base.Msg;
 import rv.base.Net;
 import rv.base.NodeId;
@@ -46,6 +47,7 @@
 
     private static final class Rows implements Disk {
         private final Map<String, byte[]> rows = new TreeMap<>();
+        private Loop slow;
 
         @Override
         public Map<String, byte[]> load() {
@@ -54,6 +56,14 @@
 
         @Override
         public void save(final Map<String, byte[]> some, final Consumer<Boolean> done) {
+            if (slow == null) {
+                sync(some, done);
+            } else {
+                slow.after(50, () -> sync(some, done));
+            }
+        }
+
+        private void sync(final Map<String, byte[]> some, final Consumer<Boolean> done) {
             some.forEach((k, v) -> {
                 if (v == null) {
                     rows.remove(k);
@@ -331,6 +341,27 @@
         assertEquals(1000, second.size());
     }
 
+    /** Rows that were saved while the end of the lapse was on its way to a slow disk brought it back after a restart. */
+    @Test
+    void aLapseThatHasEndedDoesNotComeBackWithARestart() throws Exception {
+        fill(keeper(B, new Rows(), false), 0, 100, 10);
+        fill(keeper(C, new Rows(), false), 0, 100, 10);
+        final Rows disk = new Rows();
+        disk.slow = loop;
+        final KeyRecordStore k = keeper(A, disk, true);
+        final long[] era = {0};
+        k.read(first(TOKEN, "w"), m -> era[0] = ((Msg.Kept) m).era());
+        for (int i = 0; i < 60; i++) {
+            final Msg.Note note = note("more-" + i, 10);
+            loop.after(i * 5L, () -> k.write(new Msg.KeepWrite(0, note, era[0]), m -> {}));
+        }
+        loop.run(2000);
+        assertFalse(k.lapse());
+        final KeyRecordStore again = keeper(A, disk, false);
+        assertFalse(again.lapse(), "it ended and that was synced");
+        assertEquals(k.size(), again.size());
+    }
+
     /** One without memory yields nothing; as long as too few others have theirs the lapse goes on, for the retention. */
     @Test
     void twoWithoutMemoryWaitAndEndWhenOneMoreComes() throws Exception {
