--- a/base/src/main/java/rv/base/Code.java
+++ b/base/src/main/java/rv/base/Code.java
@@ -28,6 +28,13 @@
     RESUMED(1310, "only memory left, electors resume from it"),
     SWEPT(1311, "old items dropped"),
     SHORTAGE(1312, "too few electors for the wanted losses"),
+    VOTERS_SET(1320, "voting set changed"),
+    VOTER_JOINED(1321, "voter has read the earlier set, voting"),
+    VOTERS_PROPOSED(1322, "change of the voting set proposed"),
+    VOTERS_WRITTEN(1323, "change of the voting set ended"),
+    STANDBY_LATE(1324, "standby not ready to vote"),
+    VOTE_HANDED(1325, "leaving voter is replaced"),
+    VOTE_KEPT(1326, "leaving voter ends without being replaced"),
     TENURE_WON(1401, "tenure taken"),
     TENURE_LOST(1402, "tenure ended"),
     PLAN_SET(1403, "plan written"),
@@ -44,7 +51,9 @@
     ORIGIN_SEND(1703, "request sent to origin"),
     KEEP_SHORT(1704, "keepers short of a majority"),
     ORIGIN_SEEN(1705, "origin announced"),
-    ORIGIN_LEFT(1706, "origin leaving");
+    ORIGIN_LEFT(1706, "origin leaving"),
+    RECORDS_COPIED(1707, "keyed records copied from other keepers"),
+    RECORDS_BAD(1708, "page of keyed records with a wrong sum, asked again");
 
     private final int num;
     private final String text;
--- a/data/src/main/java/rv/data/Node.java
+++ b/data/src/main/java/rv/data/Node.java
@@ -1,7 +1,6 @@
 package rv.data;
 
 import java.net.InetSocketAddress;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -13,6 +12,7 @@
 import rv.base.Disk;
 import rv.base.DiskTrouble;
 import rv.base.Event;
+import rv.base.ItemId;
 import rv.base.Journal;
 import rv.base.Loop;
 import rv.base.Member;
@@ -24,33 +24,31 @@
 import rv.control.Compactor;
 import rv.control.ConfigView;
 import rv.control.Drift;
+import rv.control.Electorate;
 import rv.control.FrameSync;
 import rv.control.Holder;
 import rv.control.ItemService;
 import rv.control.ItemStore;
 import rv.control.KeyRecordStore;
 import rv.control.Membership;
-import rv.control.MonitoredDisk;
 import rv.control.Orders;
+import rv.control.RecordRetention;
 import rv.control.Registry;
 import rv.control.StoreHealth;
 import rv.control.Tenure;
 import rv.control.Voter;
-import rv.control.WriteRecovery;
+import rv.control.VoterPlanner;
+import rv.control.VoterSearch;
 import rv.control.Writer;
 
 /** One process's planes put together over its seams; the programs and the simulator build the same. */
 public final class Node {
-    private static final long QUIET = 1500;
-    private static final long LINGER = 100;
-    /** A leaving edge that still gets requests answers them: it ends once none has come for so long. */
-    private static final long CALM = 250;
-
-    private static final long HANDOVER = 2500;
+    /** One that has been silent for so long is not asked to put orders in order. */
     private final Setup setup;
+
     private final Loop loop;
-    private final LongSupplier wall;
     private final Journal journal;
+    private final Electorate electorate;
     private final ItemStore held;
     private final ConfigView view;
     private final FrameSync sync;
@@ -59,10 +57,7 @@
     private final Membership roster;
     private final Writer writer;
     private final ItemService clerk;
-    private final Voter elector;
-    private final KeyRecordStore keeper;
-    private final WriteRecovery settler;
-    private final FrameSync.Desk desk;
+    private final VoterParts parts;
     private final MessageRouter inbox;
     private final Orders orders;
     private final Registry registry;
@@ -72,10 +67,12 @@
     private final Sender sender;
     private final Shield shield;
     private final Edge edge;
-    private boolean leaving;
-    private long bare;
-    private long last;
-    private long lag;
+    private final Departure departure;
+    private final ClockWatch clock;
+    private final VoterSearch search;
+    private final VoterLinks links;
+    private final NodeCondition condition;
+    private final VoterPlanner planner;
 
     /** The outside of a node. {@code book} learns where members can be reached. */
     public record Seams(
@@ -84,20 +81,22 @@
     public Node(final Setup setup, final Seams s, final Journal journal) {
         this.setup = setup;
         this.loop = s.loop();
-        this.wall = s.wall();
         this.journal = journal;
         final NodeId self = setup.self().id();
         final String boot = setup.self().boot();
         journal.add(Event.of(
                 Code.STARTED, "node", self.text(), "role", setup.self().role().word(), "boot", boot));
+        electorate = new Electorate(setup.quorum(), setup.seats());
+        electorate.onChange(() -> links().locate(s.book()));
+        electorate.connect(this::learn, (to, set) -> s.net().tell(List.of(to), new Msg.Learn(List.of(set))));
         held = new ItemStore(loop, journal);
+        electorate.follow(held);
         view = new ConfigView(held);
         drift = new Drift(setup.timing());
         stores = new StoreHealth(setup.quorum(), loop, journal);
-        final MonitoredDisk disk = new MonitoredDisk(s.disk(), loop);
         roster = new Membership(
                 this::self,
-                setup.seeds(),
+                () -> links().heartbeats(),
                 loop,
                 s.net(),
                 setup.timing(),
@@ -106,52 +105,20 @@
                 drift,
                 () -> held.all().size(),
                 stores);
-        sync = new FrameSync(setup.quorum(), loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
-        writer = new Writer(self, boot, setup.quorum(), loop, s.net(), s.dice(), journal, held, roster::ids, stores);
+        sync = new FrameSync(electorate, loop, s.net(), held, setup.timing(), journal, this::learn, roster::alive);
+        search = new VoterSearch(self, electorate, loop, s.net(), setup.seeds(), roster::ids, sync::fresh);
+        links = new VoterLinks(setup, electorate, roster, search);
+        writer = new Writer(self, boot, electorate, loop, s.net(), s.dice(), journal, held, roster::ids, stores);
         final Supplier<String> tags =
                 () -> "t-" + self + "-" + boot + "-" + Long.toHexString(s.dice().nextLong());
         clerk = new ItemService(loop, held, sync, writer, journal, tags);
-        orders = new Orders(held, sync, writer, tags);
-        registry = new Registry(held, sync, writer, journal, tags);
-        elector = setup.elector()
-                ? new Voter(
-                        self, setup.quorum(), loop, s.net(), disk, journal, boot, setup.first(), () -> !roster.told())
-                : null;
-        keeper = elector == null
-                ? null
-                : new KeyRecordStore(self, boot, setup.quorum(), s.net(), loop, wall, disk, elector::lapsed);
-        settler = elector == null
-                ? null
-                : new WriteRecovery(
-                        elector,
-                        held,
-                        writer,
-                        loop,
-                        s.dice(),
-                        setup.quorum().electors().indexOf(self));
-        desk = elector == null ? null : new FrameSync.Desk(elector, held, loop);
+        orders = new Orders(loop, s.net(), held, sync, writer, tags, () -> links.sequencer(held.get(ItemId.TENURE)));
+        registry = new Registry(loop, held, sync, writer, journal, tags);
+        parts = setup.mayVote() ? new VoterParts(setup, s, electorate, held, view, roster, writer, journal) : null;
         final boolean store = setup.arbitrates();
         authority = store
                 ? new Authority(
-                        loop,
-                        s.net(),
-                        writer,
-                        roster,
-                        setup.timing(),
-                        journal,
-                        setup.shards(),
-                        roster::sound,
-                        new Authority.Places() {
-                            @Override
-                            public int at(final String cell) {
-                                return setup.at(cell);
-                            }
-
-                            @Override
-                            public int count() {
-                                return setup.places().size();
-                            }
-                        })
+                        loop, s.net(), writer, roster, setup.timing(), journal, setup.shards(), roster::sound, setup)
                 : null;
         tenure = store
                 ? new Tenure(
@@ -162,9 +129,9 @@
                         held,
                         setup.timing(),
                         journal,
-                        () -> sync.fresh() && !drift.beyond(),
+                        () -> sync.fresh() && !drift.beyond() && links.mayLead(elector()),
                         authority::won,
-                        () -> elector == null ? 0 : elector.lives())
+                        () -> parts == null ? 0 : elector().lives())
                 : null;
         final boolean fills = setup.is(Role.SHIELD);
         holder = fills
@@ -181,8 +148,8 @@
                         holder,
                         new Sender.Ties(
                                 sync::fresh,
-                                this::alone,
-                                fills ? this::peers : List::of,
+                                () -> NodeRouting.alone(setup, roster, electorate),
+                                fills ? links::peers : List::of,
                                 () -> Math.max(1, roster.known(Role.EDGE)),
                                 () -> roster.known(Role.SHIELD)),
                         journal)
@@ -194,7 +161,15 @@
                         view,
                         holder,
                         sender,
-                        new KeyedRequests(setup.quorum(), loop, s.net(), holder, journal, stores, self + "#" + boot),
+                        new KeyedRequests(
+                                electorate,
+                                loop,
+                                s.net(),
+                                holder,
+                                journal,
+                                stores,
+                                self + "#" + boot,
+                                new RecordRetention(setup.keyWindowMs(), view::longestKeyed)),
                         sync::fresh,
                         sync::round,
                         setup,
@@ -209,73 +184,35 @@
                         setup.shards(),
                         journal,
                         setup.cacheBytes(),
-                        new EdgeRouting() {
-                            @Override
-                            public int places() {
-                                return setup.places().size();
-                            }
-
-                            @Override
-                            public int place() {
-                                return setup.place();
-                            }
-
-                            @Override
-                            public Sender direct() {
-                                return sender;
-                            }
-
-                            @Override
-                            public List<NodeId> near() {
-                                return Node.this.near();
-                            }
-
-                            @Override
-                            public boolean heard(final NodeId id) {
-                                return roster.silence(id) <= QUIET;
-                            }
-
-                            @Override
-                            public long silent(final NodeId id) {
-                                return roster.silence(id);
-                            }
-
-                            @Override
-                            public boolean alone() {
-                                return Node.this.alone();
-                            }
-                        })
+                        new NodeRouting(setup, roster, electorate, sender))
                 : null;
-        inbox = new MessageRouter(this, desk, authority, sender, shield, this::learn);
-    }
-
-    /** Too few electors are heard from to learn anything new. */
-    private boolean alone() {
-        return setup.quorum().electors().stream()
-                        .filter(e -> e.equals(setup.self().id()) || roster.silence(e) <= QUIET)
-                        .count()
-                < setup.quorum().need();
+        planner = store && setup.votersMayChange()
+                ? new VoterPlanner(
+                        self,
+                        electorate,
+                        roster,
+                        sync,
+                        writer,
+                        loop,
+                        s.net(),
+                        journal,
+                        () -> setup.live().get().wantedLosses())
+                : null;
+        condition = new NodeCondition(this, sender, () -> departure().begun());
+        departure = new Departure(this, edge, sender);
+        clock = new ClockWatch(loop, s.wall(), setup.timing(), drift, journal, sync::drop, this::dropRights);
+        inbox = new MessageRouter(this, parts == null ? null : parts.desk(), authority, sender, shield, this::learn);
+        if (setup.voters() != null) {
+            learn(setup.voters());
+        }
     }
 
-    private List<NodeId> peers() {
-        return roster.live(Role.SHIELD).stream()
-                .map(Member::id)
-                .filter(n -> !n.equals(setup.self().id()))
-                .toList();
+    private VoterLinks links() {
+        return links;
     }
 
-    /** Shields that are heard of: of the same zone first, then of the same region. */
-    private List<NodeId> near() {
-        final String cell = setup.self().cell();
-        final String region = cell.substring(0, cell.lastIndexOf('/') + 1);
-        final int turn = setup.self().id().hashCode();
-        return roster.live(Role.SHIELD).stream()
-                .filter(m -> m.condition() != Condition.LEAVING && roster.silence(m.id()) <= QUIET)
-                .sorted(Comparator.comparingInt((Member m) ->
-                                m.cell().equals(cell) ? 0 : m.cell().startsWith(region) ? 1 : 2)
-                        .thenComparingInt(m -> (m.id().hashCode() ^ turn) & 0xffff))
-                .map(Member::id)
-                .toList();
+    private Departure departure() {
+        return departure;
     }
 
     private List<Msg.Wish> wishes() {
@@ -287,12 +224,9 @@
     }
 
     public void start() throws DiskTrouble {
-        if (elector != null) {
-            elector.onWhole(() -> held.all().forEach(elector::learn));
-            elector.start();
-            keeper.start();
-            settler.start();
-            loop.every(1000, () -> elector.sweep(held.sweep()));
+        if (parts != null) {
+            parts.start();
+            orders.start(Math.max(0, electorate.voters().indexOf(setup.self().id())));
         }
         roster.start();
         sync.start();
@@ -300,79 +234,54 @@
             tenure.start();
             new Compactor(loop, held, writer, tenure::acting).start();
             authority.start(tenure);
+            if (planner != null) {
+                planner.start(tenure);
+            }
         }
         if (holder != null) {
             holder.start();
         }
-        last = loop.now();
-        lag = wall.getAsLong() - last;
-        loop.every(100, this::watch);
-    }
-
-    /** A gap in this loop's own time, or a wall clock that ran on without it, is a freeze. */
-    private void watch() {
-        final long now = loop.now();
-        final long gone = now - last - 100;
-        final long shift = Math.abs(wall.getAsLong() - now - lag);
-        if (gone >= setup.timing().m() || shift >= setup.timing().m()) {
-            journal.add(Event.of(Code.WOKE, "gap", gone, "shift", shift));
-            sync.drop();
-            drift.clear();
-            if (holder != null) {
-                holder.drop();
-            }
-            if (tenure != null) {
-                tenure.drop();
-            }
+        clock.start();
+        if (setup.votersMayChange()) {
+            search.start();
         }
-        if (drift.beyond()) {
-            journal.add(Event.of(Code.DRIFT_HIGH, "bound", drift.worst()));
-            if (holder != null) {
-                holder.drop();
-            }
-            if (tenure != null) {
-                tenure.drop();
-            }
+    }
+
+    private void dropRights() {
+        if (holder != null) {
+            holder.drop();
+        }
+        if (tenure != null) {
+            tenure.drop();
         }
-        last = now;
-        lag = wall.getAsLong() - now;
     }
 
     private void learn(final Msg.Chosen c) {
-        if (elector != null && !held.sweep().drops(c.item().id(), c.item().ver().n())) {
-            elector.learn(c);
+        if (parts != null && !held.sweep().drops(c.item().id(), c.item().ver().n())) {
+            elector().learn(c);
         }
         held.merge(c);
     }
 
+    /**
+     * Seeds of changed settings are asked for the present voters from now on; whoever calls this has told the net their
+     * addresses. In the core thread.
+     */
+    public void seeds(final Map<NodeId, InetSocketAddress> seeds) {
+        search.seeds(List.copyOf(seeds.keySet()));
+    }
+
     private Member self() {
         return setup.self().with(condition());
     }
 
     public Condition condition() {
-        if (leaving) {
-            return Condition.LEAVING;
-        }
-        if (drift.beyond()) {
-            return Condition.UNREADY;
-        }
-        if (!sync.fresh()) {
-            return Condition.PARTIAL;
-        }
-        final boolean whole = elector == null || elector.full();
-        final boolean rights = holder == null || holder.count() > 0;
-        final boolean ways = edge == null || !roster.live(Role.SHIELD).isEmpty();
-        return whole && rights && ways ? Condition.READY : Condition.PARTIAL;
+        return condition.now();
     }
 
     /** How ready, from 0 to 100, so that a platform can pick by it. */
     public int grade() {
-        return switch (condition()) {
-            case READY ->
-                100 - Math.min(50, (edge == null ? 0 : edge.busy() / 40) + (holder == null ? 0 : sender.busy() / 10));
-            case PARTIAL -> view.rows().isEmpty() ? 0 : 20;
-            default -> 0;
-        };
+        return condition.grade();
     }
 
     public void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
@@ -381,48 +290,14 @@
 
     /** Orderly: no new callers, shards handed over while the fence is confirmed, tenure given back. */
     public void leave(final long most, final Runnable then) {
-        leaving = true;
-        bare = loop.now();
-        journal.add(Event.of(Code.STOPPING, "node", setup.self().id().text()));
-        final long cutoff = loop.now() + most;
-        final Runnable rest = edge == null
-                ? () -> drain(cutoff, then)
-                : () -> loop.after(Math.min(setup.noticeMs(), most), () -> {
-                    edge.shut();
-                    drain(cutoff, then);
-                });
-        if (tenure != null) {
-            tenure.step(rest);
-        } else {
-            rest.run();
-        }
-    }
-
-    private void drain(final long cutoff, final Runnable then) {
-        final boolean idle = (edge == null || edge.busy() == 0 && edge.quiet(CALM))
-                && (sender == null || sender.busy() == 0)
-                && handed();
-        if (idle || loop.now() >= cutoff) {
-            loop.after(LINGER, () -> {
-                journal.add(Event.of(Code.STOPPED, "node", setup.self().id().text()));
-                then.run();
-            });
-        } else {
-            loop.after(50, () -> drain(cutoff, then));
+        departure.begin(most, then);
+        if (electorate.has(setup.self().id())) {
+            roster.announce();
         }
     }
 
-    /** A shield's stop is heard once the plan no longer names it; with nobody to hear, it does not wait for long. */
-    private boolean handed() {
-        if (holder == null) {
-            return true;
-        }
-        if (holder.count() > 0) {
-            bare = loop.now();
-            return false;
-        }
-        final String me = setup.self().id().text();
-        return view.plan().parts().stream().noneMatch(p -> p.owner().equals(me)) || loop.now() - bare > HANDOVER;
+    public Electorate electorate() {
+        return electorate;
     }
 
     /** Takes settings that changed while this node runs; in the core thread. */
@@ -434,11 +309,6 @@
         }
     }
 
-    /** The seeds of changed settings; whoever calls this has told the net their addresses. In the core thread. */
-    public void seeds(final Map<NodeId, InetSocketAddress> seeds) {
-        roster.laterSeeds(List.copyOf(seeds.keySet()));
-    }
-
     public Setup setup() {
         return setup;
     }
@@ -488,11 +358,11 @@
     }
 
     public Voter elector() {
-        return elector;
+        return parts == null ? null : parts.voter();
     }
 
     public KeyRecordStore keeper() {
-        return keeper;
+        return parts == null ? null : parts.records();
     }
 
     public Drift drift() {
--- a/data/src/main/java/rv/data/Setup.java
+++ b/data/src/main/java/rv/data/Setup.java
@@ -4,10 +4,13 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import rv.base.Member;
+import rv.base.Msg;
 import rv.base.NodeId;
 import rv.base.Role;
 import rv.base.Timing;
+import rv.control.Authority;
 import rv.control.Quorum;
+import rv.control.RecordRetention;
 
 /** What a process is told about its place; {@code live} is what may change while it runs. */
 public record Setup(
@@ -18,7 +21,10 @@
         long cacheBytes,
         boolean first,
         List<String> seats,
-        AtomicReference<LiveSettings> live) {
+        AtomicReference<LiveSettings> live,
+        Msg.Chosen voters,
+        long keyWindowMs)
+        implements Authority.Places {
 
     public Timing timing() {
         return live.get().timing();
@@ -44,12 +50,23 @@
         return quorum.has(self.id());
     }
 
-    /** Stores arbitrate; where no elector is named a store, every elector has a disk and does. */
+    /** Whether the voters are chosen by ballot; where stores are named, they stay the stated ones. */
+    public boolean votersMayChange() {
+        return quorum.stores().isEmpty();
+    }
+
+    /** Where voters change, every shield has a disk and may become one. */
+    public boolean mayVote() {
+        return elector() || votersMayChange() && is(Role.SHIELD);
+    }
+
+    /** Stores arbitrate; where no voter is named a store, every voter has a disk and does. */
     public boolean arbitrates() {
-        return is(Role.STORE) || quorum.stores().isEmpty() && elector();
+        return is(Role.STORE) || votersMayChange() && mayVote();
     }
 
     /** Which place a cell is in; the first where it is in none. */
+    @Override
     public int at(final String cell) {
         final List<String> places = places();
         for (int i = 0; i < places.size(); i++) {
@@ -60,6 +77,11 @@
         return 0;
     }
 
+    @Override
+    public int count() {
+        return places().size();
+    }
+
     public int place() {
         return at(self.cell());
     }
@@ -85,6 +107,9 @@
         private List<String> seats = List.of();
         private long notice = 1000;
         private List<String> places = List.of("");
+        private int wantedLosses;
+        private Msg.Chosen voters;
+        private long keyWindow = RecordRetention.DEFAULT_WINDOW;
 
         private Builder(final Member self) {
             this.self = self;
@@ -139,6 +164,24 @@
             return this;
         }
 
+        /** How many voters may be lost at once; the set is made as large as that needs. */
+        public Builder wantedLosses(final int n) {
+            wantedLosses = n;
+            return this;
+        }
+
+        /** The chosen set that votes now, where it is known; without it the founding set is taken. */
+        public Builder voters(final Msg.Chosen set) {
+            voters = set;
+            return this;
+        }
+
+        /** How long after a keyed request was sent its key must not run again. */
+        public Builder keyWindow(final long ms) {
+            keyWindow = ms;
+            return this;
+        }
+
         /** Extra tries: a part of the requests to a service, and a number beside, in any 10 s over all nodes. */
         public Builder extra(final double part, final double beside) {
             share = part;
@@ -155,7 +198,9 @@
                     cacheBytes,
                     first,
                     seats,
-                    new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places)));
+                    new AtomicReference<>(new LiveSettings(timing, share, slack, notice, places, wantedLosses)),
+                    voters,
+                    keyWindow);
         }
     }
 }
--- a/prog/src/main/java/rv/prog/Options.java
+++ b/prog/src/main/java/rv/prog/Options.java
@@ -49,7 +49,8 @@
         List<String> places,
         int wantedLosses,
         String shortage,
-        int descriptors) {
+        int descriptors,
+        long keyWindowMs) {
     /** Descriptors that are left to files, and to sockets other than those of callers: to peers, origins, own addresses. */
     private static final int FOR_FILES = 200;
 
@@ -129,7 +130,8 @@
                 places,
                 wantedLosses,
                 shortage,
-                descriptors);
+                descriptors,
+                keyWindowMs);
     }
 
     /** How many connections of callers may be open at once. */
@@ -140,7 +142,12 @@
     /** What a running node, whose lease times are {@code running}, takes over when they change. */
     LiveSettings live(final Timing running) {
         return new LiveSettings(
-                new Timing(running.d(), running.m(), timing.fresh()), extraRatio, extraSlack, noticeMs, places);
+                new Timing(running.d(), running.m(), timing.fresh()),
+                extraRatio,
+                extraSlack,
+                noticeMs,
+                places,
+                wantedLosses);
     }
 
     /** Whether every elector has a disk, so that the set of them is kept and learned, not stated. */
@@ -156,6 +163,11 @@
                 .toList();
     }
 
+    /** The cell whose zone has this name; the name itself where there is none. */
+    public String cellOf(final String zone) {
+        return cells.stream().filter(c -> c.endsWith("/" + zone)).findFirst().orElse(zone);
+    }
+
     /** The seeds and electors with their addresses. */
     public Map<NodeId, InetSocketAddress> known() {
         final Map<NodeId, InetSocketAddress> map = new TreeMap<>(seeds);
--- a/rig/src/main/java/rv/rig/sim/SimNode.java
+++ b/rig/src/main/java/rv/rig/sim/SimNode.java
@@ -1,5 +1,6 @@
 package rv.rig.sim;
 
+import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
@@ -25,16 +26,20 @@
     private final NodeId id;
     private final Role role;
     private final String cell;
-    private final java.util.List<NodeId> seeds;
+    private java.util.List<NodeId> seeds;
     private final Quorum quorum;
     private final int shards;
+    private final int losses;
     private Node node;
+    private SimPort port;
     private long life;
     private boolean alive;
     private long frozen;
     private double rate = 1;
     private long shift;
     private long hop;
+    private long wallStep;
+    private boolean founding = true;
 
     public SimNode(
             final World world,
@@ -47,7 +52,8 @@
             final String cell,
             final java.util.List<NodeId> seeds,
             final Quorum quorum,
-            final int shards) {
+            final int shards,
+            final int losses) {
         this.world = world;
         this.net = net;
         this.disk = disk;
@@ -59,6 +65,7 @@
         this.seeds = seeds;
         this.quorum = quorum;
         this.shards = shards;
+        this.losses = losses;
         this.shift = world.dice().nextInt(100_000);
         net.join(this);
     }
@@ -117,17 +124,19 @@
                 .seeds(seeds)
                 .quorum(quorum)
                 .shards(shards)
-                .first(life == 1 || !quorum.stores().isEmpty())
+                .wantedLosses(losses)
+                .first(founding && life == 1 || !quorum.stores().isEmpty())
                 .build();
+        port = yard.port(this);
         node = new Node(
                 setup,
                 new Node.Seams(
                         this,
                         net.of(this),
                         disk.open(this),
-                        yard.port(this),
+                        port,
                         new Random(world.dice().nextLong()),
-                        () -> 1_700_000_000_000L + world.now(),
+                        () -> 1_700_000_000_000L + world.now() + wallStep,
                         m -> {}),
                 journal);
         post(() -> {
@@ -152,10 +161,41 @@
         }
     }
 
+    /** It joins a network that was founded before. */
+    SimNode joining() {
+        founding = false;
+        return this;
+    }
+
+    /** What its settings name from now on; a running process is told. */
+    public void seeds(final java.util.List<NodeId> list) {
+        seeds = java.util.List.copyOf(list);
+        if (alive) {
+            final Map<NodeId, InetSocketAddress> addresses = new LinkedHashMap<>();
+            seeds.forEach(s -> addresses.put(s, InetSocketAddress.createUnresolved(s.text(), 1)));
+            post(() -> node.seeds(addresses));
+        }
+    }
+
+    /** Its time of day jumps; the clock that its timers run on does not. */
+    public void stepClock(final long ms) {
+        wallStep += ms;
+    }
+
     public void freeze(final long ms) {
         frozen = Math.max(frozen, world.now() + ms);
     }
 
+    /** Whether a request is under way in it. */
+    boolean busy() {
+        return role == Role.EDGE ? node.edge().busy() > 0 : port.busy();
+    }
+
+    /** A share of its circuits to origins is reset. */
+    void resetOriginCircuits(final double share) {
+        port.resetCircuits(world.dice()::nextDouble, share);
+    }
+
     /** From now on this clock runs at {@code pace} of true time. */
     public void drift(final double pace) {
         shift = now();
