--- a/rig/src/test/java/rv/rig/KeeperTest.java
+++ b/rig/src/test/java/rv/rig/KeeperTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import rv.base.Disk;
 import rv.base.Loop;
@@ -152,6 +153,10 @@
         assertEquals(new Msg.KeepSeen(true, false, false), got.get(1));
         assertTrue(((Msg.KeptSums) got.get(2)).ok());
         assertEquals(new Msg.KeepSeen(false, false, true), got.get(3));
+        final int cells = ((Msg.KeptSums) got.get(2)).sums().size();
+        k.cells(new Msg.KeepCells(0, IntStream.range(0, cells).boxed().toList(), null), got::add);
+        final List<Msg.AgedNote> given = ((Msg.KeptCells) got.get(4)).notes();
+        assertEquals(List.of(note), given.stream().map(Msg.AgedNote::note).toList());
     }
 
     @Test
