A rebuilding voter waits for long answers and bars the others once

The answer to a reading holds all registers; it was awaited for 350 ms and asked for anew each 400 ms, and each such reading raised the floor at both others, so every ballot that was under way was refused, again and again, and the state crossed the regions each time (0.139 GB). Ruled out: WriteRecovery, suspected first. Now the floor is raised once for each start of the asker, below which lies all that its earlier life may have voted for; an answer with registers is waited for 500 ms, then twice as long each time up to 8 s, and no new attempt begins meanwhile. The answer is still one frame: over 4 MB it never comes (pages are open).

--- a/control/src/main/java/rv/control/MemoryRecovery.java
+++ b/control/src/main/java/rv/control/MemoryRecovery.java
@@ -23,6 +23,15 @@
     private static final long HUSH = 1200;
     private static final long CALM = 700;
     private static final long PATIENCE = 2500;
+    /** How long an answer without registers is waited for. */
+    private static final long BRIEF = 350;
+    /** How long one with all registers is waited for at first; each time twice as long as before, up to the longest. */
+    private static final long WHOLE = 500;
+
+    private static final long WHOLE_LONGEST = 8000;
+    /** Starts of askers that are remembered; one that is forgotten only has the floor raised once more. */
+    private static final int REMEMBERED = 64;
+
     private final NodeId self;
     private final Electorate electorate;
     private final VoterMemory memory;
@@ -35,9 +44,12 @@
     private final BooleanSupplier votes;
     private final Runnable done;
     private RecordHandover records = RecordHandover.NONE;
+    private final Set<String> barred = new HashSet<>();
     private boolean settling;
     private long turn;
     private long born;
+    private long readingUntil = Long.MIN_VALUE;
+    private long patience = WHOLE;
 
     /** {@code votes}: whether this voter votes in the present epoch; {@code done}: run once its memory is rebuilt. */
     MemoryRecovery(
@@ -76,9 +88,10 @@
     /** Answers of an earlier epoch count no more. */
     void moved() {
         turn++;
+        readingUntil = Long.MIN_VALUE;
     }
 
-    void reread(final Msg.Reread ask, final Consumer<Msg> back) {
+    void reread(final NodeId from, final Msg.Reread ask, final Consumer<Msg> back) {
         final boolean has = votes.getAsBoolean();
         if (!has || !ask.bar()) {
             back.accept(memory(has, has || willing() ? boot : "", List.of()));
@@ -88,25 +101,45 @@
             memory.resume();
             journal.add(Event.of(Code.RESUMED, "lives", memory.lives(), "floor", memory.floor()));
         }
-        memory.raise(1 + memory.top());
+        bar(from, ask.boot());
         final List<Msg.Slot> all = List.copyOf(memory.slots().values());
         final Msg.Memory answer = memory(true, boot, all);
         memory.saveSeal(() -> back.accept(answer));
     }
 
+    /**
+     * All that the asker's earlier life may have voted for was promised before its first ask, so it lies below a floor
+     * raised then. Raising it for each repeat would refuse every ballot that is under way, again and again.
+     */
+    private void bar(final NodeId asker, final String start) {
+        if (barred.size() >= REMEMBERED) {
+            barred.clear();
+        }
+        if (barred.add(asker + "#" + start)) {
+            memory.raise(1 + memory.top());
+        }
+    }
+
     private Msg.Memory memory(final boolean has, final String name, final List<Msg.Slot> slots) {
         return new Msg.Memory(has, name, memory.founders(), memory.floor(), slots, memory.lives(), loop.now() - born);
     }
 
     void attempt() {
-        gather(false, false, ++turn);
+        if (loop.now() >= readingUntil) {
+            gather(false, false, ++turn);
+        }
     }
 
     private void gather(final boolean bar, final boolean sole, final long mine) {
         final Map<NodeId, Msg.Memory> got = new HashMap<>();
+        final long wait = bar ? patience : BRIEF;
+        if (bar) {
+            readingUntil = loop.now() + wait;
+            patience = Math.min(WHOLE_LONGEST, 2 * patience);
+        }
         for (final NodeId id : electorate.voters()) {
             if (!id.equals(self)) {
-                net.ask(id, new Msg.Reread(electorate.epoch(), boot, bar, sole), 350, r -> {
+                net.ask(id, new Msg.Reread(electorate.epoch(), boot, bar, sole), wait, r -> {
                     electorate.refused(id, r);
                     r.as(Msg.Memory.class).ifPresent(m -> {
                         if (!memory.full() && turn == mine) {
--- a/control/src/main/java/rv/control/Voter.java
+++ b/control/src/main/java/rv/control/Voter.java
@@ -242,11 +242,11 @@
         return news;
     }
 
-    public void reread(final Msg.Reread ask, final Consumer<Msg> back) {
+    public void reread(final NodeId from, final Msg.Reread ask, final Consumer<Msg> back) {
         if (ask.epoch() != electorate.epoch()) {
             back.accept(electorate.refusal());
         } else {
-            recovery.reread(ask, back);
+            recovery.reread(from, ask, back);
         }
     }
 
--- a/control/src/test/java/rv/control/ModelMachine.java
+++ b/control/src/test/java/rv/control/ModelMachine.java
@@ -188,7 +188,7 @@
         } else if (msg instanceof Msg.Accept m) {
             voter.get().accept(m, back);
         } else if (msg instanceof Msg.Reread m) {
-            voter.get().reread(m, back);
+            voter.get().reread(from, m, back);
         } else if (msg instanceof Msg.Handover m) {
             voter.get().handover(from, m, back);
         } else if (msg instanceof Msg.HandoverRecords m) {
--- a/control/src/test/java/rv/control/OrderCluster.java
+++ b/control/src/test/java/rv/control/OrderCluster.java
@@ -285,7 +285,7 @@
         private void arrive(final NodeId to, final Msg msg, final Consumer<Reply> then) {
             final Machine other = machines.get(to);
             if (other.alive) {
-                other.take(msg, m -> {
+                other.take(id, msg, m -> {
                     if (other.alive && open(to)) {
                         loop.after(delay(to), () -> then.accept(Reply.of(m)));
                     }
@@ -301,7 +301,7 @@
             return to.equals(id) ? 0 : 8 + dice.nextInt(12);
         }
 
-        private void take(final Msg msg, final Consumer<Msg> back) {
+        private void take(final NodeId from, final Msg msg, final Consumer<Msg> back) {
             if (msg instanceof Msg.Learn m) {
                 m.list().forEach(this::learn);
                 back.accept(new Msg.Ok());
@@ -314,7 +314,7 @@
             } else if (msg instanceof Msg.Accept m) {
                 voter.accept(m, back);
             } else if (msg instanceof Msg.Reread m) {
-                voter.reread(m, back);
+                voter.reread(from, m, back);
             } else if (msg instanceof Msg.Query m) {
                 desk.query(m, back);
             } else if (msg instanceof Msg.Vers m) {
--- a/data/src/main/java/rv/data/MessageRouter.java
+++ b/data/src/main/java/rv/data/MessageRouter.java
@@ -43,7 +43,7 @@
         } else if (msg instanceof Msg.Accept m) {
             node.elector().accept(m, back);
         } else if (msg instanceof Msg.Reread m) {
-            node.elector().reread(m, back);
+            node.elector().reread(from, m, back);
         } else if (msg instanceof Msg.Query m) {
             desk.query(m, back);
         } else if (msg instanceof Msg.Vers m) {
