Two tests of connections to origins share one plain dialect

Cause: StayTest and ForgottenConnectionTest held the same stand-in to the letter. It stands once, in PlainDialect; OriginAnswersTest, whose stand-in compares ids, keeps its own. No assertion is changed. StayTest, ForgottenConnectionTest and DocsTest pass after it; the whole verify was not run.

--- a/prog/src/test/java/rv/prog/ForgottenConnectionTest.java
+++ b/prog/src/test/java/rv/prog/ForgottenConnectionTest.java
@@ -9,13 +9,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BiConsumer;
-import java.util.function.UnaryOperator;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,37 +23,7 @@
 
 /** Origins that forget idle connections sooner than they say, over real sockets and with a clock of the test's own. */
 class ForgottenConnectionTest {
-    private static final Dialect PLAIN = new Dialect() {
-        @Override
-        public boolean introduces() {
-            return false;
-        }
-
-        @Override
-        public void heads(final Origin to, final Port.Send what, final BiConsumer<String, String> put) {
-            put.accept("Id", what.id());
-        }
-
-        @Override
-        public Port.Got read(
-                final Origin to,
-                final Port.Send what,
-                final int status,
-                final Map<String, String> heads,
-                final byte[] body) {
-            return new Port.Got(Port.End.WHOLE, status, heads, body, "");
-        }
-
-        @Override
-        public Map<String, String> rehearsed(final UnaryOperator<String> heads) {
-            return Map.of();
-        }
-
-        @Override
-        public String fault(final Origin to, final Port.Send what, final Port.Got got) {
-            return "";
-        }
-    };
+    private static final Dialect PLAIN = new PlainDialect();
 
     private final CoreLoop core = new CoreLoop();
     private final AtomicLong passed = new AtomicLong();
--- a/prog/src/test/java/rv/prog/StayTest.java
+++ b/prog/src/test/java/rv/prog/StayTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
@@ -28,37 +27,7 @@
 
 /** For how long a connection to an origin is used again. */
 class StayTest {
-    private static final Dialect PLAIN = new Dialect() {
-        @Override
-        public boolean introduces() {
-            return false;
-        }
-
-        @Override
-        public void heads(final Origin to, final Port.Send what, final BiConsumer<String, String> put) {
-            put.accept("Id", what.id());
-        }
-
-        @Override
-        public Port.Got read(
-                final Origin to,
-                final Port.Send what,
-                final int status,
-                final Map<String, String> heads,
-                final byte[] body) {
-            return new Port.Got(Port.End.WHOLE, status, heads, body, "");
-        }
-
-        @Override
-        public Map<String, String> rehearsed(final java.util.function.UnaryOperator<String> heads) {
-            return Map.of();
-        }
-
-        @Override
-        public String fault(final Origin to, final Port.Send what, final Port.Got got) {
-            return "";
-        }
-    };
+    private static final Dialect PLAIN = new PlainDialect();
     private final Set<String> circuits = ConcurrentHashMap.newKeySet();
     private final CoreLoop loop = new CoreLoop();
     private final HttpClient http = new HttpClient();
