Sight: how far a voter is after its start, and what a node does while its view waits

RV1313, RV1314: registers, those not known as chosen, reads by ballot begun, failed and open, the worst delay of a timer, the largest register. RV1604: queries, open ones and items received while the view is not confirmed. Without them the hypotheses of the incident cannot be told apart.

--- a/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
@@ -10,8 +10,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
+import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.Register;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.ItemKind;
@@ -47,12 +49,13 @@
     private final Map<ItemId, Long> dueAt = new HashMap<>();
     private final Set<ItemId> foundOnDisk = new HashSet<>();
     private final Set<ItemId> reading = new HashSet<>();
+    private final RecoveryProgress progress;
     private long startedAt;
 
-    /** Reads a register, which has its value chosen. */
+    /** Reads a register, which has its value chosen; {@code done} gets whether that is known in time. */
     @FunctionalInterface
     interface Reader {
-        void read(ItemId id, Runnable done);
+        void read(ItemId id, Consumer<Boolean> done);
     }
 
     /** {@code rank}: this voter's place among all. */
@@ -62,15 +65,17 @@
             final Proposer proposer,
             final EventLoop loop,
             final Random random,
-            final IntSupplier rank) {
+            final IntSupplier rank,
+            final EventJournal journal) {
         this(
                 acceptor::isVoting,
                 acceptor::registers,
                 items,
-                (id, done) -> proposer.read(id, READ_TIMEOUT_MILLIS, r -> done.run()),
+                (id, done) -> proposer.read(id, READ_TIMEOUT_MILLIS, result -> done.accept(result.isAccepted())),
                 loop,
                 random,
-                rank);
+                rank,
+                journal);
     }
 
     UnfinishedWriteRecovery(
@@ -80,7 +85,8 @@
             final Reader reader,
             final EventLoop loop,
             final Random random,
-            final IntSupplier rank) {
+            final IntSupplier rank,
+            final EventJournal journal) {
         this.isVoting = isVoting;
         this.registers = registers;
         this.items = items;
@@ -88,12 +94,14 @@
         this.loop = loop;
         this.random = random;
         this.rank = rank;
+        this.progress = new RecoveryProgress(loop, journal);
     }
 
     /** Begins to look for accepted values that are not known as chosen. */
     public void start() {
         startedAt = loop.now();
         foundOnDisk.addAll(registers.get().keySet());
+        progress.start(registers, items, foundOnDisk);
         loop.execute(this::recover);
         loop.scheduleRepeatedly(INTERVAL_MS, this::recover);
     }
@@ -131,8 +139,10 @@
 
     private void read(final ItemId id) {
         reading.add(id);
-        reader.read(id, () -> {
+        progress.readBegun();
+        reader.read(id, known -> {
             reading.remove(id);
+            progress.readEnded(known);
             dueAt.put(id, loop.now() + (isStartupRecovery(id) ? RANK_DELAY_MS + random.nextInt(100) : 800));
         });
     }
--- a/control/src/main/java/org/rowanvalve/control/view/ViewSynchronizer.java
+++ b/control/src/main/java/org/rowanvalve/control/view/ViewSynchronizer.java
@@ -46,6 +46,7 @@
     private boolean wasFresh;
     private long staleSince;
     private int ticks;
+    private final ViewWaitReport waitReport;
 
     public ViewSynchronizer(
             final VotingConfiguration votingConfiguration,
@@ -65,6 +66,7 @@
         this.timings = timings;
         this.quorum = votingConfiguration.quorum();
         this.journal = journal;
+        this.waitReport = new ViewWaitReport(loop, journal, items);
         votingConfiguration.addListener(this::onVotingSetChange);
     }
 
@@ -99,6 +101,7 @@
         if (isFresh()) {
             staleSince = loop.now();
         }
+        waitReport.onTick(isFresh());
         if (++ticks % 3 == 0 || !isFresh() && loop.now() - staleSince < STARTUP_MS) {
             poll();
         }
@@ -114,7 +117,9 @@
         for (final NodeId voter : quorum.voters()) {
             final long epoch = quorum.epoch();
             final long sentAt = loop.now();
+            waitReport.onQuery();
             transport.request(voter, new DigestRequest(epoch, items.digest().total()), 700, reply -> {
+                waitReport.onAnswer();
                 votingConfiguration.isEpochMismatch(voter, reply);
                 reply.as(DigestResponse.class).ifPresent(response -> {
                     onContact.accept(voter);
@@ -134,20 +139,23 @@
             recordConfirmation(epoch, voter, sentAt);
             return;
         }
-        transport.request(
-                voter,
-                new MissingItemsRequest(epoch, buckets, items.versions(buckets)),
-                1000,
-                reply -> reply.as(MissingItemsResponse.class).ifPresent(response -> {
-                    response.items().forEach(learner);
-                    if (response.complete()) {
-                        recordConfirmation(epoch, voter, sentAt);
-                    }
-                    if (response.wanted() != null && !response.wanted().isEmpty()) {
-                        transport.request(
-                                voter, new LearnNotification(items.chosenItems(response.wanted())), 500, ignored -> {});
-                    }
-                }));
+        waitReport.onQuery();
+        transport.request(voter, new MissingItemsRequest(epoch, buckets, items.versions(buckets)), 1000, reply -> {
+            waitReport.onAnswer();
+            reply.as(MissingItemsResponse.class).ifPresent(response -> onMissingItems(epoch, voter, sentAt, response));
+        });
+    }
+
+    private void onMissingItems(
+            final long epoch, final NodeId voter, final long sentAt, final MissingItemsResponse response) {
+        waitReport.onItems(response.items().size());
+        response.items().forEach(learner);
+        if (response.complete()) {
+            recordConfirmation(epoch, voter, sentAt);
+        }
+        if (response.wanted() != null && !response.wanted().isEmpty()) {
+            transport.request(voter, new LearnNotification(items.chosenItems(response.wanted())), 500, ignored -> {});
+        }
     }
 
     private void recordConfirmation(final long epoch, final NodeId voter, final long sentAt) {
--- a/control/src/test/java/org/rowanvalve/control/consensus/ModelMachine.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/ModelMachine.java
@@ -104,7 +104,8 @@
                         proposer,
                         this,
                         new Random(self.hashCode() + life),
-                        () -> votingConfiguration.voters().indexOf(self))
+                        () -> votingConfiguration.voters().indexOf(self),
+                        new EventJournal(this, 1))
                 .start();
     }
 
--- a/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.ChosenItem;
@@ -39,7 +40,7 @@
         slots.put(id, new Register(ballot, ballot, new Item(id, new Version(1), "{}", false, "t")));
     }
 
-    private void read(final ItemId id, final Runnable done) {
+    private void read(final ItemId id, final Consumer<Boolean> done) {
         assertTrue(open.add(id), "twice at a time: " + id);
         begun.add(id);
         most = Math.max(most, open.size());
@@ -47,7 +48,7 @@
             open.remove(id);
             items.merge(
                     new ChosenItem(slots.get(id).acceptedBallot(), slots.get(id).item()));
-            done.run();
+            done.accept(true);
         });
     }
 
@@ -56,7 +57,15 @@
             accepted(new ItemId(ItemKind.PURGE, "h." + (1000 + i)));
         }
         accepted(ItemId.LEADERSHIP);
-        new UnfinishedWriteRecovery(() -> true, () -> slots, items, this::read, loop, new Random(1), () -> rank)
+        new UnfinishedWriteRecovery(
+                        () -> true,
+                        () -> slots,
+                        items,
+                        this::read,
+                        loop,
+                        new Random(1),
+                        () -> rank,
+                        new EventJournal(loop, 10))
                 .start();
     }
 
--- a/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
@@ -227,7 +227,13 @@
             recovery = acceptor == null
                     ? null
                     : new UnfinishedWriteRecovery(
-                            acceptor, items, proposer, this, new Random(random.nextLong()), () -> VOTERS.indexOf(id));
+                            acceptor,
+                            items,
+                            proposer,
+                            this,
+                            new Random(random.nextLong()),
+                            () -> VOTERS.indexOf(id),
+                            journal);
         }
 
         private void learn(final ChosenItem chosen) {
--- a/data/src/main/java/org/rowanvalve/data/node/VoterComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/VoterComponents.java
@@ -61,7 +61,8 @@
                 core.proposer,
                 loop,
                 runtime.random(),
-                () -> core.votingConfiguration.voters().indexOf(ownId));
+                () -> core.votingConfiguration.voters().indexOf(ownId),
+                journal);
         viewServer = new ViewServer(acceptor, items, loop);
     }
 
