--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimNode.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimNode.java
@@ -42,6 +42,7 @@
     private long shift;
     private long hop;
     private long wallStep;
+    private final SimProcessor processor;
     private boolean founding = true;
 
     public SimNode(
@@ -69,6 +70,7 @@
         this.quorum = quorum;
         this.shards = shards;
         this.losses = losses;
+        this.processor = new SimProcessor(time);
         this.shift = time.dice().nextInt(100_000);
         net.join(this);
     }
@@ -119,6 +121,7 @@
         life++;
         alive = true;
         frozen = 0;
+        processor.clear();
         final String boot = "b" + life;
         final EventJournal journal = new EventJournal(this, 200);
         journal.subscribe(entry -> {
@@ -204,6 +207,16 @@
         return role == Role.EDGE ? node.edge().openRequests() > 0 : port.busy();
     }
 
+    /** From now on each message that it receives takes its processor this long, in microseconds. */
+    public void messageCost(final long microsPerMessage, final long microsPerKilobyte) {
+        processor.cost(microsPerMessage, microsPerKilobyte);
+    }
+
+    /** Handles a message once the processor has got to it. */
+    void process(final int frameBytes, final Runnable job) {
+        schedule(processor.delayMs(frameBytes), job);
+    }
+
     /** A share of its circuits to origins is reset. */
     void resetOriginCircuits(final double share) {
         port.resetCircuits(time.dice()::nextDouble, share);
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimTransport.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimTransport.java
@@ -171,16 +171,18 @@
         final long life = peer.life();
         tap.accept(question.recipient, msg);
         question.arrived();
-        peer.execute(() -> peer.node().handle(question.self.id(), open(data).message(), m -> {
-            final byte[] back = word.apply(
-                    question.recipient,
-                    MessageCodec.encode(
-                            new MessageCodec.Frame(MessageCodec.PROTOCOL_VERSION, 0, 1, question.recipient, m)));
-            weigh(m, back.length);
-            if (peer.life() == life && peer.alive()) {
-                question.carryBack(Reply.of(open(back).message()));
-            }
-        }));
+        peer.process(
+                data.length,
+                () -> peer.node().handle(question.self.id(), open(data).message(), m -> {
+                    final byte[] back = word.apply(
+                            question.recipient,
+                            MessageCodec.encode(new MessageCodec.Frame(
+                                    MessageCodec.PROTOCOL_VERSION, 0, 1, question.recipient, m)));
+                    weigh(m, back.length);
+                    if (peer.life() == life && peer.alive()) {
+                        question.carryBack(Reply.of(open(back).message()), back.length);
+                    }
+                }));
     }
 
     /** One question from a process to another: what is said of it is heard only once, and only by the life that asked. */
@@ -217,12 +219,20 @@
         }
 
         void carryBack(final Reply reply) {
-            carry(recipient.text(), self.id().text(), () -> hear(reply));
+            carryBack(reply, 0);
+        }
+
+        void carryBack(final Reply reply, final int frameBytes) {
+            carry(recipient.text(), self.id().text(), () -> hear(reply, frameBytes));
         }
 
         void hear(final Reply reply) {
+            hear(reply, 0);
+        }
+
+        private void hear(final Reply reply, final int frameBytes) {
             if (self.life() == life) {
-                self.execute(() -> answered(reply));
+                self.process(frameBytes, () -> answered(reply));
             }
         }
 
