A second test that fails: each request that waits for a view asks every voter for everything

ViewSynchronizerTest: 50 callers each 25 ms, answers after 100 ms; expected one open question for each voter. Shield.handle polls the voters for each forwarded request that names versions it lacks, every 50 ms.

--- a/control/src/test/java/org/rowanvalve/control/view/ViewSynchronizerTest.java
+++ b/control/src/test/java/org/rowanvalve/control/view/ViewSynchronizerTest.java
@@ -5,9 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.rowanvalve.common.message.ChosenItem;
+import org.rowanvalve.common.model.Ballot;
+import org.rowanvalve.common.model.Item;
+import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.control.voting.Quorum;
 import org.rowanvalve.control.voting.VoterFixture;
@@ -26,6 +31,23 @@
         assertEquals(List.of(true), heard);
     }
 
+    /** Hundreds of requests that wait for the view must not each ask the voters, who have to answer all the more. */
+    @Test
+    void howeverManyWaitAVoterHasOneQuestionToAnswerAtATime() {
+        net.news.add(new ChosenItem(new Ballot(1, "w"), Item.none(ItemId.LEDGER).successor("{}", "t1")));
+        net.answerMs = 100;
+        for (int i = 0; i < 40; i++) {
+            for (int waiting = 0; waiting < 50; waiting++) {
+                net.view.poll();
+            }
+            net.view.awaitConfirmation(net.loop.now(), 700, heard::add);
+            net.loop.run(25);
+        }
+        net.loop.run(1000);
+        assertEquals(1, net.mostOpenQueries);
+        assertEquals(Collections.nCopies(40, true), heard);
+    }
+
     @Test
     void withoutAMajorityItIsNoAtTheCutoff() {
         net.confirm();
--- a/control/src/test/java/org/rowanvalve/control/voting/VoterFixture.java
+++ b/control/src/test/java/org/rowanvalve/control/voting/VoterFixture.java
@@ -71,6 +71,13 @@
             items,
             () -> List.of(),
             new StoreHealth(votingConfiguration.quorum(), loop, journal));
+    /** Time until an answer, in ms. */
+    public long answerMs = 1;
+
+    /** Questions of either kind that are not answered yet, and the most of them at a time for one elector. */
+    public final Map<NodeId, Integer> openQueries = new HashMap<>();
+
+    public int mostOpenQueries;
     private final Map<NodeId, Map<ItemId, Register>> memory = new HashMap<>();
     private long tags;
 
@@ -95,7 +102,17 @@
         if (deaf.contains(recipient) || vote && mute.contains(recipient)) {
             loop.schedule(wait, () -> then.accept(Reply.failed(Reply.Failure.NO_RESPONSE)));
         } else {
-            loop.schedule(1, () -> then.accept(Reply.of(answer(recipient, msg))));
+            countQuery(recipient, msg, 1);
+            loop.schedule(answerMs, () -> {
+                countQuery(recipient, msg, -1);
+                then.accept(Reply.of(answer(recipient, msg)));
+            });
+        }
+    }
+
+    private void countQuery(final NodeId recipient, final Message msg, final int change) {
+        if (msg instanceof DigestRequest || msg instanceof MissingItemsRequest) {
+            mostOpenQueries = Math.max(mostOpenQueries, openQueries.merge(recipient, change, Integer::sum));
         }
     }
 
