Voters compare what they accepted before they read registers by ballot after a start

Cause: after a start no voter knows which of its accepted values are chosen, and each read every register anew by prepare and accept, synced, at all voters, with notices to all nodes. So recovery grew with all that was ever changed, three times over, and past some hundred registers the reads met their time-outs and began again.

Now voters exchange checksums in 1024 buckets over what they accepted and synced; what a write quorum of one epoch accepted under one ballot is chosen. Only what differs is read by ballot, or what no comparison examined for 2 s (a voter of an earlier release does not know the request).

Ruled out: extending an earlier frame (its stored form would change); handing over registers (asks for sealed voters).

--- /dev/null
+++ b/common/src/main/java/org/rowanvalve/common/message/AcceptedChecksumsRequest.java
@@ -0,0 +1,7 @@
+package org.rowanvalve.common.message;
+
+import com.fasterxml.jackson.annotation.JsonTypeName;
+
+/** Asks another voter of this epoch for checksums over the values that it has accepted, in so many buckets. */
+@JsonTypeName("AcceptedChecksums")
+public record AcceptedChecksumsRequest(long epoch, int buckets) implements Message {}
--- a/common/src/main/java/org/rowanvalve/common/message/Message.java
+++ b/common/src/main/java/org/rowanvalve/common/message/Message.java
@@ -4,6 +4,8 @@
 public sealed interface Message
         permits AcceptRequest,
                 AcceptResponse,
+                AcceptedChecksumsRequest,
+                AcceptedChecksumsResponse,
                 AckResponse,
                 AttemptGrantRequest,
                 AttemptGrantResponse,
--- a/control/src/main/java/org/rowanvalve/control/consensus/Acceptor.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/Acceptor.java
@@ -1,5 +1,6 @@
 package org.rowanvalve.control.consensus;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,8 @@
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.AcceptRequest;
 import org.rowanvalve.common.message.AcceptResponse;
+import org.rowanvalve.common.message.AcceptedChecksumsRequest;
+import org.rowanvalve.common.message.AcceptedChecksumsResponse;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.PrepareRequest;
@@ -47,6 +50,7 @@
     private final AcceptorState state;
     private final AcceptorStateRecovery recovery;
     private final AcceptorHandover handOverRegisters;
+    private final AcceptedValueComparison comparison;
     private Runnable stateRebuilt = () -> {};
     private Runnable prefillItems = () -> {};
 
@@ -79,6 +83,7 @@
                 virgin,
                 this::isVoting,
                 () -> stateRebuilt.run());
+        comparison = new AcceptedValueComparison(self, votingConfiguration, state, loop, transport);
         handOverRegisters =
                 new AcceptorHandover(self, votingConfiguration, state, loop, transport, journal, this::onJoined);
     }
@@ -162,6 +167,25 @@
         recovery.recordHandover(store);
     }
 
+    /**
+     * Compares what was accepted here with what the other voters accepted. {@code learner} gets every value that is
+     * found to be chosen; {@code examined} the registers that were compared, where enough voters answer.
+     */
+    void compareAcceptedValues(final Consumer<ChosenItem> learner, final Consumer<Collection<ItemId>> examined) {
+        comparison.run(learner, examined);
+    }
+
+    /** Answers another voter's comparison once all that its checksums cover is synced here. */
+    public void acceptedChecksums(final AcceptedChecksumsRequest request, final Consumer<Message> callback) {
+        final Optional<Message> rejection = rejection(request.epoch());
+        if (rejection.isPresent()) {
+            callback.accept(rejection.get());
+            return;
+        }
+        final List<Long> checksums = AcceptorState.checksums(state.registers().values(), request.buckets());
+        state.whenSynced(() -> callback.accept(new AcceptedChecksumsResponse(checksums)));
+    }
+
     /** Whether this voter lacks none of the state that it once had. */
     public boolean hasState() {
         return state.complete();
--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptorState.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptorState.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -299,18 +300,27 @@
 
     /** Checksums by bucket over the accepted values and their ballots, to find where two states differ. */
     List<Long> checksums() {
-        final long[] sums = new long[ItemDigest.BUCKETS];
-        registers.values().stream()
+        return checksums(registers.values(), ItemDigest.BUCKETS);
+    }
+
+    /** The same over these registers, in so many buckets, a power of two. */
+    static List<Long> checksums(final Collection<Register> registers, final int buckets) {
+        final long[] sums = new long[buckets];
+        registers.stream()
                 .filter(register -> register.acceptedBallot().round() > 0)
-                .forEach(register -> sums[ItemDigest.bucket(register.item().id())] ^=
-                        Hash.hash64(register.item().id().text() + "@"
-                                + register.item().version().number() + "@"
-                                + register.acceptedBallot().round() + "@"
-                                + register.acceptedBallot().proposer()));
-        final List<Long> list = new ArrayList<>();
-        for (final long register : sums) {
-            list.add(register);
-        }
-        return list;
+                .forEach(register -> sums[ItemDigest.bucket(register.item().id(), buckets)] ^= checksum(register));
+        return Arrays.stream(sums).boxed().toList();
+    }
+
+    private static long checksum(final Register register) {
+        return Hash.hash64(register.item().id().text() + "@"
+                + register.item().version().number() + "@"
+                + register.acceptedBallot().round() + "@"
+                + register.acceptedBallot().proposer());
+    }
+
+    /** {@code synced}: once all that was accepted before is synced; not called where the disk fails. */
+    void whenSynced(final Runnable synced) {
+        save(Map.of(), synced, () -> {});
     }
 }
--- a/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
@@ -1,6 +1,7 @@
 package org.rowanvalve.control.consensus;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -23,14 +24,21 @@
 /**
  * Completes writes whose proposer has gone: values accepted here that nobody has announced as chosen. Values found on
  * the disk at a start are completed at once, by the first voter that is up, since after a loss of all power no proposer
- * is left. A bounded number of items is read at a time, each once, so that recovery leaves room for the leader's own
- * writes.
+ * is left. Where there are more than a few, the voters first compare what they have accepted, which tells of nearly all
+ * values that they are chosen; only what is left after that is read by ballot. A bounded number of items is read at a
+ * time, each once, so that recovery leaves room for the leader's own writes.
  */
 public final class UnfinishedWriteRecovery {
     /** Upper bound of items that are read at the same time. */
     static final int MAX_CONCURRENT_READS = 64;
 
+    /** Up to so many unknown values are read by ballot without a comparison. */
+    static final int FEW_VALUES = 16;
+
     private static final long INTERVAL_MS = 50;
+    /** A value that no comparison has examined for this time is read by ballot. */
+    private static final long COMPARISON_PATIENCE_MS = 2000;
+
     private static final long READ_TIMEOUT_MILLIS = 700;
     /** For this time after the start, items found on the disk are completed sooner than others. */
     private static final long STARTUP_MS = 4000;
@@ -49,6 +57,12 @@
     private final Map<ItemId, Long> dueAt = new HashMap<>();
     private final Set<ItemId> foundOnDisk = new HashSet<>();
     private final Set<ItemId> reading = new HashSet<>();
+    /** Found on disk or accepted since, compared with the other voters, and still not known as chosen. */
+    private final Set<ItemId> examined = new HashSet<>();
+
+    private final Map<ItemId, Long> unknownSince = new HashMap<>();
+    private final Comparison comparison;
+    private final int fewValues;
     private final RecoveryProgress progress;
     private long startedAt;
 
@@ -58,6 +72,12 @@
         void read(ItemId id, Consumer<Boolean> done);
     }
 
+    /** Compares all accepted values with the other voters'; see {@link Acceptor#compareAcceptedValues}. */
+    @FunctionalInterface
+    interface Comparison {
+        void run(Consumer<Collection<ItemId>> examined);
+    }
+
     /** {@code rank}: this voter's place among all. */
     public UnfinishedWriteRecovery(
             final Acceptor acceptor,
@@ -67,15 +87,30 @@
             final Random random,
             final IntSupplier rank,
             final EventJournal journal) {
+        this(acceptor, items, proposer, loop, random, rank, journal, FEW_VALUES);
+    }
+
+    /** {@code fewValues}: how many unknown values are read by ballot without a comparison. */
+    UnfinishedWriteRecovery(
+            final Acceptor acceptor,
+            final ItemStore items,
+            final Proposer proposer,
+            final EventLoop loop,
+            final Random random,
+            final IntSupplier rank,
+            final EventJournal journal,
+            final int fewValues) {
         this(
                 acceptor::isVoting,
                 acceptor::registers,
                 items,
                 (id, done) -> proposer.read(id, READ_TIMEOUT_MILLIS, result -> done.accept(result.isAccepted())),
+                examined -> acceptor.compareAcceptedValues(items::merge, examined),
                 loop,
                 random,
                 rank,
-                journal);
+                journal,
+                fewValues);
     }
 
     UnfinishedWriteRecovery(
@@ -83,14 +118,18 @@
             final Supplier<Map<ItemId, Register>> registers,
             final ItemStore items,
             final Reader reader,
+            final Comparison comparison,
             final EventLoop loop,
             final Random random,
             final IntSupplier rank,
-            final EventJournal journal) {
+            final EventJournal journal,
+            final int fewValues) {
+        this.fewValues = fewValues;
         this.isVoting = isVoting;
         this.registers = registers;
         this.items = items;
         this.reader = reader;
+        this.comparison = comparison;
         this.loop = loop;
         this.random = random;
         this.rank = rank;
@@ -107,21 +146,38 @@
     }
 
     private void recover() {
-        if (isVoting.getAsBoolean()) {
-            dueItems().stream().limit(MAX_CONCURRENT_READS - reading.size()).forEach(this::read);
+        if (!isVoting.getAsBoolean()) {
+            return;
+        }
+        final List<ItemId> unknown = unknownItems();
+        if (unknown.size() > fewValues && !examined.containsAll(unknown)) {
+            comparison.run(examined::addAll);
         }
+        dueItems(unknown).stream().limit(MAX_CONCURRENT_READS - reading.size()).forEach(this::read);
     }
 
-    /** The items that are due; two voters begin at different ends, so that they do not overtake each other. */
-    private List<ItemId> dueItems() {
-        final List<ItemId> list = new ArrayList<>();
+    /** Registers whose accepted value is not known as chosen. */
+    private List<ItemId> unknownItems() {
+        final List<ItemId> unknown = new ArrayList<>();
         registers.get().forEach((id, register) -> {
-            if (!register.item().version().isAbove(items.get(id).version())) {
+            if (register.item().version().isAbove(items.get(id).version())) {
+                unknown.add(id);
+                unknownSince.putIfAbsent(id, loop.now());
+            } else {
                 dueAt.remove(id);
-            } else if (loop.now() >= dueAt.computeIfAbsent(id, this::firstDueAt) && !reading.contains(id)) {
-                list.add(id);
+                unknownSince.remove(id);
+                examined.remove(id);
             }
         });
+        return unknown;
+    }
+
+    /** The items that are due; two voters begin at different ends, so that they do not overtake each other. */
+    private List<ItemId> dueItems(final List<ItemId> unknown) {
+        final List<ItemId> list = new ArrayList<>(unknown.stream()
+                .filter(id -> unknown.size() <= fewValues || mayBeRead(id))
+                .filter(id -> loop.now() >= dueAt.computeIfAbsent(id, this::firstDueAt) && !reading.contains(id))
+                .toList());
         if (rank.getAsInt() % 2 == 1) {
             Collections.reverse(list);
         }
@@ -129,6 +185,12 @@
         return list;
     }
 
+    private boolean mayBeRead(final ItemId id) {
+        return URGENT.contains(id.kind())
+                || examined.contains(id)
+                || loop.now() - unknownSince.get(id) >= COMPARISON_PATIENCE_MS;
+    }
+
     private boolean isStartupRecovery(final ItemId id) {
         return loop.now() - startedAt < STARTUP_MS && foundOnDisk.contains(id);
     }
--- a/control/src/main/java/org/rowanvalve/control/store/ItemDigest.java
+++ b/control/src/main/java/org/rowanvalve/control/store/ItemDigest.java
@@ -14,7 +14,12 @@
 
     /** The bucket of an item; the same on every node. */
     public static int bucket(final ItemId id) {
-        return (int) (Hash.hash64(id.text()) & BUCKETS - 1);
+        return bucket(id, BUCKETS);
+    }
+
+    /** The bucket of an item among so many, a power of two; the same on every node. */
+    public static int bucket(final ItemId id, final int buckets) {
+        return (int) (Hash.hash64(id.text()) & buckets - 1);
     }
 
     /** Takes the earlier version out of the checksums and the present one in. */
--- a/control/src/test/java/org/rowanvalve/control/consensus/ModelMachine.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/ModelMachine.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.AcceptRequest;
+import org.rowanvalve.common.message.AcceptedChecksumsRequest;
 import org.rowanvalve.common.message.AckResponse;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.LearnNotification;
@@ -105,7 +106,8 @@
                         this,
                         new Random(self.hashCode() + life),
                         () -> votingConfiguration.voters().indexOf(self),
-                        new EventJournal(this, 1))
+                        new EventJournal(this, 1),
+                        0)
                 .start();
     }
 
@@ -202,6 +204,8 @@
             voter.get().prepare(m, back);
         } else if (msg instanceof AcceptRequest m) {
             voter.get().accept(m, back);
+        } else if (msg instanceof AcceptedChecksumsRequest m) {
+            voter.get().acceptedChecksums(m, back);
         } else if (msg instanceof StateTransferRequest m) {
             voter.get().transferState(from, m, back);
         } else if (msg instanceof RegisterHandoverRequest m) {
--- a/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,9 @@
     private final List<ItemId> begun = new ArrayList<>();
     private final Set<ItemId> open = new HashSet<>();
     private int most;
+    private int comparisons;
+    private int differing = ITEMS + 1;
+    private long compareMs;
 
     private void accepted(final ItemId id) {
         final Ballot ballot = new Ballot(1, "w");
@@ -52,20 +56,37 @@
         });
     }
 
+    /** All values but the {@code differing} first ones are accepted by all voters alike. */
+    private void compare(final Consumer<Collection<ItemId>> examined) {
+        comparisons++;
+        loop.schedule(compareMs, () -> {
+            slots.values().stream()
+                    .skip(differing)
+                    .forEach(slot -> items.merge(new ChosenItem(slot.acceptedBallot(), slot.item())));
+            examined.accept(List.copyOf(slots.keySet()));
+        });
+    }
+
     private void start(final int rank) {
         for (int i = 0; i < ITEMS; i++) {
             accepted(new ItemId(ItemKind.PURGE, "h." + (1000 + i)));
         }
         accepted(ItemId.LEADERSHIP);
+        begin(rank);
+    }
+
+    private void begin(final int rank) {
         new UnfinishedWriteRecovery(
                         () -> true,
                         () -> slots,
                         items,
                         this::read,
+                        this::compare,
                         loop,
                         new Random(1),
                         () -> rank,
-                        new EventJournal(loop, 10))
+                        new EventJournal(loop, 10),
+                        UnfinishedWriteRecovery.FEW_VALUES)
                 .start();
     }
 
@@ -79,6 +100,39 @@
         assertTrue(open.isEmpty());
     }
 
+    @Test
+    void whatAllVotersAcceptedAlikeIsNotReadByBallot() {
+        differing = 3;
+        compareMs = 40;
+        start(0);
+        loop.run(3000);
+        assertEquals(4, begun.size(), "those, and the leadership, which waits for no comparison");
+        assertTrue(
+                slots.keySet().stream().allMatch(id -> items.get(id).version().number() == 1));
+    }
+
+    @Test
+    void aFewValuesAreReadAtOnce() {
+        for (int i = 0; i < UnfinishedWriteRecovery.FEW_VALUES; i++) {
+            accepted(new ItemId(ItemKind.PURGE, "h." + i));
+        }
+        begin(0);
+        loop.run(10);
+        assertEquals(UnfinishedWriteRecovery.FEW_VALUES, begun.size());
+        assertEquals(0, comparisons);
+    }
+
+    /** No other voter answers a comparison: after a while the values are read all the same. */
+    @Test
+    void aComparisonThatNobodyAnswersDoesNotHoldUpTheReadsForEver() {
+        compareMs = 1_000_000;
+        start(0);
+        loop.run(1500);
+        assertEquals(List.of(ItemId.LEADERSHIP), begun);
+        loop.run(4000);
+        assertEquals(ITEMS + 1, begun.size());
+    }
+
     @Test
     void whatTheAuthorityNeedsComesFirst() {
         start(0);
@@ -89,7 +143,8 @@
     @Test
     void twoVotersBeginAtDifferentEnds() {
         start(0);
-        loop.run(10);
+        loop.run(60);
+        assertEquals(UnfinishedWriteRecovery.MAX_CONCURRENT_READS, begun.size());
         final Set<ItemId> first = new HashSet<>(begun);
         final UnfinishedWriteRecoveryTest second = new UnfinishedWriteRecoveryTest();
         second.start(1);
--- a/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
@@ -14,6 +14,7 @@
 import java.util.function.IntConsumer;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.AcceptRequest;
+import org.rowanvalve.common.message.AcceptedChecksumsRequest;
 import org.rowanvalve.common.message.AckResponse;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.DigestRequest;
@@ -343,6 +344,8 @@
                 acceptor.prepare(m, back);
             } else if (msg instanceof AcceptRequest m) {
                 acceptor.accept(m, back);
+            } else if (msg instanceof AcceptedChecksumsRequest m) {
+                acceptor.acceptedChecksums(m, back);
             } else if (msg instanceof StateTransferRequest m) {
                 acceptor.transferState(from, m, back);
             } else if (msg instanceof DigestRequest m) {
--- a/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
+++ b/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.rowanvalve.common.message.AcceptRequest;
+import org.rowanvalve.common.message.AcceptedChecksumsRequest;
 import org.rowanvalve.common.message.AckResponse;
 import org.rowanvalve.common.message.AttemptGrantRequest;
 import org.rowanvalve.common.message.AttemptGrantResponse;
@@ -59,6 +60,8 @@
             voter.acceptor().prepare(request, callback);
         } else if (message instanceof AcceptRequest request) {
             voter.acceptor().accept(request, callback);
+        } else if (message instanceof AcceptedChecksumsRequest request) {
+            voter.acceptor().acceptedChecksums(request, callback);
         } else if (message instanceof StateTransferRequest request) {
             voter.acceptor().transferState(from, request, callback);
         } else if (message instanceof DigestRequest request) {
--- a/testkit/src/test/java/org/rowanvalve/testkit/RecoveryAfterChangesTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/RecoveryAfterChangesTest.java
@@ -32,7 +32,7 @@
     private static final int FEW = 20;
     private static final int MANY = 400;
     /** From the start of the processes until every shield has a confirmed view. */
-    private static final long BOUND_MS = 3000;
+    private static final long BOUND_MS = 1500;
 
     private static final long PATIENCE_MS = 15_000;
     private static final long RETRY_MS = 300;
