Parts of a voter share a context in place of long parameter lists

AcceptorStateRecovery took 11 parameters, AcceptorHandover 7; VoterContext holds what all parts of one voter share. No change of behaviour; control tests green.

--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptedValueComparison.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptedValueComparison.java
@@ -48,17 +48,12 @@
     private long nextAt = Long.MIN_VALUE;
     private int failures;
 
-    AcceptedValueComparison(
-            final NodeId self,
-            final VotingConfiguration votingConfiguration,
-            final AcceptorState state,
-            final EventLoop loop,
-            final Transport transport) {
-        this.self = self;
-        this.votingConfiguration = votingConfiguration;
+    AcceptedValueComparison(final VoterContext context, final AcceptorState state) {
+        this.self = context.self();
+        this.votingConfiguration = context.votingConfiguration();
         this.state = state;
-        this.loop = loop;
-        this.transport = transport;
+        this.loop = context.loop();
+        this.transport = context.transport();
     }
 
     /**
--- a/control/src/main/java/org/rowanvalve/control/consensus/Acceptor.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/Acceptor.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
@@ -49,7 +50,7 @@
     private final boolean firstStart;
     private final AcceptorState state;
     private final AcceptorStateRecovery recovery;
-    private final AcceptorHandover handOverRegisters;
+    private final AcceptorHandover handover;
     private final AcceptedValueComparison comparison;
     private Runnable stateRebuilt = () -> {};
     private Runnable prefillItems = () -> {};
@@ -71,21 +72,11 @@
         this.incarnation = incarnation;
         this.firstStart = firstStart;
         state = new AcceptorState(storage, journal);
-        recovery = new AcceptorStateRecovery(
-                self,
-                votingConfiguration,
-                state,
-                loop,
-                transport,
-                journal,
-                incarnation,
-                firstStart,
-                virgin,
-                this::isVoting,
-                () -> stateRebuilt.run());
-        comparison = new AcceptedValueComparison(self, votingConfiguration, state, loop, transport);
-        handOverRegisters =
-                new AcceptorHandover(self, votingConfiguration, state, loop, transport, journal, this::onJoined);
+        final VoterContext context = new VoterContext(self, incarnation, votingConfiguration, loop, transport, journal);
+        recovery =
+                new AcceptorStateRecovery(context, state, firstStart, virgin, this::isVoting, () -> stateRebuilt.run());
+        comparison = new AcceptedValueComparison(context, state);
+        handover = new AcceptorHandover(context, state, this::onJoined);
     }
 
     /** Reads the state from disk; fails where it cannot be read. */
@@ -104,7 +95,7 @@
         if (set != null) {
             votingConfiguration.reconcile(self, set.item().version().number(), set);
         }
-        handOverRegisters.onVotingSetChange();
+        handover.onVotingSetChange();
         tick();
     }
 
@@ -119,7 +110,7 @@
                 "voting",
                 votingConfiguration.isVoter(self)));
         recovery.onVotingSetChange();
-        handOverRegisters.onVotingSetChange();
+        handover.onVotingSetChange();
         catchUp();
     }
 
@@ -135,7 +126,7 @@
         }
         if (votingConfiguration.epoch() > state.epoch() && state.isContinuous()) {
             prefillItems();
-            handOverRegisters.readPreviousSet();
+            handover.readPreviousSet();
         } else if (!state.complete()) {
             recovery.attempt();
         }
@@ -158,12 +149,12 @@
     }
 
     /** {@code known}: all chosen items that this node holds; they need not be handed over. */
-    public void prefillItems(final java.util.function.Supplier<? extends Iterable<ChosenItem>> known) {
+    public void prefillItems(final Supplier<? extends Iterable<ChosenItem>> known) {
         prefillItems = () -> known.get().forEach(this::merge);
     }
 
     public void connectRecords(final RecordHandover store) {
-        handOverRegisters.recordHandover(store);
+        handover.recordHandover(store);
         recovery.recordHandover(store);
     }
 
@@ -322,12 +313,12 @@
 
     public void handOverRegisters(
             final NodeId from, final RegisterHandoverRequest request, final Consumer<Message> callback) {
-        handOverRegisters.handOverRegisters(from, request, callback);
+        handover.handOverRegisters(from, request, callback);
     }
 
     public void handOverRecords(
             final NodeId from, final RecordHandoverRequest request, final Consumer<Message> callback) {
-        handOverRegisters.handOverRecords(from, request, callback);
+        handover.handOverRecords(from, request, callback);
     }
 
     /**
--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptorHandover.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptorHandover.java
@@ -47,20 +47,13 @@
     private Reading reading;
 
     /** {@code joined}: run once this voter votes in the present epoch. */
-    AcceptorHandover(
-            final NodeId self,
-            final VotingConfiguration votingConfiguration,
-            final AcceptorState state,
-            final EventLoop loop,
-            final Transport transport,
-            final EventJournal journal,
-            final Runnable joined) {
-        this.self = self;
-        this.votingConfiguration = votingConfiguration;
+    AcceptorHandover(final VoterContext context, final AcceptorState state, final Runnable joined) {
+        this.self = context.self();
+        this.votingConfiguration = context.votingConfiguration();
         this.state = state;
-        this.loop = loop;
-        this.transport = transport;
-        this.journal = journal;
+        this.loop = context.loop();
+        this.transport = context.transport();
+        this.journal = context.journal();
         this.joined = joined;
     }
 
--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptorStateRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptorStateRecovery.java
@@ -62,24 +62,19 @@
      * rebuilt.
      */
     AcceptorStateRecovery(
-            final NodeId self,
-            final VotingConfiguration votingConfiguration,
+            final VoterContext context,
             final AcceptorState state,
-            final EventLoop loop,
-            final Transport transport,
-            final EventJournal journal,
-            final String incarnation,
             final boolean firstStart,
             final BooleanSupplier nothingReported,
             final BooleanSupplier isVoting,
             final Runnable stateRebuilt) {
-        this.self = self;
-        this.votingConfiguration = votingConfiguration;
+        this.self = context.self();
+        this.votingConfiguration = context.votingConfiguration();
         this.state = state;
-        this.loop = loop;
-        this.transport = transport;
-        this.journal = journal;
-        this.incarnation = incarnation;
+        this.loop = context.loop();
+        this.transport = context.transport();
+        this.journal = context.journal();
+        this.incarnation = context.incarnation();
         this.firstStart = firstStart;
         this.nothingReported = nothingReported;
         this.isVoting = isVoting;
--- /dev/null
+++ b/control/src/main/java/org/rowanvalve/control/consensus/VoterContext.java
@@ -0,0 +1,16 @@
+package org.rowanvalve.control.consensus;
+
+import org.rowanvalve.common.event.EventJournal;
+import org.rowanvalve.common.model.NodeId;
+import org.rowanvalve.common.runtime.EventLoop;
+import org.rowanvalve.common.runtime.Transport;
+import org.rowanvalve.control.voting.VotingConfiguration;
+
+/** What all parts of one voter share; {@code incarnation} names this start of its process. */
+record VoterContext(
+        NodeId self,
+        String incarnation,
+        VotingConfiguration votingConfiguration,
+        EventLoop loop,
+        Transport transport,
+        EventJournal journal) {}
--- a/control/src/test/java/org/rowanvalve/control/consensus/AcceptedValueComparisonTest.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/AcceptedValueComparisonTest.java
@@ -84,7 +84,9 @@
         }
         votingConfiguration = VotingConfiguration.of(new Quorum(ids, stores));
         state = new AcceptorState(new MonitoredStorage(disk, loop), new EventJournal(loop, 10));
-        comparison = new AcceptedValueComparison(SELF, votingConfiguration, state, loop, this::request);
+        comparison = new AcceptedValueComparison(
+                new VoterContext(SELF, "1", votingConfiguration, loop, this::request, new EventJournal(loop, 10)),
+                state);
         ids.stream().filter(id -> !id.equals(SELF)).forEach(id -> others.put(id, new ArrayList<>()));
     }
 
