What is known of settled registers is forgotten in one step, only when something has settled

UnfinishedWriteRecovery looked into three maps for each register, 20 times a second, and kept entries of registers that were collected. RecoveryAfterChangesTest, UnfinishedWriteRecoveryTest green.

--- a/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -149,31 +150,32 @@
         if (!isVoting.getAsBoolean()) {
             return;
         }
-        final List<ItemId> unknown = unknownItems();
+        final Set<ItemId> unknown = unknownItems();
         if (unknown.size() > fewValues && !examined.containsAll(unknown)) {
             comparison.run(examined::addAll);
         }
         dueItems(unknown).stream().limit(MAX_CONCURRENT_READS - reading.size()).forEach(this::read);
     }
 
-    /** Registers whose accepted value is not known as chosen. */
-    private List<ItemId> unknownItems() {
-        final List<ItemId> unknown = new ArrayList<>();
+    /** Registers whose accepted value is not known as chosen; what is known of others is forgotten. */
+    private Set<ItemId> unknownItems() {
+        final Set<ItemId> unknown = new LinkedHashSet<>();
         registers.get().forEach((id, register) -> {
             if (register.item().version().isAbove(items.get(id).version())) {
                 unknown.add(id);
                 unknownSince.putIfAbsent(id, loop.now());
-            } else {
-                dueAt.remove(id);
-                unknownSince.remove(id);
-                examined.remove(id);
             }
         });
+        if (unknownSince.size() > unknown.size()) {
+            unknownSince.keySet().retainAll(unknown);
+            dueAt.keySet().retainAll(unknown);
+            examined.retainAll(unknown);
+        }
         return unknown;
     }
 
     /** The items that are due; two voters begin at different ends, so that they do not overtake each other. */
-    private List<ItemId> dueItems(final List<ItemId> unknown) {
+    private List<ItemId> dueItems(final Set<ItemId> unknown) {
         final List<ItemId> list = new ArrayList<>(unknown.stream()
                 .filter(id -> unknown.size() <= fewValues || mayBeRead(id))
                 .filter(id -> loop.now() >= dueAt.computeIfAbsent(id, this::firstDueAt) && !reading.contains(id))
