A voter without others compares with itself; writes that are merely under way are not compared

Found by reading: with one voter no answer ever ended a round, so more than 16 values waited 2 s for a read by ballot (AcceptedValueComparisonTest#aVoterWithoutOthersHasAMajorityInItself). And a burst of more than 16 writes under way began a comparison each 100 ms; now one of them has to be due first, as for reads (UnfinishedWriteRecoveryTest#writesThatAreUnderWayAreNotCompared).

--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptedValueComparison.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptedValueComparison.java
@@ -90,14 +90,20 @@
         }
 
         private void ask() {
-            if (current == this) {
-                quorum.voters().stream()
-                        .filter(voter -> !voter.equals(self))
-                        .forEach(voter -> transport.request(
-                                voter,
-                                new AcceptedChecksumsRequest(quorum.epoch(), BUCKETS),
-                                TIMEOUT_MILLIS,
-                                reply -> onReply(voter, reply)));
+            if (current != this) {
+                return;
+            }
+            final List<NodeId> others = quorum.voters().stream()
+                    .filter(voter -> !voter.equals(self))
+                    .toList();
+            others.forEach(voter -> transport.request(
+                    voter,
+                    new AcceptedChecksumsRequest(quorum.epoch(), BUCKETS),
+                    TIMEOUT_MILLIS,
+                    reply -> onReply(voter, reply)));
+            if (others.isEmpty()) {
+                learnEqualBuckets();
+                finish();
             }
         }
 
--- a/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
@@ -151,12 +151,23 @@
             return;
         }
         final Set<ItemId> unknown = unknownItems();
-        if (unknown.size() > fewValues && !examined.containsAll(unknown)) {
+        if (isComparisonDue(unknown)) {
             comparison.run(examined::addAll);
         }
         dueItems(unknown).stream().limit(MAX_CONCURRENT_READS - reading.size()).forEach(this::read);
     }
 
+    /** Writes that are merely under way are no reason to compare. */
+    private boolean isComparisonDue(final Set<ItemId> unknown) {
+        return unknown.size() > fewValues
+                && !examined.containsAll(unknown)
+                && unknown.stream().anyMatch(id -> isStartupRecovery(id) || isDue(id));
+    }
+
+    private boolean isDue(final ItemId id) {
+        return loop.now() >= dueAt.computeIfAbsent(id, this::firstDueAt);
+    }
+
     /** Registers whose accepted value is not known as chosen; what is known of others is forgotten. */
     private Set<ItemId> unknownItems() {
         final Set<ItemId> unknown = new LinkedHashSet<>();
@@ -178,7 +189,7 @@
     private List<ItemId> dueItems(final Set<ItemId> unknown) {
         final List<ItemId> list = new ArrayList<>(unknown.stream()
                 .filter(id -> unknown.size() <= fewValues || mayBeRead(id))
-                .filter(id -> loop.now() >= dueAt.computeIfAbsent(id, this::firstDueAt) && !reading.contains(id))
+                .filter(id -> isDue(id) && !reading.contains(id))
                 .toList());
         if (rank.getAsInt() % 2 == 1) {
             Collections.reverse(list);
--- a/control/src/test/java/org/rowanvalve/control/consensus/AcceptedValueComparisonTest.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/AcceptedValueComparisonTest.java
@@ -161,6 +161,15 @@
         assertEquals(agreeing >= 2, learned.containsKey(id(1)));
     }
 
+    @Test
+    void aVoterWithoutOthersHasAMajorityInItself() {
+        begin(1, Set.of());
+        state.put(register(1, OLD, 5));
+        run();
+        assertEquals(Set.of(id(1)), learned.keySet());
+        assertEquals(Set.of(id(1)), examined);
+    }
+
     @Test
     void whereStoresAreNamedOneOfThemHasToAgree() {
         begin(3, Set.of(NodeId.of("b")));
--- a/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
@@ -122,6 +122,18 @@
         assertEquals(0, comparisons);
     }
 
+    @Test
+    void writesThatAreUnderWayAreNotCompared() {
+        begin(0);
+        for (int i = 0; i < ITEMS; i++) {
+            accepted(new ItemId(ItemKind.PURGE, "h." + i));
+        }
+        loop.run(140);
+        assertEquals(0, comparisons);
+        loop.run(400);
+        assertTrue(comparisons > 0, "their proposer has gone");
+    }
+
     /** No other voter answers a comparison: after a while the values are read all the same. */
     @Test
     void aComparisonThatNobodyAnswersDoesNotHoldUpTheReadsForEver() {
