A warm-up queues the start of its nodes before its loop runs

Cause: the loop of a warm-up skips idle time. It was started first and given the start of the nodes after it, so whenever its thread was quicker than the caller it found only the periodic timers, leapt through all 20 s of its clock within a millisecond, and the warm-up was given up. Load is not needed: seen on an idle machine. New test, 100 warm-ups in a row: fails on the old order (warm-up 17), passes now.

--- a/server/src/main/java/org/rowanvalve/server/process/InProcessWarmup.java
+++ b/server/src/main/java/org/rowanvalve/server/process/InProcessWarmup.java
@@ -186,7 +186,6 @@
     }
 
     boolean prepare(final int originPort, final String config) throws InterruptedException {
-        loop.start();
         loop.execute(() -> {
             try {
                 shield.start();
@@ -197,6 +196,8 @@
             }
             loop.schedule(1500, () -> applyConfiguration(originPort, config));
         });
+        // Last: a loop that has nothing queued yet would skip its idle time before the nodes have started.
+        loop.start();
         finished.await(Math.max(1, remainingNanos()), TimeUnit.NANOSECONDS);
         loop.runInRealTime();
         return settled;
--- a/server/src/test/java/org/rowanvalve/server/process/InProcessWarmupTest.java
+++ b/server/src/test/java/org/rowanvalve/server/process/InProcessWarmupTest.java
@@ -77,6 +77,17 @@
         play.stop();
     }
 
+    /** The loop may not skip its idle time before the nodes have started: then all of it would be spent at once. */
+    @Test
+    void timeIsNotSkippedBeforeTheNodesHaveStarted() throws Exception {
+        for (int round = 0; round < 100; round++) {
+            final InProcessWarmup play = new InProcessWarmup(options(), new DefaultOriginProtocol(), l -> null, 60_000);
+            assertTrue(
+                    play.prepare(1), "warm-up " + round + " at " + play.loop().now() + " ms of its own clock");
+            play.stop();
+        }
+    }
+
     @Test
     void withoutTimeItIsGivenUp() throws Exception {
         final InProcessWarmup play = new InProcessWarmup(options(), new DefaultOriginProtocol(), l -> null, 0);
