A read that ends after its register has settled does not hurry the next write

Cause: the end of a recovery read always noted when the register is read next, also when its value had become known meanwhile and all else about it was forgotten. The time stayed behind, so a later write of that register that was merely under way was read by ballot at once, not after 150 ms: one ballot and one competing proposal more. Nothing was lost by it. Found by reading. Test (fails before: the second write is read; passes now). Whether a version is known as chosen was decided in three classes: ItemStore.knows serves all. Delays of a read have names.

--- a/control/src/main/java/org/rowanvalve/control/consensus/RecoveryProgress.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/RecoveryProgress.java
@@ -84,8 +84,7 @@
 
     private boolean isUnknown(final ItemId id) {
         final Register register = registers.get().get(id);
-        return register != null
-                && register.item().version().isAbove(items.get(id).version());
+        return register != null && !items.knows(id, register.item().version());
     }
 
     private void report(final EventCode code, final long unknown) {
--- a/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/UnfinishedWriteRecovery.java
@@ -45,6 +45,13 @@
     private static final long STARTUP_MS = 4000;
 
     private static final long RANK_DELAY_MS = 250;
+    /** From the end of a read to the next one of the same register, where its value is still unknown. */
+    private static final long REREAD_DELAY_MS = 800;
+
+    /** An accepted value that nobody has announced is read after this time, and up to the spread later. */
+    private static final long FIRST_READ_DELAY_MS = 150;
+
+    private static final int FIRST_READ_SPREAD_MS = 300;
     /** The control plane cannot work without these items, so they are completed first. */
     private static final Set<ItemKind> URGENT = Set.of(ItemKind.LEADERSHIP, ItemKind.PLAN, ItemKind.VOTERS);
 
@@ -172,7 +179,7 @@
     private Set<ItemId> unknownItems() {
         final Set<ItemId> unknown = new LinkedHashSet<>();
         registers.get().forEach((id, register) -> {
-            if (register.item().version().isAbove(items.get(id).version())) {
+            if (!items.knows(id, register.item().version())) {
                 unknown.add(id);
                 unknownSince.putIfAbsent(id, loop.now());
             }
@@ -209,7 +216,10 @@
     }
 
     private long firstDueAt(final ItemId id) {
-        return loop.now() + (isStartupRecovery(id) ? rank.getAsInt() * RANK_DELAY_MS : 150 + random.nextInt(300));
+        return loop.now()
+                + (isStartupRecovery(id)
+                        ? rank.getAsInt() * RANK_DELAY_MS
+                        : FIRST_READ_DELAY_MS + random.nextInt(FIRST_READ_SPREAD_MS));
     }
 
     private void read(final ItemId id) {
@@ -218,7 +228,14 @@
         reader.read(id, known -> {
             reading.remove(id);
             progress.readEnded(known);
-            dueAt.put(id, loop.now() + (isStartupRecovery(id) ? RANK_DELAY_MS + random.nextInt(100) : 800));
+            scheduleNextRead(id);
         });
     }
+
+    /** A register that was settled meanwhile has no next read; its next write may merely be under way. */
+    private void scheduleNextRead(final ItemId id) {
+        if (unknownSince.containsKey(id)) {
+            dueAt.put(id, loop.now() + (isStartupRecovery(id) ? RANK_DELAY_MS + random.nextInt(100) : REREAD_DELAY_MS));
+        }
+    }
 }
--- a/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
+++ b/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
@@ -100,6 +100,11 @@
         return chosen == null ? Item.none(id) : chosen.item();
     }
 
+    /** Whether {@code version} of an item, or a newer one, is known as chosen. */
+    public boolean knows(final ItemId id, final Version version) {
+        return !version.isAbove(get(id).version());
+    }
+
     public long now() {
         return loop.now();
     }
--- a/control/src/main/java/org/rowanvalve/control/view/ViewServer.java
+++ b/control/src/main/java/org/rowanvalve/control/view/ViewServer.java
@@ -60,7 +60,7 @@
                     id.equals(ItemId.LEADERSHIP) && items.get(id).version().number() > 0;
             if (!renewal
                     && request.buckets().contains(ItemDigest.bucket(id))
-                    && version.isAbove(items.get(id).version())
+                    && !items.knows(id, version)
                     && version.isAbove(request.versions().getOrDefault(id, Version.ZERO))) {
                 open.add(new Accepted(id, version));
             }
@@ -88,7 +88,7 @@
     }
 
     private boolean isSettled(final Accepted accepted) {
-        return !accepted.version().isAbove(items.get(accepted.id()).version())
+        return items.knows(accepted.id(), accepted.version())
                 || items.collectionFloor()
                         .covers(accepted.id(), accepted.version().number());
     }
@@ -113,11 +113,10 @@
             }
         }
         final List<ItemId> want = request.versions().entrySet().stream()
-                .filter(entry ->
-                        entry.getValue().isAbove(items.get(entry.getKey()).version())
-                                && !items.collectionFloor()
-                                        .covers(entry.getKey(), entry.getValue().number())
-                                && entry.getValue().isAbove(acceptor.version(entry.getKey())))
+                .filter(entry -> !items.knows(entry.getKey(), entry.getValue())
+                        && !items.collectionFloor()
+                                .covers(entry.getKey(), entry.getValue().number())
+                        && entry.getValue().isAbove(acceptor.version(entry.getKey())))
                 .map(Map.Entry::getKey)
                 .limit(MAX_WANTED)
                 .toList();
--- a/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
+++ b/control/src/test/java/org/rowanvalve/control/consensus/UnfinishedWriteRecoveryTest.java
@@ -28,7 +28,7 @@
 /** After a loss of all power: hundreds of values that were accepted, and nobody knows which of them were chosen. */
 class UnfinishedWriteRecoveryTest {
     private static final int ITEMS = 500;
-    private static final long ROUND_TRIPS = 150;
+    private static final long ROUND_TRIPS_MS = 150;
     private final VirtualTimeLoop loop = new VirtualTimeLoop();
     private final ItemStore items = new ItemStore(loop, new EventJournal(loop, 10));
     private final Map<ItemId, Register> slots = new TreeMap<>();
@@ -38,20 +38,28 @@
     private int comparisons;
     private int differing = ITEMS + 1;
     private long compareMs;
+    private long readMs = ROUND_TRIPS_MS;
 
     private void accepted(final ItemId id) {
-        final Ballot ballot = new Ballot(1, "w");
-        slots.put(id, new Register(ballot, ballot, new Item(id, new Version(1), "{}", false, "t")));
+        accept(id, 1);
+    }
+
+    private void accept(final ItemId id, final long version) {
+        final Ballot ballot = new Ballot(version, "w");
+        slots.put(id, new Register(ballot, ballot, new Item(id, new Version(version), "{}", false, "t")));
+    }
+
+    private void announce(final ItemId id) {
+        items.merge(new ChosenItem(slots.get(id).acceptedBallot(), slots.get(id).item()));
     }
 
     private void read(final ItemId id, final Consumer<Boolean> done) {
         assertTrue(open.add(id), "twice at a time: " + id);
         begun.add(id);
         most = Math.max(most, open.size());
-        loop.schedule(ROUND_TRIPS, () -> {
+        loop.schedule(readMs, () -> {
             open.remove(id);
-            items.merge(
-                    new ChosenItem(slots.get(id).acceptedBallot(), slots.get(id).item()));
+            announce(id);
             done.accept(true);
         });
     }
@@ -134,6 +142,22 @@
         assertTrue(comparisons > 0, "their proposer has gone");
     }
 
+    /** The read of an earlier write ends after that write has become known, and is no reason to hurry with the next. */
+    @Test
+    void aReadThatEndsLateDoesNotHurryTheReadOfALaterWrite() {
+        final ItemId id = new ItemId(ItemKind.PURGE, "h.1");
+        accept(id, 1);
+        readMs = 300;
+        begin(0);
+        loop.schedule(100, () -> announce(id));
+        loop.run(5000);
+        assertEquals(List.of(id), begun);
+        accept(id, 2);
+        loop.schedule(140, () -> announce(id));
+        loop.run(1000);
+        assertEquals(List.of(id), begun, "the second write was merely under way");
+    }
+
     /** No other voter answers a comparison: after a while the values are read all the same. */
     @Test
     void aComparisonThatNobodyAnswersDoesNotHoldUpTheReadsForEver() {
