Soak: series of signals, losses and changes that overlap, on real processes

rwtestkit soak stores|shields draws a network and a plan from a seed and plays it on the programs as they ship: rounds of series, each with a period of its own, under clients that use their connections until the process is gone. After a round every node has to confirm its view, show each acknowledged change and serve within 15 s. Plans are kept, played again and reduced. A fleet can now be one whose shields vote; it is ready once every process also answers requests (one that warmed up refused the first configuration). Rows of clients' requests are written in one place, ClientCall.

--- a/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
@@ -23,6 +23,7 @@
 import org.rowanvalve.testkit.scenario.Scenario;
 import org.rowanvalve.testkit.scenario.ScenarioGenerator;
 import org.rowanvalve.testkit.sim.ScenarioRunner;
+import org.rowanvalve.testkit.soak.SoakCommand;
 
 /**
  * The command line of the test kit. Exit status: 0 all rules kept, 1 a rule broken or a fault that could not be
@@ -36,6 +37,7 @@
           fleet WHAT       the same on processes; without --troubles a quiet day
           judge FILE...    rules on logs
           scale N,N,...    hollow nodes beside real electors, in steps of size: what each costs
+          soak PLACE       PLACE: stores or shields; series of signals, losses and changes on processes, drawn from the seed
           origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
         """;
 
@@ -63,6 +65,17 @@
                 .ofType(Integer.class)
                 .defaultsTo(512);
         parser.accepts("figures", "print availability and spread");
+        parser.accepts("minutes", "about how long a soak run takes")
+                .withRequiredArg()
+                .ofType(Double.class)
+                .defaultsTo(2.0);
+        parser.accepts("edges", "edges of a soak run, default by the seed")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(0);
+        parser.accepts("replay", "folder of a soak run whose plan is played again")
+                .withRequiredArg();
+        parser.accepts("reduce", "leave out series of a failing soak run as long as it fails");
         parser.accepts("help", "print this and end");
         final OptionSet options;
         try {
@@ -85,6 +98,7 @@
             case "fleet" -> System.exit(fleet(w.get(1), options));
             case "judge" -> System.exit(judge(w.subList(1, w.size())));
             case "scale" -> System.exit(scale(w.get(1), options));
+            case "soak" -> System.exit(soak(w.get(1), options));
             case "origin" -> origin(w.subList(1, w.size()));
             default -> {
                 System.err.println(USAGE);
@@ -220,6 +234,29 @@
         }
     }
 
+    private static int soak(final String place, final OptionSet options) throws Exception {
+        final String[] ends = ((String) options.valueOf("seeds")).split("\\.\\.");
+        final Path bin = Path.of(System.getProperty("rowanvalve.bin", "bin")).toAbsolutePath();
+        final SoakCommand command = new SoakCommand(bin, System.out, System.err);
+        int worst = 0;
+        for (long seed = Long.parseLong(ends[0]); seed <= Long.parseLong(ends[ends.length - 1]); seed++) {
+            final Path folder = options.has("dir")
+                    ? Path.of((String) options.valueOf("dir")).resolve("seed-" + seed)
+                    : null;
+            worst = Math.max(
+                    worst,
+                    command.run(new SoakCommand.Request(
+                            place,
+                            seed,
+                            (Double) options.valueOf("minutes"),
+                            (Integer) options.valueOf("edges"),
+                            folder,
+                            options.has("replay") ? Path.of((String) options.valueOf("replay")) : null,
+                            options.has("reduce"))));
+        }
+        return worst;
+    }
+
     private static int scale(final String what, final OptionSet options) throws Exception {
         final List<Integer> sizes = ScaleRun.sizes(what);
         if (sizes.isEmpty()) {
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/Fleet.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/Fleet.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.rowanvalve.testkit.log.RunLog;
 import org.rowanvalve.testkit.origin.StandInBackend;
 import org.rowanvalve.testkit.origin.StandInOrigin;
@@ -46,7 +45,11 @@
         int at = 0;
         for (final String name : deployment.machines()) {
             final String host = "127." + net + ".0." + ++at;
-            machines.put(name, new FleetMachine(name, host, free(host), dir, from));
+            final FleetMachine machine = new FleetMachine(name, host, free(host), dir, from);
+            if (deployment.shieldRun()) {
+                machine.allShieldsVote();
+            }
+            machines.put(name, machine);
         }
         for (final FleetMachine machine : machines.values()) {
             machine.flags(flags(machine));
@@ -93,17 +96,21 @@
                 reach.add(o.name() + "@" + o.host().replace(".0.", ".2.") + ":" + port);
             }
         }
-        final List<String> seeds = Stream.of("st1", "st2", "sh1")
+        final List<String> seeds = deployment.electors().stream()
                 .map(n ->
                         n + "@" + machines.get(n).host() + ":" + machines.get(n).wire())
                 .toList();
-        return List.of(
+        final List<String> all = new ArrayList<>(List.of(
                 "--cell",
                 deployment.cell(machine.name()),
                 "--seeds",
                 String.join(",", seeds),
                 "--reach",
-                String.join(",", reach));
+                String.join(",", reach)));
+        if (deployment.shieldRun()) {
+            all.addAll(List.of("--stores", "none", "--wanted-losses", String.valueOf(deployment.losses())));
+        }
+        return all;
     }
 
     public Fleet open() throws Exception {
@@ -135,7 +142,8 @@
     private boolean ready(final FleetMachine machine) {
         try {
             return Files.exists(machine.log())
-                    && Files.readString(machine.log()).contains("FRAME_FRESH");
+                    && Files.readString(machine.log()).contains("FRAME_FRESH")
+                    && desk.isLive(machine);
         } catch (final IOException e) {
             return false;
         }
@@ -145,11 +153,11 @@
         return machines.get(name);
     }
 
-    Map<String, FleetMachine> machines() {
+    public Map<String, FleetMachine> machines() {
         return machines;
     }
 
-    Map<String, StandInOrigin> origins() {
+    public Map<String, StandInOrigin> origins() {
         return origins;
     }
 
@@ -171,7 +179,7 @@
         return bin;
     }
 
-    LinkRelay relay() {
+    public LinkRelay relay() {
         return relay;
     }
 
@@ -183,7 +191,7 @@
         return desk;
     }
 
-    RunLog log() {
+    public RunLog log() {
         return log;
     }
 
@@ -191,24 +199,34 @@
         return dir;
     }
 
-    Deployment place() {
+    public Deployment place() {
         return deployment;
     }
 
-    void trouble(final String what, final String node, final long ms) {
+    public void trouble(final String what, final String node, final long ms) {
         log.add(RunLog.row("log", "rig", "t", System.currentTimeMillis(), "what", what, "node", node, "ms", ms));
     }
 
-    /** Stops traffic, asks every node what it holds, and gathers all logs. */
-    public List<Map<String, Object>> gather() throws IOException, InterruptedException {
+    /** Ends the requests of clients and operators. */
+    public void stopTraffic() {
         mob.stop();
         desk.stop();
+    }
+
+    /** Stops traffic, asks every node what it holds, and gathers all logs. */
+    public List<Map<String, Object>> gather() throws IOException, InterruptedException {
+        stopTraffic();
         TimeUnit.SECONDS.sleep(6);
         for (final FleetMachine machine : machines.values()) {
             if (machine.alive()) {
                 log.add(desk.items(machine));
             }
         }
+        return rows();
+    }
+
+    /** All rows of all logs so far: the test kit's own, and those of each process. */
+    public List<Map<String, Object>> rows() throws IOException {
         final List<Map<String, Object>> rows = new ArrayList<>(RunLog.read(dir.resolve("rig.log")));
         for (final FleetMachine machine : machines.values()) {
             String boot = "";
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetMachine.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetMachine.java
@@ -22,7 +22,9 @@
     private final Path dir;
     private Path bin;
     private final List<String> flags = new ArrayList<>();
-    private Process process;
+    private boolean votes;
+    private volatile long startedAt;
+    private volatile Process process;
 
     public FleetMachine(final String name, final String host, final int[] ports, final Path dir, final Path bin) {
         this.name = name;
@@ -50,7 +52,7 @@
         return host + ":" + http;
     }
 
-    String door() {
+    public String door() {
         return host + ":" + door;
     }
 
@@ -58,15 +60,15 @@
         return name.startsWith("st");
     }
 
-    boolean edge() {
+    public boolean edge() {
         return name.startsWith("ed");
     }
 
-    Path data() {
+    public Path data() {
         return dir.resolve(name + ".data");
     }
 
-    Path log() {
+    public Path log() {
         return dir.resolve("node-" + name + ".log");
     }
 
@@ -80,6 +82,26 @@
         flags.addAll(list);
     }
 
+    /** Flags beside those it has. */
+    public void addFlags(final List<String> more) {
+        flags.addAll(more);
+    }
+
+    /** Of a network without stores: a shield has a disk, and from its second start on does not found the network. */
+    void allShieldsVote() {
+        votes = !edge();
+    }
+
+    /** Whether it keeps data in a folder of its own. */
+    public boolean hasDisk() {
+        return store() || votes;
+    }
+
+    /** When its process was last started, in milliseconds since the epoch. */
+    public long startedAt() {
+        return startedAt;
+    }
+
     public boolean alive() {
         return process != null && process.isAlive();
     }
@@ -96,16 +118,20 @@
         if (edge()) {
             line.addAll(List.of("--door", door()));
         }
-        if (store()) {
+        if (hasDisk()) {
             line.addAll(List.of("--data", data().toString()));
         }
+        if (votes) {
+            line.addAll(List.of("--first", String.valueOf(startedAt == 0)));
+        }
         line.addAll(flags);
         final ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().put("RW_JAVA", "-Xms16m -Xmx64m -Xss256k -XX:+UseSerialGC -XX:CICompilerCount=1");
         builder.environment().put("RW_TIER", "1");
         builder.redirectError(ProcessBuilder.Redirect.appendTo(
                 dir.resolve("err-" + name + ".log").toFile()));
-        if (store()) {
+        startedAt = System.currentTimeMillis();
+        if (hasDisk()) {
             process = builder.start();
             copy(process.getInputStream());
         } else {
@@ -114,7 +140,7 @@
         }
     }
 
-    /** A store's log goes through here, since a limit on its files would stop the log as well. */
+    /** The log of a machine with a disk goes through here, since a limit on its files would stop the log as well. */
     private void copy(final InputStream from) {
         final Thread thread = new Thread(
                 () -> {
@@ -130,7 +156,7 @@
         thread.start();
     }
 
-    void limit(final String bytes) throws IOException, InterruptedException {
+    public void limit(final String bytes) throws IOException, InterruptedException {
         final int rc = new ProcessBuilder(
                         "prlimit", "--pid", String.valueOf(process.pid()), "--fsize=" + bytes + ":unlimited")
                 .start()
@@ -149,7 +175,7 @@
         }
     }
 
-    boolean stop(final long ms) throws InterruptedException {
+    public boolean stop(final long ms) throws InterruptedException {
         send("TERM");
         return process.waitFor(ms, TimeUnit.MILLISECONDS);
     }
@@ -163,7 +189,7 @@
         }
     }
 
-    void signal(final String sig) throws IOException, InterruptedException {
+    public void signal(final String sig) throws IOException, InterruptedException {
         final int rc = new ProcessBuilder("kill", "-" + sig, String.valueOf(process.pid()))
                 .start()
                 .waitFor();
@@ -172,7 +198,7 @@
         }
     }
 
-    void loseDisk() throws IOException {
+    public void loseDisk() throws IOException {
         wipe(data());
     }
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetOperator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetOperator.java
@@ -72,8 +72,16 @@
 
     /** Answers the status, or 0 when nothing came. */
     int ask(final String method, final String path, final String body) {
+        return ask(any(), method, path, body);
+    }
+
+    /** A process confirms its view while it still warms up, and answers requests only after that. */
+    boolean isLive(final FleetMachine machine) {
+        return ask(machine, "GET", "live", "") == 200;
+    }
+
+    private int ask(final FleetMachine machine, final String method, final String path, final String body) {
         try {
-            final FleetMachine machine = any();
             return http.send(
                             HttpRequest.newBuilder(URI.create("http://" + machine.http() + "/v1/" + path))
                                     .timeout(Duration.ofSeconds(4))
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/LinkRelay.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/LinkRelay.java
@@ -81,6 +81,13 @@
         slow = ms;
     }
 
+    /** Takes back one partition. */
+    public void restore(final String a, final String b) {
+        cuts.remove(a + ">" + b);
+        jobs.add(() -> {});
+        selector.wakeup();
+    }
+
     public void heal() {
         cuts.clear();
         jobs.add(() -> {});
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/LoadGenerator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/LoadGenerator.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.rowanvalve.common.model.Hash;
 import org.rowanvalve.control.json.Json;
 import org.rowanvalve.testkit.log.RunLog;
 import org.rowanvalve.testkit.scenario.Deployment;
@@ -22,6 +21,9 @@
 /** Clients of a fleet: the deployment's mix of requests over HTTP; a load balancer picks edges by readiness. */
 final class LoadGenerator {
     private static final int ROOM = 3000;
+    /** The attempt by which a request that was answered is sent once more. */
+    private static final int REPEATED = 9;
+
     private final Deployment deployment;
     private final List<FleetMachine> edges;
     private final RunLog log;
@@ -102,94 +104,29 @@
     }
 
     private void send(final Deployment.TrafficClass traffic, final String path, final String key, final int turn) {
-        final FleetMachine machine = pick();
-        final long t = System.currentTimeMillis();
-        final long id = serial.incrementAndGet();
         if (open.incrementAndGet() > ROOM) {
             open.decrementAndGet();
             return;
         }
-        final HttpRequest.Builder r = HttpRequest.newBuilder(URI.create("http://" + machine.door() + path))
-                .timeout(Duration.ofSeconds(5));
-        if (key != null) {
-            r.header("Rv-Key", key)
-                    .header("Content-Type", "application/json")
-                    .POST(HttpRequest.BodyPublishers.ofString("{\"for\":\"" + key + "\"}"));
-        }
-        http.sendAsync(r.build(), HttpResponse.BodyHandlers.ofByteArray()).whenComplete((a, e) -> {
-            open.decrementAndGet();
-            note(traffic, path, key, turn, machine, t, id, e == null ? a : null);
-        });
+        final FleetMachine machine = pick();
+        final ClientCall call = new ClientCall(
+                traffic, path, key, turn, machine.name(), System.currentTimeMillis(), serial.incrementAndGet());
+        http.sendAsync(call.request(machine.door()), HttpResponse.BodyHandlers.ofByteArray())
+                .whenComplete((response, error) -> {
+                    open.decrementAndGet();
+                    note(call, error == null ? response : null);
+                });
     }
 
-    private void note(
-            final Deployment.TrafficClass traffic,
-            final String path,
-            final String key,
-            final int turn,
-            final FleetMachine machine,
-            final long t,
-            final long id,
-            final HttpResponse<byte[]> a) {
-        final String fate =
-                a == null ? "none" : a.headers().firstValue("rv-fate").orElse("none");
-        Map<?, ?> map = Map.of();
-        if (fate.equals("done")) {
-            try {
-                map = Json.read(new String(a.body(), java.nio.charset.StandardCharsets.UTF_8), Map.class);
-            } catch (final IllegalStateException e) {
-                map = Map.of("path", "unreadable");
-            }
-        }
-        log.add(RunLog.row(
-                "log",
-                "req",
-                "t",
-                t,
-                "end",
-                System.currentTimeMillis(),
-                "id",
-                id,
-                "node",
-                machine.name(),
-                "route",
-                traffic.route(),
-                "mode",
-                traffic.mode(),
-                "life",
-                traffic.lifetimeMs(),
-                "path",
-                path,
-                "key",
-                key,
-                "turn",
-                turn,
-                "status",
-                a == null ? 0 : a.statusCode(),
-                "fate",
-                fate,
-                "stamp",
-                a == null ? null : a.headers().firstValue("rv-stamp").orElse(null),
-                "request",
-                a == null ? null : a.headers().firstValue("rv-request").orElse(null),
-                "whole",
-                a == null
-                        ? null
-                        : Hash.sha256Hex(a.body())
-                                .equals(a.headers().firstValue("rv-digest").orElse("")),
-                "why",
-                fate.equals("done") || a == null ? null : new String(a.body(), java.nio.charset.StandardCharsets.UTF_8),
-                "said",
-                map.get("path"),
-                "saidKey",
-                map.get("key"),
-                "rev",
-                map.get("rev")));
-        final boolean again = !fate.equals("done");
-        if (on && again && turn < 4 && roll() < (deployment.hasty() ? 0.9 : 0.4)) {
-            later(deployment.hasty() ? 20 : 500 + (long) (1000 * roll()), () -> send(traffic, path, key, turn + 1));
-        } else if (on && key != null && !again && turn == 1 && roll() < 0.05) {
-            later(200 + (long) (3000 * roll()), () -> send(traffic, path, key, 9));
+    private void note(final ClientCall call, final HttpResponse<byte[]> response) {
+        log.add(call.row(response));
+        final boolean again = !ClientCall.isDone(response);
+        if (on && again && call.attempt() < 4 && roll() < (deployment.hasty() ? 0.9 : 0.4)) {
+            later(
+                    deployment.hasty() ? 20 : 500 + (long) (1000 * roll()),
+                    () -> send(call.traffic(), call.path(), call.key(), call.attempt() + 1));
+        } else if (on && call.key() != null && !again && call.attempt() == 1 && roll() < 0.05) {
+            later(200 + (long) (3000 * roll()), () -> send(call.traffic(), call.path(), call.key(), REPEATED));
         }
     }
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/scenario/Deployment.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scenario/Deployment.java
@@ -28,6 +28,9 @@
     public static final Set<String> NAMES =
             Set.of("kilimanjaro", "coastline", "kilimanjaro-shields", "coastline-shields", "coastline-six");
     private static final long CATCH_UP_MS = 4000;
+    /** How many shields vote at the first start, where shields vote. */
+    private static final int FOUNDERS = 3;
+
     private static final String HOST = "shop.example";
 
     /** A service, its origins, and the routes to it; {@code share} of requests each route gets. */
@@ -321,7 +324,7 @@
     }
 
     public List<String> electors() {
-        return shieldRun ? List.of("sh1", "sh2", "sh3") : List.of("st1", "st2", "sh1");
+        return shieldRun ? shieldNames().stream().limit(FOUNDERS).toList() : List.of("st1", "st2", "sh1");
     }
 
     /** Machines whose disk outlives a loss of power. */
