Test kit: what the soak wrote again is one piece each

Read after the fact; no behaviour is meant to change and no product code is touched. Made one: the row of a client's request (ClientCall, ClientAnswer; of simulated clients, fleets and soaks), calls to a process's control address (ControlClient), daemon threads, a cut across links (Fleet.cut, restore), the machine's processor time, memory and limits (ProcessorTime, ResourceUsage, MachineCapacity), seeds and the programs' folder of the command line, what a node is behind by, an action on a process that may be gone, the cached route of two tests. A state that is not answered with 200 is now an IOException where it ended a fleet's run by a missing member.

--- a/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
@@ -123,22 +123,39 @@
         return Scenario.read(Files.readAllBytes(Path.of(what)), faults);
     }
 
+    private static String[] seedEnds(final OptionSet options) {
+        return ((String) options.valueOf("seeds")).split("\\.\\.");
+    }
+
+    private static long firstSeed(final OptionSet options) {
+        return Long.parseLong(seedEnds(options)[0]);
+    }
+
+    /** One seed, or a range as 1..20. */
+    private static List<Long> seeds(final OptionSet options) {
+        final String[] ends = seedEnds(options);
+        return LongStream.rangeClosed(firstSeed(options), Long.parseLong(ends[ends.length - 1]))
+                .boxed()
+                .toList();
+    }
+
+    /** The folder with the programs as they ship. */
+    private static Path programs() {
+        return Path.of(System.getProperty("rowanvalve.bin", "bin")).toAbsolutePath();
+    }
+
     private static boolean bad(final List<ValidationError> faults) {
         faults.forEach(error -> System.err.println("rwtestkit: " + error));
         return !faults.isEmpty();
     }
 
     private static int sim(final String what, final OptionSet options) throws Exception {
-        final String[] ends = ((String) options.valueOf("seeds")).split("\\.\\.");
-        final long from = Long.parseLong(ends[0]);
-        final long to = Long.parseLong(ends[ends.length - 1]);
         final List<ValidationError> faults = new ArrayList<>();
-        script(what, from, options, faults);
+        script(what, firstSeed(options), options, faults);
         if (bad(faults)) {
             return 2;
         }
-        return LongStream.rangeClosed(from, to)
-                .parallel()
+        return seeds(options).parallelStream()
                 .mapToInt(seed -> {
                     try {
                         final ScenarioRunner play =
@@ -157,11 +174,9 @@
             System.err.println("rwtestkit: argument 2: no deployment is named " + place);
             return 2;
         }
-        final String[] ends = ((String) options.valueOf("seeds")).split("\\.\\.");
         final Map<Integer, java.util.concurrent.atomic.AtomicLong> checked =
                 new java.util.concurrent.ConcurrentSkipListMap<>();
-        final long bad = LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]))
-                .boxed()
+        final long bad = seeds(options).stream()
                 .flatMap(seed ->
                         ScenarioGenerator.pairs(Deployment.of(place)).stream().map(two -> Map.entry(seed, two)))
                 .toList()
@@ -208,7 +223,7 @@
     @SuppressWarnings("try") // See Fleet.
     private static int fleet(final String what, final OptionSet options) throws Exception {
         final List<ValidationError> faults = new ArrayList<>();
-        final long seed = Long.parseLong(((String) options.valueOf("seeds")).split("\\.\\.")[0]);
+        final long seed = firstSeed(options);
         final Scenario scenario = script(what, seed, options, faults);
         if (scenario != null && scenario.place().shieldRun()) {
             faults.add(new ValidationError(what, "this place is played in the simulator only"));
@@ -220,7 +235,7 @@
         }
         final Path dir =
                 options.has("dir") ? Path.of((String) options.valueOf("dir")) : Files.createTempDirectory("rwtestkit");
-        final Path bin = Path.of(System.getProperty("rowanvalve.bin", "bin")).toAbsolutePath();
+        final Path bin = programs();
         final Path from =
                 options.has("from") ? Path.of((String) options.valueOf("from")).toAbsolutePath() : bin;
         if (!Files.isExecutable(from.resolve("rwstore"))) {
@@ -235,11 +250,10 @@
     }
 
     private static int soak(final String place, final OptionSet options) throws Exception {
-        final String[] ends = ((String) options.valueOf("seeds")).split("\\.\\.");
-        final Path bin = Path.of(System.getProperty("rowanvalve.bin", "bin")).toAbsolutePath();
+        final Path bin = programs();
         final SoakCommand command = new SoakCommand(bin, System.out, System.err);
         int worst = 0;
-        for (long seed = Long.parseLong(ends[0]); seed <= Long.parseLong(ends[ends.length - 1]); seed++) {
+        for (final long seed : seeds(options)) {
             final Path folder = options.has("dir")
                     ? Path.of((String) options.valueOf("dir")).resolve("seed-" + seed)
                     : null;
@@ -264,7 +278,7 @@
             return 2;
         }
         final Path dir = options.has("dir") ? Path.of((String) options.valueOf("dir")) : Path.of("scale");
-        final Path bin = Path.of(System.getProperty("rowanvalve.bin", "bin")).toAbsolutePath();
+        final Path bin = programs();
         final ScaleRun scale =
                 new ScaleRun(sizes, (Integer) options.valueOf("shards"), (Long) options.valueOf("seconds"), dir, bin);
         final List<String> lacks = scale.lacks();
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/Fleet.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/Fleet.java
@@ -7,11 +7,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.rowanvalve.testkit.log.RunLog;
 import org.rowanvalve.testkit.origin.StandInBackend;
 import org.rowanvalve.testkit.origin.StandInOrigin;
@@ -191,6 +193,27 @@
         return desk;
     }
 
+    /** Cuts the machines of one side off from all others. */
+    public void cut(final Collection<String> side) {
+        acrossLinks(side, relay::cut);
+    }
+
+    /** Takes back a cut. */
+    public void restore(final Collection<String> side) {
+        acrossLinks(side, relay::restore);
+    }
+
+    private void acrossLinks(final Collection<String> side, final BiConsumer<String, String> change) {
+        for (final String inside : side) {
+            machines.keySet().stream()
+                    .filter(outside -> !side.contains(outside))
+                    .forEach(outside -> {
+                        change.accept(inside, outside);
+                        change.accept(outside, inside);
+                    });
+        }
+    }
+
     public RunLog log() {
         return log;
     }
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetOperator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetOperator.java
@@ -1,9 +1,6 @@
 package org.rowanvalve.testkit.fleet;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
@@ -25,16 +22,9 @@
     private final Map<String, StandInBackend> stocks;
     private final RunLog log;
     private final Random random;
-    private final HttpClient http = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofMillis(800))
-            .build();
+    private final ControlClient client = new ControlClient(Duration.ofMillis(800), Duration.ofSeconds(4));
     private final Map<String, Long> known = new ConcurrentHashMap<>();
-    private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(3, r -> {
-        final Thread thread = new Thread(r, "desk");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(3, DaemonThreads.named("desk"));
 
     FleetOperator(
             final Deployment deployment,
@@ -49,22 +39,9 @@
         this.random = new Random(seed);
     }
 
-    private HttpResponse<String> put(
-            final FleetMachine machine, final String path, final String body, final long ver, final String tag)
-            throws IOException, InterruptedException {
-        return http.send(
-                HttpRequest.newBuilder(URI.create("http://" + machine.http() + "/v1/" + path))
-                        .timeout(Duration.ofSeconds(4))
-                        .header("If-Match", "\"" + ver + "\"")
-                        .header("Rv-Write-Id", tag)
-                        .PUT(HttpRequest.BodyPublishers.ofString(body))
-                        .build(),
-                HttpResponse.BodyHandlers.ofString());
-    }
-
     int apply(final String text) throws IOException, InterruptedException {
         final long t = System.currentTimeMillis();
-        final int status = put(nodes.get(0), "config", text, 0, "x").statusCode();
+        final int status = client.write(nodes.get(0), "config", text, 0, "x").statusCode();
         final long end = System.currentTimeMillis();
         deployment.configRows(t, end, status).forEach(log::add);
         return status;
@@ -82,13 +59,7 @@
 
     private int ask(final FleetMachine machine, final String method, final String path, final String body) {
         try {
-            return http.send(
-                            HttpRequest.newBuilder(URI.create("http://" + machine.http() + "/v1/" + path))
-                                    .timeout(Duration.ofSeconds(4))
-                                    .method(method, HttpRequest.BodyPublishers.ofString(body))
-                                    .build(),
-                            HttpResponse.BodyHandlers.ofString())
-                    .statusCode();
+            return client.call(machine, method, path, body).statusCode();
         } catch (final IOException e) {
             return 0;
         } catch (final InterruptedException e) {
@@ -159,7 +130,7 @@
         Object ver = null;
         try {
             final HttpResponse<String> response =
-                    put(any(), path, body, expect, "d-" + t + "-" + (long) (roll() * 1e9));
+                    client.write(any(), path, body, expect, "d-" + t + "-" + (long) (roll() * 1e9));
             status = response.statusCode();
             ver = Json.read(response.body(), Map.class).get("version");
             if (ver instanceof Number n) {
@@ -214,13 +185,7 @@
     }
 
     Map<String, Object> items(final FleetMachine machine) throws IOException, InterruptedException {
-        final String text = http.send(
-                        HttpRequest.newBuilder(URI.create("http://" + machine.http() + "/v1/state"))
-                                .timeout(Duration.ofSeconds(4))
-                                .build(),
-                        HttpResponse.BodyHandlers.ofString())
-                .body();
-        final Map<?, ?> all = Json.read(text, Map.class);
+        final Map<?, ?> all = client.state(machine);
         final Map<String, Object> items = new java.util.TreeMap<>();
         ((Map<?, ?>) all.get("items")).forEach((k, v) -> {
             final String n = String.valueOf(k);
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetScenarioRunner.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/FleetScenarioRunner.java
@@ -251,12 +251,7 @@
                 fleet.trouble("cut", n, ms);
             }
         }
-        for (final String a : side) {
-            fleet.machines().keySet().stream().filter(b -> !side.contains(b)).forEach(b -> {
-                fleet.relay().cut(a, b);
-                fleet.relay().cut(b, a);
-            });
-        }
+        fleet.cut(side);
         in(ms, "heal", fleet.relay()::heal);
     }
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/fleet/LoadGenerator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/fleet/LoadGenerator.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.rowanvalve.control.json.Json;
 import org.rowanvalve.testkit.log.RunLog;
+import org.rowanvalve.testkit.scenario.ClientAnswer;
+import org.rowanvalve.testkit.scenario.ClientCall;
 import org.rowanvalve.testkit.scenario.Deployment;
 
 /** Clients of a fleet: the deployment's mix of requests over HTTP; a load balancer picks edges by readiness. */
@@ -32,11 +34,7 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofMillis(1000))
             .build();
-    private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(2, r -> {
-        final Thread thread = new Thread(r, "mob");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(2, DaemonThreads.named("mob"));
     private final Map<String, Integer> grades = new ConcurrentHashMap<>();
     private final AtomicLong serial = new AtomicLong();
     private final AtomicInteger open = new AtomicInteger();
@@ -111,16 +109,16 @@
         final FleetMachine machine = pick();
         final ClientCall call = new ClientCall(
                 traffic, path, key, turn, machine.name(), System.currentTimeMillis(), serial.incrementAndGet());
-        http.sendAsync(call.request(machine.door()), HttpResponse.BodyHandlers.ofByteArray())
+        http.sendAsync(ClientHttp.request(call, machine), HttpResponse.BodyHandlers.ofByteArray())
                 .whenComplete((response, error) -> {
                     open.decrementAndGet();
-                    note(call, error == null ? response : null);
+                    note(call, ClientHttp.answer(error == null ? response : null));
                 });
     }
 
-    private void note(final ClientCall call, final HttpResponse<byte[]> response) {
-        log.add(call.row(response));
-        final boolean again = !ClientCall.isDone(response);
+    private void note(final ClientCall call, final ClientAnswer answer) {
+        log.add(call.row(System.currentTimeMillis(), answer, null));
+        final boolean again = answer == null || !answer.isDone();
         if (on && again && call.attempt() < 4 && roll() < (deployment.hasty() ? 0.9 : 0.4)) {
             later(
                     deployment.hasty() ? 20 : 500 + (long) (1000 * roll()),
--- a/testkit/src/main/java/org/rowanvalve/testkit/scale/MachineCapacity.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scale/MachineCapacity.java
@@ -8,14 +8,14 @@
 import java.util.Locale;
 
 /** The resources of this machine, and whether a number of lightweight nodes fits into half of them. */
-record MachineCapacity(long memoryMb, long heapMb, long files, long threads, double cores) {
+public record MachineCapacity(long memoryMb, long heapMb, long files, long threads, double cores) {
     private static final double NODE_MB = 0.6;
     private static final double PEER_MB = 0.0025;
     private static final double REST_MB = 900;
     private static final double NODE_CORE = 0.01;
     private static final int NODE_FILES = 24;
 
-    static MachineCapacity here() throws IOException {
+    public static MachineCapacity here() throws IOException {
         return new MachineCapacity(
                 number(Path.of("/proc/meminfo"), "MemTotal:", 2L << 20) / 1024,
                 Runtime.getRuntime().maxMemory() >> 20,
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/ProcessorTime.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scale/ProcessorTime.java
@@ -1,4 +1,4 @@
-package org.rowanvalve.testkit.soak;
+package org.rowanvalve.testkit.scale;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -13,22 +13,24 @@
  * @param idle in which nothing ran
  * @param stolen in which the machine wanted to run, and whoever hosts it did not let it
  */
-record ProcessorTime(long total, long idle, long stolen) {
+public record ProcessorTime(long total, long idle, long stolen) {
     private static final Path FILE = Path.of("/proc/stat");
     private static final int IDLE = 3;
     private static final int WAITING = 4;
     private static final int STOLEN = 7;
     private static final int FIELDS = 8;
+    /** Milliseconds of one clock tick. */
+    static final double TICK_MS = 10;
 
     /** Shares of the processor time, from 0 to 1. */
-    record Shares(double idle, double stolen) {
+    public record Shares(double idle, double stolen) {
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%.0f %% idle, %.0f %% withheld by its host", 100 * idle, 100 * stolen);
         }
     }
 
-    static ProcessorTime now() throws IOException {
+    public static ProcessorTime now() throws IOException {
         return parse(Files.readAllLines(FILE).get(0));
     }
 
@@ -42,7 +44,13 @@
         return new ProcessorTime(Arrays.stream(ticks).sum(), ticks[IDLE] + ticks[WAITING], ticks[STOLEN]);
     }
 
-    Shares usedSince() throws IOException {
+    /** Ticks in which something ran or wanted to run. */
+    long busy() {
+        return total - idle;
+    }
+
+    /** Of the time from this reading until now. */
+    public Shares usedSince() throws IOException {
         return until(now());
     }
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/scale/ResourceUsage.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scale/ResourceUsage.java
@@ -5,11 +5,10 @@
 import java.lang.management.ThreadMXBean;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Arrays;
 import org.rowanvalve.testkit.fleet.FleetMachine;
 
 /** Processor time and memory of threads, processes and the whole machine. */
-final class ResourceUsage {
+public final class ResourceUsage {
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     private ResourceUsage() {}
@@ -30,10 +29,10 @@
 
     static double process(final FleetMachine machine) throws IOException {
         final String[] f = machine.alive() ? stat(machine.pid()) : new String[0];
-        return f.length < 13 ? 0 : 10.0 * (Long.parseLong(f[11]) + Long.parseLong(f[12]));
+        return f.length < 13 ? 0 : ProcessorTime.TICK_MS * (Long.parseLong(f[11]) + Long.parseLong(f[12]));
     }
 
-    static double residentMb(final FleetMachine machine) throws IOException {
+    public static double residentMb(final FleetMachine machine) throws IOException {
         return machine.alive() ? Long.parseLong(stat(machine.pid())[21]) * 4096 / 1048576.0 : 0;
     }
 
@@ -44,11 +43,6 @@
 
     /** Milliseconds for which the machine's processors were busy, all work together. */
     static double machine() throws IOException {
-        final long[] f = Arrays.stream(
-                        Files.readAllLines(Path.of("/proc/stat")).get(0).split("\\s+"))
-                .skip(1)
-                .mapToLong(Long::parseLong)
-                .toArray();
-        return 10.0 * (f[0] + f[1] + f[2] + f[5] + f[6] + f[7]);
+        return ProcessorTime.TICK_MS * ProcessorTime.now().busy();
     }
 }
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimClients.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimClients.java
@@ -5,13 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.rowanvalve.common.model.Hash;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.model.Role;
-import org.rowanvalve.control.json.Json;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.data.request.ClientResponse;
-import org.rowanvalve.testkit.log.RunLog;
+import org.rowanvalve.testkit.scenario.ClientAnswer;
+import org.rowanvalve.testkit.scenario.ClientCall;
 import org.rowanvalve.testkit.scenario.Deployment;
 
 /** Clients: a steady mix of requests, some of which are repeated. */
@@ -114,14 +113,21 @@
 
     private void send(final Deployment.TrafficClass traffic, final String path, final String key, final int turn) {
         final SimNode node = pick();
-        final long t = cluster.world().now();
         final long id = ++serial;
+        final ClientCall call = new ClientCall(
+                traffic,
+                path,
+                key,
+                turn,
+                node == null ? null : node.id().text(),
+                cluster.world().now(),
+                id);
         final ClientRequest request = cluster.place().shieldRun() ? tried(traffic, path, key, id) : plain(path, key);
         final boolean[] over = {false};
         final Consumer<ClientResponse> then = response -> {
             if (!over[0]) {
                 over[0] = true;
-                note(traffic, path, key, turn, node, t, id, response);
+                note(call, response);
                 if (response != null && key != null && response.fate() == RequestOutcome.DONE) {
                     tellAccepted(response);
                 }
@@ -146,79 +152,39 @@
         });
     }
 
-    private void note(
-            final Deployment.TrafficClass traffic,
-            final String path,
-            final String key,
-            final int turn,
-            final SimNode node,
-            final long t,
-            final long id,
-            final ClientResponse response) {
-        final String text = response == null ? "" : new String(response.body(), StandardCharsets.UTF_8);
-        final Map<?, ?> map =
-                response != null && response.fate() == RequestOutcome.DONE ? Json.read(text, Map.class) : Map.of();
+    private void note(final ClientCall call, final ClientResponse response) {
+        final Deployment.TrafficClass traffic = call.traffic();
         cluster.log()
-                .add(RunLog.row(
-                        "log",
-                        "req",
-                        "t",
-                        t,
-                        "end",
-                        cluster.world().now(),
-                        "id",
-                        id,
-                        "node",
-                        node == null ? null : node.id().text(),
-                        "route",
-                        traffic.route(),
-                        "mode",
-                        traffic.mode(),
-                        "life",
-                        traffic.lifetimeMs(),
-                        "path",
-                        path,
-                        "key",
-                        key,
-                        "turn",
-                        turn,
-                        "attempt",
-                        traffic.host().isEmpty() ? null : "a-" + id,
-                        "status",
-                        response == null ? 0 : response.status(),
-                        "fate",
-                        response == null ? "none" : response.fate().code(),
-                        "stamp",
-                        response == null ? null : response.headers().get("rv-stamp"),
-                        "request",
-                        response == null ? null : response.headers().get("rv-request"),
-                        "whole",
-                        response == null
-                                ? null
-                                : Hash.sha256Hex(response.body())
-                                        .equals(response.headers().get("rv-digest")),
-                        "why",
-                        response == null || response.fate() == RequestOutcome.DONE ? null : text,
-                        "said",
-                        map.get("path"),
-                        "saidKey",
-                        map.get("key"),
-                        "rev",
-                        map.get("rev")));
+                .add(call.row(
+                        cluster.world().now(), answer(response), traffic.host().isEmpty() ? null : "a-" + call.id()));
         final boolean again = response == null || response.fate() != RequestOutcome.DONE;
         final double eager = cluster.place().hasty() ? 0.9 : 0.4;
         final boolean may =
                 !traffic.mode().equals("single") || response != null && response.fate() == RequestOutcome.REFUSED;
-        if (on && again && may && turn < 4 && cluster.world().dice().nextDouble() < eager) {
+        if (on && again && may && call.attempt() < 4 && cluster.world().dice().nextDouble() < eager) {
             final long rest =
                     cluster.place().hasty() ? 20 : 500 + cluster.world().dice().nextInt(1000);
-            cluster.world().in(rest, () -> send(traffic, path, key, turn + 1));
+            cluster.world().in(rest, () -> send(traffic, call.path(), call.key(), call.attempt() + 1));
         } else if (on
-                && key != null
+                && call.key() != null
                 && !again
-                && turn == 1
+                && call.attempt() == 1
                 && cluster.world().dice().nextDouble() < (traffic.host().isEmpty() ? 0.05 : 0.2)) {
-            cluster.world().in(200 + cluster.world().dice().nextInt(3000), () -> send(traffic, path, key, 9));
+            cluster.world()
+                    .in(200 + cluster.world().dice().nextInt(3000), () -> send(traffic, call.path(), call.key(), 9));
         }
     }
+
+    /** Null where no response came. */
+    private static ClientAnswer answer(final ClientResponse response) {
+        return response == null
+                ? null
+                : new ClientAnswer(
+                        response.status(),
+                        response.fate().code(),
+                        response.headers().get("rv-stamp"),
+                        response.headers().get("rv-request"),
+                        response.headers().get("rv-digest"),
+                        response.body());
+    }
 }
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/ChangeOperator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/ChangeOperator.java
@@ -1,9 +1,6 @@
 package org.rowanvalve.testkit.soak;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.HashMap;
@@ -14,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.rowanvalve.control.json.Json;
+import org.rowanvalve.testkit.fleet.ControlClient;
 import org.rowanvalve.testkit.fleet.FleetMachine;
 import org.rowanvalve.testkit.scenario.Deployment;
 import org.rowanvalve.testkit.soak.SoakFinding.Rule;
@@ -30,6 +28,7 @@
     private static final int LIFETIME_SPREAD_MS = 4000;
     private static final long PATIENCE_MS = 10_000;
     private static final long PAUSE_MS = 100;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration TIMEOUT = Duration.ofMillis(2500);
     private static final int DONE = 200;
 
@@ -37,10 +36,7 @@
     private final List<FleetMachine> nodes;
     private final SoakFindings findings;
     private final Random random;
-    private final HttpClient http = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofMillis(500))
-            .build();
+    private final ControlClient client = new ControlClient(CONNECT_TIMEOUT, TIMEOUT);
     private final AtomicLong serial = new AtomicLong();
     /** By item, the version that the next change replaces. */
     private final Map<String, Long> current = new HashMap<>();
@@ -152,7 +148,9 @@
     private void sendUntilClear(final Change change) throws InterruptedException {
         final long deadline = System.currentTimeMillis() + PATIENCE_MS;
         while (System.currentTimeMillis() < deadline) {
-            final Answer answer = send(change, anyNode());
+            final FleetMachine node = anyNode();
+            final Answer answer = answer(
+                    () -> client.write(node, "routes/" + change.name(), change.body(), change.expected(), change.id()));
             if (answer.isClear()) {
                 note(change, answer);
                 return;
@@ -181,23 +179,15 @@
         }
     }
 
-    private Answer send(final Change change, final FleetMachine node) throws InterruptedException {
-        final HttpRequest.Builder request = HttpRequest.newBuilder(
-                        URI.create("http://" + node.http() + "/v1/routes/" + change.name()))
-                .timeout(TIMEOUT)
-                .header("If-Match", "\"" + change.expected() + "\"")
-                .header("Rv-Write-Id", change.id());
-        if (change.body() == null) {
-            request.DELETE();
-        } else {
-            request.PUT(HttpRequest.BodyPublishers.ofString(change.body()));
-        }
-        return answer(request.build());
+    /** A call to one node. */
+    @FunctionalInterface
+    private interface Call {
+        HttpResponse<String> send() throws IOException, InterruptedException;
     }
 
-    private Answer answer(final HttpRequest request) throws InterruptedException {
+    private static Answer answer(final Call call) throws InterruptedException {
         try {
-            final HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+            final HttpResponse<String> response = call.send();
             final Object version = Json.read(response.body(), Map.class).get("version");
             return new Answer(response.statusCode(), version instanceof Number n ? n.longValue() : 0);
         } catch (final IOException | IllegalStateException e) {
@@ -213,9 +203,7 @@
             least = acknowledged.getOrDefault("route/" + name, 0L);
         }
         final FleetMachine node = anyNode();
-        final Answer answer = answer(HttpRequest.newBuilder(URI.create("http://" + node.http() + "/v1/routes/" + name))
-                .timeout(TIMEOUT)
-                .build());
+        final Answer answer = answer(() -> client.get(node, "routes/" + name));
         if (answer.status() == DONE && answer.version() < least) {
             findings.add(
                     Rule.STALE_READ,
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/DisturbancePlayer.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/DisturbancePlayer.java
@@ -1,5 +1,6 @@
 package org.rowanvalve.testkit.soak;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.rowanvalve.testkit.fleet.DaemonThreads;
 import org.rowanvalve.testkit.fleet.Fleet;
 import org.rowanvalve.testkit.fleet.FleetMachine;
 import org.rowanvalve.testkit.origin.StandInOrigin;
@@ -36,16 +38,9 @@
     private final MachineHistory history;
     private final ChangeOperator operator;
     private final SoakFindings findings;
-    private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(THREADS, task -> {
-        final Thread thread = new Thread(task, "disturbance");
-        thread.setDaemon(true);
-        return thread;
-    });
-    private final ExecutorService operators = Executors.newFixedThreadPool(OPERATORS, task -> {
-        final Thread thread = new Thread(task, "operator");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService clock =
+            Executors.newScheduledThreadPool(THREADS, DaemonThreads.named("disturbance"));
+    private final ExecutorService operators = Executors.newFixedThreadPool(OPERATORS, DaemonThreads.named("operator"));
     private volatile boolean changing;
     private final Set<String> busyOrigins = ConcurrentHashMap.newKeySet();
     private final AtomicInteger played = new AtomicInteger();
@@ -217,12 +212,18 @@
         return true;
     }
 
-    /** One that was killed meanwhile, or started anew, takes no harm from the signal. */
-    private static void wake(final FleetMachine machine) throws Exception {
+    /** Something that is done to a process. */
+    @FunctionalInterface
+    private interface Action {
+        void run() throws Exception;
+    }
+
+    /** One that is killed meanwhile, or started anew, takes no harm. */
+    private static void ifAlive(final FleetMachine machine, final Action action) throws Exception {
         if (machine.alive()) {
             try {
-                machine.signal("CONT");
-            } catch (final java.io.IOException e) {
+                action.run();
+            } catch (final IOException e) {
                 if (machine.alive()) {
                     throw e;
                 }
@@ -230,6 +231,14 @@
         }
     }
 
+    private static void wake(final FleetMachine machine) throws Exception {
+        ifAlive(machine, () -> machine.signal("CONT"));
+    }
+
+    private static void emptyDisk(final FleetMachine machine) throws Exception {
+        ifAlive(machine, () -> machine.limit("unlimited"));
+    }
+
     private boolean isolate(final String machine, final long ms) throws InterruptedException {
         return cut(List.of(machine), ms, DisturbanceKind.ISOLATE);
     }
@@ -242,20 +251,10 @@
             throws InterruptedException {
         final long from = now();
         final Set<String> all = fleet.machines().keySet();
-        for (final String inside : side) {
-            all.stream().filter(outside -> !side.contains(outside)).forEach(outside -> {
-                fleet.relay().cut(inside, outside);
-                fleet.relay().cut(outside, inside);
-            });
-        }
+        fleet.cut(side);
         all.forEach(machine -> fleet.trouble("cut", machine, ms));
         TimeUnit.MILLISECONDS.sleep(ms);
-        for (final String inside : side) {
-            all.stream().filter(outside -> !side.contains(outside)).forEach(outside -> {
-                fleet.relay().restore(inside, outside);
-                fleet.relay().restore(outside, inside);
-            });
-        }
+        fleet.restore(side);
         all.forEach(machine -> history.add(kind, machine, from, now()));
         return true;
     }
@@ -270,18 +269,6 @@
         return true;
     }
 
-    private static void emptyDisk(final FleetMachine machine) throws Exception {
-        if (machine.alive()) {
-            try {
-                machine.limit("unlimited");
-            } catch (final java.io.IOException e) {
-                if (machine.alive()) {
-                    throw e;
-                }
-            }
-        }
-    }
-
     private boolean reload(final FleetMachine machine, final boolean valid) throws Exception {
         if (isStarting(machine) || !history.isExpectedUp(machine.name())) {
             return false;
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/KeptConnectionClients.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/KeptConnectionClients.java
@@ -12,9 +12,11 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.rowanvalve.testkit.fleet.ClientCall;
+import org.rowanvalve.testkit.fleet.ClientHttp;
 import org.rowanvalve.testkit.fleet.FleetMachine;
 import org.rowanvalve.testkit.log.RunLog;
+import org.rowanvalve.testkit.scenario.ClientAnswer;
+import org.rowanvalve.testkit.scenario.ClientCall;
 import org.rowanvalve.testkit.scenario.Deployment;
 
 /**
@@ -94,8 +96,8 @@
                     final Deployment.TrafficClass traffic = deployment.pick(random.nextDouble());
                     final long id = serial.incrementAndGet();
                     final String key = traffic.runs() ? "kept-" + id : null;
-                    final HttpResponse<byte[]> response = request(http, edge, traffic, path(traffic, id), key, 1);
-                    if (response == null && key != null) {
+                    final ClientAnswer answer = request(http, edge, traffic, path(traffic, id), key, 1);
+                    if (answer == null && key != null) {
                         repeatElsewhere(traffic, path(traffic, id), key);
                     }
                     TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
@@ -123,7 +125,7 @@
         }
 
         /** Null where no answer came. */
-        private HttpResponse<byte[]> request(
+        private ClientAnswer request(
                 final HttpClient client,
                 final FleetMachine target,
                 final Deployment.TrafficClass traffic,
@@ -134,18 +136,19 @@
             final ClientCall call = new ClientCall(
                     traffic, path, key, attempt, target.name(), System.currentTimeMillis(), serial.incrementAndGet());
             sent.incrementAndGet();
-            HttpResponse<byte[]> response = null;
+            ClientAnswer answer = null;
             try {
-                response = client.send(call.request(target.door()), HttpResponse.BodyHandlers.ofByteArray());
+                answer = ClientHttp.answer(
+                        client.send(ClientHttp.request(call, target), HttpResponse.BodyHandlers.ofByteArray()));
             } catch (final ConnectException | java.net.http.HttpTimeoutException e) {
                 TimeUnit.MILLISECONDS.sleep(RECONNECT_MS);
             } catch (final IOException e) {
                 noteCut(call);
                 TimeUnit.MILLISECONDS.sleep(RECONNECT_MS);
             }
-            log.add(call.row(response));
-            noteOutcome(ClientCall.isDone(response));
-            return response;
+            log.add(call.row(System.currentTimeMillis(), answer, null));
+            noteOutcome(answer != null && answer.isDone());
+            return answer;
         }
 
         private void noteCut(final ClientCall call) {
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/NodeMonitor.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/NodeMonitor.java
@@ -1,6 +1,5 @@
 package org.rowanvalve.testkit.soak;
 
-import java.net.http.HttpClient;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,12 +11,16 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.rowanvalve.testkit.fleet.ControlClient;
+import org.rowanvalve.testkit.fleet.DaemonThreads;
 import org.rowanvalve.testkit.fleet.FleetMachine;
 import org.rowanvalve.testkit.soak.SoakFinding.Rule;
 
 /** Looks at every process all the time: what it says of itself, what it uses, and whether it is still there. */
 final class NodeMonitor {
     private static final long PERIOD_MS = 2000;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration TIMEOUT = Duration.ofMillis(1500);
     /** Only items that operators declare; others are dropped when they are old. */
     private static final List<String> DECLARED = List.of("route/", "service/");
 
@@ -25,13 +28,9 @@
     private final MachineHistory history;
     private final ChangeOperator operator;
     private final SoakFindings findings;
-    private final HttpClient http =
-            HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build();
-    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor(task -> {
-        final Thread thread = new Thread(task, "node-monitor");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ControlClient client = new ControlClient(CONNECT_TIMEOUT, TIMEOUT);
+    private final ScheduledExecutorService clock =
+            Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("node-monitor"));
     /** By machine, then by start of its process. */
     private final Map<String, Map<Long, List<ResourceSample>>> samples = new TreeMap<>();
 
@@ -73,7 +72,7 @@
         }
         final long startedAt = machine.startedAt();
         ResourceSample.of(machine, operator.changes()).ifPresent(sample -> note(machine, startedAt, sample));
-        NodeState.of(http, machine).ifPresent(state -> compare(machine, state));
+        NodeState.of(client, machine).ifPresent(state -> compare(machine, state));
     }
 
     private synchronized void note(final FleetMachine machine, final long startedAt, final ResourceSample sample) {
@@ -98,7 +97,7 @@
     }
 
     Optional<NodeState> stateOf(final FleetMachine machine) throws InterruptedException {
-        return NodeState.of(http, machine);
+        return NodeState.of(client, machine);
     }
 
     /** How a figure grows with the changes, over all processes. */
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/NodeState.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/NodeState.java
@@ -1,15 +1,13 @@
 package org.rowanvalve.testkit.soak;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
-import org.rowanvalve.control.json.Json;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.rowanvalve.testkit.fleet.ControlClient;
 import org.rowanvalve.testkit.fleet.FleetMachine;
 
 /**
@@ -21,23 +19,16 @@
  * @param versions by item, as "route/NAME"
  */
 record NodeState(String incarnation, boolean confirmed, String voterState, Map<String, Long> versions) {
-    private static final Duration TIMEOUT = Duration.ofMillis(1500);
-
     /** Empty where the node does not answer. */
-    static Optional<NodeState> of(final HttpClient http, final FleetMachine machine) throws InterruptedException {
-        final HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + machine.http() + "/v1/state"))
-                .timeout(TIMEOUT)
-                .build();
+    static Optional<NodeState> of(final ControlClient client, final FleetMachine machine) throws InterruptedException {
         try {
-            final HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
-            return response.statusCode() == 200 ? Optional.of(parse(response.body())) : Optional.empty();
+            return Optional.of(of(client.state(machine)));
         } catch (final IOException e) {
             return Optional.empty();
         }
     }
 
-    static NodeState parse(final String text) {
-        final Map<?, ?> report = Json.read(text, Map.class);
+    static NodeState of(final Map<?, ?> report) {
         final Map<String, Long> versions = new TreeMap<>();
         ((Map<?, ?>) report.get("items"))
                 .forEach((item, version) -> versions.put(String.valueOf(item), ((Number) version).longValue()));
@@ -53,6 +44,14 @@
         return versions.getOrDefault(item, 0L);
     }
 
+    /** Those items of which it shows less than {@code newest} says. */
+    Set<String> behind(final Map<String, Long> newest) {
+        return newest.entrySet().stream()
+                .filter(entry -> version(entry.getKey()) < entry.getValue())
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
     /** Of a node that may vote: it does, or could; not one that still rebuilds its state. */
     boolean isVoterSettled() {
         return voterState.isEmpty() || voterState.equals("voting") || voterState.equals("standby");
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/PropagationCheck.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/PropagationCheck.java
@@ -53,9 +53,7 @@
     private boolean isShown(final Map<String, Long> acknowledged) throws InterruptedException {
         for (final FleetMachine machine : machines) {
             final Optional<NodeState> state = monitor.stateOf(machine);
-            if (state.isEmpty()
-                    || acknowledged.entrySet().stream()
-                            .anyMatch(entry -> state.get().version(entry.getKey()) < entry.getValue())) {
+            if (state.isEmpty() || !state.get().behind(acknowledged).isEmpty()) {
                 return false;
             }
         }
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/RecoveryCheck.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/RecoveryCheck.java
@@ -85,12 +85,9 @@
         if (!state.isVoterSettled()) {
             lacks.add(machine + " is " + state.voterState());
         }
-        acknowledged.forEach((item, version) -> {
-            if (state.version(item) < version) {
-                lacks.add(machine + " has version " + state.version(item) + " of " + item + ", " + version
-                        + " was acknowledged");
-            }
-        });
+        state.behind(acknowledged)
+                .forEach(item -> lacks.add(machine + " has version " + state.version(item) + " of " + item + ", "
+                        + acknowledged.get(item) + " was acknowledged"));
         return lacks;
     }
 }
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/ResourceSample.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/ResourceSample.java
@@ -7,6 +7,7 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.rowanvalve.testkit.fleet.FleetMachine;
+import org.rowanvalve.testkit.scale.ResourceUsage;
 
 /**
  * What one process uses.
@@ -16,7 +17,7 @@
  * @param diskBytes size of its data folder, 0 without one
  */
 record ResourceSample(long changes, double residentKb, double descriptors, double threads, double diskBytes) {
-    private static final String RESIDENT = "VmRSS:";
+    private static final double KB_PER_MB = 1024;
 
     /** The figures, by the name that a report gives them. */
     enum Figure {
@@ -51,7 +52,7 @@
         try {
             return Optional.of(new ResourceSample(
                     changes,
-                    residentKb(process),
+                    KB_PER_MB * ResourceUsage.residentMb(machine),
                     count(process.resolve("fd")),
                     count(process.resolve("task")),
                     machine.hasDisk() ? size(machine.data()) : 0));
@@ -60,15 +61,6 @@
         }
     }
 
-    private static double residentKb(final Path process) throws IOException {
-        return Files.readAllLines(process.resolve("status")).stream()
-                .filter(line -> line.startsWith(RESIDENT))
-                .mapToDouble(line -> Double.parseDouble(
-                        line.substring(RESIDENT.length()).strip().split(" ")[0]))
-                .findFirst()
-                .orElseThrow(() -> new IOException("no resident memory in " + process));
-    }
-
     private static double count(final Path folder) throws IOException {
         try (Stream<Path> all = Files.list(folder)) {
             return all.count();
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakCapacity.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakCapacity.java
@@ -1,10 +1,9 @@
 package org.rowanvalve.testkit.soak;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.rowanvalve.testkit.scale.MachineCapacity;
 
 /**
  * Whether the processes of a plan fit into half of this machine's memory.
@@ -18,24 +17,12 @@
 
     static final long OWN_MB = 1024;
     private static final int MAX_PROCESSES = 300;
-    private static final long KB_PER_MB = 1024;
     private static final long FILES_PER_LINK = 5;
     private static final long OWN_FILES = 2000;
 
     static SoakCapacity here() throws IOException {
-        return new SoakCapacity(
-                number(Path.of("/proc/meminfo"), "MemTotal:") / KB_PER_MB,
-                number(Path.of("/proc/self/limits"), "Max open files"));
-    }
-
-    private static long number(final Path file, final String name) throws IOException {
-        return Files.readAllLines(file).stream()
-                .filter(line -> line.startsWith(name))
-                .map(line -> line.substring(name.length()).strip().split("\\s+")[0])
-                .filter(text -> text.matches("[0-9]+"))
-                .mapToLong(Long::parseLong)
-                .findFirst()
-                .orElseThrow(() -> new IOException("no number after " + name + " in " + file));
+        final MachineCapacity machine = MachineCapacity.here();
+        return new SoakCapacity(machine.memoryMb(), machine.files());
     }
 
     /** Why the plan does not fit; empty where it does. */
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakReport.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.rowanvalve.testkit.scale.ProcessorTime;
 
 /**
  * What a soak run did and found.
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakRun.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakRun.java
@@ -13,6 +13,7 @@
 import org.rowanvalve.testkit.fleet.FleetMachine;
 import org.rowanvalve.testkit.judge.Judge;
 import org.rowanvalve.testkit.judge.Verdict;
+import org.rowanvalve.testkit.scale.ProcessorTime;
 import org.rowanvalve.testkit.scenario.Deployment;
 import org.rowanvalve.testkit.soak.SoakFinding.Rule;
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/package-info.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/package-info.java
@@ -4,6 +4,6 @@
  *
  * <p>A {@link SoakPlan} says beforehand what happens when; {@link SoakRun} plays it and {@link SoakReport} tells what
  * was found. Depends on {@code common.model}, {@code control.json}, {@code testkit.fleet}, {@code testkit.judge},
- * {@code testkit.log}, {@code testkit.origin} and {@code testkit.scenario}.
+ * {@code testkit.log}, {@code testkit.origin}, {@code testkit.scale} and {@code testkit.scenario}.
  */
 package org.rowanvalve.testkit.soak;
--- a/testkit/src/test/java/org/rowanvalve/testkit/RecoveryAfterChangesTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/RecoveryAfterChangesTest.java
@@ -16,7 +16,6 @@
 import org.rowanvalve.control.json.Json;
 import org.rowanvalve.control.operator.ApiResponse;
 import org.rowanvalve.data.node.Node;
-import org.rowanvalve.testkit.log.RunLog;
 import org.rowanvalve.testkit.scenario.Deployment;
 import org.rowanvalve.testkit.sim.SimCluster;
 import org.rowanvalve.testkit.sim.SimNode;
@@ -43,29 +42,8 @@
     private static final long DOWN_MS = 900;
 
     private static byte[] routeAdded(final Deployment deployment, final int number) {
-        final Map<String, Object> route = RunLog.row(
-                "version",
-                1000 + number,
-                "host",
-                "shop.example",
-                "prefix",
-                "/added" + number + "/",
-                "service",
-                deployment.kin().get(0).service(),
-                "mode",
-                "cached",
-                "lifetimeMs",
-                500,
-                "any",
-                true,
-                "timeoutMs",
-                2000,
-                "aimMs",
-                300,
-                "rank",
-                1,
-                "tries",
-                2);
+        final Map<String, Object> route = ShieldNetworks.route(deployment, "/added" + number + "/", 1000 + number);
+        route.putAll(Map.of("timeoutMs", 2000, "aimMs", 300, "rank", 1, "tries", 2));
         final Map<String, Object> update = new LinkedHashMap<>();
         update.put("set", Map.of("routes", Map.of("added" + number, route)));
         if (number % MANY > 0) {
--- a/testkit/src/test/java/org/rowanvalve/testkit/ShieldRunTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/ShieldRunTest.java
@@ -40,29 +40,9 @@
     private static final List<String> ELECTORS = List.of("sh1", "sh2", "sh3");
 
     private static String patch(final Deployment deployment, final long ver, final String note) {
-        return Json.write(Map.of(
-                "set",
-                Map.of(
-                        "routes",
-                        Map.of(
-                                ROUTE.name(),
-                                RunLog.row(
-                                        "host",
-                                        "shop.example",
-                                        "prefix",
-                                        "/more/",
-                                        "service",
-                                        deployment.kin().get(0).service(),
-                                        "mode",
-                                        "cached",
-                                        "lifetimeMs",
-                                        500,
-                                        "any",
-                                        true,
-                                        "version",
-                                        ver,
-                                        "note",
-                                        note)))));
+        final Map<String, Object> route = ShieldNetworks.route(deployment, "/more/", ver);
+        route.put("note", note);
+        return Json.write(Map.of("set", Map.of("routes", Map.of(ROUTE.name(), route))));
     }
 
     private static String drop(final long ver) {
--- a/testkit/src/test/java/org/rowanvalve/testkit/soak/ProcessorTimeTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/scale/ProcessorTimeTest.java
@@ -1,4 +1,4 @@
-package org.rowanvalve.testkit.soak;
+package org.rowanvalve.testkit.scale;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
