--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -47,6 +47,7 @@
     private final AtomicInteger tries = new AtomicInteger();
     private final int shields;
     private final int edges;
+    private boolean firstBoot = true;
 
     /** A case that could not be run: its precondition did not come about. */
     static final class CannotRun extends RuntimeException {
@@ -173,7 +174,7 @@
         f.put("listen_addresses", listen);
         f.put("internal_port_range", List.of(WIRE, WIRE_LAST));
         f.put("seed_nodes", List.of(shield(1) + ":" + CONTROL, shield(2) + ":" + CONTROL, shield(3) + ":" + CONTROL));
-        f.put("first_boot", true);
+        f.put("first_boot", firstBoot);
         f.put("data_directory", edge ? null : dir.resolve("data-" + ip).toString());
         f.put("limits", Map.of("file_descriptors", edge ? 3000 : 4096));
         f.put("fault_tolerance", Map.of("machines", 1));
@@ -215,6 +216,23 @@
         return process;
     }
 
+    /** SIGKILL to a shield and, {@code downMs} later, its start; {@code wiped}: with an empty disk. */
+    void killAndStart(final int number, final boolean wiped, final long downMs) throws Exception {
+        final Process process = processes.get(shield(number));
+        process.destroyForcibly().waitFor();
+        say("SIGKILL to " + shield(number) + (wiped ? ", which loses its disk" : ""));
+        if (wiped) {
+            try (Stream<Path> walk = Files.walk(dir.resolve("data-" + shield(number)))) {
+                for (final Path path : walk.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(path);
+                }
+            }
+        }
+        Thread.sleep(downMs);
+        firstBoot = false;
+        start("shield", shield(number), number - 1);
+    }
+
     Process process(final String ip) {
         return processes.get(ip);
     }
