--- a/review/src/Origin.java
+++ b/review/src/Origin.java
@@ -142,9 +142,9 @@
             socket.setTcpNoDelay(true);
             final InputStream in = new BufferedInputStream(socket.getInputStream());
             while (true) {
-                final String[] first = Kit.line(in).split(" ");
-                final Map<String, String> headers = Kit.headers(in);
-                final byte[] body = Kit.body(in, headers, false);
+                final String[] first = Http.line(in).split(" ");
+                final Map<String, String> headers = Http.headers(in);
+                final byte[] body = Http.body(in, headers, false);
                 final Reply reply = answer(first[0], first[1], headers, body);
                 final Map<String, String> heads = new LinkedHashMap<>(reply.headers());
                 if (headers.containsKey("x-attempt-id")) {
