A key is remembered from its latest attempt, and a replica says what stands there

Callers saw: a key that was refused while its origins were full, executed 40 s later, was executed again 57 s after that, inside its window; eight keys of eight.

The replicas still had the outcome, but answered the new intent with "accepted". Ruled out: the replicas' own retention (written anew with each record), the lookup at other holders.

Now the retention counts from the beginning and from the end of the latest attempt; a replica that keeps a record in place of the one written answers with it (a field that earlier releases ignore), and the holder adopts it and sends nothing. On related paths, each with a test that failed before: another body replaced the attempt in flight of a key that had been refused; a late intent or "not sent" of an earlier attempt of the same process replaced a later one's at a replica.

--- a/common/src/main/java/org/rowanvalve/common/message/KeyedRecord.java
+++ b/common/src/main/java/org/rowanvalve/common/message/KeyedRecord.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.rowanvalve.common.model.FencingToken;
+import org.rowanvalve.common.model.Hash;
 
 /**
  * The record of one keyed request: an intent, or an outcome. {@code attemptId} names one attempt of one process; {@code
@@ -18,6 +19,8 @@
         @JsonProperty("turn") long attemptId,
         @JsonProperty("clear") boolean notSent,
         KeyedOutcome outcome) {
+    private static final int ATTEMPT_NUMBER_BITS = 24;
+
     public KeyedRecord withoutOutcome() {
         return new KeyedRecord(key, shard, token, requestDigest, attemptId, notSent, null);
     }
@@ -36,18 +39,31 @@
                         KeyedOutcome.bodyElsewhere(outcome.status()));
     }
 
-    /** What one replica stores once this record has come to it. */
+    /** The id of an attempt: a part that names the process, and the number of the attempt among all of that process. */
+    public static long attemptId(final String process, final long number) {
+        return (Hash.hash64(process) << ATTEMPT_NUMBER_BITS) + number;
+    }
+
+    public static boolean isSameProcess(final long attemptId, final long otherAttemptId) {
+        return attemptId >> ATTEMPT_NUMBER_BITS == otherAttemptId >> ATTEMPT_NUMBER_BITS;
+    }
+
+    /** What one replica stores once this record has come to it, in whatever order records arrive. */
     public KeyedRecord mergedOver(final KeyedRecord stored) {
-        if (stored == null || outcome != null) {
-            return this;
-        }
-        final boolean same = stored.token.equals(token) && stored.attemptId == attemptId;
+        return stored == null || outcome != null || !isObsoleteAfter(stored) ? this : stored;
+    }
+
+    /** Whether a replica that holds {@code stored} has nothing to learn from this record, which has no outcome. */
+    private boolean isObsoleteAfter(final KeyedRecord stored) {
+        final boolean sameToken = stored.token.equals(token);
+        final boolean sameAttempt = sameToken && stored.attemptId == attemptId;
+        final boolean earlierAttempt =
+                sameToken && isSameProcess(attemptId, stored.attemptId) && attemptId < stored.attemptId;
         return stored.outcome != null
-                        || token.isBelow(stored.token)
-                        || same && stored.notSent
-                        || notSent && !same && !stored.token.isBelow(token)
-                ? stored
-                : this;
+                || token.isBelow(stored.token)
+                || earlierAttempt
+                || sameAttempt && stored.notSent
+                || notSent && !sameAttempt && !stored.token.isBelow(token);
     }
 
     /** Merges several replicas' records of one key: an attempt counts as not sent only if no other attempt is known. */
--- a/control/src/main/java/org/rowanvalve/control/record/KeyedRecordStore.java
+++ b/control/src/main/java/org/rowanvalve/control/record/KeyedRecordStore.java
@@ -224,8 +224,8 @@
     }
 
     /**
-     * Stores an intent or an outcome, unless the writer has to read this replica again; the response leaves once it is
-     * synced.
+     * Stores an intent or an outcome, unless the writer has to read this replica again or the record that stands here
+     * outranks it, which the response then bears; the response leaves once what stands is synced.
      */
     public void onWrite(final RecordWriteRequest request, final Consumer<Message> callback) {
         final KeyedRecord record = request.keyedRecord();
@@ -249,7 +249,10 @@
         table.put(row);
         saveRow(RECORD_PREFIX + record.key(), row, ok -> {
             if (ok) {
-                callback.accept(new RecordWriteResponse(true, isIncomplete(), false));
+                callback.accept(
+                        merged == record
+                                ? new RecordWriteResponse(true, isIncomplete(), false)
+                                : new RecordWriteResponse(false, isIncomplete(), false, merged.withoutBody()));
             }
         });
     }
--- a/control/src/test/java/org/rowanvalve/control/SampleValues.java
+++ b/control/src/test/java/org/rowanvalve/control/SampleValues.java
@@ -14,6 +14,7 @@
 import org.rowanvalve.common.message.AckResponse;
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.Message;
+import org.rowanvalve.common.message.RecordWriteResponse;
 import org.rowanvalve.common.message.RejectedResponse;
 import org.rowanvalve.common.message.ShardLease;
 import org.rowanvalve.common.message.UpdateForwardResponse;
@@ -39,18 +40,33 @@
             Service.class, Map.of(0, "content"),
             Origin.class, Map.of(4, "open"));
 
+    /** How many components a record had in the first release that had the record; those after them may be null. */
+    private static final Map<Class<?>, Integer> FIRST_COMPONENTS = Map.of(RecordWriteResponse.class, 3);
+
+    private final boolean extended;
     private long count;
 
-    /** Every component holds something. */
+    private SampleValues(final boolean extended) {
+        this.extended = extended;
+    }
+
+    /** Every component holds something that its record's first release had. */
     static <T> T full(final Class<T> type) {
-        return type.cast(new SampleValues().value(type));
+        return type.cast(new SampleValues(false).value(type));
+    }
+
+    /** Every component holds something; empty where the record has no component that came later. */
+    static <T> Optional<T> extended(final Class<T> type) {
+        return FIRST_COMPONENTS.containsKey(type)
+                ? Optional.of(type.cast(new SampleValues(true).value(type)))
+                : Optional.empty();
     }
 
     /** Every component that may be null is null; empty where the record does not take that. */
     static <T> Optional<T> sparse(final Class<T> type) {
         final RecordComponent[] components = type.getRecordComponents();
         final Object[] values = Arrays.stream(components)
-                .map(c -> c.getType().isPrimitive() ? new SampleValues().value(c.getType()) : null)
+                .map(c -> c.getType().isPrimitive() ? new SampleValues(false).value(c.getType()) : null)
                 .toArray();
         if (Arrays.stream(values).allMatch(v -> v != null)) {
             return Optional.empty();
@@ -135,7 +151,8 @@
         final RecordComponent[] components = type.getRecordComponents();
         final Map<Integer, String> codes = CODES.getOrDefault(type, Map.of());
         final Object[] values = new Object[components.length];
-        for (int i = 0; i < components.length; i++) {
+        final int filled = extended ? components.length : FIRST_COMPONENTS.getOrDefault(type, components.length);
+        for (int i = 0; i < filled; i++) {
             values[i] = codes.containsKey(i)
                     ? Json.read('"' + codes.get(i) + '"', components[i].getType())
                     : value(components[i].getGenericType());
--- a/control/src/test/java/org/rowanvalve/control/StoredFormatTest.java
+++ b/control/src/test/java/org/rowanvalve/control/StoredFormatTest.java
@@ -7,10 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
@@ -88,8 +86,6 @@
             "ledger",
             UpdateLedger.class);
 
-    private static final List<String> VARIANTS = List.of("full", "sparse");
-
     private static Map<String, String> written() throws IOException {
         final Map<String, String> lines = new LinkedHashMap<>();
         for (final String line : Files.readAllLines(FORMATS)) {
@@ -99,10 +95,12 @@
         return lines;
     }
 
-    private static <T> List<T> samples(final Class<T> type) {
-        final List<T> list = new ArrayList<>(List.of(SampleValues.full(type)));
-        SampleValues.sparse(type).ifPresent(list::add);
-        return list;
+    /** By variant: what the first release wrote, what it wrote with gaps, and with what was added since. */
+    private static <T> Map<String, T> samples(final Class<T> type) {
+        final Map<String, T> samples = new TreeMap<>(Map.of("full", SampleValues.full(type)));
+        SampleValues.sparse(type).ifPresent(sample -> samples.put("sparse", sample));
+        SampleValues.extended(type).ifPresent(sample -> samples.put("extended", sample));
+        return samples;
     }
 
     private static byte[] frame(final Message message) {
@@ -124,23 +122,18 @@
     static Map<String, String> writtenNow() throws IOException {
         final Map<String, String> lines = new TreeMap<>();
         for (final Class<?> type : Message.class.getPermittedSubclasses()) {
-            int variant = 0;
-            for (final Object sample : samples(type)) {
-                final Message message = (Message) sample;
-                lines.put("message/" + tag(message) + "/" + VARIANTS.get(variant++), hex(frame(message)));
+            for (final Map.Entry<String, ?> sample : samples(type).entrySet()) {
+                final Message message = (Message) sample.getValue();
+                lines.put("message/" + tag(message) + "/" + sample.getKey(), hex(frame(message)));
             }
         }
         ROWS.forEach((name, type) -> {
-            int variant = 0;
-            for (final Object sample : samples(type)) {
-                lines.put("row/" + name + "/" + VARIANTS.get(variant++), hex(MessageCodec.encode(sample)));
-            }
+            samples(type)
+                    .forEach((variant, sample) ->
+                            lines.put("row/" + name + "/" + variant, hex(MessageCodec.encode(sample))));
         });
         BODIES.forEach((name, type) -> {
-            int variant = 0;
-            for (final Object sample : samples(type)) {
-                lines.put("body/" + name + "/" + VARIANTS.get(variant++), Json.write(sample));
-            }
+            samples(type).forEach((variant, sample) -> lines.put("body/" + name + "/" + variant, Json.write(sample)));
         });
         Stream.of(EventCode.values()).forEach(code -> lines.put("event/" + code.id(), code.id()));
         return lines;
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -14,7 +14,6 @@
 import org.rowanvalve.common.message.KeyedRecord;
 import org.rowanvalve.common.message.RecordWriteRequest;
 import org.rowanvalve.common.model.FencingToken;
-import org.rowanvalve.common.model.Hash;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.runtime.EventLoop;
@@ -32,7 +31,6 @@
  * the origin, and the outcome after it. Whoever holds the shard next reads a majority first, so it finds every intent.
  */
 public final class KeyedRequests {
-    private static final int ATTEMPT_BITS = 24;
     private static final long SWEEP_INTERVAL_MS = 10_000;
     private static final long INTENT_TIMEOUT_MILLIS = 1000;
     private static final long OUTCOME_TIMEOUT_MILLIS = 700;
@@ -44,7 +42,6 @@
     private final StoreHealth storeHealth;
     private final String reader;
     private final RecordRetention retention;
-    private final long attemptBase;
     private final Map<Integer, KeyedShard> shards = new HashMap<>();
     private long attemptSerial;
 
@@ -64,7 +61,6 @@
             final String reader,
             final RecordRetention retention) {
         this.reader = reader;
-        this.attemptBase = Hash.hash64(reader) << ATTEMPT_BITS;
         this.votingConfiguration = votingConfiguration;
         this.loop = loop;
         this.transport = transport;
@@ -115,7 +111,7 @@
                 shardNumber,
                 token,
                 loop,
-                turn -> turn >> ATTEMPT_BITS == attemptBase >> ATTEMPT_BITS,
+                attemptId -> KeyedRecord.isSameProcess(attemptId, KeyedRecord.attemptId(reader, 0)),
                 listener -> new RecordReader(
                         votingConfiguration,
                         loop,
@@ -149,8 +145,7 @@
         final KeyedEntry known =
                 found != null && found.notSent && !found.digest().equals(digest) ? null : found;
         if (known != null && !known.digest().equals(digest)) {
-            callback.accept(
-                    response(RequestOutcome.REFUSED, 422, "the key was used with another body", shard.token(), 0));
+            callback.accept(otherBody(shard));
         } else if (known != null && known.hasBodyElsewhere()) {
             known.addWaiter(callback);
             fetchOutcome(shard, key, known);
@@ -159,17 +154,23 @@
         } else if (known != null && known.inProgress) {
             known.addWaiter(callback);
         } else if (known != null && !known.notSent) {
-            callback.accept(response(
-                    RequestOutcome.UNKNOWN, 504, "outcome unknown: an earlier try may have run", shard.token(), 0));
+            callback.accept(earlierAttempt(shard));
         } else {
             final KeyedEntry entry = known == null ? new KeyedEntry(digest, loop.now()) : known;
-            entry.inProgress = true;
             entry.addWaiter(callback);
             shard.entries().put(key, entry);
             recordIntent(shard, key, entry, sendAction);
         }
     }
 
+    private static ForwardResponse earlierAttempt(final KeyedShard shard) {
+        return response(RequestOutcome.UNKNOWN, 504, "outcome unknown: an earlier try may have run", shard.token(), 0);
+    }
+
+    private static ForwardResponse otherBody(final KeyedShard shard) {
+        return response(RequestOutcome.REFUSED, 422, "the key was used with another body", shard.token(), 0);
+    }
+
     /** The key was executed elsewhere: its outcome's body is fetched once for all who ask meanwhile. */
     private void fetchOutcome(final KeyedShard shard, final String key, final KeyedEntry entry) {
         if (entry.fetching) {
@@ -221,12 +222,15 @@
     }
 
     private void recordIntent(final KeyedShard shard, final String key, final KeyedEntry entry, final Send sendAction) {
-        entry.attemptId = attemptBase + ++attemptSerial;
+        entry.begin(loop.now());
+        entry.attemptId = KeyedRecord.attemptId(reader, ++attemptSerial);
         entry.foreignRecord = null;
-        writeRecord(shard, recordOf(shard, key, entry, false), INTENT_TIMEOUT_MILLIS, ok -> {
+        writeRecord(shard, recordOf(shard, key, entry, false), INTENT_TIMEOUT_MILLIS, result -> {
             if (entry.foreignRecord != null) {
                 yieldToForeign(shard, entry);
-            } else if (!ok) {
+            } else if (result.status() == RecordWrite.Status.OUTRANKED) {
+                yieldToStanding(shard, key, entry, result.standing());
+            } else if (!result.isStored()) {
                 journal.add(Event.of(EventCode.KEEP_SHORT, "shard", shard.number(), "key", key));
                 release(
                         shard,
@@ -250,12 +254,25 @@
      * sent.
      */
     private void yieldToForeign(final KeyedShard shard, final KeyedEntry entry) {
-        entry.inProgress = false;
-        entry.notSent = false;
-        entry.outcome = entry.foreignRecord.outcome();
-        entry.foreignRecord = null;
-        entry.respond(response(
-                RequestOutcome.UNKNOWN, 504, "outcome unknown: an earlier try may have run", shard.token(), 0));
+        entry.adopt(entry.foreignRecord, loop.now());
+        entry.respond(earlierAttempt(shard));
+    }
+
+    /**
+     * A replica holds an outcome of this key, or a later attempt, of which this process knew nothing: nothing is sent,
+     * and whoever waits gets that outcome where there is one.
+     */
+    private void yieldToStanding(
+            final KeyedShard shard, final String key, final KeyedEntry entry, final KeyedRecord standing) {
+        final boolean sameRequest = entry.digest().equals(standing.requestDigest());
+        entry.adopt(standing, loop.now());
+        if (!sameRequest) {
+            entry.respond(otherBody(shard));
+        } else if (entry.hasBodyElsewhere()) {
+            fetchOutcome(shard, key, entry);
+        } else {
+            entry.respond(earlierAttempt(shard));
+        }
     }
 
     /**
@@ -263,8 +280,7 @@
      */
     private void release(
             final KeyedShard shard, final String key, final KeyedEntry entry, final ForwardResponse response) {
-        entry.inProgress = false;
-        entry.notSent = true;
+        entry.end(true, loop.now());
         final KeyedRecord keyedRecord = recordOf(shard, key, entry, true);
         final long epoch = votingConfiguration.epoch();
         votingConfiguration
@@ -285,16 +301,14 @@
             final OriginDispatcher.Completion completion) {
         final OriginTransport.OriginResponse originResponse = completion.response();
         if (originResponse.result() == OriginTransport.ExchangeResult.COMPLETE) {
-            entry.notSent = false;
             entry.outcome = new KeyedOutcome(
                     originResponse.status(), EndToEndHeaders.of(originResponse.headers()), originResponse.body(), true);
-            writeRecord(shard, recordOf(shard, key, entry, false), OUTCOME_TIMEOUT_MILLIS, ok -> {
-                entry.inProgress = false;
+            writeRecord(shard, recordOf(shard, key, entry, false), OUTCOME_TIMEOUT_MILLIS, result -> {
+                entry.end(false, loop.now());
                 entry.respond(completed(shard, entry.outcome));
             });
         } else if (completion.mayHaveRun()) {
-            entry.inProgress = false;
-            entry.notSent = false;
+            entry.end(false, loop.now());
             entry.respond(response(
                     RequestOutcome.UNKNOWN, 504, "outcome unknown: the origin's answer was lost", shard.token(), 0));
         } else {
@@ -311,7 +325,7 @@
             final KeyedShard shard,
             final KeyedRecord keyedRecord,
             final long timeoutMs,
-            final Consumer<Boolean> callback) {
+            final Consumer<RecordWrite.Result> callback) {
         new RecordWrite(
                         votingConfiguration,
                         loop,
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedShard.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedShard.java
@@ -170,8 +170,7 @@
         } else if (entry.inProgress) {
             entry.foreignRecord = record;
         } else if (entry.outcome == null) {
-            entry.notSent = false;
-            entry.outcome = record.outcome();
+            entry.adopt(record, loop.now());
         }
     }
 }
--- a/data/src/main/java/org/rowanvalve/data/keyed/RecordWrite.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/RecordWrite.java
@@ -34,15 +34,33 @@
     private final KeyedRecord keyedRecord;
     private final long timeoutMs;
     private final boolean mayRepeat;
-    private final Consumer<Boolean> callback;
+    private final Consumer<Result> callback;
     private final long startedAt;
     private final Set<NodeId> accepted = new HashSet<>();
     private final Set<NodeId> syncedBy = new HashSet<>();
     private final Set<NodeId> staleKeepers = new HashSet<>();
     private int unanswered;
+    private KeyedRecord standing;
     private boolean superseded;
     private boolean finished;
 
+    /** How a write ended. */
+    enum Status {
+        /** Synced at a majority of the replicas. */
+        STORED,
+        /** Not known to be synced at a majority. */
+        FAILED,
+        /** A replica holds a record of this key that outranks the one written. */
+        OUTRANKED
+    }
+
+    /** {@code standing}: the record that outranks the one written, or null. */
+    record Result(Status status, KeyedRecord standing) {
+        boolean isStored() {
+            return status == Status.STORED;
+        }
+    }
+
     /** {@code mayRepeat}: whether it is written once more after replicas have been read again. */
     RecordWrite(
             final VotingConfiguration votingConfiguration,
@@ -53,7 +71,7 @@
             final KeyedRecord keyedRecord,
             final long timeoutMs,
             final boolean mayRepeat,
-            final Consumer<Boolean> callback) {
+            final Consumer<Result> callback) {
         this.votingConfiguration = votingConfiguration;
         this.quorum = votingConfiguration.quorum();
         this.loop = loop;
@@ -110,6 +128,9 @@
         if (response.staleEra()) {
             staleKeepers.add(keeper);
             shard.reader().readAgain(keeper);
+        } else if (response.standing() != null) {
+            storeHealth.recordSync(keeper);
+            onStanding(response.standing());
         } else if (response.accepted()) {
             syncedBy.add(keeper);
             storeHealth.recordSync(keeper);
@@ -121,10 +142,22 @@
         }
     }
 
+    /** An outcome says more than any record without one. */
+    private void onStanding(final KeyedRecord record) {
+        if (standing == null || standing.outcome() == null) {
+            standing = record;
+        }
+    }
+
     private void check() {
         if (finished) {
             return;
         }
+        if (standing != null) {
+            finished = true;
+            callback.accept(new Result(Status.OUTRANKED, standing));
+            return;
+        }
         if (votingConfiguration.epoch() != quorum.epoch()) {
             onVotingSetChange();
             return;
@@ -141,22 +174,26 @@
     /** Other replicas count now: what this set has acknowledged is handed over, and the new one is asked. */
     private void onVotingSetChange() {
         finished = true;
-        shard.whenReady(VOTING_CHANGE_PATIENCE_MS, () -> repeat(mayRepeat), () -> callback.accept(false));
+        shard.whenReady(VOTING_CHANGE_PATIENCE_MS, () -> repeat(mayRepeat), this::fail);
     }
 
     private void finish(final boolean succeeded) {
         finished = true;
         if (succeeded || superseded || staleKeepers.isEmpty() || !mayRepeat) {
-            callback.accept(succeeded);
+            callback.accept(new Result(succeeded ? Status.STORED : Status.FAILED, null));
             return;
         }
-        shard.whenReady(timeoutMs, () -> repeat(false), () -> callback.accept(false));
+        shard.whenReady(timeoutMs, () -> repeat(false), this::fail);
+    }
+
+    private void fail() {
+        callback.accept(new Result(Status.FAILED, null));
     }
 
     /** Not over another process's intent that was found when the replicas were read again. */
     private void repeat(final boolean mayRepeatAgain) {
         if (keyedRecord.outcome() == null && shard.entries().get(keyedRecord.key()).foreignRecord != null) {
-            callback.accept(false);
+            fail();
         } else {
             new RecordWrite(
                             votingConfiguration,
