No call, and no item, is taken that could not be handed over again

Cause: the ledger's value holds the bodies of all items of a call and a line for every item ever named. A value that fits into the message that proposes it need not fit into those that answer with it; an answer with missing items stopped before its first item where that was over 1 MB; and thousands of items were written at once, by several nodes. Ruled out: a lost majority, a process that ended (none did).

Now: a call over update-bytes (2.5 MB as stored) is refused with 413 before anything takes effect, read outside of the event loop; no value over 3 MB is proposed; the ledger does not name items that say as much themselves and have settled; an answer bears one item at least; items are written 128 at a time, by the node that took them as long as it comes on. Test cluster and simulator refuse messages over 4 MB, as the transport does.

--- a/control/src/main/java/org/rowanvalve/control/consensus/Proposer.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/Proposer.java
@@ -67,7 +67,7 @@
         ACCEPTED,
         /** The register did not stand where the writer expected; the value found is chosen. */
         CONFLICT,
-        /** Nothing was sent that a voter could accept; it will not take effect. */
+        /** Nothing was sent that a voter could accept, or the value is too large; it will not take effect. */
         REJECTED,
         /** The time-out passed; the value may be chosen or not. */
         UNKNOWN
@@ -270,6 +270,9 @@
                         "ver",
                         current.version().number()));
                 confirmStanding(current);
+            } else if (next.get().approximateBytes() > Item.MAX_BYTES) {
+                phase++;
+                complete(sent ? Status.UNKNOWN : Status.REJECTED, current);
             } else {
                 sendAccept(next.get());
             }
--- a/control/src/main/java/org/rowanvalve/control/operator/ConfigurationUpdate.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/ConfigurationUpdate.java
@@ -15,6 +15,7 @@
 import org.rowanvalve.common.model.ValidationError;
 import org.rowanvalve.common.model.Version;
 import org.rowanvalve.control.config.Configuration;
+import org.rowanvalve.control.json.Json;
 import org.rowanvalve.control.json.JsonObjectReader;
 import org.rowanvalve.control.json.JsonReader;
 
@@ -142,6 +143,11 @@
         return updates.containsKey(id) && updates.get(id).body() != null;
     }
 
+    /** The size of the update in the ledger until its items are written. */
+    int encodedBytes() {
+        return Json.write(updates).getBytes(StandardCharsets.UTF_8).length;
+    }
+
     public Map<ItemId, ItemUpdate> updates() {
         return updates;
     }
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateLedger.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateLedger.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonValue;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemId;
@@ -25,6 +27,9 @@
 public record UpdateLedger(
         Map<ItemId, List<Taken>> taken,
         @JsonProperty("open") List<Map<ItemId, ConfigurationUpdate.ItemUpdate>> openUpdates) {
+    /** Room for what an item has beside its body. */
+    private static final int OTHER_BYTES = 1024;
+
     /** In place of a digest where a version drops its item. */
     static final String DELETED_DIGEST = "-";
     /** Versions that are remembered for each item, the highest ones, and never fewer where there were more. */
@@ -33,6 +38,9 @@
     /** Further versions that are remembered for all items together; items with the most give way first. */
     static final int SHARED_HISTORY = 256;
 
+    /** Versions that are remembered in all, apart from one of each item; the lowest give way first. */
+    static final int MAX_FURTHER_VERSIONS = 8192;
+
     static final UpdateLedger EMPTY = new UpdateLedger(Map.of(), List.of());
 
     /** A version that was taken, with the digest of its body; as text {@code NUMBER:DIGEST}. */
@@ -156,6 +164,24 @@
     }
 
     private static void trim(final Map<ItemId, List<Taken>> all) {
+        trimShared(all);
+        int most = MIN_HISTORY;
+        while (most > 1 && furtherVersions(all, most) > MAX_FURTHER_VERSIONS) {
+            most--;
+        }
+        if (most < MIN_HISTORY) {
+            final int kept = most;
+            all.replaceAll((id, history) -> history.subList(0, Math.min(kept, history.size())));
+        }
+    }
+
+    private static long furtherVersions(final Map<ItemId, List<Taken>> all, final int most) {
+        return all.values().stream()
+                .mapToLong(history -> Math.min(most, history.size()) - 1L)
+                .sum();
+    }
+
+    private static void trimShared(final Map<ItemId, List<Taken>> all) {
         int more = all.values().stream()
                         .mapToInt(history -> Math.max(0, history.size() - MIN_HISTORY))
                         .sum()
@@ -179,6 +205,25 @@
         return left.size() == openUpdates.size() ? this : new UpdateLedger(taken, left);
     }
 
+    /**
+     * The ledger without the items of which it says no more than the item itself does: one version, which stands and is
+     * {@code settled}.
+     */
+    UpdateLedger withoutSettled(final Function<ItemId, Item> standingItems, final Predicate<ItemId> settled) {
+        final Map<ItemId, List<Taken>> left = new TreeMap<>(taken);
+        left.entrySet()
+                .removeIf(entry -> entry.getValue().size() == 1
+                        && settled.test(entry.getKey())
+                        && entry.getValue().get(0).number()
+                                == standingItems.apply(entry.getKey()).version().number());
+        return left.size() == taken.size() ? this : new UpdateLedger(left, openUpdates);
+    }
+
+    /** Whether the register may take this value. */
+    boolean fits() {
+        return toJson().getBytes(StandardCharsets.UTF_8).length <= Item.MAX_BYTES - OTHER_BYTES;
+    }
+
     /** The highest part of each item that was taken and is not known as chosen yet. */
     Map<ItemId, ConfigurationUpdate.ItemUpdate> unwritten(final Function<ItemId, Item> standingItems) {
         final Map<ItemId, ConfigurationUpdate.ItemUpdate> all = new TreeMap<>();
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateSequencer.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateSequencer.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemId;
@@ -27,6 +28,7 @@
 
     private static final long RANK_DELAY_MS = 250;
     private static final long ROUND_MS = 250;
+    private static final long PROGRESS_CHECK_MS = 50;
     /** Bodies that were written are removed from the ledger by a write of its own when they are this large together. */
     private static final int LARGE_BODY_CHARS = 8192;
 
@@ -35,24 +37,55 @@
     private final Proposer proposer;
     private final Supplier<String> writeIds;
     private final List<PendingUpdate> queue = new ArrayList<>();
-    private final Map<ItemId, ItemWrite> writesInFlight = new HashMap<>();
+    private final ItemWriter writer;
+    private final BooleanSupplier viewIsFresh;
+    private final Predicate<ItemId> settled;
     private boolean writing;
     private boolean cleanUpDue;
     private long ledgerVersion;
     private long ledgerLearnedAt;
+    private long progressAt;
+    private int unwrittenCount;
     private UpdateLedger ledger = UpdateLedger.EMPTY;
 
-    private record PendingUpdate(ConfigurationUpdate update, Consumer<Judgement> callback) {}
+    private static final class PendingUpdate {
+        private final ConfigurationUpdate update;
+        private final Consumer<Judgement> callback;
+        /** The ledger that this node has proposed last takes the update. */
+        private boolean takenHere;
 
-    /** The write of one item that is under way. */
-    private record ItemWrite(ConfigurationUpdate.ItemUpdate itemUpdate, List<Consumer<Boolean>> waiters) {}
+        PendingUpdate(final ConfigurationUpdate update, final Consumer<Judgement> callback) {
+            this.update = update;
+            this.callback = callback;
+        }
+
+        ConfigurationUpdate update() {
+            return update;
+        }
+
+        Consumer<Judgement> callback() {
+            return callback;
+        }
+    }
 
+    /**
+     * {@code viewIsFresh}: whether this node's view is confirmed, without which nothing new is taken; {@code settled}:
+     * items that every confirmed view contains in the version known here, so that the ledger need not name them.
+     */
     UpdateSequencer(
-            final EventLoop loop, final ItemStore items, final Proposer proposer, final Supplier<String> writeIds) {
+            final EventLoop loop,
+            final ItemStore items,
+            final Proposer proposer,
+            final Supplier<String> writeIds,
+            final BooleanSupplier viewIsFresh,
+            final Predicate<ItemId> settled) {
         this.loop = loop;
         this.items = items;
         this.proposer = proposer;
         this.writeIds = writeIds;
+        this.viewIsFresh = viewIsFresh;
+        this.settled = settled;
+        this.writer = new ItemWriter(items, proposer, writeIds);
     }
 
     /** From now on this node completes what others leave open; {@code rank} spreads several nodes in time. */
@@ -102,13 +135,25 @@
                 });
     }
 
-    /** The ledger with each update of the batch that can be taken; where there is none, the standing value itself. */
+    /**
+     * The ledger with each update of the batch that can be taken; where there is none, the standing value itself. An
+     * update for which there is no room yet waits for its caller's next try: a value that is too large for a message
+     * could be chosen and never read again.
+     */
     private Item nextLedger(final Item now, final List<PendingUpdate> batch, final String writeId) {
         final UpdateLedger before = UpdateLedger.of(now);
         UpdateLedger after = batch.isEmpty() ? before.withoutWritten(items::get) : before;
         for (final PendingUpdate pendingUpdate : batch) {
-            if (after.judge(pendingUpdate.update(), items::get).verdict() == UpdateVerdict.NEW) {
-                after = after.withTaken(pendingUpdate.update(), items::get);
+            pendingUpdate.takenHere = false;
+            if (viewIsFresh.getAsBoolean()
+                    && after.judge(pendingUpdate.update(), items::get).verdict() == UpdateVerdict.NEW) {
+                final UpdateLedger next = after.withoutWritten(items::get)
+                        .withTaken(pendingUpdate.update(), items::get)
+                        .withoutSettled(items::get, settled);
+                if (next.fits()) {
+                    pendingUpdate.takenHere = true;
+                    after = next;
+                }
             }
         }
         return after == before
@@ -124,6 +169,7 @@
                 writeItems(
                         chosen,
                         pendingUpdate.update().updates().keySet(),
+                        pendingUpdate.takenHere,
                         ok -> pendingUpdate
                                 .callback()
                                 .accept(Judgement.of(ok ? UpdateVerdict.TAKEN : UpdateVerdict.UNDECIDED)));
@@ -132,40 +178,32 @@
         }
     }
 
-    /** The callback gets true once each of these items is chosen as the ledger says. */
-    private void writeItems(final UpdateLedger chosen, final Collection<ItemId> ids, final Consumer<Boolean> callback) {
+    /**
+     * The callback gets true once each of these items is chosen as the ledger says. What another node is writing is left
+     * to it for as long as it comes on, where it is much: two that write the same items hold each other up.
+     */
+    private void writeItems(
+            final UpdateLedger chosen,
+            final Collection<ItemId> ids,
+            final boolean takenHere,
+            final Consumer<Boolean> callback) {
         final Map<ItemId, ConfigurationUpdate.ItemUpdate> unwritten = chosen.unwritten(items::get);
         unwritten.keySet().retainAll(ids);
-        if (unwritten.isEmpty()) {
-            callback.accept(true);
-            return;
+        if (takenHere || unwritten.size() <= ItemWriter.MAX_CONCURRENT_WRITES || !isProgressing(TAKEOVER_MS)) {
+            writer.write(unwritten, callback);
+        } else {
+            loop.schedule(PROGRESS_CHECK_MS, () -> writeItems(chosen, ids, false, callback));
         }
-        final int[] remaining = {unwritten.size()};
-        final boolean[] allWritten = {true};
-        unwritten.forEach((id, itemUpdate) -> writeItems(id, itemUpdate, ok -> {
-            allWritten[0] &= ok;
-            if (--remaining[0] == 0) {
-                callback.accept(allWritten[0]);
-            }
-        }));
     }
 
-    private void writeItems(
-            final ItemId id, final ConfigurationUpdate.ItemUpdate itemUpdate, final Consumer<Boolean> callback) {
-        final ItemWrite inFlight = writesInFlight.get(id);
-        if (inFlight != null
-                && !itemUpdate.version().isAbove(inFlight.itemUpdate().version())) {
-            inFlight.waiters().add(callback);
-            return;
+    /** Whether the ledger, or an item that it leaves to be written, was learned less than {@code patienceMs} ago. */
+    private boolean isProgressing(final long patienceMs) {
+        final int unwritten = learnedLedger().unwritten(items::get).size();
+        if (unwritten < unwrittenCount) {
+            progressAt = loop.now();
         }
-        final ItemWrite write = new ItemWrite(itemUpdate, new ArrayList<>(List.of(callback)));
-        writesInFlight.put(id, write);
-        final String writeId = writeIds.get();
-        proposer.propose(
-                id, writeId, WRITE_TIMEOUT_MILLIS, now -> Optional.of(itemUpdate.appliedTo(now, writeId)), result -> {
-                    writesInFlight.remove(id, write);
-                    write.waiters().forEach(w -> w.accept(result.isAccepted()));
-                });
+        unwrittenCount = unwritten;
+        return loop.now() - Math.max(progressAt, ledgerLearnedAt) < patienceMs;
     }
 
     /** The ledger as this node has learned it. */
@@ -179,14 +217,17 @@
         return ledger;
     }
 
-    private void finishOpenUpdates(final long patience) {
+    private void finishOpenUpdates(final long patienceMs) {
         final UpdateLedger now = learnedLedger();
-        if (now.openUpdates().isEmpty() || loop.now() - ledgerLearnedAt < patience) {
+        if (now.openUpdates().isEmpty() || loop.now() - ledgerLearnedAt < patienceMs) {
             return;
         }
         final Map<ItemId, ConfigurationUpdate.ItemUpdate> unwritten = now.unwritten(items::get);
-        unwritten.keySet().removeAll(writesInFlight.keySet());
-        unwritten.forEach((id, itemUpdate) -> writeItems(id, itemUpdate, ok -> {}));
+        if (unwritten.size() > ItemWriter.MAX_CONCURRENT_WRITES && isProgressing(patienceMs)) {
+            return;
+        }
+        unwritten.keySet().removeIf(writer::isWriting);
+        writer.write(unwritten, ok -> {});
     }
 
     /** Large bodies that stand do not stay in the ledger until the next call. */
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
@@ -43,6 +43,10 @@
     private static final long FORWARD_TIMEOUT_MILLIS = 500;
 
     private static final long RETRY_AFTER_MS = 500;
+    /** The largest update that the ledger has room for beside what it remembers, in bytes. */
+    public static final int MAX_UPDATE_BYTES = 5 << 19;
+    /** A multiple of the age of a confirmed view, for clocks that differ in speed and settings that differ for a while. */
+    private static final int SETTLING_VIEW_AGES = 4;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -52,8 +56,10 @@
     private final Supplier<String> writeIds;
     private final Supplier<Optional<NodeId>> preferredSequencer;
     private final UpdateSequencer sequencer;
+    private final int maxUpdateBytes;
 
     /**
+     * {@code maxUpdateBytes}: the size up to which an update is taken, at most {@link #MAX_UPDATE_BYTES};
      * {@code preferredSequencer}: the node that should sequence updates, where it is another one that is heard from.
      */
     public UpdateService(
@@ -63,7 +69,8 @@
             final ViewSynchronizer view,
             final Proposer proposer,
             final Supplier<String> writeIds,
-            final Supplier<Optional<NodeId>> preferredSequencer) {
+            final Supplier<Optional<NodeId>> preferredSequencer,
+            final int maxUpdateBytes) {
         this.loop = loop;
         this.transport = transport;
         this.items = items;
@@ -71,7 +78,25 @@
         this.proposer = proposer;
         this.writeIds = writeIds;
         this.preferredSequencer = preferredSequencer;
-        this.sequencer = new UpdateSequencer(loop, items, proposer, writeIds);
+        this.maxUpdateBytes = maxUpdateBytes;
+        this.sequencer = new UpdateSequencer(
+                loop,
+                items,
+                proposer,
+                writeIds,
+                view::isFresh,
+                id -> loop.now() - items.learnedAt(id) > SETTLING_VIEW_AGES * view.maxAgeMs());
+    }
+
+    public UpdateService(
+            final EventLoop loop,
+            final Transport transport,
+            final ItemStore items,
+            final ViewSynchronizer view,
+            final Proposer proposer,
+            final Supplier<String> writeIds,
+            final Supplier<Optional<NodeId>> preferredSequencer) {
+        this(loop, transport, items, view, proposer, writeIds, preferredSequencer, MAX_UPDATE_BYTES);
     }
 
     /**
@@ -92,16 +117,27 @@
      * or ever will.
      */
     public void apply(final byte[] data, final Consumer<ApiResponse> callback) {
-        if (!view.isFresh()) {
+        if (view.isFresh()) {
+            apply(ReceivedUpdate.read(data), callback);
+        } else {
             callback.accept(unavailable("this node's frame is not confirmed"));
-            return;
         }
-        final List<ValidationError> errors = new ArrayList<>();
-        final ConfigurationUpdate patch = ConfigurationUpdate.read(data, errors);
-        if (errors.isEmpty()) {
-            submit(patch, data, inContact(callback));
+    }
+
+    /** The same for an update that was read before, in another thread. */
+    public void apply(final ReceivedUpdate received, final Consumer<ApiResponse> callback) {
+        if (!view.isFresh()) {
+            callback.accept(unavailable("this node's frame is not confirmed"));
+        } else if (!received.errors().isEmpty()) {
+            refuseInvalid(received.errors(), callback);
+        } else if (received.encodedBytes() > maxUpdateBytes) {
+            refuse(
+                    413,
+                    "the items of a call may take up " + maxUpdateBytes + " bytes as stored, these take up "
+                            + received.encodedBytes() + ": send them in several calls",
+                    callback);
         } else {
-            refuseInvalid(errors, callback);
+            submit(received.update(), received.data(), inContact(callback));
         }
     }
 
--- a/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
+++ b/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.eclipse.collections.api.map.ImmutableMap;
 import org.eclipse.collections.api.map.MutableMap;
@@ -132,8 +133,9 @@
     /** The versions of all items in these buckets of the digest. */
     public Map<ItemId, Version> versions(final Collection<Integer> cells) {
         final Map<ItemId, Version> vers = new HashMap<>();
+        final Set<Integer> wanted = Set.copyOf(cells);
         items.forEachKeyValue((k, chosen) -> {
-            if (cells.contains(ItemDigest.bucket(k))) {
+            if (wanted.contains(ItemDigest.bucket(k))) {
                 vers.put(k, chosen.item().version());
             }
         });
--- a/control/src/main/java/org/rowanvalve/control/view/ViewServer.java
+++ b/control/src/main/java/org/rowanvalve/control/view/ViewServer.java
@@ -1,11 +1,11 @@
 package org.rowanvalve.control.view;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.DigestRequest;
@@ -18,6 +18,7 @@
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.control.consensus.Acceptor;
 import org.rowanvalve.control.store.ItemDigest;
+import org.rowanvalve.control.store.ItemPage;
 import org.rowanvalve.control.store.ItemStore;
 
 /** The voters' side of view confirmation: compares another node's items with those accepted here. */
@@ -54,12 +55,13 @@
             return;
         }
         final Deque<Accepted> open = new ArrayDeque<>();
+        final Set<Integer> buckets = Set.copyOf(request.buckets());
         acceptor.registers().forEach((id, register) -> {
             final Version version = register.item().version();
             final boolean renewal =
                     id.equals(ItemId.LEADERSHIP) && items.get(id).version().number() > 0;
             if (!renewal
-                    && request.buckets().contains(ItemDigest.bucket(id))
+                    && buckets.contains(ItemDigest.bucket(id))
                     && !items.knows(id, version)
                     && version.isAbove(request.versions().getOrDefault(id, Version.ZERO))) {
                 open.add(new Accepted(id, version));
@@ -95,23 +97,10 @@
 
     private void respond(
             final MissingItemsRequest request, final boolean noOpenWrites, final Consumer<Message> callback) {
-        final List<ChosenItem> list = new ArrayList<>();
-        int size = 0;
-        boolean all = noOpenWrites && acceptor.rejection(request.epoch()).isEmpty();
-        for (final ChosenItem chosen : items.all()) {
-            if (request.buckets().contains(ItemDigest.bucket(chosen.item().id()))
-                    && chosen.item()
-                            .version()
-                            .isAbove(request.versions()
-                                    .getOrDefault(chosen.item().id(), Version.ZERO))) {
-                size += chosen.item().approximateBytes();
-                if (size > 1 << 20) {
-                    all = false;
-                    break;
-                }
-                list.add(chosen);
-            }
-        }
+        final ItemPage page = ItemPage.of(missingItems(request));
+        final boolean all = page.complete()
+                && noOpenWrites
+                && acceptor.rejection(request.epoch()).isEmpty();
         final List<ItemId> want = request.versions().entrySet().stream()
                 .filter(entry -> !items.knows(entry.getKey(), entry.getValue())
                         && !items.collectionFloor()
@@ -120,6 +109,17 @@
                 .map(Map.Entry::getKey)
                 .limit(MAX_WANTED)
                 .toList();
-        callback.accept(new MissingItemsResponse(list, all, want));
+        callback.accept(new MissingItemsResponse(page.items(), all, want));
+    }
+
+    private List<ChosenItem> missingItems(final MissingItemsRequest request) {
+        final Set<Integer> buckets = Set.copyOf(request.buckets());
+        return items.all().stream()
+                .filter(chosen ->
+                        buckets.contains(ItemDigest.bucket(chosen.item().id())))
+                .filter(chosen -> chosen.item()
+                        .version()
+                        .isAbove(request.versions().getOrDefault(chosen.item().id(), Version.ZERO)))
+                .toList();
     }
 }
--- a/control/src/main/java/org/rowanvalve/control/view/ViewSynchronizer.java
+++ b/control/src/main/java/org/rowanvalve/control/view/ViewSynchronizer.java
@@ -19,6 +19,7 @@
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.common.runtime.Transport;
+import org.rowanvalve.control.store.ItemPage;
 import org.rowanvalve.control.store.ItemStore;
 import org.rowanvalve.control.voting.Quorum;
 import org.rowanvalve.control.voting.VotingConfiguration;
@@ -89,6 +90,11 @@
         timings = next;
     }
 
+    /** How old a confirmation may be for the view to be fresh. */
+    public long maxAgeMs() {
+        return timings.maxViewAgeMs();
+    }
+
     /** Begins to ask the voters. */
     public void start() {
         staleSince = loop.now();
@@ -144,7 +150,11 @@
             response.items().forEach(learner);
             if (response.wanted() != null && !response.wanted().isEmpty()) {
                 transport.request(
-                        voter, new LearnNotification(items.chosenItems(response.wanted())), 500, ignored -> {});
+                        voter,
+                        new LearnNotification(ItemPage.of(items.chosenItems(response.wanted()))
+                                .items()),
+                        500,
+                        ignored -> {});
             }
         }
 
--- a/control/src/main/java/org/rowanvalve/control/view/VoterQuery.java
+++ b/control/src/main/java/org/rowanvalve/control/view/VoterQuery.java
@@ -1,5 +1,7 @@
 package org.rowanvalve.control.view;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.rowanvalve.common.message.DigestRequest;
 import org.rowanvalve.common.message.DigestResponse;
@@ -9,6 +11,7 @@
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.common.runtime.Transport;
+import org.rowanvalve.control.store.ItemDigest;
 import org.rowanvalve.control.store.ItemStore;
 
 /**
@@ -23,6 +26,9 @@
     /** After this time without an answer a further digest is sent. */
     private static final long OVERDUE_MS = 300;
 
+    /** How many versions one request names, about. */
+    private static final long MAX_VERSIONS = 16_384;
+
     private final NodeId voter;
     private final long epoch;
     private final EventLoop loop;
@@ -110,9 +116,10 @@
         }
     }
 
-    private void requestItems(final long question, final long sentAt, final List<Integer> buckets) {
+    private void requestItems(final long question, final long sentAt, final List<Integer> differing) {
         itemsOpen = true;
         report.onQuery();
+        final List<Integer> buckets = bucketsOfOneRequest(differing);
         transport.request(
                 voter,
                 new MissingItemsRequest(epoch, buckets, items.versions(buckets)),
@@ -122,14 +129,31 @@
                     report.onAnswer();
                     reply.as(MissingItemsResponse.class).ifPresent(response -> {
                         listener.onItems(voter, response);
-                        if (response.complete()) {
+                        if (!response.complete()) {
+                            return;
+                        }
+                        if (buckets.size() == differing.size()) {
                             listener.onConfirmed(voter, epoch, sentAt);
+                        } else {
+                            askAgain = true;
                         }
                     });
                     onEnd(question);
                 });
     }
 
+    /** Buckets whose versions fit into a message, beginning at another one each time. */
+    private List<Integer> bucketsOfOneRequest(final List<Integer> differing) {
+        final int most = (int) Math.max(
+                1, ItemDigest.BUCKETS * MAX_VERSIONS / Math.max(1, items.all().size()));
+        if (differing.size() <= most) {
+            return differing;
+        }
+        final List<Integer> rotated = new ArrayList<>(differing);
+        Collections.rotate(rotated, (int) (newest % rotated.size()));
+        return rotated.subList(0, most);
+    }
+
     private void onEnd(final long question) {
         open &= question != newest;
         if (!open && askAgain && !itemsOpen) {
--- a/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
@@ -20,6 +20,7 @@
 import org.rowanvalve.common.message.DigestRequest;
 import org.rowanvalve.common.message.LearnNotification;
 import org.rowanvalve.common.message.Message;
+import org.rowanvalve.common.message.MessageCodec;
 import org.rowanvalve.common.message.MissingItemsRequest;
 import org.rowanvalve.common.message.PrepareRequest;
 import org.rowanvalve.common.message.RejectedResponse;
@@ -315,15 +316,25 @@
 
         private void arrive(final NodeId recipient, final Message msg, final Consumer<Reply> then) {
             final Machine other = machines.get(recipient);
-            if (other.alive) {
+            if (!recipient.equals(id) && isTooLarge(recipient, msg)) {
+                then.accept(Reply.failed(Reply.Failure.NOT_SENT));
+            } else if (other.alive) {
                 other.take(id, msg, m -> {
                     if (other.alive && open(recipient)) {
-                        loop.schedule(delay(recipient), () -> then.accept(Reply.of(m)));
+                        final Message answer =
+                                isTooLarge(recipient, m) ? new RejectedResponse("larger than a frame") : m;
+                        loop.schedule(delay(recipient), () -> then.accept(Reply.of(answer)));
                     }
                 });
             }
         }
 
+        private boolean isTooLarge(final NodeId recipient, final Message msg) {
+            return MessageCodec.encode(new MessageCodec.Frame(MessageCodec.PROTOCOL_VERSION, 1, 1, recipient, msg))
+                            .length
+                    > MessageCodec.MAX_FRAME_BYTES;
+        }
+
         private boolean open(final NodeId recipient) {
             return recipient.equals(id) || !cut.contains(id) && !cut.contains(recipient) && random.nextDouble() >= loss;
         }
--- a/data/src/main/java/org/rowanvalve/data/node/CoreComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/CoreComponents.java
@@ -113,7 +113,8 @@
                 viewSynchronizer,
                 proposer,
                 writeIds,
-                () -> voterLinks.updateSequencer(items.get(ItemId.LEADERSHIP)));
+                () -> voterLinks.updateSequencer(items.get(ItemId.LEADERSHIP)),
+                settings.maxUpdateBytes());
         originRegistry = new OriginRegistry(loop, items, viewSynchronizer, proposer, journal, writeIds);
     }
 
--- a/data/src/main/java/org/rowanvalve/data/settings/NodeSettings.java
+++ b/data/src/main/java/org/rowanvalve/data/settings/NodeSettings.java
@@ -8,6 +8,7 @@
 import org.rowanvalve.common.model.Member;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.Role;
+import org.rowanvalve.control.operator.UpdateService;
 import org.rowanvalve.control.placement.Regions;
 import org.rowanvalve.control.record.RecordRetention;
 import org.rowanvalve.control.voting.Quorum;
@@ -23,7 +24,8 @@
         List<String> foundingVoters,
         AtomicReference<ReloadableSettings> reloadable,
         ChosenItem votingSet,
-        long keyWindowMs)
+        long keyWindowMs,
+        int maxUpdateBytes)
         implements Regions {
 
     public LeaseTimings timings() {
@@ -110,6 +112,7 @@
         private int toleratedLosses;
         private ChosenItem votingSet;
         private long keyWindowMs = RecordRetention.DEFAULT_WINDOW_MS;
+        private int maxUpdateBytes = UpdateService.MAX_UPDATE_BYTES;
 
         private Builder(final Member self) {
             this.self = self;
@@ -176,6 +179,12 @@
             return this;
         }
 
+        /** How large the items of one operator's update may be, as stored. */
+        public Builder maxUpdateBytes(final int bytes) {
+            maxUpdateBytes = bytes;
+            return this;
+        }
+
         /** How long after a keyed request was sent its key must not run again. */
         public Builder keyWindowMs(final long milliseconds) {
             keyWindowMs = milliseconds;
@@ -201,7 +210,8 @@
                     new AtomicReference<>(new ReloadableSettings(
                             timings, retryRatio, retrySlack, drainNoticeMs, regions, toleratedLosses)),
                     votingSet,
-                    keyWindowMs);
+                    keyWindowMs,
+                    maxUpdateBytes);
         }
     }
 }
--- a/server/src/main/java/org/rowanvalve/server/options/OptionChange.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionChange.java
@@ -39,6 +39,7 @@
             fixed("shards", Options::shards),
             fixed("cache-bytes", Options::cacheBytes),
             fixed("key-window", Options::keyWindowMs),
+            fixed("update-bytes", Options::maxUpdateBytes),
             fixed("descriptors", Options::descriptors),
             fixed("log", Options::jsonLog));
 
--- a/server/src/main/java/org/rowanvalve/server/options/OptionFlags.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionFlags.java
@@ -75,6 +75,7 @@
             new Flag("cells", Kind.LIST, "", "all zones, as REGION/ZONE,..."),
             new Flag("notice-ms", Kind.NUMBER, "", "how long a leaving edge still takes requests"),
             new Flag("key-window", Kind.NUMBER, "", "seconds in which a key runs once"),
+            new Flag("update-bytes", Kind.NUMBER, "", "how large the items of one operator's call may be, as stored"),
             new Flag("spread", Kind.TEXT, "", "what objects are filled for apart: region, zone or none"));
 
     private static final Map<String, Flag> BY_NAME = ALL.stream().collect(Collectors.toMap(Flag::name, f -> f));
--- a/server/src/main/java/org/rowanvalve/server/options/OptionValidator.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionValidator.java
@@ -11,12 +11,14 @@
 import org.rowanvalve.common.model.Role;
 import org.rowanvalve.common.model.ValidationError;
 import org.rowanvalve.control.json.JsonObjectReader;
+import org.rowanvalve.control.operator.UpdateService;
 import org.rowanvalve.control.record.RecordRetention;
 import org.rowanvalve.control.voting.Quorum;
 
 /** Checks the members of the options' file and the flags as a whole; all errors are found before any is reported. */
 final class OptionValidator {
     private static final long MAX_MS = 600_000;
+    private static final long MIN_UPDATE_BYTES = 64 << 10;
     private static final long MIN_LEASE_MS = 3000;
     private static final long MIN_MARGIN_MS = 1000;
     private static final long MAX_MARGIN_MS = 200_000;
@@ -90,6 +92,12 @@
         final boolean jsonLog = json();
         final long keyWindowMs =
                 1000 * object.wholeNumber("key-window", false, RecordRetention.DEFAULT_WINDOW_MS / 1000, 1, 86_400);
+        final int maxUpdateBytes = (int) object.wholeNumber(
+                "update-bytes",
+                false,
+                UpdateService.MAX_UPDATE_BYTES,
+                MIN_UPDATE_BYTES,
+                UpdateService.MAX_UPDATE_BYTES);
         final int descriptors = (int) object.wholeNumber("descriptors", false, 0, 0, 1 << 30);
         object.rejectUnknownMembers();
         if (!errors.isEmpty()) {
@@ -124,7 +132,8 @@
                         ? voters.shortage(voters.toleratedLosses())
                         : "",
                 descriptors,
-                keyWindowMs);
+                keyWindowMs,
+                maxUpdateBytes);
     }
 
     private String id(final InetSocketAddress peerAddress) {
--- a/server/src/main/java/org/rowanvalve/server/options/Options.java
+++ b/server/src/main/java/org/rowanvalve/server/options/Options.java
@@ -50,7 +50,8 @@
         int toleratedLosses,
         String voterShortage,
         int descriptors,
-        long keyWindowMs) {
+        long keyWindowMs,
+        int maxUpdateBytes) {
     /**
      * File descriptors that are left to files, and to sockets other than those of clients: to peers, origins, own
      * addresses.
@@ -135,7 +136,8 @@
                 toleratedLosses,
                 voterShortage,
                 descriptors,
-                keyWindowMs);
+                keyWindowMs,
+                maxUpdateBytes);
     }
 
     /** How many connections of clients may be open at once. */
--- a/server/src/main/java/org/rowanvalve/server/process/ProcessModule.java
+++ b/server/src/main/java/org/rowanvalve/server/process/ProcessModule.java
@@ -137,6 +137,7 @@
                 .regions(options.regions())
                 .toleratedLosses(options.toleratedLosses())
                 .keyWindowMs(options.keyWindowMs())
+                .maxUpdateBytes(options.maxUpdateBytes())
                 .votingSet(votingSet)
                 .build();
         return new Node(
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimTransport.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimTransport.java
@@ -11,6 +11,7 @@
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.MessageCodec;
 import org.rowanvalve.common.message.MessageFormatException;
+import org.rowanvalve.common.message.RejectedResponse;
 import org.rowanvalve.common.message.Reply;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.runtime.Transport;
@@ -20,6 +21,8 @@
  * decoded as between processes.
  */
 public final class SimTransport {
+    private static final String ANSWER_TOO_LARGE = "the answer is larger than a frame";
+
     private final VirtualTime time;
     private final BiFunction<String, String, Long> base;
     private final Map<NodeId, SimNode> nodes = new TreeMap<>();
@@ -154,6 +157,10 @@
         final byte[] data = word.apply(
                 self.id(),
                 MessageCodec.encode(new MessageCodec.Frame(MessageCodec.PROTOCOL_VERSION, ++sent, 0, self.id(), msg)));
+        if (data.length > MessageCodec.MAX_FRAME_BYTES) {
+            self.execute(() -> question.answered(Reply.failed(Reply.Failure.NOT_SENT)));
+            return;
+        }
         weigh(msg, data.length);
         question.begin();
         carry(self.id().text(), recipient.text(), () -> arrive(question, msg, data));
@@ -174,10 +181,7 @@
         peer.process(
                 data.length,
                 () -> peer.node().handle(question.self.id(), open(data).message(), m -> {
-                    final byte[] back = word.apply(
-                            question.recipient,
-                            MessageCodec.encode(new MessageCodec.Frame(
-                                    MessageCodec.PROTOCOL_VERSION, 0, 1, question.recipient, m)));
+                    final byte[] back = word.apply(question.recipient, answerFrame(question.recipient, m));
                     weigh(m, back.length);
                     if (peer.life() == life && peer.alive()) {
                         question.carryBack(Reply.of(open(back).message()), back.length);
@@ -185,6 +189,16 @@
                 }));
     }
 
+    /** An answer that is larger than a message may be is replaced, as between processes. */
+    private static byte[] answerFrame(final NodeId from, final Message message) {
+        final byte[] data =
+                MessageCodec.encode(new MessageCodec.Frame(MessageCodec.PROTOCOL_VERSION, 0, 1, from, message));
+        return data.length <= MessageCodec.MAX_FRAME_BYTES
+                ? data
+                : MessageCodec.encode(new MessageCodec.Frame(
+                        MessageCodec.PROTOCOL_VERSION, 0, 1, from, new RejectedResponse(ANSWER_TOO_LARGE)));
+    }
+
     /** One question from a process to another: what is said of it is heard only once, and only by the life that asked. */
     private final class Question {
         private final SimNode self;
