A voter that lost its state reads it back in pages that resume

Cause: a voter without state asks for all registers in one message; over 4 MB the answer is replaced by an error and asked again without end, so the voter never votes again. Ruled out: slow answers (the earlier guess), lost messages. Of the same class: pages of whole buckets at a change of the voting set, each of which went through all registers.

A page follows a raised and synced ballot floor, as the whole answer did. Requests without a position are answered whole, so mixed releases work. RV1315 tells how far a copy is and what failed.

--- a/common/src/main/java/org/rowanvalve/common/event/EventCode.java
+++ b/common/src/main/java/org/rowanvalve/common/event/EventCode.java
@@ -29,6 +29,7 @@
     SWEPT(1311, "old items garbage collected"),
     SHORTAGE(1312, "too few voters for the tolerated losses"),
     RECOVERING(1313, "accepted values not yet known as chosen"),
+    REBUILDING(1315, "acceptor state still being rebuilt"),
     RECOVERED(1314, "accepted values of the start known as chosen"),
     VOTERS_SET(1320, "voting set changed"),
     VOTER_JOINED(1321, "voter has read the previous set, voting"),
--- a/common/src/main/java/org/rowanvalve/common/message/RegisterHandoverResponse.java
+++ b/common/src/main/java/org/rowanvalve/common/message/RegisterHandoverResponse.java
@@ -8,7 +8,7 @@
 
 /**
  * A page of registers. {@code epoch}: the last one that the answering voter voted in; {@code nextBucket}: the first
- * bucket of the next page.
+ * bucket of the next page; {@code position}: where that begins, for who asked with a position.
  */
 @JsonTypeName("HandedOver")
 public record RegisterHandoverResponse(
@@ -17,7 +17,13 @@
         @JsonProperty("lives") long resumptions,
         Map<NodeId, String> founders,
         @JsonProperty("slots") List<Register> registers,
-        @JsonProperty("next") int nextBucket)
+        @JsonProperty("next") int nextBucket,
+        @JsonProperty("page") RegisterPosition position)
         implements Message {
     public static final int LAST_PAGE = -1;
+
+    /** Where the next page begins; null after the last. */
+    public RegisterPosition next() {
+        return position != null || nextBucket == LAST_PAGE ? position : new RegisterPosition(nextBucket, null);
+    }
 }
--- a/common/src/main/java/org/rowanvalve/common/message/StateTransferResponse.java
+++ b/common/src/main/java/org/rowanvalve/common/message/StateTransferResponse.java
@@ -9,7 +9,8 @@
 /**
  * {@code hasState}: whether this voter has its state; {@code incarnation}: its own start, empty where it would not
  * found a network; {@code founders}: the starts that founded the network; {@code resumptions}: how often its state was
- * the only copy left; {@code ageMs}: time since it started.
+ * the only copy left; {@code ageMs}: time since it started; {@code next}: where the next page
+ * begins, or none after the last.
  */
 @JsonTypeName("Memory")
 public record StateTransferResponse(
@@ -19,5 +20,17 @@
         @JsonProperty("floor") long ballotFloor,
         @JsonProperty("slots") List<Register> registers,
         @JsonProperty("lives") long resumptions,
-        @JsonProperty("age") long ageMs)
-        implements Message {}
+        @JsonProperty("age") long ageMs,
+        @JsonProperty("next") RegisterPosition next)
+        implements Message {
+    public StateTransferResponse(
+            final boolean hasState,
+            final String incarnation,
+            final Map<NodeId, String> founders,
+            final long ballotFloor,
+            final List<Register> registers,
+            final long resumptions,
+            final long ageMs) {
+        this(hasState, incarnation, founders, ballotFloor, registers, resumptions, ageMs, null);
+    }
+}
--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptorHandover.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptorHandover.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
@@ -14,15 +12,14 @@
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.RecordHandoverRequest;
 import org.rowanvalve.common.message.RecordHandoverResponse;
-import org.rowanvalve.common.message.Register;
 import org.rowanvalve.common.message.RegisterHandoverRequest;
 import org.rowanvalve.common.message.RegisterHandoverResponse;
+import org.rowanvalve.common.message.RegisterPosition;
 import org.rowanvalve.common.message.RejectedResponse;
 import org.rowanvalve.common.message.Reply;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.common.runtime.Transport;
-import org.rowanvalve.control.store.ItemDigest;
 import org.rowanvalve.control.voting.VotingConfiguration;
 
 /**
@@ -34,7 +31,6 @@
 final class AcceptorHandover {
     private static final long RETRY_MS = 100;
     private static final long TIMEOUT_MILLIS = 500;
-    private static final int PAGE_BYTES = 64 << 10;
     private final NodeId self;
     private final VotingConfiguration votingConfiguration;
     private final AcceptorState state;
@@ -122,11 +118,7 @@
     }
 
     void handOverRegisters(final NodeId from, final RegisterHandoverRequest request, final Consumer<Message> callback) {
-        whenSealed(
-                from,
-                request.votingSet(),
-                callback,
-                () -> callback.accept(page(request.checksums(), request.fromBucket())));
+        whenSealed(from, request.votingSet(), callback, () -> callback.accept(page(request)));
     }
 
     void handOverRecords(final NodeId from, final RecordHandoverRequest request, final Consumer<Message> callback) {
@@ -137,35 +129,22 @@
                 () -> callback.accept(recordHandover.page(request.checksums(), request.afterKey())));
     }
 
-    /** Complete buckets whose checksums differ, in their order. */
-    private RegisterHandoverResponse page(final List<Long> sums, final int from) {
-        final List<Long> ownChecksums = state.checksums();
-        final Map<Integer, List<Register>> cells = new TreeMap<>();
-        state.registers().values().stream()
-                .filter(register -> register.acceptedBallot().round() > 0)
-                .forEach(register -> {
-                    final int cell = ItemDigest.bucket(register.item().id());
-                    if (cell >= from && !ownChecksums.get(cell).equals(sums.get(cell))) {
-                        cells.computeIfAbsent(cell, k -> new ArrayList<>()).add(register);
-                    }
-                });
-        final List<Register> list = new ArrayList<>();
-        int size = 0;
-        for (final Map.Entry<Integer, List<Register>> cell : cells.entrySet()) {
-            if (size > PAGE_BYTES) {
-                return response(list, cell.getKey());
-            }
-            list.addAll(cell.getValue());
-            size += cell.getValue().stream()
-                    .mapToInt(register -> register.item().approximateBytes())
-                    .sum();
-        }
-        return response(list, RegisterHandoverResponse.LAST_PAGE);
-    }
-
-    private RegisterHandoverResponse response(final List<Register> list, final int next) {
+    /** One that asks without a position gets complete buckets. */
+    private RegisterHandoverResponse page(final RegisterHandoverRequest request) {
+        final boolean withinBuckets = request.position() != null;
+        final RegisterPosition from =
+                withinBuckets ? request.position() : new RegisterPosition(request.fromBucket(), null);
+        final RegisterTable.Page page = state.page(request.checksums(), from, withinBuckets);
         return new RegisterHandoverResponse(
-                state.epoch(), state.top(), state.resumptions(), state.founders(), list, next);
+                state.epoch(),
+                state.top(),
+                state.resumptions(),
+                state.founders(),
+                page.registers(),
+                page.next() == null
+                        ? RegisterHandoverResponse.LAST_PAGE
+                        : page.next().bucket(),
+                withinBuckets ? page.next() : null);
     }
 
     /** Requests what is still missing; called repeatedly until this voter votes or the set has changed once more. */
@@ -205,7 +184,7 @@
             final List<Long> checksums = state.checksums();
             for (final NodeId source : sources) {
                 if (isCurrent() && requested.add(source)) {
-                    readRegisters(source, checksums, 0);
+                    readRegisters(source, checksums, RegisterPosition.START);
                 }
             }
         }
@@ -230,9 +209,9 @@
             }
         }
 
-        private void readRegisters(final NodeId source, final List<Long> checksums, final int fromBucket) {
+        private void readRegisters(final NodeId source, final List<Long> checksums, final RegisterPosition from) {
             transport.request(
-                    source, new RegisterHandoverRequest(votingSet, checksums, fromBucket), TIMEOUT_MILLIS, reply -> {
+                    source, new RegisterHandoverRequest(votingSet, checksums, from), TIMEOUT_MILLIS, reply -> {
                         final RegisterHandoverResponse response =
                                 reply.as(RegisterHandoverResponse.class).orElse(null);
                         if (response == null || !isCurrent()) {
@@ -241,10 +220,10 @@
                         }
                         state.adopt(response.founders(), response.ballotFloor(), response.resumptions());
                         response.registers().forEach(state::merge);
-                        if (response.nextBucket() == RegisterHandoverResponse.LAST_PAGE) {
+                        if (response.next() == null) {
                             readRecords(source, response.epoch(), recordHandover.checksums(), null);
                         } else {
-                            readRegisters(source, checksums, response.nextBucket());
+                            readRegisters(source, checksums, response.next());
                         }
                     });
         }
--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptorState.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptorState.java
@@ -1,13 +1,11 @@
 package org.rowanvalve.control.consensus;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
@@ -15,8 +13,8 @@
 import org.rowanvalve.common.message.MessageCodec;
 import org.rowanvalve.common.message.MessageFormatException;
 import org.rowanvalve.common.message.Register;
+import org.rowanvalve.common.message.RegisterPosition;
 import org.rowanvalve.common.model.Ballot;
-import org.rowanvalve.common.model.Hash;
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.NodeId;
@@ -42,8 +40,7 @@
 
     private final MonitoredStorage storage;
     private final EventJournal journal;
-    private final Map<ItemId, Register> registers = new TreeMap<>();
-    private ItemDigest digest = new ItemDigest();
+    private final RegisterTable registers = new RegisterTable();
     private Map<NodeId, String> founders = Map.of();
     private long ballotFloor;
     private long resumptions;
@@ -95,7 +92,6 @@
         sealedEpoch = voters == null ? 0 : voters.item().version().number();
         if (!complete) {
             registers.clear();
-            digest = new ItemDigest();
         }
         return voters;
     }
@@ -137,15 +133,15 @@
     }
 
     ItemDigest digest() {
-        return digest;
+        return registers.digest();
     }
 
     Map<ItemId, Register> registers() {
-        return registers;
+        return registers.all();
     }
 
     Register register(final ItemId id) {
-        return registers.getOrDefault(id, new Register(Ballot.ZERO, Ballot.ZERO, Item.none(id)));
+        return registers.all().getOrDefault(id, new Register(Ballot.ZERO, Ballot.ZERO, Item.none(id)));
     }
 
     /** The lowest ballot that a prepare must exceed here. */
@@ -155,8 +151,7 @@
     }
 
     void put(final Register slot) {
-        final Register previous = registers.put(slot.item().id(), slot);
-        digest.replace(previous == null ? null : previous.item(), slot.item());
+        registers.put(slot);
     }
 
     /** Takes the higher promise and the value of the higher ballot. */
@@ -186,7 +181,7 @@
 
     /** Above all that was promised or accepted here. */
     long top() {
-        return registers.values().stream()
+        return registers().values().stream()
                 .mapToLong(register -> Math.max(
                         register.promisedBallot().round(),
                         register.acceptedBallot().round()))
@@ -213,7 +208,6 @@
                             register.promisedBallot().round(),
                             register.acceptedBallot().round()));
             registers.remove(register.item().id());
-            digest.replace(register.item(), Item.none(register.item().id()));
             rows.put(REGISTER_PREFIX + register.item().id().text(), null);
         });
         rows.putAll(seal(epoch));
@@ -243,7 +237,7 @@
     void saveAll(
             final long sealEpoch, final Map<String, byte[]> otherRows, final Runnable synced, final Runnable failed) {
         final Map<String, byte[]> rows = new HashMap<>(otherRows);
-        pack(new ArrayList<>(registers.values()), rows);
+        pack(registers().values(), rows);
         rows.putAll(seal(sealEpoch));
         save(rows, synced, failed);
     }
@@ -300,25 +294,22 @@
 
     /** Checksums by bucket over the accepted values and their ballots, to find where two states differ. */
     List<Long> checksums() {
-        return checksums(registers.values(), ItemDigest.BUCKETS);
+        return registers.checksums();
     }
 
-    /** The same over these registers, in so many buckets, a power of two. */
+    /** See {@link RegisterTable#page}. */
+    RegisterTable.Page page(final List<Long> otherChecksums, final RegisterPosition from, final boolean withinBuckets) {
+        return registers.page(otherChecksums, from, withinBuckets);
+    }
+
+    /** Checksums over the accepted ones among these registers, in so many buckets, a power of two. */
     static List<Long> checksums(final Collection<Register> registers, final int buckets) {
         final long[] sums = new long[buckets];
-        registers.stream()
-                .filter(register -> register.acceptedBallot().round() > 0)
-                .forEach(register -> sums[ItemDigest.bucket(register.item().id(), buckets)] ^= checksum(register));
+        registers.forEach(
+                register -> sums[ItemDigest.bucket(register.item().id(), buckets)] ^= RegisterTable.checksum(register));
         return Arrays.stream(sums).boxed().toList();
     }
 
-    private static long checksum(final Register register) {
-        return Hash.hash64(register.item().id().text() + "@"
-                + register.item().version().number() + "@"
-                + register.acceptedBallot().round() + "@"
-                + register.acceptedBallot().proposer());
-    }
-
     /** {@code synced}: once all that was accepted before is synced; not called where the disk fails. */
     void whenSynced(final Runnable synced) {
         save(Map.of(), synced, () -> {});
--- a/control/src/main/java/org/rowanvalve/control/consensus/AcceptorStateRecovery.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/AcceptorStateRecovery.java
@@ -11,7 +11,7 @@
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.Message;
-import org.rowanvalve.common.message.Register;
+import org.rowanvalve.common.message.RegisterPosition;
 import org.rowanvalve.common.message.StateTransferRequest;
 import org.rowanvalve.common.message.StateTransferResponse;
 import org.rowanvalve.common.model.NodeId;
@@ -31,13 +31,12 @@
     private static final long FOUNDING_PATIENCE_MS = 2500;
     /** Time-out of a request for a summary, without registers. */
     private static final long SUMMARY_TIMEOUT_MILLIS = 350;
-    /** First time-out of a request for all registers; it doubles with each attempt up to the longest. */
-    private static final long FIRST_TRANSFER_TIMEOUT_MILLIS = 500;
-
-    private static final long LONGEST_TRANSFER_TIMEOUT_MILLIS = 8000;
+    /** How long an operator who vouches waits for the answer. */
+    private static final long VOUCH_TIMEOUT_MILLIS = 10_000;
     /** Starts of requesters that are remembered; for one that is forgotten the floor is raised once more. */
     private static final int REMEMBERED_REQUESTERS = 64;
 
+    private final VoterContext context;
     private final NodeId self;
     private final VotingConfiguration votingConfiguration;
     private final AcceptorState state;
@@ -54,8 +53,8 @@
     private boolean founding;
     private long round;
     private long startedAt;
-    private long readingUntil = Long.MIN_VALUE;
-    private long transferTimeoutMs = FIRST_TRANSFER_TIMEOUT_MILLIS;
+    private boolean writing;
+    private StateTransfer transfer;
 
     /**
      * {@code isVoting}: whether this voter votes in the present epoch; {@code stateRebuilt}: run once its state is
@@ -68,6 +67,7 @@
             final BooleanSupplier nothingReported,
             final BooleanSupplier isVoting,
             final Runnable stateRebuilt) {
+        this.context = context;
         this.self = context.self();
         this.votingConfiguration = context.votingConfiguration();
         this.state = state;
@@ -92,25 +92,39 @@
     /** Called when the epoch has changed: answers of an earlier one no longer count. */
     void onVotingSetChange() {
         round++;
-        readingUntil = Long.MIN_VALUE;
+        writing = false;
+        stopTransfer();
+    }
+
+    private void stopTransfer() {
+        if (transfer != null) {
+            transfer.stop();
+            transfer = null;
+        }
     }
 
     void transferState(final NodeId from, final StateTransferRequest request, final Consumer<Message> callback) {
         final boolean hasState = isVoting.getAsBoolean();
         if (!hasState || !request.raiseFloor()) {
-            callback.accept(stateResponse(hasState, hasState || mayFound() ? incarnation : "", List.of()));
+            callback.accept(summary(hasState, hasState || mayFound() ? incarnation : ""));
             return;
         }
-        if (request.onlyCopy()) {
+        if (request.onlyCopy() && isFirstPage(request)) {
             state.resume();
             journal.add(Event.of(EventCode.RESUMED, "lives", state.resumptions(), "floor", state.ballotFloor()));
         }
         raiseFloorFor(from, request.incarnation());
-        final List<Register> all = List.copyOf(state.registers().values());
-        final StateTransferResponse answer = stateResponse(true, incarnation, all);
+        final RegisterTable.Page page = request.position() == null
+                ? new RegisterTable.Page(List.copyOf(state.registers().values()), null)
+                : state.page(request.checksums(), request.position(), true);
+        final StateTransferResponse answer = stateResponse(true, incarnation, page);
         state.saveSeal(() -> callback.accept(answer));
     }
 
+    private static boolean isFirstPage(final StateTransferRequest request) {
+        return request.position() == null || request.position().equals(RegisterPosition.START);
+    }
+
     /**
      * Whatever the requester voted for before its restart was promised before its first request, so it lies below a
      * floor raised then. Raising the floor for each repeated request would refuse every ballot under way, again and
@@ -125,43 +139,39 @@
         }
     }
 
+    private StateTransferResponse summary(final boolean hasState, final String reportedIncarnation) {
+        return stateResponse(hasState, reportedIncarnation, new RegisterTable.Page(List.of(), null));
+    }
+
     private StateTransferResponse stateResponse(
-            final boolean hasState, final String reportedIncarnation, final List<Register> registers) {
+            final boolean hasState, final String reportedIncarnation, final RegisterTable.Page page) {
         return new StateTransferResponse(
                 hasState,
                 reportedIncarnation,
                 state.founders(),
                 state.ballotFloor(),
-                registers,
+                page.registers(),
                 state.resumptions(),
-                loop.now() - startedAt);
+                loop.now() - startedAt,
+                page.next());
     }
 
+    /** Asks all others what they hold; called repeatedly until the state is rebuilt. */
     void attempt() {
-        if (loop.now() >= readingUntil) {
-            requestState(false, false, ++round);
-        }
-    }
-
-    private void requestState(final boolean raiseFloor, final boolean onlyCopy, final long requestRound) {
+        final long requestRound = ++round;
         final Map<NodeId, StateTransferResponse> responses = new HashMap<>();
-        final long timeoutMs = raiseFloor ? transferTimeoutMs : SUMMARY_TIMEOUT_MILLIS;
-        if (raiseFloor) {
-            readingUntil = loop.now() + timeoutMs;
-            transferTimeoutMs = Math.min(LONGEST_TRANSFER_TIMEOUT_MILLIS, 2 * transferTimeoutMs);
-        }
         for (final NodeId id : votingConfiguration.voters()) {
             if (!id.equals(self)) {
                 transport.request(
                         id,
-                        new StateTransferRequest(votingConfiguration.epoch(), incarnation, raiseFloor, onlyCopy),
-                        timeoutMs,
+                        new StateTransferRequest(votingConfiguration.epoch(), incarnation, false, false),
+                        SUMMARY_TIMEOUT_MILLIS,
                         reply -> {
                             votingConfiguration.isEpochMismatch(id, reply);
                             reply.as(StateTransferResponse.class).ifPresent(response -> {
                                 if (!state.complete() && round == requestRound) {
                                     responses.put(id, response);
-                                    evaluate(responses, raiseFloor, requestRound);
+                                    evaluate(responses);
                                 }
                             });
                         });
@@ -169,8 +179,7 @@
         }
     }
 
-    private void evaluate(
-            final Map<NodeId, StateTransferResponse> responses, final boolean raiseFloor, final long requestRound) {
+    private void evaluate(final Map<NodeId, StateTransferResponse> responses) {
         final Set<NodeId> holders = new HashSet<>();
         responses.forEach((id, response) -> {
             if (response.hasState()) {
@@ -199,15 +208,35 @@
             found(all);
         } else if ((votingConfiguration.quorum().isReadQuorum(holders) || isOnlyCopy(responses, holders))
                 && loop.now() - startedAt >= MIN_AGE_MS) {
-            if (raiseFloor) {
-                rebuild(responses);
-            } else {
-                round = requestRound + 1;
-                requestState(true, !votingConfiguration.quorum().isReadQuorum(holders), round);
-            }
+            copyFrom(holders, !votingConfiguration.quorum().isReadQuorum(holders));
         }
     }
 
+    /** {@code onlyCopy}: these are no majority, and no other voter holds anything. */
+    private void copyFrom(final Set<NodeId> holders, final boolean onlyCopy) {
+        if (writing) {
+            return;
+        }
+        if (transfer != null && transfer.isForOnlyCopy() != onlyCopy) {
+            stopTransfer();
+        }
+        if (transfer == null) {
+            transfer = newTransfer(onlyCopy, copied -> {
+                if (votingConfiguration.quorum().isReadQuorum(copied)) {
+                    rebuild();
+                }
+            });
+        }
+        transfer.addSources(holders);
+        if (onlyCopy && transfer != null && transfer.copied().containsAll(holders)) {
+            rebuild();
+        }
+    }
+
+    private StateTransfer newTransfer(final boolean onlyCopy, final StateTransfer.Listener listener) {
+        return new StateTransfer(context, state, votingConfiguration.epoch(), onlyCopy, listener);
+    }
+
     /**
      * Whether this is the only copy: every other voter answered, those without state hold nothing, and a store has its
      * own.
@@ -262,36 +291,45 @@
         });
     }
 
-    private void rebuild(final Map<NodeId, StateTransferResponse> responses) {
+    /** All that counts was copied: it is synced together with the epoch, and this voter votes. */
+    private void rebuild() {
+        if (writing || state.complete()) {
+            return;
+        }
+        writing = true;
+        stopTransfer();
         round++;
-        responses.values().stream().filter(StateTransferResponse::hasState).forEach(response -> {
-            state.adopt(response.founders(), response.ballotFloor(), response.resumptions());
-            response.registers().forEach(state::merge);
-        });
         final long epoch = votingConfiguration.epoch();
         state.saveAll(
                 epoch,
                 recordHandover.markIncomplete(),
                 () -> {
+                    writing = false;
                     state.activate(epoch);
                     stateRebuilt.run();
                     journal.add(Event.of(
                             EventCode.REBUILT, "items", state.registers().size(), "floor", state.ballotFloor()));
                 },
-                () -> {});
+                () -> writing = false);
     }
 
     /** An operator vouches that one voter holds all: its copy is taken without a majority. */
     void vouch(final NodeId from, final Consumer<Boolean> then) {
-        transport.request(
-                from, new StateTransferRequest(votingConfiguration.epoch(), incarnation, true, true), 2000, reply -> {
-                    final StateTransferResponse response = reply.as(StateTransferResponse.class)
-                            .filter(StateTransferResponse::hasState)
-                            .orElse(null);
-                    if (response != null && !state.complete()) {
-                        rebuild(Map.of(from, response));
-                    }
-                    then.accept(response != null);
-                });
+        final boolean[] answered = {false};
+        stopTransfer();
+        transfer = newTransfer(true, copied -> {
+            if (!answered[0] && copied.contains(from)) {
+                answered[0] = true;
+                rebuild();
+                then.accept(true);
+            }
+        });
+        transfer.addSources(Set.of(from));
+        loop.schedule(VOUCH_TIMEOUT_MILLIS, () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                then.accept(state.complete());
+            }
+        });
     }
 }
--- a/control/src/main/java/org/rowanvalve/control/view/VoterQuery.java
+++ b/control/src/main/java/org/rowanvalve/control/view/VoterQuery.java
@@ -130,6 +130,7 @@
                     reply.as(MissingItemsResponse.class).ifPresent(response -> {
                         listener.onItems(voter, response);
                         if (!response.complete()) {
+                            askAgain |= !response.items().isEmpty();
                             return;
                         }
                         if (buckets.size() == differing.size()) {
--- a/control/src/test/java/org/rowanvalve/control/SampleValues.java
+++ b/control/src/test/java/org/rowanvalve/control/SampleValues.java
@@ -15,8 +15,12 @@
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.RecordWriteResponse;
+import org.rowanvalve.common.message.RegisterHandoverRequest;
+import org.rowanvalve.common.message.RegisterHandoverResponse;
 import org.rowanvalve.common.message.RejectedResponse;
 import org.rowanvalve.common.message.ShardLease;
+import org.rowanvalve.common.message.StateTransferRequest;
+import org.rowanvalve.common.message.StateTransferResponse;
 import org.rowanvalve.common.message.UpdateForwardResponse;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.ItemId;
@@ -41,7 +45,12 @@
             Origin.class, Map.of(4, "open"));
 
     /** How many components a record had in the first release that had the record; those after them may be null. */
-    private static final Map<Class<?>, Integer> FIRST_COMPONENTS = Map.of(RecordWriteResponse.class, 3);
+    private static final Map<Class<?>, Integer> FIRST_COMPONENTS = Map.of(
+            RecordWriteResponse.class, 3,
+            RegisterHandoverRequest.class, 3,
+            RegisterHandoverResponse.class, 6,
+            StateTransferRequest.class, 4,
+            StateTransferResponse.class, 7);
 
     private final boolean extended;
     private long count;
