--- a/control/src/main/java/org/rowanvalve/control/json/Json.java
+++ b/control/src/main/java/org/rowanvalve/control/json/Json.java
@@ -11,6 +11,7 @@
     private static final JsonMapper MAPPER = JsonMapper.builder()
             .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
             .build();
 
