--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
@@ -44,7 +44,7 @@
 
     private static final long RETRY_AFTER_MS = 500;
     /** The largest update that the ledger has room for beside what it remembers, in bytes. */
-    public static final int MAX_UPDATE_BYTES = 5 << 19;
+    public static final int MAX_UPDATE_BYTES = 3 << 20;
     /** A multiple of the age of a confirmed view, for clocks that differ in speed and settings that differ for a while. */
     private static final int SETTLING_VIEW_AGES = 4;
 
