--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOriginTransport.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOriginTransport.java
@@ -174,7 +174,7 @@
             final boolean run = "POST".equals(request.method());
             final int slots = who.make().slots();
             final int here = slots == 0 ? 0 : who.enter();
-            if (slots > 0 && here > 2 * slots) {
+            if (slots > 0 && here > 2 * slots || who.fault().equals("full")) {
                 who.exit();
                 hop(() -> self.execute(
                         () -> end(OriginResponse.without(ExchangeResult.NOT_EXECUTED, "every slot is taken"))));
--- a/testkit/src/test/java/org/rowanvalve/testkit/WorstMomentTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/WorstMomentTest.java
@@ -48,20 +48,19 @@
         clean(cluster, 8);
     }
 
-    private static ClientRequest post(final String key) {
+    static ClientRequest post(final String key) {
         return new ClientRequest("POST", "/reserve/1", key, "{}".getBytes(), "application/json");
     }
 
     /** The shield that owns the shard of a key. */
-    private static String holder(final SimCluster cluster, final String key) {
+    static String holder(final SimCluster cluster, final String key) {
         final PlacementPlan plan = cluster.node("ed1").node().configuration().plan();
         return plan.assignments()
                 .get(PlacementPlan.shardOf("reserve", "reserve", key, 32))
                 .owner();
     }
 
-    private static void ask(
-            final SimCluster cluster, final String edge, final ClientRequest request, final List<String> got) {
+    static void ask(final SimCluster cluster, final String edge, final ClientRequest request, final List<String> got) {
         final SimNode node = cluster.node(edge);
         final long t = cluster.world().now();
         node.execute(() -> node.node().edge().handle(request, response -> {
