A route is found without a look at all others, and a change arranges one host

Of the same class, by reading: a shield looked for the route of each request among all routes; an edge sorted all routes anew at the first request after each change; the leader parsed all routes every 10 s. Each node kept an operator's own row twice.

RouteTable arranges the routes of a host at the next look after one of them, or a service, has changed, and finds a route by its name.

--- a/control/src/main/java/org/rowanvalve/control/config/ConfigurationView.java
+++ b/control/src/main/java/org/rowanvalve/control/config/ConfigurationView.java
@@ -1,7 +1,5 @@
 package org.rowanvalve.control.config;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,19 +17,16 @@
 /** What the chosen items mean for requests: routes, services, purges and origins, built anew after each change. */
 public final class ConfigurationView {
     private final ItemStore items;
-    private final List<ConfiguredRoute> routesByPrecedence = new ArrayList<>();
     private final Map<String, Service> services = new TreeMap<>();
-    private final Map<String, Route> routes = new TreeMap<>();
+    private final RouteTable routes = new RouteTable(services::get);
     private final Map<String, Map<String, Map<ItemId, Version>>> pathPurges = new HashMap<>();
     private final Map<String, Map<ItemId, PrefixPurge>> prefixPurges = new HashMap<>();
     private final Map<ItemId, Purge> purges = new HashMap<>();
     private final Map<ItemId, Origin> origins = new TreeMap<>();
-    private final Map<String, List<ConfiguredRoute>> routesByHost = new HashMap<>();
     private final Map<String, Map<String, Long>> hostPathPurges = new HashMap<>();
     private final Map<String, TagPurge> tagPurges = new HashMap<>();
     private volatile RequestLimits limits = RequestLimits.DEFAULTS;
     private PlacementPlan plan = new PlacementPlan(0, 0, List.of());
-    private boolean foldNeeded;
 
     /** The version of a tag's newest purge, and when this node learned of it. */
     public record TagPurge(long version, long learnedAt) {}
@@ -50,12 +45,9 @@
             case PLAN -> plan = PlacementPlan.of(item);
             case SERVICE -> {
                 put(services, name, item, Service.class);
-                foldNeeded = true;
-            }
-            case ROUTE -> {
-                put(routes, name, item, Route.class);
-                foldNeeded = true;
+                routes.onServiceChange();
             }
+            case ROUTE -> onRoute(item);
             case ORIGIN -> put(origins, item.id(), item, Origin.class);
             case PURGE -> onPurge(item);
             case LIMIT -> limits = RequestLimits.of(item);
@@ -63,6 +55,14 @@
         }
     }
 
+    private void onRoute(final Item item) {
+        if (item.exists()) {
+            routes.put(item.id().name(), Json.read(item.body(), Route.class).forRequests());
+        } else {
+            routes.remove(item.id().name());
+        }
+    }
+
     private static <K, T> void put(final Map<K, T> map, final K key, final Item item, final Class<T> type) {
         if (item.exists()) {
             map.put(key, Json.read(item.body(), type));
@@ -128,35 +128,12 @@
         }
     }
 
-    private void foldRoutes() {
-        if (!foldNeeded) {
-            return;
-        }
-        foldNeeded = false;
-        routesByPrecedence.clear();
-        routesByHost.clear();
-        routes.forEach((n, route) -> routesByPrecedence.add(new ConfiguredRoute(
-                n,
-                route,
-                route.services().stream().allMatch(services::containsKey)
-                        ? services.get(route.services().get(0))
-                        : null,
-                route.condition().isEmpty() ? Optional.empty() : Optional.of(RouteCondition.of(route.condition())))));
-        routesByPrecedence.sort(Comparator.comparingInt(
-                        (ConfiguredRoute r) -> -r.route().prefix().length())
-                .thenComparing(ConfiguredRoute::name));
-        routesByPrecedence.forEach(r -> routesByHost
-                .computeIfAbsent(r.route().host(), k -> new ArrayList<>())
-                .add(r));
-    }
-
     /** The longest prefix among the host's own routes; routes that name no host take what those leave. */
     public Optional<ConfiguredRoute> route(final String host, final String path) {
-        foldRoutes();
-        return routesByHost.getOrDefault(host, List.of()).stream()
+        return routes.ofHost(host).stream()
                 .filter(r -> r.route().matches(path))
                 .findFirst()
-                .or(() -> routesByHost.getOrDefault("", List.of()).stream()
+                .or(() -> routes.ofHost("").stream()
                         .filter(r -> r.route().matches(path))
                         .findFirst());
     }
@@ -183,10 +160,7 @@
 
     /** The route of this name, if it can be served. */
     public Optional<ConfiguredRoute> routeNamed(final String name) {
-        foldRoutes();
-        return routesByPrecedence.stream()
-                .filter(r -> r.name().equals(name) && r.isUsable())
-                .findFirst();
+        return routes.named(name).filter(ConfiguredRoute::isUsable);
     }
 
     public PlacementPlan plan() {
@@ -195,8 +169,20 @@
 
     /** All routes, in the order in which they are tried. */
     public List<ConfiguredRoute> routesByPrecedence() {
-        foldRoutes();
-        return routesByPrecedence;
+        return routes.byPrecedence();
+    }
+
+    public boolean hasRoutes() {
+        return !routes.isEmpty();
+    }
+
+    /** The longest time for which a copy that a purge may concern is kept. */
+    public long longestPurgeableTtlMs() {
+        long longest = 0;
+        for (final Route route : routes.all()) {
+            longest = Math.max(longest, route.purgeable() ? route.ttlMs() : 0);
+        }
+        return longest;
     }
 
     public boolean hasService(final String service) {
--- a/control/src/main/java/org/rowanvalve/control/config/Route.java
+++ b/control/src/main/java/org/rowanvalve/control/config/Route.java
@@ -36,6 +36,25 @@
         note = note == null ? "" : note;
     }
 
+    /** The route as requests need it: without the operator's own words, and with names that many routes share. */
+    Route forRequests() {
+        return new Route(
+                prefix,
+                service == null ? null : service.intern(),
+                mode,
+                ttlMs,
+                purgeable,
+                condition,
+                host.intern(),
+                split,
+                anyShield,
+                timeoutMs,
+                latencyTargetMs,
+                priority,
+                maxAttempts,
+                "");
+    }
+
     public boolean matches(final String path) {
         return path.startsWith(prefix);
     }
--- a/control/src/main/java/org/rowanvalve/control/operator/TombstoneCollector.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/TombstoneCollector.java
@@ -9,8 +9,8 @@
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemKind;
 import org.rowanvalve.common.runtime.EventLoop;
+import org.rowanvalve.control.config.ConfigurationView;
 import org.rowanvalve.control.config.Origin;
-import org.rowanvalve.control.config.Route;
 import org.rowanvalve.control.consensus.Proposer;
 import org.rowanvalve.control.json.Json;
 import org.rowanvalve.control.store.CollectionFloor;
@@ -23,13 +23,19 @@
     private static final int MIN_COLLECTED = 20;
     private final EventLoop loop;
     private final ItemStore items;
+    private final ConfigurationView configuration;
     private final Proposer proposer;
     private final BooleanSupplier isLeader;
 
     public TombstoneCollector(
-            final EventLoop loop, final ItemStore items, final Proposer proposer, final BooleanSupplier isLeader) {
+            final EventLoop loop,
+            final ItemStore items,
+            final ConfigurationView configuration,
+            final Proposer proposer,
+            final BooleanSupplier isLeader) {
         this.loop = loop;
         this.items = items;
+        this.configuration = configuration;
         this.proposer = proposer;
         this.isLeader = isLeader;
     }
@@ -48,13 +54,7 @@
             return;
         }
         final List<Item> all = items.all().stream().map(ChosenItem::item).toList();
-        final long longestTtlMs = all.stream()
-                .filter(item -> item.id().kind() == ItemKind.ROUTE && item.exists())
-                .map(item -> Json.read(item.body(), Route.class))
-                .filter(Route::purgeable)
-                .mapToLong(Route::ttlMs)
-                .max()
-                .orElse(0);
+        final long longestTtlMs = configuration.longestPurgeableTtlMs();
         final CollectionFloor standingFloor = items.collectionFloor();
         final CollectionFloor nextFloor = new CollectionFloor(
                 floorOf(
--- a/data/src/main/java/org/rowanvalve/data/edge/Edge.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/Edge.java
@@ -101,9 +101,7 @@
 
     /** Whether there are routes to serve and a shield to forward to. */
     public boolean isAble() {
-        return !closed
-                && !configuration.routesByPrecedence().isEmpty()
-                && !routing.nearestShields().isEmpty();
+        return !closed && configuration.hasRoutes() && !routing.nearestShields().isEmpty();
     }
 
     /** Whether no request has come for a while, in ms. */
--- a/data/src/main/java/org/rowanvalve/data/node/LeaderComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/LeaderComponents.java
@@ -65,7 +65,8 @@
                         journal,
                         () -> settings.reloadable().get().toleratedLosses()))
                 : Optional.empty();
-        tombstoneCollector = new TombstoneCollector(loop, core.items, core.proposer, election::isLeader);
+        tombstoneCollector =
+                new TombstoneCollector(loop, core.items, core.configuration, core.proposer, election::isLeader);
     }
 
     void start() {
--- a/data/src/main/java/org/rowanvalve/data/node/NodeStatusMonitor.java
+++ b/data/src/main/java/org/rowanvalve/data/node/NodeStatusMonitor.java
@@ -39,7 +39,7 @@
     int readinessScore() {
         return switch (current()) {
             case READY -> 100 - Math.min(50, loadScore());
-            case PARTIAL -> node.configuration().routesByPrecedence().isEmpty() ? 0 : 20;
+            case PARTIAL -> node.configuration().hasRoutes() ? 20 : 0;
             default -> 0;
         };
     }
