What a call states twice is refused whole

Of two rows, removals or columns of one name the last one counted, also where it had the lower version; the call was acknowledged. Members that are stated twice were refused before.

ConfigurationTablesTest#whatIsStatedTwiceInACallIsAFault failed on the code before (a service's row twice was taken) and passes now.

--- a/control/src/main/java/org/rowanvalve/control/json/JsonObjectReader.java
+++ b/control/src/main/java/org/rowanvalve/control/json/JsonObjectReader.java
@@ -121,6 +121,19 @@
         return List.of();
     }
 
+    /** A list of texts that differ from each other. */
+    public List<String> distinctTexts(final String name) {
+        final List<String> texts = list(name).stream()
+                .filter(String.class::isInstance)
+                .map(String.class::cast)
+                .distinct()
+                .toList();
+        if (texts.size() < list(name).size()) {
+            addError(name, "texts are wanted here, each of them once");
+        }
+        return texts;
+    }
+
     public String pathOf(final String name) {
         return path + "/" + name;
     }
