All that operators define is bounded at the door

Callers saw, with sound calls of 2,000 routes one after the other: at 22,000 routes no answer in 30 s, then 503 at all nodes; each voter's heap of 160 MB was full.

configuration-bytes (12 MB as stored, some 22,000 routes) is judged with the ledger's open updates where the ledger is proposed, so that calls at once do not pass it together: 413 with the figures, nothing of the call in force, at whichever node it is repeated. Removals and changes of the same size are taken in any case, also where a lower bound or an earlier release left more than that.

--- a/common/src/main/java/org/rowanvalve/common/model/UpdateVerdict.java
+++ b/common/src/main/java/org/rowanvalve/common/model/UpdateVerdict.java
@@ -12,6 +12,8 @@
     CONFLICT("CONFLICT"),
     /** Some route names a service that is not known. */
     INVALID_REFERENCE("UNFIT"),
+    /** With it the configuration would be larger than it may be; known only to the node that judged. */
+    CONFIGURATION_FULL("FULL"),
     /** No majority has answered: the update may be taken or not. */
     UNDECIDED("OPEN");
 
--- a/control/src/main/java/org/rowanvalve/control/operator/ReceivedUpdate.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/ReceivedUpdate.java
@@ -14,7 +14,7 @@
      * than the text.
      */
     public static ReceivedUpdate read(final byte[] data) {
-        if (data.length > UpdateService.MAX_UPDATE_BYTES) {
+        if (data.length > UpdateLimits.MAX_UPDATE_BYTES) {
             return new ReceivedUpdate(null, data, data.length, List.of());
         }
         final List<ValidationError> errors = new ArrayList<>();
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateSequencer.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateSequencer.java
@@ -40,6 +40,7 @@
     private final ItemWriter writer;
     private final BooleanSupplier viewIsFresh;
     private final Predicate<ItemId> settled;
+    private final long maxConfigurationBytes;
     private boolean writing;
     private boolean cleanUpDue;
     private long ledgerVersion;
@@ -53,6 +54,8 @@
         private final Consumer<Judgement> callback;
         /** The ledger that this node has proposed last takes the update. */
         private boolean takenHere;
+        /** It was left out of that ledger, since the configuration would be too large with it. */
+        private boolean exceedsLimit;
 
         PendingUpdate(final ConfigurationUpdate update, final Consumer<Judgement> callback) {
             this.update = update;
@@ -70,7 +73,8 @@
 
     /**
      * {@code viewIsFresh}: whether this node's view is confirmed, without which nothing new is taken; {@code settled}:
-     * items that every confirmed view contains in the version known here, so that the ledger need not name them.
+     * items that every confirmed view contains in the version known here, so that the ledger need not name them;
+     * {@code maxConfigurationBytes}: no update is taken that grows what operators have defined beyond it.
      */
     UpdateSequencer(
             final EventLoop loop,
@@ -78,13 +82,15 @@
             final Proposer proposer,
             final Supplier<String> writeIds,
             final BooleanSupplier viewIsFresh,
-            final Predicate<ItemId> settled) {
+            final Predicate<ItemId> settled,
+            final long maxConfigurationBytes) {
         this.loop = loop;
         this.items = items;
         this.proposer = proposer;
         this.writeIds = writeIds;
         this.viewIsFresh = viewIsFresh;
         this.settled = settled;
+        this.maxConfigurationBytes = maxConfigurationBytes;
         this.writer = new ItemWriter(items, proposer, writeIds);
     }
 
@@ -145,12 +151,14 @@
         UpdateLedger after = batch.isEmpty() ? before.withoutWritten(items::get) : before;
         for (final PendingUpdate pendingUpdate : batch) {
             pendingUpdate.takenHere = false;
+            pendingUpdate.exceedsLimit = false;
             if (viewIsFresh.getAsBoolean()
                     && after.judge(pendingUpdate.update(), items::get).verdict() == UpdateVerdict.NEW) {
                 final UpdateLedger next = after.withoutWritten(items::get)
                         .withTaken(pendingUpdate.update(), items::get)
                         .withoutSettled(items::get, settled);
-                if (next.fits()) {
+                pendingUpdate.exceedsLimit = exceedsLimit(after, next);
+                if (next.fits() && !pendingUpdate.exceedsLimit) {
                     pendingUpdate.takenHere = true;
                     after = next;
                 }
@@ -161,6 +169,24 @@
                 : now.successor(after.withoutWritten(items::get).toJson(), writeId);
     }
 
+    /** What makes the configuration no larger is taken in any case, so that a full one can be made smaller. */
+    private boolean exceedsLimit(final UpdateLedger before, final UpdateLedger after) {
+        final long growth = unwrittenGrowth(after);
+        return growth > unwrittenGrowth(before) && items.operatorDefinedBytes() + growth > maxConfigurationBytes;
+    }
+
+    /** By how much the configuration grows once all is written that the ledger leaves open, in bytes. */
+    private long unwrittenGrowth(final UpdateLedger open) {
+        return open.unwritten(items::get).entrySet().stream()
+                .mapToLong(entry -> growth(items.get(entry.getKey()), entry.getValue()))
+                .sum();
+    }
+
+    private static long growth(final Item standing, final ConfigurationUpdate.ItemUpdate itemUpdate) {
+        return itemUpdate.appliedTo(standing, "").approximateBytes()
+                - (standing.version().number() > 0 ? standing.approximateBytes() : 0);
+    }
+
     /** Judged by the value that a majority has accepted, so no verdict rests on one that may yet be replaced. */
     private void decide(final UpdateLedger chosen, final PendingUpdate pendingUpdate) {
         final Judgement judgement = chosen.judge(pendingUpdate.update(), items::get);
@@ -173,7 +199,13 @@
                         ok -> pendingUpdate
                                 .callback()
                                 .accept(Judgement.of(ok ? UpdateVerdict.TAKEN : UpdateVerdict.UNDECIDED)));
-            case NEW -> pendingUpdate.callback().accept(Judgement.of(UpdateVerdict.UNDECIDED));
+            case NEW ->
+                pendingUpdate
+                        .callback()
+                        .accept(Judgement.of(
+                                pendingUpdate.exceedsLimit
+                                        ? UpdateVerdict.CONFIGURATION_FULL
+                                        : UpdateVerdict.UNDECIDED));
             default -> pendingUpdate.callback().accept(judgement);
         }
     }
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
@@ -43,8 +43,6 @@
     private static final long FORWARD_TIMEOUT_MILLIS = 500;
 
     private static final long RETRY_AFTER_MS = 500;
-    /** The largest update that the ledger has room for beside what it remembers, in bytes. */
-    public static final int MAX_UPDATE_BYTES = 3 << 20;
     /** A multiple of the age of a confirmed view, for clocks that differ in speed and settings that differ for a while. */
     private static final int SETTLING_VIEW_AGES = 4;
 
@@ -56,11 +54,11 @@
     private final Supplier<String> writeIds;
     private final Supplier<Optional<NodeId>> preferredSequencer;
     private final UpdateSequencer sequencer;
-    private final int maxUpdateBytes;
+    private final UpdateLimits limits;
 
     /**
-     * {@code maxUpdateBytes}: the size up to which an update is taken, at most {@link #MAX_UPDATE_BYTES};
-     * {@code preferredSequencer}: the node that should sequence updates, where it is another one that is heard from.
+     * {@code preferredSequencer}: the node that should sequence updates, where it is another one that is heard from;
+     * {@code limits}: the sizes up to which updates are taken.
      */
     public UpdateService(
             final EventLoop loop,
@@ -70,7 +68,7 @@
             final Proposer proposer,
             final Supplier<String> writeIds,
             final Supplier<Optional<NodeId>> preferredSequencer,
-            final int maxUpdateBytes) {
+            final UpdateLimits limits) {
         this.loop = loop;
         this.transport = transport;
         this.items = items;
@@ -78,14 +76,15 @@
         this.proposer = proposer;
         this.writeIds = writeIds;
         this.preferredSequencer = preferredSequencer;
-        this.maxUpdateBytes = maxUpdateBytes;
+        this.limits = limits;
         this.sequencer = new UpdateSequencer(
                 loop,
                 items,
                 proposer,
                 writeIds,
                 view::isFresh,
-                id -> loop.now() - items.learnedAt(id) > SETTLING_VIEW_AGES * view.maxAgeMs());
+                id -> loop.now() - items.learnedAt(id) > SETTLING_VIEW_AGES * view.maxAgeMs(),
+                limits.configurationBytes());
     }
 
     public UpdateService(
@@ -96,7 +95,7 @@
             final Proposer proposer,
             final Supplier<String> writeIds,
             final Supplier<Optional<NodeId>> preferredSequencer) {
-        this(loop, transport, items, view, proposer, writeIds, preferredSequencer, MAX_UPDATE_BYTES);
+        this(loop, transport, items, view, proposer, writeIds, preferredSequencer, UpdateLimits.DEFAULTS);
     }
 
     /**
@@ -130,10 +129,10 @@
             callback.accept(unavailable("this node's frame is not confirmed"));
         } else if (!received.errors().isEmpty()) {
             refuseInvalid(received.errors(), callback);
-        } else if (received.encodedBytes() > maxUpdateBytes) {
+        } else if (received.encodedBytes() > limits.updateBytes()) {
             refuse(
                     413,
-                    "the items of a call may take up " + maxUpdateBytes + " bytes as stored, these take up "
+                    "the items of a call may take up " + limits.updateBytes() + " bytes as stored, these take up "
                             + received.encodedBytes() + ": send them in several calls",
                     callback);
         } else {
@@ -208,13 +207,20 @@
         if (errors.isEmpty()) {
             sequencer.submit(
                     patch,
-                    judgement -> callback.accept(new UpdateForwardResponse(
-                            judgement.verdict(), judgement.item(), judgement.version(), judgement.errors())));
+                    judgement -> callback.accept(
+                            judgement.verdict() == UpdateVerdict.CONFIGURATION_FULL
+                                    ? new RejectedResponse("the configuration would be too large")
+                                    : toResponse(judgement)));
         } else {
             callback.accept(new RejectedResponse("the call has faults here"));
         }
     }
 
+    private static UpdateForwardResponse toResponse(final Judgement judgement) {
+        return new UpdateForwardResponse(
+                judgement.verdict(), judgement.item(), judgement.version(), judgement.errors());
+    }
+
     private static Judgement toJudgement(final UpdateForwardResponse response) {
         return new Judgement(response.verdict(), response.item(), response.version(), response.errors());
     }
@@ -225,6 +231,13 @@
             case TAKEN -> callback.accept(ApiResponse.done("items", standingVersions(patch)));
             case CONFLICT -> callback.accept(ApiResponse.conflict(judgement.item(), judgement.version()));
             case INVALID_REFERENCE -> recheckReferences(patch, callback);
+            case CONFIGURATION_FULL ->
+                refuse(
+                        413,
+                        "the configuration may take up " + limits.configurationBytes()
+                                + " bytes as stored and takes up " + items.operatorDefinedBytes()
+                                + ": nothing of the call has taken effect",
+                        callback);
             default -> callback.accept(unavailable("no majority confirmed every item"));
         }
     }
--- a/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
+++ b/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
@@ -31,6 +31,7 @@
     private final ItemIndex index = new ItemIndex();
     private final Map<ItemKind, Long> highestVersions = new HashMap<>();
     private CollectionFloor collectionFloor = CollectionFloor.NONE;
+    private long operatorDefinedBytes;
 
     public ItemStore(final EventLoop loop, final EventJournal journal) {
         this.loop = loop;
@@ -51,6 +52,10 @@
             return false;
         }
         digest.replace(previous, item);
+        if (item.id().kind().isOperatorDefined()) {
+            operatorDefinedBytes +=
+                    item.approximateBytes() - (previous.version().number() > 0 ? previous.approximateBytes() : 0);
+        }
         items.put(item.id(), chosen);
         index.add(item.id());
         learnedAt.put(item.id(), loop.now());
@@ -109,6 +114,11 @@
         return !version.isAbove(get(id).version());
     }
 
+    /** What operators have set and dropped takes up as stored; a dropped item still counts with its name. */
+    public long operatorDefinedBytes() {
+        return operatorDefinedBytes;
+    }
+
     public long now() {
         return loop.now();
     }
--- a/control/src/test/java/org/rowanvalve/control/operator/LargeUpdateTest.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/LargeUpdateTest.java
@@ -80,6 +80,18 @@
         UpdateCluster.IDS.forEach(id -> assertTrue(isReadable(id)));
     }
 
+    /** Guards against a call that has room and is held up for as long as another one comes with it. */
+    @Test
+    void ofTwoCallsInOneBatchTheOneThatHasRoomIsTaken() {
+        final List<Integer> statuses = new ArrayList<>();
+        net.patch(RECEIVER, call(0, 1, 1), statuses::add);
+        net.patch(RECEIVER, call(5000, 9000, 1), statuses::add);
+        net.patch(RECEIVER, call(10_000, 14_000, 1), statuses::add);
+        net.loop.run(30_000);
+        statuses.sort(null);
+        assertEquals(List.of(200, 200, 503), statuses);
+    }
+
     /** Guards against a voter that ends within a large call: what it has taken is completed by the others. */
     @Test
     void aLargeCallWhoseReceiverEndsIsCompleted() {
--- a/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/UpdateCluster.java
@@ -68,9 +68,16 @@
     private Optional<NodeId> preferred = Optional.empty();
     private double loss;
     private int boots;
+    private UpdateLimits limits;
+    private int largestQuestionBytes;
 
     UpdateCluster(final long seed) {
+        this(seed, UpdateLimits.DEFAULTS);
+    }
+
+    UpdateCluster(final long seed, final UpdateLimits limits) {
         random = new Random(seed);
+        this.limits = limits;
         IDS.forEach(this::start);
         loop.run(4000);
     }
@@ -98,6 +105,14 @@
         machine.start();
     }
 
+    /** All processes start anew, at once, with these limits. */
+    void restart(final UpdateLimits next) {
+        limits = next;
+        IDS.forEach(this::end);
+        IDS.forEach(this::start);
+        loop.run(6000);
+    }
+
     boolean alive(final NodeId id) {
         return machines.get(id).alive;
     }
@@ -115,6 +130,13 @@
         return machines.get(id).sent;
     }
 
+    /** The largest question for items that any process has asked since the last call. */
+    int takeLargestQuestionBytes() {
+        final int largest = largestQuestionBytes;
+        largestQuestionBytes = 0;
+        return largest;
+    }
+
     Item item(final NodeId at, final ItemId id) {
         return machines.get(at).items.get(id);
     }
@@ -223,7 +245,8 @@
                     view,
                     proposer,
                     () -> id + name + "-" + ++tags[0],
-                    () -> preferred.filter(p -> !p.equals(id)));
+                    () -> preferred.filter(p -> !p.equals(id)),
+                    limits);
             registry = new OriginRegistry(this, items, view, proposer, journal, () -> id + name + "-" + ++tags[0]);
             desk = acceptor == null ? null : new ViewServer(acceptor, items, this);
             recovery = acceptor == null
@@ -301,6 +324,9 @@
                 return;
             }
             sent++;
+            if (msg instanceof MissingItemsRequest) {
+                largestQuestionBytes = Math.max(largestQuestionBytes, MessageCodec.encode(msg).length);
+            }
             final boolean[] answered = {false};
             final Consumer<Reply> once = reply -> {
                 if (alive && !answered[0]) {
--- a/data/src/main/java/org/rowanvalve/data/node/CoreComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/CoreComponents.java
@@ -114,7 +114,7 @@
                 proposer,
                 writeIds,
                 () -> voterLinks.updateSequencer(items.get(ItemId.LEADERSHIP)),
-                settings.maxUpdateBytes());
+                settings.updateLimits());
         originRegistry = new OriginRegistry(loop, items, viewSynchronizer, proposer, journal, writeIds);
     }
 
--- a/data/src/main/java/org/rowanvalve/data/settings/NodeSettings.java
+++ b/data/src/main/java/org/rowanvalve/data/settings/NodeSettings.java
@@ -8,7 +8,7 @@
 import org.rowanvalve.common.model.Member;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.Role;
-import org.rowanvalve.control.operator.UpdateService;
+import org.rowanvalve.control.operator.UpdateLimits;
 import org.rowanvalve.control.placement.Regions;
 import org.rowanvalve.control.record.RecordRetention;
 import org.rowanvalve.control.voting.Quorum;
@@ -25,7 +25,7 @@
         AtomicReference<ReloadableSettings> reloadable,
         ChosenItem votingSet,
         long keyWindowMs,
-        int maxUpdateBytes)
+        UpdateLimits updateLimits)
         implements Regions {
 
     public LeaseTimings timings() {
@@ -112,7 +112,7 @@
         private int toleratedLosses;
         private ChosenItem votingSet;
         private long keyWindowMs = RecordRetention.DEFAULT_WINDOW_MS;
-        private int maxUpdateBytes = UpdateService.MAX_UPDATE_BYTES;
+        private UpdateLimits updateLimits = UpdateLimits.DEFAULTS;
 
         private Builder(final Member self) {
             this.self = self;
@@ -179,9 +179,9 @@
             return this;
         }
 
-        /** How large the items of one operator's update may be, as stored. */
-        public Builder maxUpdateBytes(final int bytes) {
-            maxUpdateBytes = bytes;
+        /** How large operators' updates, and all they define, may be as stored. */
+        public Builder updateLimits(final UpdateLimits limits) {
+            updateLimits = limits;
             return this;
         }
 
@@ -211,7 +211,7 @@
                             timings, retryRatio, retrySlack, drainNoticeMs, regions, toleratedLosses)),
                     votingSet,
                     keyWindowMs,
-                    maxUpdateBytes);
+                    updateLimits);
         }
     }
 }
--- a/server/src/main/java/org/rowanvalve/server/options/OptionChange.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionChange.java
@@ -39,7 +39,8 @@
             fixed("shards", Options::shards),
             fixed("cache-bytes", Options::cacheBytes),
             fixed("key-window", Options::keyWindowMs),
-            fixed("update-bytes", Options::maxUpdateBytes),
+            fixed("update-bytes", options -> options.updateLimits().updateBytes()),
+            fixed("configuration-bytes", options -> options.updateLimits().configurationBytes()),
             fixed("descriptors", Options::descriptors),
             fixed("log", Options::jsonLog));
 
--- a/server/src/main/java/org/rowanvalve/server/options/OptionFlags.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionFlags.java
@@ -76,6 +76,7 @@
             new Flag("notice-ms", Kind.NUMBER, "", "how long a leaving edge still takes requests"),
             new Flag("key-window", Kind.NUMBER, "", "seconds in which a key runs once"),
             new Flag("update-bytes", Kind.NUMBER, "", "how large the items of one operator's call may be, as stored"),
+            new Flag("configuration-bytes", Kind.NUMBER, "", "how large all that operators define may be, as stored"),
             new Flag("spread", Kind.TEXT, "", "what objects are filled for apart: region, zone or none"));
 
     private static final Map<String, Flag> BY_NAME = ALL.stream().collect(Collectors.toMap(Flag::name, f -> f));
--- a/server/src/main/java/org/rowanvalve/server/options/OptionValidator.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionValidator.java
@@ -11,7 +11,7 @@
 import org.rowanvalve.common.model.Role;
 import org.rowanvalve.common.model.ValidationError;
 import org.rowanvalve.control.json.JsonObjectReader;
-import org.rowanvalve.control.operator.UpdateService;
+import org.rowanvalve.control.operator.UpdateLimits;
 import org.rowanvalve.control.record.RecordRetention;
 import org.rowanvalve.control.voting.Quorum;
 
@@ -19,6 +19,7 @@
 final class OptionValidator {
     private static final long MAX_MS = 600_000;
     private static final long MIN_UPDATE_BYTES = 64 << 10;
+    private static final long MAX_CONFIGURATION_BYTES = 1L << 32;
     private static final long MIN_LEASE_MS = 3000;
     private static final long MIN_MARGIN_MS = 1000;
     private static final long MAX_MARGIN_MS = 200_000;
@@ -92,12 +93,7 @@
         final boolean jsonLog = json();
         final long keyWindowMs =
                 1000 * object.wholeNumber("key-window", false, RecordRetention.DEFAULT_WINDOW_MS / 1000, 1, 86_400);
-        final int maxUpdateBytes = (int) object.wholeNumber(
-                "update-bytes",
-                false,
-                UpdateService.MAX_UPDATE_BYTES,
-                MIN_UPDATE_BYTES,
-                UpdateService.MAX_UPDATE_BYTES);
+        final UpdateLimits updateLimits = updateLimits();
         final int descriptors = (int) object.wholeNumber("descriptors", false, 0, 0, 1 << 30);
         object.rejectUnknownMembers();
         if (!errors.isEmpty()) {
@@ -133,7 +129,19 @@
                         : "",
                 descriptors,
                 keyWindowMs,
-                maxUpdateBytes);
+                updateLimits);
+    }
+
+    private UpdateLimits updateLimits() {
+        final int updateBytes = (int) object.wholeNumber(
+                "update-bytes", false, UpdateLimits.MAX_UPDATE_BYTES, MIN_UPDATE_BYTES, UpdateLimits.MAX_UPDATE_BYTES);
+        final long configurationBytes = object.wholeNumber(
+                "configuration-bytes",
+                false,
+                UpdateLimits.DEFAULT_CONFIGURATION_BYTES,
+                updateBytes,
+                MAX_CONFIGURATION_BYTES);
+        return new UpdateLimits(updateBytes, configurationBytes);
     }
 
     private String id(final InetSocketAddress peerAddress) {
--- a/server/src/main/java/org/rowanvalve/server/options/Options.java
+++ b/server/src/main/java/org/rowanvalve/server/options/Options.java
@@ -16,6 +16,7 @@
 import org.rowanvalve.common.model.Role;
 import org.rowanvalve.common.model.ValidationError;
 import org.rowanvalve.control.json.JsonReader;
+import org.rowanvalve.control.operator.UpdateLimits;
 import org.rowanvalve.control.voting.Quorum;
 import org.rowanvalve.data.settings.ReloadableSettings;
 
@@ -51,7 +52,7 @@
         String voterShortage,
         int descriptors,
         long keyWindowMs,
-        int maxUpdateBytes) {
+        UpdateLimits updateLimits) {
     /**
      * File descriptors that are left to files, and to sockets other than those of clients: to peers, origins, own
      * addresses.
@@ -137,7 +138,7 @@
                 voterShortage,
                 descriptors,
                 keyWindowMs,
-                maxUpdateBytes);
+                updateLimits);
     }
 
     /** How many connections of clients may be open at once. */
--- a/server/src/main/java/org/rowanvalve/server/process/ProcessModule.java
+++ b/server/src/main/java/org/rowanvalve/server/process/ProcessModule.java
@@ -137,7 +137,7 @@
                 .regions(options.regions())
                 .toleratedLosses(options.toleratedLosses())
                 .keyWindowMs(options.keyWindowMs())
-                .maxUpdateBytes(options.maxUpdateBytes())
+                .updateLimits(options.updateLimits())
                 .votingSet(votingSet)
                 .build();
         return new Node(
