Purges take up no room of the configuration

Only routes, services and limits count now. RouteTable keeps nothing of hosts that have no route any more.

--- a/common/src/main/java/org/rowanvalve/common/model/ItemKind.java
+++ b/common/src/main/java/org/rowanvalve/common/model/ItemKind.java
@@ -51,6 +51,11 @@
         return this == ROUTE || this == SERVICE || this == PURGE || this == LIMIT;
     }
 
+    /** Whether items of this kind make up the configuration, which stands until an operator changes it. */
+    public boolean isConfiguration() {
+        return this == ROUTE || this == SERVICE || this == LIMIT;
+    }
+
     /** The kind of this name in the control interface, singular or plural. */
     public static Optional<ItemKind> of(final String word) {
         for (final ItemKind kind : values()) {
--- a/control/src/main/java/org/rowanvalve/control/config/RouteTable.java
+++ b/control/src/main/java/org/rowanvalve/control/config/RouteTable.java
@@ -46,10 +46,12 @@
         }
         final Set<String> names = namesByHost.get(previous.host());
         names.remove(name);
+        changedHosts.add(previous.host());
         if (names.isEmpty()) {
             namesByHost.remove(previous.host());
+            configuredByHost.remove(previous.host());
+            changedHosts.remove(previous.host());
         }
-        changedHosts.add(previous.host());
     }
 
     /** Some service has changed: each route is looked at anew. */
@@ -94,10 +96,6 @@
 
     private void configure(final String host) {
         final Set<String> names = namesByHost.get(host);
-        if (names == null) {
-            configuredByHost.remove(host);
-            return;
-        }
         final List<ConfiguredRoute> configured = new ArrayList<>(names.size());
         names.forEach(name -> configured.add(configure(name, routes.get(name))));
         configured.sort(PRECEDENCE);
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateSequencer.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateSequencer.java
@@ -172,7 +172,7 @@
     /** What makes the configuration no larger is taken in any case, so that a full one can be made smaller. */
     private boolean exceedsLimit(final UpdateLedger before, final UpdateLedger after) {
         final long growth = unwrittenGrowth(after);
-        return growth > unwrittenGrowth(before) && items.operatorDefinedBytes() + growth > maxConfigurationBytes;
+        return growth > unwrittenGrowth(before) && items.configurationBytes() + growth > maxConfigurationBytes;
     }
 
     /** By how much the configuration grows once all is written that the ledger leaves open, in bytes. */
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
@@ -235,7 +235,7 @@
                 refuse(
                         413,
                         "the configuration may take up " + limits.configurationBytes()
-                                + " bytes as stored and takes up " + items.operatorDefinedBytes()
+                                + " bytes as stored and takes up " + items.configurationBytes()
                                 + ": nothing of the call has taken effect",
                         callback);
             default -> callback.accept(unavailable("no majority confirmed every item"));
--- a/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
+++ b/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
@@ -31,7 +31,7 @@
     private final ItemIndex index = new ItemIndex();
     private final Map<ItemKind, Long> highestVersions = new HashMap<>();
     private CollectionFloor collectionFloor = CollectionFloor.NONE;
-    private long operatorDefinedBytes;
+    private long configurationBytes;
 
     public ItemStore(final EventLoop loop, final EventJournal journal) {
         this.loop = loop;
@@ -52,8 +52,8 @@
             return false;
         }
         digest.replace(previous, item);
-        if (item.id().kind().isOperatorDefined()) {
-            operatorDefinedBytes +=
+        if (item.id().kind().isConfiguration()) {
+            configurationBytes +=
                     item.approximateBytes() - (previous.version().number() > 0 ? previous.approximateBytes() : 0);
         }
         items.put(item.id(), chosen);
@@ -114,9 +114,9 @@
         return !version.isAbove(get(id).version());
     }
 
-    /** What operators have set and dropped takes up as stored; a dropped item still counts with its name. */
-    public long operatorDefinedBytes() {
-        return operatorDefinedBytes;
+    /** What the configuration takes up as stored; a dropped item still counts with its name. */
+    public long configurationBytes() {
+        return configurationBytes;
     }
 
     public long now() {
--- a/control/src/test/java/org/rowanvalve/control/operator/ConfigurationLimitTest.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/ConfigurationLimitTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rowanvalve.common.model.NodeId;
+import org.rowanvalve.control.config.Purge;
 import org.rowanvalve.control.json.Json;
 
 /** All that operators define is bounded at the door, since no voter could leave a state that its memory cannot hold. */
@@ -105,6 +106,19 @@
         assertEquals(413, send(FIRST, call(100, 200).replace("\"version\":1", "\"version\":9")));
     }
 
+    /** Guards against purges, of which a long life has any number, that take up the room of the configuration. */
+    @Test
+    void purgesTakeUpNoRoomOfTheConfiguration() {
+        for (int i = 0; i < 600; i++) {
+            final String path = "/" + i + "p".repeat(2048);
+            net.orders(FIRST).purge(new Purge(null, path, null, "h.example", null), response -> {});
+            net.loop.run(20);
+        }
+        net.loop.run(5000);
+        assertEquals(200, send(FIRST, part(0)));
+        assertEquals(200, send(UpdateCluster.IDS.get(1), part(1)));
+    }
+
     /** Guards against calls at once that fit alone and not together. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
