--- a/common/src/main/java/org/rowanvalve/common/event/EventCode.java
+++ b/common/src/main/java/org/rowanvalve/common/event/EventCode.java
@@ -57,7 +57,9 @@
     ORIGIN_SEEN(1705, "origin announced"),
     ORIGIN_LEFT(1706, "origin draining"),
     RECORDS_COPIED(1707, "keyed records copied from other replicas"),
-    RECORDS_BAD(1708, "page of keyed records with a wrong checksum, requested again");
+    RECORDS_BAD(1708, "page of keyed records with a wrong checksum, requested again"),
+    CLIENT_LEFT(1801, "client left before its response"),
+    WORK_ENDED(1802, "work ended after its client had left");
 
     private final int number;
     private final String description;
--- a/data/src/main/java/org/rowanvalve/data/edge/Edge.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/Edge.java
@@ -16,6 +16,7 @@
 import org.rowanvalve.control.config.RequestLimits;
 import org.rowanvalve.control.config.RouteMode;
 import org.rowanvalve.data.cache.Cache;
+import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.data.request.ClientResponse;
 
@@ -109,8 +110,14 @@
         return loop.now() - lastRequestAt >= ms;
     }
 
-    /** Answers one request; {@code callback} is called once, in the event loop. */
+    /** Answers one request that nobody cancels. */
     public void handle(final ClientRequest request, final Consumer<ClientResponse> callback) {
+        handle(request, Cancellation.NEVER, callback);
+    }
+
+    /** Answers one request; {@code callback} is called once, in the event loop, also if the request is cancelled. */
+    public void handle(
+            final ClientRequest request, final Cancellation cancellation, final Consumer<ClientResponse> callback) {
         lastRequestAt = loop.now();
         if (closed) {
             callback.accept(ClientResponse.reject(503, "this node is leaving", 1000));
@@ -134,7 +141,7 @@
             return;
         }
         openRequests++;
-        new EdgeRequest(this, request, route, response -> {
+        new EdgeRequest(this, request, route, cancellation, response -> {
                     openRequests--;
                     callback.accept(response);
                 })
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -6,12 +6,15 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.rowanvalve.common.event.Event;
+import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.model.VersionVector;
 import org.rowanvalve.control.config.ConfiguredRoute;
 import org.rowanvalve.control.config.RouteMode;
 import org.rowanvalve.data.cache.CachedResponse;
+import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.request.ByteRange;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.data.request.ClientResponse;
@@ -21,9 +24,11 @@
  * One request at an edge: runs the steps of its route one by one until one answers, and joins fills of other requests.
  */
 final class EdgeRequest {
+    private static final long NOT_LEFT = -1;
     private final Edge edge;
     private final ClientRequest request;
     private final ConfiguredRoute route;
+    private final Cancellation cancellation;
     private final Consumer<ClientResponse> callback;
     private final String cacheKey;
     private final long deadline;
@@ -33,11 +38,13 @@
     private VersionVector versions;
     private CoalescedFill ledFill;
     private boolean finished;
+    private long leftAt = NOT_LEFT;
 
     EdgeRequest(
             final Edge edge,
             final ClientRequest request,
             final ConfiguredRoute route,
+            final Cancellation cancellation,
             final Consumer<ClientResponse> callback) {
         this.edge = edge;
         this.request =
@@ -45,6 +52,7 @@
                         ? request.withoutConditions()
                         : request;
         this.route = route;
+        this.cancellation = cancellation;
         this.callback = callback;
         this.cacheKey = ShardRouting.cacheKey(route, request.path(), null);
         this.versions = edge.view().versionsOf(route, request.path());
@@ -101,6 +109,7 @@
     }
 
     void execute() {
+        cancellation.onRequest(this::onClientLeft);
         for (final Edge.Step step : Edge.stepsOf(route)) {
             if (runStep(step)) {
                 return;
@@ -108,6 +117,23 @@
         }
     }
 
+    private void onClientLeft() {
+        if (!finished) {
+            leftAt = now();
+            edge.journal()
+                    .add(Event.of(
+                            EventCode.CLIENT_LEFT,
+                            "request",
+                            request.requestId(),
+                            "route",
+                            route.name(),
+                            "place",
+                            ledFill == null && hasMode(RouteMode.CACHED) ? "joined-fill" : forwarding.place(),
+                            "waitedMs",
+                            leftAt - startedAt));
+        }
+    }
+
     private boolean reject(final int status, final String reason, final long retryAfterMs) {
         finish(ClientResponse.reject(status, reason, retryAfterMs));
         return true;
@@ -116,10 +142,27 @@
     private void finish(final ClientResponse response) {
         if (!finished) {
             finished = true;
+            journalLateEnd();
             callback.accept(response);
         }
     }
 
+    private void journalLateEnd() {
+        if (leftAt != NOT_LEFT) {
+            edge.journal()
+                    .add(Event.of(
+                            EventCode.WORK_ENDED,
+                            "request",
+                            request.requestId(),
+                            "route",
+                            route.name(),
+                            "place",
+                            forwarding.place(),
+                            "afterMs",
+                            now() - leftAt));
+        }
+    }
+
     private boolean runStep(final Edge.Step step) {
         final boolean post = hasMode(RouteMode.KEYED);
         return switch (step) {
--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -1,6 +1,8 @@
 package org.rowanvalve.data.edge;
 
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -56,6 +58,10 @@
     private int openPassThroughs;
     /** It is passed through without a lease. */
     private boolean passingThrough;
+    /** Requests to shields without a response, by serial. */
+    private final Map<Long, NodeId> openForwards = new LinkedHashMap<>();
+    /** It is sent to origins from here. */
+    private boolean sendingDirectly;
     /** A shield may have sent it to an origin and has not reported the end. */
     private boolean mayHaveRun;
 
@@ -100,6 +106,14 @@
         }
     }
 
+    /** Where the request is now, as the log names it. */
+    String place() {
+        if (!openForwards.isEmpty()) {
+            return "shield";
+        }
+        return sendingDirectly ? "direct" : "edge";
+    }
+
     private long now() {
         return edge.loop().now();
     }
@@ -175,6 +189,7 @@
         final boolean isRetry = attempts.anyUsed();
         final Forward exchange = new Forward(shield);
         final long serial = edge.openForward(exchange);
+        openForwards.put(serial, shield);
         edge.net()
                 .request(
                         shield,
@@ -182,6 +197,7 @@
                         timeoutMs,
                         reply -> {
                             edge.closeForward(serial);
+                            openForwards.remove(serial);
                             exchange.settle(reply);
                             callback.accept(reply);
                         });
@@ -290,7 +306,9 @@
                 route.route().priority(),
                 attempts.localAllowance(),
                 false);
+        sendingDirectly = true;
         edge.routing().directDispatcher().send(originRequest, completion -> {
+            sendingDirectly = false;
             if (completion.response().result() == OriginTransport.ExchangeResult.COMPLETE) {
                 deliver(now(), completed(completion.response()));
             } else {
--- a/data/src/main/java/org/rowanvalve/data/edge/package-info.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/package-info.java
@@ -4,7 +4,7 @@
  * over all nodes.
  *
  * <p>Depends on {@code control.config}, {@code control.membership}, {@code control.placement}, {@code control.voting},
- * {@code data.cache}, {@code data.limit}, {@code data.origin}, {@code data.request}, {@code data.routing} and {@code
- * data.settings}.
+ * {@code data.cache}, {@code data.cancel}, {@code data.limit}, {@code data.origin}, {@code data.request}, {@code
+ * data.routing} and {@code data.settings}.
  */
 package org.rowanvalve.data.edge;
--- /dev/null
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
@@ -0,0 +1,201 @@
+package org.rowanvalve.server.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A client's connection that tells when the client closes it while a request is handled. Jetty's HTTP/1.1 connection reads
+ * nothing between a request and its response, so it learns of the end of the stream, or of a reset, only afterwards.
+ * While a listener is set, this end point reads ahead instead. Bytes of a next request that arrive meanwhile are kept and
+ * given to the HTTP connection when it reads again; they are no sign that the client has left. Thread-safe.
+ *
+ * <p>A client that ends only its sending side cannot be told from one that has closed the connection, and counts as
+ * closed: HTTP/1.1 gives no meaning to a half-closed connection, and a response is still written to it.
+ */
+public final class ClientEndPoint extends SocketChannelEndPoint {
+    /** Bytes of later requests that are kept; beyond them a close is seen only after the response. */
+    private static final int READ_AHEAD_BYTES = 1024;
+
+    private final Executor executor;
+    private final Callback readAheadCallback = new ReadAheadCallback();
+    private ByteBuffer readAhead = BufferUtil.EMPTY_BUFFER;
+    private Runnable closeListener;
+    /** The read-ahead callback is registered as the fill interest. */
+    private boolean reading;
+    /** The HTTP connection's fill interest, while the read-ahead callback stands in for it. */
+    private Callback httpConnection;
+
+    ClientEndPoint(
+            final SocketChannel channel,
+            final ManagedSelector selector,
+            final SelectionKey key,
+            final Scheduler scheduler,
+            final Executor executor) {
+        super(channel, selector, key, scheduler);
+        this.executor = executor;
+    }
+
+    private final class ReadAheadCallback implements Callback {
+        @Override
+        public void succeeded() {
+            onReadable();
+        }
+
+        @Override
+        public void failed(final Throwable failure) {
+            onReadFailed(failure);
+        }
+
+        @Override
+        public InvocationType getInvocationType() {
+            return currentInvocationType();
+        }
+    }
+
+    /**
+     * Calls {@code listener} once, in any thread, if the client of this request closes its connection before {@link
+     * #ignoreClose}. It is called at once where the client has left already. The request must have been read whole.
+     */
+    public static void onClose(final Request request, final Runnable listener) {
+        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
+            endPoint.setCloseListener(listener);
+        }
+    }
+
+    /** The response of this request is about to be written: whether its client leaves is of no more interest. */
+    public static void ignoreClose(final Request request) {
+        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
+            endPoint.removeCloseListener();
+        }
+    }
+
+    private void setCloseListener(final Runnable listener) {
+        synchronized (this) {
+            closeListener = listener;
+        }
+        readAhead();
+    }
+
+    private synchronized void removeCloseListener() {
+        closeListener = null;
+    }
+
+    private void onReadable() {
+        final Callback waiting;
+        synchronized (this) {
+            reading = false;
+            waiting = httpConnection;
+            httpConnection = null;
+        }
+        if (waiting != null) {
+            waiting.succeeded();
+        } else {
+            readAhead();
+        }
+    }
+
+    private void onReadFailed(final Throwable failure) {
+        final Callback waiting;
+        synchronized (this) {
+            reading = false;
+            waiting = httpConnection;
+            httpConnection = null;
+        }
+        if (waiting != null) {
+            waiting.failed(failure);
+        }
+    }
+
+    private synchronized Callback.InvocationType currentInvocationType() {
+        return httpConnection == null ? Callback.InvocationType.NON_BLOCKING : httpConnection.getInvocationType();
+    }
+
+    /** Reads what there is, while anybody wants to know of a close, and waits for more. */
+    private void readAhead() {
+        final Runnable listener;
+        synchronized (this) {
+            if (closeListener == null || reading || !readOnce()) {
+                return;
+            }
+            listener = isInputShutdown() && isOpen() ? closeListener : null;
+            if (listener == null) {
+                reading = super.tryFillInterested(readAheadCallback);
+                return;
+            }
+            closeListener = null;
+        }
+        listener.run();
+    }
+
+    /** False where there is no room to read into. */
+    private boolean readOnce() {
+        if (readAhead == BufferUtil.EMPTY_BUFFER) {
+            readAhead = BufferUtil.allocate(READ_AHEAD_BYTES);
+        }
+        if (BufferUtil.space(readAhead) == 0) {
+            return false;
+        }
+        try {
+            super.fill(readAhead);
+            return true;
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public int fill(final ByteBuffer buffer) throws IOException {
+        synchronized (this) {
+            if (BufferUtil.hasContent(readAhead)) {
+                final int position = BufferUtil.flipToFill(buffer);
+                final int count = BufferUtil.put(readAhead, buffer);
+                BufferUtil.flipToFlush(buffer, position);
+                if (BufferUtil.isEmpty(readAhead)) {
+                    BufferUtil.clear(readAhead);
+                }
+                return count;
+            }
+        }
+        return super.fill(buffer);
+    }
+
+    @Override
+    public void fillInterested(final Callback callback) {
+        if (!tryFillInterested(callback)) {
+            throw new ReadPendingException();
+        }
+    }
+
+    @Override
+    public boolean tryFillInterested(final Callback callback) {
+        synchronized (this) {
+            if (!BufferUtil.hasContent(readAhead)) {
+                if (!reading) {
+                    return super.tryFillInterested(callback);
+                }
+                if (httpConnection != null) {
+                    return false;
+                }
+                httpConnection = callback;
+                return true;
+            }
+        }
+        executor.execute(callback::succeeded);
+        return true;
+    }
+
+    @Override
+    public synchronized boolean isFillInterested() {
+        return reading ? httpConnection != null : super.isFillInterested();
+    }
+}
--- a/server/src/main/java/org/rowanvalve/server/http/ClientHandler.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientHandler.java
@@ -15,11 +15,12 @@
 /** The clients' interface of an edge. */
 public final class ClientHandler extends Handler.Abstract {
     private static final int LIMIT = 1 << 20;
-    private final CoreEventLoop loop;
+    private static final long BUSY_RETRY_AFTER_MS = 1000;
+    private final ClientRequests requests;
     private final Edge edge;
 
     public ClientHandler(final CoreEventLoop loop, final Edge edge) {
-        this.loop = loop;
+        this.requests = new ClientRequests(loop, edge, BUSY_RETRY_AFTER_MS);
         this.edge = edge;
     }
 
@@ -45,9 +46,7 @@
                     body,
                     Optional.ofNullable(req.getHeaders().get(HttpHeader.CONTENT_TYPE))
                             .orElse("application/json"));
-            if (!loop.offer(() -> edge.handle(request, response -> send(res, done, response)))) {
-                send(res, done, ClientResponse.reject(503, "ring full", 1000));
-            }
+            requests.submit(req, request, response -> send(res, done, response));
         });
         return true;
     }
--- a/server/src/main/java/org/rowanvalve/server/log/EventLog.java
+++ b/server/src/main/java/org/rowanvalve/server/log/EventLog.java
@@ -2,8 +2,10 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jboss.logging.Logger;
@@ -18,6 +20,10 @@
  */
 public final class EventLog {
     private static final Logger LOG = Logger.getLogger("rowanvalve");
+    /** Too many for a text log: one for each write or request. */
+    private static final Set<EventCode> FREQUENT = EnumSet.of(
+            EventCode.LEARNED, EventCode.ORIGIN_SEND, EventCode.ACCEPTED, EventCode.CLIENT_LEFT, EventCode.WORK_ENDED);
+
     private final ArrayBlockingQueue<Line> ring = new ArrayBlockingQueue<>(16_384);
     private final AtomicLong shed = new AtomicLong();
     private final PrintStream out;
@@ -77,7 +83,7 @@
             if (ring.isEmpty()) {
                 out.flush();
             }
-        } else if (code == EventCode.LEARNED || code == EventCode.ORIGIN_SEND || code == EventCode.ACCEPTED) {
+        } else if (FREQUENT.contains(code)) {
             LOG.debug(l.entry().event().format());
         } else {
             LOG.info(l.entry().event().format());
