Bytes behind a whole answer do not change the status that its client sees

Cause: the HTTP client ends an exchange once both its request and its response are complete. If the response is whole while the request is still being completed in another thread, bytes behind it are parsed meanwhile, and the library's parser writes their status, or that of a malformed message (400, 505), into the response of the exchange. Not of the load: load only widens the window.

Ruled out: 3,000 requests whose answer and surplus come in one write, idle: not met; an answer before a long body is read: not met. The same test runs beside busy threads in the build now.

--- a/server/src/main/java/org/rowanvalve/server/origin/HttpOriginTransport.java
+++ b/server/src/main/java/org/rowanvalve/server/origin/HttpOriginTransport.java
@@ -13,8 +13,10 @@
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.Promise;
 import org.rowanvalve.common.runtime.EventLoop;
@@ -196,18 +198,38 @@
             }
             sent = true;
             sentAt = loop.now();
-            connection.send(result, new BufferingResponseListener(BODY_LIMIT) {
-                @Override
-                public void onComplete(final Result res) {
-                    final byte[] body = getContent() == null ? new byte[0] : getContent();
-                    final OriginResponse response = res.isSucceeded()
-                            ? toResponse(res, body)
-                            : OriginResponse.without(
-                                    ExchangeResult.LOST,
-                                    String.valueOf(res.getFailure().getMessage()));
-                    loop.execute(() -> onResponse(response, res.isSucceeded()));
-                }
-            });
+            connection.send(result, new ResponseListener());
+        }
+
+        /**
+         * Collects one response. Status and headers are taken once the head is whole: bytes behind a whole response, which
+         * are read while the request is still being completed, change what the library's response says of them.
+         */
+        private final class ResponseListener extends BufferingResponseListener {
+            private int status;
+            private HttpFields headers = HttpFields.EMPTY;
+
+            ResponseListener() {
+                super(BODY_LIMIT);
+            }
+
+            @Override
+            public void onHeaders(final Response response) {
+                super.onHeaders(response);
+                status = response.getStatus();
+                headers = HttpFields.build(response.getHeaders()).asImmutable();
+            }
+
+            @Override
+            public void onComplete(final Result result) {
+                final byte[] body = getContent() == null ? new byte[0] : getContent();
+                final OriginResponse response = result.isSucceeded()
+                        ? toResponse(status, headers, body)
+                        : OriginResponse.without(
+                                ExchangeResult.LOST,
+                                String.valueOf(result.getFailure().getMessage()));
+                loop.execute(() -> onResponse(response, result.isSucceeded()));
+            }
         }
 
         private void onResponse(final OriginResponse response, final boolean succeeded) {
@@ -221,12 +243,11 @@
          * A response that cannot be shown to be complete and of this request is discarded, and its connection is
          * closed.
          */
-        private OriginResponse toResponse(final Result result, final byte[] body) {
+        private OriginResponse toResponse(final int status, final HttpFields fields, final byte[] body) {
             final Map<String, String> headers = new TreeMap<>();
-            for (final HttpField field : result.getResponse().getHeaders()) {
+            for (final HttpField field : fields) {
                 headers.put(field.getLowerCaseName(), field.getValue());
             }
-            final int status = result.getResponse().getStatus();
             if (status < HttpStatus.OK_200) {
                 return OriginResponse.without(ExchangeResult.INVALID, "status " + status + " as the last answer");
             }
--- a/server/src/test/java/org/rowanvalve/server/origin/OriginResponsesTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/OriginResponsesTest.java
@@ -16,6 +16,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.io.ClientConnector;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -245,6 +246,26 @@
         }
     }
 
+    /** Guards against a status that bytes behind an answer replace: seen with threads that wait for a processor. */
+    @Test
+    void eachRequestGetsItsOwnWholeAnswerBesideBusyThreads() throws Exception {
+        final AtomicBoolean busy = new AtomicBoolean(true);
+        for (int i = 0; i < Runtime.getRuntime().availableProcessors(); i++) {
+            final Thread thread = new Thread(() -> {
+                while (busy.get()) {
+                    Thread.onSpinWait();
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+        try {
+            eachRequestGetsItsOwnWholeAnswerOrNone();
+        } finally {
+            busy.set(false);
+        }
+    }
+
     /** Drawn answers: whole, in pieces, doubled, late, cut, another's, reset; each request's end against what was written. */
     @Test
     void eachRequestGetsItsOwnWholeAnswerOrNone() throws Exception {
