--- a/common/src/main/java/org/rowanvalve/common/event/EventCode.java
+++ b/common/src/main/java/org/rowanvalve/common/event/EventCode.java
@@ -59,7 +59,8 @@
     RECORDS_COPIED(1707, "keyed records copied from other replicas"),
     RECORDS_BAD(1708, "page of keyed records with a wrong checksum, requested again"),
     CLIENT_LEFT(1801, "client left before its response"),
-    WORK_ENDED(1802, "work ended after its client had left");
+    WORK_ENDED(1802, "work ended after its client had left"),
+    CANCELLED(1803, "work on a request cancelled");
 
     private final int number;
     private final String description;
--- a/common/src/main/java/org/rowanvalve/common/message/ForwardRequest.java
+++ b/common/src/main/java/org/rowanvalve/common/message/ForwardRequest.java
@@ -10,7 +10,8 @@
  * An edge forwards a request to a shield. {@code requestId}: the client's own name for this attempt; {@code
  * passThrough}: to be passed through without a lease; {@code retry}: another origin may have got this request before;
  * {@code headers}: the client's other headers; {@code attempts}: to how many origins the receiver may send it, each
- * further one being asked for by {@link AttemptGrantRequest}; a sender that states none leaves it to the route.
+ * further one being asked for by {@link AttemptGrantRequest}; a sender that states none leaves it to the route; {@code
+ * incarnation}: the sender's start, by which it may take the request back with {@link CancelRequest}.
  */
 @JsonTypeName("Fill")
 public record ForwardRequest(
@@ -30,5 +31,6 @@
         @JsonProperty("pass") boolean passThrough,
         @JsonProperty("extra") boolean retry,
         @JsonProperty("heads") Map<String, String> headers,
-        Integer attempts)
+        Integer attempts,
+        @JsonProperty("boot") String incarnation)
         implements Message {}
--- a/common/src/main/java/org/rowanvalve/common/message/Message.java
+++ b/common/src/main/java/org/rowanvalve/common/message/Message.java
@@ -9,6 +9,7 @@
                 AckResponse,
                 AttemptGrantRequest,
                 AttemptGrantResponse,
+                CancelRequest,
                 DigestRequest,
                 DigestResponse,
                 EpochMismatchResponse,
--- a/control/src/test/java/org/rowanvalve/control/SampleValues.java
+++ b/control/src/test/java/org/rowanvalve/control/SampleValues.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import org.rowanvalve.common.message.AckResponse;
 import org.rowanvalve.common.message.DigestRequest;
+import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.MissingItemsRequest;
@@ -27,6 +28,7 @@
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.ItemKind;
+import org.rowanvalve.common.model.Member;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.Version;
 import org.rowanvalve.control.config.Origin;
@@ -49,6 +51,8 @@
     /** How many components a record had in the first release that had the record; those after them may be null. */
     private static final Map<Class<?>, Integer> FIRST_COMPONENTS = Map.of(
             DigestRequest.class, 2,
+            ForwardRequest.class, 17,
+            Member.class, 8,
             MissingItemsRequest.class, 3,
             RecordWriteResponse.class, 3,
             RegisterHandoverRequest.class, 3,
--- /dev/null
+++ b/data/src/main/java/org/rowanvalve/data/edge/DirectForwarding.java
@@ -0,0 +1,96 @@
+package org.rowanvalve.data.edge;
+
+import java.util.function.Consumer;
+import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.model.CancelCause;
+import org.rowanvalve.common.model.Hash;
+import org.rowanvalve.common.model.RequestOutcome;
+import org.rowanvalve.control.config.RouteMode;
+import org.rowanvalve.data.cancel.Cancellation;
+import org.rowanvalve.data.origin.OriginDispatcher;
+import org.rowanvalve.data.origin.OriginRequest;
+import org.rowanvalve.data.origin.OriginTransport;
+import org.rowanvalve.data.request.ClientRequest;
+import org.rowanvalve.data.request.EndToEndHeaders;
+
+/**
+ * Sends a request to origins from its edge, within the part of the rate limit that is meant for this: for when no shield is
+ * heard from.
+ */
+final class DirectForwarding {
+    private final Edge edge;
+    private final EdgeRequest request;
+    private final RequestAttempts attempts;
+    private final Cancellation cancellation = new Cancellation();
+    private boolean underWay;
+
+    DirectForwarding(final Edge edge, final EdgeRequest request, final RequestAttempts attempts) {
+        this.edge = edge;
+        this.request = request;
+        this.attempts = attempts;
+    }
+
+    boolean isUnderWay() {
+        return underWay;
+    }
+
+    /** Nobody waits for the response any more. */
+    void cancel(final CancelCause cause) {
+        cancellation.request(cause);
+    }
+
+    void send(final Consumer<OriginDispatcher.Completion> callback) {
+        underWay = true;
+        edge.routing().directDispatcher().send(originRequest(), completion -> {
+            underWay = false;
+            callback.accept(completion);
+        });
+    }
+
+    private OriginRequest originRequest() {
+        final ClientRequest clientRequest = request.request();
+        return new OriginRequest(
+                OriginRequest.NO_SHARD,
+                new OriginTransport.OutboundRequest(
+                        service(),
+                        clientRequest.method(),
+                        clientRequest.path(),
+                        clientRequest.requestId(),
+                        clientRequest.key(),
+                        clientRequest.body(),
+                        clientRequest.contentType(),
+                        0,
+                        clientRequest.headers()),
+                request.hasMode(RouteMode.AT_MOST_ONCE),
+                request.deadline() - request.marginMs(),
+                request.route().route().priority(),
+                attempts.localAllowance(),
+                false,
+                cancellation,
+                request.hasMode(RouteMode.STATUS)
+                        ? OriginRequest.WhenCancelled.ABORT_SENT
+                        : OriginRequest.WhenCancelled.FINISH_SENT);
+    }
+
+    private String service() {
+        final ClientRequest clientRequest = request.request();
+        final String name = clientRequest.requestId().isEmpty()
+                ? clientRequest.path() + edge.nextSerial()
+                : clientRequest.requestId();
+        return request.route().route().pickService(Hash.hash64(name));
+    }
+
+    /** An origin's response as a shield would give it. */
+    static ForwardResponse completed(final OriginTransport.OriginResponse response) {
+        return new ForwardResponse(
+                RequestOutcome.DONE,
+                "",
+                response.status(),
+                null,
+                EndToEndHeaders.of(response.headers()),
+                response.body(),
+                0,
+                null,
+                0);
+    }
+}
--- a/data/src/main/java/org/rowanvalve/data/edge/Edge.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/Edge.java
@@ -6,7 +6,11 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.rowanvalve.common.event.Event;
+import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
+import org.rowanvalve.common.message.CancelRequest;
+import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.runtime.EventLoop;
@@ -30,6 +34,7 @@
     private final int shards;
     private final EventJournal journal;
     private final EdgeRouting routing;
+    private final String incarnation;
     private final Cache cache;
     private final Map<Integer, FencingToken> highestToken = new HashMap<>();
     private final Map<String, CoalescedFill> fills = new HashMap<>();
@@ -39,6 +44,7 @@
     private boolean closed;
     private long lastRequestAt = Long.MIN_VALUE / 2;
 
+    /** {@code incarnation}: this start of this process, by which shields know its requests. */
     public Edge(
             final EventLoop loop,
             final Transport transport,
@@ -47,8 +53,10 @@
             final int shards,
             final EventJournal journal,
             final long cacheBytes,
-            final EdgeRouting routing) {
+            final EdgeRouting routing,
+            final String incarnation) {
         this.routing = routing;
+        this.incarnation = incarnation;
         this.loop = loop;
         this.transport = transport;
         this.configuration = configuration;
@@ -140,6 +148,20 @@
             callback.accept(ClientResponse.reject(503, "the route does not fit its service", 1000));
             return;
         }
+        if (cancellation.isRequested()) {
+            journal.add(Event.of(
+                    EventCode.CLIENT_LEFT,
+                    "request",
+                    request.requestId(),
+                    "route",
+                    route.name(),
+                    "place",
+                    "queue",
+                    "waitedMs",
+                    0));
+            callback.accept(ClientResponse.reject(503, EdgeRequest.CLIENT_HAS_LEFT, 0));
+            return;
+        }
         openRequests++;
         new EdgeRequest(this, request, route, cancellation, response -> {
                     openRequests--;
@@ -183,6 +205,17 @@
         forwards.remove(forward);
     }
 
+    String incarnation() {
+        return incarnation;
+    }
+
+    /** Nobody waits for this shield's response any more; a shield of an earlier release is not told. */
+    void sendCancel(final NodeId shield, final long serial, final CancelCause cause) {
+        if (routing.takesCancels(shield)) {
+            transport.send(shield, new CancelRequest(incarnation, serial, cause));
+        }
+    }
+
     /** How many more origins a shield may send the request of this serial to. */
     public int grantAttempts(final NodeId from, final long forward) {
         return forwards.containsKey(forward) ? forwards.get(forward).grantMore(from) : 0;
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -1,6 +1,5 @@
 package org.rowanvalve.data.edge;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +8,7 @@
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.model.VersionVector;
 import org.rowanvalve.control.config.ConfiguredRoute;
@@ -24,6 +24,7 @@
  * One request at an edge: runs the steps of its route one by one until one answers, and joins fills of other requests.
  */
 final class EdgeRequest {
+    static final String CLIENT_HAS_LEFT = "the client has left";
     private static final long NOT_LEFT = -1;
     private final Edge edge;
     private final ClientRequest request;
@@ -36,7 +37,11 @@
     private final long startedAt;
     private final ShieldForwarding forwarding;
     private VersionVector versions;
+    /** The fill that this request began, and sends to shields for all who joined it. */
     private CoalescedFill ledFill;
+    /** The fill that it waits for. */
+    private CoalescedFill joinedFill;
+
     private boolean finished;
     private long leftAt = NOT_LEFT;
 
@@ -118,22 +123,61 @@
     }
 
     private void onClientLeft() {
-        if (!finished) {
-            leftAt = now();
-            edge.journal()
-                    .add(Event.of(
-                            EventCode.CLIENT_LEFT,
-                            "request",
-                            request.requestId(),
-                            "route",
-                            route.name(),
-                            "place",
-                            ledFill == null && hasMode(RouteMode.CACHED) ? "joined-fill" : forwarding.place(),
-                            "waitedMs",
-                            leftAt - startedAt));
+        if (finished) {
+            return;
+        }
+        leftAt = now();
+        journalLeft();
+        if (joinedFill != null) {
+            joinedFill.onWaiterLeft();
+        } else {
+            abandon();
         }
     }
 
+    private void journalLeft() {
+        edge.journal()
+                .add(Event.of(
+                        EventCode.CLIENT_LEFT,
+                        "request",
+                        request.requestId(),
+                        "route",
+                        route.name(),
+                        "place",
+                        place(),
+                        "waitedMs",
+                        leftAt - startedAt));
+    }
+
+    private String place() {
+        return joinedFill != null && joinedFill != ledFill ? "joined-fill" : forwarding.place();
+    }
+
+    boolean hasLeft() {
+        return cancellation.isRequested();
+    }
+
+    /** Whether nobody waits for what this request sends. */
+    boolean isAbandoned() {
+        return ledFill == null ? hasLeft() : ledFill.isAbandoned();
+    }
+
+    /**
+     * Nobody waits any more: what is under way is cancelled. One that may run once and that a shield has ends with what the
+     * shield says of it, since only the shield knows whether it was sent.
+     */
+    void abandon() {
+        forwarding.cancelOpenForwards(CancelCause.CLIENT_LEFT);
+        if (!isAtMostOnce() || !forwarding.isUnderWay()) {
+            finishAll(ClientResponse.reject(503, CLIENT_HAS_LEFT, 0), false);
+        }
+    }
+
+    void waitFor(final CoalescedFill fill) {
+        joinedFill = fill;
+        fill.join(this);
+    }
+
     private boolean reject(final int status, final String reason, final long retryAfterMs) {
         finish(ClientResponse.reject(status, reason, retryAfterMs));
         return true;
@@ -157,7 +201,7 @@
                             "route",
                             route.name(),
                             "place",
-                            forwarding.place(),
+                            place(),
                             "afterMs",
                             now() - leftAt));
         }
@@ -242,10 +286,11 @@
             if (current.isFull(1)) {
                 return reject(503, "too many wait for this object", 1000);
             }
-            current.waiters().add(this);
+            waitFor(current);
             return true;
         }
-        ledFill = new CoalescedFill(versions, new ArrayList<>(List.of(this)));
+        ledFill = new CoalescedFill(this, versions);
+        joinedFill = ledFill;
         edge.fills().put(cacheKey, ledFill);
         return false;
     }
@@ -262,21 +307,18 @@
                 || current == null
                 || current == ledFill
                 || !current.versions().covers(edge.view().versionsOf(route, request.path()))
-                || current.isFull(ledFill.waiters().size())) {
+                || current.isFull(ledFill.waiterCount())) {
             return false;
         }
-        current.waiters().addAll(ledFill.waiters());
+        ledFill.moveWaitersTo(current);
         return true;
     }
 
     /** Sent again under the present versions; the versions of the fill go with it. */
     void renewVersions() {
         versions = edge.view().versionsOf(route, request.path());
-        if (ledFill != null
-                && !ledFill.versions().equals(versions)
-                && edge.fills().get(cacheKey) == ledFill) {
-            ledFill = new CoalescedFill(versions, ledFill.waiters());
-            edge.fills().put(cacheKey, ledFill);
+        if (ledFill != null && edge.fills().get(cacheKey) == ledFill) {
+            ledFill.renewVersions(versions);
         }
     }
 
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRouting.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRouting.java
@@ -15,6 +15,9 @@
     /** How long nothing has been heard from this shield, in ms. */
     long silenceMs(NodeId id);
 
+    /** Whether this shield takes requests back. */
+    boolean takesCancels(NodeId id);
+
     /** How many regions objects are filled for, and which of them this edge is in. */
     int regionCount();
 
--- a/data/src/main/java/org/rowanvalve/data/edge/MembershipRouting.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/MembershipRouting.java
@@ -73,6 +73,12 @@
         return membership.silenceMs(id);
     }
 
+    @Override
+    public boolean takesCancels(final NodeId id) {
+        final Member shield = membership.get(id);
+        return shield != null && shield.speaks(Member.CANCEL_VERSION);
+    }
+
     @Override
     public boolean isWithoutQuorum() {
         return alone(settings, membership, votingConfiguration);
--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -11,7 +11,7 @@
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.Reply;
-import org.rowanvalve.common.model.Hash;
+import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.control.config.ConfiguredRoute;
@@ -22,7 +22,6 @@
 import org.rowanvalve.data.origin.OriginTransport;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.data.request.ClientResponse;
-import org.rowanvalve.data.request.EndToEndHeaders;
 import org.rowanvalve.data.routing.ShardRouting;
 
 /**
@@ -60,8 +59,8 @@
     private boolean passingThrough;
     /** Requests to shields without a response, by serial. */
     private final Map<Long, NodeId> openForwards = new LinkedHashMap<>();
-    /** It is sent to origins from here. */
-    private boolean sendingDirectly;
+
+    private final DirectForwarding direct;
     /** A shield may have sent it to an origin and has not reported the end. */
     private boolean mayHaveRun;
 
@@ -73,6 +72,7 @@
         this.deadline = request.deadline();
         this.marginMs = request.marginMs();
         this.attempts = new RequestAttempts(route.route().maxAttempts());
+        this.direct = new DirectForwarding(edge, request, attempts);
     }
 
     /** One shield that was asked, and the attempts that are reserved for it. */
@@ -111,7 +111,18 @@
         if (!openForwards.isEmpty()) {
             return "shield";
         }
-        return sendingDirectly ? "direct" : "edge";
+        return direct.isUnderWay() ? "direct" : "edge";
+    }
+
+    /** Whether a shield has it, or this node is sending it to an origin. */
+    boolean isUnderWay() {
+        return !openForwards.isEmpty() || direct.isUnderWay();
+    }
+
+    /** Tells all who work on it that nobody waits for what they have not answered yet. */
+    void cancelOpenForwards(final CancelCause cause) {
+        openForwards.forEach((serial, shield) -> edge.sendCancel(shield, serial, cause));
+        direct.cancel(cause);
     }
 
     private long now() {
@@ -128,6 +139,7 @@
 
     private void finish(final ClientResponse response) {
         request.finishAll(response, mayHaveRun);
+        cancelOpenForwards(CancelCause.ANSWERED);
     }
 
     void start() {
@@ -186,6 +198,10 @@
             final boolean passThrough,
             final long timeoutMs,
             final Consumer<Reply> callback) {
+        if (request.finished() || request.isAbandoned()) {
+            finish(ClientResponse.reject(503, EdgeRequest.CLIENT_HAS_LEFT, 0));
+            return;
+        }
         final boolean isRetry = attempts.anyUsed();
         final Forward exchange = new Forward(shield);
         final long serial = edge.openForward(exchange);
@@ -198,6 +214,9 @@
                         reply -> {
                             edge.closeForward(serial);
                             openForwards.remove(serial);
+                            if (reply.failure() == Reply.Failure.NO_RESPONSE) {
+                                edge.sendCancel(shield, serial, CancelCause.ANSWERED);
+                            }
                             exchange.settle(reply);
                             callback.accept(reply);
                         });
@@ -222,7 +241,8 @@
                 passThrough,
                 isRetry,
                 clientRequest.headers(),
-                given);
+                given,
+                edge.incarnation());
     }
 
     /** Where a shield does not answer, another passes a read through while there is time; the first response counts. */
@@ -279,38 +299,11 @@
         watchShield(shield, sentAt, () -> answered[0]);
     }
 
-    /**
-     * No shield is heard from: it is sent to an origin from here, within the part of the rate limit that is meant for
-     * this.
-     */
+    /** No shield is heard from: it is sent to an origin from here. */
     private void sendDirectly(final ClientResponse fallback) {
-        final String service = route.route()
-                .pickService(Hash.hash64(
-                        clientRequest.requestId().isEmpty()
-                                ? clientRequest.path() + edge.nextSerial()
-                                : clientRequest.requestId()));
-        final OriginRequest originRequest = new OriginRequest(
-                OriginRequest.NO_SHARD,
-                new OriginTransport.OutboundRequest(
-                        service,
-                        clientRequest.method(),
-                        clientRequest.path(),
-                        clientRequest.requestId(),
-                        clientRequest.key(),
-                        clientRequest.body(),
-                        clientRequest.contentType(),
-                        0,
-                        clientRequest.headers()),
-                hasMode(RouteMode.AT_MOST_ONCE),
-                deadline - marginMs,
-                route.route().priority(),
-                attempts.localAllowance(),
-                false);
-        sendingDirectly = true;
-        edge.routing().directDispatcher().send(originRequest, completion -> {
-            sendingDirectly = false;
+        direct.send(completion -> {
             if (completion.response().result() == OriginTransport.ExchangeResult.COMPLETE) {
-                deliver(now(), completed(completion.response()));
+                deliver(now(), DirectForwarding.completed(completion.response()));
             } else {
                 mayHaveRun |= completion.mayHaveRun();
                 finish(
@@ -321,19 +314,6 @@
         });
     }
 
-    private static ForwardResponse completed(final OriginTransport.OriginResponse response) {
-        return new ForwardResponse(
-                RequestOutcome.DONE,
-                "",
-                response.status(),
-                null,
-                EndToEndHeaders.of(response.headers()),
-                response.body(),
-                0,
-                null,
-                0);
-    }
-
     /** The response of a shield that was asked to pass it through. */
     private void onPassThroughResponse(final Reply reply) {
         if (request.finished()) {
@@ -446,7 +426,9 @@
     }
 
     private void deliver(final long sentAt, final ForwardResponse filled) {
-        if (!request.onFilled(sentAt, filled)) {
+        if (request.onFilled(sentAt, filled)) {
+            cancelOpenForwards(CancelCause.ANSWERED);
+        } else {
             retry(ClientResponse.reject(503, "purged while it was filled", 500));
         }
     }
@@ -456,6 +438,10 @@
         if (request.finished() || request.handOver()) {
             return;
         }
+        if (request.isAbandoned()) {
+            finish(lastResponse);
+            return;
+        }
         final boolean mayRetryKeyed = mayUseAnyShield()
                 && hasMode(RouteMode.KEYED)
                 && now() - request.startedAt() < partOfTime(KEYED_PATIENCE);
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -22,6 +22,8 @@
 import org.rowanvalve.control.record.RecordRetention;
 import org.rowanvalve.control.voting.StoreHealth;
 import org.rowanvalve.control.voting.VotingConfiguration;
+import org.rowanvalve.data.cancel.Cancellation;
+import org.rowanvalve.data.origin.OriginDispatch;
 import org.rowanvalve.data.origin.OriginDispatcher;
 import org.rowanvalve.data.origin.OriginTransport;
 import org.rowanvalve.data.request.EndToEndHeaders;
@@ -85,18 +87,22 @@
         return new ForwardResponse(fate, reason, status, token, Map.of(), new byte[0], 0, null, retryAfterMs);
     }
 
-    /** {@code patienceMs}: how long the request waits for the records to be read; it is rejected after that. */
+    /**
+     * {@code patienceMs}: how long the request waits for the records to be read; it is rejected after that. One that is
+     * cancelled until then is not executed; afterwards it runs to its recorded outcome.
+     */
     public void handle(
             final int shardNumber,
             final String key,
             final String digest,
             final long patienceMs,
+            final Cancellation cancellation,
             final Send sendAction,
             final Consumer<ForwardResponse> callback) {
         final KeyedShard shard = shard(shardNumber);
         shard.whenReady(
                 patienceMs,
-                () -> run(shard, key, digest, sendAction, callback),
+                () -> runUnlessCancelled(shard, key, digest, cancellation, sendAction, callback),
                 () -> callback.accept(response(
                         RequestOutcome.REFUSED, 503, "too few keepers could be read yet", shard.token(), 1000)));
     }
@@ -135,6 +141,20 @@
         return shard;
     }
 
+    private void runUnlessCancelled(
+            final KeyedShard shard,
+            final String key,
+            final String digest,
+            final Cancellation cancellation,
+            final Send sendAction,
+            final Consumer<ForwardResponse> callback) {
+        if (cancellation.isRequested()) {
+            callback.accept(response(RequestOutcome.REFUSED, 503, OriginDispatch.CANCELLED, shard.token(), 0));
+        } else {
+            run(shard, key, digest, sendAction, callback);
+        }
+    }
+
     private void run(
             final KeyedShard shard,
             final String key,
--- a/data/src/main/java/org/rowanvalve/data/limit/RetryBudget.java
+++ b/data/src/main/java/org/rowanvalve/data/limit/RetryBudget.java
@@ -58,4 +58,9 @@
         balance.level -= 1;
         return true;
     }
+
+    /** A retry that was taken was surely not made. */
+    public void giveBack(final String service, final long now) {
+        balanceOf(service, now).level += 1;
+    }
 }
--- a/data/src/main/java/org/rowanvalve/data/node/EdgeComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/EdgeComponents.java
@@ -34,7 +34,8 @@
                 settings.shards(),
                 journal,
                 settings.cacheBytes(),
-                new MembershipRouting(settings, core.membership, core.votingConfiguration, dispatcher));
+                new MembershipRouting(settings, core.membership, core.votingConfiguration, dispatcher),
+                settings.self().incarnation());
     }
 
     OriginDispatcher dispatcher() {
--- a/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
+++ b/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
@@ -6,6 +6,7 @@
 import org.rowanvalve.common.message.AckResponse;
 import org.rowanvalve.common.message.AttemptGrantRequest;
 import org.rowanvalve.common.message.AttemptGrantResponse;
+import org.rowanvalve.common.message.CancelRequest;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.DigestRequest;
 import org.rowanvalve.common.message.FenceAckRequest;
@@ -36,6 +37,7 @@
 import org.rowanvalve.common.message.VotersRequest;
 import org.rowanvalve.common.message.VotersResponse;
 import org.rowanvalve.common.model.NodeId;
+import org.rowanvalve.common.runtime.Transport;
 
 /** Dispatches each message to the part of the node that handles it. */
 final class MessageRouter {
@@ -47,7 +49,7 @@
         this.learner = learner;
     }
 
-    void route(final NodeId from, final Message message, final Consumer<Message> callback) {
+    void route(final NodeId from, final Message message, final Transport.Responder callback) {
         if (node.voter().isPresent() && routeToVoter(node.voter().get(), from, message, callback)) {
             return;
         }
@@ -110,7 +112,7 @@
         node.acceptor().rejection(epoch).ifPresentOrElse(callback, answer);
     }
 
-    private void routeOther(final NodeId from, final Message message, final Consumer<Message> callback) {
+    private void routeOther(final NodeId from, final Message message, final Transport.Responder callback) {
         if (message instanceof LearnNotification request) {
             request.items().forEach(learner);
             callback.accept(new AckResponse());
@@ -130,7 +132,10 @@
         } else if (message instanceof FenceAckRequest request && node.shield().isPresent()) {
             node.leaseHolder().onFenceAck(request, callback);
         } else if (message instanceof ForwardRequest request && node.shield().isPresent()) {
-            node.shield().get().shield().handle(from, request, callback);
+            afterPause(() -> node.shield().get().shield().handle(from, request, callback));
+        } else if (message instanceof CancelRequest request && node.shield().isPresent()) {
+            node.shield().get().shield().cancel(from, request);
+            callback.accept(new AckResponse());
         } else if (message instanceof AttemptGrantRequest request
                 && node.edgeComponents().isPresent()) {
             callback.accept(new AttemptGrantResponse(node.edge().grantAttempts(from, request.serial())));
@@ -148,4 +153,13 @@
                     new RejectedResponse("not done here: " + message.getClass().getSimpleName()));
         }
     }
+
+    /** After a pause of the process, requests wait until what came behind them, and may take them back, is read. */
+    private void afterPause(final Runnable action) {
+        if (node.freezeDetector().hasJustResumed()) {
+            node.loop().schedule(FreezeDetector.CATCH_UP_MS, action);
+        } else {
+            action.run();
+        }
+    }
 }
--- a/data/src/main/java/org/rowanvalve/data/node/Node.java
+++ b/data/src/main/java/org/rowanvalve/data/node/Node.java
@@ -170,7 +170,7 @@
     }
 
     /** Handles a message of another node; {@code callback} gets the response, if there is one. In the event loop. */
-    public void handle(final NodeId from, final Message message, final Consumer<Message> callback) {
+    public void handle(final NodeId from, final Message message, final Transport.Responder callback) {
         messageRouter.route(from, message, callback);
     }
 
@@ -266,6 +266,10 @@
         return loop;
     }
 
+    FreezeDetector freezeDetector() {
+        return freezeDetector;
+    }
+
     Optional<VoterComponents> voter() {
         return voter;
     }
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
@@ -16,6 +16,10 @@
     private final long sentAt;
     private OriginTransport.Exchange exchange;
     private OriginTransport.OutboundRequest sent;
+    /** The request's bytes were permitted to leave. */
+    private boolean mayHaveLeft;
+    /** It was not answered for long, so its origin is avoided. */
+    private boolean countedAsFailure;
 
     OriginAttempt(
             final OriginDispatcher dispatcher,
@@ -83,14 +87,22 @@
     /** Checked right before the bytes are written. */
     private boolean mayWrite() {
         final long now = dispatcher.loop().now();
-        return dispatcher.mayUse(request.shard(), request.service())
+        mayHaveLeft = dispatch.isWanted()
+                && dispatcher.mayUse(request.shard(), request.service())
                 && origin.isSameProcess(
                         dispatcher.view().liveOrigins(request.service(), now).get(originId))
                 && now < request.deadline();
+        return mayHaveLeft;
+    }
+
+    /** Whether a byte of the request may have left for the origin. */
+    boolean mayHaveLeft() {
+        return mayHaveLeft;
     }
 
     private void onSlow() {
         if (!dispatch.finished() && dispatcher.attemptsByShard(request.shard()).contains(this)) {
+            countedAsFailure = true;
             dispatcher.load().onFailure(originId, dispatcher.loop().now());
             dispatch.onSlow();
         }
@@ -131,13 +143,40 @@
     private boolean closeOnce(final boolean answered, final OriginTransport.Load load) {
         final boolean wasOpen = dispatcher.attemptsByShard(request.shard()).remove(this);
         if (wasOpen) {
-            dispatch.onClosed();
+            dispatch.onClosed(this);
             dispatcher.load().onEnd(originId, sentAt, dispatcher.loop().now(), answered, load);
             dispatcher.loadExchange().onChange(origin);
         }
         return wasOpen;
     }
 
+    /** Nobody waits for the response: the connection is closed, so that the origin can stop. */
+    void cancel() {
+        if (!closeOnce(false, OriginTransport.Load.NONE)) {
+            return;
+        }
+        if (exchange != null) {
+            exchange.abort();
+        }
+        if (mayHaveLeft) {
+            withdrawFailure();
+            final long takenMs = dispatcher
+                    .load()
+                    .onAbandoned(originId, sentAt, dispatcher.loop().now());
+            dispatcher.loop().schedule(takenMs, () -> dispatcher.drainQueue(request.service()));
+        } else {
+            request.attempts().release();
+            dispatcher.drainQueue(request.service());
+        }
+    }
+
+    /** Slow it was, but its client has left: whether the origin would have answered is not known. */
+    private void withdrawFailure() {
+        if (countedAsFailure && request.cancellation().isRequested()) {
+            dispatcher.load().withdrawFailure(originId, dispatcher.loop().now());
+        }
+    }
+
     /** The lease has ended: the connection is closed, and nobody can know whether the request was executed. */
     void abort() {
         if (closeOnce(false, OriginTransport.Load.NONE)) {
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
@@ -2,11 +2,14 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.rowanvalve.common.event.Event;
+import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.control.config.Origin;
@@ -26,18 +29,26 @@
     static final String ORIGINS_BUSY = "every origin is busy";
 
     public static final String RATE_EXHAUSTED = "the rate of the service is spent";
+    /** Nobody waits for the response any more. */
+    public static final String CANCELLED = "the request was cancelled";
+
     private final OriginDispatcher dispatcher;
     private final OriginRequest request;
     private final Consumer<OriginDispatcher.Completion> callback;
     private final Set<ItemId> tried = new HashSet<>();
+    private final long startedAt;
     private boolean finished;
     private boolean creditedFirst;
     private boolean mayHaveRun;
     private int unreachable;
     /** Origins that may have got it. */
     private int reached;
-    /** Sends in flight. */
-    private int openSends;
+
+    private final Set<OriginAttempt> openSends = new LinkedHashSet<>();
+    /** Committed attempts that wait for a slot or for their turn within the rate. */
+    private final Set<AttemptWait> waits = new LinkedHashSet<>();
+    /** Retries that were taken from the budget and are not sent yet. */
+    private int unsentRetries;
     /** Attempts for which an origin is being looked for, or which wait for their turn. */
     private int pendingAttempts;
 
@@ -48,6 +59,7 @@
         this.dispatcher = dispatcher;
         this.request = request;
         this.callback = callback;
+        this.startedAt = dispatcher.loop().now();
     }
 
     OriginRequest request() {
@@ -68,9 +80,51 @@
     }
 
     void start() {
+        request.cancellation().onRequest(this::onCancelled);
         attempt(request.retry());
     }
 
+    /** Whether the request may still be sent; asked right before its bytes leave. */
+    boolean isWanted() {
+        return !finished && !request.cancellation().isRequested();
+    }
+
+    /** What waits is given up; what was sent is aborted, or decides how the request ends. */
+    private void onCancelled() {
+        if (finished) {
+            return;
+        }
+        final boolean someSent = openSends.stream().anyMatch(OriginAttempt::mayHaveLeft);
+        journalCancelled(someSent);
+        List.copyOf(waits).forEach(AttemptWait::giveUp);
+        if (someSent && request.whenCancelled() == OriginRequest.WhenCancelled.FINISH_SENT) {
+            return;
+        }
+        final boolean mayRun = mayHaveRun || someSent;
+        final OriginTransport.ExchangeResult result =
+                mayRun ? OriginTransport.ExchangeResult.LOST : OriginTransport.ExchangeResult.NOT_SENT;
+        finish(OriginTransport.OriginResponse.without(result, CANCELLED), mayRun, loop().now(), 0);
+    }
+
+    private void journalCancelled(final boolean someSent) {
+        final String place =
+                someSent ? "origin" : !openSends.isEmpty() ? "connecting" : waits.isEmpty() ? "attempt" : "queue";
+        dispatcher
+                .journal()
+                .add(Event.of(
+                        EventCode.CANCELLED,
+                        "request",
+                        request.request().requestId(),
+                        "service",
+                        request.service(),
+                        "place",
+                        place,
+                        "cause",
+                        request.cancellation().cause().code(),
+                        "afterMs",
+                        loop().now() - startedAt));
+    }
+
     /** Commits an attempt and sends it; {@code isRetry}: an origin may have got the request before. */
     private void attempt(final boolean isRetry) {
         pendingAttempts++;
@@ -78,9 +132,9 @@
             if (!granted) {
                 pendingAttempts--;
                 noneLeft("no attempt is left", RETRY_AFTER_MS);
-            } else if (finished) {
-                abandon("answered", 0);
-            } else if (isRetry && !dispatcher.trySpendRetry(request.service())) {
+            } else if (!isWanted()) {
+                abandon(CANCELLED, 0);
+            } else if (isRetry && !trySpendRetry()) {
                 abandon("no extra try is left", RETRY_AFTER_MS);
             } else {
                 creditedFirst |= isRetry;
@@ -96,19 +150,40 @@
             final long retryAfterMs) {
         if (!finished) {
             finished = true;
+            cancelOpenSends();
             callback.accept(new OriginDispatcher.Completion(response, mayRun, sentAt, retryAfterMs));
         }
     }
 
+    /** Nothing that was sent and may run once is broken off. */
+    private void cancelOpenSends() {
+        openSends.stream()
+                .filter(attempt -> !request.atMostOnce() || !attempt.mayHaveLeft())
+                .toList()
+                .forEach(OriginAttempt::cancel);
+    }
+
+    private boolean trySpendRetry() {
+        if (!dispatcher.trySpendRetry(request.service())) {
+            return false;
+        }
+        unsentRetries++;
+        return true;
+    }
+
     /** The committed attempt is not made: nothing of it was sent. */
     private void abandon(final String reason, final long retryAfterMs) {
         pendingAttempts--;
         request.attempts().release();
+        if (unsentRetries > 0) {
+            unsentRetries--;
+            dispatcher.giveBackRetry(request.service());
+        }
         noneLeft(reason, retryAfterMs);
     }
 
     private void noneLeft(final String reason, final long retryAfterMs) {
-        if (openSends == 0 && pendingAttempts == 0) {
+        if (openSends.isEmpty() && pendingAttempts == 0) {
             final OriginTransport.ExchangeResult end =
                     mayHaveRun ? OriginTransport.ExchangeResult.LOST : OriginTransport.ExchangeResult.NOT_SENT;
             finish(OriginTransport.OriginResponse.without(end, reason), mayHaveRun, loop().now(), retryAfterMs);
@@ -125,13 +200,13 @@
     /** Whether it can leave the queue: to an origin with a free slot, or because there is nothing to wait for. */
     private boolean canLeaveQueue() {
         final Map<ItemId, Origin> candidates = untriedOrigins();
-        return finished || candidates.isEmpty() || dispatcher.load().anyAvailable(candidates, loop().now());
+        return !isWanted() || candidates.isEmpty() || dispatcher.load().anyAvailable(candidates, loop().now());
     }
 
     /** For an attempt that is committed: looks for an origin. */
     private void chooseOrigin() {
-        if (finished) {
-            abandon("answered", 0);
+        if (!isWanted()) {
+            abandon(CANCELLED, 0);
             return;
         }
         final Map<ItemId, Origin> candidates = untriedOrigins();
@@ -162,7 +237,7 @@
         for (final ItemId id : preferred) {
             final OptionalLong waitMs = dispatcher.rateLimitShare().reserve(service, id, request, now);
             if (waitMs.isPresent() && dispatcher.mayWaitForRate()) {
-                waitForRate(id, waitMs.getAsLong());
+                waitForRate(service, id, waitMs.getAsLong());
                 return;
             }
             soonest = Math.min(soonest, dispatcher.rateLimitShare().retryAfterMs(id, now));
@@ -184,32 +259,43 @@
             abandon(ORIGINS_BUSY, (long) Math.max(250, Math.min(RETRY_AFTER_MS, expected)));
             return;
         }
-        final WaitQueue.Place place =
-                waitQueue.add(request.service(), request.priority(), this::canLeaveQueue, this::chooseOrigin);
-        loop().schedule(maxWaitMs, () -> {
-            if (waitQueue.remove(request.service(), place)) {
-                abandon(ORIGINS_BUSY, 250);
-            }
-        });
+        begin(new SlotWait(dispatcher, request, maxWaitMs, this::canLeaveQueue, this::onSlotWaitEnd));
     }
 
-    private void waitForRate(final ItemId id, final long waitMs) {
+    private void begin(final AttemptWait wait) {
+        waits.add(wait);
+        wait.begin();
+    }
+
+    private void onSlotWaitEnd(final AttemptWait wait, final AttemptWait.End end) {
+        waits.remove(wait);
+        switch (end) {
+            case TURN -> chooseOrigin();
+            case TIMED_OUT -> abandon(ORIGINS_BUSY, 250);
+            case GIVEN_UP -> abandon(CANCELLED, 0);
+        }
+    }
+
+    private void waitForRate(final Service service, final ItemId id, final long waitMs) {
         if (waitMs <= 0) {
             sendIfPermitted(id);
-        } else {
-            dispatcher.waitingForRate(1);
-            loop().schedule(waitMs, () -> {
-                dispatcher.waitingForRate(-1);
-                sendIfPermitted(id);
-            });
+            return;
         }
+        begin(new RateWait(dispatcher, request, service, id, waitMs, (wait, end) -> {
+            waits.remove(wait);
+            if (end == AttemptWait.End.TURN) {
+                sendIfPermitted(id);
+            } else {
+                abandon(CANCELLED, 0);
+            }
+        }));
     }
 
     private void sendIfPermitted(final ItemId id) {
         final Origin origin =
                 dispatcher.view().liveOrigins(request.service(), loop().now()).get(id);
-        if (finished) {
-            abandon("answered", 0);
+        if (!isWanted()) {
+            abandon(CANCELLED, 0);
         } else if (loop().now() >= request.deadline()) {
             abandon("too late to send", RETRY_AFTER_MS);
         } else if (!dispatcher.mayUse(request.shard(), request.service())) {
@@ -225,14 +311,16 @@
 
     private void send(final ItemId id, final Origin origin) {
         pendingAttempts--;
-        openSends++;
+        unsentRetries = Math.max(0, unsentRetries - 1);
         if (!creditedFirst) {
             dispatcher.recordFirst(request.service());
         }
         creditedFirst = true;
         final boolean isRetry = request.retry() || reached > 0;
         reached++;
-        new OriginAttempt(dispatcher, this, id, origin).send(isRetry);
+        final OriginAttempt attempt = new OriginAttempt(dispatcher, this, id, origin);
+        openSends.add(attempt);
+        attempt.send(isRetry);
     }
 
     /**
@@ -240,14 +328,14 @@
      * counts.
      */
     void onSlow() {
-        if (!finished && !request.atMostOnce() && pendingAttempts == 0 && loop().now() < request.deadline()) {
+        if (isWanted() && !request.atMostOnce() && pendingAttempts == 0 && loop().now() < request.deadline()) {
             attempt(true);
         }
     }
 
     /** One send has ended, and nothing else of it can come. */
-    void onClosed() {
-        openSends--;
+    void onClosed(final OriginAttempt attempt) {
+        openSends.remove(attempt);
     }
 
     void onEnd(final OriginTransport.OriginResponse response, final ItemId id, final Origin origin, final long sentAt) {
@@ -303,7 +391,7 @@
         if (pendingAttempts > 0) {
             return;
         }
-        if (loop().now() >= request.deadline()) {
+        if (!isWanted() || loop().now() >= request.deadline()) {
             finishUnlessOpen(response, sentAt);
             return;
         }
@@ -312,9 +400,9 @@
             if (!granted) {
                 pendingAttempts--;
                 finishUnlessOpen(response, sentAt);
-            } else if (finished) {
-                abandon("answered", 0);
-            } else if (!dispatcher.trySpendRetry(request.service())) {
+            } else if (!isWanted()) {
+                abandon(CANCELLED, 0);
+            } else if (!trySpendRetry()) {
                 pendingAttempts--;
                 request.attempts().release();
                 finishUnlessOpen(response, sentAt);
@@ -325,7 +413,7 @@
     }
 
     private void finishUnlessOpen(final OriginTransport.OriginResponse response, final long sentAt) {
-        if (openSends == 0 && pendingAttempts == 0) {
+        if (openSends.isEmpty() && pendingAttempts == 0) {
             finish(
                     response,
                     mayHaveRun,
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
@@ -221,6 +221,11 @@
                 Math.max(senderCount(), surroundings.shieldCount().getAsInt()));
     }
 
+    /** A retry that was counted was surely not made. */
+    void giveBackRetry(final String service) {
+        retryBudget.giveBack(service, loop.now());
+    }
+
     OriginLoad load() {
         return load;
     }
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginLoad.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginLoad.java
@@ -1,5 +1,6 @@
 package org.rowanvalve.data.origin;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +20,9 @@
     private static final long FIRST_EJECTION_MS = 1000;
     private static final long LONGEST_EJECTION_MS = 8000;
     private static final double DEFAULT_MEAN_MS = 60;
+    /** An origin that stops when its connection is closed has stopped by then. */
+    private static final long LONGEST_ABANDONED_MS = 500;
+
     private final String location;
     private final Map<ItemId, Statistics> statistics = new HashMap<>();
     private final Map<NodeId, Report> reportsByNode = new HashMap<>();
@@ -34,6 +38,24 @@
         private int unreported;
         private long unreportedAt = Long.MIN_VALUE / 2;
         private final TreeMap<Long, Integer> sendTimes = new TreeMap<>();
+        /** Until when requests that were broken off count as still at work there. */
+        private final List<Long> abandonedUntil = new ArrayList<>();
+
+        private void saw(final double tookMs) {
+            meanMs = meanMs == 0 ? tookMs : meanMs * 0.8 + tookMs * 0.2;
+        }
+
+        /** A request without a response so far: it says nothing where others take longer. */
+        private void sawAtLeast(final double tookMs) {
+            if (tookMs > (meanMs == 0 ? DEFAULT_MEAN_MS : meanMs)) {
+                saw(tookMs);
+            }
+        }
+
+        private int abandoned(final long now) {
+            abandonedUntil.removeIf(until -> until <= now);
+            return abandonedUntil.size();
+        }
     }
 
     OriginLoad(final String location) {
@@ -63,15 +85,37 @@
         if (answered) {
             statistic.failures = 0;
             statistic.ejectedUntil = Long.MIN_VALUE / 2;
-            final double tookMs = Math.max(1, now - sentAt);
-            statistic.meanMs = statistic.meanMs == 0 ? tookMs : statistic.meanMs * 0.8 + tookMs * 0.2;
+            statistic.saw(Math.max(1, now - sentAt));
             if (load.slots() > 0) {
+                statistic.abandonedUntil.clear();
                 statistic.unreported = Math.max(0, load.running() + load.waiting() - inFlight(id, now, false));
                 statistic.unreportedAt = now;
             }
         }
     }
 
+    /** What was taken for a failure may have been none: the request was broken off before its response. */
+    void withdrawFailure(final ItemId id, final long now) {
+        final Statistics statistic = statisticsOf(id);
+        if (statistic.failures > 0 && --statistic.failures == 0) {
+            statistic.ejectedUntil = now;
+        }
+    }
+
+    /**
+     * A request that may be at work there was broken off. Its slot counts as taken until the origin tells its load, or for
+     * as long as the work would have lasted, but no longer than it takes to stop: for how long at most, in ms.
+     */
+    long onAbandoned(final ItemId id, final long sentAt, final long now) {
+        final Statistics statistic = statisticsOf(id);
+        statistic.sawAtLeast(now - sentAt);
+        final long leftMs = statistic.meanMs == 0
+                ? LONGEST_ABANDONED_MS
+                : Math.max(0, Math.min(LONGEST_ABANDONED_MS, sentAt + (long) statistic.meanMs - now));
+        statistic.abandonedUntil.add(now + leftMs);
+        return leftMs;
+    }
+
     /** It failed or does not answer: ejected for a while, longer each time. */
     void onFailure(final ItemId id, final long now) {
         final Statistics statistic = statisticsOf(id);
@@ -123,7 +167,8 @@
     private int inFlight(final ItemId id, final long now, final boolean ghosts) {
         final Statistics statistic = statisticsOf(id);
         int sum = statistic.inFlight
-                + (ghosts && now - statistic.unreportedAt < UNREPORTED_MAX_AGE_MS ? statistic.unreported : 0);
+                + (ghosts && now - statistic.unreportedAt < UNREPORTED_MAX_AGE_MS ? statistic.unreported : 0)
+                + (ghosts ? statistic.abandoned(now) : 0);
         for (final Report report : reportsByNode.values()) {
             sum += now - report.receivedAt() < REPORT_MAX_AGE_MS
                     ? report.counts().getOrDefault(id.name(), 0)
--- a/data/src/main/java/org/rowanvalve/data/origin/RateLimitShare.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/RateLimitShare.java
@@ -60,6 +60,11 @@
                         Math.min(LONGEST_WAIT_MS, request.deadline() - now));
     }
 
+    /** What was reserved is not used: the request is not sent. {@code dueAt}: when it might have left. */
+    void giveBack(final Service service, final ItemId origin, final String serviceName, final long dueAt) {
+        limiter.giveBack(service.rateLimit() > 0 ? serviceName : origin.name(), dueAt);
+    }
+
     /** Two places in the row where that is not too long, whatever the rank: with one, each lull would be lost. */
     private long longestWait(final Service service, final OriginRequest request, final long now) {
         final double intervalMs = 1000 / (service.rateLimit() * partOf(request.service()));
--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -9,9 +9,9 @@
 import java.util.function.Consumer;
 import org.rowanvalve.common.message.AttemptGrantRequest;
 import org.rowanvalve.common.message.AttemptGrantResponse;
+import org.rowanvalve.common.message.CancelRequest;
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
-import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.Hash;
 import org.rowanvalve.common.model.NodeId;
@@ -25,8 +25,10 @@
 import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.data.cache.Cache;
 import org.rowanvalve.data.cache.CachedResponse;
+import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.keyed.KeyedRequests;
 import org.rowanvalve.data.limit.AttemptAllowance;
+import org.rowanvalve.data.origin.OriginDispatch;
 import org.rowanvalve.data.origin.OriginDispatcher;
 import org.rowanvalve.data.origin.OriginRequest;
 import org.rowanvalve.data.origin.OriginTransport;
@@ -57,8 +59,18 @@
     private final NodeSettings settings;
     private final Cache cache;
     private final Map<String, Fill> fills = new HashMap<>();
+    private final OpenForwards openForwards = new OpenForwards();
 
-    private record Fill(VersionVector versions, List<Waiter> waiters) {}
+    /**
+     * One fill for all who wait for an object. Once none of them waits any more, it is not sent; what was sent goes on, and
+     * its response is kept in the cache.
+     */
+    private record Fill(String path, VersionVector versions, List<Waiter> waiters, Cancellation cancellation) {
+        boolean isAbandoned() {
+            return waiters.stream()
+                    .allMatch(waiter -> waiter.request().cancellation().isRequested());
+        }
+    }
 
     private record Waiter(ForwardedRequest request, long deadline, Consumer<ForwardResponse> callback) {
         ForwardRequest forward() {
@@ -67,7 +79,7 @@
     }
 
     /** A request as an edge sent it, with the attempts that this node may make for it. */
-    private record ForwardedRequest(ForwardRequest forward, AttemptAllowance attempts) {}
+    private record ForwardedRequest(ForwardRequest forward, AttemptAllowance attempts, Cancellation cancellation) {}
 
     public Shield(
             final EventLoop loop,
@@ -90,6 +102,7 @@
         this.pollView = pollView;
         this.settings = settings;
         this.cache = new Cache(cacheBytes, copy -> configuration.areTagsCurrent(copy.tagVersions()));
+        transport.onConnectionClosed(openForwards::cancelAll);
     }
 
     private ForwardResponse reject(
@@ -99,14 +112,24 @@
     }
 
     /** {@code from}: the edge that keeps count of the request's attempts. */
-    public void handle(final NodeId from, final ForwardRequest request, final Consumer<Message> callback) {
+    public void handle(final NodeId from, final ForwardRequest request, final Transport.Responder callback) {
         final AttemptAllowance attempts = allowance(from, request);
+        final OpenForwards.Id id = new OpenForwards.Id(from, request.incarnation(), request.serial());
+        final Cancellation cancellation = openForwards.open(id, callback.connectionId(), loop.now());
         handle(
-                new ForwardedRequest(request, attempts),
+                new ForwardedRequest(request, attempts, cancellation),
                 loop.now() + request.timeoutMs(),
                 loop.now() + patienceMs(request),
-                answer -> callback.accept(
-                        request.attempts() == null ? answer : answer.withUnusedAttempts(attempts.unused())));
+                answer -> {
+                    openForwards.close(id);
+                    callback.accept(request.attempts() == null ? answer : answer.withUnusedAttempts(attempts.unused()));
+                });
+    }
+
+    /** An edge takes a request back. */
+    public void cancel(final NodeId from, final CancelRequest request) {
+        openForwards.cancel(
+                new OpenForwards.Id(from, request.incarnation(), request.serial()), request.cause(), loop.now());
     }
 
     /**
@@ -148,6 +171,10 @@
             final long patienceUntil,
             final Consumer<ForwardResponse> callback) {
         final ForwardRequest request = call.forward();
+        if (call.cancellation().isRequested()) {
+            callback.accept(reject(request, 503, OriginDispatch.CANCELLED, 0));
+            return;
+        }
         final ConfiguredRoute route = configuration.routeNamed(request.route()).orElse(null);
         final VersionVector versions = route == null ? null : configuration.versionsOf(route, request.path());
         if (route == null || request.versions() != null && !versions.covers(request.versions())) {
@@ -196,8 +223,11 @@
             return;
         }
         final boolean atMostOnce = route.route().hasMode(RouteMode.AT_MOST_ONCE);
+        final OriginRequest.WhenCancelled whenCancelled =
+                atMostOnce ? OriginRequest.WhenCancelled.FINISH_SENT : OriginRequest.WhenCancelled.ABORT_SENT;
         dispatcher.send(
-                originRequest(call, route, OriginRequest.NO_SHARD, atMostOnce, deadline),
+                originRequest(
+                        call, route, OriginRequest.NO_SHARD, atMostOnce, deadline, call.cancellation(), whenCancelled),
                 completion -> callback.accept(
                         completion.response().result() == OriginTransport.ExchangeResult.COMPLETE
                                 ? completed(request, completion.response())
@@ -222,7 +252,9 @@
             final ConfiguredRoute route,
             final int shard,
             final boolean atMostOnce,
-            final long deadline) {
+            final long deadline,
+            final Cancellation cancellation,
+            final OriginRequest.WhenCancelled whenCancelled) {
         final ForwardRequest request = call.forward();
         final String service = route.route()
                 .pickService(Hash.hash64(
@@ -245,7 +277,9 @@
                 deadline,
                 route.route().priority(),
                 call.attempts(),
-                request.retry() || call.attempts().used());
+                request.retry() || call.attempts().used(),
+                cancellation,
+                whenCancelled);
     }
 
     private boolean mayFill(final ForwardRequest request, final Consumer<ForwardResponse> callback) {
@@ -274,22 +308,39 @@
             if (current.waiters().size() >= MAX_WAITERS) {
                 callback.accept(reject(request, 503, "too many wait for this object", 1000));
             } else {
-                current.waiters().add(new Waiter(call, deadline, callback));
+                join(current, new Waiter(call, deadline, callback));
             }
             return;
         }
         if (!mayFill(request, callback)) {
             return;
         }
-        final Fill fill = new Fill(versions, new ArrayList<>(List.of(new Waiter(call, deadline, callback))));
+        final Fill fill = new Fill(request.path(), versions, new ArrayList<>(), new Cancellation());
         fills.put(key, fill);
-        final OriginRequest originRequest = originRequest(call, route, request.shard(), false, deadline);
+        join(fill, new Waiter(call, deadline, callback));
+        final OriginRequest originRequest = originRequest(
+                call,
+                route,
+                request.shard(),
+                false,
+                deadline,
+                fill.cancellation(),
+                OriginRequest.WhenCancelled.FINISH_SENT);
         dispatcher.send(originRequest, completion -> {
             fills.remove(key, fill);
             onFilled(key, route, fill, originRequest.service(), completion);
         });
     }
 
+    private void join(final Fill fill, final Waiter waiter) {
+        fill.waiters().add(waiter);
+        waiter.request().cancellation().onRequest(() -> {
+            if (fill.isAbandoned()) {
+                fill.cancellation().request(waiter.request().cancellation().cause());
+            }
+        });
+    }
+
     /** Without a lease, what is cached is still served, for as long as the route allows a stale copy. */
     private CachedResponse usableCopy(final ForwardRequest request, final String key, final VersionVector versions) {
         return (leases.mayFill(request.shard())
@@ -306,7 +357,7 @@
             final OriginDispatcher.Completion completion) {
         final OriginTransport.OriginResponse response = completion.response();
         if (response.result() != OriginTransport.ExchangeResult.COMPLETE) {
-            fill.waiters().forEach(waiter -> waiter.callback().accept(failed(waiter.forward(), completion)));
+            fill.waiters().forEach(waiter -> onFillFailed(fill, waiter, completion));
             return;
         }
         final Map<String, Long> tags = new TreeMap<>();
@@ -326,9 +377,7 @@
         final boolean unchanged = tagsUnchanged
                 && current != null
                 && current.route().services().contains(service)
-                && configuration
-                        .versionsOf(current, fill.waiters().get(0).forward().path())
-                        .equals(fill.versions());
+                && configuration.versionsOf(current, fill.path()).equals(fill.versions());
         if (unchanged && response.status() == 200) {
             cache.put(key, copy);
         }
@@ -343,6 +392,16 @@
         }
     }
 
+    /** Who joined a fill that was cancelled before, and that had no further try for that reason, gets a fill of its own. */
+    private void onFillFailed(final Fill fill, final Waiter waiter, final OriginDispatcher.Completion completion) {
+        if (fill.cancellation().isRequested()
+                && !waiter.request().cancellation().isRequested()) {
+            handle(waiter.request(), waiter.deadline(), loop.now(), waiter.callback());
+        } else {
+            waiter.callback().accept(failed(waiter.forward(), completion));
+        }
+    }
+
     private ForwardResponse respondFrom(final ForwardRequest request, final CachedResponse copy) {
         return new ForwardResponse(
                 RequestOutcome.DONE,
@@ -374,9 +433,18 @@
             final Consumer<ForwardResponse> callback) {
         final ForwardRequest request = call.forward();
         if (mayFill(request, callback)) {
+            final boolean atMostOnce = route.route().hasMode(RouteMode.AT_MOST_ONCE);
             dispatcher.send(
                     originRequest(
-                            call, route, request.shard(), route.route().hasMode(RouteMode.AT_MOST_ONCE), deadline),
+                            call,
+                            route,
+                            request.shard(),
+                            atMostOnce,
+                            deadline,
+                            call.cancellation(),
+                            atMostOnce
+                                    ? OriginRequest.WhenCancelled.FINISH_SENT
+                                    : OriginRequest.WhenCancelled.ABORT_SENT),
                     completion -> callback.accept(
                             completion.response().result() == OriginTransport.ExchangeResult.COMPLETE
                                     ? completed(request, completion.response())
@@ -402,8 +470,21 @@
                     Hash.sha256Hex((request.path() + "\n" + Hash.sha256Hex(body))
                             .getBytes(java.nio.charset.StandardCharsets.UTF_8)),
                     Math.min(KEYED_PATIENCE_MS, Math.max(0, deadline - loop.now()) / 2),
-                    then -> dispatcher.send(originRequest(call, route, request.shard(), true, deadline), then),
+                    call.cancellation(),
+                    then -> dispatcher.send(keyedRequest(call, route, deadline), then),
                     callback);
         }
     }
+
+    /** Once its intent is recorded, a keyed request runs to its outcome, whoever waits for it. */
+    private OriginRequest keyedRequest(final ForwardedRequest call, final ConfiguredRoute route, final long deadline) {
+        return originRequest(
+                call,
+                route,
+                call.forward().shard(),
+                true,
+                deadline,
+                Cancellation.NEVER,
+                OriginRequest.WhenCancelled.FINISH_SENT);
+    }
 }
--- a/data/src/test/java/org/rowanvalve/data/edge/EdgeFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/EdgeFixture.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.rowanvalve.common.event.EventJournal;
+import org.rowanvalve.common.message.CancelRequest;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
@@ -50,12 +51,26 @@
     final List<NodeId> near = new ArrayList<>(List.of(N1, N2, NodeId.of("n3"), NodeId.of("n4")));
     boolean fresh = true;
     boolean alone;
+    boolean takesCancels = true;
     long heard;
     OriginDispatcher direct;
-    final Transport transport =
-            (recipient, msg, wait, then) -> asked.add(new Asked(recipient, (ForwardRequest) msg, then));
-    final Edge edge =
-            new Edge(loop, transport, configuration, () -> fresh, 1, journal, 1 << 20, new FixedRouting(near, silence) {
+    final List<CancelRequest> cancels = new ArrayList<>();
+    final Transport transport = (recipient, msg, wait, then) -> {
+        if (msg instanceof CancelRequest cancel) {
+            cancels.add(cancel);
+        } else {
+            asked.add(new Asked(recipient, (ForwardRequest) msg, then));
+        }
+    };
+    final Edge edge = new Edge(
+            loop,
+            transport,
+            configuration,
+            () -> fresh,
+            1,
+            journal,
+            1 << 20,
+            new FixedRouting(near, silence) {
                 @Override
                 public boolean isWithoutQuorum() {
                     return alone;
@@ -65,7 +80,13 @@
                 public OriginDispatcher directDispatcher() {
                     return direct;
                 }
-            });
+
+                @Override
+                public boolean takesCancels(final NodeId id) {
+                    return takesCancels;
+                }
+            },
+            "boot-1");
 
     record Asked(NodeId to, ForwardRequest fill, Consumer<Reply> then) {}
 
--- a/data/src/test/java/org/rowanvalve/data/edge/FixedRouting.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/FixedRouting.java
@@ -51,4 +51,9 @@
     public boolean isWithoutQuorum() {
         return false;
     }
+
+    @Override
+    public boolean takesCancels(final NodeId id) {
+        return true;
+    }
 }
--- a/data/src/test/java/org/rowanvalve/data/edge/RequestAttemptsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/RequestAttemptsTest.java
@@ -17,6 +17,7 @@
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.AttemptGrantRequest;
 import org.rowanvalve.common.message.AttemptGrantResponse;
+import org.rowanvalve.common.message.CancelRequest;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.Message;
@@ -85,7 +86,8 @@
                 1,
                 journal,
                 1 << 20,
-                new FixedRouting(shields.keySet(), silence));
+                new FixedRouting(shields.keySet(), silence),
+                "boot-1");
     }
 
     private Shield shield(final String name) {
@@ -145,11 +147,19 @@
         }
     }
 
+    private void deliver(final Shield shield, final Message msg, final Consumer<Reply> then) {
+        if (msg instanceof CancelRequest cancel) {
+            shield.cancel(NodeId.of("edge"), cancel);
+        } else {
+            shield.handle(NodeId.of("edge"), (ForwardRequest) msg, m -> answer(m, then));
+        }
+    }
+
     private void carry(final NodeId recipient, final Message msg, final long wait, final Consumer<Reply> then) {
         final Consumer<Reply> once = once(then);
         loop.schedule(wait, () -> once.accept(Reply.failed(Reply.Failure.NO_RESPONSE)));
         trouble(
-                () -> shields.get(recipient).handle(NodeId.of("edge"), (ForwardRequest) msg, m -> answer(m, once)),
+                () -> deliver(shields.get(recipient), msg, once),
                 () -> once.accept(Reply.failed(Reply.Failure.NOT_SENT)));
     }
 
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
@@ -24,6 +24,7 @@
 import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.control.store.ItemStore;
 import org.rowanvalve.control.voting.StoreHealth;
+import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.origin.OriginDispatcher;
 import org.rowanvalve.data.origin.OriginTransport;
 
@@ -93,6 +94,7 @@
                 key,
                 "d".repeat(64),
                 patience,
+                Cancellation.NEVER,
                 then -> {
                     sent++;
                     final OriginTransport.OriginResponse response = new OriginTransport.OriginResponse(
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedRetentionTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedRetentionTest.java
@@ -9,6 +9,7 @@
 import org.rowanvalve.common.message.KeyedOutcome;
 import org.rowanvalve.common.message.KeyedRecord;
 import org.rowanvalve.common.model.RequestOutcome;
+import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.origin.OriginDispatcher;
 import org.rowanvalve.data.origin.OriginTransport;
 
@@ -21,6 +22,7 @@
                 key,
                 "d".repeat(64),
                 1000,
+                Cancellation.NEVER,
                 then -> {
                     final OriginTransport.OriginResponse full = new OriginTransport.OriginResponse(
                             OriginTransport.ExchangeResult.NOT_SENT, 503, Map.of(), new byte[0], "full");
@@ -71,7 +73,7 @@
         keepers.loop.run(100);
         take(desk, "k1", 1000);
         keepers.loop.run(3);
-        desk.handle(SHARD, "k1", "e".repeat(64), 1000, then -> sent++, f -> filled.add(f));
+        desk.handle(SHARD, "k1", "e".repeat(64), 1000, Cancellation.NEVER, then -> sent++, f -> filled.add(f));
         keepers.loop.run(1000);
         assertEquals(1, sent);
         assertEquals(422, filled.get(0).status());
--- a/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
@@ -5,12 +5,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.junit.jupiter.api.Test;
 import org.rowanvalve.common.event.EventJournal;
+import org.rowanvalve.common.message.CancelRequest;
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.message.Message;
+import org.rowanvalve.common.message.Reply;
 import org.rowanvalve.common.model.Ballot;
+import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemId;
@@ -33,6 +39,7 @@
 import org.rowanvalve.control.store.ItemStore;
 import org.rowanvalve.data.VirtualTimeLoop;
 import org.rowanvalve.data.origin.AnsweringOrigins;
+import org.rowanvalve.data.origin.OriginDispatch;
 import org.rowanvalve.data.origin.OriginDispatcher;
 import org.rowanvalve.data.routing.ShardRouting;
 import org.rowanvalve.data.settings.NodeSettings;
@@ -44,7 +51,16 @@
     private final EventJournal journal = new EventJournal(loop, 100);
     private final ItemStore items = new ItemStore(loop, journal);
     private final ConfigurationView configuration = new ConfigurationView(items);
-    private final Transport transport = (recipient, msg, wait, then) -> {};
+    private LongConsumer connectionClosed;
+    private final Transport transport = new Transport() {
+        @Override
+        public void request(final NodeId to, final Message message, final long waitMs, final Consumer<Reply> then) {}
+
+        @Override
+        public void onConnectionClosed(final LongConsumer listener) {
+            connectionClosed = listener;
+        }
+    };
     private final List<ForwardResponse> answers = new ArrayList<>();
     private final NodeSettings settings = NodeSettings.builderFor(
                     new Member(NodeId.of("n1"), Role.SHIELD, "z", "127.0.0.1", 1, "b", NodeStatus.READY, "1"))
@@ -75,12 +91,21 @@
     }
 
     private void ask(final VersionVector mark, final boolean pass, final Integer attempts) {
+        ask(1, Transport.Responder.NO_CONNECTION, mark, pass, attempts);
+    }
+
+    private void ask(
+            final long serial,
+            final long connectionId,
+            final VersionVector mark,
+            final boolean pass,
+            final Integer attempts) {
         final int shard =
                 ShardRouting.shardOf(configuration.routeNamed("r").orElseThrow(), "/x", null, settings.shards(), 1, 0);
         shield.handle(
                 EDGE,
                 new ForwardRequest(
-                        1,
+                        serial,
                         "r",
                         "GET",
                         "h",
@@ -96,11 +121,88 @@
                         pass,
                         false,
                         Map.of(),
-                        attempts),
-                m -> answers.add((ForwardResponse) m));
+                        attempts,
+                        "boot-1"),
+                new Transport.Responder() {
+                    @Override
+                    public void accept(final Message message) {
+                        answers.add((ForwardResponse) message);
+                    }
+
+                    @Override
+                    public long connectionId() {
+                        return connectionId;
+                    }
+                });
         loop.run(1);
     }
 
+    private void cancel(final long serial, final String incarnation) {
+        shield.cancel(EDGE, new CancelRequest(incarnation, serial, CancelCause.CLIENT_LEFT));
+    }
+
+    /** The edge knows of a purge that this node has not heard of, so a request waits for a while. */
+    private void askWaiting(final long serial, final long connectionId) {
+        ask(serial, connectionId, new VersionVector(Map.of("p/h.1", 9L)), false, 1);
+    }
+
+    @Test
+    void aRequestThatIsTakenBackWhileItWaitsIsRefusedUnsent() {
+        route(RouteMode.STATUS, 1600);
+        askWaiting(1, 0);
+        askWaiting(2, 0);
+        cancel(1, "boot-1");
+        cancel(1, "boot-1");
+        loop.run(60);
+        assertEquals(1, answers.size());
+        assertEquals(OriginDispatch.CANCELLED, answers.get(0).reason());
+        assertEquals(1, answers.get(0).unusedAttempts());
+    }
+
+    @Test
+    void aRequestThatWasTakenBackBeforeItCameIsRefused() {
+        route(RouteMode.STATUS, 1600);
+        cancel(1, "boot-1");
+        askWaiting(1, 0);
+        assertEquals(OriginDispatch.CANCELLED, answers.get(0).reason());
+        askWaiting(1, 0);
+        assertEquals(1, answers.size(), "it is remembered for one request only");
+    }
+
+    /** Serials begin anew with each start of an edge. */
+    @Test
+    void aRequestOfAnotherStartOfTheEdgeIsNotTakenBack() {
+        route(RouteMode.STATUS, 1600);
+        cancel(1, "boot-0");
+        askWaiting(1, 0);
+        cancel(1, "boot-0");
+        loop.run(60);
+        assertEquals(0, answers.size());
+    }
+
+    @Test
+    void allThatCameOnAConnectionIsTakenBackWhenItEnds() {
+        route(RouteMode.STATUS, 1600);
+        askWaiting(1, 7);
+        askWaiting(2, 8);
+        askWaiting(3, 7);
+        connectionClosed.accept(7);
+        loop.run(60);
+        assertEquals(2, answers.size());
+    }
+
+    /** Guards against memory that grows with cancels for requests that were answered long ago. */
+    @Test
+    void whatIsRememberedOfRequestsThatWereTakenBackIsBounded() {
+        final OpenForwards forwards = new OpenForwards();
+        for (int i = 0; i < 3 * OpenForwards.MAX_REMEMBERED; i++) {
+            forwards.cancel(new OpenForwards.Id(EDGE, "boot-1", i), CancelCause.ANSWERED, 5);
+        }
+        assertEquals(OpenForwards.MAX_REMEMBERED, forwards.rememberedCount());
+        forwards.cancel(new OpenForwards.Id(EDGE, "boot-1", -1), CancelCause.ANSWERED, 6 + OpenForwards.REMEMBERED_MS);
+        assertEquals(1, forwards.rememberedCount());
+    }
+
     /** The edge knows of a purge that this node has not heard of. */
     @Test
     void aReadWaitsForNewsForAQuarterOfItsAimAtMost() {
--- a/server/src/main/java/org/rowanvalve/server/http/ClientConnector.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientServerConnector.java
@@ -9,10 +9,10 @@
 import org.eclipse.jetty.server.ServerConnector;
 
 /** A server's address whose connections tell when a client closes one while its request is handled. */
-final class ClientConnector extends ServerConnector {
+final class ClientServerConnector extends ServerConnector {
     private static final int SELECTORS = 1;
 
-    ClientConnector(final Server server, final ConnectionFactory factory) {
+    ClientServerConnector(final Server server, final ConnectionFactory factory) {
         super(server, 0, SELECTORS, factory);
     }
 
--- a/server/src/main/java/org/rowanvalve/server/http/HttpAddresses.java
+++ b/server/src/main/java/org/rowanvalve/server/http/HttpAddresses.java
@@ -61,7 +61,7 @@
         conf.setRequestHeaderSize(HeaderLimit.MOST);
         conf.setUriCompliance(PATHS);
         conf.setResponseHeaderSize(ANSWERS);
-        final ServerConnector link = new ClientConnector(server, new HttpConnectionFactory(conf));
+        final ServerConnector link = new ClientServerConnector(server, new HttpConnectionFactory(conf));
         link.setHost(at.getHostString());
         link.setPort(at.getPort());
         link.setAcceptQueueSize(512);
--- a/server/src/main/java/org/rowanvalve/server/log/EventLog.java
+++ b/server/src/main/java/org/rowanvalve/server/log/EventLog.java
@@ -22,7 +22,12 @@
     private static final Logger LOG = Logger.getLogger("rowanvalve");
     /** Too many for a text log: one for each write or request. */
     private static final Set<EventCode> FREQUENT = EnumSet.of(
-            EventCode.LEARNED, EventCode.ORIGIN_SEND, EventCode.ACCEPTED, EventCode.CLIENT_LEFT, EventCode.WORK_ENDED);
+            EventCode.LEARNED,
+            EventCode.ORIGIN_SEND,
+            EventCode.ACCEPTED,
+            EventCode.CLIENT_LEFT,
+            EventCode.WORK_ENDED,
+            EventCode.CANCELLED);
 
     private final ArrayBlockingQueue<Line> ring = new ArrayBlockingQueue<>(16_384);
     private final AtomicLong shed = new AtomicLong();
--- a/server/src/main/java/org/rowanvalve/server/net/PeerConnection.java
+++ b/server/src/main/java/org/rowanvalve/server/net/PeerConnection.java
@@ -20,6 +20,7 @@
 
     private static final long NONE = -1;
     private static final int MAX_QUEUED_BYTES = 16 << 20;
+    private final long id;
     private final SocketChannel channel;
     private final SelectionKey key;
     private final ArrayDeque<OutgoingFrame> queue = new ArrayDeque<>();
@@ -44,12 +45,18 @@
         }
     }
 
-    PeerConnection(final SocketChannel channel, final SelectionKey key, final long now) {
+    /** {@code id}: unlike that of any other connection of this process. */
+    PeerConnection(final long id, final SocketChannel channel, final SelectionKey key, final long now) {
+        this.id = id;
         this.channel = channel;
         this.key = key;
         this.dialedAt = now;
     }
 
+    long id() {
+        return id;
+    }
+
     /** A request is sent that the peer is expected to answer. */
     void onRequestSent(final long now) {
         unansweredSince = unansweredSince == NONE ? now : unansweredSince;
--- a/server/src/main/java/org/rowanvalve/server/net/TcpTransport.java
+++ b/server/src/main/java/org/rowanvalve/server/net/TcpTransport.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
@@ -47,7 +48,9 @@
     private Selector selector;
     private ConnectionListener listener;
     private volatile Transport.Handler handler;
+    private volatile LongConsumer closeListener = connectionId -> {};
     private long lastRequestId;
+    private long lastConnectionId = Responder.NO_CONNECTION;
     private volatile boolean running = true;
 
     private static final class PendingRequest {
@@ -133,6 +136,11 @@
         fixedRoutes = Map.copyOf(routes);
     }
 
+    @Override
+    public void onConnectionClosed(final LongConsumer listener) {
+        closeListener = listener;
+    }
+
     public void stop() {
         running = false;
         selector.wakeup();
@@ -266,7 +274,7 @@
     }
 
     private PeerConnection connectionTo(final SelectionKey key) {
-        return new PeerConnection((SocketChannel) key.channel(), key, clock.getAsLong());
+        return new PeerConnection(++lastConnectionId, (SocketChannel) key.channel(), key, clock.getAsLong());
     }
 
     private PeerConnection connect(final NodeId recipient) {
@@ -359,6 +367,7 @@
     private void close(final PeerConnection connection) {
         connections.values().remove(connection);
         connection.close();
+        loop.execute(() -> closeListener.accept(connection.id()));
         pendingRequests.entrySet().stream()
                 .filter(frame -> frame.getValue().connection == connection)
                 .map(Map.Entry::getKey)
@@ -378,10 +387,31 @@
         if (frame.inReplyTo() != 0) {
             onResponse(connection, frame);
         } else {
-            loop.execute(() -> handler.handle(
-                    frame.from(),
-                    frame.message(),
-                    frame.id() == 0 ? message -> {} : message -> respond(connection, frame.id(), message)));
+            loop.execute(() ->
+                    handler.handle(frame.from(), frame.message(), new ConnectionResponder(connection, frame.id())));
+        }
+    }
+
+    /** Answers on the connection that the request came on; a one-way message, which has no id, gets no answer. */
+    private final class ConnectionResponder implements Responder {
+        private final PeerConnection connection;
+        private final long requestId;
+
+        ConnectionResponder(final PeerConnection connection, final long requestId) {
+            this.connection = connection;
+            this.requestId = requestId;
+        }
+
+        @Override
+        public void accept(final Message message) {
+            if (requestId != 0) {
+                respond(connection, requestId, message);
+            }
+        }
+
+        @Override
+        public long connectionId() {
+            return connection.id();
         }
     }
 
--- a/server/src/test/java/org/rowanvalve/server/net/TcpTransportTest.java
+++ b/server/src/test/java/org/rowanvalve/server/net/TcpTransportTest.java
@@ -1,6 +1,7 @@
 package org.rowanvalve.server.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
@@ -10,8 +11,10 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +30,7 @@
 import org.rowanvalve.common.message.RejectedResponse;
 import org.rowanvalve.common.message.Reply;
 import org.rowanvalve.common.model.NodeId;
+import org.rowanvalve.common.runtime.Transport;
 import org.rowanvalve.server.thread.CoreEventLoop;
 
 class TcpTransportTest {
@@ -66,6 +70,20 @@
         loop.stop();
     }
 
+    /** What came on a connection can be given up when it ends; it is told after all that came on it. */
+    @Test
+    void theEndOfAConnectionIsToldToTheOneWhoWasAskedOnIt() throws Exception {
+        final BlockingQueue<Long> events = new LinkedBlockingQueue<>();
+        two.setHandler((from, msg, back) -> events.add(back.connectionId()));
+        two.onConnectionClosed(events::add);
+        loop.execute(() -> one.request(NodeId.of("two"), new AckResponse(), 5000, reply -> {}));
+        final long asked = events.poll(10, TimeUnit.SECONDS);
+        assertTrue(asked != Transport.Responder.NO_CONNECTION);
+        assertNull(events.poll(200, TimeUnit.MILLISECONDS), "it stands");
+        one.stop();
+        assertEquals(asked, events.poll(10, TimeUnit.SECONDS));
+    }
+
     private Reply ask(final String to, final Message msg) throws Exception {
         final CompletableFuture<Reply> f = new CompletableFuture<>();
         loop.execute(() -> one.request(NodeId.of(to), msg, 5000, f::complete));
--- a/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
@@ -266,6 +266,7 @@
                     "k",
                     "d",
                     1000,
+                    org.rowanvalve.data.cancel.Cancellation.NEVER,
                     then -> {
                         seen.add("sent");
                         then.accept(new org.rowanvalve.data.origin.OriginDispatcher.Completion(
--- a/testkit/src/test/java/org/rowanvalve/testkit/OwnerOnlyRouting.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/OwnerOnlyRouting.java
@@ -41,4 +41,9 @@
     public boolean isWithoutQuorum() {
         return false;
     }
+
+    @Override
+    public boolean takesCancels(final NodeId id) {
+        return true;
+    }
 }
--- a/testkit/src/test/java/org/rowanvalve/testkit/PartsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/PartsTest.java
@@ -71,7 +71,7 @@
     }
 
     private Edge edge(final Transport transport, final BooleanSupplier viewFresh) {
-        return new Edge(loop, transport, configuration, viewFresh, 1, journal, 1 << 20, new OwnerOnlyRouting());
+        return new Edge(loop, transport, configuration, viewFresh, 1, journal, 1 << 20, new OwnerOnlyRouting(), "boot");
     }
 
     /** What the edge asks of shields is answered through {@code asks}. */
