The simulator has clients that leave, and its judge the rule of GONE in both halves

Why the fault was missed: no client of any test ever left. The trouble give-up (a share of the clients closes 5 to 905 ms after its request) is drawn like any other; origins of the simulator drop work when its connection is closed and say when work ended; the end of a circuit, by a killed process or a reset, is told to the one who was asked on it.

Shown: JudgeShieldsTest has a clean log and breaches of each half; TroubleKindsTest#clientsThatGiveUpLeaveNoWorkBehind plays half of the clients leaving beside slow origins, a freeze, resets and a killed edge: kept.

--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /**
- * Checks the rules on a run from its logs alone: the brief's twelve, and ten more where shields vote and operators
+ * Checks the rules on a run from its logs alone: the brief's twelve, and eleven more where shields vote and operators
  * state versions.
  */
 public final class Judge {
@@ -45,6 +45,7 @@
                     facts, new Verdict(21, "orders acknowledged, read back at the end")));
             verdicts.add(
                     TrafficTotalsRules.attempts(facts, new Verdict(22, "a try reaches as many origins as it may")));
+            verdicts.add(AbandonedWorkRules.abandoned(facts, new Verdict(23, "no work for clients that have left")));
         }
     }
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/scenario/ClientCall.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scenario/ClientCall.java
@@ -16,6 +16,13 @@
         Deployment.TrafficClass traffic, String path, String key, int attempt, String edge, long startedAt, long id) {
     private static final String NO_FATE = "none";
 
+    /** The row of the log for a client that left before it had an answer. */
+    public Map<String, Object> leftRow(final long leftAt, final String attemptId) {
+        final Map<String, Object> row = row(leftAt, null, attemptId);
+        row.put("left", leftAt);
+        return row;
+    }
+
     /**
      * The row of the log.
      *
--- a/testkit/src/main/java/org/rowanvalve/testkit/scenario/FaultGenerator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scenario/FaultGenerator.java
@@ -125,6 +125,7 @@
         return switch (what) {
             case "slow" -> new Step(at, what, List.of(), 4000, 30 + random.nextInt(150));
             case "loss" -> new Step(at, what, List.of(), 4000, 0.02 + random.nextInt(8) / 100.0);
+            case "give-up" -> new Step(at, what, List.of(), 5000, 0.3 + random.nextInt(5) / 10.0);
             case "surge" -> new Step(at, what, List.of(), 5000, 2 + random.nextInt(2));
             case "purges", "storm" -> new Step(at, what, List.of(), 3000, 30);
             case "origin-slow" -> new Step(at, what, List.of(one), 4000, 200 + random.nextInt(3000));
--- a/testkit/src/main/java/org/rowanvalve/testkit/scenario/Scenario.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scenario/Scenario.java
@@ -59,7 +59,8 @@
             "after-ack-wipe",
             "roll",
             "replace-core",
-            "seed-turnover");
+            "seed-turnover",
+            "give-up");
 
     public static final Set<String> ORIGINS = Set.of(
             "release",
@@ -95,7 +96,8 @@
             "halves",
             "race",
             "ack-lost",
-            "seed-turnover");
+            "seed-turnover",
+            "give-up");
     private static final Set<String> WORDS = Set.of("authority", "all");
     private static final Set<String> SHIELD_WORDS = Set.of("authority", "all", "acker", "shields", "edges", "seed");
 
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/ScenarioRunner.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/ScenarioRunner.java
@@ -159,6 +159,11 @@
                         step,
                         () -> cluster.crowd().factor(step.size()),
                         () -> cluster.crowd().factor(1));
+            case "give-up" ->
+                span(
+                        step,
+                        () -> cluster.crowd().leave(step.size()),
+                        () -> cluster.crowd().leave(0));
             case "purges" -> stream(step, cluster.operators()::purge);
             case "storm" -> stream(step, () -> cluster.operators().state(r -> {}));
             case "invalid" -> invalid();
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimClients.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimClients.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.model.Role;
+import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.data.request.ClientResponse;
 import org.rowanvalve.testkit.scenario.ClientAnswer;
@@ -15,11 +17,16 @@
 
 /** Clients: a steady mix of requests, some of which are repeated. */
 public final class SimClients {
+    /** Clients that leave do so between these times after they have sent. */
+    private static final long SHORTEST_STAY_MS = 5;
+
+    private static final int LONGEST_STAY_MS = 900;
     private final SimCluster cluster;
     private boolean on;
     private long serial;
     private long keys;
     private double factor = 1;
+    private double leavingShare;
     private final List<Consumer<String>> whenAccepted = new ArrayList<>();
 
     SimClients(final SimCluster cluster) {
@@ -30,6 +37,11 @@
         factor = f;
     }
 
+    /** A share of the clients closes its connection before it has an answer. */
+    public void leave(final double share) {
+        leavingShare = share;
+    }
+
     /** The shield that sent it hears of the next keyed request that is accepted, in the instant its caller does. */
     void onceAccepted(final Consumer<String> shield) {
         whenAccepted.add(shield);
@@ -138,10 +150,20 @@
             return;
         }
         final long life = node.life();
+        final Cancellation cancellation = new Cancellation();
+        if (leavingShare > 0 && cluster.world().dice().nextDouble() < leavingShare) {
+            final long staysMs = SHORTEST_STAY_MS + cluster.world().dice().nextInt(LONGEST_STAY_MS);
+            cluster.world().in(staysMs, () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    leave(call, node, life, cancellation);
+                }
+            });
+        }
         cluster.world().in(5000, () -> then.accept(null));
         cluster.world().in(1, () -> {
             if (node.alive() && node.life() == life) {
-                node.execute(() -> node.node().edge().handle(request, response -> {
+                node.execute(() -> node.node().edge().handle(request, cancellation, response -> {
                     if (node.alive() && node.life() == life) {
                         cluster.world().in(1, () -> then.accept(response));
                     }
@@ -152,6 +174,17 @@
         });
     }
 
+    private void leave(final ClientCall call, final SimNode node, final long life, final Cancellation cancellation) {
+        cluster.log()
+                .add(call.leftRow(cluster.world().now(), call.traffic().host().isEmpty() ? null : "a-" + call.id()));
+        cluster.world().in(1, () -> {
+            if (node.alive() && node.life() == life) {
+                cancellation.announce(CancelCause.CLIENT_LEFT);
+                node.execute(() -> cancellation.request(CancelCause.CLIENT_LEFT));
+            }
+        });
+    }
+
     private void note(final ClientCall call, final ClientResponse response) {
         final Deployment.TrafficClass traffic = call.traffic();
         cluster.log()
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOriginTransport.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOriginTransport.java
@@ -90,6 +90,12 @@
         private final Consumer<OriginResponse> then;
         private boolean over;
         private boolean sent;
+        /** The origin has seen the connection close. */
+        private boolean dropped;
+        /** At the origin, until its work on the request has ended. */
+        private SimOrigin worksOn;
+
+        private long plannedEnd;
 
         PendingExchange(
                 final Origin origin,
@@ -207,13 +213,21 @@
             final String text = run
                     ? who.stock().run(request.path(), request.key())
                     : who.stock().view(request.path());
+            final long wait = slots == 0 ? 0 : who.slow() * Math.max(0, here - slots) / slots;
+            worksOn = who;
+            plannedEnd = yard.time.now() + who.slow() + wait;
+            if (dropped) {
+                endWork("dropped");
+                return;
+            }
             if (who.fault().equals("lose")) {
-                yard.time.in(who.slow(), who::exit);
+                yard.time.in(who.slow(), () -> endWork("lost"));
                 return;
             }
-            final long wait = slots == 0 ? 0 : who.slow() * Math.max(0, here - slots) / slots;
             yard.time.in(who.slow() + wait, () -> {
-                who.exit();
+                if (!endWork("done")) {
+                    return;
+                }
                 if (who.alive() && who.life() == life) {
                     hop(() -> self.execute(() -> end(whole(who, run, text))));
                 } else {
@@ -222,6 +236,32 @@
             });
         }
 
+        /** False where it has ended before. */
+        private boolean endWork(final String how) {
+            if (worksOn == null) {
+                return false;
+            }
+            final SimOrigin origin = worksOn;
+            worksOn = null;
+            origin.exit();
+            yard.log.add(RunLog.row(
+                    "log",
+                    "orgend",
+                    "t",
+                    yard.time.now(),
+                    "origin",
+                    origin.name(),
+                    "request",
+                    request.requestId(),
+                    "from",
+                    self.id().text(),
+                    "how",
+                    how,
+                    "planned",
+                    plannedEnd));
+            return true;
+        }
+
         private OriginResponse whole(final SimOrigin who, final boolean run, final String text) {
             final byte[] body = text.getBytes(StandardCharsets.UTF_8);
             final Map<String, String> heads = new TreeMap<>();
@@ -255,6 +295,12 @@
         @Override
         public void abort() {
             trips.remove(this);
+            if (!over && sent) {
+                hop(() -> {
+                    dropped = true;
+                    endWork("dropped");
+                });
+            }
             over = true;
         }
     }
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimTransport.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimTransport.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.MessageCodec;
 import org.rowanvalve.common.message.MessageFormatException;
@@ -31,6 +32,11 @@
     private final Map<String, Long> kinds = new TreeMap<>();
     private final Map<NodeId, Set<Runnable>> begun = new HashMap<>();
     private final Map<String, Set<Runnable>> underWay = new HashMap<>();
+    /** By link, what names the circuit that questions go out on now. */
+    private final Map<String, Long> circuits = new TreeMap<>();
+
+    private final Map<NodeId, LongConsumer> closeListeners = new HashMap<>();
+    private long lastCircuit;
     private double loss;
     private long slow;
     private long sent;
@@ -74,6 +80,27 @@
         if (all != null) {
             all.forEach(Runnable::run);
         }
+        final String own = dead.text() + ">";
+        List.copyOf(circuits.keySet()).stream()
+                .filter(link -> link.startsWith(own))
+                .forEach(this::endCircuit);
+    }
+
+    /** The one who was asked on it hears of its end, if the link is open. */
+    private void endCircuit(final String link) {
+        final Long id = circuits.remove(link);
+        final int cut = link.indexOf('>');
+        final NodeId asked = NodeId.of(link.substring(cut + 1));
+        final SimNode peer = nodes.get(asked);
+        if (id != null && peer != null) {
+            final long life = peer.life();
+            carry(link.substring(0, cut), asked.text(), () -> {
+                if (peer.alive() && peer.life() == life) {
+                    peer.execute(() ->
+                            closeListeners.getOrDefault(asked, circuit -> {}).accept(id));
+                }
+            });
+        }
     }
 
     /** A circuit is reset: what is under way on it, in either direction, is lost, and the one who asked hears so. */
@@ -83,6 +110,7 @@
             both.addAll(underWay.getOrDefault(link, Set.of()));
         }
         both.forEach(Runnable::run);
+        List.of(a + ">" + b, b + ">" + a).forEach(this::endCircuit);
     }
 
     /** What a node says, as another version of it would. */
@@ -139,7 +167,33 @@
     }
 
     Transport of(final SimNode self) {
-        return (recipient, msg, wait, then) -> ask(self, recipient, msg, wait, then);
+        return new NodeTransport(self);
+    }
+
+    private final class NodeTransport implements Transport {
+        private final SimNode self;
+
+        NodeTransport(final SimNode self) {
+            this.self = self;
+        }
+
+        @Override
+        public void request(final NodeId recipient, final Message msg, final long wait, final Consumer<Reply> then) {
+            ask(self, recipient, msg, wait, then);
+        }
+
+        @Override
+        public void onConnectionClosed(final LongConsumer listener) {
+            closeListeners.put(self.id(), listener);
+        }
+    }
+
+    /** What one question is answered by. */
+    private record CircuitResponder(long connectionId, Consumer<Message> then) implements Transport.Responder {
+        @Override
+        public void accept(final Message message) {
+            then.accept(message);
+        }
     }
 
     private void ask(
@@ -163,6 +217,7 @@
         }
         weigh(msg, data.length);
         question.begin();
+        question.circuit = circuits.computeIfAbsent(question.link, link -> ++lastCircuit);
         carry(self.id().text(), recipient.text(), () -> arrive(question, msg, data));
     }
 
@@ -180,13 +235,19 @@
         question.arrived();
         peer.process(
                 data.length,
-                () -> peer.node().handle(question.self.id(), open(data).message(), m -> {
-                    final byte[] back = word.apply(question.recipient, answerFrame(question.recipient, m));
-                    weigh(m, back.length);
-                    if (peer.life() == life && peer.alive()) {
-                        question.carryBack(Reply.of(open(back).message()), back.length);
-                    }
-                }));
+                () -> peer.node()
+                        .handle(
+                                question.self.id(),
+                                open(data).message(),
+                                new CircuitResponder(question.circuit, m -> answer(question, peer, life, m))));
+    }
+
+    private void answer(final Question question, final SimNode peer, final long life, final Message message) {
+        final byte[] back = word.apply(question.recipient, answerFrame(question.recipient, message));
+        weigh(message, back.length);
+        if (peer.life() == life && peer.alive()) {
+            question.carryBack(Reply.of(open(back).message()), back.length);
+        }
     }
 
     /** An answer that is larger than a message may be is replaced, as between processes. */
@@ -208,6 +269,7 @@
         private final String link;
         private final Runnable peerEnded = () -> carryBack(Reply.failed(Reply.Failure.NO_RESPONSE));
         private final Runnable circuitReset = this::reset;
+        private long circuit;
         private boolean over;
         private boolean reset;
 
--- a/testkit/src/test/java/org/rowanvalve/testkit/JudgeShieldsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/JudgeShieldsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -262,4 +263,50 @@
                         RunLog.row("log", "rig", "t", 900, "what", "cut", "node", "sh1", "ms", 3000)),
                 List.of(List.of(late)));
     }
+
+    private static Map<String, Object> left(final long t, final String id, final String mode, final long leftAt) {
+        final Map<String, Object> row = new LinkedHashMap<>(req(t, id, "none", 0));
+        row.put("mode", mode);
+        row.put("left", leftAt);
+        return row;
+    }
+
+    private static Map<String, Object> workEnd(final long t, final String id, final long planned) {
+        return RunLog.row(
+                "log", "orgend", "t", t, "origin", "s1", "request", id, "from", "sh1", "how", "x", "planned", planned);
+    }
+
+    @Test
+    void rule23RequestsThatReachAnOriginLongAfterTheirClientHasLeft() {
+        final List<Map<String, Object>> some = new ArrayList<>(List.of(
+                left(100, "a-1", "status", 200),
+                left(100, "a-2", "single", 200),
+                left(100, "a-3", "status", 200),
+                left(100, "a-4", "status", 200),
+                left(100, "a-5", "cached", 200),
+                left(100, "a-6", "once", 200),
+                org(701, "get", "a-1", "s1", "sh1"),
+                org(705, "run", "a-2", "s1", "sh1"),
+                org(706, "get", "a-3", "s1", "sh1"),
+                org(900, "get", "a-5", "s1", "sh1"),
+                org(900, "run", "a-6", "s1", "sh1"),
+                org(700, "get", "a-4", "s1", "sh1"),
+                org(100, "get", "a-7", "s1", "sh1"),
+                left(90, "a-7", "status", 120),
+                workEnd(300, "a-7", 5000)));
+        rule(23, some, List.of(List.of(org(1200, "get", "a-4", "s2", "sh1"))));
+    }
+
+    @Test
+    void rule23OriginsThatWorkOnForClientsThatHaveLeft() {
+        final List<Map<String, Object>> some = new ArrayList<>();
+        for (int i = 1; i <= 8; i++) {
+            some.add(left(100, "a-" + i, "status", 200));
+            some.add(org(150, "get", "a-" + i, "s1", "sh1"));
+            some.add(workEnd(i <= 2 ? 5000 : 700, "a-" + i, 5000));
+        }
+        some.add(left(100, "a-20", "status", 200));
+        some.add(workEnd(690, "a-20", 690));
+        rule(23, some, List.of(List.of(left(100, "a-9", "status", 200), workEnd(701, "a-9", 5000))));
+    }
 }
--- a/testkit/src/test/java/org/rowanvalve/testkit/TroubleKindsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/TroubleKindsTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rowanvalve.common.model.ValidationError;
+import org.rowanvalve.testkit.judge.Judge;
+import org.rowanvalve.testkit.judge.Verdict;
 import org.rowanvalve.testkit.scenario.Scenario;
 import org.rowanvalve.testkit.sim.ScenarioRunner;
 
@@ -256,4 +258,24 @@
                 others);
         assertFalse(others.isEmpty());
     }
+
+    @Test
+    void clientsThatGiveUpLeaveNoWorkBehind() {
+        final List<Map<String, Object>> rows = play(
+                20,
+                step(500, "give-up", "", 16_000, "", 0.5),
+                step(1000, "origin-slow", "till1,till2,till3,till4,till5,till6", 12_000, "", 1500),
+                step(4000, "freeze", "sh2", 700, "", 0),
+                step(7000, "reset-conns", "all", 0, "", 0.5),
+                step(10_000, "kill", "ed1", 1500, "", 0));
+        final List<Map<String, Object>> left =
+                rows.stream().filter(r -> r.get("left") != null).toList();
+        assertTrue(left.size() > 200, left.size() + " clients left");
+        final Verdict verdict = new Judge(rows).rule(23);
+        assertEquals(List.of(), verdict.breaches());
+        assertTrue(verdict.checked() > left.size() / 4, verdict.line());
+        assertTrue(
+                rows.stream().anyMatch(r -> "orgend".equals(r.get("log")) && "dropped".equals(r.get("how"))),
+                "some work was dropped");
+    }
 }
