--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
@@ -89,12 +89,16 @@
     }
 
     void take(final KeyedRequests desk, final String key, final long patience) {
+        take(desk, key, patience, Cancellation.NEVER);
+    }
+
+    void take(final KeyedRequests desk, final String key, final long patience, final Cancellation cancellation) {
         desk.handle(
                 SHARD,
                 key,
                 "d".repeat(64),
                 patience,
-                Cancellation.NEVER,
+                cancellation,
                 then -> {
                     sent++;
                     final OriginTransport.OriginResponse response = new OriginTransport.OriginResponse(
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedRequestsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedRequestsTest.java
@@ -15,6 +15,7 @@
 import org.rowanvalve.common.message.RecordReadRequest;
 import org.rowanvalve.common.message.RecordWriteRequest;
 import org.rowanvalve.common.model.Ballot;
+import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.RequestOutcome;
@@ -23,6 +24,7 @@
 import org.rowanvalve.control.voting.StoreHealth;
 import org.rowanvalve.control.voting.VoterAddress;
 import org.rowanvalve.control.voting.VotingSet;
+import org.rowanvalve.data.cancel.Cancellation;
 
 /** How a holder reads and writes the records of its shards, against real record stores on virtual time. */
 class KeyedRequestsTest extends KeyedHolderFixture {
@@ -273,4 +275,35 @@
         assertEquals(0, sent);
         assertTrue(keepers.asked.get("RecordReadRequest") < 30, "questions " + keepers.asked);
     }
+
+    @Test
+    void aKeyWhoseClientLeftWhileTheRecordsWereReadIsNotExecuted() {
+        final KeyedRequests desk = desk("w");
+        final Cancellation left = new Cancellation();
+        take(desk, "k1", 1000, left);
+        left.request(CancelCause.CLIENT_LEFT);
+        keepers.loop.run(500);
+        assertEquals(0, sent);
+        assertEquals(List.of(RequestOutcome.REFUSED), answers);
+        take(desk, "k1", 1000);
+        keepers.loop.run(500);
+        assertEquals(1, sent);
+        assertEquals(RequestOutcome.DONE, answers.get(1));
+    }
+
+    @Test
+    void aKeyWhoseIntentIsBeingWrittenRunsToItsOutcomeThoughItsClientHasLeft() {
+        final KeyedRequests desk = desk("w");
+        take(desk, "k0", 1000);
+        keepers.loop.run(500);
+        final Cancellation left = new Cancellation();
+        take(desk, "k1", 1000, left);
+        left.request(CancelCause.CLIENT_LEFT);
+        keepers.loop.run(500);
+        assertEquals(2, sent);
+        take(desk, "k1", 1000);
+        keepers.loop.run(500);
+        assertEquals(2, sent, "a repeat gets the first outcome");
+        assertEquals(List.of(RequestOutcome.DONE, RequestOutcome.DONE, RequestOutcome.DONE), answers);
+    }
 }
