--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/KeptConnectionClients.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/KeptConnectionClients.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -10,7 +11,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.rowanvalve.testkit.fleet.ClientHttp;
 import org.rowanvalve.testkit.fleet.FleetMachine;
@@ -30,6 +34,10 @@
     private static final long WINDOW_MS = 2000;
     private static final int OBJECTS = 20;
     private static final long JOIN_MS = 8000;
+    /** One request in so many is given up: its client closes the connection, unless the answer comes first. */
+    private static final int GIVEN_UP_ONE_IN = 12;
+
+    private static final int LONGEST_STAY_MS = 400;
 
     /** A request whose connection ended without an answer; times in milliseconds since the epoch. */
     record CutRequest(String edge, String path, long startedAt, long endedAt) {}
@@ -138,8 +146,15 @@
             sent.incrementAndGet();
             ClientAnswer answer = null;
             try {
-                answer = ClientHttp.answer(
-                        client.send(ClientHttp.request(call, target), HttpResponse.BodyHandlers.ofByteArray()));
+                final HttpRequest request = ClientHttp.request(call, target);
+                final HttpResponse<byte[]> response = random.nextInt(GIVEN_UP_ONE_IN) == 0
+                        ? sendOrLeave(client, request)
+                        : client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+                if (response == null) {
+                    log.add(call.leftRow(System.currentTimeMillis(), null));
+                    return null;
+                }
+                answer = ClientHttp.answer(response);
             } catch (final ConnectException | java.net.http.HttpTimeoutException e) {
                 TimeUnit.MILLISECONDS.sleep(RECONNECT_MS);
             } catch (final IOException e) {
@@ -151,6 +166,22 @@
             return answer;
         }
 
+        /** Null where the answer did not come soon, and the connection was closed. */
+        private HttpResponse<byte[]> sendOrLeave(final HttpClient client, final HttpRequest request)
+                throws IOException, InterruptedException {
+            final CompletableFuture<HttpResponse<byte[]>> response =
+                    client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+            try {
+                return response.get(1 + random.nextInt(LONGEST_STAY_MS), TimeUnit.MILLISECONDS);
+            } catch (final TimeoutException e) {
+                response.cancel(true);
+                http = connectAnew();
+                return null;
+            } catch (final ExecutionException e) {
+                throw e.getCause() instanceof IOException failure ? failure : new IOException(e.getCause());
+            }
+        }
+
         private void noteCut(final ClientCall call) {
             synchronized (cut) {
                 cut.add(new CutRequest(call.edge(), call.path(), call.startedAt(), System.currentTimeMillis()));
