After a pause a shield asks its edges which requests they still wait for

Callers saw: requests reached origins up to 1.2 s after their clients had left, right after a shield went on after a freeze (GONE).

Ruled out: the killed shield, lost cancels, the origin's clock.

Cause: the earlier mend relied on time and on an order. Requests read after a pause waited 20 ms; a cancel on a new connection (an edge takes one after 1 s of silence) has to be accepted first, which takes longer on a busy machine. What waited in a queue did not wait at all: answers of origins that came during the pause were handled first and freed the slots.

Now nothing depends on what is read first. PauseMonitor is asked right before a send, so no job runs ahead of it. After a pause what is not sent is suspended, and each edge is asked once which requests it still waits for (OpenForwardsRequest by start and serials); the others are cancelled. An answer from before a further pause does not count; an edge silent for 3 s is gone. A keyed request is confirmed before its intent, a fill by one of those who joined it. Edges look for a close at the client's socket right before they send to a shield. FreezeDetector is again what it was.

--- a/common/src/main/java/org/rowanvalve/common/message/Message.java
+++ b/common/src/main/java/org/rowanvalve/common/message/Message.java
@@ -29,6 +29,8 @@
                 LoadReport,
                 MissingItemsRequest,
                 MissingItemsResponse,
+                OpenForwardsRequest,
+                OpenForwardsResponse,
                 OutcomeRequest,
                 OutcomeResponse,
                 PrepareRequest,
--- /dev/null
+++ b/common/src/main/java/org/rowanvalve/common/message/OpenForwardsResponse.java
@@ -0,0 +1,12 @@
+package org.rowanvalve.common.message;
+
+import com.fasterxml.jackson.annotation.JsonTypeName;
+import java.util.List;
+
+/** The serials, of those asked for, whose responses the edge still waits for. */
+@JsonTypeName("OpenForwardsKnown")
+public record OpenForwardsResponse(List<Long> serials) implements Message {
+    public OpenForwardsResponse {
+        serials = serials == null ? List.of() : List.copyOf(serials);
+    }
+}
--- a/data/src/main/java/org/rowanvalve/data/edge/DirectForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/DirectForwarding.java
@@ -21,7 +21,7 @@
     private final Edge edge;
     private final EdgeRequest request;
     private final RequestAttempts attempts;
-    private final Cancellation cancellation = new Cancellation();
+    private final Cancellation cancellation = new Cancellation(this::poll);
     private boolean underWay;
 
     DirectForwarding(final Edge edge, final EdgeRequest request, final RequestAttempts attempts) {
@@ -34,6 +34,12 @@
         return underWay;
     }
 
+    private void poll() {
+        if (underWay && request.isAbandoned()) {
+            cancel(CancelCause.CLIENT_LEFT);
+        }
+    }
+
     /** Nobody waits for the response any more. */
     void cancel(final CancelCause cause) {
         cancellation.request(cause);
--- a/data/src/main/java/org/rowanvalve/data/edge/Edge.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/Edge.java
@@ -6,10 +6,9 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.rowanvalve.common.event.Event;
-import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.CancelRequest;
+import org.rowanvalve.common.message.OpenForwardsRequest;
 import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.NodeId;
@@ -38,7 +37,7 @@
     private final Cache cache;
     private final Map<Integer, FencingToken> highestToken = new HashMap<>();
     private final Map<String, CoalescedFill> fills = new HashMap<>();
-    private final Map<Long, ShieldForwarding.Forward> forwards = new HashMap<>();
+    private final Map<Long, Forward> forwards = new HashMap<>();
     private long lastSerial;
     private int openRequests;
     private boolean closed;
@@ -148,20 +147,6 @@
             callback.accept(ClientResponse.reject(503, "the route does not fit its service", 1000));
             return;
         }
-        if (cancellation.isRequested()) {
-            journal.add(Event.of(
-                    EventCode.CLIENT_LEFT,
-                    "request",
-                    request.requestId(),
-                    "route",
-                    route.name(),
-                    "place",
-                    "queue",
-                    "waitedMs",
-                    0));
-            callback.accept(ClientResponse.reject(503, EdgeRequest.CLIENT_HAS_LEFT, 0));
-            return;
-        }
         openRequests++;
         new EdgeRequest(this, request, route, cancellation, response -> {
                     openRequests--;
@@ -195,7 +180,7 @@
     }
 
     /** The serial by which the shield may ask for further attempts until it has answered. */
-    long openForward(final ShieldForwarding.Forward forward) {
+    long openForward(final Forward forward) {
         final long serial = nextSerial();
         forwards.put(serial, forward);
         return serial;
@@ -221,6 +206,17 @@
         return forwards.containsKey(forward) ? forwards.get(forward).grantMore(from) : 0;
     }
 
+    /** The serials, of those asked for, whose responses somebody here still waits for. */
+    public List<Long> openForwards(final OpenForwardsRequest request) {
+        if (!incarnation.equals(request.incarnation())) {
+            return List.of();
+        }
+        return request.serials().stream()
+                .filter(serial ->
+                        forwards.containsKey(serial) && forwards.get(serial).isWanted())
+                .toList();
+    }
+
     Map<String, CoalescedFill> fills() {
         return fills;
     }
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -114,6 +114,11 @@
     }
 
     void execute() {
+        if (cancellation.isRequested()) {
+            journal(EventCode.CLIENT_LEFT, "queue", "waitedMs", 0);
+            finish(ClientResponse.reject(503, CLIENT_HAS_LEFT, 0));
+            return;
+        }
         cancellation.onRequest(this::onClientLeft);
         for (final Edge.Step step : Edge.stepsOf(route)) {
             if (runStep(step)) {
@@ -127,7 +132,7 @@
             return;
         }
         leftAt = now();
-        journalLeft();
+        journal(EventCode.CLIENT_LEFT, place(), "waitedMs", leftAt - startedAt);
         if (joinedFill != null) {
             joinedFill.onWaiterLeft();
         } else {
@@ -135,18 +140,19 @@
         }
     }
 
-    private void journalLeft() {
+    /** {@code durationName}, {@code durationMs}: how long until then, as the event's table names it. */
+    private void journal(final EventCode code, final String place, final String durationName, final long durationMs) {
         edge.journal()
                 .add(Event.of(
-                        EventCode.CLIENT_LEFT,
+                        code,
                         "request",
                         request.requestId(),
                         "route",
                         route.name(),
                         "place",
-                        place(),
-                        "waitedMs",
-                        leftAt - startedAt));
+                        place,
+                        durationName,
+                        durationMs));
     }
 
     private String place() {
@@ -154,10 +160,10 @@
     }
 
     boolean hasLeft() {
-        return cancellation.isRequested();
+        return cancellation.poll() == Cancellation.Standing.CANCELLED;
     }
 
-    /** Whether nobody waits for what this request sends. */
+    /** Whether nobody waits for what this request sends. Looked up at the clients' connections. */
     boolean isAbandoned() {
         return ledFill == null ? hasLeft() : ledFill.isAbandoned();
     }
@@ -186,27 +192,13 @@
     private void finish(final ClientResponse response) {
         if (!finished) {
             finished = true;
-            journalLateEnd();
+            if (leftAt != NOT_LEFT) {
+                journal(EventCode.WORK_ENDED, place(), "afterMs", now() - leftAt);
+            }
             callback.accept(response);
         }
     }
 
-    private void journalLateEnd() {
-        if (leftAt != NOT_LEFT) {
-            edge.journal()
-                    .add(Event.of(
-                            EventCode.WORK_ENDED,
-                            "request",
-                            request.requestId(),
-                            "route",
-                            route.name(),
-                            "place",
-                            place(),
-                            "afterMs",
-                            now() - leftAt));
-        }
-    }
-
     private boolean runStep(final Edge.Step step) {
         final boolean post = hasMode(RouteMode.KEYED);
         return switch (step) {
--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -75,37 +75,6 @@
         this.direct = new DirectForwarding(edge, request, attempts);
     }
 
-    /** One shield that was asked, and the attempts that are reserved for it. */
-    final class Forward {
-        private final NodeId shield;
-        private int reserved;
-
-        Forward(final NodeId shield) {
-            this.shield = shield;
-            this.reserved = attempts.reserve();
-        }
-
-        /** The shield wants to try one more origin. */
-        int grantMore(final NodeId from) {
-            if (request.finished() || !from.equals(shield)) {
-                return 0;
-            }
-            final int added = attempts.reserve();
-            reserved += added;
-            return added;
-        }
-
-        /** Releases the attempts that surely were not made. */
-        private void settle(final Reply reply) {
-            if (reply.failure() == Reply.Failure.NOT_SENT) {
-                attempts.giveBack(reserved);
-            } else {
-                reply.as(ForwardResponse.class)
-                        .ifPresent(filled -> attempts.giveBack(Math.min(reserved, filled.unusedAttempts())));
-            }
-        }
-    }
-
     /** Where the request is now, as the log names it. */
     String place() {
         if (!openForwards.isEmpty()) {
@@ -203,13 +172,13 @@
             return;
         }
         final boolean isRetry = attempts.anyUsed();
-        final Forward exchange = new Forward(shield);
+        final Forward exchange = new Forward(request, attempts, shield);
         final long serial = edge.openForward(exchange);
         openForwards.put(serial, shield);
         edge.net()
                 .request(
                         shield,
-                        forwardRequest(serial, shard, passThrough, isRetry, exchange.reserved),
+                        forwardRequest(serial, shard, passThrough, isRetry, exchange.reserved()),
                         timeoutMs,
                         reply -> {
                             edge.closeForward(serial);
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -148,10 +148,13 @@
             final Cancellation cancellation,
             final Send sendAction,
             final Consumer<ForwardResponse> callback) {
-        if (cancellation.isRequested()) {
-            callback.accept(response(RequestOutcome.REFUSED, 503, OriginDispatch.CANCELLED, shard.token(), 0));
-        } else {
-            run(shard, key, digest, sendAction, callback);
+        switch (cancellation.poll()) {
+            case CANCELLED ->
+                callback.accept(response(RequestOutcome.REFUSED, 503, OriginDispatch.CANCELLED, shard.token(), 0));
+            case UNCONFIRMED ->
+                cancellation.onSettled(
+                        () -> runUnlessCancelled(shard, key, digest, cancellation, sendAction, callback));
+            case WANTED -> run(shard, key, digest, sendAction, callback);
         }
     }
 
--- a/data/src/main/java/org/rowanvalve/data/node/FreezeDetector.java
+++ b/data/src/main/java/org/rowanvalve/data/node/FreezeDetector.java
@@ -10,13 +10,7 @@
 
 /** Drops a node's leases after a pause of the process, and while its clock's rate is beyond the margin. */
 final class FreezeDetector {
-    /** How long requests of other nodes wait after a pause, so that messages which take them back are read first. */
-    static final long CATCH_UP_MS = 20;
-
     private static final long INTERVAL_MS = 100;
-    /** A pause during which messages may have piled up; far less than one that costs a lease. */
-    private static final long SHORT_PAUSE_MS = 250;
-
     private final EventLoop loop;
     private final LongSupplier wallClock;
     private final LeaseTimings timings;
@@ -24,8 +18,6 @@
     private final EventJournal journal;
     private final Runnable onFreeze;
     private final Runnable dropLeases;
-    private boolean started;
-    private long resumedAt = Long.MIN_VALUE / 2;
     private long lastCheckAt;
     private long wallOffset;
 
@@ -48,27 +40,15 @@
     }
 
     void start() {
-        started = true;
         lastCheckAt = loop.now();
         wallOffset = wallClock.getAsLong() - lastCheckAt;
         loop.scheduleRepeatedly(INTERVAL_MS, this::check);
     }
 
-    /** Whether the process has just gone on after a pause: what it reads now may have been sent long ago. */
-    boolean hasJustResumed() {
-        if (started && loop.now() - lastCheckAt - INTERVAL_MS >= SHORT_PAUSE_MS) {
-            check();
-        }
-        return loop.now() - resumedAt < CATCH_UP_MS;
-    }
-
     /** A gap in this loop's own time, or a wall clock that ran on without it, is a pause of the process. */
     private void check() {
         final long now = loop.now();
         final long missingMs = now - lastCheckAt - INTERVAL_MS;
-        if (missingMs >= SHORT_PAUSE_MS) {
-            resumedAt = now;
-        }
         final long wallShiftMs = Math.abs(wallClock.getAsLong() - now - wallOffset);
         if (missingMs >= timings.marginMs() || wallShiftMs >= timings.marginMs()) {
             journal.add(Event.of(EventCode.WOKE, "gap", missingMs, "shift", wallShiftMs));
--- a/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
+++ b/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
@@ -20,6 +20,8 @@
 import org.rowanvalve.common.message.LoadReport;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.MissingItemsRequest;
+import org.rowanvalve.common.message.OpenForwardsRequest;
+import org.rowanvalve.common.message.OpenForwardsResponse;
 import org.rowanvalve.common.message.OutcomeRequest;
 import org.rowanvalve.common.message.PrepareRequest;
 import org.rowanvalve.common.message.RecordChecksumsRequest;
@@ -132,13 +134,16 @@
         } else if (message instanceof FenceAckRequest request && node.shield().isPresent()) {
             node.leaseHolder().onFenceAck(request, callback);
         } else if (message instanceof ForwardRequest request && node.shield().isPresent()) {
-            afterPause(() -> node.shield().get().shield().handle(from, request, callback));
+            node.shield().get().shield().handle(from, request, callback);
         } else if (message instanceof CancelRequest request && node.shield().isPresent()) {
             node.shield().get().shield().cancel(from, request);
             callback.accept(new AckResponse());
         } else if (message instanceof AttemptGrantRequest request
                 && node.edgeComponents().isPresent()) {
             callback.accept(new AttemptGrantResponse(node.edge().grantAttempts(from, request.serial())));
+        } else if (message instanceof OpenForwardsRequest request
+                && node.edgeComponents().isPresent()) {
+            callback.accept(new OpenForwardsResponse(node.edge().openForwards(request)));
         } else if (message instanceof LoadReport request && node.dispatcher().isPresent()) {
             node.dispatcher().get().onLoadReport(from, request);
             callback.accept(new AckResponse());
@@ -153,13 +158,4 @@
                     new RejectedResponse("not done here: " + message.getClass().getSimpleName()));
         }
     }
-
-    /** After a pause of the process, requests wait until what came behind them, and may take them back, is read. */
-    private void afterPause(final Runnable action) {
-        if (node.freezeDetector().hasJustResumed()) {
-            node.loop().schedule(FreezeDetector.CATCH_UP_MS, action);
-        } else {
-            action.run();
-        }
-    }
 }
--- a/data/src/main/java/org/rowanvalve/data/node/Node.java
+++ b/data/src/main/java/org/rowanvalve/data/node/Node.java
@@ -266,10 +266,6 @@
         return loop;
     }
 
-    FreezeDetector freezeDetector() {
-        return freezeDetector;
-    }
-
     Optional<VoterComponents> voter() {
         return voter;
     }
--- a/data/src/main/java/org/rowanvalve/data/origin/AttemptWait.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/AttemptWait.java
@@ -1,10 +1,12 @@
 package org.rowanvalve.data.origin;
 
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
-/** A committed attempt waits for something that has turns. It ends once: its listener is told how. */
+/** A committed attempt waits for something before it is sent. It ends once: its listener is told how. */
 abstract class AttemptWait {
-    private final BiConsumer<AttemptWait, End> listener;
+    private final OriginDispatcher dispatcher;
+    private final OriginRequest request;
+    private Consumer<End> listener;
     private boolean ended;
 
     enum End {
@@ -13,27 +15,39 @@
         GIVEN_UP
     }
 
-    AttemptWait(final BiConsumer<AttemptWait, End> listener) {
-        this.listener = listener;
+    AttemptWait(final OriginDispatcher dispatcher, final OriginRequest request) {
+        this.dispatcher = dispatcher;
+        this.request = request;
     }
 
-    abstract void begin();
+    final OriginDispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    final OriginRequest request() {
+        return request;
+    }
+
+    final void begin(final Consumer<End> onEnd) {
+        listener = onEnd;
+        start();
+    }
+
+    abstract void start();
 
     /** Gives the turn back, so that another attempt gets it. */
     abstract void release();
 
     /** Nobody waits for the request any more. */
     final void giveUp() {
-        if (!ended) {
-            release();
-            end(End.GIVEN_UP);
-        }
+        release();
+        end(End.GIVEN_UP);
     }
 
     final void end(final End end) {
         if (!ended) {
             ended = true;
-            listener.accept(this, end);
+            listener.accept(end);
         }
     }
 
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
@@ -87,7 +87,7 @@
     /** Checked right before the bytes are written. */
     private boolean mayWrite() {
         final long now = dispatcher.loop().now();
-        mayHaveLeft = dispatch.isWanted()
+        mayHaveLeft = dispatch.maySend()
                 && dispatcher.mayUse(request.shard(), request.service())
                 && origin.isSameProcess(
                         dispatcher.view().liveOrigins(request.service(), now).get(originId))
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
@@ -14,6 +14,7 @@
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.control.config.Origin;
 import org.rowanvalve.control.config.Service;
+import org.rowanvalve.data.cancel.Cancellation;
 
 /**
  * One request on its way from this node to origins of its service: which origin next, in turn and within the share of
@@ -44,8 +45,9 @@
     /** Origins that may have got it. */
     private int reached;
 
+    /** Sends under way, in their order. */
     private final Set<OriginAttempt> openSends = new LinkedHashSet<>();
-    /** Committed attempts that wait for a slot or for their turn within the rate. */
+    /** Committed attempts that wait for a slot, for their turn within the rate, or to be confirmed. */
     private final Set<AttemptWait> waits = new LinkedHashSet<>();
     /** Retries that were taken from the budget and are not sent yet. */
     private int unsentRetries;
@@ -84,11 +86,16 @@
         attempt(request.retry());
     }
 
-    /** Whether the request may still be sent; asked right before its bytes leave. */
+    /** Whether somebody still waits for the response, as far as this node knows. */
     boolean isWanted() {
         return !finished && !request.cancellation().isRequested();
     }
 
+    /** Whether the request may be sent; asked right before its bytes leave. */
+    boolean maySend() {
+        return !finished && request.cancellation().poll() == Cancellation.Standing.WANTED;
+    }
+
     /** What waits is given up; what was sent is aborted, or decides how the request ends. */
     private void onCancelled() {
         if (finished) {
@@ -259,45 +266,39 @@
             abandon(ORIGINS_BUSY, (long) Math.max(250, Math.min(RETRY_AFTER_MS, expected)));
             return;
         }
-        begin(new SlotWait(dispatcher, request, maxWaitMs, this::canLeaveQueue, this::onSlotWaitEnd));
+        await(new SlotWait(dispatcher, request, maxWaitMs, this::canLeaveQueue), this::chooseOrigin);
     }
 
-    private void begin(final AttemptWait wait) {
+    private void await(final AttemptWait wait, final Runnable onTurn) {
         waits.add(wait);
-        wait.begin();
-    }
-
-    private void onSlotWaitEnd(final AttemptWait wait, final AttemptWait.End end) {
-        waits.remove(wait);
-        switch (end) {
-            case TURN -> chooseOrigin();
-            case TIMED_OUT -> abandon(ORIGINS_BUSY, 250);
-            case GIVEN_UP -> abandon(CANCELLED, 0);
-        }
+        wait.begin(end -> {
+            waits.remove(wait);
+            switch (end) {
+                case TURN -> onTurn.run();
+                case TIMED_OUT -> abandon(ORIGINS_BUSY, 250);
+                case GIVEN_UP -> abandon(CANCELLED, 0);
+            }
+        });
     }
 
     private void waitForRate(final Service service, final ItemId id, final long waitMs) {
         if (waitMs <= 0) {
             sendIfPermitted(id);
-            return;
+        } else {
+            await(new RateWait(dispatcher, request, service, id, waitMs), () -> sendIfPermitted(id));
         }
-        begin(new RateWait(dispatcher, request, service, id, waitMs, (wait, end) -> {
-            waits.remove(wait);
-            if (end == AttemptWait.End.TURN) {
-                sendIfPermitted(id);
-            } else {
-                abandon(CANCELLED, 0);
-            }
-        }));
     }
 
     private void sendIfPermitted(final ItemId id) {
         final Origin origin =
                 dispatcher.view().liveOrigins(request.service(), loop().now()).get(id);
-        if (!isWanted()) {
+        final Cancellation.Standing standing = request.cancellation().poll();
+        if (finished || standing == Cancellation.Standing.CANCELLED) {
             abandon(CANCELLED, 0);
         } else if (loop().now() >= request.deadline()) {
             abandon("too late to send", RETRY_AFTER_MS);
+        } else if (standing == Cancellation.Standing.UNCONFIRMED) {
+            await(new ConfirmationWait(dispatcher, request), () -> sendIfPermitted(id));
         } else if (!dispatcher.mayUse(request.shard(), request.service())) {
             abandon("no held right to send", RETRY_AFTER_MS);
         } else if (origin == null) {
@@ -340,7 +341,7 @@
 
     void onEnd(final OriginTransport.OriginResponse response, final ItemId id, final Origin origin, final long sentAt) {
         if (response.result() == OriginTransport.ExchangeResult.NOT_PERMITTED) {
-            onBarred(response);
+            onBarred(response, id);
             return;
         }
         final boolean atMostOnce = request.atMostOnce();
@@ -364,9 +365,12 @@
     }
 
     /** Nothing was sent: another origin may be asked at once if only this one is unavailable. */
-    private void onBarred(final OriginTransport.OriginResponse response) {
+    private void onBarred(final OriginTransport.OriginResponse response, final ItemId id) {
         pendingAttempts++;
         reached--;
+        if (request.cancellation().poll() == Cancellation.Standing.UNCONFIRMED) {
+            tried.remove(id);
+        }
         if (dispatcher.mayUse(request.shard(), request.service()) && loop().now() < request.deadline()) {
             chooseOrigin();
         } else {
--- a/data/src/main/java/org/rowanvalve/data/origin/RateWait.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/RateWait.java
@@ -1,13 +1,10 @@
 package org.rowanvalve.data.origin;
 
-import java.util.function.BiConsumer;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.control.config.Service;
 
 /** A reserved turn within the rate of a service or of an origin. */
 final class RateWait extends AttemptWait {
-    private final OriginDispatcher dispatcher;
-    private final OriginRequest request;
     private final Service service;
     private final ItemId origin;
     private final long waitMs;
@@ -18,11 +15,8 @@
             final OriginRequest request,
             final Service service,
             final ItemId origin,
-            final long waitMs,
-            final BiConsumer<AttemptWait, End> listener) {
-        super(listener);
-        this.dispatcher = dispatcher;
-        this.request = request;
+            final long waitMs) {
+        super(dispatcher, request);
         this.service = service;
         this.origin = origin;
         this.waitMs = waitMs;
@@ -30,20 +24,20 @@
     }
 
     @Override
-    void begin() {
-        dispatcher.waitingForRate(1);
-        dispatcher.loop().schedule(waitMs, this::onDue);
+    void start() {
+        dispatcher().waitingForRate(1);
+        dispatcher().loop().schedule(waitMs, this::onDue);
     }
 
     @Override
     void release() {
-        dispatcher.waitingForRate(-1);
-        dispatcher.rateLimitShare().giveBack(service, origin, request.service(), dueAt);
+        dispatcher().waitingForRate(-1);
+        dispatcher().rateLimitShare().giveBack(service, origin, request().service(), dueAt);
     }
 
     private void onDue() {
         if (!hasEnded()) {
-            dispatcher.waitingForRate(-1);
+            dispatcher().waitingForRate(-1);
             end(End.TURN);
         }
     }
--- a/data/src/main/java/org/rowanvalve/data/origin/SlotWait.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/SlotWait.java
@@ -1,12 +1,9 @@
 package org.rowanvalve.data.origin;
 
-import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 
 /** A place in the queue for a free slot at any origin of a service. */
 final class SlotWait extends AttemptWait {
-    private final OriginDispatcher dispatcher;
-    private final OriginRequest request;
     private final long maxWaitMs;
     private final BooleanSupplier canLeave;
     private WaitQueue.Place place;
@@ -15,24 +12,21 @@
             final OriginDispatcher dispatcher,
             final OriginRequest request,
             final long maxWaitMs,
-            final BooleanSupplier canLeave,
-            final BiConsumer<AttemptWait, End> listener) {
-        super(listener);
-        this.dispatcher = dispatcher;
-        this.request = request;
+            final BooleanSupplier canLeave) {
+        super(dispatcher, request);
         this.maxWaitMs = maxWaitMs;
         this.canLeave = canLeave;
     }
 
     @Override
-    void begin() {
-        place = dispatcher.waitQueue().add(request.service(), request.priority(), canLeave, () -> end(End.TURN));
-        dispatcher.loop().schedule(maxWaitMs, this::onTimeout);
+    void start() {
+        place = dispatcher().waitQueue().add(request().service(), request().priority(), canLeave, () -> end(End.TURN));
+        dispatcher().loop().schedule(maxWaitMs, this::onTimeout);
     }
 
     @Override
     void release() {
-        dispatcher.waitQueue().remove(request.service(), place);
+        dispatcher().waitQueue().remove(request().service(), place);
     }
 
     private void onTimeout() {
--- /dev/null
+++ b/data/src/main/java/org/rowanvalve/data/shield/Fill.java
@@ -0,0 +1,78 @@
+package org.rowanvalve.data.shield;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.rowanvalve.common.message.ForwardRequest;
+import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.model.VersionVector;
+import org.rowanvalve.data.cancel.Cancellation;
+
+/**
+ * One fill for all who wait for an object. Once none of them waits any more, it is not sent; what was sent goes on, and its
+ * response is kept in the cache.
+ */
+final class Fill {
+    private final String path;
+    private final VersionVector versions;
+    private final List<Waiter> waiters = new ArrayList<>();
+    private final Cancellation cancellation = new Cancellation(this::poll);
+
+    /** A request that the fill answers. */
+    record Waiter(ForwardedRequest request, long deadline, Consumer<ForwardResponse> callback) {
+        ForwardRequest forward() {
+            return request.forward();
+        }
+
+        Cancellation cancellation() {
+            return request.cancellation();
+        }
+    }
+
+    Fill(final String path, final VersionVector versions) {
+        this.path = path;
+        this.versions = versions;
+    }
+
+    String path() {
+        return path;
+    }
+
+    VersionVector versions() {
+        return versions;
+    }
+
+    List<Waiter> waiters() {
+        return waiters;
+    }
+
+    /** Requested once none of those who joined waits any more. */
+    Cancellation cancellation() {
+        return cancellation;
+    }
+
+    void join(final Waiter waiter) {
+        waiters.add(waiter);
+        waiter.cancellation().onRequest(() -> onCancelled(waiter));
+    }
+
+    private void onCancelled(final Waiter waiter) {
+        if (waiters.stream().allMatch(other -> other.cancellation().isRequested())) {
+            cancellation.request(waiter.cancellation().cause());
+        }
+    }
+
+    /** The fill is wanted while one of those who joined is known to wait. */
+    private void poll() {
+        final Set<Cancellation.Standing> standings = EnumSet.noneOf(Cancellation.Standing.class);
+        waiters.forEach(waiter -> standings.add(waiter.cancellation().poll()));
+        if (standings.contains(Cancellation.Standing.WANTED)) {
+            cancellation.confirm();
+        } else if (standings.contains(Cancellation.Standing.UNCONFIRMED)) {
+            cancellation.suspend();
+            waiters.forEach(waiter -> waiter.cancellation().onSettled(this::poll));
+        }
+    }
+}
--- a/data/src/main/java/org/rowanvalve/data/shield/OpenForwards.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/OpenForwards.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.data.cancel.Cancellation;
@@ -35,9 +36,10 @@
 
     private record Early(CancelCause cause, long at) {}
 
-    /** A request that came on this connection; its cancellation is requested already if it was taken back before. */
-    Cancellation open(final Id id, final long connectionId, final long now) {
-        final Cancellation cancellation = new Cancellation();
+    /**
+     * A request that came on this connection; {@code cancellation} is requested at once if it was taken back before.
+     */
+    void open(final Id id, final Cancellation cancellation, final long connectionId, final long now) {
         final Early cancelled = early.remove(id);
         if (cancelled != null && now - cancelled.at() < REMEMBERED_MS) {
             cancellation.request(cancelled.cause());
@@ -45,7 +47,14 @@
             cancellation.request(CancelCause.EDGE_DISCONNECTED);
         }
         open.put(id, new Open(cancellation, connectionId));
-        return cancellation;
+    }
+
+    boolean isOpen(final Id id) {
+        return open.containsKey(id);
+    }
+
+    void forEach(final BiConsumer<Id, Cancellation> action) {
+        open.forEach((id, known) -> action.accept(id, known.cancellation()));
     }
 
     /** The request is answered. */
--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -1,8 +1,6 @@
 package org.rowanvalve.data.shield;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -26,6 +24,7 @@
 import org.rowanvalve.data.cache.Cache;
 import org.rowanvalve.data.cache.CachedResponse;
 import org.rowanvalve.data.cancel.Cancellation;
+import org.rowanvalve.data.cancel.PauseMonitor;
 import org.rowanvalve.data.keyed.KeyedRequests;
 import org.rowanvalve.data.limit.AttemptAllowance;
 import org.rowanvalve.data.origin.OriginDispatch;
@@ -60,26 +59,8 @@
     private final Cache cache;
     private final Map<String, Fill> fills = new HashMap<>();
     private final OpenForwards openForwards = new OpenForwards();
-
-    /**
-     * One fill for all who wait for an object. Once none of them waits any more, it is not sent; what was sent goes on, and
-     * its response is kept in the cache.
-     */
-    private record Fill(String path, VersionVector versions, List<Waiter> waiters, Cancellation cancellation) {
-        boolean isAbandoned() {
-            return waiters.stream()
-                    .allMatch(waiter -> waiter.request().cancellation().isRequested());
-        }
-    }
-
-    private record Waiter(ForwardedRequest request, long deadline, Consumer<ForwardResponse> callback) {
-        ForwardRequest forward() {
-            return request.forward();
-        }
-    }
-
-    /** A request as an edge sent it, with the attempts that this node may make for it. */
-    private record ForwardedRequest(ForwardRequest forward, AttemptAllowance attempts, Cancellation cancellation) {}
+    private final PauseMonitor pauses;
+    private final ForwardConfirmation confirmation;
 
     public Shield(
             final EventLoop loop,
@@ -102,6 +83,8 @@
         this.pollView = pollView;
         this.settings = settings;
         this.cache = new Cache(cacheBytes, copy -> configuration.areTagsCurrent(copy.tagVersions()));
+        this.pauses = new PauseMonitor(loop);
+        this.confirmation = new ForwardConfirmation(loop, transport, pauses, openForwards);
         transport.onConnectionClosed(openForwards::cancelAll);
     }
 
@@ -115,7 +98,9 @@
     public void handle(final NodeId from, final ForwardRequest request, final Transport.Responder callback) {
         final AttemptAllowance attempts = allowance(from, request);
         final OpenForwards.Id id = new OpenForwards.Id(from, request.incarnation(), request.serial());
-        final Cancellation cancellation = openForwards.open(id, callback.connectionId(), loop.now());
+        final Cancellation cancellation = new Cancellation(pauses::check);
+        openForwards.open(id, cancellation, callback.connectionId(), loop.now());
+        confirmation.onOpen(id, cancellation);
         handle(
                 new ForwardedRequest(request, attempts, cancellation),
                 loop.now() + request.timeoutMs(),
@@ -222,12 +207,21 @@
             callback.accept(reject(request, 503, "this route needs the right to fill", 500));
             return;
         }
+        sendUncached(call, route, OriginRequest.NO_SHARD, deadline, callback);
+    }
+
+    private void sendUncached(
+            final ForwardedRequest call,
+            final ConfiguredRoute route,
+            final int shard,
+            final long deadline,
+            final Consumer<ForwardResponse> callback) {
+        final ForwardRequest request = call.forward();
         final boolean atMostOnce = route.route().hasMode(RouteMode.AT_MOST_ONCE);
         final OriginRequest.WhenCancelled whenCancelled =
                 atMostOnce ? OriginRequest.WhenCancelled.FINISH_SENT : OriginRequest.WhenCancelled.ABORT_SENT;
         dispatcher.send(
-                originRequest(
-                        call, route, OriginRequest.NO_SHARD, atMostOnce, deadline, call.cancellation(), whenCancelled),
+                originRequest(call, route, shard, atMostOnce, deadline, call.cancellation(), whenCancelled),
                 completion -> callback.accept(
                         completion.response().result() == OriginTransport.ExchangeResult.COMPLETE
                                 ? completed(request, completion.response())
@@ -308,16 +302,16 @@
             if (current.waiters().size() >= MAX_WAITERS) {
                 callback.accept(reject(request, 503, "too many wait for this object", 1000));
             } else {
-                join(current, new Waiter(call, deadline, callback));
+                current.join(new Fill.Waiter(call, deadline, callback));
             }
             return;
         }
         if (!mayFill(request, callback)) {
             return;
         }
-        final Fill fill = new Fill(request.path(), versions, new ArrayList<>(), new Cancellation());
+        final Fill fill = new Fill(request.path(), versions);
         fills.put(key, fill);
-        join(fill, new Waiter(call, deadline, callback));
+        fill.join(new Fill.Waiter(call, deadline, callback));
         final OriginRequest originRequest = originRequest(
                 call,
                 route,
@@ -332,15 +326,6 @@
         });
     }
 
-    private void join(final Fill fill, final Waiter waiter) {
-        fill.waiters().add(waiter);
-        waiter.request().cancellation().onRequest(() -> {
-            if (fill.isAbandoned()) {
-                fill.cancellation().request(waiter.request().cancellation().cause());
-            }
-        });
-    }
-
     /** Without a lease, what is cached is still served, for as long as the route allows a stale copy. */
     private CachedResponse usableCopy(final ForwardRequest request, final String key, final VersionVector versions) {
         return (leases.mayFill(request.shard())
@@ -381,7 +366,7 @@
         if (unchanged && response.status() == 200) {
             cache.put(key, copy);
         }
-        for (final Waiter waiter : fill.waiters()) {
+        for (final Fill.Waiter waiter : fill.waiters()) {
             if (unchanged) {
                 waiter.callback().accept(respondFrom(waiter.forward(), copy));
             } else if (current != null && loop.now() + 200 < waiter.deadline()) {
@@ -393,9 +378,8 @@
     }
 
     /** Who joined a fill that was cancelled before, and that had no further try for that reason, gets a fill of its own. */
-    private void onFillFailed(final Fill fill, final Waiter waiter, final OriginDispatcher.Completion completion) {
-        if (fill.cancellation().isRequested()
-                && !waiter.request().cancellation().isRequested()) {
+    private void onFillFailed(final Fill fill, final Fill.Waiter waiter, final OriginDispatcher.Completion completion) {
+        if (fill.cancellation().isRequested() && !waiter.cancellation().isRequested()) {
             handle(waiter.request(), waiter.deadline(), loop.now(), waiter.callback());
         } else {
             waiter.callback().accept(failed(waiter.forward(), completion));
@@ -433,22 +417,7 @@
             final Consumer<ForwardResponse> callback) {
         final ForwardRequest request = call.forward();
         if (mayFill(request, callback)) {
-            final boolean atMostOnce = route.route().hasMode(RouteMode.AT_MOST_ONCE);
-            dispatcher.send(
-                    originRequest(
-                            call,
-                            route,
-                            request.shard(),
-                            atMostOnce,
-                            deadline,
-                            call.cancellation(),
-                            atMostOnce
-                                    ? OriginRequest.WhenCancelled.FINISH_SENT
-                                    : OriginRequest.WhenCancelled.ABORT_SENT),
-                    completion -> callback.accept(
-                            completion.response().result() == OriginTransport.ExchangeResult.COMPLETE
-                                    ? completed(request, completion.response())
-                                    : failed(request, completion)));
+            sendUncached(call, route, request.shard(), deadline, callback);
         }
     }
 
--- a/data/src/test/java/org/rowanvalve/data/VirtualTimeLoop.java
+++ b/data/src/test/java/org/rowanvalve/data/VirtualTimeLoop.java
@@ -26,10 +26,15 @@
         queue.add(new Due(now + Math.max(0, ms), seq++, job));
     }
 
+    /** Time passes, and nothing runs: what was due meanwhile is late. */
+    public void pause(final long ms) {
+        now += ms;
+    }
+
     public void run(final long ms) {
         final long end = now + ms;
         while (!queue.isEmpty() && queue.peek().at() <= end) {
-            now = queue.peek().at();
+            now = Math.max(now, queue.peek().at());
             queue.poll().job().run();
         }
         now = end;
--- a/data/src/test/java/org/rowanvalve/data/edge/LeavingClientsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/LeavingClientsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.rowanvalve.common.message.OpenForwardsRequest;
 import org.rowanvalve.common.model.CancelCause;
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.control.config.RouteMode;
@@ -17,10 +18,15 @@
 /** Clients that leave, wherever their request is at the edge, and shields whose response nobody waits for. */
 class LeavingClientsTest extends EdgeFixture {
     private final class Client {
-        private final Cancellation cancellation = new Cancellation();
+        private final Cancellation cancellation;
         private final List<ClientResponse> responses = new ArrayList<>();
 
         Client(final RouteMode mode) {
+            this(mode, new Cancellation());
+        }
+
+        Client(final RouteMode mode, final Cancellation cancellation) {
+            this.cancellation = cancellation;
             edge.handle(
                     new ClientRequest(
                             mode == RouteMode.KEYED || mode == RouteMode.AT_MOST_ONCE ? "POST" : "GET",
@@ -88,6 +94,43 @@
         assertEquals(503, status());
     }
 
+    /** The connection holds the close, and no thread has read it yet. */
+    @Test
+    void nothingIsSentForAClientWhoseCloseIsFoundOnlyWhenItIsLookedFor() {
+        final boolean[] closed = {false};
+        final Client[] client = {null};
+        client[0] = new Client(RouteMode.STATUS, new Cancellation(() -> {
+            if (closed[0]) {
+                client[0].cancellation.announce(CancelCause.CLIENT_LEFT);
+            }
+        }));
+        assertEquals(List.of(1L), stillWaitedFor());
+        closed[0] = true;
+        assertEquals(List.of(), stillWaitedFor(), "a shield that asks is told");
+        back(0, refused(500));
+        loop.run(2000);
+        assertEquals(1, asked.size());
+    }
+
+    private List<Long> stillWaitedFor() {
+        return edge.openForwards(new OpenForwardsRequest("boot-1", List.of(1L, 2L, 3L)));
+    }
+
+    @Test
+    void aShieldIsToldWhichOfItsRequestsAreStillWaitedFor() {
+        final Client leads = new Client(RouteMode.CACHED);
+        final Client joins = new Client(RouteMode.CACHED);
+        new Client(RouteMode.STATUS);
+        assertEquals(List.of(1L, 2L), stillWaitedFor());
+        leads.leave();
+        assertEquals(List.of(1L, 2L), stillWaitedFor(), "one who joined waits");
+        joins.leave();
+        assertEquals(List.of(2L), stillWaitedFor());
+        assertEquals(List.of(), edge.openForwards(new OpenForwardsRequest("boot-0", List.of(2L))), "of another start");
+        back(1, good("body"));
+        assertEquals(List.of(), stillWaitedFor());
+    }
+
     @Test
     void nothingIsSentForAClientThatLeftBetweenTwoTries() {
         final Client client = new Client(RouteMode.CACHED);
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedRequestsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedRequestsTest.java
@@ -306,4 +306,24 @@
         assertEquals(2, sent, "a repeat gets the first outcome");
         assertEquals(List.of(RequestOutcome.DONE, RequestOutcome.DONE, RequestOutcome.DONE), answers);
     }
+
+    @Test
+    void aKeyIsNotExecutedWhileItsCallerHasNotSaidThatItStillWaits() {
+        final KeyedRequests desk = desk("w");
+        take(desk, "k0", 1000);
+        keepers.loop.run(500);
+        final Cancellation stays = new Cancellation();
+        final Cancellation left = new Cancellation();
+        stays.suspend();
+        left.suspend();
+        take(desk, "k1", 1000, stays);
+        take(desk, "k2", 1000, left);
+        keepers.loop.run(500);
+        assertEquals(1, sent);
+        stays.confirm();
+        left.request(CancelCause.CLIENT_LEFT);
+        keepers.loop.run(500);
+        assertEquals(2, sent);
+        assertEquals(List.of(RequestOutcome.DONE, RequestOutcome.REFUSED, RequestOutcome.DONE), answers);
+    }
 }
--- a/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
@@ -14,6 +14,8 @@
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.Message;
+import org.rowanvalve.common.message.OpenForwardsRequest;
+import org.rowanvalve.common.message.OpenForwardsResponse;
 import org.rowanvalve.common.message.Reply;
 import org.rowanvalve.common.model.Ballot;
 import org.rowanvalve.common.model.CancelCause;
@@ -25,11 +27,13 @@
 import org.rowanvalve.common.model.Member;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.NodeStatus;
+import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.model.Role;
 import org.rowanvalve.common.model.Version;
 import org.rowanvalve.common.model.VersionVector;
 import org.rowanvalve.common.runtime.Transport;
 import org.rowanvalve.control.config.ConfigurationView;
+import org.rowanvalve.control.config.Origin;
 import org.rowanvalve.control.config.Route;
 import org.rowanvalve.control.config.RouteMode;
 import org.rowanvalve.control.config.Service;
@@ -41,20 +45,30 @@
 import org.rowanvalve.data.origin.AnsweringOrigins;
 import org.rowanvalve.data.origin.OriginDispatch;
 import org.rowanvalve.data.origin.OriginDispatcher;
+import org.rowanvalve.data.origin.OriginTransport;
 import org.rowanvalve.data.routing.ShardRouting;
 import org.rowanvalve.data.settings.NodeSettings;
 
 /** A shield that cannot do what an edge asks: how long it takes to say so, and what it says of the attempts. */
 class ShieldTest {
     private static final NodeId EDGE = NodeId.of("edge");
+    /** Of which this node has a tenth: one request each 100 ms. */
+    private static final double PACED_RATE = 100;
+
     private final VirtualTimeLoop loop = new VirtualTimeLoop();
     private final EventJournal journal = new EventJournal(loop, 100);
     private final ItemStore items = new ItemStore(loop, journal);
     private final ConfigurationView configuration = new ConfigurationView(items);
     private LongConsumer connectionClosed;
+    private final List<Consumer<Reply>> confirmations = new ArrayList<>();
+    private final List<OriginTransport.OutboundRequest> sent = new ArrayList<>();
     private final Transport transport = new Transport() {
         @Override
-        public void request(final NodeId to, final Message message, final long waitMs, final Consumer<Reply> then) {}
+        public void request(final NodeId to, final Message message, final long waitMs, final Consumer<Reply> then) {
+            if (message instanceof OpenForwardsRequest) {
+                confirmations.add(then);
+            }
+        }
 
         @Override
         public void onConnectionClosed(final LongConsumer listener) {
@@ -71,7 +85,7 @@
             settings,
             loop,
             transport,
-            new AnsweringOrigins(loop, new ArrayList<>()),
+            new AnsweringOrigins(loop, sent),
             configuration,
             leases,
             new OriginDispatcher.Surroundings(() -> true, () -> false, List::of, () -> 1),
@@ -87,7 +101,11 @@
     }
 
     private void put(final ItemId id, final Object body) {
-        items.merge(new ChosenItem(Ballot.ZERO, new Item(id, new Version(1), Json.write(body), false, "")));
+        put(id, 1, body);
+    }
+
+    private void put(final ItemId id, final long version, final Object body) {
+        items.merge(new ChosenItem(Ballot.ZERO, new Item(id, new Version(version), Json.write(body), false, "")));
     }
 
     private void ask(final VersionVector mark, final boolean pass, final Integer attempts) {
@@ -191,6 +209,27 @@
         assertEquals(2, answers.size());
     }
 
+    /** Nothing but its own timer runs after the pause, which is when it may be sent again. */
+    @Test
+    void aRequestThatWaitedThroughAPauseIsSentOnceItsEdgeHasConfirmedIt() {
+        route(RouteMode.STATUS, 1600);
+        put(
+                new ItemId(ItemKind.ORIGIN, "o"),
+                new Origin("s", "10.0.0.1", 80, "o", ServiceKind.OPEN, 0, 0, false, 1, "z", 0, 0));
+        put(new ItemId(ItemKind.SERVICE, "s"), 2, new Service(ServiceKind.OPEN, 0, 1000, 5000, PACED_RATE, 0, ""));
+        ask(1, 0, null, true, 1);
+        ask(2, 0, null, true, 1);
+        loop.pause(1300);
+        loop.run(1);
+        assertEquals(0, sent.size(), "its edge has not said that it still waits");
+        confirmations.get(0).accept(Reply.of(new OpenForwardsResponse(List.of(2L))));
+        loop.run(500);
+        assertEquals(1, sent.size());
+        assertEquals(
+                List.of(RequestOutcome.REFUSED, RequestOutcome.DONE),
+                answers.stream().map(ForwardResponse::fate).toList());
+    }
+
     /** Guards against memory that grows with cancels for requests that were answered long ago. */
     @Test
     void whatIsRememberedOfRequestsThatWereTakenBackIsBounded() {
--- a/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
@@ -72,6 +72,13 @@
         }
     }
 
+    /** Reads at once what there is: whether the client has left since. Calls the listener as {@link #onClose} does. */
+    public static void checkClose(final Request request) {
+        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
+            endPoint.checkClose();
+        }
+    }
+
     /** The response of this request is about to be written: whether its client leaves is of no more interest. */
     public static void ignoreClose(final Request request) {
         if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
@@ -120,6 +127,19 @@
         return httpConnection == null ? Callback.InvocationType.NON_BLOCKING : httpConnection.getInvocationType();
     }
 
+    private void checkClose() {
+        final Runnable listener;
+        synchronized (this) {
+            if (closeListener == null || !readOnce()) {
+                return;
+            }
+            listener = takeListenerIfClosed();
+        }
+        if (listener != null) {
+            listener.run();
+        }
+    }
+
     /** Reads what there is, while anybody wants to know of a close, and waits for more. */
     private void readAhead() {
         final Runnable listener;
@@ -127,16 +147,22 @@
             if (closeListener == null || reading || !readOnce()) {
                 return;
             }
-            listener = isInputShutdown() && isOpen() ? closeListener : null;
+            listener = takeListenerIfClosed();
             if (listener == null) {
                 reading = super.tryFillInterested(readAheadCallback);
                 return;
             }
-            closeListener = null;
         }
         listener.run();
     }
 
+    /** Null where the client has not closed. */
+    private Runnable takeListenerIfClosed() {
+        final Runnable listener = isInputShutdown() && isOpen() ? closeListener : null;
+        closeListener = listener == null ? closeListener : null;
+        return listener;
+    }
+
     /** False where there is no room to read into. */
     private boolean readOnce() {
         if (readAhead == BufferUtil.EMPTY_BUFFER) {
--- a/server/src/main/java/org/rowanvalve/server/http/ClientRequests.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientRequests.java
@@ -24,7 +24,7 @@
 
     /** {@code http} has been read whole; {@code respond} is called once, also for a client that has left. */
     public void submit(final Request http, final ClientRequest request, final Consumer<ClientResponse> respond) {
-        final Cancellation cancellation = new Cancellation();
+        final Cancellation cancellation = new Cancellation(() -> ClientEndPoint.checkClose(http));
         final Consumer<ClientResponse> callback = response -> {
             ClientEndPoint.ignoreClose(http);
             respond.accept(response);
--- a/server/src/test/java/org/rowanvalve/server/http/ClientEndPointTest.java
+++ b/server/src/test/java/org/rowanvalve/server/http/ClientEndPointTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -209,6 +210,20 @@
 
     @Test
     void bytesThatComeInSmallPiecesWhileRequestsAreHandledAreNotLost() throws Exception {
+        assertNoBytesAreLost(held -> {});
+    }
+
+    /** Guards against bytes that the look-up takes from the HTTP connection. */
+    @Test
+    void bytesThatComeWhileACloseIsLookedForAreNotLost() throws Exception {
+        assertNoBytesAreLost(held -> {
+            for (int i = 0; i < 200; i++) {
+                ClientEndPoint.checkClose(held.request());
+            }
+        });
+    }
+
+    private void assertNoBytesAreLost(final Consumer<Held> whileItIsHandled) throws Exception {
         final Socket client = connect();
         final StringBuilder all = new StringBuilder();
         for (int i = 0; i < 60; i++) {
@@ -227,6 +242,7 @@
         for (int i = 0; i < 60; i++) {
             final Held next = nextRequest();
             assertEquals("/p" + i, next.path());
+            whileItIsHandled.accept(next);
             next.answer();
             assertEquals("/p" + i, read(client));
         }
@@ -234,6 +250,22 @@
         assertTrue(closed.isEmpty(), closed.toString());
     }
 
+    @Test
+    void aCloseThatIsLookedForIsToldOnce() throws Exception {
+        final Socket client = connect();
+        send(client, get("/left"));
+        final Held held = nextRequest();
+        ClientEndPoint.checkClose(held.request());
+        assertTrue(closed.isEmpty());
+        client.close();
+        for (int i = 0; i < 1000 && closed.isEmpty(); i++) {
+            ClientEndPoint.checkClose(held.request());
+        }
+        assertEquals("/left", closed.poll(PROMPT_MS, TimeUnit.MILLISECONDS));
+        ClientEndPoint.checkClose(held.request());
+        assertNull(closed.poll(NOTHING_COMES_MS, TimeUnit.MILLISECONDS));
+    }
+
     @Test
     void aCloseBehindTheNextRequestsBytesIsTold() throws Exception {
         final Socket client = connect();
