--- a/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
@@ -13,6 +13,7 @@
 import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.message.ForwardRequest;
 import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.message.LoadReport;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.OpenForwardsRequest;
 import org.rowanvalve.common.message.OpenForwardsResponse;
@@ -52,9 +53,6 @@
 /** A shield that cannot do what an edge asks: how long it takes to say so, and what it says of the attempts. */
 class ShieldTest {
     private static final NodeId EDGE = NodeId.of("edge");
-    /** Of which this node has a tenth: one request each 100 ms. */
-    private static final double PACED_RATE = 100;
-
     private final VirtualTimeLoop loop = new VirtualTimeLoop();
     private final EventJournal journal = new EventJournal(loop, 100);
     private final ItemStore items = new ItemStore(loop, journal);
@@ -101,11 +99,7 @@
     }
 
     private void put(final ItemId id, final Object body) {
-        put(id, 1, body);
-    }
-
-    private void put(final ItemId id, final long version, final Object body) {
-        items.merge(new ChosenItem(Ballot.ZERO, new Item(id, new Version(version), Json.write(body), false, "")));
+        items.merge(new ChosenItem(Ballot.ZERO, new Item(id, new Version(1), Json.write(body), false, "")));
     }
 
     private void ask(final VersionVector mark, final boolean pass, final Integer attempts) {
@@ -209,21 +203,24 @@
         assertEquals(2, answers.size());
     }
 
-    /** Nothing but its own timer runs after the pause, which is when it may be sent again. */
+    /** Another shield's report comes first after the pause: it frees the slot that the requests wait for. */
     @Test
     void aRequestThatWaitedThroughAPauseIsSentOnceItsEdgeHasConfirmedIt() {
+        final NodeId other = NodeId.of("n2");
         route(RouteMode.STATUS, 1600);
         put(
                 new ItemId(ItemKind.ORIGIN, "o"),
-                new Origin("s", "10.0.0.1", 80, "o", ServiceKind.OPEN, 0, 0, false, 1, "z", 0, 0));
-        put(new ItemId(ItemKind.SERVICE, "s"), 2, new Service(ServiceKind.OPEN, 0, 1000, 5000, PACED_RATE, 0, ""));
+                new Origin("s", "10.0.0.1", 80, "o", ServiceKind.OPEN, 0, 0, false, 1, "z", 1, 0));
+        dispatcher.onLoadReport(other, new LoadReport(Map.of("o", 9)));
         ask(1, 0, null, true, 1);
         ask(2, 0, null, true, 1);
+        assertEquals(2, dispatcher.inFlight());
         loop.pause(1300);
-        loop.run(1);
+        dispatcher.onLoadReport(other, new LoadReport(Map.of()));
         assertEquals(0, sent.size(), "its edge has not said that it still waits");
+        loop.run(1);
         confirmations.get(0).accept(Reply.of(new OpenForwardsResponse(List.of(2L))));
-        loop.run(500);
+        loop.run(100);
         assertEquals(1, sent.size());
         assertEquals(
                 List.of(RequestOutcome.REFUSED, RequestOutcome.DONE),
