Bytes behind an answer end their connection; a body is copied when it comes

Cause: only what stood in the same buffer behind an answer's end was known to be too much. For the wrong body only suspected: parts of the library's buffer were copied when the request was completed, after a later read into it.

Now any byte read after a response's end, or on an idle connection, makes the connection unusable, and nothing of it is passed on; ResponseCollector copies each part when it comes; an idle connection is looked at right before it is used again.

--- a/server/src/main/java/org/rowanvalve/server/origin/HttpOriginTransport.java
+++ b/server/src/main/java/org/rowanvalve/server/origin/HttpOriginTransport.java
@@ -7,14 +7,11 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
@@ -27,11 +24,12 @@
 /** Sends requests to origins over Jetty's client. Core thread only, except for Jetty's call-backs, which post to it. */
 public final class HttpOriginTransport implements OriginTransport {
     private static final int BODY_LIMIT = 4 << 20;
+    private static final int IDENTITY_LIMIT = 8 << 10;
     private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD");
     private final EventLoop loop;
     private final HttpClient httpClient;
     private final OriginProtocol protocol;
-    private final IdleConnections idleConnections = new IdleConnections();
+    private final IdleConnections idleConnections = new IdleConnections(StrictHttpTransport::isSilent);
 
     public record InstanceIdentity(
             String service, @JsonProperty("stamp") String instance) {}
@@ -148,25 +146,22 @@
                 sendRequest();
                 return;
             }
-            opened.send(newRequest("GET", "/rv/identity"), new BufferingResponseListener(8192) {
-                @Override
-                public void onComplete(final Result result) {
-                    final int status =
-                            result.isSucceeded() ? result.getResponse().getStatus() : 0;
-                    final String body = getContentAsString(StandardCharsets.UTF_8);
-                    loop.execute(() -> onIdentity(status, body));
-                }
-            });
+            opened.send(
+                    newRequest("GET", "/rv/identity"),
+                    new ResponseCollector(IDENTITY_LIMIT, collected -> loop.execute(() -> onIdentity(collected))));
         }
 
-        private void onIdentity(final int status, final String body) {
+        private void onIdentity(final ResponseCollector.Collected collected) {
             if (finished) {
                 connection.close();
                 return;
             }
+            final int status = collected.isWhole() ? collected.status() : 0;
             InstanceIdentity identity = null;
             try {
-                identity = status == 200 && body != null ? Json.read(body, InstanceIdentity.class) : null;
+                identity = status == HttpStatus.OK_200
+                        ? Json.read(new String(collected.body(), StandardCharsets.UTF_8), InstanceIdentity.class)
+                        : null;
             } catch (final IllegalStateException failure) {
                 identity = null;
             }
@@ -198,38 +193,16 @@
             }
             sent = true;
             sentAt = loop.now();
-            connection.send(result, new ResponseListener());
+            connection.send(result, new ResponseCollector(BODY_LIMIT, this::onCollected));
         }
 
-        /**
-         * Collects one response. Status and headers are taken once the head is whole: bytes behind a whole response, which
-         * are read while the request is still being completed, change what the library's response says of them.
-         */
-        private final class ResponseListener extends BufferingResponseListener {
-            private int status;
-            private HttpFields headers = HttpFields.EMPTY;
-
-            ResponseListener() {
-                super(BODY_LIMIT);
-            }
-
-            @Override
-            public void onHeaders(final Response response) {
-                super.onHeaders(response);
-                status = response.getStatus();
-                headers = HttpFields.build(response.getHeaders()).asImmutable();
-            }
-
-            @Override
-            public void onComplete(final Result result) {
-                final byte[] body = getContent() == null ? new byte[0] : getContent();
-                final OriginResponse response = result.isSucceeded()
-                        ? toResponse(status, headers, body)
-                        : OriginResponse.without(
-                                ExchangeResult.LOST,
-                                String.valueOf(result.getFailure().getMessage()));
-                loop.execute(() -> onResponse(response, result.isSucceeded()));
-            }
+        private void onCollected(final ResponseCollector.Collected collected) {
+            final OriginResponse response = collected.isWhole()
+                    ? toResponse(collected.status(), collected.headers(), collected.body())
+                    : OriginResponse.without(
+                            ExchangeResult.LOST,
+                            String.valueOf(collected.failure().getMessage()));
+            loop.execute(() -> onResponse(response, collected.isWhole()));
         }
 
         private void onResponse(final OriginResponse response, final boolean succeeded) {
--- a/server/src/main/java/org/rowanvalve/server/origin/IdleConnections.java
+++ b/server/src/main/java/org/rowanvalve/server/origin/IdleConnections.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.eclipse.jetty.client.Connection;
@@ -33,6 +34,13 @@
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final Map<String, Learned> learned = new HashMap<>();
 
+    private final Predicate<Connection> isSilent;
+
+    /** {@code isSilent}: looks whether anything has come on an idle connection. */
+    IdleConnections(final Predicate<Connection> isSilent) {
+        this.isSilent = isSilent;
+    }
+
     /** {@code longest}: for how long the origin keeps it. */
     private record Idle(Connection connection, long since, long longest) {}
 
@@ -48,7 +56,8 @@
             final long rest = now - last.since();
             final boolean usable = !last.connection().isClosed()
                     && rest < last.longest()
-                    && (rest <= SHORTEST_REST || rest < bound(service, now));
+                    && (rest <= SHORTEST_REST || rest < bound(service, now))
+                    && isSilent.test(last.connection());
             if (usable && !repeatable && rest > REST_BEFORE_ONCE) {
                 return null;
             }
--- a/server/src/test/java/org/rowanvalve/server/origin/IdleConnectionsTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/IdleConnectionsTest.java
@@ -1,8 +1,11 @@
 package org.rowanvalve.server.origin;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
+import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
@@ -148,4 +152,19 @@
         assertEquals(1, circuits("", "b"));
         assertEquals(2, circuits.size());
     }
+
+    /** The bytes may not have been read yet: the connection is looked at when it is about to be used. */
+    @Test
+    void oneOnWhichSomethingHasComeIsClosed() {
+        final List<String> calls = new ArrayList<>();
+        final Connection connection = (Connection) Proxy.newProxyInstance(
+                Connection.class.getClassLoader(), new Class<?>[] {Connection.class}, (proxy, method, arguments) -> {
+                    calls.add(method.getName());
+                    return method.getReturnType() == boolean.class ? Boolean.FALSE : null;
+                });
+        final IdleConnections idle = new IdleConnections(looked -> looked != connection);
+        idle.put("site", connection, null, 0);
+        assertNull(idle.take("site", "s", true, 10));
+        assertEquals("close", calls.get(calls.size() - 1));
+    }
 }
--- a/server/src/test/java/org/rowanvalve/server/origin/RawPeer.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/RawPeer.java
@@ -18,6 +18,7 @@
 public final class RawPeer implements AutoCloseable {
     private final ServerSocket door;
     private final Script scenario;
+    private final boolean beforeBodies;
     private final List<Asked> asked = Collections.synchronizedList(new ArrayList<>());
 
     /** One request as it came in, on which connection, and as which of that connection's. */
@@ -30,7 +31,13 @@
     }
 
     RawPeer(final Script scenario) throws IOException {
+        this(scenario, false);
+    }
+
+    /** {@code beforeBodies}: it answers once it has a request's head, and reads the body afterwards. */
+    RawPeer(final Script scenario, final boolean beforeBodies) throws IOException {
         this.scenario = scenario;
+        this.beforeBodies = beforeBodies;
         this.door = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
         start("door", this::accept);
     }
@@ -76,13 +83,20 @@
                 if (!scenario.answer(one, connection)) {
                     return;
                 }
+                if (beforeBodies) {
+                    body(in, one.heads());
+                }
             }
         } catch (final IOException e) {
             return;
         }
     }
 
-    private static Asked read(final InputStream in, final int number, final int turn) throws IOException {
+    private static byte[] body(final InputStream in, final Map<String, String> heads) throws IOException {
+        return in.readNBytes(Integer.parseInt(heads.getOrDefault("content-length", "0")));
+    }
+
+    private Asked read(final InputStream in, final int number, final int turn) throws IOException {
         final String head = head(in);
         if (head.isEmpty()) {
             return null;
@@ -95,8 +109,7 @@
                     lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
                     lines[i].substring(colon + 1).trim());
         }
-        final byte[] body = in.readNBytes(Integer.parseInt(heads.getOrDefault("content-length", "0")));
-        return new Asked(lines[0], heads, body, number, turn);
+        return new Asked(lines[0], heads, beforeBodies ? new byte[0] : body(in, heads), number, turn);
     }
 
     private static String head(final InputStream in) throws IOException {
