--- a/common/src/test/java/org/rowanvalve/common/message/KeyedRecordTest.java
+++ b/common/src/test/java/org/rowanvalve/common/message/KeyedRecordTest.java
@@ -75,6 +75,25 @@
         orders.forEach(order -> assertTrue(storedAfter(order).outcome() != null, order.toString()));
     }
 
+    /** Guards against a copying replica that keeps a rejected attempt in place of the later attempt in flight. */
+    @Test
+    void laterAttemptOfAProcessIsResolvedInWhateverOrderReplicasAreRead() {
+        final KeyedRecord later = record(2, false, false);
+        final List<List<KeyedRecord>> orders = new ArrayList<>();
+        permute(List.of(record(1, false, false), record(1, true, false), later), new ArrayList<>(), orders);
+        permute(List.of(record(1, false, false), later), new ArrayList<>(), orders);
+        permute(List.of(record(1, true, false), later), new ArrayList<>(), orders);
+        orders.forEach(order -> assertEquals(later, KeyedRecord.resolve(order), order.toString()));
+    }
+
+    /** The copy of an earlier attempt, followed by its late mark, must not erase the later attempt at a replica. */
+    @Test
+    void copiedRecordsAndALateMarkKeepTheAttemptInFlight() {
+        final KeyedRecord inFlight = record(2, false, false);
+        final KeyedRecord copied = KeyedRecord.resolve(List.of(record(1, false, false), inFlight));
+        assertEquals(inFlight, record(1, true, false).mergedOver(copied));
+    }
+
     @Test
     void attemptsOfOneProcessAreRecognized() {
         final long id = KeyedRecord.attemptId("process", 7);
--- a/control/src/test/java/org/rowanvalve/control/record/KeyedRecordFixture.java
+++ b/control/src/test/java/org/rowanvalve/control/record/KeyedRecordFixture.java
@@ -45,6 +45,8 @@
     final Map<NodeId, Long> responseBytes = new TreeMap<>();
 
     long largestResponse;
+    /** By how much the time of day has been stepped, in ms. */
+    long wallClockStepMs;
     /** The delay of a response in ms; a response with a negative delay is lost. */
     BiFunction<NodeId, Message, Long> responseDelayMs = (id, m) -> 1L;
 
@@ -120,7 +122,7 @@
                 VotingConfiguration.of(quorum),
                 transport,
                 loop,
-                loop::now,
+                () -> loop.now() + wallClockStepMs,
                 new MonitoredStorage(storage, loop),
                 journal,
                 retention);
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
@@ -37,13 +37,13 @@
     static final NodeId B = NodeId.of("b");
     static final NodeId C = NodeId.of("c");
     final RecordReplicasFixture replicas = new RecordReplicasFixture();
-    final LeaseHolder leases = startHolder();
+    final LeaseHolder leases = startHolder(TOKEN);
     final List<RequestOutcome> outcomes = new ArrayList<>();
     final List<ForwardResponse> responses = new ArrayList<>();
     int sentCount;
 
     /** Starts a holder whose lease is granted by a leader that acknowledges every renewal. */
-    private LeaseHolder startHolder() {
+    LeaseHolder startHolder(final FencingToken token) {
         final EventJournal journal = replicas.journal;
         final ItemStore items = new ItemStore(replicas.loop, journal);
         final LeaseHolder holder = new LeaseHolder(
@@ -55,7 +55,7 @@
                                 () -> callback.accept(Reply.of(new LeaseRenewResponse(
                                         1,
                                         true,
-                                        List.of(new ShardLease(SHARD, TOKEN, LeaseState.GRANTED)),
+                                        List.of(new ShardLease(SHARD, token, LeaseState.GRANTED)),
                                         List.of()))));
                     }
                 },
@@ -73,17 +73,21 @@
         replicas.loop.run(100);
         holder.onGrant(
                 LEADER,
-                new LeaseGrantRequest(1, 1, List.of(new ShardLease(SHARD, TOKEN, LeaseState.GRANTED))),
+                new LeaseGrantRequest(1, 1, List.of(new ShardLease(SHARD, token, LeaseState.GRANTED))),
                 response -> {});
         return holder;
     }
 
     KeyedRequests newKeyedRequests(final String process) {
+        return newKeyedRequests(process, leases);
+    }
+
+    KeyedRequests newKeyedRequests(final String process, final LeaseHolder holder) {
         return new KeyedRequests(
                 replicas.votingConfiguration,
                 replicas.loop,
                 replicas,
-                leases,
+                holder,
                 replicas.journal,
                 new StoreHealth(replicas.votingConfiguration.quorum(), replicas.loop, replicas.journal),
                 process,
--- a/data/src/test/java/org/rowanvalve/data/keyed/RecordReplicasFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/RecordReplicasFixture.java
@@ -49,6 +49,8 @@
 
     /** The encoded bytes of the responses, by message type. */
     final Map<String, Long> responseBytes = new TreeMap<>();
+    /** The delay of each request in ms; if negative, the request is lost. */
+    BiFunction<NodeId, Message, Long> requestDelayMs = (id, m) -> 0L;
     /** The delay of each response in ms; if negative, the response is lost. */
     BiFunction<NodeId, Message, Long> responseDelayMs = (id, m) -> 1L;
     /** The replicas that have adopted a later epoch than the requester. */
@@ -126,6 +128,17 @@
                 callback.accept(Reply.failed(Reply.Failure.NO_RESPONSE));
             }
         });
+        final long delayMs = requestDelayMs.apply(recipient, message);
+        final Runnable delivery = () -> deliver(recipient, message, completed, callback);
+        if (delayMs == 0) {
+            delivery.run();
+        } else if (delayMs > 0) {
+            loop.schedule(delayMs, delivery);
+        }
+    }
+
+    private void deliver(
+            final NodeId recipient, final Message message, final boolean[] completed, final Consumer<Reply> callback) {
         handle(recipient, message, m -> {
             responseBytes.merge(
                     m.getClass().getSimpleName(),
