A request id is sent at most once on a connection to an origin

Cause: an origin may write an answer a second time, late. The id in it tells the copy from answers to other requests, not from the answer to a later send of the same id. After 'not executed' an edge may forward the id again, and the shield may take the same connection: the copy then says 'not executed' of the send that runs. Ruled out: IdleConnections looks for bytes before a send, the copy comes after it. Change: OriginConnection keeps the ids (hashes) that it carried and refuses a second send; IdleConnections passes such a connection over. Not chosen: closing after each refusal (a new connection per refusal is priced), a pause before the next use (relies on time). ForgottenConnectionTest sent one id over and over as if they were different requests; it numbers them now, its checks are the same.

--- a/server/src/main/java/org/rowanvalve/server/origin/HttpOriginTransport.java
+++ b/server/src/main/java/org/rowanvalve/server/origin/HttpOriginTransport.java
@@ -8,7 +8,6 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -29,7 +28,7 @@
     private final EventLoop loop;
     private final HttpClient httpClient;
     private final OriginProtocol protocol;
-    private final IdleConnections idleConnections = new IdleConnections(StrictHttpTransport::isSilent);
+    private final IdleConnections idleConnections = new IdleConnections(OriginConnection::isSilent);
 
     public record InstanceIdentity(
             String service, @JsonProperty("stamp") String instance) {}
@@ -67,7 +66,7 @@
         private final Consumer<OriginResponse> callback;
         private final String connectionKey;
         private final long deadline;
-        private Connection connection;
+        private OriginConnection connection;
         private boolean finished;
         private boolean sent;
         private long sentAt;
@@ -93,8 +92,8 @@
                             OriginResponse.failure(
                                     sent ? ExchangeResult.LOST : ExchangeResult.NOT_SENT, "no answer in time"),
                             false));
-            final IdleConnections.Rested rested =
-                    idleConnections.take(connectionKey, origin.service(), isRepeatable(), loop.now());
+            final IdleConnections.Rested rested = idleConnections.take(
+                    connectionKey, origin.service(), request.requestId(), isRepeatable(), loop.now());
             if (rested != null) {
                 connection = rested.connection();
                 restedMs = rested.rest();
@@ -108,7 +107,7 @@
             }
             final Destination destination = httpClient.resolveDestination(newRequest("GET", "/"));
             destination.newConnection(Promise.from(
-                    opened -> loop.execute(() -> onConnected(opened)),
+                    opened -> loop.execute(() -> onConnected(new OriginConnection(opened))),
                     failure -> loop.execute(() -> finish(
                             OriginResponse.failure(ExchangeResult.NOT_SENT, "no circuit: " + failure.getMessage()),
                             false))));
@@ -136,7 +135,7 @@
             }
         }
 
-        private void onConnected(final Connection opened) {
+        private void onConnected(final OriginConnection opened) {
             connection = opened;
             if (finished) {
                 opened.close();
@@ -146,7 +145,7 @@
                 sendRequest();
                 return;
             }
-            opened.send(
+            opened.sendIdentityRequest(
                     newRequest("GET", "/rv/identity"),
                     new ResponseCollector(IDENTITY_LIMIT, collected -> loop.execute(() -> onIdentity(collected))));
         }
@@ -193,7 +192,7 @@
             }
             sent = true;
             sentAt = loop.now();
-            connection.send(result, new ResponseCollector(BODY_LIMIT, this::onCollected));
+            connection.send(request.requestId(), result, new ResponseCollector(BODY_LIMIT, this::onCollected));
         }
 
         private void onCollected(final ResponseCollector.Collected collected) {
@@ -237,7 +236,7 @@
             finished = true;
             if (connection != null) {
                 if (reuse
-                        && !connection.isClosed()
+                        && connection.isReusable()
                         && !"close".equalsIgnoreCase(response.headers().get("connection"))) {
                     idleConnections.put(
                             connectionKey, connection, response.headers().get("keep-alive"), loop.now());
--- a/server/src/main/java/org/rowanvalve/server/origin/IdleConnections.java
+++ b/server/src/main/java/org/rowanvalve/server/origin/IdleConnections.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.eclipse.jetty.client.Connection;
 
 /**
  * Idle connections to origins, and how long one may have been idle to be used again: less than the origin states, less
@@ -34,44 +34,56 @@
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final Map<String, Learned> learned = new HashMap<>();
 
-    private final Predicate<Connection> isSilent;
+    private final Predicate<OriginConnection> isSilent;
 
     /** {@code isSilent}: looks whether anything has come on an idle connection. */
-    IdleConnections(final Predicate<Connection> isSilent) {
+    IdleConnections(final Predicate<OriginConnection> isSilent) {
         this.isSilent = isSilent;
     }
 
     /** {@code longest}: for how long the origin keeps it. */
-    private record Idle(Connection connection, long since, long longest) {}
+    private record Idle(OriginConnection connection, long since, long longest) {}
 
     private record Learned(long rest, long until) {}
 
     /** A connection to send on, and how long it has been idle. */
-    record Rested(Connection connection, long rest) {}
+    record Rested(OriginConnection connection, long rest) {}
 
-    /** The one that was used last, or null where none is fresh enough. {@code site} names one start of an origin. */
-    Rested take(final String site, final String service, final boolean repeatable, final long now) {
-        final ArrayDeque<Idle> all = idle.getOrDefault(site, new ArrayDeque<>());
-        for (Idle last = all.peekLast(); last != null; last = all.peekLast()) {
-            final long rest = now - last.since();
-            final boolean usable = !last.connection().isClosed()
-                    && rest < last.longest()
-                    && (rest <= SHORTEST_REST || rest < bound(service, now))
-                    && isSilent.test(last.connection());
-            if (usable && !repeatable && rest > REST_BEFORE_ONCE) {
+    /**
+     * The connection that was used last, or null where none is fresh enough and has not carried the request before.
+     *
+     * @param site names one start of an origin
+     * @param repeatable whether the request may be executed twice
+     */
+    Rested take(
+            final String site, final String service, final String requestId, final boolean repeatable, final long now) {
+        final Iterator<Idle> newestFirst =
+                idle.getOrDefault(site, new ArrayDeque<>()).descendingIterator();
+        while (newestFirst.hasNext()) {
+            final Idle next = newestFirst.next();
+            final long rest = now - next.since();
+            if (!isUsable(next, rest, service, now)) {
+                newestFirst.remove();
+                next.connection().close();
+            } else if (!repeatable && rest > REST_BEFORE_ONCE) {
                 return null;
+            } else if (!next.connection().hasSent(requestId)) {
+                newestFirst.remove();
+                return new Rested(next.connection(), rest);
             }
-            all.pollLast();
-            if (usable) {
-                return new Rested(last.connection(), rest);
-            }
-            last.connection().close();
         }
         return null;
     }
 
+    private boolean isUsable(final Idle candidate, final long rest, final String service, final long now) {
+        return !candidate.connection().isClosed()
+                && rest < candidate.longest()
+                && (rest <= SHORTEST_REST || rest < bound(service, now))
+                && isSilent.test(candidate.connection());
+    }
+
     /** {@code stated}: the origin's {@code Keep-Alive}, or null. */
-    void put(final String site, final Connection connection, final String stated, final long now) {
+    void put(final String site, final OriginConnection connection, final String stated, final long now) {
         final ArrayDeque<Idle> all = idle.computeIfAbsent(site, s -> new ArrayDeque<>());
         all.addLast(new Idle(connection, now, longest(stated)));
         if (all.size() > MOST_IDLE) {
--- a/server/src/test/java/org/rowanvalve/server/origin/ForgottenConnectionTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/ForgottenConnectionTest.java
@@ -43,6 +43,7 @@
     };
     private final HttpClient http = new HttpClient();
     private final AtomicInteger connections = new AtomicInteger();
+    private int requests;
     private volatile long forgetsAfter = Long.MAX_VALUE;
     private ServerSocket listener;
     private HttpOriginTransport port;
@@ -123,7 +124,7 @@
         final CompletableFuture<OriginTransport.OriginResponse> answer = new CompletableFuture<>();
         loop.execute(() -> port.send(
                 origin,
-                new OriginTransport.OutboundRequest("s", method, "/", "r", null, body, null, 20_000),
+                new OriginTransport.OutboundRequest("s", method, "/", "r" + ++requests, null, body, null, 20_000),
                 () -> true,
                 answer::complete));
         return answer.get(30, TimeUnit.SECONDS).result();
--- a/server/src/test/java/org/rowanvalve/server/origin/IdleConnectionsTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/IdleConnectionsTest.java
@@ -162,9 +162,10 @@
                     calls.add(method.getName());
                     return method.getReturnType() == boolean.class ? Boolean.FALSE : null;
                 });
-        final IdleConnections idle = new IdleConnections(looked -> looked != connection);
-        idle.put("site", connection, null, 0);
-        assertNull(idle.take("site", "s", true, 10));
+        final OriginConnection kept = new OriginConnection(connection);
+        final IdleConnections idle = new IdleConnections(looked -> looked != kept);
+        idle.put("site", kept, null, 0);
+        assertNull(idle.take("site", "s", "r", true, 10));
         assertEquals("close", calls.get(calls.size() - 1));
     }
 }
