Of several attempts of one process, a replica that copies keeps the latest

Cause: KeyedRecord.resolve kept the first attempt in the order of its list, so a copy could hold a refused attempt in place of the one in flight, and the late mark 'not sent' of the former would erase the last trace of the latter (class: TWICE). Change: the highest attempt number; a process begins an attempt only after its earlier ones were rejected.

--- a/common/src/main/java/org/rowanvalve/common/message/KeyedRecord.java
+++ b/common/src/main/java/org/rowanvalve/common/message/KeyedRecord.java
@@ -69,7 +69,10 @@
                 || notSent && !sameAttempt && !stored.token.isBelow(token);
     }
 
-    /** Merges several replicas' records of one key: an attempt counts as not sent only if no other attempt is known. */
+    /**
+     * Merges several replicas' records of one key: an attempt counts as not sent only if no other attempt is known. Of
+     * several attempts of one process the latest is kept, since the process began it after the earlier ones were rejected.
+     */
     public static KeyedRecord resolve(final Collection<KeyedRecord> replicaRecords) {
         final KeyedRecord highest = replicaRecords.stream()
                 .max(Comparator.comparing(KeyedRecord::token))
@@ -83,7 +86,7 @@
                 .or(() -> latest.stream()
                         .filter(keyedRecord -> !keyedRecord.notSent
                                 && latest.stream().noneMatch(c -> c.notSent && c.attemptId == keyedRecord.attemptId))
-                        .findFirst())
+                        .max(Comparator.comparingLong(KeyedRecord::attemptId)))
                 .or(() -> latest.stream().filter(KeyedRecord::notSent).findFirst())
                 .orElse(highest);
     }
