Steps of the time of day don't age the records of keys

Cause: KeyedRecordStore counted the window of a record, and how long a replica that lost its records stays incomplete, on the time of day. Change: the time of day is read once, at the start, and continued by the steady clock.

--- a/control/src/main/java/org/rowanvalve/control/record/KeyedRecordStore.java
+++ b/control/src/main/java/org/rowanvalve/control/record/KeyedRecordStore.java
@@ -53,7 +53,9 @@
     private static final long SWEEP_INTERVAL_MS = 1000;
     private static final int REMEMBERED_REQUESTERS = 64;
     private final EventLoop loop;
+    /** The time of day at the start of this process, continued by the steady clock: steps do not age records. */
     private final LongSupplier wallClock;
+
     private final MonitoredStorage storage;
     private final EventJournal journal;
     private final RecordRetention retention;
@@ -97,7 +99,8 @@
         final String name = self + "/" + boot;
         this.era = Hash.hash64(name) >>> 1;
         this.loop = loop;
-        this.wallClock = wallClock;
+        final long steadyToWallMs = wallClock.getAsLong() - loop.now();
+        this.wallClock = () -> loop.now() + steadyToWallMs;
         this.storage = storage;
         this.journal = journal;
         this.retention = retention;
