--- a/server/src/main/java/org/rowanvalve/server/http/ClientRequests.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientRequests.java
@@ -11,6 +11,9 @@
 
 /** Hands clients' requests to the edge, which hears of it when a client closes its connection before its response. */
 public final class ClientRequests {
+    /** The attribute of HTTP requests that were handed to the edge. */
+    private static final String SUBMITTED = ClientRequests.class.getName() + ".submitted";
+
     private final CoreEventLoop loop;
     private final Edge edge;
     private final long busyRetryAfterMs;
@@ -22,6 +25,11 @@
         this.busyRetryAfterMs = busyRetryAfterMs;
     }
 
+    /** Whether the request was handed to the edge, so that it may have been executed. */
+    static boolean wasSubmitted(final Request http) {
+        return http.getAttribute(SUBMITTED) != null;
+    }
+
     /** {@code http} has been read whole; {@code respond} is called once, also for a client that has left. */
     public void submit(final Request http, final ClientRequest request, final Consumer<ClientResponse> respond) {
         final Cancellation cancellation = new Cancellation(() -> ClientEndPoint.checkClose(http));
@@ -33,6 +41,7 @@
             cancellation.announce(CancelCause.CLIENT_LEFT);
             loop.execute(() -> cancellation.request(CancelCause.CLIENT_LEFT));
         });
+        http.setAttribute(SUBMITTED, Boolean.TRUE);
         if (!loop.offer(() -> edge.handle(request, cancellation, callback))) {
             callback.accept(ClientResponse.reject(503, "ring full", busyRetryAfterMs));
         }
