One type holds what is known of a request's execution, and alone makes refusals

Cause: EdgeRequest.abandon answered 'not executed' with a literal, also where a forward had ended without an answer and the next one waited for its delay. Class: a promise that is made from the place in the code, not from what is known of the request. Change: ExecutionKnowledge (NOT_SENT < MAY_HAVE_RUN < DONE) only rises; a send counts from before its first byte, an open one counts as MAY_HAVE_RUN. RequestFailure.toResponse is the only way to a response without an origin's own and asks it. Edge, shield and direct sends use it in place of booleans that were handed on.

--- a/data/src/main/java/org/rowanvalve/data/edge/Edge.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/Edge.java
@@ -132,11 +132,11 @@
             final ClientRequest request, final Cancellation cancellation, final Consumer<ClientResponse> callback) {
         lastRequestAt = loop.now();
         if (closed) {
-            callback.accept(ClientResponse.reject(503, "this node is leaving", 1000));
+            callback.accept(ClientResponse.notAccepted(503, "this node is leaving", 1000));
             return;
         }
         if (openRequests >= MAX_REQUESTS) {
-            callback.accept(ClientResponse.reject(503, "too many requests wait here", 1000));
+            callback.accept(ClientResponse.notAccepted(503, "too many requests wait here", 1000));
             return;
         }
         final ConfiguredRoute route =
@@ -144,12 +144,12 @@
         if (route == null) {
             callback.accept(
                     viewFresh.getAsBoolean()
-                            ? ClientResponse.reject(404, "no route takes this path", 0)
-                            : ClientResponse.reject(503, "the frame is not confirmed", 1000));
+                            ? ClientResponse.notAccepted(404, "no route takes this path", 0)
+                            : ClientResponse.notAccepted(503, "the frame is not confirmed", 1000));
             return;
         }
         if (!route.isUsable()) {
-            callback.accept(ClientResponse.reject(503, "the route does not fit its service", 1000));
+            callback.accept(ClientResponse.notAccepted(503, "the route does not fit its service", 1000));
             return;
         }
         openRequests++;
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -21,6 +21,8 @@
 import org.rowanvalve.data.request.ByteRange;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.data.request.ClientResponse;
+import org.rowanvalve.data.request.ExecutionKnowledge;
+import org.rowanvalve.data.request.RequestFailure;
 import org.rowanvalve.data.routing.ShardRouting;
 
 /**
@@ -28,7 +30,7 @@
  * a cached object joins a fill that another request has started, or starts one.
  */
 final class EdgeRequest {
-    static final String CLIENT_HAS_LEFT = "the client has left";
+    static final RequestFailure CLIENT_HAS_LEFT = new RequestFailure(503, "the client has left", 0);
     private static final long NOT_LEFT = -1;
     private static final int MAX_KEY_LENGTH = 128;
     /** Time reserved for returning the response if the client states a deadline, in ms. */
@@ -47,6 +49,7 @@
     private final long deadline;
     private final long marginMs;
     private final long startedAt;
+    private final ExecutionKnowledge knowledge = new ExecutionKnowledge();
     private final ShieldForwarding forwarding;
     private final long routeVersion;
     private final String service;
@@ -152,7 +155,7 @@
     void execute() {
         if (cancellation.isRequested()) {
             journal(EventCode.CLIENT_LEFT, "queue", "waitedMs", 0);
-            finish(ClientResponse.reject(503, CLIENT_HAS_LEFT, 0));
+            fail(CLIENT_HAS_LEFT);
             return;
         }
         cancellation.onRequest(this::onClientLeft);
@@ -215,12 +218,12 @@
     /**
      * Cancels the forwards in progress, because no client waits for the response any more. An at-most-once request that a
      * shield has received ends with the outcome that the shield reports, since only the shield knows whether the request was
-     * sent to an origin.
+     * sent to an origin. Between two forwards the request ends at once.
      */
     void abandon() {
         forwarding.cancelOpenForwards(CancelCause.CLIENT_LEFT);
         if (!isAtMostOnce() || !forwarding.isUnderWay()) {
-            finishAll(ClientResponse.reject(503, CLIENT_HAS_LEFT, 0), false);
+            failAll(CLIENT_HAS_LEFT);
         }
     }
 
@@ -230,10 +233,19 @@
     }
 
     private boolean reject(final int status, final String reason, final long retryAfterMs) {
-        finish(ClientResponse.reject(status, reason, retryAfterMs));
+        fail(new RequestFailure(status, reason, retryAfterMs));
         return true;
     }
 
+    /** What is known about the execution of this request. */
+    ExecutionKnowledge knowledge() {
+        return knowledge;
+    }
+
+    private void fail(final RequestFailure failure) {
+        finish(failure.toResponse(knowledge, isAtMostOnce()));
+    }
+
     private void finish(final ClientResponse response) {
         if (!finished) {
             finished = true;
@@ -280,7 +292,7 @@
         if (route.route().anyShield()
                 && !hasMode(RouteMode.KEYED)
                 && edge.routing().isWithoutQuorum()) {
-            forwarding.passThrough(ClientResponse.reject(503, "the frame is not confirmed", 500));
+            forwarding.passThrough(new RequestFailure(503, "the frame is not confirmed", 500));
             return true;
         }
         return route.route().anyShield() && hasMode(RouteMode.KEYED)
@@ -377,7 +389,7 @@
             if (hasMode(RouteMode.CACHED)) {
                 takeWaiters().forEach(waiter -> waiter.finish(ByteRange.apply(response, waiter.request.range())));
             } else {
-                finishAll(response, false);
+                respondToAll(response);
             }
             return true;
         }
@@ -418,21 +430,18 @@
                 : null;
     }
 
-    /**
-     * Answers all waiting requests.
-     *
-     * @param mayHaveRun whether an earlier attempt may have reached an origin; a rejection of an at-most-once request must
-     *     then not claim that the request was not executed
-     */
-    void finishAll(final ClientResponse response, final boolean mayHaveRun) {
-        final ClientResponse finalResponse = mayHaveRun && isAtMostOnce() && response.fate() == RequestOutcome.REFUSED
-                ? ClientResponse.unknownOutcome("an earlier way may have sent it")
-                : response;
+    /** Ends all waiting requests without an origin's response. */
+    void failAll(final RequestFailure failure) {
+        respondToAll(failure.toResponse(knowledge, isAtMostOnce()));
+    }
+
+    /** Answers all waiting requests; those that would get no origin's response get a stale copy if there is one. */
+    private void respondToAll(final ClientResponse response) {
         final List<EdgeRequest> waiters = takeWaiters();
-        final CachedResponse stale = finalResponse.fate() == RequestOutcome.DONE ? null : staleCopy();
+        final CachedResponse stale = response.fate() == RequestOutcome.DONE ? null : staleCopy();
         waiters.forEach(waiter -> {
             if (stale == null) {
-                waiter.finish(finalResponse);
+                waiter.finish(response);
             } else {
                 waiter.respondFrom(stale, "late");
             }
--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -21,7 +21,8 @@
 import org.rowanvalve.data.origin.OriginRequest;
 import org.rowanvalve.data.origin.OriginTransport;
 import org.rowanvalve.data.request.ClientRequest;
-import org.rowanvalve.data.request.ClientResponse;
+import org.rowanvalve.data.request.ExecutionKnowledge;
+import org.rowanvalve.data.request.RequestFailure;
 import org.rowanvalve.data.routing.ShardRouting;
 
 /**
@@ -62,8 +63,6 @@
     private final Map<Long, NodeId> openForwards = new LinkedHashMap<>();
 
     private final DirectForwarding direct;
-    /** Whether an attempt without a reported outcome may have sent the request to an origin. */
-    private boolean mayHaveRun;
 
     ShieldForwarding(final Edge edge, final EdgeRequest request) {
         this.edge = edge;
@@ -107,8 +106,8 @@
         return route.route().anyShield();
     }
 
-    private void finish(final ClientResponse response) {
-        request.finishAll(response, mayHaveRun);
+    private void finish(final RequestFailure failure) {
+        request.failAll(failure);
         cancelOpenForwards(CancelCause.ANSWERED);
     }
 
@@ -116,20 +115,20 @@
         if (mayUseAnyShield()
                 && !hasMode(RouteMode.KEYED)
                 && !(hasMode(RouteMode.CACHED) && clientRequest.method().equals("GET"))) {
-            passThrough(ClientResponse.reject(503, "no shield is heard of", 300));
+            passThrough(new RequestFailure(503, "no shield is heard of", 300));
         } else {
-            forwardToHolder(ClientResponse.reject(503, "no attempt is left", 1000));
+            forwardToHolder(new RequestFailure(503, "no attempt is left", 1000));
         }
     }
 
     /**
      * Forwards the request to the lease holder of its shard.
      *
-     * @param lastResponse the response to the client if no attempt is left
+     * @param lastFailure how the request ends if no attempt is left
      */
-    private void forwardToHolder(final ClientResponse lastResponse) {
+    private void forwardToHolder(final RequestFailure lastFailure) {
         if (!attempts.anyLeft() && !hasMode(RouteMode.KEYED)) {
-            finish(lastResponse);
+            finish(lastFailure);
             return;
         }
         final int shard = ShardRouting.shardOf(
@@ -140,7 +139,7 @@
                 edge.routing().regionCount(),
                 edge.routing().region());
         if (shard >= edge.view().plan().assignments().size()) {
-            onNoHolder(ClientResponse.reject(503, "no plan is known yet", 500));
+            onNoHolder(new RequestFailure(503, "no plan is known yet", 500));
             return;
         }
         final PlacementPlan.Assignment assignment =
@@ -148,7 +147,7 @@
         edge.recordToken(shard, assignment.token());
         if (!edge.routing().isHeard(assignment.ownerId())
                 || mayUseAnyShield() && edge.routing().silenceMs(assignment.ownerId()) > MAX_SILENCE_MS) {
-            onNoHolder(ClientResponse.reject(503, "the holder is not heard of", 1000));
+            onNoHolder(new RequestFailure(503, "the holder is not heard of", 1000));
             return;
         }
         requestsSent++;
@@ -173,13 +172,14 @@
             final long timeoutMs,
             final Consumer<Reply> callback) {
         if (request.finished() || request.isAbandoned()) {
-            finish(ClientResponse.reject(503, EdgeRequest.CLIENT_HAS_LEFT, 0));
+            finish(EdgeRequest.CLIENT_HAS_LEFT);
             return;
         }
         final boolean isRetry = attempts.anyUsed();
         final Forward forward = new Forward(request, attempts, shield);
         final long serial = edge.openForward(forward);
         openForwards.put(serial, shield);
+        request.knowledge().beginSend();
         edge.transport()
                 .request(
                         shield,
@@ -188,6 +188,7 @@
                         reply -> {
                             edge.closeForward(serial);
                             openForwards.remove(serial);
+                            request.knowledge().endSend(executionLevel(reply));
                             if (reply.failure() == Reply.Failure.NO_RESPONSE) {
                                 edge.sendCancel(shield, serial, CancelCause.ANSWERED);
                             }
@@ -257,7 +258,7 @@
             if (edge.routing().silenceMs(shield) > MAX_SILENCE_MS
                     && now() - sentAt > 2 * WATCH_INTERVAL_MS
                     && attempts.anyLeft()) {
-                passThrough(ClientResponse.reject(503, "the shield is silent", 100));
+                passThrough(new RequestFailure(503, "the shield is silent", 100));
             } else {
                 watchShield(shield, sentAt, answered);
             }
@@ -265,7 +266,7 @@
     }
 
     /** Forwards the request to any shield, for requests that need no lease or whose lease holder cannot fill the object. */
-    void passThrough(final ClientResponse fallback) {
+    void passThrough(final RequestFailure fallback) {
         passingThrough = true;
         final NodeId shield = edge.routing().nearestShields().stream()
                 .filter(id -> !askedShields.contains(id) && edge.routing().silenceMs(id) <= MAX_SILENCE_MS)
@@ -300,15 +301,16 @@
     }
 
     /** Sends the request from this node to an origin, because no shield is reachable. */
-    private void sendDirectly(final ClientResponse fallback) {
+    private void sendDirectly(final RequestFailure fallback) {
+        request.knowledge().beginSend();
         direct.send(completion -> {
+            request.knowledge().endSend(completion.executionLevel());
             if (completion.response().result() == OriginTransport.ExchangeResult.COMPLETE) {
                 deliver(now(), DirectForwarding.completed(completion.response()));
             } else {
-                mayHaveRun |= completion.mayHaveRun();
                 finish(
                         completion.mayHaveRun()
-                                ? ClientResponse.unknownOutcome(
+                                ? RequestFailure.unanswered(
                                         completion.response().reason())
                                 : fallback);
             }
@@ -321,14 +323,13 @@
             return;
         }
         final ForwardResponse filled = reply.as(ForwardResponse.class).orElse(null);
-        recordUncertainty(reply, filled);
         if (filled == null) {
             if (reply.failure() == Reply.Failure.NOT_SENT) {
-                passThrough(ClientResponse.reject(503, "no shield can be reached", 300));
+                passThrough(new RequestFailure(503, "no shield can be reached", 300));
             } else if (!hasMode(RouteMode.AT_MOST_ONCE)) {
-                passThrough(ClientResponse.unknownOutcome("no shield answered"));
+                passThrough(RequestFailure.unanswered("no shield answered"));
             } else {
-                finish(ClientResponse.unknownOutcome("the shield did not answer"));
+                finish(RequestFailure.unanswered("the shield did not answer"));
             }
         } else if (filled.fate() == RequestOutcome.DONE) {
             deliver(now(), filled);
@@ -336,25 +337,34 @@
                 && filled.status() == 503
                 && filled.retryAfterMs() == 500
                 && askedShields.size() < 3) {
-            passThrough(ClientResponse.reject(filled.status(), filled.reason(), filled.retryAfterMs()));
+            passThrough(new RequestFailure(filled.status(), filled.reason(), filled.retryAfterMs()));
         } else if (openPassThroughs == 0) {
             finish(
                     filled.fate() == RequestOutcome.REFUSED
-                            ? ClientResponse.reject(filled.status(), filled.reason(), filled.retryAfterMs())
-                            : ClientResponse.unknownOutcome(filled.reason()));
+                            ? new RequestFailure(filled.status(), filled.reason(), filled.retryAfterMs())
+                            : RequestFailure.unanswered(filled.reason()));
         }
     }
 
-    private void recordUncertainty(final Reply reply, final ForwardResponse filled) {
-        mayHaveRun |= filled == null && reply.failure() != Reply.Failure.NOT_SENT
-                || filled != null && filled.fate() == RequestOutcome.UNKNOWN;
+    /** What a shield's response, or its absence, says about the execution of the request. */
+    private static ExecutionKnowledge.Level executionLevel(final Reply reply) {
+        if (reply.failure() == Reply.Failure.NOT_SENT) {
+            return ExecutionKnowledge.Level.NOT_SENT;
+        }
+        return reply.as(ForwardResponse.class)
+                .map(response -> switch (response.fate()) {
+                    case DONE -> ExecutionKnowledge.Level.DONE;
+                    case REFUSED -> ExecutionKnowledge.Level.NOT_SENT;
+                    case UNKNOWN -> ExecutionKnowledge.Level.MAY_HAVE_RUN;
+                })
+                .orElse(ExecutionKnowledge.Level.MAY_HAVE_RUN);
     }
 
     /**
      * Handles the absence of a usable lease holder: a read is passed through and a keyed request is retried if the route
      * permits any shield.
      */
-    private void onNoHolder(final ClientResponse fallback) {
+    private void onNoHolder(final RequestFailure fallback) {
         if (!passingThrough && mayUseAnyShield() && hasMode(RouteMode.CACHED)) {
             passThrough(fallback);
         } else if (mayUseAnyShield() && hasMode(RouteMode.KEYED)) {
@@ -369,7 +379,6 @@
             return;
         }
         final ForwardResponse filled = reply.as(ForwardResponse.class).orElse(null);
-        recordUncertainty(reply, filled);
         if (filled == null) {
             onMissingHolderResponse(reply.failure());
         } else if (filled.fate() == RequestOutcome.REFUSED) {
@@ -379,7 +388,7 @@
         } else {
             edge.recordToken(shard, filled.token());
             if (filled.fate() == RequestOutcome.UNKNOWN) {
-                finish(ClientResponse.unknownOutcome(filled.reason()));
+                finish(RequestFailure.unanswered(filled.reason()));
             } else {
                 deliver(sentAt, filled);
             }
@@ -387,9 +396,9 @@
     }
 
     private void onMissingHolderResponse(final Reply.Failure failure) {
-        final ClientResponse uncertain = ClientResponse.unknownOutcome("the holder did not answer");
+        final RequestFailure uncertain = RequestFailure.unanswered("the holder did not answer");
         if (failure == Reply.Failure.NOT_SENT) {
-            retry(ClientResponse.reject(503, "the holder cannot be reached", 1000));
+            retry(new RequestFailure(503, "the holder cannot be reached", 1000));
         } else if (mayUseAnyShield() && hasMode(RouteMode.CACHED)) {
             onNoHolder(uncertain);
         } else if (mayUseAnyShield()) {
@@ -400,15 +409,15 @@
     }
 
     private void onRefused(final ForwardResponse filled) {
-        final ClientResponse response = ClientResponse.reject(filled.status(), filled.reason(), filled.retryAfterMs());
+        final RequestFailure failure = new RequestFailure(filled.status(), filled.reason(), filled.retryAfterMs());
         if (!attempts.anyLeft() && openPassThroughs == 0) {
-            finish(response);
+            finish(failure);
         } else if (filled.status() == 503 && filled.retryAfterMs() <= 500) {
-            retry(response);
+            retry(failure);
         } else if (filled.status() == 503 && !OriginDispatch.noNodeCanSend(filled.reason())) {
-            onNoHolder(response);
+            onNoHolder(failure);
         } else {
-            finish(response);
+            finish(failure);
         }
     }
 
@@ -423,9 +432,9 @@
                         "known",
                         edge.highestToken(shard).toString()));
         if (hasMode(RouteMode.KEYED)) {
-            finish(ClientResponse.unknownOutcome("the answer came from an earlier holder"));
+            finish(RequestFailure.unanswered("the answer came from an earlier holder"));
         } else {
-            retry(ClientResponse.reject(503, "the answer came from an earlier holder", 500));
+            retry(new RequestFailure(503, "the answer came from an earlier holder", 500));
         }
     }
 
@@ -433,7 +442,7 @@
         if (request.onFilled(sentAt, filled)) {
             cancelOpenForwards(CancelCause.ANSWERED);
         } else {
-            retry(ClientResponse.reject(503, "purged while it was filled", 500));
+            retry(new RequestFailure(503, "purged while it was filled", 500));
         }
     }
 
@@ -441,12 +450,12 @@
      * Retries a rejection that a newer placement plan may resolve, after a short delay. Requests are retried at most twice,
      * keyed requests for a fraction of their time-out.
      */
-    private void retry(final ClientResponse lastResponse) {
+    private void retry(final RequestFailure lastFailure) {
         if (request.finished() || request.handOver()) {
             return;
         }
         if (request.isAbandoned()) {
-            finish(lastResponse);
+            finish(lastFailure);
             return;
         }
         final boolean mayRetryKeyed = mayUseAnyShield()
@@ -455,15 +464,15 @@
         final long delayMs = 60L * Math.max(1, Math.min(4, requestsSent));
         final boolean isRead = mayUseAnyShield() && hasMode(RouteMode.CACHED) && !passingThrough;
         if (isRead && now() + delayMs - request.startedAt() > maxHolderWaitMs()) {
-            passThrough(lastResponse);
+            passThrough(lastFailure);
         } else if (requestsSent >= MAX_HOLDER_REQUESTS && !mayRetryKeyed || now() + delayMs + 200 >= deadline) {
             if (isRead) {
-                passThrough(lastResponse);
+                passThrough(lastFailure);
             } else {
-                finish(lastResponse);
+                finish(lastFailure);
             }
         } else {
-            edge.loop().schedule(delayMs, () -> forwardToHolder(lastResponse));
+            edge.loop().schedule(delayMs, () -> forwardToHolder(lastFailure));
         }
     }
 
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
@@ -5,6 +5,7 @@
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.control.config.Origin;
+import org.rowanvalve.data.request.ExecutionKnowledge;
 
 /** One exchange with one origin, from the last check of the lease until the response or the end of the connection. */
 final class OriginAttempt {
@@ -103,6 +104,9 @@
                 && origin.isSameProcess(
                         dispatcher.view().liveOrigins(request.service(), now).get(originId))
                 && now < request.deadline();
+        if (mayHaveBeenSent) {
+            dispatch.knowledge().beginSend();
+        }
         return mayHaveBeenSent;
     }
 
@@ -127,6 +131,7 @@
             return;
         }
         final OriginTransport.OriginResponse validated = validate(response);
+        recordExecution(executionLevel(validated.result()));
         if (validated.result() == OriginTransport.ExchangeResult.INVALID
                 || validated.result() == OriginTransport.ExchangeResult.WRONG_INSTANCE) {
             final EventCode code = validated.result() == OriginTransport.ExchangeResult.INVALID
@@ -143,6 +148,22 @@
         dispatcher.drainQueue(request.service());
     }
 
+    private static ExecutionKnowledge.Level executionLevel(final OriginTransport.ExchangeResult result) {
+        return switch (result) {
+            case COMPLETE -> ExecutionKnowledge.Level.DONE;
+            case LOST, INVALID -> ExecutionKnowledge.Level.MAY_HAVE_RUN;
+            case NOT_SENT, NOT_EXECUTED, NOT_PERMITTED, WRONG_INSTANCE -> ExecutionKnowledge.Level.NOT_SENT;
+        };
+    }
+
+    private void recordExecution(final ExecutionKnowledge.Level level) {
+        if (mayHaveBeenSent) {
+            dispatch.knowledge().endSend(level);
+        } else {
+            dispatch.knowledge().raise(level);
+        }
+    }
+
     private OriginTransport.OriginResponse validate(final OriginTransport.OriginResponse response) {
         final String error = response.result() == OriginTransport.ExchangeResult.COMPLETE
                 ? dispatcher.originTransport().error(origin, sent, response)
@@ -171,6 +192,7 @@
             exchange.abort();
         }
         if (mayHaveBeenSent) {
+            recordExecution(ExecutionKnowledge.Level.MAY_HAVE_RUN);
             withdrawFailure();
             final long slotTakenMs = dispatcher
                     .load()
@@ -193,9 +215,9 @@
     void abort() {
         if (closeOnce(false, OriginTransport.Load.NONE)) {
             exchange.abort();
+            recordExecution(ExecutionKnowledge.Level.MAY_HAVE_RUN);
             dispatch.finish(
                     OriginTransport.OriginResponse.failure(OriginTransport.ExchangeResult.LOST, "right to send ended"),
-                    true,
                     dispatcher.loop().now(),
                     RETRY_AFTER_ABORT_MS);
         }
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
@@ -15,6 +15,7 @@
 import org.rowanvalve.control.config.Origin;
 import org.rowanvalve.control.config.Service;
 import org.rowanvalve.data.cancel.Cancellation;
+import org.rowanvalve.data.request.ExecutionKnowledge;
 
 /**
  * Sends one request to origins of its service until one has responded. It chooses the next origin, waits for a slot
@@ -41,7 +42,7 @@
     private final long startedAt;
     private boolean finished;
     private boolean creditedFirst;
-    private boolean mayHaveRun;
+    private final ExecutionKnowledge knowledge = new ExecutionKnowledge();
     private int unreachable;
     /** The number of origins that may have received the request. */
     private int reached;
@@ -76,6 +77,11 @@
         return finished;
     }
 
+    /** What is known about the execution of the request through this node. */
+    ExecutionKnowledge knowledge() {
+        return knowledge;
+    }
+
     private EventLoop loop() {
         return dispatcher.loop();
     }
@@ -114,10 +120,11 @@
         if (anySent && request.whenCancelled() == OriginRequest.WhenCancelled.FINISH_SENT) {
             return;
         }
-        final boolean mayRun = mayHaveRun || anySent;
-        final OriginTransport.ExchangeResult result =
-                mayRun ? OriginTransport.ExchangeResult.LOST : OriginTransport.ExchangeResult.NOT_SENT;
-        finish(OriginTransport.OriginResponse.failure(result, CANCELLED), mayRun, loop().now(), 0);
+        finish(OriginTransport.OriginResponse.failure(failureResult(), CANCELLED), loop().now(), 0);
+    }
+
+    private OriginTransport.ExchangeResult failureResult() {
+        return knowledge.mayHaveRun() ? OriginTransport.ExchangeResult.LOST : OriginTransport.ExchangeResult.NOT_SENT;
     }
 
     private void journalCancelled(final boolean anySent) {
@@ -161,15 +168,11 @@
         });
     }
 
-    void finish(
-            final OriginTransport.OriginResponse response,
-            final boolean mayRun,
-            final long sentAt,
-            final long retryAfterMs) {
+    void finish(final OriginTransport.OriginResponse response, final long sentAt, final long retryAfterMs) {
         if (!finished) {
             finished = true;
             cancelOpenAttempts();
-            callback.accept(new OriginDispatcher.Completion(response, mayRun, sentAt, retryAfterMs));
+            callback.accept(new OriginDispatcher.Completion(response, knowledge.mayHaveRun(), sentAt, retryAfterMs));
         }
     }
 
@@ -202,9 +205,7 @@
 
     private void finishIfNothingPending(final String reason, final long retryAfterMs) {
         if (openAttempts.isEmpty() && pendingAttempts == 0) {
-            final OriginTransport.ExchangeResult end =
-                    mayHaveRun ? OriginTransport.ExchangeResult.LOST : OriginTransport.ExchangeResult.NOT_SENT;
-            finish(OriginTransport.OriginResponse.failure(end, reason), mayHaveRun, loop().now(), retryAfterMs);
+            finish(OriginTransport.OriginResponse.failure(failureResult(), reason), loop().now(), retryAfterMs);
         }
     }
 
@@ -359,7 +360,6 @@
         final boolean atMostOnce = request.atMostOnce();
         final boolean mayRun = response.result() == OriginTransport.ExchangeResult.LOST
                 || response.result() == OriginTransport.ExchangeResult.INVALID;
-        mayHaveRun |= mayRun;
         if (response.result() == OriginTransport.ExchangeResult.WRONG_INSTANCE) {
             dispatcher.load().onInstanceEnded(id, origin);
         }
@@ -368,7 +368,7 @@
             dispatcher.load().onFailure(id, loop().now());
         }
         if (response.result() == OriginTransport.ExchangeResult.COMPLETE || mayRun && atMostOnce) {
-            finish(response, true, sentAt, 0);
+            finish(response, sentAt, 0);
         } else if (response.result() == OriginTransport.ExchangeResult.NOT_SENT) {
             onUnreachable(response, sentAt);
         } else {
@@ -438,7 +438,6 @@
         if (openAttempts.isEmpty() && pendingAttempts == 0) {
             finish(
                     response,
-                    mayHaveRun,
                     sentAt,
                     response.result() == OriginTransport.ExchangeResult.NOT_EXECUTED
                             ? RETRY_AFTER_BUSY_MS
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
@@ -21,6 +21,7 @@
 import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.control.placement.PlacementPlan;
 import org.rowanvalve.data.limit.RetryBudget;
+import org.rowanvalve.data.request.ExecutionKnowledge;
 import org.rowanvalve.data.settings.NodeSettings;
 
 /** Sends every origin request of this node. The lease is checked right before a request is written. */
@@ -49,7 +50,15 @@
      * @param mayHaveRun whether the request may have reached an origin and been executed
      */
     public record Completion(
-            OriginTransport.OriginResponse response, boolean mayHaveRun, long sentAt, long retryAfterMs) {}
+            OriginTransport.OriginResponse response, boolean mayHaveRun, long sentAt, long retryAfterMs) {
+        /** What the end says about the execution of the request. */
+        public ExecutionKnowledge.Level executionLevel() {
+            if (response.result() == OriginTransport.ExchangeResult.COMPLETE) {
+                return ExecutionKnowledge.Level.DONE;
+            }
+            return mayHaveRun ? ExecutionKnowledge.Level.MAY_HAVE_RUN : ExecutionKnowledge.Level.NOT_SENT;
+        }
+    }
 
     /**
      * What this node knows of the cluster.
--- a/data/src/main/java/org/rowanvalve/data/origin/package-info.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/package-info.java
@@ -4,6 +4,6 @@
  * the request is written. This package keeps the load statistics of each origin, in memory only.
  *
  * <p>Depends on {@code control.config}, {@code control.lease}, {@code control.placement}, {@code data.cancel},
- * {@code data.limit} and {@code data.settings}.
+ * {@code data.limit}, {@code data.request} and {@code data.settings}.
  */
 package org.rowanvalve.data.origin;
--- a/data/src/main/java/org/rowanvalve/data/request/ClientResponse.java
+++ b/data/src/main/java/org/rowanvalve/data/request/ClientResponse.java
@@ -19,16 +19,21 @@
     }
 
     /**
-     * Creates a response to a request that was not executed and never will be.
+     * Creates a response to a request that was not handed to an edge, or that its edge did not accept.
      *
      * @param retryMs the delay after which the client should retry, in ms
      */
-    public static ClientResponse reject(final int status, final String reason, final long retryMs) {
+    public static ClientResponse notAccepted(final int status, final String reason, final long retryMs) {
+        return reject(status, reason, retryMs);
+    }
+
+    /** Creates a response to a request that was not executed and never will be; see {@link RequestFailure}. */
+    static ClientResponse reject(final int status, final String reason, final long retryMs) {
         return create(status, RequestOutcome.REFUSED, reason, retryMs);
     }
 
-    /** Creates a 504 response to a request that may or may not have been executed. */
-    public static ClientResponse unknownOutcome(final String reason) {
+    /** Creates a 504 response to a request that may or may not have been executed; see {@link RequestFailure}. */
+    static ClientResponse unknownOutcome(final String reason) {
         return create(504, RequestOutcome.UNKNOWN, reason, 0);
     }
 
--- a/server/src/main/java/org/rowanvalve/server/http/ClientHandler.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientHandler.java
@@ -27,16 +27,16 @@
     @Override
     public boolean handle(final Request req, final Response res, final Callback done) {
         if (HeaderLimit.over(req, edge.limits())) {
-            send(res, done, ClientResponse.reject(431, "head over the limit", 0));
+            send(res, done, ClientResponse.notAccepted(431, "head over the limit", 0));
             return true;
         }
         if (req.getLength() > LIMIT) {
-            send(res, done, ClientResponse.reject(413, "body over the limit", 0));
+            send(res, done, ClientResponse.notAccepted(413, "body over the limit", 0));
             return true;
         }
         RequestBody.read(req, LIMIT).whenComplete((body, trouble) -> {
             if (trouble != null) {
-                send(res, done, ClientResponse.reject(413, "body over the limit or cut short", 0));
+                send(res, done, ClientResponse.notAccepted(413, "body over the limit or cut short", 0));
                 return;
             }
             final ClientRequest request = new ClientRequest(
--- a/server/src/main/java/org/rowanvalve/server/http/ClientRequests.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientRequests.java
@@ -43,7 +43,7 @@
         });
         http.setAttribute(SUBMITTED, Boolean.TRUE);
         if (!loop.offer(() -> edge.handle(request, cancellation, callback))) {
-            callback.accept(ClientResponse.reject(503, "ring full", busyRetryAfterMs));
+            callback.accept(ClientResponse.notAccepted(503, "ring full", busyRetryAfterMs));
         }
     }
 }
