A request that an earlier holder ran is not forwarded to the next one

Cause: an answer with a token below the known one was followed by another forward for every route but keyed ones. A request of an at-most-once route under a lease could so run at two holders (class: TWICE; the product's own interface only, the users' platform has no such routes). Change: for each at-most-once request such an answer ends it, outcome unknown.

--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -431,7 +431,7 @@
                         filled.token().toString(),
                         "known",
                         edge.highestToken(shard).toString()));
-        if (hasMode(RouteMode.KEYED)) {
+        if (request.isAtMostOnce()) {
             finish(RequestFailure.unanswered("the answer came from an earlier holder"));
         } else {
             retry(new RequestFailure(503, "the answer came from an earlier holder", 500));
