Events of one key from try to answer, and a command that prints them

RV1606 (edge: answer and what it knows), RV1709 (intent written), RV1710 (exchange with an origin ended, sent or not), RV1711 (attempt ended at its holder) complete RV1703, RV1801 to RV1803. 'rwtestkit trace NAME FILE...' prints a key or a request from JSON logs in order of time. Text logs have the new events at debug level, as other frequent ones. Counters on a metrics port are left (ROADMAP).

--- a/common/src/main/java/org/rowanvalve/common/event/EventCode.java
+++ b/common/src/main/java/org/rowanvalve/common/event/EventCode.java
@@ -52,6 +52,7 @@
     TOKEN_LOW(1603, "response with a low token rejected"),
     VIEW_WAITING(1604, "view still not confirmed"),
     SHIELD_BEHIND(1605, "shield does not know the route's version yet"),
+    REQUEST_ENDED(1606, "at-most-once request answered"),
     ORIGIN_STRANGE(1701, "origin identity mismatch, connection dropped"),
     ORIGIN_BAD(1702, "origin response rejected"),
     ORIGIN_SEND(1703, "request sent to origin"),
@@ -60,6 +61,9 @@
     ORIGIN_LEFT(1706, "origin draining"),
     RECORDS_COPIED(1707, "keyed records copied from other replicas"),
     RECORDS_BAD(1708, "page of keyed records with a wrong checksum, requested again"),
+    INTENT_WRITTEN(1709, "write of an intent ended"),
+    ORIGIN_ENDED(1710, "exchange of an at-most-once request ended"),
+    KEYED_ENDED(1711, "attempt of a keyed request ended"),
     CLIENT_LEFT(1801, "client left before its response"),
     WORK_ENDED(1802, "work ended after its client had left"),
     CANCELLED(1803, "work on a request cancelled");
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -252,10 +252,31 @@
             if (leftAt != NOT_LEFT) {
                 journal(EventCode.WORK_ENDED, place(), "afterMs", now() - leftAt);
             }
+            if (isAtMostOnce()) {
+                journalEnd(response);
+            }
             callback.accept(response);
         }
     }
 
+    private void journalEnd(final ClientResponse response) {
+        edge.journal()
+                .add(Event.of(
+                        EventCode.REQUEST_ENDED,
+                        "request",
+                        request.requestId(),
+                        "key",
+                        request.key() == null ? "" : request.key(),
+                        "route",
+                        route.name(),
+                        "status",
+                        response.status(),
+                        "fate",
+                        response.fate().code(),
+                        "executed",
+                        knowledge.level().name()));
+    }
+
     private boolean runStep(final Edge.Step step) {
         final boolean isKeyed = hasMode(RouteMode.KEYED);
         return switch (step) {
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -253,6 +253,13 @@
         entry.attemptId = KeyedRecord.attemptId(reader, ++attemptSerial);
         entry.foreignRecord = null;
         writeRecord(shard, recordOf(shard, key, entry, false), INTENT_TIMEOUT_MILLIS, result -> {
+            journalAttempt(
+                    EventCode.INTENT_WRITTEN,
+                    shard,
+                    key,
+                    entry,
+                    "result",
+                    result.status().name());
             if (entry.foreignRecord != null) {
                 yieldToForeign(shard, entry);
             } else if (result.status() == RecordWrite.Status.OUTRANKED) {
@@ -324,11 +331,39 @@
         entry.respond(response);
     }
 
+    private void journalAttempt(
+            final EventCode code,
+            final KeyedShard shard,
+            final String key,
+            final KeyedEntry entry,
+            final String factName,
+            final String fact) {
+        journal.add(Event.of(
+                code,
+                "shard",
+                shard.number(),
+                "token",
+                shard.token().toString(),
+                "key",
+                key,
+                "attempt",
+                entry.attemptId,
+                factName,
+                fact));
+    }
+
     private void onCompletion(
             final KeyedShard shard,
             final String key,
             final KeyedEntry entry,
             final OriginDispatcher.Completion completion) {
+        journalAttempt(
+                EventCode.KEYED_ENDED,
+                shard,
+                key,
+                entry,
+                "executed",
+                completion.executionLevel().name());
         final OriginTransport.OriginResponse originResponse = completion.response();
         if (originResponse.result() == OriginTransport.ExchangeResult.COMPLETE) {
             entry.outcome = new KeyedOutcome(
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
@@ -132,6 +132,9 @@
         }
         final OriginTransport.OriginResponse validated = validate(response);
         recordExecution(executionLevel(validated.result()));
+        if (request.atMostOnce()) {
+            journalEnd(validated.result(), validated.reason());
+        }
         if (validated.result() == OriginTransport.ExchangeResult.INVALID
                 || validated.result() == OriginTransport.ExchangeResult.WRONG_INSTANCE) {
             final EventCode code = validated.result() == OriginTransport.ExchangeResult.INVALID
@@ -156,6 +159,25 @@
         };
     }
 
+    private void journalEnd(final OriginTransport.ExchangeResult result, final String reason) {
+        dispatcher
+                .journal()
+                .add(Event.of(
+                        EventCode.ORIGIN_ENDED,
+                        "request",
+                        sent.requestId(),
+                        "key",
+                        sent.key() == null ? "" : sent.key(),
+                        "origin",
+                        originId.name(),
+                        "result",
+                        result.name(),
+                        "sent",
+                        mayHaveBeenSent,
+                        "why",
+                        reason));
+    }
+
     private void recordExecution(final ExecutionKnowledge.Level level) {
         if (mayHaveBeenSent) {
             dispatch.knowledge().endSend(level);
@@ -216,6 +238,9 @@
         if (closeOnce(false, OriginTransport.Load.NONE)) {
             exchange.abort();
             recordExecution(ExecutionKnowledge.Level.MAY_HAVE_RUN);
+            if (request.atMostOnce()) {
+                journalEnd(OriginTransport.ExchangeResult.LOST, "right to send ended");
+            }
             dispatch.finish(
                     OriginTransport.OriginResponse.failure(OriginTransport.ExchangeResult.LOST, "right to send ended"),
                     dispatcher.loop().now(),
--- a/server/src/main/java/org/rowanvalve/server/log/EventLog.java
+++ b/server/src/main/java/org/rowanvalve/server/log/EventLog.java
@@ -27,6 +27,10 @@
             EventCode.ORIGIN_SEND,
             EventCode.ACCEPTED,
             EventCode.SHIELD_BEHIND,
+            EventCode.REQUEST_ENDED,
+            EventCode.INTENT_WRITTEN,
+            EventCode.ORIGIN_ENDED,
+            EventCode.KEYED_ENDED,
             EventCode.CLIENT_LEFT,
             EventCode.WORK_ENDED,
             EventCode.CANCELLED);
--- a/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
@@ -14,6 +14,7 @@
 import org.rowanvalve.testkit.fleet.Fleet;
 import org.rowanvalve.testkit.fleet.FleetScenarioRunner;
 import org.rowanvalve.testkit.judge.Judge;
+import org.rowanvalve.testkit.log.RequestTrace;
 import org.rowanvalve.testkit.log.RunLog;
 import org.rowanvalve.testkit.origin.StandInBackend;
 import org.rowanvalve.testkit.origin.StandInOrigin;
@@ -36,6 +37,7 @@
           pairs PLACE      every two troubles on top of each other, for each seed
           fleet WHAT       the same on processes; without --troubles a quiet day
           judge FILE...    rules on logs
+          trace NAME FILE...   what JSON logs say of a key or a request, in order of time
           scale N,N,...    hollow nodes beside real electors, in steps of size: what each costs
           soak PLACE       PLACE: stores or shields; series of signals, losses and changes on processes, drawn from the seed
           origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
@@ -97,6 +99,7 @@
             case "pairs" -> System.exit(pairs(w.get(1), options));
             case "fleet" -> System.exit(fleet(w.get(1), options));
             case "judge" -> System.exit(judge(w.subList(1, w.size())));
+            case "trace" -> System.exit(trace(w.get(1), w.subList(2, w.size())));
             case "scale" -> System.exit(scale(w.get(1), options));
             case "soak" -> System.exit(soak(w.get(1), options));
             case "origin" -> origin(w.subList(1, w.size()));
@@ -107,6 +110,24 @@
         }
     }
 
+    private static int trace(final String name, final List<String> files) throws IOException {
+        if (files.isEmpty()) {
+            System.err.println("rwtestkit: trace: a log file is missing");
+            return 2;
+        }
+        final List<Map<String, Object>> rows = new ArrayList<>();
+        for (final String file : files) {
+            if (!Files.isReadable(Path.of(file))) {
+                System.err.println("rwtestkit: " + file + " cannot be read");
+                return 2;
+            }
+            rows.addAll(RunLog.read(Path.of(file)));
+        }
+        final RequestTrace trace = new RequestTrace(name, rows);
+        System.out.print(trace.text());
+        return trace.events().isEmpty() ? 1 : 0;
+    }
+
     private static Scenario script(
             final String what, final long seed, final OptionSet options, final List<ValidationError> faults)
             throws IOException {
