--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
@@ -16,6 +16,7 @@
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.RequestOutcome;
+import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.control.record.KeyedRecordStore;
 import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.origin.OriginDispatcher;
@@ -88,7 +89,7 @@
             }
         }
 
-        private org.rowanvalve.control.lease.LeaseHolder leasesOfLastHolder() {
+        private LeaseHolder leasesOfLastHolder() {
             return holders.size() == 1 ? leases : startHolder(new FencingToken(1, holders.size()));
         }
 
--- a/server/src/test/java/org/rowanvalve/server/origin/EarlyResponsesTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/EarlyResponsesTest.java
@@ -9,56 +9,29 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.io.ClientConnector;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rowanvalve.control.config.Origin;
-import org.rowanvalve.control.config.ServiceKind;
 import org.rowanvalve.data.origin.OriginTransport;
-import org.rowanvalve.server.process.Main;
-import org.rowanvalve.server.thread.CoreEventLoop;
 
 /**
  * Origins that answer before they have read a request's body, and more than once: what comes behind the first answer is read
  * while the request is still being sent, and is no part of any answer.
  */
-class EarlyResponsesTest {
+class EarlyResponsesTest extends OriginTransportFixture {
     /** More than the sockets of both sides hold, so that the request is being sent until the origin reads. */
     private static final int BODY_BYTES = 24 << 20;
 
     private static final long REQUEST_TIMEOUT_MILLIS = 5_000;
-    private final CoreEventLoop loop = new CoreEventLoop();
-    private final OriginHttpClient http = new OriginHttpClient(new ClientConnector());
-    private HttpOriginTransport transport;
 
-    @BeforeEach
-    void begin() throws Exception {
-        Main.configureLogging();
-        loop.start();
-        http.start();
-        transport = new HttpOriginTransport(loop, http, new PlainOriginProtocol() {
-            @Override
-            public String error(
-                    final Origin origin,
-                    final OriginTransport.OutboundRequest request,
-                    final OriginTransport.OriginResponse response) {
-                return request.requestId().equals(response.headers().get("id")) ? "" : "another request's answer";
-            }
-        });
-    }
-
-    @AfterEach
-    void end() throws Exception {
-        http.stop();
-        loop.stop();
+    EarlyResponsesTest() {
+        super(new ByIdProtocol());
     }
 
     private OriginTransport.OriginResponse ask(final RawPeer peer, final String id, final int bodyBytes)
             throws Exception {
-        final Origin origin = new Origin("s", "127.0.0.1", peer.port(), "a", ServiceKind.OPEN, 0, 0, false, 1);
+        final Origin origin = originAt(peer);
         final CompletableFuture<OriginTransport.OriginResponse> answer = new CompletableFuture<>();
         loop.execute(() -> transport.send(
                 origin,
--- a/server/src/test/java/org/rowanvalve/server/origin/LateSecondResponseTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/LateSecondResponseTest.java
@@ -8,65 +8,40 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.eclipse.jetty.io.ClientConnector;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.rowanvalve.control.config.Origin;
-import org.rowanvalve.control.config.ServiceKind;
 import org.rowanvalve.data.origin.OriginTransport;
-import org.rowanvalve.server.process.Main;
-import org.rowanvalve.server.thread.CoreEventLoop;
 
 /**
  * Guards against an origin's second copy of a response that is taken for the response to a later send of the same request
  * ID, which the request ID cannot tell apart.
  */
-class LateSecondResponseTest {
+class LateSecondResponseTest extends OriginTransportFixture {
     private static final String REPEATED = "repeated";
-    private final CoreEventLoop loop = new CoreEventLoop();
-    private final OriginHttpClient http = new OriginHttpClient(new ClientConnector());
-    private HttpOriginTransport transport;
 
-    @BeforeEach
-    void begin() throws Exception {
-        Main.configureLogging();
-        loop.start();
-        http.start();
-        transport = new HttpOriginTransport(loop, http, new PlainOriginProtocol() {
-            @Override
-            public OriginTransport.OriginResponse read(
-                    final Origin origin,
-                    final OriginTransport.OutboundRequest request,
-                    final int status,
-                    final Map<String, String> heads,
-                    final byte[] body) {
-                return status == 503
-                        ? OriginTransport.OriginResponse.failure(
-                                OriginTransport.ExchangeResult.NOT_EXECUTED, "status 503")
-                        : super.read(origin, request, status, heads, body);
-            }
-
-            @Override
-            public String error(
-                    final Origin origin,
-                    final OriginTransport.OutboundRequest request,
-                    final OriginTransport.OriginResponse response) {
-                return request.requestId().equals(response.headers().get("id")) ? "" : "another request's answer";
-            }
-        });
+    /** A status 503 states that the request was not executed. */
+    private static final class RefusingProtocol extends ByIdProtocol {
+        @Override
+        public OriginTransport.OriginResponse read(
+                final Origin origin,
+                final OriginTransport.OutboundRequest request,
+                final int status,
+                final Map<String, String> heads,
+                final byte[] body) {
+            return status == 503
+                    ? OriginTransport.OriginResponse.failure(OriginTransport.ExchangeResult.NOT_EXECUTED, "status 503")
+                    : super.read(origin, request, status, heads, body);
+        }
     }
 
-    @AfterEach
-    void end() throws Exception {
-        http.stop();
-        loop.stop();
+    LateSecondResponseTest() {
+        super(new RefusingProtocol());
     }
 
     private String ask(final RawPeer peer, final String method, final String id) throws Exception {
-        final Origin origin = new Origin("s", "127.0.0.1", peer.port(), "a", ServiceKind.OPEN, 0, 0, false, 1);
+        final Origin origin = originAt(peer);
         final CompletableFuture<OriginTransport.OriginResponse> response = new CompletableFuture<>();
         loop.execute(() -> transport.send(
                 origin,
--- a/server/src/test/java/org/rowanvalve/server/origin/OriginResponsesTest.java
+++ b/server/src/test/java/org/rowanvalve/server/origin/OriginResponsesTest.java
@@ -17,54 +17,25 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.io.ClientConnector;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.rowanvalve.control.config.Origin;
-import org.rowanvalve.control.config.ServiceKind;
 import org.rowanvalve.data.origin.OriginTransport;
-import org.rowanvalve.server.process.Main;
-import org.rowanvalve.server.thread.CoreEventLoop;
 
 /**
  * The real pool and HTTP client against a bare socket that delays, doubles, splits, cuts and resets at every byte: each
  * request gets its own whole answer or none, and leaves once.
  */
-class OriginResponsesTest {
-    private static final OriginProtocol BY_ID = new PlainOriginProtocol() {
-        @Override
-        public String error(
-                final Origin origin,
-                final OriginTransport.OutboundRequest request,
-                final OriginTransport.OriginResponse response) {
-            return request.requestId().equals(response.headers().get("id")) ? "" : "another request's answer";
-        }
-    };
-    private final CoreEventLoop loop = new CoreEventLoop();
-    private final OriginHttpClient http = new OriginHttpClient(new ClientConnector());
-    private HttpOriginTransport port;
-
-    @BeforeEach
-    void begin() throws Exception {
-        Main.configureLogging();
-        loop.start();
-        http.start();
-        port = new HttpOriginTransport(loop, http, BY_ID);
-    }
-
-    @AfterEach
-    void end() throws Exception {
-        http.stop();
-        loop.stop();
+class OriginResponsesTest extends OriginTransportFixture {
+    OriginResponsesTest() {
+        super(new ByIdProtocol());
     }
 
     private CompletableFuture<OriginTransport.OriginResponse> send(
             final RawPeer peer, final String method, final String id, final long ms) {
-        final Origin origin = new Origin("s", "127.0.0.1", peer.port(), "a", ServiceKind.OPEN, 0, 0, false, 1);
+        final Origin origin = originAt(peer);
         final CompletableFuture<OriginTransport.OriginResponse> answer = new CompletableFuture<>();
         final byte[] body = method.equals("POST") ? ("for " + id).getBytes(StandardCharsets.US_ASCII) : null;
-        loop.execute(() -> port.send(
+        loop.execute(() -> transport.send(
                 origin,
                 new OriginTransport.OutboundRequest("s", method, "/" + id, id, null, body, null, ms),
                 () -> true,
