The route that answers decides how long a copy is served

Cause: a copy kept the time to live of the route under which it was filled.

Change: a copy states facts, when it was requested and under which versions. CopyRequirements, made for each answer from the route that answers, alone decides on hits, late answers, requests that joined a fill, and copies sent to edges; Cache cannot be asked without it. Requests join fills of their own route only and start over if the response is too old for them. A shield tells the age that a copy had when the request arrived there, so the time of a fill no longer counts twice.

Ruled out: more comparisons at the places that serve; the shorter of both times, which would have to travel along.

--- a/data/src/main/java/org/rowanvalve/data/cache/Cache.java
+++ b/data/src/main/java/org/rowanvalve/data/cache/Cache.java
@@ -4,8 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
-import org.rowanvalve.common.model.VersionVector;
 
 /** The cached responses of one node, bounded by their total size in bytes, with least-recently-used eviction. */
 public final class Cache {
@@ -13,31 +11,25 @@
     private static final int ENTRY_OVERHEAD_BYTES = 256;
 
     private final long capacityBytes;
-    private final Predicate<CachedResponse> isValid;
     private long sizeBytes;
     private final LinkedHashMap<String, CachedResponse> entries = new LinkedHashMap<>(64, 0.75f, true);
 
-    /** {@code isValid}: a condition that a copy must meet in addition to its age and its version vector. */
-    public Cache(final long capacityBytes, final Predicate<CachedResponse> isValid) {
+    public Cache(final long capacityBytes) {
         this.capacityBytes = capacityBytes;
-        this.isValid = isValid;
     }
 
-    /**
-     * Finds a copy that is within its lifetime and was filled under {@code versions}. {@code now}: monotonic time in
-     * ms.
-     */
-    public Optional<CachedResponse> findFresh(final String key, final long now, final VersionVector versions) {
-        return findUsable(key, now, versions).filter(copy -> copy.isFresh(now, versions));
+    /** Finds a copy that is within the lifetime that the requirements allow. */
+    public Optional<CachedResponse> findFresh(final String key, final CopyRequirements requirements) {
+        return findUsable(key, requirements).filter(requirements::allowFresh);
     }
 
     /**
-     * Finds a copy that was filled under {@code versions} and is within its lifetime or the stale grace period after
-     * it. Removes the copy if it is no longer usable.
+     * Finds a copy that is within the lifetime that the requirements allow, or the stale grace period after it. Removes the
+     * copy if it is no longer usable.
      */
-    public Optional<CachedResponse> findUsable(final String key, final long now, final VersionVector versions) {
+    public Optional<CachedResponse> findUsable(final String key, final CopyRequirements requirements) {
         final CachedResponse copy = entries.get(key);
-        if (copy != null && !(copy.isUsable(now, versions) && isValid.test(copy))) {
+        if (copy != null && !requirements.allowStale(copy)) {
             remove(key);
             return Optional.empty();
         }
--- a/data/src/main/java/org/rowanvalve/data/cache/CachedResponse.java
+++ b/data/src/main/java/org/rowanvalve/data/cache/CachedResponse.java
@@ -5,7 +5,8 @@
 import org.rowanvalve.control.config.Route;
 
 /**
- * A cached response with its age and the versions under which it was filled.
+ * A cached response: when it was requested from an origin, and the versions under which it was filled. How long it may be
+ * served is up to {@link CopyRequirements}.
  *
  * @param filledAt the monotonic time of this node, in ms, at which the request for the response was sent
  * @param tagVersions the versions of the newest purges of the response's tags when it was filled
@@ -16,11 +17,9 @@
         Map<String, String> headers,
         byte[] body,
         long filledAt,
-        long ttlMs,
         VersionVector versions,
         Map<String, Long> tagVersions,
         String service) {
-    static final long STALE_GRACE_MS = 1500;
     private static final String TAG_PREFIX = "t/";
 
     /**
@@ -31,19 +30,6 @@
         return service == null || route.services().contains(service);
     }
 
-    /** Whether the copy is within its lifetime at {@code now} and was filled under the versions {@code wanted}. */
-    public boolean isFresh(final long now, final VersionVector wanted) {
-        return now - filledAt < ttlMs && versions.equals(wanted);
-    }
-
-    /**
-     * Whether the copy may be served while no fill is possible: it may exceed its lifetime by less than the stale grace
-     * period.
-     */
-    boolean isUsable(final long now, final VersionVector wanted) {
-        return now - filledAt < ttlMs + STALE_GRACE_MS && versions.equals(wanted);
-    }
-
     /** The versions sent to other nodes with this copy: those of its version vector and of its tags. */
     public VersionVector versionsWithTags() {
         if (tagVersions.isEmpty()) {
--- a/data/src/main/java/org/rowanvalve/data/edge/CoalescedFill.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/CoalescedFill.java
@@ -27,9 +27,9 @@
         return versions;
     }
 
-    /** The version of the route under which the leader was accepted. */
-    long routeVersion() {
-        return leader.routeVersion();
+    /** Whether the leader was accepted by the same route as the request, under the same version or a newer one. */
+    boolean coversRoute(final EdgeRequest request) {
+        return leader.route().name().equals(request.route().name()) && leader.routeVersion() >= request.routeVersion();
     }
 
     void renewVersions(final VersionVector current) {
--- a/data/src/main/java/org/rowanvalve/data/edge/Edge.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/Edge.java
@@ -67,7 +67,7 @@
         this.viewFresh = viewFresh;
         this.shards = shards;
         this.journal = journal;
-        this.cache = new Cache(cacheBytes, copy -> configuration.areTagsCurrent(copy.tagVersions()));
+        this.cache = new Cache(cacheBytes);
     }
 
     enum Step {
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -17,6 +17,7 @@
 import org.rowanvalve.control.config.ConfiguredRoute;
 import org.rowanvalve.control.config.RouteMode;
 import org.rowanvalve.data.cache.CachedResponse;
+import org.rowanvalve.data.cache.CopyRequirements;
 import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.request.ByteRange;
 import org.rowanvalve.data.request.ClientRequest;
@@ -335,9 +336,14 @@
         };
     }
 
+    /** What a copy of the object must meet now to answer a request by this route. */
+    private CopyRequirements requirements(final ConfiguredRoute answering) {
+        return CopyRequirements.of(edge.view(), answering, request.path(), now());
+    }
+
     private boolean answerFromCache() {
         final Optional<CachedResponse> copy =
-                edge.cache().findFresh(cacheKey, now(), versions).filter(cached -> cached.isFrom(route.route()));
+                edge.cache().findFresh(cacheKey, new CopyRequirements(edge.view(), route, versions, now()));
         copy.ifPresent(cached -> respondFrom(cached, "hit"));
         return copy.isPresent();
     }
@@ -352,11 +358,11 @@
 
     /**
      * Joins the current fill of the object, or starts one. A fill serves requests under its own versions or older ones; a
-     * request under a newer version of a purge or of the route starts a new fill.
+     * request under a newer version of a purge, or by another route or a newer version of the route, starts a new fill.
      */
     private boolean joinFill() {
         final CoalescedFill current = edge.fills().get(cacheKey);
-        if (current != null && current.versions().covers(versions) && current.routeVersion() >= routeVersion) {
+        if (current != null && current.versions().covers(versions) && current.coversRoute(this)) {
             if (current.isFull(1)) {
                 return reject(503, "too many wait for this object", 1000);
             }
@@ -402,53 +408,89 @@
     /**
      * Delivers an origin's response to all waiting requests. Returns false, without answering any of them, if the object was
      * purged in the meantime.
+     *
+     * @param sentAt when this node sent the request for the response
      */
     boolean onFilled(final long sentAt, final ForwardResponse filled) {
-        if (!hasMode(RouteMode.CACHED) || filled.versions() == null) {
-            final ClientResponse response =
-                    new ClientResponse(filled.status(), RequestOutcome.DONE, filled.headers(), filled.body());
-            if (hasMode(RouteMode.CACHED)) {
-                takeWaiters().forEach(waiter -> waiter.finish(ByteRange.apply(response, waiter.request.range())));
-            } else {
-                respondToAll(response);
-            }
+        if (!hasMode(RouteMode.CACHED)) {
+            respondToAll(uncached(filled));
             return true;
         }
-        final CachedResponse copy = new CachedResponse(
+        if (filled.versions() == null) {
+            final ClientResponse response = uncached(filled);
+            final CopyRequirements requirements = requirements(route);
+            takeWaiters()
+                    .forEach(waiter -> waiter.answerOrRestart(
+                            waiter == this || requirements.allowsResponseRequestedAt(sentAt),
+                            () -> waiter.finish(ByteRange.apply(response, waiter.request.range()))));
+            return true;
+        }
+        final CachedResponse copy = copyOf(filled, sentAt - filled.ageMs());
+        if (!filled.versions().covers(edge.view().versionsOf(route, request.path()))
+                || !edge.view().areTagsCurrent(copy.tagVersions())) {
+            return false;
+        }
+        storeIfFresh(copy);
+        final CopyRequirements requirements = requirements(route);
+        takeWaiters()
+                .forEach(waiter -> waiter.answerOrRestart(
+                        waiter == this || requirements.allowStale(copy), () -> waiter.respondFrom(copy, "miss")));
+        return true;
+    }
+
+    private static ClientResponse uncached(final ForwardResponse filled) {
+        return new ClientResponse(filled.status(), RequestOutcome.DONE, filled.headers(), filled.body());
+    }
+
+    private static CachedResponse copyOf(final ForwardResponse filled, final long filledAt) {
+        return new CachedResponse(
                 filled.status(),
                 filled.headers(),
                 filled.body(),
-                sentAt - filled.ageMs(),
-                route.route().ttlMs(),
+                filledAt,
                 CachedResponse.withoutTags(filled.versions()),
                 CachedResponse.tagVersions(filled.versions()),
                 filled.service());
-        final ConfiguredRoute current = edge.view().routeNamed(route.name()).orElse(null);
-        final VersionVector currentVersions =
-                current == null ? null : edge.view().versionsOf(current, request.path());
-        if (currentVersions == null
-                || !filled.versions().covers(currentVersions)
-                || !edge.view().areTagsCurrent(copy.tagVersions())) {
-            return false;
-        }
-        if (filled.status() == 200 && copy.isFresh(now(), currentVersions)) {
+    }
+
+    /** Stores the copy if the route that is in force by now allows requests to be answered with it. */
+    private void storeIfFresh(final CachedResponse copy) {
+        if (copy.status() == 200
+                && routeInForce()
+                        .filter(current -> requirements(current).allowFresh(copy))
+                        .isPresent()) {
             edge.cache().put(cacheKey, copy);
         }
-        takeWaiters().forEach(waiter -> waiter.respondFrom(copy, "miss"));
-        return true;
+    }
+
+    private Optional<ConfiguredRoute> routeInForce() {
+        return edge.view().route(request.host(), request.path());
+    }
+
+    /**
+     * Runs {@code answer}, or starts this request over if the fill that it joined brought a response which is too old for
+     * it.
+     */
+    private void answerOrRestart(final boolean isRecentEnough, final Runnable answer) {
+        if (isRecentEnough) {
+            answer.run();
+            return;
+        }
+        joinedFill = null;
+        versions = edge.view().versionsOf(route, request.path());
+        if (!answerFromCache() && !joinFill()) {
+            forwarding.start();
+        }
     }
 
     /**
      * The copy to serve if the object cannot be filled: a copy that expired recently. On a purgeable route the copy is served
      * only while the view is confirmed.
      */
-    private CachedResponse staleCopy() {
-        return hasMode(RouteMode.CACHED)
-                        && (edge.isViewFresh() || !route.route().purgeable())
-                ? edge.cache()
-                        .findUsable(cacheKey, now(), edge.view().versionsOf(route, request.path()))
-                        .orElse(null)
-                : null;
+    private Optional<CachedResponse> staleCopy() {
+        return routeInForce()
+                .filter(current -> edge.isViewFresh() || !current.route().purgeable())
+                .flatMap(current -> edge.cache().findUsable(cacheKey, requirements(current)));
     }
 
     /** Ends all waiting requests without an origin's response. */
@@ -459,13 +501,9 @@
     /** Answers all waiting requests; those that would get no origin's response get a stale copy if there is one. */
     private void respondToAll(final ClientResponse response) {
         final List<EdgeRequest> waiters = takeWaiters();
-        final CachedResponse stale = response.fate() == RequestOutcome.DONE ? null : staleCopy();
-        waiters.forEach(waiter -> {
-            if (stale == null) {
-                waiter.finish(response);
-            } else {
-                waiter.respondFrom(stale, "late");
-            }
-        });
+        final Optional<CachedResponse> stale =
+                hasMode(RouteMode.CACHED) && response.fate() != RequestOutcome.DONE ? staleCopy() : Optional.empty();
+        waiters.forEach(waiter ->
+                stale.ifPresentOrElse(copy -> waiter.respondFrom(copy, "late"), () -> waiter.finish(response)));
     }
 }
--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -295,7 +295,7 @@
         forward(shield, OriginRequest.NO_SHARD, true, Math.max(50, deadline - sentAt), reply -> {
             openPassThroughs--;
             answered[0] = true;
-            onPassThroughResponse(reply);
+            onPassThroughResponse(sentAt, reply);
         });
         watchShield(shield, sentAt, () -> answered[0]);
     }
@@ -303,10 +303,11 @@
     /** Sends the request from this node to an origin, because no shield is reachable. */
     private void sendDirectly(final RequestFailure fallback) {
         request.knowledge().beginSend();
+        final long sentAt = now();
         direct.send(completion -> {
             request.knowledge().endSend(completion.executionLevel());
             if (completion.response().result() == OriginTransport.ExchangeResult.COMPLETE) {
-                deliver(now(), DirectForwarding.completed(completion.response()));
+                deliver(sentAt, DirectForwarding.completed(completion.response()));
             } else {
                 finish(
                         completion.mayHaveRun()
@@ -318,7 +319,7 @@
     }
 
     /** Handles the response of a shield to a pass-through forward. */
-    private void onPassThroughResponse(final Reply reply) {
+    private void onPassThroughResponse(final long sentAt, final Reply reply) {
         if (request.finished()) {
             return;
         }
@@ -332,7 +333,7 @@
                 finish(RequestFailure.unanswered("the shield did not answer"));
             }
         } else if (filled.fate() == RequestOutcome.DONE) {
-            deliver(now(), filled);
+            deliver(sentAt, filled);
         } else if (filled.fate() == RequestOutcome.REFUSED
                 && filled.status() == 503
                 && filled.retryAfterMs() == 500
--- a/data/src/main/java/org/rowanvalve/data/shield/Fill.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Fill.java
@@ -48,6 +48,11 @@
         return waiters;
     }
 
+    /** Whether the fill was started for this request; the other requests joined it. */
+    boolean isInitiator(final Waiter waiter) {
+        return waiters.get(0) == waiter;
+    }
+
     /** The cancellation of the fill, requested once all requests that joined the fill are cancelled. */
     Cancellation cancellation() {
         return cancellation;
--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -25,6 +26,7 @@
 import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.data.cache.Cache;
 import org.rowanvalve.data.cache.CachedResponse;
+import org.rowanvalve.data.cache.CopyRequirements;
 import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.cancel.PauseMonitor;
 import org.rowanvalve.data.keyed.KeyedRequests;
@@ -94,7 +96,7 @@
         this.viewFresh = viewFresh;
         this.pollView = pollView;
         this.settings = settings;
-        this.cache = new Cache(cacheBytes, copy -> configuration.areTagsCurrent(copy.tagVersions()));
+        this.cache = new Cache(cacheBytes);
         this.pauses = new PauseMonitor(loop);
         this.confirmation = new ForwardConfirmation(loop, transport, pauses, openForwards);
         transport.onConnectionClosed(openForwards::cancelAll);
@@ -114,7 +116,7 @@
         openForwards.open(id, cancellation, callback.connectionId(), loop.now());
         confirmation.onOpen(id, cancellation);
         handle(
-                new ForwardedRequest(request, attempts, cancellation),
+                new ForwardedRequest(request, attempts, cancellation, loop.now()),
                 loop.now() + request.timeoutMs(),
                 loop.now() + maxWaitMs(request),
                 response -> {
@@ -333,9 +335,10 @@
             return;
         }
         final String key = ShardRouting.cacheKey(route, request.path(), null);
-        final CachedResponse copy = leases.mayServe(request.shard()) ? findServableCopy(request, key, versions) : null;
-        if (copy != null && copy.isFrom(route.route())) {
-            callback.accept(respondFrom(request, copy));
+        final Optional<CachedResponse> copy = findServableCopy(
+                request.shard(), key, new CopyRequirements(configuration, route, versions, loop.now()));
+        if (copy.isPresent()) {
+            callback.accept(respondFrom(forwarded, copy.get()));
             return;
         }
         final Fill current = fills.get(key);
@@ -371,12 +374,12 @@
      * A copy that may be served now. While this node may not fill, a copy past its lifetime is served within the stale
      * grace period.
      */
-    private CachedResponse findServableCopy(
-            final ForwardRequest request, final String key, final VersionVector versions) {
-        return (leases.mayFill(request.shard())
-                        ? cache.findFresh(key, loop.now(), versions)
-                        : cache.findUsable(key, loop.now(), versions))
-                .orElse(null);
+    private Optional<CachedResponse> findServableCopy(
+            final int shard, final String key, final CopyRequirements requirements) {
+        if (!leases.mayServe(shard)) {
+            return Optional.empty();
+        }
+        return leases.mayFill(shard) ? cache.findFresh(key, requirements) : cache.findUsable(key, requirements);
     }
 
     private void onFilled(
@@ -399,24 +402,26 @@
                 EndToEndHeaders.of(response.headers()),
                 response.body(),
                 completion.sentAt(),
-                route.route().ttlMs(),
                 fill.versions(),
                 tags,
                 service);
+        final boolean isUnpurged =
+                tagsUnchanged && configuration.versionsOf(route, fill.path()).equals(fill.versions());
         final ConfiguredRoute current = configuration.routeNamed(route.name()).orElse(null);
-        final boolean isUnpurged = tagsUnchanged
-                && current != null
-                && configuration.versionsOf(current, fill.path()).equals(fill.versions());
-        final boolean isCurrent = isUnpurged && current.route().services().contains(service);
+        final boolean isCurrent =
+                isUnpurged && current != null && current.route().services().contains(service);
         if (isCurrent && response.status() == 200) {
             cache.put(key, copy);
         }
         for (final Fill.Waiter waiter : fill.waiters()) {
-            if (isCurrent) {
-                waiter.callback().accept(respondFrom(waiter.forward(), copy));
-            } else if (isUnpurged && service.equals(waiter.forward().service())) {
+            final boolean isRecentEnough = fill.isInitiator(waiter) || isRecentEnough(waiter, route, copy);
+            if (isCurrent && isRecentEnough) {
+                waiter.callback().accept(respondFrom(waiter.request(), copy));
+            } else if (isUnpurged
+                    && isRecentEnough
+                    && service.equals(waiter.forward().service())) {
                 waiter.callback().accept(completed(waiter.forward(), response));
-            } else if (current != null && loop.now() + MIN_REFILL_TIME_MS < waiter.deadline()) {
+            } else if (loop.now() + MIN_REFILL_TIME_MS < waiter.deadline()) {
                 handle(waiter.request(), waiter.deadline(), loop.now(), waiter.callback());
             } else {
                 waiter.callback().accept(reject(waiter.forward(), 503, "purged while it was filled", 500));
@@ -424,6 +429,15 @@
         }
     }
 
+    /** Whether the age of the copy allows it to answer a request that joined the fill, by the request's own route. */
+    private boolean isRecentEnough(
+            final Fill.Waiter waiter, final ConfiguredRoute routeOfFill, final CachedResponse copy) {
+        final ConfiguredRoute own =
+                configuration.routeNamed(waiter.forward().route()).orElse(routeOfFill);
+        return CopyRequirements.of(configuration, own, waiter.forward().path(), loop.now())
+                .allowsResponseRequestedAt(copy.filledAt());
+    }
+
     /**
      * Responds to a request whose fill has failed. A request that is not cancelled is handled anew if the fill was
      * cancelled, because the cancelled fill made no further attempt.
@@ -436,15 +450,19 @@
         }
     }
 
-    private ForwardResponse respondFrom(final ForwardRequest request, final CachedResponse copy) {
+    /**
+     * Responds with the copy and the age that it had when the request arrived here. Counted back from the moment at which
+     * the edge sent the request, that age gives a time at or before the copy's fill.
+     */
+    private ForwardResponse respondFrom(final ForwardedRequest request, final CachedResponse copy) {
         return new ForwardResponse(
                 RequestOutcome.DONE,
                 "",
                 copy.status(),
-                leases.token(request.shard()),
+                leases.token(request.forward().shard()),
                 copy.headers(),
                 copy.body(),
-                loop.now() - copy.filledAt(),
+                Math.max(0, request.receivedAt() - copy.filledAt()),
                 copy.versionsWithTags(),
                 0,
                 copy.service());
--- a/data/src/test/java/org/rowanvalve/data/edge/EdgeReadsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/EdgeReadsTest.java
@@ -15,6 +15,7 @@
 import org.rowanvalve.common.model.RequestOutcome;
 import org.rowanvalve.common.model.VersionVector;
 import org.rowanvalve.control.config.Purge;
+import org.rowanvalve.control.config.Route;
 import org.rowanvalve.control.config.RouteMode;
 import org.rowanvalve.data.origin.OriginDispatch;
 import org.rowanvalve.data.request.ClientResponse;
@@ -148,4 +149,55 @@
         assertEquals(1, forwards.size(), "no other shield is asked");
         assertEquals(503, status());
     }
+
+    private void setTtl(final long version, final long ttlMs) {
+        putItem(
+                new ItemId(ItemKind.ROUTE, RouteMode.CACHED.code()),
+                version,
+                new Route("/cached/", "s", RouteMode.CACHED, ttlMs, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
+    }
+
+    /** Guards against copies of fills that were under way when the time to live became shorter (STALE). */
+    @Test
+    void aFillIsKeptForTheTimeToLiveInForceOnceItIsComplete() {
+        send(RouteMode.CACHED);
+        setTtl(2, 100);
+        loop.run(150);
+        respond(0, filled(RequestOutcome.DONE, 200, "x", 0, currentVersions()));
+        assertEquals(200, status());
+        send(RouteMode.CACHED);
+        assertEquals(2, forwards.size(), "the copy was too old when it came");
+        respond(1, filled(RequestOutcome.DONE, 200, "y", 0, currentVersions()));
+        setTtl(3, 1000);
+        loop.run(500);
+        send(RouteMode.CACHED);
+        assertEquals(2, forwards.size(), "a longer time to live holds for the copy that is there");
+    }
+
+    /** Guards against answers that are older than the route allows because they were long under way (STALE). */
+    @Test
+    void aRequestThatJoinedAFillStartsOverIfTheResponseIsTooOldForIt() {
+        send(RouteMode.CACHED);
+        loop.run(2500);
+        send(RouteMode.CACHED);
+        assertEquals(1, forwards.size(), "the second request joined the fill");
+        respond(0, filled(RequestOutcome.DONE, 200, "old", 0, currentVersions()));
+        assertEquals(1, clientResponses.size(), "the request for which the fill was made is answered");
+        assertEquals(2, forwards.size());
+        respond(1, filled(RequestOutcome.DONE, 200, "new", 0, currentVersions()));
+        assertEquals("new", new String(clientResponses.get(1).body()));
+    }
+
+    /** Guards against requests by a route with a short time to live that join a fill by another route. */
+    @Test
+    void aRequestByAnotherRouteStartsAFillOfItsOwn() {
+        send(RouteMode.CACHED);
+        putItem(
+                new ItemId(ItemKind.ROUTE, "deeper"),
+                1,
+                new Route("/cached/1", "s", RouteMode.CACHED, 100, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
+        send(RouteMode.CACHED);
+        assertEquals(2, forwards.size());
+        assertEquals("deeper", forward(1).request().route());
+    }
 }
--- a/data/src/test/java/org/rowanvalve/data/shield/ForwardConfirmationTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ForwardConfirmationTest.java
@@ -153,7 +153,7 @@
     }
 
     private static Fill.Waiter waiter(final Cancellation cancellation) {
-        return new Fill.Waiter(new ForwardedRequest(null, null, cancellation), 0, response -> {});
+        return new Fill.Waiter(new ForwardedRequest(null, null, cancellation, 0), 0, response -> {});
     }
 
     @Test
