A purge that a node has forgotten, or never knew, makes no copy valid again

Cause: "not purged" was concluded from not remembering a purge. Purges are collected by the leader's clock and by the routes of that moment, and each node's cache relied on it; copies taken under a longer time, or kept by a node that was cut off or frozen meanwhile, are older than that allows.

Change: a node knows since when it knows every purge: since it learned the newest of those collected by now, and since the end of the last gap of over 30 s between confirmations of its view (no purge is collected within 60 s). Copies that it verified earlier are not served. This needs no time to live, no leader and no order of versions, which any node may choose.

Ruled out: a longer retention, which moves the bound; a version in each copy, since versions may be chosen late and out of order.

--- a/control/src/main/java/org/rowanvalve/control/config/ConfigurationView.java
+++ b/control/src/main/java/org/rowanvalve/control/config/ConfigurationView.java
@@ -12,6 +12,7 @@
 import org.rowanvalve.common.model.VersionVector;
 import org.rowanvalve.control.json.Json;
 import org.rowanvalve.control.placement.PlacementPlan;
+import org.rowanvalve.control.store.CollectionFloor;
 import org.rowanvalve.control.store.ItemStore;
 
 /**
@@ -19,6 +20,12 @@
  * The view is updated whenever an item changes.
  */
 public final class ConfigurationView {
+    /**
+     * The longest time between two confirmations of the view in which no purge can have been chosen and garbage
+     * collected.
+     */
+    static final long MAX_CONFIRMATION_GAP_MS = CollectionFloor.MIN_RETENTION_MS / 2;
+
     private final ItemStore items;
     private final Map<String, Service> services = new TreeMap<>();
     private final RouteTable routes = new RouteTable(services::get);
@@ -30,6 +37,8 @@
     private final Map<String, TagPurge> tagPurges = new HashMap<>();
     private volatile RequestLimits limits = RequestLimits.DEFAULTS;
     private PlacementPlan plan = new PlacementPlan(0, 0, List.of());
+    private long confirmedAt = Long.MIN_VALUE / 2;
+    private long lastConfirmationGapEndedAt = Long.MIN_VALUE;
 
     /** The version of the newest purge of a tag, and the time at which this node learned it. */
     public record TagPurge(long version, long learnedAt) {}
@@ -161,6 +170,26 @@
         return tagPurges.getOrDefault(tag, new TagPurge(0, Long.MIN_VALUE / 2));
     }
 
+    /**
+     * Tells this view that a majority has confirmed it as of {@code time}, in ms of the monotonic clock of this node. After
+     * a long gap, purges may have been chosen and garbage collected without this node having known them.
+     */
+    public void onConfirmed(final long time) {
+        if (time - confirmedAt > MAX_CONFIRMATION_GAP_MS) {
+            lastConfirmationGapEndedAt = time;
+        }
+        confirmedAt = Math.max(confirmedAt, time);
+    }
+
+    /**
+     * The time, in ms of the monotonic clock of this node, since when this node knows every purge. A copy that this node
+     * verified at that time or earlier may have been ended by a purge that has been garbage collected, so it must not be
+     * served. Whether a purge is collected, and when, therefore makes no copy valid again.
+     */
+    public long purgesKnownSince() {
+        return Math.max(items.lastCollectedPurgeLearnedAt(), lastConfirmationGapEndedAt);
+    }
+
     /** Whether none of these tags has been purged at a version above the given one. */
     public boolean areTagsCurrent(final Map<String, Long> tagVersions) {
         return tagVersions.entrySet().stream()
--- a/control/src/main/java/org/rowanvalve/control/operator/TombstoneCollector.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/TombstoneCollector.java
@@ -16,11 +16,17 @@
 import org.rowanvalve.control.store.CollectionFloor;
 import org.rowanvalve.control.store.ItemStore;
 
-/** Collects purges that no cached copy can be older than, and origins that ended long ago. Runs on the leader. */
+/**
+ * Collects purges that copies within the present times to live are not older than, and origins that ended long ago. Runs
+ * on the leader.
+ *
+ * <p>That no purged copy is served again does not depend on when a purge is collected: each node discards the copies
+ * that it verified before it learned a collected purge ({@link ConfigurationView#purgesKnownSince}). A longer retention
+ * only avoids that copies are discarded which could still be served.
+ */
 public final class TombstoneCollector {
     private static final long WRITE_TIMEOUT_MILLIS = 1000;
     private static final long ROUND_MS = 10_000;
-    private static final long SAFETY_MARGIN_MS = 60_000;
     private static final int MIN_COLLECTED = 20;
     private final EventLoop loop;
     private final ItemStore items;
@@ -62,7 +68,7 @@
                         allItems,
                         ItemKind.PURGE,
                         currentFloor.purges(),
-                        item -> ageMs(item) > longestTtlMs + longestTtlMs / 4 + SAFETY_MARGIN_MS),
+                        item -> ageMs(item) > longestTtlMs + longestTtlMs / 4 + CollectionFloor.MIN_RETENTION_MS),
                 floorOf(allItems, ItemKind.ORIGIN, currentFloor.origins(), this::isExpired));
         if (!nextFloor.equals(currentFloor)) {
             final String writeId = "sweep-" + nextFloor.purges() + "-" + nextFloor.origins() + "-" + loop.now();
@@ -87,7 +93,8 @@
     private boolean isExpired(final Item item) {
         final Origin origin = item.exists() ? Json.read(item.body(), Origin.class) : null;
         final long ttlMs = origin == null ? 0 : origin.ttlMs();
-        return (origin == null || ttlMs > 0 || origin.draining()) && ageMs(item) > ttlMs + ttlMs / 4 + SAFETY_MARGIN_MS;
+        return (origin == null || ttlMs > 0 || origin.draining())
+                && ageMs(item) > ttlMs + ttlMs / 4 + CollectionFloor.MIN_RETENTION_MS;
     }
 
     /**
--- a/control/src/main/java/org/rowanvalve/control/store/CollectionFloor.java
+++ b/control/src/main/java/org/rowanvalve/control/store/CollectionFloor.java
@@ -11,6 +11,9 @@
  * of any name with a version up to that number.
  */
 public record CollectionFloor(long purges, long origins) {
+    /** The leader collects no item within this time after it has learned the item. */
+    public static final long MIN_RETENTION_MS = 60_000;
+
     public static final ItemId ID = new ItemId(ItemKind.COLLECTION, "floor");
     public static final CollectionFloor NONE = new CollectionFloor(0, 0);
 
--- a/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
+++ b/control/src/main/java/org/rowanvalve/control/store/ItemStore.java
@@ -31,6 +31,7 @@
     private final ItemIndex index = new ItemIndex();
     private final Map<ItemKind, Long> highestVersions = new HashMap<>();
     private CollectionFloor collectionFloor = CollectionFloor.NONE;
+    private long lastCollectedPurgeLearnedAt = Long.MIN_VALUE;
     private long configurationBytes;
 
     public ItemStore(final EventLoop loop, final EventJournal journal) {
@@ -82,6 +83,9 @@
                 .filter(item -> collectionFloor.covers(item.id(), item.version().number()))
                 .toList();
         for (final Item item : collected) {
+            if (item.id().kind() == ItemKind.PURGE) {
+                lastCollectedPurgeLearnedAt = Math.max(lastCollectedPurgeLearnedAt, learnedAt(item.id()));
+            }
             digest.replace(item, Item.none(item.id()));
             items.remove(item.id());
             index.remove(item.id());
@@ -96,6 +100,14 @@
         return collectionFloor;
     }
 
+    /**
+     * The latest time at which this node learned a purge that has been garbage collected since, in ms of its monotonic
+     * clock.
+     */
+    public long lastCollectedPurgeLearnedAt() {
+        return lastCollectedPurgeLearnedAt;
+    }
+
     /**
      * The version for a new state of an item. If the items of its kind share a version counter, it is above every
      * version that is known or collected for the kind.
--- a/control/src/main/java/org/rowanvalve/control/view/ViewSynchronizer.java
+++ b/control/src/main/java/org/rowanvalve/control/view/ViewSynchronizer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
@@ -39,6 +40,7 @@
     private final EventJournal journal;
     private final Consumer<ChosenItem> learner;
     private final Consumer<NodeId> onContact;
+    private LongConsumer confirmationListener = time -> {};
     private final Map<NodeId, Long> confirmedBy = new HashMap<>();
     private final Map<NodeId, VoterQuery> queries = new LinkedHashMap<>();
     private Quorum quorum;
@@ -170,9 +172,17 @@
     private void recordConfirmation(final long epoch, final NodeId voter, final long sentAt) {
         if (epoch == quorum.epoch()) {
             confirmedBy.merge(voter, sentAt, Math::max);
+            if (majorityConfirmedAt() > NEVER) {
+                confirmationListener.accept(majorityConfirmedAt());
+            }
         }
     }
 
+    /** Sets the listener that gets the time of each confirmation by a majority, before the view counts as fresh. */
+    public void onConfirmation(final LongConsumer listener) {
+        confirmationListener = listener;
+    }
+
     /** The latest time for which a majority has confirmed this node's view, in ms of the monotonic clock. */
     public long confirmedAt() {
         return Math.max(previousConfirmation, majorityConfirmedAt());
--- a/control/src/test/java/org/rowanvalve/control/config/ConfigurationViewTest.java
+++ b/control/src/test/java/org/rowanvalve/control/config/ConfigurationViewTest.java
@@ -150,4 +150,34 @@
         net.items.merge(new ChosenItem(Ballot.ZERO, new Item(RequestLimits.ID, new Version(2), "", true, "")));
         assertEquals(RequestLimits.DEFAULTS, configuration.limits());
     }
+
+    /**
+     * Guards against purged copies that are served again (STALE): what was verified before a purge that is collected by now
+     * cannot be told from what the purge ended.
+     */
+    @Test
+    void purgesAreKnownSinceTheLastOneThatWasCollected() {
+        net.loop.run(1000);
+        putPurge("h.1", 4, new Purge(null, "/x", null, "h", null));
+        final long learnedAt = net.loop.now();
+        net.loop.run(500);
+        putPurge("h.2", 6, new Purge(null, "/y", null, "h", null));
+        assertTrue(configuration.purgesKnownSince() < learnedAt, "both purges are known");
+        net.loop.run(70_000);
+        net.put(CollectionFloor.ID, 1, new CollectionFloor(5, 0));
+        assertEquals(learnedAt, configuration.purgesKnownSince());
+    }
+
+    /** Guards against purges that were chosen and collected while this node had no contact with a majority. */
+    @Test
+    void purgesAreKnownSinceTheEndOfALongGapBetweenConfirmations() {
+        configuration.onConfirmed(100);
+        assertEquals(100, configuration.purgesKnownSince(), "the first confirmation ends a gap");
+        configuration.onConfirmed(100 + ConfigurationView.MAX_CONFIRMATION_GAP_MS);
+        configuration.onConfirmed(90);
+        assertEquals(100, configuration.purgesKnownSince());
+        final long later = 101 + 2 * ConfigurationView.MAX_CONFIRMATION_GAP_MS;
+        configuration.onConfirmed(later);
+        assertEquals(later, configuration.purgesKnownSince());
+    }
 }
--- a/data/src/main/java/org/rowanvalve/data/cache/CachedResponse.java
+++ b/data/src/main/java/org/rowanvalve/data/cache/CachedResponse.java
@@ -9,6 +9,8 @@
  * served is up to {@link CopyRequirements}.
  *
  * @param filledAt the monotonic time of this node, in ms, at which the request for the response was sent
+ * @param verifiedAt a monotonic time of this node, in ms, such that the copy covers every purge that this node learned
+ *     earlier
  * @param tagVersions the versions of the newest purges of the response's tags when it was filled
  * @param service the service that gave the response, or null if it is not known
  */
@@ -17,6 +19,7 @@
         Map<String, String> headers,
         byte[] body,
         long filledAt,
+        long verifiedAt,
         VersionVector versions,
         Map<String, Long> tagVersions,
         String service) {
--- a/data/src/main/java/org/rowanvalve/data/cache/CopyRequirements.java
+++ b/data/src/main/java/org/rowanvalve/data/cache/CopyRequirements.java
@@ -65,11 +65,14 @@
         return now - requestedAt;
     }
 
-    /** Whether the copy is an object of this route that no purge has ended. */
     private boolean isCurrent(final CachedResponse copy) {
-        return route.hasMode(RouteMode.CACHED)
-                && copy.isFrom(route)
-                && copy.versions().equals(versions)
+        return route.hasMode(RouteMode.CACHED) && copy.isFrom(route) && isUnpurged(copy);
+    }
+
+    /** Whether no purge has ended the copy, including purges that this node no longer knows or has never known. */
+    public boolean isUnpurged(final CachedResponse copy) {
+        return copy.verifiedAt() > configuration.purgesKnownSince()
+                && copy.versions().covers(versions)
                 && configuration.areTagsCurrent(copy.tagVersions());
     }
 }
--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -425,13 +425,12 @@
                             () -> waiter.finish(ByteRange.apply(response, waiter.request.range()))));
             return true;
         }
-        final CachedResponse copy = copyOf(filled, sentAt - filled.ageMs());
-        if (!filled.versions().covers(edge.view().versionsOf(route, request.path()))
-                || !edge.view().areTagsCurrent(copy.tagVersions())) {
+        final CachedResponse copy = copyOf(filled, sentAt);
+        final CopyRequirements requirements = requirements(route);
+        if (!requirements.isUnpurged(copy)) {
             return false;
         }
         storeIfFresh(copy);
-        final CopyRequirements requirements = requirements(route);
         takeWaiters()
                 .forEach(waiter -> waiter.answerOrRestart(
                         waiter == this || requirements.allowStale(copy), () -> waiter.respondFrom(copy, "miss")));
@@ -442,12 +441,17 @@
         return new ClientResponse(filled.status(), RequestOutcome.DONE, filled.headers(), filled.body());
     }
 
-    private static CachedResponse copyOf(final ForwardResponse filled, final long filledAt) {
+    /**
+     * The copy that a shield has sent. Its age when the request arrived there gives a time at or before its fill. The shield
+     * covered the purges that this node knew when it sent the request; {@link #onFilled} checks those learned since.
+     */
+    private static CachedResponse copyOf(final ForwardResponse filled, final long sentAt) {
         return new CachedResponse(
                 filled.status(),
                 filled.headers(),
                 filled.body(),
-                filledAt,
+                sentAt - filled.ageMs(),
+                sentAt,
                 CachedResponse.withoutTags(filled.versions()),
                 CachedResponse.tagVersions(filled.versions()),
                 filled.service());
--- a/data/src/main/java/org/rowanvalve/data/node/CoreComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/CoreComponents.java
@@ -91,6 +91,7 @@
                 journal,
                 learner,
                 membership::recordContact);
+        viewSynchronizer.onConfirmation(configuration::onConfirmed);
         votingSetSearch = new VotingSetSearch(
                 ownId,
                 votingConfiguration,
--- a/data/src/main/java/org/rowanvalve/data/shield/Fill.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Fill.java
@@ -17,6 +17,7 @@
 final class Fill {
     private final String path;
     private final VersionVector versions;
+    private final long startedAt;
     private final List<Waiter> waiters = new ArrayList<>();
     private final Cancellation cancellation = new Cancellation(this::poll);
 
@@ -31,9 +32,13 @@
         }
     }
 
-    Fill(final String path, final VersionVector versions) {
+    /**
+     * @param versions the versions of the purges that this node knows at {@code startedAt}, in ms of its monotonic clock
+     */
+    Fill(final String path, final VersionVector versions, final long startedAt) {
         this.path = path;
         this.versions = versions;
+        this.startedAt = startedAt;
     }
 
     String path() {
@@ -44,6 +49,10 @@
         return versions;
     }
 
+    long startedAt() {
+        return startedAt;
+    }
+
     List<Waiter> waiters() {
         return waiters;
     }
--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -1,5 +1,6 @@
 package org.rowanvalve.data.shield;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -353,7 +354,7 @@
         if (!mayFill(request, callback)) {
             return;
         }
-        final Fill fill = new Fill(request.path(), versions);
+        final Fill fill = new Fill(request.path(), versions, loop.now());
         fills.put(key, fill);
         fill.join(new Fill.Waiter(forwarded, deadline, callback));
         final OriginRequest originRequest = originRequest(
@@ -393,23 +394,11 @@
             fill.waiters().forEach(waiter -> onFillFailed(fill, waiter, completion));
             return;
         }
-        final Map<String, Long> tags = new TreeMap<>();
-        response.tags().forEach(tag -> tags.put(tag, configuration.tagPurge(tag).version()));
-        final boolean tagsUnchanged = response.tags().stream()
-                .allMatch(tag -> configuration.tagPurge(tag).learnedAt() < completion.sentAt());
-        final CachedResponse copy = new CachedResponse(
-                response.status(),
-                EndToEndHeaders.of(response.headers()),
-                response.body(),
-                completion.sentAt(),
-                fill.versions(),
-                tags,
-                service);
-        final boolean isUnpurged =
-                tagsUnchanged && configuration.versionsOf(route, fill.path()).equals(fill.versions());
-        final ConfiguredRoute current = configuration.routeNamed(route.name()).orElse(null);
-        final boolean isCurrent =
-                isUnpurged && current != null && current.route().services().contains(service);
+        final CachedResponse copy = copyOf(fill, service, completion);
+        final boolean isUnpurged = areTagsUnpurgedSince(completion.sentAt(), response.tags())
+                && CopyRequirements.of(configuration, route, fill.path(), loop.now())
+                        .isUnpurged(copy);
+        final boolean isCurrent = isUnpurged && isServiceOf(route.name(), service);
         if (isCurrent && response.status() == 200) {
             cache.put(key, copy);
         }
@@ -429,6 +418,33 @@
         }
     }
 
+    private CachedResponse copyOf(final Fill fill, final String service, final OriginDispatcher.Completion completion) {
+        final OriginTransport.OriginResponse response = completion.response();
+        final Map<String, Long> tags = new TreeMap<>();
+        response.tags().forEach(tag -> tags.put(tag, configuration.tagPurge(tag).version()));
+        return new CachedResponse(
+                response.status(),
+                EndToEndHeaders.of(response.headers()),
+                response.body(),
+                completion.sentAt(),
+                fill.startedAt(),
+                fill.versions(),
+                tags,
+                service);
+    }
+
+    private boolean areTagsUnpurgedSince(final long time, final Collection<String> tags) {
+        return tags.stream().allMatch(tag -> configuration.tagPurge(tag).learnedAt() < time);
+    }
+
+    /** Whether the route of this name still sends requests to the service. */
+    private boolean isServiceOf(final String route, final String service) {
+        return configuration
+                .routeNamed(route)
+                .filter(current -> current.route().services().contains(service))
+                .isPresent();
+    }
+
     /** Whether the age of the copy allows it to answer a request that joined the fill, by the request's own route. */
     private boolean isRecentEnough(
             final Fill.Waiter waiter, final ConfiguredRoute routeOfFill, final CachedResponse copy) {
--- a/data/src/test/java/org/rowanvalve/data/cache/CacheTest.java
+++ b/data/src/test/java/org/rowanvalve/data/cache/CacheTest.java
@@ -37,15 +37,11 @@
 
     private void put(final ItemKind kind, final String name, final Object body) {
         items.merge(new ChosenItem(
-                Ballot.ZERO,
-                new Item(new ItemId(kind, name), new Version(++version), Json.write(body), false, "")));
+                Ballot.ZERO, new Item(new ItemId(kind, name), new Version(++version), Json.write(body), false, "")));
     }
 
     private void route(final RouteMode mode, final long ttlMs) {
-        put(
-                ItemKind.ROUTE,
-                "r",
-                new Route("/", "s", mode, ttlMs, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
+        put(ItemKind.ROUTE, "r", new Route("/", "s", mode, ttlMs, true, "", "h", List.of(), true, 2000, 0, 0, 3, ""));
     }
 
     @BeforeEach
@@ -65,7 +61,7 @@
 
     private static CachedResponse copy(
             final long filledAt, final VersionVector versions, final Map<String, Long> tags, final int size) {
-        return new CachedResponse(200, Map.of(), new byte[size], filledAt, versions, tags, "s");
+        return new CachedResponse(200, Map.of(), new byte[size], filledAt, filledAt + 1, versions, tags, "s");
     }
 
     @Test
@@ -93,8 +89,8 @@
         assertTrue(cache.findFresh("k", at(4999)).isPresent(), "a longer time holds for copies that are there");
         route(RouteMode.CACHED, 100);
         assertFalse(cache.findFresh("k", at(100)).isPresent());
-        assertTrue(cache.findUsable("k", at(99 + CopyRequirements.STALE_GRACE_MS))
-                .isPresent());
+        assertTrue(
+                cache.findUsable("k", at(99 + CopyRequirements.STALE_GRACE_MS)).isPresent());
         route(RouteMode.STATUS, 5000);
         assertFalse(cache.findUsable("k", at(1)).isPresent(), "no longer cacheable");
     }
--- a/data/src/test/java/org/rowanvalve/data/shield/ForwardConfirmationTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ForwardConfirmationTest.java
@@ -160,7 +160,7 @@
     void aFillIsConfirmedOnceOneOfItsRequestsIsConfirmed() {
         final Cancellation query = open(1);
         final Cancellation second = open(2);
-        final Fill fill = new Fill("/x", null);
+        final Fill fill = new Fill("/x", null, 0);
         fill.join(waiter(query));
         fill.join(waiter(second));
         loop.run(400);
