A purge declared again for another path still holds for the first one

Same class as collected purges, found by reading: the product's interface lets an operator declare a purge again under its name with another path or prefix. The first path then had no purge any more, so copies older than it became valid. A purge that is replaced by one of other objects now counts as forgotten: what was verified before is not served.

--- a/control/src/main/java/org/rowanvalve/control/config/ConfigurationView.java
+++ b/control/src/main/java/org/rowanvalve/control/config/ConfigurationView.java
@@ -39,6 +39,7 @@
     private PlacementPlan plan = new PlacementPlan(0, 0, List.of());
     private long confirmedAt = Long.MIN_VALUE / 2;
     private long lastConfirmationGapEndedAt = Long.MIN_VALUE;
+    private long lastPurgeReplacedAt = Long.MIN_VALUE;
 
     /** The version of the newest purge of a tag, and the time at which this node learned it. */
     public record TagPurge(long version, long learnedAt) {}
@@ -129,6 +130,9 @@
         }
         if (!item.body().isEmpty()) {
             final Purge purge = Json.read(item.body(), Purge.class);
+            if (previous != null && !previous.equals(purge)) {
+                lastPurgeReplacedAt = items.now();
+            }
             purges.put(item.id(), purge);
             if (purge.path() != null) {
                 pathPurges
@@ -187,7 +191,7 @@
      * served. Whether a purge is collected, and when, therefore makes no copy valid again.
      */
     public long purgesKnownSince() {
-        return Math.max(items.lastCollectedPurgeLearnedAt(), lastConfirmationGapEndedAt);
+        return Math.max(items.lastCollectedPurgeLearnedAt(), Math.max(lastConfirmationGapEndedAt, lastPurgeReplacedAt));
     }
 
     /** Whether none of these tags has been purged at a version above the given one. */
--- a/control/src/test/java/org/rowanvalve/control/config/ConfigurationViewTest.java
+++ b/control/src/test/java/org/rowanvalve/control/config/ConfigurationViewTest.java
@@ -180,4 +180,18 @@
         configuration.onConfirmed(later);
         assertEquals(later, configuration.purgesKnownSince());
     }
+
+    /** Guards against a purge that no longer holds for its own path once its name is declared for another one. */
+    @Test
+    void aPurgeThatIsDeclaredForAnotherPathStillHoldsForTheFirstOne() {
+        putService("s");
+        putRoute("own", "", "/", "s");
+        net.loop.run(1000);
+        putPurge("p", 1, new Purge("own", "/x", null, null, null));
+        net.loop.run(1000);
+        putPurge("p", 2, new Purge("own", "/x", null, null, null));
+        assertTrue(configuration.purgesKnownSince() < net.loop.now(), "the same purge again");
+        putPurge("p", 3, new Purge("own", "/y", null, null, null));
+        assertEquals(net.loop.now(), configuration.purgesKnownSince());
+    }
 }
