A write whose version counts as collected is not acknowledged

Same class, found by reading, not seen with real processes: a node chooses a purge's version by what it knows, is held up, and writes it once the collection floor has passed that version. No node learns such a purge, and it was answered with 200. The proposer now reports such a write as unknown, for purges and origins, and a purge is acknowledged only by a node whose view is still confirmed. Before: aPurgeUnderACollectedVersionIsNotAcknowledged got 200; after: 503, and the repeat takes effect under a version above the floor.

--- a/control/src/main/java/org/rowanvalve/control/consensus/Proposer.java
+++ b/control/src/main/java/org/rowanvalve/control/consensus/Proposer.java
@@ -405,9 +405,17 @@
                     items.merge(chosen);
                     announce(chosen);
                 }
-                complete(Status.ACCEPTED, item);
+                complete(sent && isCollected(item) ? Status.UNKNOWN : Status.ACCEPTED, item);
             }
         }
+
+        /**
+         * Whether the version of a value counts as garbage collected, so that no node learns the value. This happens if
+         * this node was held up after it had chosen the version.
+         */
+        private boolean isCollected(final Item item) {
+            return items.collectionFloor().covers(id, item.version().number());
+        }
     }
 
     private void announce(final ChosenItem chosen) {
--- a/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/UpdateService.java
@@ -294,7 +294,8 @@
 
     /**
      * Purges a path of a host or a tag. Each request creates a new version, so that objects cached since the previous
-     * purge are purged as well.
+     * purge are purged as well. A node that was held up until its view is no longer confirmed does not acknowledge the
+     * purge, since its version may count as garbage collected by then.
      */
     public void purge(final Purge purge, final Consumer<ApiResponse> callback) {
         if (!view.isFresh()) {
@@ -316,7 +317,7 @@
                     return Optional.of(new Item(id, items.nextVersion(next), next.body(), false, writeId));
                 },
                 result -> singleResponse.accept(
-                        result.isAccepted()
+                        result.isAccepted() && view.isFresh()
                                 ? ApiResponse.done(
                                         "item",
                                         "purge/" + name,
--- a/control/src/test/java/org/rowanvalve/control/operator/UpdateServiceTest.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/UpdateServiceTest.java
@@ -21,6 +21,7 @@
 import org.rowanvalve.control.config.Service;
 import org.rowanvalve.control.config.ServiceKind;
 import org.rowanvalve.control.json.Json;
+import org.rowanvalve.control.store.CollectionFloor;
 import org.rowanvalve.control.voting.VoterFixture;
 
 /** Updates under versions that the operators choose, with three voters. */
@@ -48,9 +49,13 @@
     }
 
     private int purge(final Purge purge) {
+        return purge(purge, 100);
+    }
+
+    private int purge(final Purge purge, final long ms) {
         responses.clear();
         updateService.purge(purge, responses::add);
-        fixture.loop.run(100);
+        fixture.loop.run(ms);
         return responses.isEmpty() ? 0 : responses.get(0).status();
     }
 
@@ -179,4 +184,21 @@
         fixture.loop.run(950);
         assertEquals(Optional.empty(), results.get(1));
     }
+
+    /**
+     * Guards against a purge that is acknowledged and never in force (STALE): a node that was held up wrote it under a version
+     * that counts as garbage collected by now.
+     */
+    @Test
+    void aPurgeUnderACollectedVersionIsNotAcknowledged() {
+        fixture.confirm();
+        fixture.responseDelayMs = 100;
+        updateService.purge(new Purge(null, "/x", null, "h", null), responses::add);
+        fixture.loop.run(150);
+        fixture.put(CollectionFloor.ID, 1, new CollectionFloor(50, 0));
+        fixture.loop.run(1000);
+        assertEquals(503, responses.get(0).status());
+        assertEquals(200, purge(new Purge(null, "/x", null, "h", null), 1000));
+        assertEquals(51L, responses.get(0).body().get("version"));
+    }
 }
