--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/ClientResponseRules.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/ClientResponseRules.java
@@ -9,7 +9,8 @@
 final class ClientResponseRules {
     private ClientResponseRules() {}
 
-    private static List<RunFacts.Row> done(final RunFacts facts) {
+    /** The requests that were answered with success. */
+    static List<RunFacts.Row> done(final RunFacts facts) {
         return facts.of("req").stream()
                 .filter(row -> row.text("fate").equals("done") && row.num("status") / 100 == 2)
                 .toList();
@@ -78,28 +79,4 @@
         }
         return verdict;
     }
-
-    static Verdict aged(final RunFacts facts, final Verdict verdict) {
-        final Map<String, Long> when = new HashMap<>();
-        facts.of("change").forEach(c -> when.put(c.text("path") + "#" + c.num("rev"), c.t()));
-        final Map<String, RunFacts.Row> sent = new HashMap<>();
-        facts.of("org").stream().filter(o -> facts.shieldRun()).forEach(o -> sent.put(o.text("request"), o));
-        for (final RunFacts.Row row : done(facts)) {
-            final RunFacts.Row fill = sent.get(row.text("request"));
-            if (fill != null && facts.drifts(fill.text("from"), row.t())) {
-                verdict.excuse();
-            } else if (row.text("mode").equals("cached")) {
-                final Long next = when.get(row.text("path") + "#" + (row.num("rev") + 1));
-                if (next != null) {
-                    verdict.check();
-                    if (row.t() > next + row.num("life") + 2000) {
-                        verdict.breach(row.text("path") + " served at " + row.t() + " by " + row.text("node")
-                                + " with revision " + row.num("rev") + ", changed at " + next + ", lifetime "
-                                + row.num("life"));
-                    }
-                }
-            }
-        }
-        return verdict;
-    }
 }
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
@@ -21,7 +21,7 @@
                 facts, OriginTrafficRules.one(facts, new Verdict(4, "one shield fills a shard at a time"))));
         verdicts.add(ConfigurationRules.force(facts, new Verdict(5, "configuration in force in 2.5 s, never back")));
         verdicts.add(ClientResponseRules.purged(facts, new Verdict(6, "purged objects gone after 2 s")));
-        verdicts.add(ClientResponseRules.aged(facts, new Verdict(7, "copies end at lifetime plus 2 s")));
+        verdicts.add(CopyLifetimeRules.aged(facts, new Verdict(7, "copies end at lifetime plus 2 s")));
         verdicts.add(OriginTrafficRules.left(facts, new Verdict(8, "a leaving origin rests after 2.5 s")));
         verdicts.add(OriginTrafficRules.rate(facts, new Verdict(9, "a content store's rate in any 5 s")));
         verdicts.add(OriginTrafficRules.extra(facts, new Verdict(10, "extra tries in any 10 s")));
--- a/testkit/src/main/java/org/rowanvalve/testkit/scenario/Deployment.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/scenario/Deployment.java
@@ -74,6 +74,12 @@
                     route, "/" + route + "/", mode, lifetimeMs, true, share, objects, HOST, new TreeMap<>(split));
         }
 
+        /** The same requests by a route of this name, prefix and time to live. */
+        public TrafficClass by(final String otherRoute, final String otherPrefix, final long otherLifetimeMs) {
+            return new TrafficClass(
+                    otherRoute, otherPrefix, mode, otherLifetimeMs, purgeable, share, objects, host, split);
+        }
+
         /** An object's path; {@code roll} is in [0, 1), and a higher {@code skew} asks more often for the first objects. */
         public String path(final double roll, final int skew) {
             double index = objects;
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/UpdateGenerator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/UpdateGenerator.java
@@ -134,7 +134,9 @@
                         "services",
                         new ArrayList<>(services.keySet()),
                         "attempts",
-                        ATTEMPTS));
+                        ATTEMPTS,
+                        "life",
+                        traffic.mode().equals("cached") ? traffic.lifetimeMs() : null));
     }
 
     /** A route that is split goes to one of its services alone now and then. */
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/UpdateOperator.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/UpdateOperator.java
@@ -22,6 +22,10 @@
 public final class UpdateOperator implements OperatorWorkload {
     private static final String BLINK = "blink";
     private static final String SPARE = "spare";
+    private static final long LONG_LIFETIME_MS = 600_000;
+    private static final int LIFETIME_DIVISOR = 10;
+    private static final long MIN_LIFETIME_CHANGE_MS = 4000;
+    private static final int LIFETIME_CHANGE_RANGE_MS = 12_000;
     private final SimCluster cluster;
     private final UpdateGenerator draft;
     private final UpdateClient client;
@@ -60,6 +64,7 @@
         restate();
         blink();
         probe();
+        cluster.world().in(MIN_LIFETIME_CHANGE_MS, this::changeLifetime);
     }
 
     @Override
@@ -178,6 +183,28 @@
                 new TreeMap<>(Map.of(service, 1))));
     }
 
+    /**
+     * The time to live of a cached route becomes shorter or longer; or a route of a longer prefix, with a short time, is
+     * added or dropped.
+     */
+    private void changeLifetime() {
+        if (!on) {
+            return;
+        }
+        final List<Deployment.TrafficClass> ways = cluster.place().cachedRoutes();
+        final Deployment.TrafficClass traffic = ways.get(random().nextInt(ways.size()));
+        final long shorter = traffic.lifetimeMs() / LIFETIME_DIVISOR;
+        if (traffic.split().size() == 1 && random().nextBoolean()) {
+            final UpdateItem deeper = draft.route(traffic.by("deep", traffic.prefix() + random().nextInt(10), shorter));
+            final UpdateItem drop = new UpdateItem(ItemKind.ROUTE, deeper.name(), deeper.version(), null, Map.of());
+            send(draft.order(random().nextBoolean() ? deeper : drop));
+        } else {
+            final long lifetimeMs = random().nextBoolean() ? shorter : LONG_LIFETIME_MS;
+            send(draft.order(draft.route(traffic.by(traffic.route(), traffic.prefix(), lifetimeMs))));
+        }
+        cluster.world().in(MIN_LIFETIME_CHANGE_MS + random().nextInt(LIFETIME_CHANGE_RANGE_MS), this::changeLifetime);
+    }
+
     private void sendAgain() {
         if (!client.answered().isEmpty()) {
             send(client.answered().get(random().nextInt(client.answered().size())));
--- a/testkit/src/test/java/org/rowanvalve/testkit/JudgeShieldsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/JudgeShieldsTest.java
@@ -344,4 +344,33 @@
                 org(5450, "get", "a-2", "s1", "sh1")));
         rule(25, some, List.of(List.of(req(5600, "a-3", "done", 200), org(5650, "get", "a-3", "s1", "sh1"))));
     }
+
+    private static Map<String, Object> routeFor(
+            final String what, final long t, final long version, final long lifetimeMs) {
+        return op(what, t, version, "n" + version, "prefix", "/c/", "life", lifetimeMs);
+    }
+
+    private static Map<String, Object> cachedRead(final long t, final long revision) {
+        return RunLog.row(
+                "log", "req", "t", t, "end", t + 5, "node", "ed1", "mode", "cached", "path", "/c/1", "status", 200,
+                "fate", "done", "life", 9000, "rev", revision);
+    }
+
+    @Test
+    void rule7ACopyBeyondTheLifetimeInForce() {
+        final List<Map<String, Object>> clean = new ArrayList<>(List.of(
+                routeFor("sent", 10, 5, 9000),
+                routeFor("put", 10, 5, 9000),
+                RunLog.row("log", "change", "t", 5000, "path", "/c/1", "rev", 2),
+                cachedRead(15_900, 1),
+                routeFor("sent", 16_000, 6, 1000),
+                routeFor("put", 16_000, 6, 1000),
+                RunLog.row("log", "change", "t", 17_000, "path", "/c/1", "rev", 3),
+                cachedRead(18_400, 2),
+                cachedRead(20_000, 2),
+                routeFor("sent", 30_000, 7, 9000),
+                RunLog.row("log", "change", "t", 26_000, "path", "/c/1", "rev", 4),
+                cachedRead(30_100, 3)));
+        rule(7, clean, List.of(List.of(cachedRead(20_001, 2)), List.of(cachedRead(29_001, 3))));
+    }
 }
