Judge: requests under way when the last machine stops are not asked of a return

A request now counts if it ended before that moment, or if its client had waited for 3 s, the longest any does.

--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/ConfigurationRules.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/ConfigurationRules.java
@@ -10,6 +10,9 @@
 
 /** Rules on configuration: in force in time, never rolled back, never lost. */
 final class ConfigurationRules {
+    /** The longest time that a client waits for an answer. */
+    private static final long LONGEST_WAIT_MS = 3000;
+
     private ConfigurationRules() {}
 
     private static List<RunFacts.Row> writes(final RunFacts facts) {
@@ -123,6 +126,11 @@
         }
     }
 
+    /** Whether a request ended, or its client had waited as long as any does, before no machine was up any more. */
+    private static boolean couldBeAnswered(final RunFacts.Row request, final long dark) {
+        return request.t() < dark && (request.num("end") < dark || request.t() + LONGEST_WAIT_MS < dark);
+    }
+
     static Verdict lost(final RunFacts facts, final Verdict verdict) {
         for (final RunFacts.Row e : facts.of("end")) {
             if (!e.yes("fresh") || !(e.map().get("items") instanceof Map<?, ?> items)) {
@@ -146,7 +154,7 @@
                     .filter(q -> q.t() >= from && q.t() < from + 5000)
                     .toList();
             final List<RunFacts.Row> asked =
-                    all.stream().filter(q -> q.t() < dark).toList();
+                    all.stream().filter(q -> couldBeAnswered(q, dark)).toList();
             verdict.excuse(all.size() - asked.size());
             final long done =
                     asked.stream().filter(q -> q.text("fate").equals("done")).count();
