--- a/control/src/main/java/org/rowanvalve/control/config/Route.java
+++ b/control/src/main/java/org/rowanvalve/control/config/Route.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 import java.util.stream.Stream;
+import org.rowanvalve.common.model.HostName;
 
 /**
  * A route sends the requests for a path prefix of a host to a service.
@@ -36,7 +37,7 @@
 
     public Route {
         condition = condition == null ? "" : condition;
-        host = host == null ? "" : host;
+        host = host == null ? "" : HostName.normalize(host);
         split = split == null ? List.of() : List.copyOf(split);
         maxAttempts = maxAttempts <= 0 ? DEFAULT_ATTEMPT_LIMIT : maxAttempts;
         note = note == null ? "" : note;
--- a/control/src/test/java/org/rowanvalve/control/config/ConfigurationViewTest.java
+++ b/control/src/test/java/org/rowanvalve/control/config/ConfigurationViewTest.java
@@ -194,4 +194,17 @@
         putPurge("p", 3, new Purge("own", "/y", null, null, null));
         assertEquals(net.loop.now(), configuration.purgesKnownSince());
     }
+
+    /** Guards against purges that do nothing because they write the host in another case than requests (STALE). */
+    @Test
+    void hostsOfRoutesAndPurgesAreComparedWithoutRegardToCase() {
+        putService("s");
+        putRoute("r", "Shop.Example", "/", "s");
+        putPurge("h.1", 4, new Purge(null, "/x", null, "SHOP.example", null));
+        final ConfiguredRoute configured =
+                configuration.route("shop.example", "/x").orElseThrow();
+        assertEquals(
+                Map.of("p/h.1", 4L), configuration.versionsOf(configured, "/x").versions());
+        assertEquals("h", new Purge(null, "/x", null, "H:80", null).host());
+    }
 }
--- a/data/src/main/java/org/rowanvalve/data/request/ClientRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/request/ClientRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.rowanvalve.common.model.HostName;
 
 /**
  * A client's request.
@@ -21,6 +22,10 @@
         long timeoutMs,
         String range,
         Map<String, String> headers) {
+    public ClientRequest {
+        host = HostName.normalize(host);
+    }
+
     public ClientRequest(
             final String method, final String path, final String key, final byte[] body, final String contentType) {
         this(method, "", path, key, body, contentType, "", 0, null, Map.of());
