--- a/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/EdgeRequest.java
@@ -43,6 +43,7 @@
 
     private final Edge edge;
     private final ClientRequest request;
+    private final String ifRange;
     private final ConfiguredRoute route;
     private final Cancellation cancellation;
     private final Consumer<ClientResponse> callback;
@@ -74,6 +75,7 @@
                 route.route().hasMode(RouteMode.CACHED) && request.method().equals("GET")
                         ? request.withoutConditions()
                         : request;
+        this.ifRange = request.range() == null ? null : request.ifRange();
         this.route = route;
         this.cancellation = cancellation;
         this.callback = callback;
@@ -348,12 +350,15 @@
         return copy.isPresent();
     }
 
+    private ClientResponse inRange(final ClientResponse complete) {
+        return ByteRange.apply(complete, request.range(), ifRange);
+    }
+
     private void respondFrom(final CachedResponse copy, final String cacheResult) {
         final Map<String, String> headers = new TreeMap<>(copy.headers());
         headers.put("Age", String.valueOf((now() - copy.filledAt()) / 1000));
         headers.put("Rv-Cache", cacheResult);
-        finish(ByteRange.apply(
-                new ClientResponse(copy.status(), RequestOutcome.DONE, headers, copy.body()), request.range()));
+        finish(inRange(new ClientResponse(copy.status(), RequestOutcome.DONE, headers, copy.body())));
     }
 
     /**
@@ -422,7 +427,7 @@
             takeWaiters()
                     .forEach(waiter -> waiter.answerOrRestart(
                             waiter == this || requirements.allowsResponseRequestedAt(sentAt),
-                            () -> waiter.finish(ByteRange.apply(response, waiter.request.range()))));
+                            () -> waiter.finish(waiter.inRange(response))));
             return true;
         }
         final CachedResponse copy = copyOf(filled, sentAt);
--- a/data/src/main/java/org/rowanvalve/data/request/ClientRequest.java
+++ b/data/src/main/java/org/rowanvalve/data/request/ClientRequest.java
@@ -31,6 +31,15 @@
         this(method, "", path, key, body, contentType, "", 0, null, Map.of());
     }
 
+    /** The value of the If-Range header, or null. */
+    public String ifRange() {
+        return headers.entrySet().stream()
+                .filter(header -> header.getKey().equalsIgnoreCase("If-Range"))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse(null);
+    }
+
     /** Returns a copy without conditional headers, for a response that is shared by several clients. */
     public ClientRequest withoutConditions() {
         final Map<String, String> remaining = new TreeMap<>(headers);
--- a/data/src/test/java/org/rowanvalve/data/edge/EdgeReadsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/EdgeReadsTest.java
@@ -101,6 +101,16 @@
         assertEquals(Map.of("If-None-Match", "\"v1\""), forward(1).request().headers());
     }
 
+    @Test
+    void aRangeOfAnEarlierVersionGetsTheWholeObject() {
+        send(RouteMode.CACHED, "bytes=1-2", Map.of("If-Range", "\"v0\""));
+        respond(0, filled(RequestOutcome.DONE, 200, "abcd", 0, currentVersions()));
+        send(RouteMode.CACHED, "bytes=1-2", Map.of("if-range", "\"v0\""));
+        assertEquals(
+                List.of(200, 200),
+                clientResponses.stream().map(ClientResponse::status).toList());
+    }
+
     /** A lease holder that responds but may not fill delays a read only briefly; the read then continues without a lease. */
     @Test
     void aReadWaitsAtMostAQuarterOfItsLatencyTargetForAHolderThatMayNotFill() {
