Shield: the route of a fill is looked up once for all who joined it

Each waiter's route was looked up by its name among all routes of the host. Waiters by the fill's own route, nearly all, share its requirements now; a route removed meanwhile still answers what it had begun.

--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -395,15 +395,18 @@
             return;
         }
         final CachedResponse copy = copyOf(fill, service, completion);
-        final boolean isUnpurged = areTagsUnpurgedSince(completion.sentAt(), response.tags())
-                && CopyRequirements.of(configuration, route, fill.path(), loop.now())
-                        .isUnpurged(copy);
-        final boolean isCurrent = isUnpurged && isServiceOf(route.name(), service);
+        final ConfiguredRoute current = configuration.routeNamed(route.name()).orElse(route);
+        final CopyRequirements requirements =
+                new CopyRequirements(configuration, current, configuration.versionsOf(route, fill.path()), loop.now());
+        final boolean isUnpurged =
+                areTagsUnpurgedSince(completion.sentAt(), response.tags()) && requirements.isUnpurged(copy);
+        final boolean isCurrent = isUnpurged && current.route().services().contains(service);
         if (isCurrent && response.status() == 200) {
             cache.put(key, copy);
         }
         for (final Fill.Waiter waiter : fill.waiters()) {
-            final boolean isRecentEnough = fill.isInitiator(waiter) || isRecentEnough(waiter, route, copy);
+            final boolean isRecentEnough = fill.isInitiator(waiter)
+                    || requirementsOf(waiter, route, requirements).allowsResponseRequestedAt(copy.filledAt());
             if (isCurrent && isRecentEnough) {
                 waiter.callback().accept(respondFrom(waiter.request(), copy));
             } else if (isUnpurged
@@ -418,6 +421,18 @@
         }
     }
 
+    /** The requirements for a request that joined a fill: those of the fill's route, unless it came by another one. */
+    private CopyRequirements requirementsOf(
+            final Fill.Waiter waiter, final ConfiguredRoute routeOfFill, final CopyRequirements ofFill) {
+        return waiter.forward().route().equals(routeOfFill.name())
+                ? ofFill
+                : configuration
+                        .routeNamed(waiter.forward().route())
+                        .map(own -> CopyRequirements.of(
+                                configuration, own, waiter.forward().path(), loop.now()))
+                        .orElse(ofFill);
+    }
+
     private CachedResponse copyOf(final Fill fill, final String service, final OriginDispatcher.Completion completion) {
         final OriginTransport.OriginResponse response = completion.response();
         final Map<String, Long> tags = new TreeMap<>();
@@ -437,23 +452,6 @@
         return tags.stream().allMatch(tag -> configuration.tagPurge(tag).learnedAt() < time);
     }
 
-    /** Whether the route of this name still sends requests to the service. */
-    private boolean isServiceOf(final String route, final String service) {
-        return configuration
-                .routeNamed(route)
-                .filter(current -> current.route().services().contains(service))
-                .isPresent();
-    }
-
-    /** Whether the age of the copy allows it to answer a request that joined the fill, by the request's own route. */
-    private boolean isRecentEnough(
-            final Fill.Waiter waiter, final ConfiguredRoute routeOfFill, final CachedResponse copy) {
-        final ConfiguredRoute own =
-                configuration.routeNamed(waiter.forward().route()).orElse(routeOfFill);
-        return CopyRequirements.of(configuration, own, waiter.forward().path(), loop.now())
-                .allowsResponseRequestedAt(copy.filledAt());
-    }
-
     /**
      * Responds to a request whose fill has failed. A request that is not cancelled is handled anew if the fill was
      * cancelled, because the cancelled fill made no further attempt.
