--- a/testkit/src/test/java/org/rowanvalve/testkit/CollectedPurgeTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/CollectedPurgeTest.java
@@ -103,7 +103,7 @@
         pages.expect(2, pages.readAll());
     }
 
-    /** A frozen edge goes on once the purges are collected, under an unchanged route. */
+    /** A frozen edge goes on once the purges are collected. */
     @ParameterizedTest
     @EnumSource
     void purgesDuringAFreezeHold(final Way way) {
