A request whose connection this side has closed is not sent on

Cause: ClientEndPoint.checkClose, which is asked right before a request is forwarded, looked only for a client that has ended its side; of a connection that is no longer open it said "not closed". Change: a connection that has ended on either side is told. The listener that hears of a close at once is still called for the client's close only, since a process that stops closes all.

Before: ClientEndPointTest#aConnectionThatThisSideHasClosedIsFoundWhenItIsLookedFor failed (expected /ended, was null). After: all 13 tests of the class pass.

--- a/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
@@ -72,7 +72,10 @@
         }
     }
 
-    /** Reads at once what there is: whether the client has left since. Calls the listener as {@link #onClose} does. */
+    /**
+     * Calls the listener as {@link #onClose} does if the connection has ended: reads at once what there is, which tells
+     * whether the client has left. After a close by this node, too, no response can be returned.
+     */
     public static void checkClose(final Request request) {
         if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
             endPoint.checkClose();
@@ -130,10 +133,10 @@
     private void checkClose() {
         final Runnable listener;
         synchronized (this) {
-            if (closeListener == null || !readOnce()) {
+            if (closeListener == null || isOpen() && !readOnce()) {
                 return;
             }
-            listener = takeListenerIfClosed();
+            listener = takeListenerIf(isInputShutdown() || !isOpen());
         }
         if (listener != null) {
             listener.run();
@@ -147,7 +150,7 @@
             if (closeListener == null || reading || !readOnce()) {
                 return;
             }
-            listener = takeListenerIfClosed();
+            listener = takeListenerIf(isInputShutdown() && isOpen());
             if (listener == null) {
                 reading = super.tryFillInterested(readAheadCallback);
                 return;
@@ -156,9 +159,9 @@
         listener.run();
     }
 
-    /** Null where the client has not closed. */
-    private Runnable takeListenerIfClosed() {
-        final Runnable listener = isInputShutdown() && isOpen() ? closeListener : null;
+    /** Returns null if the connection has not ended. */
+    private Runnable takeListenerIf(final boolean ended) {
+        final Runnable listener = ended ? closeListener : null;
         closeListener = listener == null ? closeListener : null;
         return listener;
     }
--- a/server/src/test/java/org/rowanvalve/server/http/ClientEndPointTest.java
+++ b/server/src/test/java/org/rowanvalve/server/http/ClientEndPointTest.java
@@ -266,6 +266,17 @@
         assertNull(closed.poll(NOTHING_COMES_MS, TimeUnit.MILLISECONDS));
     }
 
+    /** Guards against a request that is sent on although its connection was closed on this side. */
+    @Test
+    void aConnectionThatThisSideHasClosedIsFoundWhenItIsLookedFor() throws Exception {
+        final Socket client = connect();
+        send(client, get("/ended"));
+        final Held held = nextRequest();
+        held.request().getConnectionMetaData().getConnection().getEndPoint().close();
+        ClientEndPoint.checkClose(held.request());
+        assertEquals("/ended", closed.poll());
+    }
+
     @Test
     void aCloseBehindTheNextRequestsBytesIsTold() throws Exception {
         final Socket client = connect();
