An edge can be stopped gracefully from the moment its address is open

Seen: SIGTERM right after an edge's address was open ended the process at once (143), and requests on its connections were reset. Cause: the shutdown hook was registered after the addresses had been opened, the process had said that it is ready and its HTTP client had been started. Change: it is registered before the first address is opened. RV1004 tells how many requests were still open, so that a stop that was too short can be told from other ends.

--- a/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
+++ b/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
@@ -84,7 +84,7 @@
                 && isVoterReplaced();
         if (idle || loop.now() >= deadline) {
             loop.schedule(LINGER_MS, () -> {
-                journal.add(Event.of(EventCode.STOPPED, "node", self.text()));
+                journal.add(Event.of(EventCode.STOPPED, "node", self.text(), "openRequests", openRequests()));
                 callback.run();
             });
         } else {
@@ -92,6 +92,12 @@
         }
     }
 
+    private int openRequests() {
+        return node.edgeComponents()
+                .map(components -> components.edge().openRequests())
+                .orElse(0);
+    }
+
     /**
      * Whether this shield has no leases and the placement plan no longer names it. If no leader updates the plan, the
      * shield stops waiting {@link #HANDOVER_TIMEOUT_MILLIS} after it gave up its last lease.
--- a/server/src/main/java/org/rowanvalve/server/process/Program.java
+++ b/server/src/main/java/org/rowanvalve/server/process/Program.java
@@ -120,13 +120,14 @@
         startupTimer.endPhase("begin");
         final int warmedRequests = new WarmupRequests(options, frontends).run(components);
         startupTimer.endPhase("warmup");
+        // Once an address is open, a request may be on a connection, which only a graceful shutdown answers.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(components, log, optionWatcher), "stop"));
         openAddresses(new ProcessContext(components.loop(), node, components.net(), votersKnown));
         startupTimer.endPhase("http");
         journalReady(components, warmedRequests);
         if (options.role() == Role.EDGE) {
             start(components.client());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(components, log, optionWatcher), "stop"));
     }
 
     private void openStorage(final ProcessComponent components) throws StorageException, InterruptedException {
