Client connections: one owner ends them, clients are told first, none is refused

Cause: ConnectionLimit picked an idle connection under its lock and closed it after it, while another thread had read a request from it: two owners, and no state that both had to pass through. And a crowd cost requests by design: each newcomer ended a connection whose client had been told nothing.

Change: ClientEndPoint has one atomic state. Reading begins with RESTING to ACTIVE, ending with RESTING to ENDED, so a connection that is read from is never ended by this node. ClientConnections replaces ConnectionLimit: from half of the places on, responses state a shorter rest (Keep-Alive), and in the last eighth they say Connection: close; only connections that rested for longer than they were told are ended. A quarter beyond the bound nothing more is accepted: newcomers wait in the backlog, unread, instead of being closed. idle_timeout_ms is applied. RV1804 names each end by this node.

ConnectionLimitTest becomes ClientConnectionsTest. Two of its tests stated what caused the fault: that the longest idle are cut off at once, and that a newcomer is closed unread. They are replaced by stricter ones: whoever comes is served, nobody is cut off within the rest that was stated, and newcomers are served once a place is free. Beside them: parts of requests, long work, silent connections, places given back.

--- a/common/src/main/java/org/rowanvalve/common/event/EventCode.java
+++ b/common/src/main/java/org/rowanvalve/common/event/EventCode.java
@@ -66,7 +66,8 @@
     KEYED_ENDED(1711, "attempt of a keyed request ended"),
     CLIENT_LEFT(1801, "client left before its response"),
     WORK_ENDED(1802, "work ended after its client had left"),
-    CANCELLED(1803, "work on a request cancelled");
+    CANCELLED(1803, "work on a request cancelled"),
+    CONNECTION_ENDED(1804, "client connection ended by this node");
 
     private final int number;
     private final String description;
--- a/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientEndPoint.java
@@ -6,9 +6,13 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -21,12 +25,19 @@
  *
  * <p>A client that ends only its sending side cannot be told from one that has closed the connection, and counts as
  * closed: HTTP/1.1 gives no meaning to a half-closed connection, and a response is still written to it.
+ *
+ * <p>A connection is ended by this node only while nothing is on it: {@link #fill} and {@link #endUnlessActive} are
+ * transitions of one atomic state, so a connection that is being ended is not read from, and one that is being read from
+ * is not ended.
  */
 public final class ClientEndPoint extends SocketChannelEndPoint {
     /** Bytes of later requests that are kept; beyond them a close is seen only after the response. */
     private static final int READ_AHEAD_BYTES = 1024;
 
     private final Executor executor;
+    private final ClientConnections connections;
+    private final AtomicReference<ConnectionState> state = new AtomicReference<>(ConnectionState.RESTING);
+    private volatile KeepAlive keepAlive = KeepAlive.UNUSED;
     private final Callback readAheadCallback = new ReadAheadCallback();
     private ByteBuffer readAhead = BufferUtil.EMPTY_BUFFER;
     private Runnable closeListener;
@@ -40,9 +51,11 @@
             final ManagedSelector selector,
             final SelectionKey key,
             final Scheduler scheduler,
-            final Executor executor) {
+            final Executor executor,
+            final ClientConnections connections) {
         super(channel, selector, key, scheduler);
         this.executor = executor;
+        this.connections = connections;
     }
 
     private final class ReadAheadCallback implements Callback {
@@ -89,6 +102,81 @@
         }
     }
 
+    /** Tells the client in this response how long its connection may rest, if places for connections are short. */
+    public static void announceKeepAlive(final Request request, final Response response) {
+        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
+            endPoint.announceKeepAlive(response);
+        }
+    }
+
+    private void announceKeepAlive(final Response response) {
+        keepAlive = connections.keepAlive();
+        keepAlive.addTo(response);
+    }
+
+    /** How long the last response allowed this connection to rest. */
+    KeepAlive keepAlive() {
+        return keepAlive;
+    }
+
+    boolean isFinished() {
+        return state.get() == ConnectionState.FINISHED;
+    }
+
+    /** Whether a request has been read whole and its response is not about to be written yet. */
+    synchronized boolean hasOpenRequest() {
+        return closeListener != null;
+    }
+
+    /** Closes the connection unless a request, or part of one, is on it. Returns whether this call closed it. */
+    boolean endUnlessActive() {
+        final boolean ends = state.compareAndSet(ConnectionState.RESTING, ConnectionState.ENDED)
+                || state.compareAndSet(ConnectionState.FINISHED, ConnectionState.ENDED);
+        if (ends) {
+            close();
+        }
+        return ends;
+    }
+
+    /** Returns false if this node is ending the connection, so that nothing may be read from it. */
+    private boolean beginReading() {
+        if (state.compareAndSet(ConnectionState.RESTING, ConnectionState.ACTIVE)) {
+            connections.onActive(this);
+        }
+        return state.get() != ConnectionState.ENDED;
+    }
+
+    /** Called by the thread that reads from the connection, before it waits for more bytes. */
+    private void endReading() {
+        if (state.get() != ConnectionState.ACTIVE || hasReadAhead()) {
+            return;
+        }
+        if (getConnection() instanceof HttpConnection http && http.isRequestBufferEmpty()) {
+            if (http.getParser().isStart()) {
+                rest(ConnectionState.RESTING);
+            } else if (http.getParser().isClose() || http.getParser().isClosed()) {
+                rest(ConnectionState.FINISHED);
+            }
+        }
+    }
+
+    private void rest(final ConnectionState next) {
+        connections.onIdle(this);
+        state.set(next);
+    }
+
+    private synchronized boolean hasReadAhead() {
+        return BufferUtil.hasContent(readAhead);
+    }
+
+    /** The connections' own bound ends a connection that rests. */
+    @Override
+    protected void onIdleExpired(final TimeoutException timeout) {
+        if (state.get() == ConnectionState.ACTIVE) {
+            super.onIdleExpired(timeout);
+        }
+    }
+
     private void setCloseListener(final Runnable listener) {
         synchronized (this) {
             closeListener = listener;
@@ -184,6 +272,9 @@
 
     @Override
     public int fill(final ByteBuffer buffer) throws IOException {
+        if (!beginReading()) {
+            return -1;
+        }
         synchronized (this) {
             if (BufferUtil.hasContent(readAhead)) {
                 final int position = BufferUtil.flipToFill(buffer);
@@ -207,6 +298,7 @@
 
     @Override
     public boolean tryFillInterested(final Callback callback) {
+        endReading();
         synchronized (this) {
             if (!BufferUtil.hasContent(readAhead)) {
                 if (!reading) {
--- a/server/src/main/java/org/rowanvalve/server/http/ClientHandler.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientHandler.java
@@ -27,16 +27,16 @@
     @Override
     public boolean handle(final Request req, final Response res, final Callback done) {
         if (HeaderLimit.over(req, edge.limits())) {
-            send(res, done, ClientResponse.notAccepted(431, "head over the limit", 0));
+            send(req, res, done, ClientResponse.notAccepted(431, "head over the limit", 0));
             return true;
         }
         if (req.getLength() > LIMIT) {
-            send(res, done, ClientResponse.notAccepted(413, "body over the limit", 0));
+            send(req, res, done, ClientResponse.notAccepted(413, "body over the limit", 0));
             return true;
         }
         RequestBody.read(req, LIMIT).whenComplete((body, trouble) -> {
             if (trouble != null) {
-                send(res, done, ClientResponse.notAccepted(413, "body over the limit or cut short", 0));
+                send(req, res, done, ClientResponse.notAccepted(413, "body over the limit or cut short", 0));
                 return;
             }
             final ClientRequest request = new ClientRequest(
@@ -46,12 +46,14 @@
                     body,
                     Optional.ofNullable(req.getHeaders().get(HttpHeader.CONTENT_TYPE))
                             .orElse("application/json"));
-            requests.submit(req, request, response -> send(res, done, response));
+            requests.submit(req, request, response -> send(req, res, done, response));
         });
         return true;
     }
 
-    private static void send(final Response res, final Callback done, final ClientResponse response) {
+    private static void send(
+            final Request req, final Response res, final Callback done, final ClientResponse response) {
+        ClientEndPoint.announceKeepAlive(req, res);
         res.setStatus(response.status());
         response.headers().forEach((k, v) -> res.getHeaders().put(k, v));
         res.getHeaders().put("Rv-Fate", response.fate().code());
--- a/server/src/main/java/org/rowanvalve/server/http/HttpAddresses.java
+++ b/server/src/main/java/org/rowanvalve/server/http/HttpAddresses.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.UriCompliance;
-import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -31,7 +30,6 @@
     private static final int ANSWERS = 64 << 10;
     private final Server server;
     private final Map<Connector, Handler> handlers = new ConcurrentHashMap<>();
-    private final Map<Connector, ConnectionLimit> limits = new ConcurrentHashMap<>();
 
     public HttpAddresses(final Server server) {
         this.server = server;
@@ -52,8 +50,15 @@
         return open(what, at, handler, Integer.MAX_VALUE);
     }
 
-    /** {@code most}: how many connections this address may hold at once. */
-    public int open(final String what, final InetSocketAddress at, final Handler handler, final int most)
+    /** {@code maxConnections}: how many connections this address may hold at once. */
+    public int open(final String what, final InetSocketAddress at, final Handler handler, final int maxConnections)
+            throws IOException {
+        return open(what, at, handler, ConnectionOptions.atMost(maxConnections));
+    }
+
+    /** Opens an address with a handler of its own, whose connections are bounded by {@code options}. */
+    public int open(
+            final String what, final InetSocketAddress at, final Handler handler, final ConnectionOptions options)
             throws IOException {
         final HttpConfiguration conf = new HttpConfiguration();
         conf.setSendServerVersion(false);
@@ -61,13 +66,11 @@
         conf.setRequestHeaderSize(HeaderLimit.MOST);
         conf.setUriCompliance(PATHS);
         conf.setResponseHeaderSize(ANSWERS);
-        final ServerConnector link = new ClientServerConnector(server, new HttpConnectionFactory(conf));
+        final ServerConnector link =
+                new ClientServerConnector(server, new HttpConnectionFactory(conf), new ClientConnections(options));
         link.setHost(at.getHostString());
         link.setPort(at.getPort());
         link.setAcceptQueueSize(512);
-        final ConnectionLimit limit = new ConnectionLimit(most);
-        limits.put(link, limit);
-        link.addBean(limit);
         try {
             handler.setServer(server);
             handler.start();
@@ -82,13 +85,7 @@
 
     @Override
     public boolean handle(final Request req, final Response res, final Callback done) throws Exception {
-        final ConnectionMetaData meta = req.getConnectionMetaData();
-        final ConnectionLimit limit = limits.get(meta.getConnector());
-        if (limit != null) {
-            limit.busy(meta.getConnection());
-            Request.addCompletionListener(req, failure -> limit.rests(meta.getConnection()));
-        }
-        final Handler handler = handlers.get(meta.getConnector());
+        final Handler handler = handlers.get(req.getConnectionMetaData().getConnector());
         return handler != null && handler.handle(req, res, done);
     }
 }
--- a/server/src/main/java/org/rowanvalve/server/log/EventLog.java
+++ b/server/src/main/java/org/rowanvalve/server/log/EventLog.java
@@ -33,7 +33,8 @@
             EventCode.KEYED_ENDED,
             EventCode.CLIENT_LEFT,
             EventCode.WORK_ENDED,
-            EventCode.CANCELLED);
+            EventCode.CANCELLED,
+            EventCode.CONNECTION_ENDED);
 
     private final ArrayBlockingQueue<Line> ring = new ArrayBlockingQueue<>(RING_CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
--- a/server/src/main/java/org/rowanvalve/server/process/Program.java
+++ b/server/src/main/java/org/rowanvalve/server/process/Program.java
@@ -18,6 +18,7 @@
 import org.rowanvalve.data.node.Node;
 import org.rowanvalve.data.request.ClientRequest;
 import org.rowanvalve.server.http.ClientHandler;
+import org.rowanvalve.server.http.ConnectionOptions;
 import org.rowanvalve.server.http.ControlApi;
 import org.rowanvalve.server.http.HttpAddresses;
 import org.rowanvalve.server.log.DeferredLogManager;
@@ -230,7 +231,10 @@
                     "door address ",
                     options.clientAddress(),
                     frontends.clientHandler(context),
-                    options.maxClientConnections());
+                    new ConnectionOptions(
+                            options.maxClientConnections(),
+                            () -> context.node().configuration().limits().idleTimeoutMs(),
+                            context.node().journal()::add));
         }
         final Map<String, Handler> further = frontends.furtherHandlers(context);
         for (final Map.Entry<String, InetSocketAddress> entry :
