A graceful shutdown ends an eighth of the grace before the kill, not 1.5 s before it

Seen: with a grace of 6 s an edge ended 4.5 s after SIGTERM, and requests that origins still worked on lost their connection without an answer, though only work in the last sixth of the grace may be cut off (LOST). Cause: a fixed margin of 1.5 s between the end of the shutdown and the kill, whatever the grace. Change: an eighth of the grace, at least half a second. AddressOnlyOptionsTest stated the old formula; it states the new one, and one case more.

--- a/server/src/main/java/org/rowanvalve/server/options/OptionValidator.java
+++ b/server/src/main/java/org/rowanvalve/server/options/OptionValidator.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.rowanvalve.common.model.LeaseTimings;
 import org.rowanvalve.common.model.NodeId;
@@ -30,9 +31,10 @@
     private static final double DEFAULT_RETRY_RATIO = 0.2;
     private static final double DEFAULT_RETRY_SLACK = 60;
     private static final long DEFAULT_STOP_MS = 8000;
-    /** Time between the end of a graceful shutdown and the kill. */
-    private static final long STOP_MARGIN_MS = 1500;
+    /** The part of the grace period that is left between the end of a graceful shutdown and the kill. */
+    private static final int STOP_MARGIN_DIVISOR = 8;
 
+    private static final long MIN_STOP_MARGIN_MS = 500;
     private static final long MIN_STOP_MS = 500;
     private static final long MAX_VIEW_AGE_MS = 1500;
 
@@ -235,8 +237,9 @@
 
     private long stopMs() {
         final long graceSeconds = object.wholeNumber("grace-s", false, 0, 0, 600);
-        final long defaultStopMs =
-                graceSeconds > 0 ? Math.max(MIN_STOP_MS, graceSeconds * 1000 - STOP_MARGIN_MS) : DEFAULT_STOP_MS;
+        final long graceMs = TimeUnit.SECONDS.toMillis(graceSeconds);
+        final long marginMs = Math.max(MIN_STOP_MARGIN_MS, graceMs / STOP_MARGIN_DIVISOR);
+        final long defaultStopMs = graceMs > 0 ? Math.max(MIN_STOP_MS, graceMs - marginMs) : DEFAULT_STOP_MS;
         return object.wholeNumber("stop-ms", false, defaultStopMs, 0, MAX_MS);
     }
 
--- a/server/src/test/java/org/rowanvalve/server/options/AddressOnlyOptionsTest.java
+++ b/server/src/test/java/org/rowanvalve/server/options/AddressOnlyOptionsTest.java
@@ -138,8 +138,9 @@
     @Test
     void stopTimeoutEndsBeforeTheGracePeriod() {
         assertEquals(8000, read(Role.SHIELD, "--data", "d").stopTimeoutMs());
-        assertEquals(4500, read(Role.SHIELD, "--data", "d", "--grace-s", "6").stopTimeoutMs());
+        assertEquals(5250, read(Role.SHIELD, "--data", "d", "--grace-s", "6").stopTimeoutMs());
         assertEquals(500, read(Role.SHIELD, "--data", "d", "--grace-s", "1").stopTimeoutMs());
+        assertEquals(26_250, read(Role.SHIELD, "--data", "d", "--grace-s", "30").stopTimeoutMs());
     }
 
     @Test
