Addresses without a bound of connections look for idle ones every 5 s

An edge has three addresses, and each woke twice a second to look for connections that rest for too long. Only the bounded one, whose newcomers may wait for a place, needs that.

--- a/server/src/main/java/org/rowanvalve/server/http/ClientConnections.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientConnections.java
@@ -60,6 +60,10 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
+    boolean isBounded() {
+        return options.maxConnections() != Integer.MAX_VALUE;
+    }
+
     private long capacity() {
         return (long) options.maxConnections() + options.maxConnections() / OVERFLOW_DIVISOR;
     }
--- a/server/src/main/java/org/rowanvalve/server/http/ClientServerConnector.java
+++ b/server/src/main/java/org/rowanvalve/server/http/ClientServerConnector.java
@@ -27,7 +27,8 @@
     private static final int SELECTORS = 1;
 
     private static final Logger LOG = LoggerFactory.getLogger(ClientServerConnector.class);
-    private static final long SWEEP_INTERVAL_MS = 500;
+    private static final long BOUNDED_SWEEP_INTERVAL_MS = 500;
+    private static final long UNBOUNDED_SWEEP_INTERVAL_MS = 5000;
     private final ClientConnections connections;
     private volatile SelectionKey listeningKey;
 
@@ -45,7 +46,8 @@
     }
 
     private void scheduleSweep() {
-        getScheduler().schedule(this::sweep, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        final long intervalMs = connections.isBounded() ? BOUNDED_SWEEP_INTERVAL_MS : UNBOUNDED_SWEEP_INTERVAL_MS;
+        getScheduler().schedule(this::sweep, intervalMs, TimeUnit.MILLISECONDS);
     }
 
     private void sweep() {
