--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -57,6 +57,9 @@
     private final Map<String, Object> bounds = new LinkedHashMap<>(Map.of(
             "key_window_s", 60, "retry_budget_ratio", 0.2, "retry_budget_slack", 58, "purge_ms", 2000,
             "config_apply_ms", 2500, "drain_timeout_ms", 2500, "grace_period_s", 6));
+    /** Zones, with their regions, that the settings name from the next layout on. */
+    final Map<String, Object> moreZones = new LinkedHashMap<>();
+
     private long ids;
 
     /** {@code folder}: the folder of the case, which gets record.txt. */
@@ -118,6 +121,7 @@
         for (int i = 0; i < 4; i++) {
             zones.put("zone" + i, "dar");
         }
+        zones.putAll(moreZones);
         f.put("zones", zones);
         final Map<String, Object> listen = new LinkedHashMap<>();
         if (edge) {
@@ -137,13 +141,18 @@
         return f;
     }
 
-    /** Starts the process of a machine with the command of its role; shields have the numbers from 1 on. */
-    void start(final int machine, final boolean first) throws IOException {
-        final String role = isEdge(machine) ? "edge" : "shield";
+    /** Lays out the settings file of a machine anew, whole at once, as the platform does when the settings change. */
+    Path layOut(final int machine, final boolean first) throws IOException {
         final Path next = dir.resolve("next" + machine);
         Files.writeString(
                 next, Template.fill(Files.readString(root.resolve("deploy/node.json")), fields(machine, first)));
-        final Path file = Files.move(next, dir.resolve("node" + machine + ".json"), StandardCopyOption.ATOMIC_MOVE);
+        return Files.move(next, dir.resolve("node" + machine + ".json"), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Starts the process of a machine with the command of its role; shields have the numbers from 1 on. */
+    void start(final int machine, final boolean first) throws IOException {
+        final String role = isEdge(machine) ? "edge" : "shield";
+        final Path file = layOut(machine, first);
         if (!isEdge(machine)) {
             Files.createDirectories(dir.resolve("data" + machine));
         }
