--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -57,9 +57,6 @@
     private final Map<String, Object> bounds = new LinkedHashMap<>(Map.of(
             "key_window_s", 60, "retry_budget_ratio", 0.2, "retry_budget_slack", 58, "purge_ms", 2000,
             "config_apply_ms", 2500, "drain_timeout_ms", 2500, "grace_period_s", 6));
-    /** Zones, with their regions, that the settings name from the next layout on. */
-    final Map<String, Object> moreZones = new LinkedHashMap<>();
-
     private long ids;
 
     /** {@code folder}: the folder of the case, which gets record.txt. */
@@ -121,7 +118,6 @@
         for (int i = 0; i < 4; i++) {
             zones.put("zone" + i, "dar");
         }
-        zones.putAll(moreZones);
         f.put("zones", zones);
         final Map<String, Object> listen = new LinkedHashMap<>();
         if (edge) {
--- a/review/src-2/Stand.java
+++ b/review/src-2/Stand.java
@@ -55,8 +55,6 @@
     volatile Function<String, Long> workMs = path -> 40L;
     volatile Function<String, String> bodies = path -> "body of " + path;
     volatile Function<String, String> extraHeaders = path -> "";
-    /** Whether the answer to a request that has run is lost: nothing is written, and the connection stays open. */
-    volatile Function<String, Boolean> losesAnswer = attempt -> false;
     volatile boolean leaving;
     volatile boolean ended;
     private volatile boolean beating;
@@ -181,14 +179,6 @@
                         + " after " + (work.endedAt - work.begunAt) + " ms");
             }
         }
-        if (kept && losesAnswer.apply(attempt)) {
-            rig.note("origin " + id + " has run " + attempt + ", its answer is lost");
-            while (!isClosed(socket, in)) {
-                Rig.pause(20);
-            }
-            rig.note("the connection of " + attempt + " at origin " + id + " is closed");
-            return false;
-        }
         if (kept) {
             final String body = bodies.apply(path);
             respond(socket, 200, attempt, "X-Edge-Seal: " + id + "." + attempt + "\r\nX-Server-Load: "
