--- a/review/src-2/EarlyKill.java
+++ b/review/src-2/EarlyKill.java
@@ -5,14 +5,17 @@
 final class EarlyKill {
     private static final int SHIELDS = 4;
     private static final int EDGES = 1;
-    private static final long KILL_AFTER_MS = 400;
+    private static final long KILL_AFTER_MS = 200;
     private static final long DOWN_MS = 300;
     /** Three times recovery_s, and more than ten times ack_timeout_ms. */
     private static final long WAIT_MS = 45_000;
 
     public static void main(final String[] args) throws Exception {
         final Rig rig = new Rig(args[0], SHIELDS);
-        rig.startAll(EDGES);
+        rig.start(SHIELDS + EDGES, true);
+        for (int shield = 1; shield <= SHIELDS; shield++) {
+            rig.start(shield, true);
+        }
         if (Rig.trouble()) {
             Rig.pause(KILL_AFTER_MS);
             for (int shield = 1; shield <= SHIELDS; shield++) {
