Text logs tell what refused, lost and repeated requests met

RV1709 and RV1711 did not name the request. Change: a text log holds the events of requests that may run once back, by request, and writes all of them with their own times once one tells that the request did not go well; at most 20 lines a second, 400 at once (RV1009 counts the rest). RV1712 tells that a holder has a request of a key that had an attempt before. rwtestkit trace reads text logs too.

--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedEntry.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedEntry.java
@@ -13,6 +13,18 @@
  * be executed much later.
  */
 final class KeyedEntry {
+    /** What this node knows of the last attempt of a key. */
+    enum State {
+        /** The attempt is in flight at this node. */
+        IN_PROGRESS,
+        /** No byte of the attempt was sent to an origin. */
+        NOT_SENT,
+        /** The attempt may have been executed, and its outcome is unknown. */
+        MAY_HAVE_RUN,
+        /** The outcome is known. */
+        COMPLETED
+    }
+
     private String digest;
     private long activeAt;
     private final List<Consumer<ForwardResponse>> waiting = new ArrayList<>();
@@ -24,6 +36,9 @@
     boolean fetching;
 
     long attemptId;
+    /** The request that began the attempt, or empty if another process did. */
+    String requestId = "";
+
     KeyedOutcome outcome;
     /** An attempt by another process, read from a replica while the intent of this process was being written. */
     KeyedRecord foreignRecord;
@@ -65,6 +80,16 @@
         foreignRecord = null;
     }
 
+    State state() {
+        if (outcome != null) {
+            return State.COMPLETED;
+        }
+        if (inProgress) {
+            return State.IN_PROGRESS;
+        }
+        return notSent ? State.NOT_SENT : State.MAY_HAVE_RUN;
+    }
+
     private void renew(final long now) {
         activeAt = now;
     }
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -34,6 +34,9 @@
  * majority of the replicas first, so that it finds every intent.
  */
 public final class KeyedRequests {
+    /** The result of {@link EventCode#INTENT_WRITTEN} events after which an attempt may be sent. */
+    public static final String INTENT_STORED = RecordWrite.Status.STORED.name();
+
     private static final long SWEEP_INTERVAL_MS = 10_000;
     private static final long INTENT_TIMEOUT_MILLIS = 1000;
     private static final long OUTCOME_TIMEOUT_MILLIS = 700;
@@ -96,17 +99,15 @@
      * @param maxWaitMs how long the request waits for the records to be read before it is rejected
      */
     public void handle(
-            final int shardNumber,
-            final String key,
-            final String digest,
+            final KeyedRequest request,
             final long maxWaitMs,
             final Cancellation cancellation,
             final Send sendAction,
             final Consumer<ForwardResponse> callback) {
-        final KeyedShard shard = shard(shardNumber);
+        final KeyedShard shard = shard(request.shard());
         shard.whenReady(
                 maxWaitMs,
-                () -> runUnlessCancelled(shard, key, digest, cancellation, sendAction, callback),
+                () -> runUnlessCancelled(shard, request, cancellation, sendAction, callback),
                 () -> callback.accept(response(
                         RequestOutcome.REFUSED, 503, "too few keepers could be read yet", shard.token(), 1000)));
     }
@@ -147,8 +148,7 @@
 
     private void runUnlessCancelled(
             final KeyedShard shard,
-            final String key,
-            final String digest,
+            final KeyedRequest request,
             final Cancellation cancellation,
             final Send sendAction,
             final Consumer<ForwardResponse> callback) {
@@ -156,19 +156,22 @@
             case CANCELLED ->
                 callback.accept(response(RequestOutcome.REFUSED, 503, OriginDispatch.CANCELLED, shard.token(), 0));
             case UNCONFIRMED ->
-                cancellation.onSettled(
-                        () -> runUnlessCancelled(shard, key, digest, cancellation, sendAction, callback));
-            case WANTED -> run(shard, key, digest, sendAction, callback);
+                cancellation.onSettled(() -> runUnlessCancelled(shard, request, cancellation, sendAction, callback));
+            case WANTED -> run(shard, request, sendAction, callback);
         }
     }
 
     private void run(
             final KeyedShard shard,
-            final String key,
-            final String digest,
+            final KeyedRequest request,
             final Send sendAction,
             final Consumer<ForwardResponse> callback) {
+        final String key = request.key();
+        final String digest = request.digest();
         final KeyedEntry found = shard.entries().get(key);
+        if (found != null) {
+            journalRepeat(shard, request, found);
+        }
         final KeyedEntry known =
                 found != null && found.notSent && !found.digest().equals(digest) ? null : found;
         if (known != null && !known.digest().equals(digest)) {
@@ -185,11 +188,29 @@
         } else {
             final KeyedEntry entry = known == null ? new KeyedEntry(digest, loop.now()) : known;
             entry.addWaiter(callback);
+            entry.requestId = request.requestId();
             shard.entries().put(key, entry);
             recordIntent(shard, key, entry, sendAction);
         }
     }
 
+    private void journalRepeat(final KeyedShard shard, final KeyedRequest request, final KeyedEntry entry) {
+        journal.add(Event.of(
+                EventCode.KEY_REPEATED,
+                "shard",
+                shard.number(),
+                "token",
+                shard.token().toString(),
+                "key",
+                request.key(),
+                "request",
+                request.requestId(),
+                "attempt",
+                entry.attemptId,
+                "earlier",
+                entry.state().name()));
+    }
+
     private static ForwardResponse earlierAttemptResponse(final KeyedShard shard) {
         return response(RequestOutcome.UNKNOWN, 504, "outcome unknown: an earlier try may have run", shard.token(), 0);
     }
@@ -346,6 +367,8 @@
                 shard.token().toString(),
                 "key",
                 key,
+                "request",
+                entry.requestId,
                 "attempt",
                 entry.attemptId,
                 factName,
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
@@ -92,6 +92,8 @@
                         sent.requestId(),
                         "extra",
                         extra,
+                        "atMostOnce",
+                        request.atMostOnce(),
                         "key",
                         sent.key() == null ? "" : sent.key()));
     }
--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -1,5 +1,6 @@
 package org.rowanvalve.data.shield;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -30,6 +31,7 @@
 import org.rowanvalve.data.cache.CopyRequirements;
 import org.rowanvalve.data.cancel.Cancellation;
 import org.rowanvalve.data.cancel.PauseMonitor;
+import org.rowanvalve.data.keyed.KeyedRequest;
 import org.rowanvalve.data.keyed.KeyedRequests;
 import org.rowanvalve.data.limit.AttemptAllowance;
 import org.rowanvalve.data.origin.OriginDispatch;
@@ -513,13 +515,14 @@
             callback.accept(reject(request, 400, "a keyed request lacks its key", 0));
         } else if (mayFill(request, callback)) {
             final byte[] body = request.body() == null ? new byte[0] : request.body();
+            final String key = route.route().host().isEmpty()
+                    ? route.name() + "|" + route.route().service() + "|" + request.key()
+                    : ShardRouting.cacheKey(route, request.path(), request.key());
+            final String digest =
+                    Hash.sha256Hex((request.path() + "\n" + Hash.sha256Hex(body)).getBytes(StandardCharsets.UTF_8));
             keyedRequests.handle(
-                    request.shard(),
-                    route.route().host().isEmpty()
-                            ? route.name() + "|" + route.route().service() + "|" + request.key()
-                            : ShardRouting.cacheKey(route, request.path(), request.key()),
-                    Hash.sha256Hex((request.path() + "\n" + Hash.sha256Hex(body))
-                            .getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                    new KeyedRequest(
+                            request.shard(), key, digest, request.requestId() == null ? "" : request.requestId()),
                     Math.min(MAX_RECORD_READ_WAIT_MS, Math.max(0, deadline - loop.now()) / 2),
                     forwarded.cancellation(),
                     then -> dispatcher.send(keyedRequest(forwarded, route, deadline), then),
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
@@ -100,9 +100,7 @@
 
     void submit(final KeyedRequests target, final String key, final long maxWaitMs, final Cancellation cancellation) {
         target.handle(
-                SHARD,
-                key,
-                "d".repeat(64),
+                new KeyedRequest(SHARD, key, "d".repeat(64), ""),
                 maxWaitMs,
                 cancellation,
                 callback -> {
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
@@ -121,9 +121,7 @@
             };
             replicas.loop.schedule(CLIENT_TIMEOUT_MS, next);
             holder.handle(
-                    SHARD,
-                    key,
-                    "d".repeat(64),
+                    new KeyedRequest(SHARD, key, "d".repeat(64), id),
                     700,
                     Cancellation.NEVER,
                     callback -> send(key, id, callback),
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedRetentionTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedRetentionTest.java
@@ -20,9 +20,7 @@
     /** Submits a key while the origin has no capacity, so that nothing is sent. */
     private void submitWhileOriginIsFull(final KeyedRequests keyedRequests, final String key) {
         keyedRequests.handle(
-                SHARD,
-                key,
-                "d".repeat(64),
+                new KeyedRequest(SHARD, key, "d".repeat(64), ""),
                 1000,
                 Cancellation.NEVER,
                 then -> {
@@ -81,9 +79,7 @@
         submit(keyedRequests, "k1", 1000);
         replicas.loop.run(3);
         keyedRequests.handle(
-                SHARD,
-                "k1",
-                "e".repeat(64),
+                new KeyedRequest(SHARD, "k1", "e".repeat(64), ""),
                 1000,
                 Cancellation.NEVER,
                 then -> sentCount++,
--- a/server/src/main/java/org/rowanvalve/server/log/EventLog.java
+++ b/server/src/main/java/org/rowanvalve/server/log/EventLog.java
@@ -2,13 +2,17 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
-import org.jboss.logging.Logger;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.control.json.Json;
@@ -16,34 +20,24 @@
 
 /**
  * Writes events to the log in a separate thread. Events are queued in a ring buffer and written as JSON lines to standard
- * output or as text through the logger.
+ * output or as text through the logger. The text log has no lines for requests that went well, see {@link RequestHistory}.
  */
 public final class EventLog {
     private static final int RING_CAPACITY = 16_384;
     private static final Logger LOG = Logger.getLogger("rowanvalve");
-    /** Events logged at debug level in a text log, because each write or request causes one. */
-    private static final Set<EventCode> FREQUENT = EnumSet.of(
-            EventCode.LEARNED,
-            EventCode.ORIGIN_SEND,
-            EventCode.ACCEPTED,
-            EventCode.SHIELD_BEHIND,
-            EventCode.REQUEST_ENDED,
-            EventCode.INTENT_WRITTEN,
-            EventCode.ORIGIN_ENDED,
-            EventCode.KEYED_ENDED,
-            EventCode.CLIENT_LEFT,
-            EventCode.WORK_ENDED,
-            EventCode.CANCELLED,
-            EventCode.CONNECTION_ENDED);
+    /** Events that are not in a text log, because each write or connection causes one. */
+    private static final Set<EventCode> JSON_ONLY =
+            EnumSet.of(EventCode.LEARNED, EventCode.ACCEPTED, EventCode.CONNECTION_ENDED);
 
-    private final ArrayBlockingQueue<Line> ring = new ArrayBlockingQueue<>(RING_CAPACITY);
+    private final ArrayBlockingQueue<LogEntry> ring = new ArrayBlockingQueue<>(RING_CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
     private final PrintStream out;
     private final String node;
     private final boolean json;
     private final Thread thread = new Thread(this::run, "log");
 
-    private record Line(long wallMillis, EventJournal.Entry entry) {}
+    private final RequestHistory requestHistory = new RequestHistory();
+    private final LineLimit requestLines = new LineLimit();
 
     public EventLog(final String node, final boolean json, final PrintStream out) {
         this.node = node;
@@ -56,7 +50,7 @@
         thread.setDaemon(true);
         thread.start();
         journal.subscribe(entry -> {
-            if (!ring.offer(new Line(System.currentTimeMillis(), entry))) {
+            if (!ring.offer(new LogEntry(System.currentTimeMillis(), entry.event()))) {
                 dropped.incrementAndGet();
             }
         });
@@ -65,7 +59,7 @@
     private void run() {
         try {
             while (true) {
-                final Line next = ring.take();
+                final LogEntry next = ring.take();
                 ThreadGuard.run(() -> write(next));
             }
         } catch (final InterruptedException e) {
@@ -75,31 +69,53 @@
 
     /** Writes the queued events in the calling thread. */
     public void flush() {
-        for (Line line = ring.poll(); line != null; line = ring.poll()) {
-            write(line);
+        for (LogEntry next = ring.poll(); next != null; next = ring.poll()) {
+            write(next);
         }
         out.flush();
     }
 
-    private void write(final Line line) {
-        final EventCode code = line.entry().event().code();
+    private void write(final LogEntry entry) {
         if (json) {
-            final Map<String, Object> map = new LinkedHashMap<>();
-            map.put("t", line.wallMillis());
-            map.put("node", node);
-            map.put("code", code.id());
-            map.put("name", code.name());
-            line.entry().event().facts().forEach((k, v) -> map.put(map.containsKey(k) ? "peer" : k, v));
-            final byte[] data = (Json.write(map) + "\n").getBytes(StandardCharsets.UTF_8);
-            out.write(data, 0, data.length);
-            if (ring.isEmpty()) {
-                out.flush();
-            }
-        } else if (FREQUENT.contains(code)) {
-            LOG.debug(line.entry().event().format());
-        } else {
-            LOG.info(line.entry().event().format());
+            writeJson(entry);
+        } else if (RequestHistory.CODES.contains(entry.event().code())) {
+            requestHistory.add(entry).forEach(this::writeRequestLine);
+        } else if (!JSON_ONLY.contains(entry.event().code())) {
+            writeText(entry);
+        }
+    }
+
+    private void writeJson(final LogEntry entry) {
+        final EventCode code = entry.event().code();
+        final Map<String, Object> map = new LinkedHashMap<>();
+        map.put("t", entry.wallMillis());
+        map.put("node", node);
+        map.put("code", code.id());
+        map.put("name", code.name());
+        entry.event().facts().forEach((k, v) -> map.put(map.containsKey(k) ? "peer" : k, v));
+        final byte[] data = (Json.write(map) + "\n").getBytes(StandardCharsets.UTF_8);
+        out.write(data, 0, data.length);
+        if (ring.isEmpty()) {
+            out.flush();
+        }
+    }
+
+    private void writeRequestLine(final LogEntry entry) {
+        final long now = System.currentTimeMillis();
+        if (!requestLines.tryTake(now)) {
+            return;
+        }
+        final long leftOut = requestLines.takeLeftOut();
+        if (leftOut > 0) {
+            writeText(new LogEntry(now, Event.of(EventCode.LINES_LEFT_OUT, "lines", leftOut)));
         }
+        writeText(entry);
+    }
+
+    private static void writeText(final LogEntry entry) {
+        final LogRecord line = new LogRecord(Level.INFO, entry.event().format());
+        line.setInstant(Instant.ofEpochMilli(entry.wallMillis()));
+        LOG.log(line);
     }
 
     /** Returns how many events were dropped because the ring buffer was full. */
--- /dev/null
+++ b/server/src/main/java/org/rowanvalve/server/log/LineLimit.java
@@ -0,0 +1,34 @@
+package org.rowanvalve.server.log;
+
+/** Bounds the rate of log lines. Lines that are left out are counted. Not thread-safe. */
+final class LineLimit {
+    static final int LINES_PER_SECOND = 20;
+    static final int BURST_LINES = 400;
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private double available = BURST_LINES;
+    private long updatedAt = Long.MIN_VALUE;
+    private long leftOut;
+
+    /** Takes the right to write one line, or counts it as left out. Times are ms and may step back. */
+    boolean tryTake(final long nowMillis) {
+        if (updatedAt != Long.MIN_VALUE && nowMillis > updatedAt) {
+            available =
+                    Math.min(BURST_LINES, available + (nowMillis - updatedAt) * LINES_PER_SECOND / MILLIS_PER_SECOND);
+        }
+        updatedAt = nowMillis;
+        if (available < 1) {
+            leftOut++;
+            return false;
+        }
+        available--;
+        return true;
+    }
+
+    /** Returns how many lines were left out since the last call. */
+    long takeLeftOut() {
+        final long count = leftOut;
+        leftOut = 0;
+        return count;
+    }
+}
--- a/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
@@ -37,7 +37,7 @@
           pairs PLACE      every two troubles on top of each other, for each seed
           fleet WHAT       the same on processes; without --troubles a quiet day
           judge FILE...    rules on logs
-          trace NAME FILE...   what JSON logs say of a key or a request, in order of time
+          trace NAME FILE...   what logs, JSON or text, say of a key or a request, in order of time
           scale N,N,...    hollow nodes beside real electors, in steps of size: what each costs
           soak PLACE       PLACE: stores or shields; series of signals, losses and changes on processes, drawn from the seed
           origin NAME SERVICE KIND IP PORT LOG NODE,NODE...   one stand-in origin
@@ -121,7 +121,7 @@
                 System.err.println("rwtestkit: " + file + " cannot be read");
                 return 2;
             }
-            rows.addAll(RunLog.read(Path.of(file)));
+            rows.addAll(RunLog.readAny(Path.of(file)));
         }
         final RequestTrace trace = new RequestTrace(name, rows);
         System.out.print(trace.text());
--- a/testkit/src/main/java/org/rowanvalve/testkit/log/RequestTrace.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/log/RequestTrace.java
@@ -34,7 +34,7 @@
     /** Holders store a key behind the name of its route, or of its host and path. */
     private boolean hasKey(final Map<String, Object> row) {
         final String key = String.valueOf(row.get(KEY));
-        return key.equals(name) || key.endsWith("|" + name);
+        return key.equals(name) || key.endsWith("|" + name) || key.endsWith("#" + name);
     }
 
     private static long time(final Map<String, Object> row) {
--- a/testkit/src/main/java/org/rowanvalve/testkit/log/RunLog.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/log/RunLog.java
@@ -64,6 +64,12 @@
         return list;
     }
 
+    /** Reads a log of JSON lines or of text lines, such as processes write that were started without {@code --log json}. */
+    public static List<Map<String, Object>> readAny(final Path file) throws IOException {
+        final List<Map<String, Object>> rows = read(file);
+        return rows.isEmpty() ? TextLog.rows(file.getFileName().toString(), Files.readAllLines(file)) : rows;
+    }
+
     @Override
     public void close() throws IOException {
         if (out != null) {
--- a/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
@@ -262,9 +262,7 @@
         final List<String> events = new ArrayList<>();
         for (int i = 0; i < attempts; i++) {
             keyedRequests.handle(
-                    3,
-                    "k",
-                    "d",
+                    new org.rowanvalve.data.keyed.KeyedRequest(3, "k", "d", ""),
                     1000,
                     org.rowanvalve.data.cancel.Cancellation.NEVER,
                     callback -> {
