--- a/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/TestKit.java
@@ -310,7 +310,7 @@
     private static int judge(final List<String> files) throws IOException {
         final List<Map<String, Object>> rows = new ArrayList<>();
         for (final String f : files) {
-            rows.addAll(RunLog.read(Path.of(f)));
+            rows.addAll(RunLog.readAny(Path.of(f)));
         }
         final Judge judge = new Judge(rows);
         System.out.print(judge.text(20));
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.rowanvalve.testkit.log.RequestTrace;
 
 /**
  * Checks the rules on a run from its logs alone: the brief's twelve, and thirteen more where shields vote and operators
@@ -11,7 +12,10 @@
 public final class Judge {
     private final List<Verdict> verdicts = new ArrayList<>();
 
+    private final List<Map<String, Object>> rows;
+
     public Judge(final List<Map<String, Object>> rows) {
+        this.rows = List.copyOf(rows);
         final RunFacts facts = new RunFacts(rows);
         verdicts.add(KeyedRequestRules.twice(facts, new Verdict(1, "same key runs once within a minute")));
         verdicts.add(KeyedRequestRules.refused(facts, new Verdict(2, "once-only, and never after a refusal")));
@@ -69,10 +73,19 @@
         final StringBuilder text = new StringBuilder();
         for (final Verdict verdict : verdicts) {
             text.append(verdict.line()).append('\n');
-            verdict.breaches().stream()
-                    .limit(most)
-                    .forEach(b -> text.append("    ").append(b).append('\n'));
+            verdict.breaches().stream().limit(most).forEach(breach -> {
+                text.append("    ").append(breach).append('\n');
+                verdict.subject(breach).ifPresent(subject -> appendTrace(text, subject));
+            });
         }
         return text.toString();
     }
+
+    /** Adds what all logs tell of a key or request, in one line of time. */
+    private void appendTrace(final StringBuilder text, final String subject) {
+        new RequestTrace(subject, rows)
+                .text()
+                .lines()
+                .forEach(line -> text.append("        ").append(line).append('\n'));
+    }
 }
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/KeyedRequestRules.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/KeyedRequestRules.java
@@ -20,9 +20,11 @@
             verdict.check(list.size());
             for (int i = 1; i < list.size(); i++) {
                 if (list.get(i).t() - list.get(i - 1).t() < 60_000) {
-                    verdict.breach(entry.getKey() + " ran at " + list.get(i - 1).t() + " ("
-                            + list.get(i - 1).text("request") + ") and at "
-                            + list.get(i).t() + " (" + list.get(i).text("request") + ")");
+                    verdict.breach(
+                            entry.getKey() + " ran at " + list.get(i - 1).t() + " ("
+                                    + list.get(i - 1).text("request") + ") and at "
+                                    + list.get(i).t() + " (" + list.get(i).text("request") + ")",
+                            entry.getValue().get(0).text("key"));
                 }
             }
         }
@@ -36,8 +38,10 @@
                 RunFacts.group(runs(facts), "key").entrySet()) {
             final List<RunFacts.Row> mine = asks.getOrDefault(entry.getKey(), List.of());
             if (entry.getValue().size() > 1) {
-                verdict.breach(entry.getKey() + " ran " + entry.getValue().size() + " times, first at "
-                        + entry.getValue().get(0).t());
+                verdict.breach(
+                        entry.getKey() + " ran " + entry.getValue().size() + " times, first at "
+                                + entry.getValue().get(0).t(),
+                        entry.getValue().get(0).text("key"));
             }
             for (final RunFacts.Row run : entry.getValue()) {
                 verdict.check();
@@ -45,9 +49,11 @@
                         mine.stream().filter(row -> row.t() <= run.t()).toList();
                 if (!begun.isEmpty()
                         && begun.stream().allMatch(row -> row.text("fate").equals("refused"))) {
-                    verdict.breach(entry.getKey() + " ran at " + run.t() + " though all " + begun.size()
-                            + " requests before it were told refused, last at "
-                            + begun.get(begun.size() - 1).num("end"));
+                    verdict.breach(
+                            entry.getKey() + " ran at " + run.t() + " though all " + begun.size()
+                                    + " requests before it were told refused, last at "
+                                    + begun.get(begun.size() - 1).num("end"),
+                            entry.getValue().get(0).text("key"));
                 }
             }
         }
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/Verdict.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/Verdict.java
@@ -1,13 +1,19 @@
 package org.rowanvalve.testkit.judge;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 /** The result of one rule: how many events it was checked on, and each violation with its evidence. */
 public final class Verdict {
     private final int rule;
     private final String name;
     private final List<String> breaches = new ArrayList<>();
+    /** The key or request of each violation that concerns one, by the violation's text. */
+    private final Map<String, String> subjects = new HashMap<>();
+
     private long checked;
     private long excused;
 
@@ -37,6 +43,17 @@
         breaches.add(text);
     }
 
+    /** A violation that concerns one key or request. */
+    void breach(final String text, final String keyOrRequest) {
+        breach(text);
+        subjects.put(text, keyOrRequest);
+    }
+
+    /** The key or request that a violation concerns. */
+    Optional<String> subject(final String breach) {
+        return Optional.ofNullable(subjects.get(breach));
+    }
+
     public int rule() {
         return rule;
     }
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/VersionedItemRules.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/VersionedItemRules.java
@@ -103,12 +103,16 @@
                     verdict.check();
                     final RunFacts.Row told = no.get(runs.get(0).text("request"));
                     if (runs.size() > 1) {
-                        verdict.breach(runs.get(0).text("request") + " ran " + runs.size() + " times, at "
-                                + runs.stream().map(RunFacts.Row::t).toList());
+                        verdict.breach(
+                                runs.get(0).text("request") + " ran " + runs.size() + " times, at "
+                                        + runs.stream().map(RunFacts.Row::t).toList(),
+                                runs.get(0).text("request"));
                     }
                     if (told != null) {
-                        verdict.breach(runs.get(0).text("request") + " ran at "
-                                + runs.get(0).t() + " and was refused at " + told.num("end"));
+                        verdict.breach(
+                                runs.get(0).text("request") + " ran at "
+                                        + runs.get(0).t() + " and was refused at " + told.num("end"),
+                                runs.get(0).text("request"));
                     }
                 });
         return verdict;
--- a/testkit/src/main/java/org/rowanvalve/testkit/log/TextLog.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/log/TextLog.java
@@ -16,6 +16,7 @@
 final class TextLog {
     private static final Pattern EVENT = Pattern.compile("(\\S+Z) [A-Z]+ (RV\\d+) [^{]*(?:\\{(.*)\\})?");
     private static final Pattern BETWEEN_FACTS = Pattern.compile(", (?=\\w+=)");
+    private static final Pattern WHOLE_NUMBER = Pattern.compile("0|-?[1-9]\\d{0,17}");
     private static final Map<String, EventCode> CODES =
             Arrays.stream(EventCode.values()).collect(Collectors.toMap(EventCode::id, Function.identity()));
 
@@ -52,10 +53,14 @@
                 code.id(),
                 "name",
                 code.name());
-        facts.forEach((fact, value) -> row.put(row.containsKey(fact) ? "peer" : fact, value));
+        facts.forEach((fact, value) -> row.put(row.containsKey(fact) ? "peer" : fact, typed(value)));
         rows.add(row);
     }
 
+    private static Object typed(final String value) {
+        return WHOLE_NUMBER.matcher(value).matches() ? Long.valueOf(value) : value;
+    }
+
     private static Map<String, String> facts(final String text) {
         final Map<String, String> facts = new LinkedHashMap<>();
         if (text != null && !text.isEmpty()) {
