RV1713 tells why this node broke off a request that an origin worked on

What was missing: RV1710 says "right to send ended" for a lease that expired, was revoked or was dropped, only for requests that run at most once, and without times.

Change: WORK_BROKEN_OFF (RV1713) for every request that was permitted to leave and that this node ends: its kind, the cause (lease expired, revoked, dropped; client gone, edge answered or disconnected; another attempt answered; deadline; end of the process), how long it had been at work, and what was left of deadline and grace. FenceReason replaces the strings of LeaseHolder. The text log has 5 such lines a second, 100 at once, apart from those of failed requests.

No behaviour changes.

--- a/common/src/main/java/org/rowanvalve/common/event/EventCode.java
+++ b/common/src/main/java/org/rowanvalve/common/event/EventCode.java
@@ -66,6 +66,7 @@
     ORIGIN_ENDED(1710, "exchange of an at-most-once request ended"),
     KEYED_ENDED(1711, "attempt of a keyed request ended"),
     KEY_REPEATED(1712, "key requested again"),
+    WORK_BROKEN_OFF(1713, "work at an origin broken off"),
     CLIENT_LEFT(1801, "client left before its response"),
     WORK_ENDED(1802, "work ended after its client had left"),
     CANCELLED(1803, "work on a request cancelled"),
--- a/control/src/main/java/org/rowanvalve/control/lease/LeaseHolder.java
+++ b/control/src/main/java/org/rowanvalve/control/lease/LeaseHolder.java
@@ -90,7 +90,7 @@
      */
     @FunctionalInterface
     public interface FillStopper {
-        void stop(int shard, long graceMs, Consumer<Boolean> done);
+        void stop(int shard, FenceReason reason, long graceMs, Consumer<Boolean> done);
     }
 
     public LeaseHolder(
@@ -168,7 +168,7 @@
                     && lease.validUntil > 0
                     && loop.now() >= lease.validUntil) {
                 lease.state = LeaseState.EXPIRED;
-                fenceShard(shard, lease, "expired", stopped -> {});
+                fenceShard(shard, lease, FenceReason.EXPIRED, stopped -> {});
             }
         });
         if (leader != null && !placementReceived && loop.now() - helloSentAt >= HELLO_INTERVAL_MS) {
@@ -359,17 +359,18 @@
             callback.accept(true);
         } else {
             lease.state = LeaseState.REVOKED;
-            fenceShard(shardLease.shard(), lease, "revoked", callback);
+            fenceShard(shardLease.shard(), lease, FenceReason.REVOKED, callback);
         }
     }
 
-    private void fenceShard(final int shard, final Lease lease, final String reason, final Consumer<Boolean> callback) {
+    private void fenceShard(
+            final int shard, final Lease lease, final FenceReason reason, final Consumer<Boolean> callback) {
         lease.fencing = true;
         final FencingToken token = lease.token;
-        fillStopper.stop(shard, timings.marginMs() / 2, stopped -> {
+        fillStopper.stop(shard, reason, timings.marginMs() / 2, stopped -> {
             if (stopped) {
                 lease.fencing = false;
-                journal.add(Event.of(EventCode.FENCED, "shard", shard, "token", token.toString(), "why", reason));
+                journal.add(Event.of(EventCode.FENCED, "shard", shard, "token", token.toString(), "why", reason.code()));
             }
             callback.accept(stopped);
         });
@@ -398,7 +399,7 @@
         leases.forEach((shard, lease) -> {
             if (lease.state == LeaseState.HELD || lease.state == LeaseState.UNCERTAIN) {
                 lease.state = LeaseState.EXPIRED;
-                fenceShard(shard, lease, "dropped", stopped -> {});
+                fenceShard(shard, lease, FenceReason.DROPPED, stopped -> {});
             }
         });
     }
--- a/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
+++ b/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
@@ -11,6 +11,7 @@
 import org.rowanvalve.control.view.ViewSynchronizer;
 import org.rowanvalve.control.voting.VotingConfiguration;
 import org.rowanvalve.data.edge.Edge;
+import org.rowanvalve.data.origin.OriginDispatcher;
 
 /**
  * The graceful shutdown of a node: it accepts no new clients, resigns leadership, and hands over its shards and its vote.
@@ -55,6 +56,7 @@
         wasVoter = node.voter().isPresent() && node.votingConfiguration().isVoter(self);
         journal.add(Event.of(EventCode.STOPPING, "node", self.text()));
         final long deadline = startedAt + timeoutMs;
+        node.dispatcher().ifPresent(dispatcher -> dispatcher.onStopping(deadline));
         final Runnable continuation = node.edgeComponents()
                 .<Runnable>map(components -> () -> closeEdge(components.edge(), timeoutMs, deadline, callback))
                 .orElse(() -> drain(deadline, callback));
@@ -84,6 +86,7 @@
                 && isVoterReplaced();
         if (idle || loop.now() >= deadline) {
             loop.schedule(LINGER_MS, () -> {
+                node.dispatcher().ifPresent(OriginDispatcher::onProcessEnd);
                 journal.add(Event.of(EventCode.STOPPED, "node", self.text(), "openRequests", openRequests()));
                 callback.run();
             });
--- a/data/src/main/java/org/rowanvalve/data/node/ShieldComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/ShieldComponents.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.ShardDemand;
+import org.rowanvalve.control.lease.FenceReason;
 import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.control.record.RecordRetention;
 import org.rowanvalve.data.keyed.KeyedRequests;
@@ -66,8 +67,9 @@
         return dispatcher.drainDemand();
     }
 
-    private void stopFills(final int shard, final long graceMs, final Consumer<Boolean> callback) {
-        dispatcher.stop(shard, graceMs, callback);
+    private void stopFills(
+            final int shard, final FenceReason reason, final long graceMs, final Consumer<Boolean> callback) {
+        dispatcher.stop(shard, reason, graceMs, callback);
     }
 
     LeaseHolder leaseHolder() {
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginAttempt.java
@@ -1,6 +1,7 @@
 package org.rowanvalve.data.origin;
 
 import java.util.Map;
+import java.util.OptionalLong;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.model.ItemId;
@@ -133,6 +134,10 @@
             return;
         }
         final OriginTransport.OriginResponse validated = validate(response);
+        if (validated.result() == OriginTransport.ExchangeResult.LOST
+                && dispatcher.loop().now() >= request.deadline()) {
+            journalBreak(BreakCause.DEADLINE);
+        }
         recordExecution(executionLevel(validated.result()));
         if (request.atMostOnce()) {
             journalEnd(validated.result(), validated.reason());
@@ -197,6 +202,66 @@
                 : OriginTransport.OriginResponse.failure(OriginTransport.ExchangeResult.INVALID, error);
     }
 
+    /** The process ends, and this exchange with it. */
+    void onProcessEnd() {
+        journalBreak(BreakCause.PROCESS_END);
+    }
+
+    /** Records that this node ends an exchange while the origin may be at work on it. */
+    private void journalBreak(final BreakCause cause) {
+        if (!mayHaveBeenSent) {
+            return;
+        }
+        final long now = dispatcher.loop().now();
+        final OptionalLong graceLeftMs = dispatcher.graceLeftMs();
+        dispatcher
+                .journal()
+                .add(Event.of(
+                        EventCode.WORK_BROKEN_OFF,
+                        "request",
+                        sent.requestId(),
+                        "kind",
+                        kind().code(),
+                        "cause",
+                        cause.code(),
+                        "service",
+                        sent.service(),
+                        "origin",
+                        originId.name(),
+                        "shard",
+                        request.shard(),
+                        "workedMs",
+                        now - sentAt,
+                        "deadlineLeftMs",
+                        request.deadline() - now,
+                        "graceLeftMs",
+                        graceLeftMs.isPresent() ? graceLeftMs.getAsLong() : ""));
+    }
+
+    private RequestKind kind() {
+        if (sent.key() != null) {
+            return RequestKind.KEYED;
+        }
+        return request.atMostOnce() ? RequestKind.AT_MOST_ONCE : RequestKind.REPEATABLE;
+    }
+
+    /** How often a request may be executed, as events name it. */
+    private enum RequestKind {
+        KEYED("keyed"),
+        AT_MOST_ONCE("at-most-once"),
+        REPEATABLE("repeatable");
+
+        private final String code;
+
+        RequestKind(final String code) {
+            this.code = code;
+        }
+
+        String code() {
+            return code;
+        }
+    }
+
     private boolean closeOnce(final boolean answered, final OriginTransport.Load load) {
         final boolean wasOpen = dispatcher.attemptsByShard(request.shard()).remove(this);
         if (wasOpen) {
@@ -216,6 +281,10 @@
             exchange.abort();
         }
         if (mayHaveBeenSent) {
+            journalBreak(
+                    request.cancellation().isRequested()
+                            ? BreakCause.of(request.cancellation().cause())
+                            : BreakCause.OTHER_ATTEMPT_ANSWERED);
             recordExecution(ExecutionKnowledge.Level.MAY_HAVE_RUN);
             withdrawFailure();
             final long slotTakenMs = dispatcher
@@ -236,9 +305,10 @@
     }
 
     /** Closes the connection because the lease has ended. It is unknown whether the request was executed. */
-    void abort() {
+    void abort(final BreakCause cause) {
         if (closeOnce(false, OriginTransport.Load.NONE)) {
             exchange.abort();
+            journalBreak(cause);
             recordExecution(ExecutionKnowledge.Level.MAY_HAVE_RUN);
             if (request.atMostOnce()) {
                 journalEnd(OriginTransport.ExchangeResult.LOST, "right to send ended");
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -18,6 +19,7 @@
 import org.rowanvalve.common.runtime.EventLoop;
 import org.rowanvalve.common.runtime.Transport;
 import org.rowanvalve.control.config.ConfigurationView;
+import org.rowanvalve.control.lease.FenceReason;
 import org.rowanvalve.control.lease.LeaseHolder;
 import org.rowanvalve.control.placement.PlacementPlan;
 import org.rowanvalve.data.limit.RetryBudget;
@@ -27,6 +29,9 @@
 /** Sends every origin request of this node. The lease is checked right before a request is written. */
 public final class OriginDispatcher {
     private static final int MAX_WAITING = 256;
+    /** The end of a process that is not stopping. */
+    private static final long NOT_STOPPING = Long.MAX_VALUE;
+
     private final NodeSettings settings;
     private final EventLoop loop;
     private final OriginTransport originTransport;
@@ -43,6 +48,7 @@
     private final DemandCounter demand = new DemandCounter();
     private long requestSerial;
     private int waitingForRate;
+    private long stopDeadline = NOT_STOPPING;
 
     /**
      * The end of an origin request.
@@ -140,17 +146,32 @@
      * Stops the fills of a shard. Requests in flight may finish within the grace time; then their connections are
      * closed.
      */
-    public void stop(final int shard, final long grace, final Consumer<Boolean> done) {
+    public void stop(final int shard, final FenceReason reason, final long grace, final Consumer<Boolean> done) {
         if (attemptsByShard(shard).isEmpty()) {
             done.accept(true);
             return;
         }
         loop.schedule(grace, () -> {
-            new ArrayList<>(attemptsByShard(shard)).forEach(OriginAttempt::abort);
+            new ArrayList<>(attemptsByShard(shard)).forEach(attempt -> attempt.abort(BreakCause.of(reason)));
             done.accept(attemptsByShard(shard).isEmpty());
         });
     }
 
+    /** The process stops; it ends at {@code deadline} at the latest. */
+    public void onStopping(final long deadline) {
+        stopDeadline = deadline;
+    }
+
+    /** The process ends now, with the connections to the origins that are still at work. */
+    public void onProcessEnd() {
+        attemptsByShard.values().forEach(attempts -> attempts.forEach(OriginAttempt::onProcessEnd));
+    }
+
+    /** The time until this process has to end, in ms; empty if it is not stopping. */
+    OptionalLong graceLeftMs() {
+        return stopDeadline == NOT_STOPPING ? OptionalLong.empty() : OptionalLong.of(stopDeadline - loop.now());
+    }
+
     /** Applies another shield's report of its requests in flight at origins. */
     public void onLoadReport(final NodeId from, final LoadReport report) {
         load.onReport(from, report.requestsByOrigin(), loop.now());
--- a/data/src/test/java/org/rowanvalve/data/edge/RequestAttemptsTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/RequestAttemptsTest.java
@@ -104,7 +104,14 @@
             }
         };
         final LeaseHolder leases = new LeaseHolder(
-                loop, toEdge, items, LeaseTimings.DEFAULT, journal, () -> true, List::of, (s, g, d) -> d.accept(true));
+                loop,
+                toEdge,
+                items,
+                LeaseTimings.DEFAULT,
+                journal,
+                () -> true,
+                List::of,
+                (s, reason, g, d) -> d.accept(true));
         final NodeSettings settings = NodeSettings.builderFor(
                         new Member(NodeId.of(name), Role.SHIELD, "z", "127.0.0.1", 1, "b", NodeStatus.READY, "1"))
                 .retryLimits(100, 100_000)
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
@@ -64,7 +64,7 @@
                 journal,
                 () -> true,
                 List::of,
-                (shard, grace, done) -> done.accept(true));
+                (shard, reason, grace, done) -> done.accept(true));
         holder.start();
         items.merge(new ChosenItem(
                 new Ballot(1, "x"),
--- a/data/src/test/java/org/rowanvalve/data/origin/CancellationFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/origin/CancellationFixture.java
@@ -127,7 +127,7 @@
                 journal,
                 () -> true,
                 List::of,
-                (shard, grace, done) -> done.accept(true));
+                (shard, reason, grace, done) -> done.accept(true));
         return new OriginDispatcher(
                 NodeSettings.builderFor(self).retryLimits(0.2, 60).build(),
                 loop,
--- a/data/src/test/java/org/rowanvalve/data/origin/OriginDispatcherTest.java
+++ b/data/src/test/java/org/rowanvalve/data/origin/OriginDispatcherTest.java
@@ -96,7 +96,7 @@
                 journal,
                 () -> true,
                 List::of,
-                (shard, grace, done) -> done.accept(true));
+                (shard, reason, grace, done) -> done.accept(true));
         return new OriginDispatcher(
                 NodeSettings.builderFor(self).retryLimits(ratio, slack).build(),
                 loop,
--- a/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
@@ -78,7 +78,14 @@
                     new Member(NodeId.of("n1"), Role.SHIELD, "z", "127.0.0.1", 1, "b", NodeStatus.READY, "1"))
             .build();
     private final LeaseHolder leases = new LeaseHolder(
-            loop, transport, items, LeaseTimings.DEFAULT, journal, () -> true, List::of, (s, g, d) -> d.accept(true));
+            loop,
+            transport,
+            items,
+            LeaseTimings.DEFAULT,
+            journal,
+            () -> true,
+            List::of,
+            (s, reason, g, d) -> d.accept(true));
     private final OriginDispatcher dispatcher = new OriginDispatcher(
             settings,
             loop,
--- a/server/src/main/java/org/rowanvalve/server/log/EventLog.java
+++ b/server/src/main/java/org/rowanvalve/server/log/EventLog.java
@@ -29,6 +29,13 @@
     private static final Set<EventCode> JSON_ONLY =
             EnumSet.of(EventCode.LEARNED, EventCode.ACCEPTED, EventCode.CONNECTION_ENDED);
 
+    static final int REQUEST_LINES_PER_SECOND = 20;
+    static final int REQUEST_BURST_LINES = 400;
+    /** Requests that are broken off may be many, for example hedges, and must not displace the lines on failures. */
+    private static final int BREAK_LINES_PER_SECOND = 5;
+
+    private static final int BREAK_BURST_LINES = 100;
+
     private final ArrayBlockingQueue<LogEntry> ring = new ArrayBlockingQueue<>(RING_CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
     private final PrintStream out;
@@ -37,7 +44,8 @@
     private final Thread thread = new Thread(this::run, "log");
 
     private final RequestHistory requestHistory = new RequestHistory();
-    private final LineLimit requestLines = new LineLimit();
+    private final LineLimit requestLines = new LineLimit(REQUEST_LINES_PER_SECOND, REQUEST_BURST_LINES);
+    private final LineLimit breakLines = new LineLimit(BREAK_LINES_PER_SECOND, BREAK_BURST_LINES);
 
     public EventLog(final String node, final boolean json, final PrintStream out) {
         this.node = node;
@@ -79,7 +87,9 @@
         if (json) {
             writeJson(entry);
         } else if (RequestHistory.CODES.contains(entry.event().code())) {
-            requestHistory.add(entry).forEach(this::writeRequestLine);
+            requestHistory.add(entry).forEach(due -> writeLimited(due, requestLines));
+        } else if (entry.event().code() == EventCode.WORK_BROKEN_OFF) {
+            writeLimited(entry, breakLines);
         } else if (!JSON_ONLY.contains(entry.event().code())) {
             writeText(entry);
         }
@@ -100,12 +110,12 @@
         }
     }
 
-    private void writeRequestLine(final LogEntry entry) {
+    private static void writeLimited(final LogEntry entry, final LineLimit limit) {
         final long now = System.currentTimeMillis();
-        if (!requestLines.tryTake(now)) {
+        if (!limit.tryTake(now)) {
             return;
         }
-        final long leftOut = requestLines.takeLeftOut();
+        final long leftOut = limit.takeLeftOut();
         if (leftOut > 0) {
             writeText(new LogEntry(now, Event.of(EventCode.LINES_LEFT_OUT, "lines", leftOut)));
         }
--- a/server/src/main/java/org/rowanvalve/server/log/LineLimit.java
+++ b/server/src/main/java/org/rowanvalve/server/log/LineLimit.java
@@ -2,19 +2,24 @@
 
 /** Bounds the rate of log lines. Lines that are left out are counted. Not thread-safe. */
 final class LineLimit {
-    static final int LINES_PER_SECOND = 20;
-    static final int BURST_LINES = 400;
     private static final double MILLIS_PER_SECOND = 1000.0;
 
-    private double available = BURST_LINES;
+    private final int linesPerSecond;
+    private final int burstLines;
+    private double available;
     private long updatedAt = Long.MIN_VALUE;
     private long leftOut;
 
+    LineLimit(final int linesPerSecond, final int burstLines) {
+        this.linesPerSecond = linesPerSecond;
+        this.burstLines = burstLines;
+        this.available = burstLines;
+    }
+
     /** Takes the right to write one line, or counts it as left out. Times are ms and may step back. */
     boolean tryTake(final long nowMillis) {
         if (updatedAt != Long.MIN_VALUE && nowMillis > updatedAt) {
-            available =
-                    Math.min(BURST_LINES, available + (nowMillis - updatedAt) * LINES_PER_SECOND / MILLIS_PER_SECOND);
+            available = Math.min(burstLines, available + (nowMillis - updatedAt) * linesPerSecond / MILLIS_PER_SECOND);
         }
         updatedAt = nowMillis;
         if (available < 1) {
--- a/server/src/test/java/org/rowanvalve/server/log/RequestHistoryTest.java
+++ b/server/src/test/java/org/rowanvalve/server/log/RequestHistoryTest.java
@@ -91,17 +91,17 @@
 
     @Test
     void linesBeyondTheBurstAreCountedAndTheRateIsBounded() {
-        final LineLimit limit = new LineLimit();
-        for (int i = 0; i < LineLimit.BURST_LINES; i++) {
+        final LineLimit limit = new LineLimit(EventLog.REQUEST_LINES_PER_SECOND, EventLog.REQUEST_BURST_LINES);
+        for (int i = 0; i < EventLog.REQUEST_BURST_LINES; i++) {
             assertTrue(limit.tryTake(0));
         }
         assertFalse(limit.tryTake(0));
         assertFalse(limit.tryTake(1));
         assertEquals(2, limit.takeLeftOut());
         int taken = 0;
-        for (int i = 0; i < 2 * LineLimit.LINES_PER_SECOND; i++) {
+        for (int i = 0; i < 2 * EventLog.REQUEST_LINES_PER_SECOND; i++) {
             taken += limit.tryTake(1000) ? 1 : 0;
         }
-        assertEquals(LineLimit.LINES_PER_SECOND, taken);
+        assertEquals(EventLog.REQUEST_LINES_PER_SECOND, taken);
     }
 }
--- a/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
@@ -71,7 +71,7 @@
             }
         };
         leases = new LeaseHolder(
-                loop, transport, items, LeaseTimings.DEFAULT, journal, () -> true, List::of, (shard, grace, done) -> {
+                loop, transport, items, LeaseTimings.DEFAULT, journal, () -> true, List::of, (shard, reason, grace, done) -> {
                     stops.add(shard + "@" + time.now());
                     time.in(stopDurationMs, () -> done.accept(true));
                 });
