--- a/control/src/main/java/org/rowanvalve/control/config/Origin.java
+++ b/control/src/main/java/org/rowanvalve/control/config/Origin.java
@@ -1,6 +1,7 @@
 package org.rowanvalve.control.config;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Comparator;
 
 /**
  * An origin as it announced itself.
@@ -24,6 +25,12 @@
         int slots,
         @JsonProperty("coldMs") long warmUpMs) {
 
+    /** The sequence number of an instance that has ended, above that of every heartbeat. */
+    private static final long ENDED_SEQUENCE = Long.MAX_VALUE;
+
+    private static final Comparator<Origin> STATE_ORDER =
+            Comparator.comparing(Origin::draining).thenComparingLong(Origin::sequence);
+
     public Origin {
         location = location == null ? "" : location;
     }
@@ -58,7 +65,30 @@
 
     /** Returns the state of this origin after its process ended. No later heartbeat replaces this state. */
     public Origin ended() {
-        return new Origin(service, host, port, instance, kind, load, ttlMs, true, Long.MAX_VALUE, location, slots, 0);
+        return new Origin(service, host, port, instance, kind, load, ttlMs, true, ENDED_SEQUENCE, location, slots, 0);
+    }
+
+    /** Returns the state of an instance that ended before any heartbeat of it was registered. */
+    public static Origin endedUnseen(final String instance) {
+        return new Origin("", "", 0, instance, ServiceKind.OPEN, 0, 0, true, ENDED_SEQUENCE);
+    }
+
+    /** Whether this instance ended before any heartbeat of it was registered, so that nothing else is known of it. */
+    public boolean isEndedUnseen() {
+        return hasEnded() && service.isEmpty();
+    }
+
+    private boolean hasEnded() {
+        return draining && sequence == ENDED_SEQUENCE;
+    }
+
+    /**
+     * Whether this state of an instance replaces the other one. The states of an instance are ordered: ready by rising
+     * sequence, then draining by rising sequence, then ended. Heartbeats and ends may therefore arrive in any order, late
+     * or more than once: the highest state that has arrived holds.
+     */
+    public boolean supersedes(final Origin other) {
+        return STATE_ORDER.compare(this, other) > 0;
     }
 
     /** Whether the other announcement came from the same process at the same address. */
--- a/control/src/main/java/org/rowanvalve/control/operator/OriginRegistry.java
+++ b/control/src/main/java/org/rowanvalve/control/operator/OriginRegistry.java
@@ -8,6 +8,7 @@
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
+import org.rowanvalve.common.message.ChosenItem;
 import org.rowanvalve.common.model.Item;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.ItemKind;
@@ -26,6 +27,9 @@
     private static final long WRITE_TIMEOUT_MILLIS = 900;
     private static final long CONFIRMATION_TIMEOUT_MILLIS = 700;
     private static final long RETRY_AFTER_MS = 300;
+    /** The number of ends without a heartbeat that are kept at a time; each takes an item until it is collected. */
+    static final int MAX_ENDED_UNSEEN = 1000;
+
     private final EventLoop loop;
     private final ItemStore items;
     private final ViewSynchronizer view;
@@ -69,9 +73,9 @@
     }
 
     /**
-     * Handles a heartbeat. A delayed heartbeat, recognized by its sequence number, changes nothing, and an origin that
-     * has left cannot return. A change is written; a leave that changes nothing is acknowledged only in contact with a
-     * majority.
+     * Handles a heartbeat. One that {@link Origin#supersedes does not supersede} the registered state changes nothing, so an
+     * origin that has left cannot return. A change is written; a leave that changes nothing is acknowledged only in contact
+     * with a majority.
      */
     public void onHeartbeat(final String name, final Origin announced, final Consumer<ApiResponse> callback) {
         if (!view.isFresh()) {
@@ -81,10 +85,7 @@
         final ItemId id = new ItemId(ItemKind.ORIGIN, name);
         final Origin registered = registered(id).orElse(null);
         lastHeardAt.put(id, items.now());
-        if (registered == null
-                || announced.sequence() > registered.sequence()
-                        && !registered.draining()
-                        && !isUnchanged(registered, announced)) {
+        if (registered == null || announced.supersedes(registered) && !isUnchanged(registered, announced)) {
             writeOrigin(id, announced, callback);
         } else if (announced.draining()) {
             whenConfirmed(() -> callback.accept(done(name)), callback);
@@ -95,7 +96,8 @@
 
     /**
      * Handles the end of an origin, whether detected or announced by the origin itself. Like a leave, the end is
-     * permanent. A repeat, at any node, is acknowledged again.
+     * permanent, also if it arrives before the first heartbeat: it is acknowledged once a majority stores it. A repeat, at
+     * any node, is acknowledged again.
      */
     public void onEnd(final String name, final Consumer<ApiResponse> callback) {
         final ItemId id = new ItemId(ItemKind.ORIGIN, name);
@@ -123,10 +125,24 @@
     }
 
     private void drain(final ItemId id, final Consumer<ApiResponse> callback) {
-        registered(id)
-                .filter(origin -> !origin.draining())
-                .ifPresentOrElse(
-                        origin -> writeOrigin(id, origin.ended(), callback), () -> callback.accept(done(id.name())));
+        final Origin registered = registered(id).orElse(null);
+        if (registered == null && endedUnseenCount() >= MAX_ENDED_UNSEEN) {
+            callback.accept(unavailable("too many origins ended without a heartbeat"));
+        } else if (registered == null) {
+            writeOrigin(id, Origin.endedUnseen(id.name()), callback);
+        } else if (registered.draining()) {
+            callback.accept(done(id.name()));
+        } else {
+            writeOrigin(id, registered.ended(), callback);
+        }
+    }
+
+    private long endedUnseenCount() {
+        return items.all().stream()
+                .map(ChosenItem::item)
+                .filter(item -> item.exists() && item.id().kind() == ItemKind.ORIGIN)
+                .filter(item -> Json.read(item.body(), Origin.class).isEndedUnseen())
+                .count();
     }
 
     private void writeOrigin(final ItemId id, final Origin announced, final Consumer<ApiResponse> callback) {
@@ -139,8 +155,7 @@
                 WRITE_TIMEOUT_MILLIS,
                 current -> {
                     final Origin registered = current.exists() ? Json.read(current.body(), Origin.class) : null;
-                    if (registered != null
-                            && (registered.sequence() >= announced.sequence() || registered.draining())) {
+                    if (registered != null && !announced.supersedes(registered)) {
                         return Optional.of(current);
                     }
                     final Item next = current.successor(Json.write(announced), writeId);
--- a/control/src/test/java/org/rowanvalve/control/operator/OriginRegistryTest.java
+++ b/control/src/test/java/org/rowanvalve/control/operator/OriginRegistryTest.java
@@ -1,7 +1,6 @@
 package org.rowanvalve.control.operator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -65,8 +64,8 @@
     void lateHeartbeatChangesNothingAndOriginThatLeftCannotReturn() {
         fixture.confirm();
         sendHeartbeat(origin(5, false, 4, 0));
-        assertEquals(200, sendHeartbeat(origin(4, true, 4, 0)), "sent before the registered one");
-        assertFalse(registered().draining());
+        assertEquals(200, sendHeartbeat(origin(4, false, 8, 0)), "sent before the registered one");
+        assertEquals(4, registered().slots());
         assertEquals(200, sendHeartbeat(origin(6, true, 4, 0)));
         assertTrue(fixture.configuration.liveOrigins("s", fixture.loop.now()).isEmpty());
         assertEquals(200, sendHeartbeat(origin(7, false, 4, 0)));
@@ -76,16 +75,50 @@
         assertEquals(writes, fixture.written.size(), "the leave was permanent already");
     }
 
+    /** What was acknowledged as draining gets no requests, whatever sequence number the heartbeat had. */
     @Test
-    void endedOriginIsNotLiveAndEndOfUnknownOriginChangesNothing() {
+    void acknowledgedLeaveHoldsAlsoIfItArrivesAfterALaterHeartbeat() {
+        fixture.confirm();
+        sendHeartbeat(origin(5, false, 4, 0));
+        assertEquals(200, sendHeartbeat(origin(4, true, 4, 0)));
+        assertTrue(registered().draining());
+        assertTrue(fixture.configuration.liveOrigins("s", fixture.loop.now()).isEmpty());
+    }
+
+    @Test
+    void endedOriginIsNotLiveAndDoesNotReturn() {
         fixture.confirm();
         sendHeartbeat(origin(5, false, 4, 0));
         assertEquals(200, sendEnd("i1"));
         assertTrue(registered().draining());
         assertEquals(200, sendHeartbeat(origin(9, false, 4, 0)), "a heartbeat that was in flight");
         assertTrue(fixture.configuration.liveOrigins("s", fixture.loop.now()).isEmpty());
-        assertEquals(200, sendEnd("i2"));
-        assertTrue(fixture.items.get(new ItemId(ItemKind.ORIGIN, "i2")).deleted());
+    }
+
+    /** Guards against an origin whose first heartbeat comes after its acknowledged end, and is then used again. */
+    @Test
+    void originThatEndedBeforeItsFirstHeartbeatDoesNotReturn() {
+        fixture.confirm();
+        assertEquals(200, sendEnd("i1"));
+        assertTrue(registered().isEndedUnseen());
+        final int writes = fixture.written.size();
+        assertEquals(200, sendEnd("i1"));
+        assertEquals(200, sendHeartbeat(origin(1, false, 4, 0)), "the first heartbeat, seconds late");
+        assertEquals(200, sendHeartbeat(origin(2, true, 4, 0)));
+        assertEquals(writes, fixture.written.size());
+        assertTrue(fixture.configuration.liveOrigins("s", fixture.loop.now()).isEmpty());
+    }
+
+    @Test
+    void endsWithoutAHeartbeatAreKeptUpToABound() {
+        fixture.confirm();
+        for (int i = 0; i < OriginRegistry.MAX_ENDED_UNSEEN; i++) {
+            assertEquals(200, sendEnd("unseen-" + i));
+        }
+        assertEquals(503, sendEnd("one-too-many"));
+        assertEquals(200, sendEnd("unseen-0"), "a repeat takes no place");
+        sendHeartbeat(origin(1, false, 4, 0));
+        assertEquals(200, sendEnd("i1"), "an origin that is known takes no place");
     }
 
     @Test
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOrigin.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOrigin.java
@@ -9,6 +9,9 @@
 
 /** A stand-in origin on virtual time: the same contract as the one over HTTP. */
 public final class SimOrigin {
+    private static final long END_BEFORE_HEARTBEAT_MS = 700;
+    private static final long LATE_HEARTBEAT_MS = 3000;
+
     private final VirtualTime time;
     private final RunLog log;
     private final String name;
@@ -177,13 +180,38 @@
 
     /** It ends, and says so if it can. */
     public void quit() {
+        sayEnd();
+        kill();
+    }
+
+    private void sayEnd() {
         final SimNode node = alive && word.tells() ? any.get() : null;
         if (node != null) {
             final long t = time.now();
             final String mark = stamp;
             node.execute(() -> word.end(node, name, mark, response -> note(t, "leave", mark, node, response)));
         }
-        kill();
+    }
+
+    /**
+     * It serves for {@code ms}, but says soon after its start that it has ended, and its only heartbeat comes later than
+     * that. It gets no requests, unless the heartbeat is taken for a return.
+     */
+    void startBriefly(final long ms) {
+        life = time.serial();
+        alive = true;
+        leaving = true;
+        stamp = name + "-" + life;
+        beat = 0;
+        running = 0;
+        final long mine = life;
+        time.in(END_BEFORE_HEARTBEAT_MS, this::sayEnd);
+        time.in(LATE_HEARTBEAT_MS, () -> announce(false, response -> {}));
+        time.in(ms, () -> {
+            if (life == mine) {
+                kill();
+            }
+        });
     }
 
     /** An earlier beat that comes late. */
--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOrigins.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOrigins.java
@@ -8,6 +8,9 @@
 
 /** A deployment's origins, and what happens to them as a group: addresses change hands, machines are replaced. */
 public final class SimOrigins {
+    /** How long an origin serves on that has said that it has ended. */
+    private static final long BRIEF_MS = 10_000;
+
     private final SimCluster cluster;
     private final SimOriginTransport.OriginDirectory yard;
     private final SimOrigin.Word word;
@@ -94,6 +97,16 @@
         origins.put(name, next);
         cluster.world().in(ms / 2, old::leave);
         cluster.world().in(ms / 2 + 3000, old::quit);
+        startBriefly(old);
+    }
+
+    /** One more machine of the same service starts and is taken away again at once, before its first heartbeat arrives. */
+    private void startBriefly(final SimOrigin model) {
+        if (word.tells()) {
+            final SimOrigin brief = model.heir("127.1.3." + (1 + cluster.world().serial() % 250));
+            yard.move(brief.host(), brief);
+            brief.startBriefly(BRIEF_MS);
+        }
     }
 
     /** It ends in order, and its address goes to a new origin of another service. */
--- a/testkit/src/test/java/org/rowanvalve/testkit/TroubleKindsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/TroubleKindsTest.java
@@ -215,6 +215,26 @@
         assertEquals(4, rig(rows, "start").size());
     }
 
+    /** Guards against origins that are used again after their end, since their first heartbeat came later than it. */
+    @Test
+    void originsThatEndBeforeTheirFirstHeartbeatGetNoRequests() {
+        final List<Map<String, Object>> rows = play(
+                25,
+                step(1000, "origin-replace", "till1", 6000, "", 0),
+                step(1500, "origin-replace", "shelf2", 6000, "", 0));
+        final Judge judge = new Judge(rows);
+        assertEquals(List.of(), judge.rule(8).breaches(), judge.text(2));
+        assertTrue(
+                rows.stream()
+                                .filter(row -> "leave".equals(row.get("what"))
+                                        && Integer.valueOf(200).equals(row.get("status")))
+                                .map(row -> row.get("origin"))
+                                .distinct()
+                                .count()
+                        >= 4,
+                "two that were replaced, and two that were there briefly");
+    }
+
     @Test
     void oneThatIsRemovedLeavesForGoodAndAPlaceKeepsEnoughToVote() {
         final List<Map<String, Object>> rows = play(40, step(500, "roll", "sh1,sh2", 1000, "remove", 1));
