--- a/common/src/main/java/org/rowanvalve/common/message/KeyedRecord.java
+++ b/common/src/main/java/org/rowanvalve/common/message/KeyedRecord.java
@@ -51,6 +51,19 @@
         return attemptId >> ATTEMPT_NUMBER_BITS == otherAttemptId >> ATTEMPT_NUMBER_BITS;
     }
 
+    /**
+     * Whether this record tells how the attempt ended whose intent is {@code stored}: its outcome, or that nothing of it was
+     * sent. Only the process that made the attempt can know that, whichever token it has by now; no other attempt of the
+     * key is affected by it.
+     */
+    public boolean concludes(final KeyedRecord stored) {
+        return stored != null
+                && stored.attemptId == attemptId
+                && stored.outcome == null
+                && !stored.notSent
+                && (outcome != null || notSent);
+    }
+
     /** Returns the record that a replica stores after this record arrived; records may arrive in any order. */
     public KeyedRecord mergedOver(final KeyedRecord stored) {
         return stored == null || outcome != null || !isObsoleteAfter(stored) ? this : stored;
--- a/common/src/test/java/org/rowanvalve/common/message/KeyedRecordTest.java
+++ b/common/src/test/java/org/rowanvalve/common/message/KeyedRecordTest.java
@@ -49,6 +49,20 @@
         return stored;
     }
 
+    /** Guards against ends of earlier attempts that are taken, below the token floor, as the end of a later one. */
+    @Test
+    void onlyTheAttemptWhoseIntentIsStoredIsConcluded() {
+        final KeyedRecord intent = record(1, false, false);
+        assertTrue(record(1, false, true).concludes(intent), "its outcome");
+        assertTrue(record(1, true, false).concludes(intent), "nothing of it was sent");
+        assertFalse(record(1, false, false).concludes(intent), "the intent again");
+        assertFalse(record(2, false, true).concludes(intent));
+        assertFalse(record(2, true, false).concludes(intent));
+        assertFalse(record(1, false, true).concludes(record(1, true, false)), "it is known how it ended");
+        assertFalse(record(1, true, false).concludes(record(1, false, true)));
+        assertFalse(record(1, false, true).concludes(null));
+    }
+
     /** Guards against a late record of a rejected attempt that replaces the record of a later attempt in flight. */
     @Test
     void lateRecordOfAnEarlierAttemptNeverReplacesALaterOne() {
--- a/control/src/main/java/org/rowanvalve/control/lease/LeaseHolder.java
+++ b/control/src/main/java/org/rowanvalve/control/lease/LeaseHolder.java
@@ -39,6 +39,10 @@
  * The leases of a shield, one for each shard that it owns. A granted lease is uncertain until the leader answers a
  * renewal of it; then it is held. A lease expires at the send time of the last answered renewal plus D - M. New fills
  * start only under a held lease. Cached responses are also served under an uncertain or expired lease.
+ *
+ * <p>A lease ends in one of two ways. If the leader revokes it, for a planned move, this node itself gives the word that it
+ * sends nothing more, and requests that origins work on are left to end. If it expires, or is dropped after a pause, the
+ * next holder may start without any word from here; the requests are then ended within M, gracefully and then forcibly.
  */
 public final class LeaseHolder {
     private static final long CHECK_INTERVAL_MS = 50;
@@ -84,13 +88,17 @@
         }
     }
 
-    /**
-     * Stops all fills of a shard. Fills that have not ended after {@code graceMs} are aborted; {@code done} then gets
-     * whether all fills have stopped.
-     */
+    /** Ends the fills of shards whose leases this node no longer holds. */
     @FunctionalInterface
     public interface FillStopper {
+        /**
+         * Stops all fills of a shard. Fills that have not ended after {@code graceMs} are aborted; {@code done} then gets
+         * whether all fills have stopped.
+         */
         void stop(int shard, FenceReason reason, long graceMs, Consumer<Boolean> done);
+
+        /** Gives up the fills of a shard that have not been sent to an origin; those that have been sent go on. */
+        default void giveUpUnsent(final int shard) {}
     }
 
     public LeaseHolder(
@@ -323,7 +331,11 @@
         return true;
     }
 
-    /** Revokes the given leases and stops the fills of their shards. The response is sent once the fills have ended. */
+    /**
+     * Revokes the given leases. No fill of their shards is sent from then on, which is what the response tells. Fills that
+     * origins already work on go on: breaking them off would undo no execution, and the next holder neither repeats nor
+     * needs them.
+     */
     public void onRevoke(final NodeId from, final LeaseRevokeRequest request, final Consumer<Message> callback) {
         if (request.term() < term) {
             callback.accept(new RejectedResponse("old term"));
@@ -357,9 +369,14 @@
         } else if (lease.state == LeaseState.EXPIRED && !lease.fencing) {
             lease.state = LeaseState.REVOKED;
             callback.accept(true);
-        } else {
+        } else if (lease.fencing) {
             lease.state = LeaseState.REVOKED;
             fenceShard(shardLease.shard(), lease, FenceReason.REVOKED, callback);
+        } else {
+            lease.state = LeaseState.REVOKED;
+            fillStopper.giveUpUnsent(shardLease.shard());
+            journalFenced(shardLease.shard(), lease.token, FenceReason.REVOKED);
+            callback.accept(true);
         }
     }
 
@@ -370,12 +387,16 @@
         fillStopper.stop(shard, reason, timings.marginMs() / 2, stopped -> {
             if (stopped) {
                 lease.fencing = false;
-                journal.add(Event.of(EventCode.FENCED, "shard", shard, "token", token.toString(), "why", reason.code()));
+                journalFenced(shard, token, reason);
             }
             callback.accept(stopped);
         });
     }
 
+    private void journalFenced(final int shard, final FencingToken token, final FenceReason reason) {
+        journal.add(Event.of(EventCode.FENCED, "shard", shard, "token", token.toString(), "why", reason.code()));
+    }
+
     /**
      * Ends the fencing of shards whose fills could not be stopped in time. The leader sends this once the earlier
      * leases of these shards have expired for certain.
--- a/control/src/main/java/org/rowanvalve/control/record/KeyedRecordStore.java
+++ b/control/src/main/java/org/rowanvalve/control/record/KeyedRecordStore.java
@@ -236,7 +236,8 @@
     }
 
     /**
-     * Stores an intent or an outcome. The write is rejected if the writer has to read this replica again, or if the
+     * Stores an intent or an outcome. How the attempt ended whose intent is stored here is taken from any writer: an earlier
+     * holder may have sent it before the shard moved. Otherwise the write is rejected if the writer has to read this replica again, or if the
      * record stored here outranks it; in the latter case the response contains the stored record. The response is sent
      * once the record that is kept has been synced.
      */
@@ -246,15 +247,16 @@
             callback.accept(new RejectedResponse(RejectedResponse.STORAGE_UNAVAILABLE));
             return;
         }
-        if (request.era() != era(record.shard())) {
+        final KeyedRecordTable.Row stored = table.get(record.key());
+        final boolean concludes = stored != null && record.concludes(stored.keyedRecord());
+        if (!concludes && request.era() != era(record.shard())) {
             callback.accept(new RecordWriteResponse(false, isIncomplete(), true));
             return;
         }
-        if (record.token().isBelow(tokenFloors.getOrDefault(record.shard(), FencingToken.ZERO))) {
+        if (!concludes && record.token().isBelow(tokenFloors.getOrDefault(record.shard(), FencingToken.ZERO))) {
             callback.accept(new RecordWriteResponse(false, isIncomplete(), false));
             return;
         }
-        final KeyedRecordTable.Row stored = table.get(record.key());
         final KeyedRecord merged = record.mergedOver(stored == null ? null : stored.keyedRecord());
         final KeyedRecordTable.Row row = merged == record
                 ? new KeyedRecordTable.Row(record, wallClock.getAsLong(), retention.retentionMs())
@@ -270,11 +272,14 @@
         });
     }
 
-    /** Returns the record of a key if it has an outcome. Any node may read an outcome, whatever its token and era. */
+    /**
+     * Returns the record of a key if it tells how an attempt ended. Any node may read that, whatever its token and era.
+     */
     public void onOutcomeRequest(final OutcomeRequest request, final Consumer<Message> callback) {
         final KeyedRecordTable.Row row = table.get(request.key());
-        callback.accept(
-                new OutcomeResponse(row == null || row.keyedRecord().outcome() == null ? null : row.keyedRecord()));
+        final boolean ended = row != null
+                && (row.keyedRecord().outcome() != null || row.keyedRecord().notSent());
+        callback.accept(new OutcomeResponse(ended ? row.keyedRecord() : null));
     }
 
     /**
--- a/control/src/test/java/org/rowanvalve/control/SampleValues.java
+++ b/control/src/test/java/org/rowanvalve/control/SampleValues.java
@@ -17,6 +17,8 @@
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.Message;
 import org.rowanvalve.common.message.MissingItemsRequest;
+import org.rowanvalve.common.message.OutcomeRequest;
+import org.rowanvalve.common.message.OutcomeResponse;
 import org.rowanvalve.common.message.RecordWriteResponse;
 import org.rowanvalve.common.message.RegisterHandoverRequest;
 import org.rowanvalve.common.message.RegisterHandoverResponse;
@@ -49,16 +51,18 @@
             Origin.class, Map.of(4, "open"));
 
     /** The number of components in the first release that contained the record; components added later may be null. */
-    private static final Map<Class<?>, Integer> FIRST_COMPONENTS = Map.of(
-            DigestRequest.class, 2,
-            ForwardRequest.class, 17,
-            Member.class, 8,
-            MissingItemsRequest.class, 3,
-            RecordWriteResponse.class, 3,
-            RegisterHandoverRequest.class, 3,
-            RegisterHandoverResponse.class, 6,
-            StateTransferRequest.class, 4,
-            StateTransferResponse.class, 7);
+    private static final Map<Class<?>, Integer> FIRST_COMPONENTS = Map.ofEntries(
+            Map.entry(DigestRequest.class, 2),
+            Map.entry(ForwardRequest.class, 17),
+            Map.entry(Member.class, 8),
+            Map.entry(MissingItemsRequest.class, 3),
+            Map.entry(OutcomeRequest.class, 1),
+            Map.entry(OutcomeResponse.class, 1),
+            Map.entry(RecordWriteResponse.class, 3),
+            Map.entry(RegisterHandoverRequest.class, 3),
+            Map.entry(RegisterHandoverResponse.class, 6),
+            Map.entry(StateTransferRequest.class, 4),
+            Map.entry(StateTransferResponse.class, 7));
 
     /** The number of components after the first addition, for records that were extended twice. */
     private static final Map<Class<?>, Integer> SECOND_COMPONENTS = Map.of(ForwardRequest.class, 18);
@@ -161,7 +165,7 @@
         if (type == double.class || type == Double.class) {
             return number + 0.5;
         }
-        if (type == boolean.class) {
+        if (type == boolean.class || type == Boolean.class) {
             return true;
         }
         if (type == String.class) {
--- a/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
+++ b/data/src/main/java/org/rowanvalve/data/edge/ShieldForwarding.java
@@ -384,7 +384,7 @@
             onMissingHolderResponse(reply.failure());
         } else if (filled.fate() == RequestOutcome.REFUSED) {
             onRefused(filled);
-        } else if (filled.token().isBelow(edge.highestToken(shard))) {
+        } else if (filled.token().isBelow(edge.highestToken(shard)) && !isOnlyExecution(filled)) {
             onStaleToken(shard, filled);
         } else {
             edge.recordToken(shard, filled.token());
@@ -396,6 +396,14 @@
         }
     }
 
+    /**
+     * Whether a response is that of the only execution that the request can have, and no other node can give it. It is
+     * delivered whoever holds the lease by now: no later holder executes the request, and its response is not kept as a copy.
+     */
+    private boolean isOnlyExecution(final ForwardResponse response) {
+        return hasMode(RouteMode.AT_MOST_ONCE) && response.fate() == RequestOutcome.DONE;
+    }
+
     private void onMissingHolderResponse(final Reply.Failure failure) {
         final RequestFailure uncertain = RequestFailure.unanswered("the holder did not answer");
         if (failure == Reply.Failure.NOT_SENT) {
@@ -432,7 +440,10 @@
                         filled.token().toString(),
                         "known",
                         edge.highestToken(shard).toString()));
-        if (request.isAtMostOnce()) {
+        if (hasMode(RouteMode.KEYED) && filled.fate() == RequestOutcome.DONE) {
+            // The earlier holder has recorded the outcome, which the current one gives under its own token.
+            retry(RequestFailure.unanswered("the answer came from an earlier holder"));
+        } else if (request.isAtMostOnce()) {
             finish(RequestFailure.unanswered("the answer came from an earlier holder"));
         } else {
             retry(new RequestFailure(503, "the answer came from an earlier holder", 500));
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedEntry.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedEntry.java
@@ -34,6 +34,12 @@
     boolean notSent;
     /** The outcome's body is being fetched from a replica. */
     boolean fetching;
+    /** The attempt is known from replicas only, so its process may know how it ended. */
+    private boolean knownFromRecord;
+    /** Other processes are being asked how the attempt ended. */
+    private boolean queried;
+
+    private final List<Runnable> waitingForQuery = new ArrayList<>();
 
     long attemptId;
     /** The request that began the attempt, or empty if another process did. */
@@ -52,6 +58,8 @@
         final KeyedEntry entry = new KeyedEntry(record.requestDigest(), now);
         entry.outcome = record.outcome();
         entry.notSent = record.outcome() == null && record.notSent();
+        entry.attemptId = record.attemptId();
+        entry.knownFromRecord = true;
         return entry;
     }
 
@@ -62,6 +70,7 @@
     void begin(final long now) {
         inProgress = true;
         notSent = false;
+        knownFromRecord = false;
         renew(now);
     }
 
@@ -76,6 +85,8 @@
     void adopt(final KeyedRecord record, final long now) {
         end(false, now);
         digest = record.requestDigest();
+        attemptId = record.attemptId();
+        knownFromRecord = true;
         outcome = record.outcome();
         foreignRecord = null;
     }
@@ -95,7 +106,7 @@
     }
 
     boolean isExpired(final long now, final long retentionMs) {
-        return !inProgress && !fetching && now - activeAt > retentionMs;
+        return !inProgress && !fetching && !queried && now - activeAt > retentionMs;
     }
 
     /** Whether the body of the outcome is stored at replicas only. */
@@ -103,6 +114,33 @@
         return outcome != null && !outcome.complete();
     }
 
+    /** Whether the process that made the attempt may know how it ended, though this one does not. */
+    boolean mayBeKnownElsewhere() {
+        return knownFromRecord && state() == State.MAY_HAVE_RUN;
+    }
+
+    /** Runs {@code action} once the query of the attempt has ended; starts it with {@code query} if none is under way. */
+    void awaitQuery(final Runnable action, final Runnable query) {
+        waitingForQuery.add(action);
+        if (!queried) {
+            queried = true;
+            query.run();
+        }
+    }
+
+    /** Takes the result of a query of the attempt. */
+    void onQueried(final AttemptQuery.Result result, final long now) {
+        queried = false;
+        switch (result.end()) {
+            case COMPLETED -> outcome = result.outcome();
+            case NOT_SENT -> end(true, now);
+            case UNKNOWN -> {}
+        }
+        final List<Runnable> actions = new ArrayList<>(waitingForQuery);
+        waitingForQuery.clear();
+        actions.forEach(Runnable::run);
+    }
+
     void addWaiter(final Consumer<ForwardResponse> callback) {
         waiting.add(callback);
     }
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -6,12 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.rowanvalve.common.event.Event;
 import org.rowanvalve.common.event.EventCode;
 import org.rowanvalve.common.event.EventJournal;
 import org.rowanvalve.common.message.ForwardResponse;
 import org.rowanvalve.common.message.KeyedOutcome;
 import org.rowanvalve.common.message.KeyedRecord;
+import org.rowanvalve.common.message.Message;
+import org.rowanvalve.common.message.OutcomeRequest;
+import org.rowanvalve.common.message.OutcomeResponse;
 import org.rowanvalve.common.message.RecordWriteRequest;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.NodeId;
@@ -31,7 +35,9 @@
 /**
  * Executes keyed requests at most once. An intent is synced at a majority of the record replicas before the first byte
  * is sent to the origin, and the outcome is recorded after the response. The next lease holder of the shard reads a
- * majority of the replicas first, so that it finds every intent.
+ * majority of the replicas first, so that it finds every intent. An attempt that is under way when its shard moves goes on
+ * at the earlier holder, which records its outcome under its own token; the next holder does not execute the key, and asks
+ * for that outcome when the key is requested again ({@link AttemptQuery}).
  */
 public final class KeyedRequests {
     /** The result of {@link EventCode#INTENT_WRITTEN} events after which an attempt may be sent. */
@@ -48,6 +54,8 @@
     private final StoreHealth storeHealth;
     private final String reader;
     private final RecordRetention retention;
+    private final Supplier<List<NodeId>> otherShields;
+    private final OwnAttempts ownAttempts = new OwnAttempts();
     private final Map<Integer, KeyedShard> shards = new HashMap<>();
     private long attemptSerial;
 
@@ -65,7 +73,9 @@
             final EventJournal journal,
             final StoreHealth storeHealth,
             final String reader,
-            final RecordRetention retention) {
+            final RecordRetention retention,
+            final Supplier<List<NodeId>> otherShields) {
+        this.otherShields = otherShields;
         this.reader = reader;
         this.votingConfiguration = votingConfiguration;
         this.loop = loop;
@@ -82,6 +92,38 @@
         shards.values().forEach(shard -> shard.removeExpired(retention.retentionMs()));
     }
 
+    /** Whether an attempt of this process has no outcome yet, or its outcome is being recorded. */
+    public boolean anyInProgress() {
+        return ownAttempts.anyInProgress();
+    }
+
+    /** Tells another shield how an attempt of this process ended, as far as it has. */
+    public void onOutcomeRequest(final OutcomeRequest request, final Consumer<Message> callback) {
+        final long attemptId = request.attemptId();
+        final KeyedEntry entry = ownAttempts
+                .inProgress(attemptId)
+                .or(() -> ownAttempts.unrecorded(attemptId))
+                .orElse(null);
+        if (entry != null && entry.outcome == null) {
+            callback.accept(OutcomeResponse.ofAttemptInProgress());
+        } else if (entry != null || ownAttempts.isNotSent(attemptId)) {
+            callback.accept(new OutcomeResponse(endOf(request, entry)));
+        } else {
+            callback.accept(new OutcomeResponse(null));
+        }
+    }
+
+    private static KeyedRecord endOf(final OutcomeRequest request, final KeyedEntry completed) {
+        return new KeyedRecord(
+                request.key(),
+                0,
+                FencingToken.ZERO,
+                "",
+                request.attemptId(),
+                completed == null,
+                completed == null ? null : completed.outcome);
+    }
+
     public static ForwardResponse response(
             final RequestOutcome fate,
             final int status,
@@ -157,19 +199,21 @@
                 callback.accept(response(RequestOutcome.REFUSED, 503, OriginDispatch.CANCELLED, shard.token(), 0));
             case UNCONFIRMED ->
                 cancellation.onSettled(() -> runUnlessCancelled(shard, request, cancellation, sendAction, callback));
-            case WANTED -> run(shard, request, sendAction, callback);
+            case WANTED -> run(shard, request, sendAction, callback, true);
         }
     }
 
+    /** {@code mayQuery}: whether others may be asked how an attempt ended of which only the intent is known. */
     private void run(
             final KeyedShard shard,
             final KeyedRequest request,
             final Send sendAction,
-            final Consumer<ForwardResponse> callback) {
+            final Consumer<ForwardResponse> callback,
+            final boolean mayQuery) {
         final String key = request.key();
         final String digest = request.digest();
         final KeyedEntry found = shard.entries().get(key);
-        if (found != null) {
+        if (found != null && mayQuery) {
             journalRepeat(shard, request, found);
         }
         final KeyedEntry known =
@@ -183,6 +227,9 @@
             callback.accept(completed(shard, known.outcome));
         } else if (known != null && known.inProgress) {
             known.addWaiter(callback);
+        } else if (known != null && mayQuery && known.mayBeKnownElsewhere()) {
+            known.awaitQuery(
+                    () -> run(shard, request, sendAction, callback, false), () -> queryAttempt(request.key(), known));
         } else if (known != null && !known.notSent) {
             callback.accept(earlierAttemptResponse(shard));
         } else {
@@ -194,6 +241,27 @@
         }
     }
 
+    /** Finds out how the attempt of an entry ended of which this holder knows no more than the intent. */
+    private void queryAttempt(final String key, final KeyedEntry entry) {
+        final KeyedEntry own = ownAttempts.inProgress(entry.attemptId).orElse(null);
+        if (own != null) {
+            own.addWaiter(response -> entry.onQueried(resultOf(own, response), loop.now()));
+        } else if (ownAttempts.isNotSent(entry.attemptId)) {
+            entry.onQueried(new AttemptQuery.Result(AttemptQuery.End.NOT_SENT, null), loop.now());
+        } else {
+            new AttemptQuery(loop, transport, key, entry.attemptId, result -> entry.onQueried(result, loop.now()))
+                    .start(otherShields.get(), List.copyOf(votingConfiguration.voters()));
+        }
+    }
+
+    private static AttemptQuery.Result resultOf(final KeyedEntry own, final ForwardResponse response) {
+        return switch (response.fate()) {
+            case DONE -> new AttemptQuery.Result(AttemptQuery.End.COMPLETED, own.outcome);
+            case REFUSED -> new AttemptQuery.Result(AttemptQuery.End.NOT_SENT, null);
+            case UNKNOWN -> new AttemptQuery.Result(AttemptQuery.End.UNKNOWN, null);
+        };
+    }
+
     private void journalRepeat(final KeyedShard shard, final KeyedRequest request, final KeyedEntry entry) {
         journal.add(Event.of(
                 EventCode.KEY_REPEATED,
@@ -272,6 +340,7 @@
     private void recordIntent(final KeyedShard shard, final String key, final KeyedEntry entry, final Send sendAction) {
         entry.begin(loop.now());
         entry.attemptId = KeyedRecord.attemptId(reader, ++attemptSerial);
+        ownAttempts.begin(entry.attemptId, entry);
         entry.foreignRecord = null;
         writeRecord(shard, recordOf(shard, key, entry, false), INTENT_TIMEOUT_MILLIS, result -> {
             journalAttempt(
@@ -282,8 +351,10 @@
                     "result",
                     result.status().name());
             if (entry.foreignRecord != null) {
+                ownAttempts.end(entry.attemptId, true);
                 yieldToForeign(shard, entry);
             } else if (result.status() == RecordWrite.Status.OUTRANKED) {
+                ownAttempts.end(entry.attemptId, true);
                 yieldToStanding(shard, key, entry, result.standing());
             } else if (!result.isStored()) {
                 journal.add(Event.of(EventCode.KEEP_SHORT, "shard", shard.number(), "key", key));
@@ -337,6 +408,7 @@
     private void release(
             final KeyedShard shard, final String key, final KeyedEntry entry, final ForwardResponse response) {
         entry.end(true, loop.now());
+        ownAttempts.end(entry.attemptId, true);
         final KeyedRecord keyedRecord = recordOf(shard, key, entry, true);
         final long epoch = votingConfiguration.epoch();
         votingConfiguration
@@ -392,10 +464,15 @@
             entry.outcome = new KeyedOutcome(
                     originResponse.status(), EndToEndHeaders.of(originResponse.headers()), originResponse.body(), true);
             writeRecord(shard, recordOf(shard, key, entry, false), OUTCOME_TIMEOUT_MILLIS, result -> {
+                ownAttempts.end(entry.attemptId, false);
+                if (!result.isStored()) {
+                    ownAttempts.keepUnrecorded(entry.attemptId, entry);
+                }
                 entry.end(false, loop.now());
                 entry.respond(completed(shard, entry.outcome));
             });
         } else if (completion.mayHaveRun()) {
+            ownAttempts.end(entry.attemptId, false);
             entry.end(false, loop.now());
             entry.respond(response(
                     RequestOutcome.UNKNOWN, 504, "outcome unknown: the origin's answer was lost", shard.token(), 0));
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedShard.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedShard.java
@@ -113,6 +113,11 @@
         }
     }
 
+    /** Whether the lease has moved, so that this node reads the records no more. */
+    boolean isClosed() {
+        return closed;
+    }
+
     /** Stops reading and rejects the waiting requests, because the lease has moved. */
     void close() {
         closed = true;
--- a/data/src/main/java/org/rowanvalve/data/keyed/RecordWrite.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/RecordWrite.java
@@ -18,13 +18,17 @@
 import org.rowanvalve.control.voting.VotingConfiguration;
 
 /**
- * Writes one record to the replicas. The write succeeds once a majority of the replicas and every reachable store has
+ * Writes one record to the replicas. A record that tells how an attempt ended is written whether or not the replicas were
+ * read in their present era, since the shard may have moved meanwhile. The write succeeds once a majority of the replicas and every reachable store has
  * synced the record. A replica counts only while it is in the era in which it was read; a replica whose era has changed
  * is read again. If too few replicas count, the record is written once more after enough of them have been read again.
  */
 final class RecordWrite {
     private static final long VOTING_CHANGE_TIMEOUT_MILLIS = 1500;
     private static final long CHECK_INTERVAL_MS = 100;
+    /** No replica is in this era: they number theirs from a hash. */
+    private static final long UNKNOWN_ERA = 0;
+
     private final VotingConfiguration votingConfiguration;
     private final Quorum quorum;
     private final EventLoop loop;
@@ -90,10 +94,10 @@
         final List<NodeId> replicas = quorum.voters();
         replicas.forEach(replica -> {
             final OptionalLong era = shard.reader().eraOf(replica);
-            if (era.isPresent()) {
+            if (era.isPresent() || keyedRecord.outcome() != null) {
                 transport.request(
                         replica,
-                        new RecordWriteRequest(quorum.epoch(), keyedRecord, era.getAsLong()),
+                        new RecordWriteRequest(quorum.epoch(), keyedRecord, era.orElse(UNKNOWN_ERA)),
                         timeoutMs,
                         reply -> onReply(replica, reply));
             } else {
@@ -177,7 +181,11 @@
      */
     private void onVotingSetChange() {
         finished = true;
-        shard.whenReady(VOTING_CHANGE_TIMEOUT_MILLIS, () -> repeat(mayRepeat), this::fail);
+        if (keyedRecord.outcome() != null && shard.isClosed()) {
+            repeat(mayRepeat);
+        } else {
+            shard.whenReady(VOTING_CHANGE_TIMEOUT_MILLIS, () -> repeat(mayRepeat), this::fail);
+        }
     }
 
     private void finish(final boolean succeeded) {
--- a/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
+++ b/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
@@ -82,6 +82,9 @@
                 && node.dispatcher()
                         .filter(dispatcher -> dispatcher.inFlight() > 0)
                         .isEmpty()
+                && node.shield()
+                        .filter(shield -> shield.keyedRequests().anyInProgress())
+                        .isEmpty()
                 && areShardsHandedOver()
                 && isVoterReplaced();
         if (idle || loop.now() >= deadline) {
--- a/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
+++ b/data/src/main/java/org/rowanvalve/data/node/MessageRouter.java
@@ -52,6 +52,12 @@
     }
 
     void route(final NodeId from, final Message message, final Transport.Responder callback) {
+        if (message instanceof OutcomeRequest request
+                && request.attemptId() != null
+                && node.shield().isPresent()) {
+            node.shield().get().keyedRequests().onOutcomeRequest(request, callback);
+            return;
+        }
         if (node.voter().isPresent() && routeToVoter(node.voter().get(), from, message, callback)) {
             return;
         }
--- a/data/src/main/java/org/rowanvalve/data/node/ShieldComponents.java
+++ b/data/src/main/java/org/rowanvalve/data/node/ShieldComponents.java
@@ -16,6 +16,7 @@
 final class ShieldComponents {
     private final LeaseHolder leaseHolder;
     private final OriginDispatcher dispatcher;
+    private final KeyedRequests keyedRequests;
     private final Shield shield;
 
     ShieldComponents(
@@ -31,7 +32,7 @@
                 journal,
                 () -> !core.clockSkew.exceedsBound(),
                 this::drainDemand,
-                this::stopFills);
+                fillStopper());
         dispatcher = new OriginDispatcher(
                 settings,
                 runtime.loop(),
@@ -41,7 +42,7 @@
                 leaseHolder,
                 DispatcherClusterView.of(settings, core, core.voterLinks::otherShields),
                 journal);
-        final KeyedRequests keyedRequests = new KeyedRequests(
+        keyedRequests = new KeyedRequests(
                 core.votingConfiguration,
                 runtime.loop(),
                 runtime.transport(),
@@ -49,7 +50,8 @@
                 journal,
                 core.storeHealth,
                 settings.self().id() + "#" + settings.self().incarnation(),
-                new RecordRetention(settings.keyWindowMs(), core.configuration::longestKeyedTimeoutMs));
+                new RecordRetention(settings.keyWindowMs(), core.configuration::longestKeyedTimeoutMs),
+                core.voterLinks::otherShields);
         shield = new Shield(
                 runtime.loop(),
                 runtime.transport(),
@@ -67,9 +69,19 @@
         return dispatcher.drainDemand();
     }
 
-    private void stopFills(
-            final int shard, final FenceReason reason, final long graceMs, final Consumer<Boolean> callback) {
-        dispatcher.stop(shard, reason, graceMs, callback);
+    private LeaseHolder.FillStopper fillStopper() {
+        return new LeaseHolder.FillStopper() {
+            @Override
+            public void stop(
+                    final int shard, final FenceReason reason, final long graceMs, final Consumer<Boolean> done) {
+                dispatcher.stop(shard, reason, graceMs, done);
+            }
+
+            @Override
+            public void giveUpUnsent(final int shard) {
+                dispatcher.giveUpUnsent(shard);
+            }
+        };
     }
 
     LeaseHolder leaseHolder() {
@@ -80,6 +92,10 @@
         return dispatcher;
     }
 
+    KeyedRequests keyedRequests() {
+        return keyedRequests;
+    }
+
     Shield shield() {
         return shield;
     }
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatch.java
@@ -31,6 +31,8 @@
     /** The reasons, as edges receive them, of rejections that every node would give. */
     static final String ORIGINS_BUSY = "every origin is busy";
 
+    private static final String NO_RIGHT_TO_SEND = "no held right to send";
+
     public static final String RATE_EXHAUSTED = "the rate of the service is spent";
     /** The reason of a request whose response nobody waits for any more. */
     public static final String CANCELLED = "the request was cancelled";
@@ -219,7 +221,10 @@
     /** Returns whether the request can leave the queue: an origin has a free slot, or there is nothing to wait for. */
     private boolean canLeaveQueue() {
         final Map<ItemId, Origin> candidates = untriedOrigins();
-        return !isWanted() || candidates.isEmpty() || dispatcher.load().anyAvailable(candidates, loop().now());
+        return !isWanted()
+                || dispatcher.isRevoked(request.shard())
+                || candidates.isEmpty()
+                || dispatcher.load().anyAvailable(candidates, loop().now());
     }
 
     /** Chooses an origin for a committed attempt. */
@@ -230,7 +235,9 @@
         }
         final Map<ItemId, Origin> candidates = untriedOrigins();
         final Service service = dispatcher.view().service(request.service());
-        if (service == null) {
+        if (dispatcher.isRevoked(request.shard())) {
+            abandon(NO_RIGHT_TO_SEND, RETRY_AFTER_MS);
+        } else if (service == null) {
             abandon("the service is no longer configured", 0);
         } else if (candidates.isEmpty()) {
             abandon("no origin of the service is known or left to try", RETRY_AFTER_MS);
@@ -313,7 +320,7 @@
         } else if (standing == Cancellation.State.UNCONFIRMED) {
             await(new ConfirmationWait(dispatcher, request), () -> sendIfPermitted(id));
         } else if (!dispatcher.maySend(request.shard(), request.service())) {
-            abandon("no held right to send", RETRY_AFTER_MS);
+            abandon(NO_RIGHT_TO_SEND, RETRY_AFTER_MS);
         } else if (origin == null) {
             tried.add(id);
             chooseOrigin();
--- a/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
+++ b/data/src/main/java/org/rowanvalve/data/origin/OriginDispatcher.java
@@ -157,6 +157,21 @@
         });
     }
 
+    /**
+     * Gives up the requests that wait to be sent under the revoked lease of a shard, so that their callers can turn to the
+     * next holder at once.
+     */
+    public void giveUpUnsent(final int shard) {
+        if (isRevoked(shard)) {
+            configuration.serviceNames().forEach(this::drainQueue);
+        }
+    }
+
+    /** Whether a request needs the lease of a shard that this node does not have any more. */
+    boolean isRevoked(final int shard) {
+        return shard != OriginRequest.NO_SHARD && !leases.mayServe(shard);
+    }
+
     /** The process stops; it ends at {@code deadline} at the latest. */
     public void onStopping(final long deadline) {
         stopDeadline = deadline;
--- a/data/src/test/java/org/rowanvalve/data/edge/EdgeTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/EdgeTest.java
@@ -5,10 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.message.Reply;
+import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.ItemId;
 import org.rowanvalve.common.model.ItemKind;
 import org.rowanvalve.common.model.Member;
@@ -144,8 +148,38 @@
         respond(0, silent());
         loop.run(70);
         assertEquals(N2, forward(1).to());
-        respond(1, good("low token"));
+        int forwardCount = 1;
+        while (clientResponses.isEmpty()) {
+            respond(forwardCount++, good("low token"));
+            loop.run(300);
+        }
         assertEquals(504, status());
+        assertTrue(forwardCount > 2, "the current holder is asked for the recorded outcome");
+    }
+
+    /** Guards against keyed requests that are not answered because their shard moved while their origin worked. */
+    @Test
+    void aKeyedResponseOfAnEarlierHolderIsAskedOfTheCurrentHolder() {
+        send(RouteMode.KEYED);
+        putItem(ItemId.PLAN, 2, new PlacementPlan(2, 1, List.of(new PlacementPlan.Assignment("n2", 1, 2))));
+        send(RouteMode.CACHED);
+        respond(0, good("low token"));
+        loop.run(100);
+        assertEquals(N2, forward(2).to());
+        assertEquals(forward(0).request().key(), forward(2).request().key());
+        respond(
+                2,
+                Reply.of(new ForwardResponse(
+                        RequestOutcome.DONE,
+                        "",
+                        200,
+                        new FencingToken(1, 2),
+                        Map.of(),
+                        "recorded".getBytes(StandardCharsets.UTF_8),
+                        0,
+                        null,
+                        0)));
+        assertEquals(200, status());
     }
 
     @Test
--- a/data/src/test/java/org/rowanvalve/data/edge/RefusedAlthoughSentTest.java
+++ b/data/src/test/java/org/rowanvalve/data/edge/RefusedAlthoughSentTest.java
@@ -1,7 +1,9 @@
 package org.rowanvalve.data.edge;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -81,9 +83,8 @@
         assertEquals(RequestOutcome.REFUSED, outcome());
     }
 
-    /** The response comes from an earlier holder, which executed the request before the edge learned of the next one. */
-    @Test
-    void requestThatAnEarlierHolderExecutedIsNotForwardedToTheNextHolder() {
+    /** Sends a request that may run once, and moves its shard before the response of the first holder is there. */
+    private void sendOnceAndMoveTheShard() {
         putItem(
                 new ItemId(ItemKind.ROUTE, RouteMode.AT_MOST_ONCE.code()),
                 2,
@@ -111,9 +112,27 @@
         assertEquals(1, forwards.size());
         putItem(ItemId.PLAN, 2, new PlacementPlan(2, 1, List.of(new PlacementPlan.Assignment("n2", 1, 2))));
         send(RouteMode.KEYED);
+    }
+
+    /** Guards against answers of the only run that are withheld because the shard moved while the origin worked. */
+    @Test
+    void answerOfTheOnlyRunIsDeliveredThoughItsHolderIsAnEarlierOne() {
+        sendOnceAndMoveTheShard();
         respond(0, good("executed"));
         loop.run(1000);
         assertEquals(2, forwards.size(), "the request itself is not forwarded again");
+        assertEquals(RequestOutcome.DONE, outcome());
+        assertArrayEquals(
+                "executed".getBytes(StandardCharsets.UTF_8), responses.get(0).body());
+    }
+
+    /** The response comes from an earlier holder, which sent the request before the edge learned of the next one. */
+    @Test
+    void requestThatAnEarlierHolderExecutedIsNotForwardedToTheNextHolder() {
+        sendOnceAndMoveTheShard();
+        respond(0, filled(RequestOutcome.UNKNOWN, 504, "lost", 0, null));
+        loop.run(1000);
+        assertEquals(2, forwards.size(), "the request itself is not forwarded again");
         assertEquals(RequestOutcome.UNKNOWN, outcome());
     }
 }
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedHolderFixture.java
@@ -41,6 +41,8 @@
     final List<RequestOutcome> outcomes = new ArrayList<>();
     final List<ForwardResponse> responses = new ArrayList<>();
     int sentCount;
+    /** The shields that a holder asks for the attempts of other processes. */
+    List<NodeId> otherShields = List.of();
 
     /** Starts a holder whose lease is granted by a leader that acknowledges every renewal. */
     LeaseHolder startHolder(final FencingToken token) {
@@ -78,6 +80,14 @@
         return holder;
     }
 
+    /** Grants the shard to the first holder once more, under a higher token. */
+    void grantAgain(final FencingToken token) {
+        leases.onGrant(
+                LEADER,
+                new LeaseGrantRequest(1, 1, List.of(new ShardLease(SHARD, token, LeaseState.GRANTED))),
+                response -> {});
+    }
+
     KeyedRequests newKeyedRequests(final String process) {
         return newKeyedRequests(process, leases);
     }
@@ -91,7 +101,8 @@
                 replicas.journal,
                 new StoreHealth(replicas.votingConfiguration.quorum(), replicas.loop, replicas.journal),
                 process,
-                RecordReplicasFixture.RETENTION);
+                RecordReplicasFixture.RETENTION,
+                () -> otherShields);
     }
 
     void submit(final KeyedRequests target, final String key, final long maxWaitMs) {
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
@@ -50,6 +50,7 @@
                 replicas.startReplica(replica, disks.get(replica));
             }
             holders.add(newKeyedRequests("p0"));
+            answerForAttempts(0);
             replicas.requestDelayMs = (replica, message) -> messageDelayMs(message);
             replicas.responseDelayMs = (replica, message) -> messageDelayMs(message);
         }
@@ -87,6 +88,13 @@
             } else {
                 holders.set(holders.size() - 1, newKeyedRequests(process + "-" + number, leasesOfLastHolder()));
             }
+            answerForAttempts(holders.size() - 1);
+        }
+
+        /** The holder answers the others' questions for its attempts; a restarted one in place of its earlier process. */
+        private void answerForAttempts(final int holder) {
+            replicas.shields.put(NodeId.of("holder" + holder), holders.get(holder));
+            otherShields = List.copyOf(replicas.shields.keySet());
         }
 
         private LeaseHolder leasesOfLastHolder() {
--- a/data/src/test/java/org/rowanvalve/data/keyed/RecordReplicasFixture.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/RecordReplicasFixture.java
@@ -44,6 +44,8 @@
     final EventJournal journal = new EventJournal(loop, 500);
     final VotingConfiguration votingConfiguration = VotingConfiguration.of(new Quorum(ALL, Set.of()));
     final Map<NodeId, KeyedRecordStore> stores = new TreeMap<>();
+    /** The processes that answer for their own attempts. */
+    final Map<NodeId, KeyedRequests> shields = new HashMap<>();
     /** The number of requests sent, by message type. */
     final Map<String, Integer> requestCounts = new TreeMap<>();
 
@@ -158,6 +160,10 @@
 
     private void handle(final NodeId recipient, final Message message, final Consumer<Message> callback) {
         final KeyedRecordStore replica = stores.get(recipient);
+        if (shields.containsKey(recipient) && message instanceof OutcomeRequest m) {
+            shields.get(recipient).onOutcomeRequest(m, callback);
+            return;
+        }
         if (replica == null) {
             return;
         }
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/Judge.java
@@ -6,7 +6,7 @@
 import org.rowanvalve.testkit.log.RequestTrace;
 
 /**
- * Checks the rules on a run from its logs alone: the brief's twelve, and thirteen more where shields vote and operators
+ * Checks the rules on a run from its logs alone: the brief's twelve, and fourteen more where shields vote and operators
  * state versions.
  */
 public final class Judge {
@@ -54,6 +54,8 @@
                     RouteVersionRules.references(facts, new Verdict(24, "routes in force name services in force")));
             verdicts.add(
                     RouteVersionRules.requests(facts, new Verdict(25, "requests go by a version that is new enough")));
+            verdicts.add(BrokenOffWorkRules.planned(
+                    facts, new Verdict(26, "planned moves break off nothing that origins work on")));
         }
     }
 
--- a/testkit/src/test/java/org/rowanvalve/testkit/JudgeShieldsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/JudgeShieldsTest.java
@@ -345,6 +345,47 @@
         rule(25, some, List.of(List.of(req(5600, "a-3", "done", 200), org(5650, "get", "a-3", "s1", "sh1"))));
     }
 
+    private static Map<String, Object> brokenOff(final long t, final String cause, final Object graceLeftMs) {
+        return RunLog.row(
+                "log",
+                "node",
+                "t",
+                t,
+                "node",
+                "sh1",
+                "name",
+                "WORK_BROKEN_OFF",
+                "request",
+                "a-1",
+                "kind",
+                "keyed",
+                "cause",
+                cause,
+                "origin",
+                "s1",
+                "workedMs",
+                600,
+                "deadlineLeftMs",
+                3000,
+                "graceLeftMs",
+                graceLeftMs);
+    }
+
+    @Test
+    void rule26PlannedMovesThatBreakOffWork() {
+        rule(
+                26,
+                List.of(
+                        brokenOff(100, "lease-expired", ""),
+                        brokenOff(200, "client-left", 4000),
+                        brokenOff(300, "process-end", 0),
+                        brokenOff(400, "deadline", "")),
+                List.of(
+                        List.of(brokenOff(500, "lease-revoked", "")),
+                        List.of(brokenOff(500, "lease-revoked", 5400)),
+                        List.of(brokenOff(500, "process-end", 1200))));
+    }
+
     private static Map<String, Object> routeFor(
             final String what, final long t, final long version, final long lifetimeMs) {
         return op(what, t, version, "n" + version, "prefix", "/c/", "life", lifetimeMs);
--- a/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/LeaseHolderTest.java
@@ -71,7 +71,14 @@
             }
         };
         leases = new LeaseHolder(
-                loop, transport, items, LeaseTimings.DEFAULT, journal, () -> true, List::of, (shard, reason, grace, done) -> {
+                loop,
+                transport,
+                items,
+                LeaseTimings.DEFAULT,
+                journal,
+                () -> true,
+                List::of,
+                (shard, reason, grace, done) -> {
                     stops.add(shard + "@" + time.now());
                     time.in(stopDurationMs, () -> done.accept(true));
                 });
@@ -241,6 +248,8 @@
                         replicas.indexOf(recipient) < respondingReplicas
                                 ? Reply.of(new RecordWriteResponse(sameEra, false, !sameEra))
                                 : Reply.failed(Reply.Failure.NO_RESPONSE));
+            } else {
+                callback.accept(Reply.failed(Reply.Failure.NO_RESPONSE));
             }
         });
         final org.rowanvalve.control.voting.Quorum quorum =
@@ -253,7 +262,8 @@
                 journal,
                 new org.rowanvalve.control.voting.StoreHealth(quorum, loop, journal),
                 "b",
-                new org.rowanvalve.control.record.RecordRetention(60_000, () -> 0));
+                new org.rowanvalve.control.record.RecordRetention(60_000, () -> 0),
+                List::of);
     }
 
     private List<String> keyed(final int respondingReplicas, final List<KeyedRecord> known, final int attempts) {
@@ -320,20 +330,51 @@
         assertTrue(sent.size() > 700, "the rate is used: " + sent.size());
     }
 
+    /**
+     * Guards against a planned move that breaks off what origins work on: once the response is given nothing more may be
+     * sent, and no fill that was sent is stopped.
+     */
+    @Test
+    void aRevocationIsAnsweredOnceNothingMoreMayBeSentAndStopsNothingThatWasSent() {
+        answer(0);
+        final List<Message> responses = new ArrayList<>();
+        leases.onRevoke(
+                LEADER,
+                new LeaseRevokeRequest(1, List.of(new ShardLease(3, new FencingToken(1, 1), LeaseState.REVOKED))),
+                response -> {
+                    assertFalse(leases.mayFill(3));
+                    responses.add(response);
+                });
+        assertEquals(List.of(new LeaseRevokeResponse(true, List.of(3))), responses);
+        assertEquals(1, fencedEvents(), "the next holder's first fill comes after it");
+        answer(renewals.size() - 1);
+        time.run(time.now() + 5000);
+        assertFalse(leases.mayFill(3), "nor by an answer to an earlier renewal");
+        assertEquals(List.of(), stops);
+    }
+
+    /** What a lost lease ends by force is not spared by a revocation that comes meanwhile. */
     @Test
-    void aRevocationIsAnsweredOnlyAfterTheFillsHaveStopped() {
+    void aRevocationOfAnExpiredLeaseIsAnsweredOnlyAfterTheFillsHaveStopped() {
         answer(0);
         stopDurationMs = 300;
+        time.run(sent.get(sent.size() - 1) + 2050);
+        assertEquals(LeaseState.EXPIRED, leases.leases().get(3).state());
         final List<Message> responses = new ArrayList<>();
         final long from = time.now();
         leases.onRevoke(
                 LEADER,
                 new LeaseRevokeRequest(1, List.of(new ShardLease(3, new FencingToken(1, 1), LeaseState.REVOKED))),
                 responses::add);
-        assertFalse(leases.mayFill(3));
         time.run(from + 299);
         assertEquals(List.of(), responses);
         time.run(from + 300);
         assertEquals(List.of(new LeaseRevokeResponse(true, List.of(3))), responses);
     }
+
+    private long fencedEvents() {
+        return journal.recent().stream()
+                .filter(entry -> entry.event().code() == EventCode.FENCED)
+                .count();
+    }
 }
--- a/testkit/src/test/java/org/rowanvalve/testkit/TroubleKindsTest.java
+++ b/testkit/src/test/java/org/rowanvalve/testkit/TroubleKindsTest.java
@@ -215,6 +215,25 @@
         assertEquals(4, rig(rows, "start").size());
     }
 
+    /** Guards against planned moves, in series and in both directions, that break off what slow origins work on. */
+    @ParameterizedTest
+    @ValueSource(doubles = {1000, 2300})
+    void shieldsRestartedInTurnBreakOffNothingThatOriginsWorkOn(final double workMs) {
+        final Stream<String> slow = Stream.of(
+                        "till1", "till2", "till3", "till4", "till5", "till6", "desk1", "desk2", "desk3")
+                .map(origin -> step(200, "origin-slow", origin, 50_000, "", workMs));
+        final List<Map<String, Object>> rows = play(
+                55,
+                Stream.concat(slow, Stream.of(step(1500, "roll", "shields", 1000, "busy", 1)))
+                        .toArray(String[]::new));
+        assertEquals(4, rig(rows, "start").size());
+        final Judge judge = new Judge(rows);
+        assertEquals(List.of(), judge.rule(26).breaches(), judge.text(2));
+        assertEquals(List.of(), judge.rule(1).breaches());
+        assertEquals(List.of(), judge.rule(2).breaches());
+        assertEquals(List.of(), judge.rule(4).breaches());
+    }
+
     /** Guards against origins that are used again after their end, since their first heartbeat came later than it. */
     @Test
     void originsThatEndBeforeTheirFirstHeartbeatGetNoRequests() {
