The word that an attempt was not sent says nothing of the key's other attempts

Found by KeyedProtocolSearchTest with 60,000 drawn runs on: three keys ran twice. A holder whose own attempt may have run adopted the attempt of another process with the same token, asked about that one alone, and took its "not sent" for the key's.

Change: where replicas or this process know several attempts of which each may have run, a query takes an outcome only. A result also counts only for the attempt that was asked about.

--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedEntry.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedEntry.java
@@ -36,6 +36,11 @@
     boolean fetching;
     /** The attempt is known from replicas only, so its process may know how it ended. */
     private boolean knownFromRecord;
+    /**
+     * Several attempts of the key are known of which each may have been executed. That one of them was not sent then says
+     * nothing about the others.
+     */
+    private boolean severalAttempts;
     /** Other processes are being asked how the attempt ended. */
     private boolean queried;
 
@@ -54,12 +59,14 @@
         this.activeAt = now;
     }
 
-    static KeyedEntry of(final KeyedRecord record, final long now) {
+    /** {@code severalAttempts}: whether the replicas know several attempts of which each may have been executed. */
+    static KeyedEntry of(final KeyedRecord record, final boolean severalAttempts, final long now) {
         final KeyedEntry entry = new KeyedEntry(record.requestDigest(), now);
         entry.outcome = record.outcome();
         entry.notSent = record.outcome() == null && record.notSent();
         entry.attemptId = record.attemptId();
         entry.knownFromRecord = true;
+        entry.severalAttempts = severalAttempts;
         return entry;
     }
 
@@ -71,6 +78,7 @@
         inProgress = true;
         notSent = false;
         knownFromRecord = false;
+        severalAttempts = false;
         renew(now);
     }
 
@@ -83,6 +91,7 @@
 
     /** Takes over the record of a replica, which overrides an attempt of this process. */
     void adopt(final KeyedRecord record, final long now) {
+        severalAttempts |= state() == State.MAY_HAVE_RUN && attemptId != record.attemptId();
         end(false, now);
         digest = record.requestDigest();
         attemptId = record.attemptId();
@@ -128,13 +137,16 @@
         }
     }
 
-    /** Takes the result of a query of the attempt. */
-    void onQueried(final AttemptQuery.Result result, final long now) {
+    /** Takes the result of a query of an attempt, which may not be the one that this entry has by now. */
+    void onQueried(final long queriedAttemptId, final AttemptQuery.Result result, final long now) {
         queried = false;
-        switch (result.end()) {
-            case COMPLETED -> outcome = result.outcome();
-            case NOT_SENT -> end(true, now);
-            case UNKNOWN -> {}
+        if (result.end() == AttemptQuery.End.COMPLETED) {
+            outcome = result.outcome();
+        } else if (result.end() == AttemptQuery.End.NOT_SENT
+                && state() == State.MAY_HAVE_RUN
+                && attemptId == queriedAttemptId
+                && !severalAttempts) {
+            end(true, now);
         }
         final List<Runnable> actions = new ArrayList<>(waitingForQuery);
         waitingForQuery.clear();
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedRequests.java
@@ -243,13 +243,15 @@
 
     /** Finds out how the attempt of an entry ended of which this holder knows no more than the intent. */
     private void queryAttempt(final String key, final KeyedEntry entry) {
-        final KeyedEntry own = ownAttempts.inProgress(entry.attemptId).orElse(null);
+        final long attemptId = entry.attemptId;
+        final Consumer<AttemptQuery.Result> onResult = result -> entry.onQueried(attemptId, result, loop.now());
+        final KeyedEntry own = ownAttempts.inProgress(attemptId).orElse(null);
         if (own != null) {
-            own.addWaiter(response -> entry.onQueried(resultOf(own, response), loop.now()));
-        } else if (ownAttempts.isNotSent(entry.attemptId)) {
-            entry.onQueried(new AttemptQuery.Result(AttemptQuery.End.NOT_SENT, null), loop.now());
+            own.addWaiter(response -> onResult.accept(resultOf(own, response)));
+        } else if (ownAttempts.isNotSent(attemptId)) {
+            onResult.accept(new AttemptQuery.Result(AttemptQuery.End.NOT_SENT, null));
         } else {
-            new AttemptQuery(loop, transport, key, entry.attemptId, result -> entry.onQueried(result, loop.now()))
+            new AttemptQuery(loop, transport, key, attemptId, onResult)
                     .start(otherShields.get(), List.copyOf(votingConfiguration.voters()));
         }
     }
--- a/data/src/main/java/org/rowanvalve/data/keyed/KeyedShard.java
+++ b/data/src/main/java/org/rowanvalve/data/keyed/KeyedShard.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongPredicate;
+import java.util.stream.Collectors;
 import org.rowanvalve.common.message.KeyedRecord;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.runtime.EventLoop;
@@ -163,18 +165,31 @@
     }
 
     private void mergeRecords() {
-        recordsRead.values().forEach(records -> mergeRecord(KeyedRecord.resolve(records)));
+        recordsRead.values().forEach(records -> mergeRecord(KeyedRecord.resolve(records), severalMayHaveRun(records)));
         recordsRead.clear();
     }
 
+    private static boolean severalMayHaveRun(final List<KeyedRecord> records) {
+        final Set<Long> notSent = records.stream()
+                .filter(KeyedRecord::notSent)
+                .map(KeyedRecord::attemptId)
+                .collect(Collectors.toSet());
+        return records.stream()
+                        .map(KeyedRecord::attemptId)
+                        .filter(attemptId -> !notSent.contains(attemptId))
+                        .distinct()
+                        .count()
+                > 1;
+    }
+
     /**
      * Merges a record of the replicas into its entry. An attempt by another process overrides the state of this
      * process, unless the record is marked as not sent or has a lower token, and has no outcome.
      */
-    private void mergeRecord(final KeyedRecord record) {
+    private void mergeRecord(final KeyedRecord record, final boolean severalAttempts) {
         final KeyedEntry entry = entries.get(record.key());
         if (entry == null) {
-            entries.put(record.key(), KeyedEntry.of(record, loop.now()));
+            entries.put(record.key(), KeyedEntry.of(record, severalAttempts, loop.now()));
         } else if (isOwnAttempt.test(record.attemptId())
                 || record.outcome() == null
                         && (record.notSent() || record.token().isBelow(token))) {
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedMoveTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedMoveTest.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.rowanvalve.common.message.ForwardResponse;
+import org.rowanvalve.common.message.KeyedRecord;
 import org.rowanvalve.common.model.FencingToken;
 import org.rowanvalve.common.model.NodeId;
 import org.rowanvalve.common.model.RequestOutcome;
@@ -151,6 +152,31 @@
         assertEquals(RequestOutcome.UNKNOWN, atNext.get(0).fate());
     }
 
+    private static KeyedRecord intent(final long attemptId) {
+        return new KeyedRecord("k", SHARD, TOKEN, "d", attemptId, false, null);
+    }
+
+    /** Guards against a key that runs twice, because one of several attempts that may have run is known not to be sent. */
+    @Test
+    void wordThatOneAttemptWasNotSentSaysNothingOfAnother() {
+        final AttemptQuery.Result notSent = new AttemptQuery.Result(AttemptQuery.End.NOT_SENT, null);
+        final KeyedEntry onlyAttempt = KeyedEntry.of(intent(2), false, 0);
+        onlyAttempt.onQueried(1, notSent, 0);
+        assertEquals(KeyedEntry.State.MAY_HAVE_RUN, onlyAttempt.state(), "another attempt was asked about");
+        onlyAttempt.onQueried(2, notSent, 0);
+        assertEquals(KeyedEntry.State.NOT_SENT, onlyAttempt.state());
+        final KeyedEntry oneOfSeveral = KeyedEntry.of(intent(2), true, 0);
+        oneOfSeveral.onQueried(2, notSent, 0);
+        assertEquals(KeyedEntry.State.MAY_HAVE_RUN, oneOfSeveral.state());
+        final KeyedEntry afterOwnAttempt = new KeyedEntry("d", 0);
+        afterOwnAttempt.begin(0);
+        afterOwnAttempt.attemptId = 1;
+        afterOwnAttempt.end(false, 0);
+        afterOwnAttempt.adopt(intent(2), 0);
+        afterOwnAttempt.onQueried(2, notSent, 0);
+        assertEquals(KeyedEntry.State.MAY_HAVE_RUN, afterOwnAttempt.state(), "the own attempt may have run");
+    }
+
     @Test
     void shardThatReturnsToItsEarlierHolderJoinsItsOwnAttempt() {
         moveUnderWork("k");
--- a/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
+++ b/data/src/test/java/org/rowanvalve/data/keyed/KeyedProtocolSearchTest.java
@@ -42,6 +42,7 @@
         private final List<String> refused = new ArrayList<>();
         private final List<KeyedRequests> holders = new ArrayList<>();
         private int doneCount;
+        private int lastToken = 1;
 
         Run(final long seed) {
             random = new Random(seed);
@@ -82,11 +83,15 @@
 
         /** The shard moves to another node, or its holder restarts under the same token. */
         private void changeHolder(final int number) {
-            final String process = "p" + holders.size();
+            final String process = "p" + number;
             if (random.nextBoolean()) {
-                holders.add(newKeyedRequests(process, startHolder(new FencingToken(1, holders.size() + 1))));
+                // Starting a holder runs the loop, in which the other change may come: the token is drawn before.
+                final FencingToken token = new FencingToken(1, ++lastToken);
+                final LeaseHolder lease = startHolder(token);
+                holders.add(newKeyedRequests(process, lease));
             } else {
-                holders.set(holders.size() - 1, newKeyedRequests(process + "-" + number, leasesOfLastHolder()));
+                final LeaseHolder lease = leasesOfLastHolder();
+                holders.set(holders.size() - 1, newKeyedRequests(process, lease));
             }
             answerForAttempts(holders.size() - 1);
         }
@@ -98,7 +103,7 @@
         }
 
         private LeaseHolder leasesOfLastHolder() {
-            return holders.size() == 1 ? leases : startHolder(new FencingToken(1, holders.size()));
+            return holders.size() == 1 ? leases : startHolder(new FencingToken(1, lastToken));
         }
 
         private void loseOrRestart(final NodeId replica) {
