A shield whose shutdown is done refuses requests in its last moments

Its edge asked elsewhere, so its client was answered; a request that may run once would have been lost.

Change: when the drain is done the shield refuses, unsent, with the delay on which edges ask another shield at once.

Removals and the soak's rule list follow.

--- a/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
+++ b/data/src/main/java/org/rowanvalve/data/node/GracefulShutdown.java
@@ -88,6 +88,7 @@
                 && areShardsHandedOver()
                 && isVoterReplaced();
         if (idle || loop.now() >= deadline) {
+            node.shield().ifPresent(components -> components.shield().close());
             loop.schedule(LINGER_MS, () -> {
                 node.dispatcher().ifPresent(OriginDispatcher::onProcessEnd);
                 journal.add(Event.of(EventCode.STOPPED, "node", self.text(), "openRequests", openRequests()));
--- a/data/src/main/java/org/rowanvalve/data/shield/Shield.java
+++ b/data/src/main/java/org/rowanvalve/data/shield/Shield.java
@@ -78,6 +78,7 @@
     private final OpenForwards openForwards = new OpenForwards();
     private final PauseMonitor pauses;
     private final ForwardConfirmation confirmation;
+    private boolean closed;
 
     public Shield(
             final EventLoop loop,
@@ -111,8 +112,17 @@
                 RequestOutcome.REFUSED, status, reason, leases.token(request.shard()), retryAfterMs);
     }
 
+    /** Refuses requests from now on, because the process is about to end; edges turn to other shields. */
+    public void close() {
+        closed = true;
+    }
+
     /** Handles a request of the edge {@code from}, which also grants further attempts for the request. */
     public void handle(final NodeId from, final ForwardRequest request, final Transport.Responder callback) {
+        if (closed) {
+            callback.accept(reject(request, 503, "the shield is stopping", OTHER_SHIELD_RETRY_MS));
+            return;
+        }
         final AttemptAllowance attempts = allowance(from, request);
         final OpenForwards.Id id = new OpenForwards.Id(from, request.incarnation(), request.serial());
         final Cancellation cancellation = new Cancellation(pauses::check);
--- a/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
+++ b/data/src/test/java/org/rowanvalve/data/shield/ShieldTest.java
@@ -170,6 +170,17 @@
         forward(serial, connectionId, new VersionVector(Map.of("p/h.1", 9L)), false, 1);
     }
 
+    /** Guards against requests that are sent to an origin right before the process ends, which breaks them off. */
+    @Test
+    void aShieldThatIsAboutToEndRefusesRequestsUnsent() {
+        route(RouteMode.STATUS, 1600);
+        shield.close();
+        forward(null, true, 1);
+        assertEquals(RequestOutcome.REFUSED, responses.get(0).fate());
+        assertEquals(500, responses.get(0).retryAfterMs(), "the edge asks another shield at once");
+        assertEquals(List.of(), sent);
+    }
+
     @Test
     void aRequestCancelledWhileItWaitsIsRefusedUnsent() {
         route(RouteMode.STATUS, 1600);
--- a/testkit/src/main/java/org/rowanvalve/testkit/judge/Verdict.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/judge/Verdict.java
@@ -22,11 +22,6 @@
         this.name = name;
     }
 
-    /** The number of the rule. */
-    public int number() {
-        return rule;
-    }
-
     void check() {
         checked++;
     }
--- a/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakRun.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/soak/SoakRun.java
@@ -113,12 +113,12 @@
     private void judge(final List<Map<String, Object>> rows) {
         final Judge judge = new Judge(rows);
         for (final Verdict verdict : judge.verdicts()) {
-            if (!REQUEST_RULES.contains(verdict.number())) {
+            if (!REQUEST_RULES.contains(verdict.rule())) {
                 continue;
             }
             verdict.breaches().stream()
                     .limit(MAX_BREACHES)
-                    .forEach(breach -> findings.add(Rule.REQUEST_RULE, "rule " + verdict.number() + ": " + breach));
+                    .forEach(breach -> findings.add(Rule.REQUEST_RULE, "rule " + verdict.rule() + ": " + breach));
         }
     }
 
