--- a/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOrigin.java
+++ b/testkit/src/main/java/org/rowanvalve/testkit/sim/SimOrigin.java
@@ -9,8 +9,8 @@
 
 /** A stand-in origin on virtual time: the same contract as the one over HTTP. */
 public final class SimOrigin {
-    private static final long END_BEFORE_HEARTBEAT_MS = 700;
-    private static final long LATE_HEARTBEAT_MS = 3000;
+    private static final long EARLY_END_MS = 700;
+    private static final long LATE_BEGIN_MS = 3000;
 
     private final VirtualTime time;
     private final RunLog log;
@@ -205,8 +205,8 @@
         beat = 0;
         running = 0;
         final long mine = life;
-        time.in(END_BEFORE_HEARTBEAT_MS, this::sayEnd);
-        time.in(LATE_HEARTBEAT_MS, () -> announce(false, response -> {}));
+        time.in(EARLY_END_MS, this::sayEnd);
+        time.in(LATE_BEGIN_MS, () -> announce(false, response -> {}));
         time.in(ms, () -> {
             if (life == mine) {
                 kill();
